--- /dev/null
+++ b/include/cuminswitch/Control/configuration_store.h
@@ -0,0 +1,92 @@
+/// \file
+/// Reading and submitting the configuration, for operators' tools.
+#ifndef CUMINSWITCH_CONTROL_CONFIGURATION_STORE_H_
+#define CUMINSWITCH_CONTROL_CONFIGURATION_STORE_H_
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "cuminswitch/Config/configuration.h"
+#include "cuminswitch/Config/document_diff.h"
+#include "cuminswitch/Protocol/ids.h"
+#include "cuminswitch/Records/configuration_head.h"
+
+namespace cuminswitch {
+
+class platform_store;
+
+/// Thrown when the platform gives no usable answer.
+class store_error : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+/// An accepted configuration.
+struct stored_configuration {
+  generation_number generation = 0;
+  configuration config;
+};
+
+enum class submission_result : uint8_t {
+  kAccepted,
+  /// Another configuration was accepted since the base.
+  kConflict,
+  /// The platform did not say whether it was accepted.
+  kUnknown,
+};
+
+struct submission_answer {
+  submission_result result = submission_result::kUnknown;
+  /// The generation accepted, or the one it conflicts with.
+  generation_number generation = 0;
+  /// Places changed by both, with the other operator's text before and the
+  /// submitted text after. Empty when the changes do not touch each other.
+  std::vector<document_change> conflicts;
+};
+
+/// The configuration in the platform.
+class configuration_store {
+ public:
+  explicit configuration_store(platform_store& platform)
+      : platform_(platform) {}
+
+  /// Returns the configuration in force; generation 0 when there is none.
+  /// Throws `store_error`.
+  stored_configuration Fetch();
+  /// Returns an earlier configuration. Throws `store_error`.
+  stored_configuration FetchGeneration(generation_number generation);
+
+  /// Submits \p config, made from generation \p base. \p submission is a text
+  /// of the caller's that no other submission has; submitting again with the
+  /// same one is idempotent. Throws `store_error` when nothing was accepted.
+  submission_answer Submit(const configuration& config,
+                           generation_number base,
+                           const std::string& submission);
+
+ private:
+  struct current_head {
+    configuration_head head;
+    revision_number revision = 0;
+    std::string bytes;
+  };
+
+  current_head ReadHead();
+  configuration ReadChunks(const configuration_head& head);
+  void WriteOnce(const std::string& key, const std::string& value);
+  submission_answer MakeConflict(const configuration& config,
+                                 generation_number base,
+                                 const current_head& current);
+  /// Whether \p submission was accepted at or before \p current.
+  std::optional<generation_number> FindSubmission(
+      const current_head& current,
+      generation_number first,
+      const std::string& submission);
+
+  platform_store& platform_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_CONTROL_CONFIGURATION_STORE_H_
--- /dev/null
+++ b/include/cuminswitch/Core/core_status.h
@@ -0,0 +1,59 @@
+/// \file
+/// What one daemon sees and has counted, for its status and metrics pages.
+#ifndef CUMINSWITCH_CORE_CORE_STATUS_H_
+#define CUMINSWITCH_CORE_CORE_STATUS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cuminswitch/Protocol/ids.h"
+#include "cuminswitch/Protocol/member.h"
+
+namespace cuminswitch {
+
+/// Counts since the daemon's start.
+struct core_counters {
+  uint64_t requests = 0;
+  uint64_t answered = 0;
+  uint64_t not_run = 0;
+  uint64_t unknown = 0;
+  /// Requests given up on because their estimated wait was too long.
+  uint64_t shed = 0;
+  uint64_t retries = 0;
+  /// Answers of attempts that no longer counted.
+  uint64_t late_answers = 0;
+  uint64_t platform_calls = 0;
+  uint64_t peer_messages = 0;
+  uint64_t prompt_tokens = 0;
+  uint64_t cached_tokens = 0;
+};
+
+/// One upstream as the daemon sees it.
+struct upstream_status {
+  std::string name;
+  bool reachable = false;
+  bool leaving = false;
+  bool reported = false;
+  uint64_t incarnation = 0;
+  uint32_t in_flight = 0;
+  double limit = 0;
+  double prefill_rate = 0;
+  double retention_seconds = 0;
+};
+
+struct core_status {
+  core_counters counters;
+  generation_number generation = 0;
+  std::vector<member> members;
+  std::vector<upstream_status> upstreams;
+  std::vector<shard_number> shards;
+  size_t waiting = 0;
+  size_t running = 0;
+  size_t known_prefixes = 0;
+  bool stopping = false;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_CORE_CORE_STATUS_H_
--- /dev/null
+++ b/include/cuminswitch/Core/request_router.h
@@ -0,0 +1,173 @@
+/// \file
+/// The life of a request inside the decision core.
+#ifndef CUMINSWITCH_CORE_REQUEST_ROUTER_H_
+#define CUMINSWITCH_CORE_REQUEST_ROUTER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cuminswitch/Admission/drain_meter.h"
+#include "cuminswitch/Admission/retry_budget.h"
+#include "cuminswitch/Admission/wait_queue.h"
+#include "cuminswitch/Admission/workspace_limiter.h"
+#include "cuminswitch/Config/configuration.h"
+#include "cuminswitch/Core/core_status.h"
+#include "cuminswitch/Protocol/core_action.h"
+#include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Routing/placement_policy.h"
+#include "cuminswitch/Routing/placement_query.h"
+#include "cuminswitch/Routing/prefix_index.h"
+#include "cuminswitch/Routing/replica_table.h"
+
+namespace cuminswitch {
+
+class member_table;
+
+/// Admits requests, asks for the start of those that may run only once,
+/// places them, retries them where that is safe, and ends each with the
+/// outcome that is true.
+class request_router {
+ public:
+  struct options {
+    /// Who this daemon is, for start requests.
+    member self;
+    std::string policy = "prefix_cost";
+    uint64_t random_seed = 0;
+    size_t prefix_capacity = 131'072;
+    shard_number shard_count = 16;
+    /// How long the start of a non-repeatable request may take.
+    duration start_timeout = std::chrono::seconds(5);
+    retry_budget::options retries;
+  };
+
+  request_router(const options& opts, const member_table& members);
+
+  void OnConfiguration(time_point now,
+                       std::shared_ptr<const configuration> config,
+                       action_list& out);
+  void OnRequest(time_point now,
+                 const request_arrived& event,
+                 action_list& out);
+  void OnCallerGone(time_point now, const caller_gone& event, action_list& out);
+  void OnFirstByte(time_point now, const attempt_first_byte& event);
+  void OnAttemptEnded(time_point now,
+                      const attempt_ended& event,
+                      action_list& out);
+  void OnUpstreamReport(time_point now,
+                        const upstream_report& report,
+                        action_list& out);
+  void OnStartReply(time_point now, const start_reply& reply, action_list& out);
+  void OnTick(time_point now, action_list& out);
+  /// Refuses new requests from now on.
+  void CloseAdmission() { admission_closed_ = true; }
+
+  bool IsIdle() const { return requests_.empty(); }
+  workspace_limiter& limiter() { return limiter_; }
+  core_counters& counters() { return counters_; }
+  void FillStatus(core_status& status) const;
+
+ private:
+  enum class stage : uint8_t { kStarting, kWaiting, kRunning };
+
+  struct attempt {
+    attempt_id id = 0;
+    replica_index index = 0;
+    double expected_tokens = 0;
+    time_point sent{};
+    std::optional<time_point> first_byte;
+    /// The replica had nothing queued, so its speed can be learnt.
+    bool unqueued = false;
+    /// Since when this daemon believed the shared level to be cached there.
+    std::optional<duration> believed_age;
+  };
+
+  struct request {
+    request_arrived info;
+    stage at = stage::kWaiting;
+    uint64_t workspace_hash = 0;
+    uint64_t scope = 0;
+    std::shared_ptr<const configuration> config;
+    const workspace_spec* workspace = nullptr;
+    /// Whether it may run at most once.
+    bool once = false;
+    /// Whether it may be sent again when an attempt's end is unknown.
+    bool repeatable = true;
+    /// An attempt whose end is unknown may have run it.
+    bool may_have_run = false;
+    bool counted = false;
+    bool caller_gone = false;
+    time_point deadline{};
+    time_point start_deadline{};
+    time_point next_start_request{};
+    epoch_number epoch = 0;
+    key_hash key;
+    std::vector<replica_index> excluded;
+    std::optional<attempt> running;
+  };
+
+  /// Why a request ends without an upstream's answer.
+  struct refusal {
+    uint32_t status = 503;
+    uint32_t retry_after_seconds = 0;
+    std::string message;
+  };
+
+  std::optional<refusal> Check(const request& item) const;
+  void PrepareLevels(request& item) const;
+  void SendStartRequest(time_point now, request& item, action_list& out);
+  void ReleaseStart(const request& item, action_list& out) const;
+  void Admit(time_point now, request& item, action_list& out);
+  void Enqueue(time_point now, request& item, action_list& out);
+  bool TryPlace(time_point now, request& item, action_list& out);
+  void Dispatch(time_point now,
+                request& item,
+                const placement& chosen,
+                action_list& out);
+  void DrainQueue(time_point now, action_list& out);
+  void LearnFromAnswer(time_point now,
+                       const request& item,
+                       const attempt& done,
+                       const attempt_ended& event);
+  void Retry(time_point now,
+             request& item,
+             const attempt_ended& event,
+             action_list& out);
+  void Refuse(request_id id, const refusal& why, action_list& out);
+  void ReportFinish(const request& item,
+                    outcome result,
+                    const recorded_answer& answer,
+                    action_list& out) const;
+  void Erase(request_id id);
+  std::span<const std::string> AllowedDomains(const request& item) const;
+  uint32_t EstimateRetryAfter(time_point now, const request& item) const;
+  double EstimateWaitSeconds(time_point now, const request& item) const;
+  waiting_request MakeWaiting(const request& item) const;
+  double ReuseWeight(const request& item) const;
+
+  options options_;
+  const member_table& members_;
+  std::shared_ptr<const configuration> config_;
+  std::unique_ptr<placement_policy> policy_;
+  replica_table replicas_;
+  prefix_index prefixes_;
+  wait_queue queue_;
+  workspace_limiter limiter_;
+  retry_budget retries_;
+  std::map<std::string, drain_meter, std::less<>> meters_;
+  std::unordered_map<request_id, request> requests_;
+  std::unordered_map<attempt_id, request_id> attempts_;
+  /// Starts given up on before their reply; a late grant is given back.
+  std::map<request_id, release_report> abandoned_starts_;
+  core_counters counters_;
+  attempt_id next_attempt_ = 1;
+  bool admission_closed_ = false;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_CORE_REQUEST_ROUTER_H_
--- /dev/null
+++ b/include/cuminswitch/Daemon/gateway_task.h
@@ -0,0 +1,105 @@
+/// \file
+/// The task between callers and upstreams.
+#ifndef CUMINSWITCH_DAEMON_GATEWAY_TASK_H_
+#define CUMINSWITCH_DAEMON_GATEWAY_TASK_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "cuminswitch/Daemon/address_book.h"
+#include "cuminswitch/Daemon/daemon_message.h"
+#include "cuminswitch/Daemon/gateway_metrics.h"
+#include "cuminswitch/Daemon/request_relay.h"
+#include "cuminswitch/Daemon/upstream_probe.h"
+#include "cuminswitch/Kernel/task.h"
+#include "cuminswitch/Net/http_client.h"
+#include "cuminswitch/Net/http_server.h"
+#include "cuminswitch/Settings/daemon_settings.h"
+
+namespace cuminswitch {
+
+class kernel;
+struct configuration;
+struct workspace_spec;
+
+/// Owns the callers' connections and those to upstreams. It checks
+/// credentials and limits, and carries out what the decision core says.
+class gateway_task : public task<gateway_message>,
+                     public http_request_handler,
+                     public relay_observer {
+ public:
+  struct options {
+    daemon_settings settings;
+    /// Start of the daemon; makes request numbers differ between starts.
+    uint64_t incarnation = 0;
+  };
+
+  gateway_task(const kernel& services, options opts);
+  ~gateway_task() override;
+
+  std::string_view Name() const override { return kGatewayService; }
+
+ protected:
+  void OnStart() override;
+  void OnStop() override;
+  void Receive(gateway_message message) override;
+
+ private:
+  using exchange_ptr = std::shared_ptr<http_exchange>;
+
+  // http_request_handler
+  void OnRequest(exchange_ptr exchange) override;
+  // relay_observer
+  void OnRelayEvent(core_event event) override;
+  void OnFirstToken(const request_relay& relay) override;
+  void OnTokenGap(const request_relay& relay, double seconds) override;
+  void OnRelayDone(request_relay& relay, outcome result) override;
+
+  void Take(const dispatch_attempt& action);
+  void Take(const cancel_attempt& action);
+  void Take(const answer_request& action);
+  void Take(const probe_upstream& action);
+  void Take(const configuration_adopted& action);
+  void Take(const members_changed& action);
+  void Take(const status_answer& answer);
+
+  void AnswerAddresses(const exchange_ptr& exchange);
+  void AnswerReadiness(const exchange_ptr& exchange);
+  void AskStatus(const exchange_ptr& exchange);
+  void BeginChat(const exchange_ptr& exchange);
+  void BeginServiceCall(const exchange_ptr& exchange);
+  void BeginRequest(const exchange_ptr& exchange,
+                    request_arrived event,
+                    request_relay::options relay);
+  /// Returns the caller's workspace, or answers it and returns null.
+  const workspace_spec* Authenticate(const exchange_ptr& exchange);
+  /// Reads the key's header; answers and returns false when it is malformed.
+  bool ReadIdempotencyKey(const exchange_ptr& exchange,
+                          request_arrived& event) const;
+  bool IsOperator(const http_exchange& exchange) const;
+  request_relay* FindRelay(request_id request);
+
+  const kernel& services_;
+  options options_;
+  std::unique_ptr<http_client> client_;
+  std::unique_ptr<http_server> server_;
+  std::shared_ptr<const configuration> config_;
+  /// Workspaces by the digest of their credential.
+  std::unordered_map<std::string, const workspace_spec*> by_credential_;
+  address_book addresses_;
+  std::unordered_map<request_id, std::unique_ptr<request_relay>> relays_;
+  std::unordered_map<attempt_id, request_id> relay_by_attempt_;
+  std::map<upstream_probe*, std::unique_ptr<upstream_probe>> probes_;
+  /// Callers that wait for a status answer.
+  std::map<uint64_t, exchange_ptr> status_waiters_;
+  uint64_t next_ticket_ = 1;
+  request_id next_request_ = 0;
+  gateway_metrics metrics_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_DAEMON_GATEWAY_TASK_H_
--- /dev/null
+++ b/include/cuminswitch/Daemon/request_relay.h
@@ -0,0 +1,102 @@
+/// \file
+/// Carries one request to its upstreams and one answer back to its caller.
+#ifndef CUMINSWITCH_DAEMON_REQUEST_RELAY_H_
+#define CUMINSWITCH_DAEMON_REQUEST_RELAY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "cuminswitch/Daemon/answer_reader.h"
+#include "cuminswitch/Net/http_client.h"
+#include "cuminswitch/Protocol/core_action.h"
+#include "cuminswitch/Protocol/core_event.h"
+
+namespace cuminswitch {
+
+class http_exchange;
+class request_relay;
+
+/// Is told what happens to a relayed request.
+class relay_observer {
+ public:
+  virtual ~relay_observer() = default;
+  virtual void OnRelayEvent(core_event event) = 0;
+  virtual void OnFirstToken(const request_relay& relay) = 0;
+  virtual void OnTokenGap(const request_relay& relay, double seconds) = 0;
+  /// The request is over; \p relay may be destroyed in this call.
+  virtual void OnRelayDone(request_relay& relay, outcome result) = 0;
+};
+
+/// Owned by the gateway while the request lives. It keeps to one attempt at a
+/// time: what comes of another one is dropped.
+class request_relay : private http_call_handler {
+ public:
+  struct options {
+    request_id request = 0;
+    std::string workspace;
+    std::shared_ptr<http_exchange> caller;
+    http_method method = http_method::kPost;
+    std::string path;
+    std::string body;
+    http_headers headers;
+    /// Whether the answer is kept for a repeat of the request's key.
+    bool keep_answer = false;
+    std::chrono::milliseconds connect_timeout{1000};
+    std::chrono::milliseconds idle_timeout{60'000};
+    std::chrono::steady_clock::time_point arrived;
+  };
+
+  request_relay(options opts, relay_observer& observer);
+  ~request_relay() override;
+
+  void Dispatch(const dispatch_attempt& action, http_client& client);
+  /// Gives the caller the daemon's own answer.
+  void Answer(const answer_request& action);
+  /// The caller closed its connection; the attempt goes on until the core
+  /// says otherwise.
+  void OnCallerGone();
+
+  request_id request() const { return options_.request; }
+  attempt_id attempt() const { return attempt_; }
+  const std::string& workspace() const { return options_.workspace; }
+  std::chrono::steady_clock::time_point arrived() const {
+    return options_.arrived;
+  }
+
+ private:
+  void OnHeaders(const http_response_head& head) override;
+  void OnData(std::string_view data) override;
+  void OnEnd(http_end end) override;
+
+  void RelayStreamData(std::string_view data);
+  void Keep(std::string_view data);
+  void EndStream(http_end end);
+  void EndWhole(http_end end);
+  /// Tells the core how the attempt ended.
+  void ReportEnd(attempt_ended event);
+  attempt_ended MakeAnswered() const;
+  bool IsStream() const { return is_stream_; }
+  void SendErrorEvent(const answer_request& action);
+
+  options options_;
+  relay_observer& observer_;
+  attempt_id attempt_ = 0;
+  std::unique_ptr<http_call> call_;
+  /// Of the present attempt.
+  uint32_t status_ = 0;
+  std::string content_type_;
+  bool is_stream_ = false;
+  bool saw_data_ = false;
+  std::string whole_body_;
+  bool body_too_long_ = false;
+  answer_reader reader_;
+  std::string kept_;
+  bool kept_whole_ = true;
+  std::chrono::steady_clock::time_point last_data_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_DAEMON_REQUEST_RELAY_H_
--- /dev/null
+++ b/include/cuminswitch/Daemon/upstream_probe.h
@@ -0,0 +1,45 @@
+/// \file
+/// Asks one upstream for its load report.
+#ifndef CUMINSWITCH_DAEMON_UPSTREAM_PROBE_H_
+#define CUMINSWITCH_DAEMON_UPSTREAM_PROBE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cuminswitch/Net/http_client.h"
+#include "cuminswitch/Protocol/core_action.h"
+#include "cuminswitch/Protocol/core_event.h"
+
+namespace cuminswitch {
+
+/// One probe under way.
+class upstream_probe : private http_call_handler {
+ public:
+  using callback = std::function<void(upstream_probe&, upstream_report)>;
+
+  /// \p on_done is called once; it may destroy the probe.
+  upstream_probe(const probe_upstream& action,
+                 http_client& client,
+                 callback on_done);
+  ~upstream_probe() override;
+
+ private:
+  void OnHeaders(const http_response_head& head) override;
+  void OnData(std::string_view data) override;
+  void OnEnd(http_end end) override;
+
+  std::string upstream_;
+  callback on_done_;
+  uint32_t status_ = 0;
+  std::string body_;
+  std::unique_ptr<http_call> call_;
+};
+
+/// Reads a load report; one that cannot be read is not reachable.
+upstream_report ParseUpstreamReport(std::string_view upstream,
+                                    std::string_view body);
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_DAEMON_UPSTREAM_PROBE_H_
--- /dev/null
+++ b/include/cuminswitch/Net/http_client.h
@@ -0,0 +1,87 @@
+/// \file
+/// HTTP calls with evhttp: streamed answers, kept connections, and an end
+/// that says whether the request can have reached the other side.
+#ifndef CUMINSWITCH_NET_HTTP_CLIENT_H_
+#define CUMINSWITCH_NET_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cuminswitch/Net/http_header.h"
+#include "cuminswitch/Support/endpoint.h"
+
+struct event_base;
+struct evhttp_connection;
+
+namespace cuminswitch {
+
+class http_call;
+
+enum class http_method : uint8_t { kGet, kPost, kPut };
+
+/// A request to make.
+struct http_call_options {
+  endpoint to;
+  http_method method = http_method::kGet;
+  std::string path = "/";
+  http_headers headers;
+  std::string body;
+  std::chrono::milliseconds connect_timeout{1000};
+  /// Longest silence of the other side.
+  std::chrono::milliseconds idle_timeout{60'000};
+  /// Use a connection of its own, closed afterwards.
+  bool fresh_connection = false;
+};
+
+/// How a call ended.
+enum class http_end : uint8_t {
+  kComplete,
+  /// No connection came about: not one byte was sent.
+  kNotConnected,
+  /// The connection broke or fell silent after bytes may have been sent.
+  kBroken,
+};
+
+/// Takes a call's events, in the loop's thread. A handler may cancel the call
+/// or destroy itself in `OnEnd` only.
+class http_call_handler {
+ public:
+  virtual ~http_call_handler() = default;
+  virtual void OnHeaders(const http_response_head& head) = 0;
+  virtual void OnData(std::string_view data) = 0;
+  virtual void OnEnd(http_end end) = 0;
+};
+
+/// Makes calls on one event loop and keeps idle connections.
+class http_client {
+ public:
+  explicit http_client(event_base* base);
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+  ~http_client();
+
+  /// Begins a call; \p handler must live until `OnEnd` or the returned call's
+  /// destruction, which cancels it without a further event.
+  std::unique_ptr<http_call> Start(const http_call_options& opts,
+                                   http_call_handler& handler);
+
+ private:
+  friend class http_call;
+
+  evhttp_connection* Acquire(const http_call_options& opts);
+  void GiveBack(const endpoint& to, evhttp_connection* connection, bool keep);
+
+  event_base* base_;
+  std::map<endpoint, std::vector<evhttp_connection*>> idle_;
+  /// Set when the client dies, so that late releases touch nothing.
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/include/cuminswitch/Once/shard_keeper.h
@@ -0,0 +1,87 @@
+/// \file
+/// All idempotency-key shards as one daemon sees them: which it owns, which
+/// it should claim, and where the others' owners are.
+#ifndef CUMINSWITCH_ONCE_SHARD_KEEPER_H_
+#define CUMINSWITCH_ONCE_SHARD_KEEPER_H_
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cuminswitch/Once/shard_ledger.h"
+#include "cuminswitch/Protocol/core_action.h"
+#include "cuminswitch/Protocol/peer_message.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+class member_table;
+
+/// Spreads the shards over the daemons and keeps the ledgers of its own.
+class shard_keeper {
+ public:
+  struct options {
+    std::string host;
+    uint64_t incarnation = 0;
+    uint64_t random_seed = 0;
+    shard_number shard_count = 16;
+    /// Journal writes per second that the whole fleet may make.
+    double fleet_writes_per_second = 200;
+    std::chrono::seconds retention{600};
+    /// How long a shard must be without owner before it is claimed.
+    duration claim_delay = std::chrono::milliseconds(800);
+  };
+
+  explicit shard_keeper(const options& opts);
+
+  void OnTick(time_point now,
+              uint64_t unix_now,
+              const member_table& members,
+              action_list& out);
+  void OnPlatformAnswer(time_point now,
+                        uint64_t unix_now,
+                        const platform_answer& answer,
+                        action_list& out);
+  void OnStart(time_point now,
+               uint64_t unix_now,
+               const start_request& request,
+               action_list& out);
+  void OnFinish(const finish_report& report);
+  void OnRelease(const release_report& report);
+  /// Hands every shard back; `OwnedShards` becomes empty as that succeeds.
+  void HandBackAll(uint64_t unix_now, action_list& out);
+
+  shard_number ShardOf(const key_hash& key) const;
+  std::vector<shard_number> OwnedShards() const;
+  bool Owns(shard_number shard) const;
+  uint64_t CountWrites() const;
+
+ private:
+  struct slot {
+    shard_ledger ledger;
+    /// Since when no serving member has said that it owns the shard.
+    time_point vacant_since = time_point::max();
+    time_point next_claim{};
+  };
+
+  void ConsiderClaim(time_point now,
+                     const member_table& members,
+                     slot& item,
+                     shard_number shard,
+                     action_list& out);
+  void Rebalance(time_point now,
+                 uint64_t unix_now,
+                 const member_table& members,
+                 action_list& out);
+
+  options options_;
+  std::mt19937_64 random_;
+  std::vector<slot> slots_;
+  bool leaving_ = false;
+  time_point next_rebalance_{};
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_ONCE_SHARD_KEEPER_H_
--- /dev/null
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -0,0 +1,95 @@
+/// \file
+/// Everything that the decision core asks of its shell. The actions are one
+/// family and share this header.
+#ifndef CUMINSWITCH_PROTOCOL_CORE_ACTION_H_
+#define CUMINSWITCH_PROTOCOL_CORE_ACTION_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cuminswitch/Protocol/ids.h"
+#include "cuminswitch/Protocol/peer_message.h"
+#include "cuminswitch/Protocol/platform_call.h"
+#include "cuminswitch/Support/outcome.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+struct configuration;
+
+/// Send the request to an upstream.
+struct dispatch_attempt {
+  request_id request = 0;
+  attempt_id attempt = 0;
+  std::string upstream;
+  endpoint address;
+  /// Goes with the request to upstreams; one that checks refuses an old one.
+  epoch_number fencing = 0;
+  /// Workspace, model, version and adapter in one hash. Engines keep the caches
+  /// of different scopes apart.
+  uint64_t cache_scope = 0;
+  /// Use no kept connection: one that the upstream has closed in the meantime
+  /// would leave in doubt whether it ran the request.
+  bool fresh_connection = false;
+};
+
+/// Stop an attempt; nothing more of it goes to the caller.
+struct cancel_attempt {
+  attempt_id attempt = 0;
+};
+
+/// The request's final answer, given by the daemon and not by an upstream.
+struct answer_request {
+  request_id request = 0;
+  outcome result = outcome::kNotRun;
+  uint32_t status = 0;
+  /// 0 when coming back makes no sense.
+  uint32_t retry_after_seconds = 0;
+  std::string message;
+  /// The earlier answer to the same key, when `result` is `kAnswered`.
+  recorded_answer recorded;
+};
+
+struct send_peer {
+  endpoint to;
+  peer_message message;
+};
+
+/// Ask an upstream for its load report.
+struct probe_upstream {
+  std::string upstream;
+  endpoint address;
+};
+
+/// A configuration came into force in this daemon.
+struct configuration_adopted {
+  generation_number generation = 0;
+  std::shared_ptr<const configuration> config;
+};
+
+/// The members that callers may be told of changed.
+struct members_changed {
+  std::vector<member> members;
+};
+
+/// Every request has ended and the shards are handed over.
+struct stop_ready {};
+
+using core_action = std::variant<dispatch_attempt,
+                                 cancel_attempt,
+                                 answer_request,
+                                 send_peer,
+                                 platform_call,
+                                 probe_upstream,
+                                 configuration_adopted,
+                                 members_changed,
+                                 stop_ready>;
+
+using action_list = std::vector<core_action>;
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_PROTOCOL_CORE_ACTION_H_
--- /dev/null
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -0,0 +1,115 @@
+/// \file
+/// Everything that the decision core is told. The events are one family and
+/// share this header.
+#ifndef CUMINSWITCH_PROTOCOL_CORE_EVENT_H_
+#define CUMINSWITCH_PROTOCOL_CORE_EVENT_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cuminswitch/Protocol/ids.h"
+#include "cuminswitch/Protocol/peer_message.h"
+#include "cuminswitch/Protocol/platform_call.h"
+#include "cuminswitch/Support/outcome.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+/// The prompt up to the end of one level (preamble, contract, order): a hash
+/// over all of it, and its length.
+struct prefix_level {
+  uint64_t hash = 0;
+  uint32_t tokens = 0;
+};
+
+/// A caller's request has been read whole and its credential checked.
+struct request_arrived {
+  request_id request = 0;
+  std::string workspace;
+  /// The model or service asked for.
+  std::string target;
+  /// Outermost level first.
+  std::vector<prefix_level> levels;
+  uint32_t prompt_tokens = 0;
+  /// Empty when the request may be repeated.
+  std::string idempotency_key;
+  /// When the key was created, in Unix seconds.
+  uint64_t key_issued = 0;
+  hash128 request_digest;
+  /// How long the caller will wait for the first byte.
+  duration time_limit{0};
+};
+
+/// The caller closed its connection.
+struct caller_gone {
+  request_id request = 0;
+};
+
+/// The first byte of an attempt's answer came from the upstream.
+struct attempt_first_byte {
+  attempt_id attempt = 0;
+};
+
+/// An attempt is over.
+struct attempt_ended {
+  attempt_id attempt = 0;
+  outcome result = outcome::kUnknown;
+  /// The upstream said that it is too busy, and did not run it.
+  bool refused_busy = false;
+  /// The upstream could not be reached at all.
+  bool unreachable = false;
+  /// Whether the caller has been sent any of this attempt's answer.
+  bool answer_begun = false;
+  /// Exact counts from the answer; 0 when it carried none.
+  uint32_t prompt_tokens = 0;
+  uint32_t cached_tokens = 0;
+  /// The answer, where it is whole, short enough and may be asked for again.
+  recorded_answer answer;
+};
+
+/// A model that an engine has loaded.
+struct loaded_model {
+  std::string name;
+  std::string version;
+};
+
+/// The answer to a `probe_upstream`. Reports lag: `age` says by how much.
+struct upstream_report {
+  std::string upstream;
+  bool reachable = false;
+  uint64_t incarnation = 0;
+  duration age{0};
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  /// Prompt tokens waiting to be computed.
+  uint64_t waiting_tokens = 0;
+  bool leaving = false;
+  std::vector<loaded_model> models;
+};
+
+/// A message from another daemon.
+struct peer_received {
+  peer_message message;
+};
+
+/// Time has passed. Sent when the core's `NextWake()` is reached.
+struct tick {};
+
+/// The daemon is to stop gracefully.
+struct stop_requested {};
+
+using core_event = std::variant<request_arrived,
+                                caller_gone,
+                                attempt_first_byte,
+                                attempt_ended,
+                                upstream_report,
+                                peer_received,
+                                platform_answer,
+                                tick,
+                                stop_requested>;
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_PROTOCOL_CORE_EVENT_H_
--- /dev/null
+++ b/include/cuminswitch/Protocol/peer_message.h
@@ -0,0 +1,145 @@
+/// \file
+/// The messages between daemons. They are one family and share this header;
+/// the Wire package turns them into bytes and back.
+#ifndef CUMINSWITCH_PROTOCOL_PEER_MESSAGE_H_
+#define CUMINSWITCH_PROTOCOL_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cuminswitch/Protocol/ids.h"
+#include "cuminswitch/Protocol/member.h"
+#include "cuminswitch/Support/outcome.h"
+
+namespace cuminswitch {
+
+/// A workspace's requests in flight at the sender.
+struct workspace_use {
+  uint64_t workspace_hash = 0;
+  uint32_t in_flight = 0;
+};
+
+/// Probe of a member, or the reply to one; carries news either way.
+struct heartbeat {
+  uint64_t sequence = 0;
+  bool is_reply = false;
+  member sender;
+  std::vector<member> updates;
+  generation_number generation = 0;
+  std::vector<workspace_use> usage;
+};
+
+/// Asks the receiver to probe `target` on the sender's behalf.
+struct probe_request {
+  uint64_t sequence = 0;
+  endpoint reply_to;
+  endpoint target;
+};
+
+/// Tells who asked for a probe that its target lives.
+struct probe_reply {
+  uint64_t sequence = 0;
+  member target;
+};
+
+/// Asks for the configuration in force at the receiver.
+struct configuration_request {
+  endpoint reply_to;
+  /// Content hashes of the chunks the sender holds already.
+  std::vector<std::string> held_chunks;
+};
+
+/// One chunk of the canonical document under its content hash.
+struct configuration_chunk {
+  std::string hash;
+  std::string text;
+};
+
+/// A head record as stored in the platform, with the chunks that were not
+/// held by the one who asked.
+struct configuration_reply {
+  std::string head;
+  std::vector<configuration_chunk> chunks;
+};
+
+/// Asks a shard's owner for leave to start a request that may run only once.
+struct start_request {
+  endpoint reply_to;
+  /// Who asks. The incarnation tells a restarted asker's requests from its
+  /// earlier ones.
+  std::string host;
+  uint64_t incarnation = 0;
+  request_id request = 0;
+  shard_number shard = 0;
+  key_hash key;
+  /// When the caller created the key, in Unix seconds.
+  uint64_t key_issued = 0;
+  /// Digest of the request; a repeat must be the same request.
+  hash128 request_digest;
+};
+
+/// What a shard's owner says to a `start_request`.
+enum class start_verdict : uint8_t {
+  /// The start is journaled; the asker alone may run it, once.
+  kGranted,
+  /// Nothing ran and nothing was journaled for this request.
+  kRefused,
+  /// An earlier request with this key was started; its end is not known here.
+  kStarted,
+  /// An earlier request with this key was answered; the answer is attached.
+  kAnswered,
+  /// The key was used for another request.
+  kMismatch,
+  /// The key is older than the retention window.
+  kExpired,
+  /// The receiver does not own the shard.
+  kNotOwner,
+};
+
+/// An answer kept so that a repeat of its key gets the same one.
+struct recorded_answer {
+  uint32_t status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+struct start_reply {
+  request_id request = 0;
+  start_verdict verdict = start_verdict::kRefused;
+  epoch_number epoch = 0;
+  uint32_t retry_after_seconds = 0;
+  recorded_answer answer;
+};
+
+/// Tells a shard's owner how a started request ended.
+struct finish_report {
+  shard_number shard = 0;
+  key_hash key;
+  outcome result = outcome::kUnknown;
+  recorded_answer answer;
+};
+
+/// Gives a grant back unused: nothing ran, and nothing will under it.
+struct release_report {
+  shard_number shard = 0;
+  key_hash key;
+  std::string host;
+  uint64_t incarnation = 0;
+  request_id request = 0;
+};
+
+using peer_message = std::variant<heartbeat,
+                                  probe_request,
+                                  probe_reply,
+                                  configuration_request,
+                                  configuration_reply,
+                                  start_request,
+                                  start_reply,
+                                  finish_report,
+                                  release_report>;
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_PROTOCOL_PEER_MESSAGE_H_
--- /dev/null
+++ b/include/cuminswitch/Routing/prefix_index.h
@@ -0,0 +1,58 @@
+/// \file
+/// What one daemon believes about cached prefixes.
+#ifndef CUMINSWITCH_ROUTING_PREFIX_INDEX_H_
+#define CUMINSWITCH_ROUTING_PREFIX_INDEX_H_
+
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "cuminswitch/Routing/replica_table.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+/// One replica that should hold a prefix.
+struct prefix_holder {
+  replica_index index = 0;
+  /// The engine incarnation that computed it; another one has lost it.
+  uint64_t incarnation = 0;
+  time_point used_at{};
+};
+
+/// A bounded map from prefix hash to its holders. Hashes carry workspace,
+/// model, version and adapter, so an entry can never serve another of them.
+/// Old entries go by generations: two maps, the older dropped when the newer
+/// is full, so the cost per lookup is constant and no list is kept.
+class prefix_index {
+ public:
+  struct options {
+    /// Prefixes kept at most.
+    size_t capacity = 131'072;
+  };
+
+  explicit prefix_index(const options& opts);
+
+  /// Notes that \p holder has computed or used \p hash.
+  void Touch(uint64_t hash, const prefix_holder& holder);
+  /// Notes that replica \p index does not hold \p hash.
+  void Remove(uint64_t hash, replica_index index);
+  /// Returns who should hold \p hash; invalid after the next call.
+  std::span<const prefix_holder> Find(uint64_t hash);
+  size_t size() const { return newer_.size() + older_.size(); }
+
+ private:
+  using holder_map = std::unordered_map<uint64_t, std::vector<prefix_holder>>;
+
+  std::vector<prefix_holder>* Promote(uint64_t hash);
+  void RotateIfFull();
+
+  options options_;
+  holder_map newer_;
+  holder_map older_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_ROUTING_PREFIX_INDEX_H_
--- /dev/null
+++ b/include/cuminswitch/Routing/replica.h
@@ -0,0 +1,52 @@
+/// \file
+/// What one daemon knows of one upstream.
+#ifndef CUMINSWITCH_ROUTING_REPLICA_H_
+#define CUMINSWITCH_ROUTING_REPLICA_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "cuminswitch/Config/configuration.h"
+#include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+/// An upstream with this daemon's exact counts and its last load report.
+struct replica {
+  upstream_spec spec;
+  uint64_t name_hash = 0;
+
+  /// From the last report.
+  bool reported = false;
+  bool reachable = true;
+  bool leaving = false;
+  uint64_t incarnation = 0;
+  std::vector<loaded_model> models;
+  time_point reported_at{};
+  /// Requests and waiting prompt tokens of other daemons, as the last report
+  /// had them: its totals less this daemon's own at that time.
+  uint32_t others_in_flight = 0;
+  double others_waiting_tokens = 0;
+
+  /// Exact: this daemon's attempts.
+  uint32_t in_flight = 0;
+  /// Prompt tokens sent whose first byte has not come, less expected hits.
+  double pending_tokens = 0;
+
+  /// Prompt tokens computed per second, estimated from answers.
+  double prefill_rate = 8000;
+  /// How long an unused prefix stays cached, estimated from answers.
+  double retention_seconds = 10;
+  /// Adaptive limit on requests in flight over all daemons.
+  double limit = 16;
+  /// No attempt goes there before this.
+  time_point ejected_until{};
+  uint32_t failures_in_row = 0;
+  /// When it was first seen in its present incarnation, for slow start.
+  time_point warm_since{};
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_ROUTING_REPLICA_H_
--- /dev/null
+++ b/lib/Admission/wait_queue.cc
@@ -0,0 +1,107 @@
+#include "cuminswitch/Admission/wait_queue.h"
+
+#include <algorithm>
+
+namespace cuminswitch {
+
+/// How long a request of each class lets later, more urgent ones pass. Batch
+/// work ages into the front after half a minute, so it waits but never starves.
+static constexpr duration kInteractiveDelay{0};
+static constexpr duration kStandardDelay = std::chrono::seconds(1);
+static constexpr duration kBatchDelay = std::chrono::seconds(30);
+/// Set-back per request of the same workspace that waits already.
+static constexpr duration kFairnessDelay = std::chrono::milliseconds(20);
+
+static duration ClassDelay(priority_class priority) {
+  switch (priority) {
+    case priority_class::kInteractive:
+      return kInteractiveDelay;
+    case priority_class::kStandard:
+      return kStandardDelay;
+    case priority_class::kBatch:
+      return kBatchDelay;
+  }
+  return kStandardDelay;
+}
+
+wait_queue::place wait_queue::MakePlace(const waiting_request& item) const {
+  const auto waiting = waiting_by_workspace_.find(item.workspace_hash);
+  const uint32_t count =
+      waiting == waiting_by_workspace_.end() ? 0 : waiting->second;
+  return {.virtual_arrival =
+              item.arrived + ClassDelay(item.priority) + count * kFairnessDelay,
+          .request = item.request};
+}
+
+void wait_queue::Push(const waiting_request& item) {
+  const place at = MakePlace(item);
+  lines_[item.target].emplace(at, item);
+  places_[item.request] = {.target = item.target, .at = at};
+  ++waiting_by_workspace_[item.workspace_hash];
+}
+
+void wait_queue::Remove(request_id request) {
+  const auto found = places_.find(request);
+  if (found == places_.end()) {
+    return;
+  }
+  const auto line_found = lines_.find(found->second.target);
+  const auto item = line_found->second.find(found->second.at);
+  const uint64_t workspace = item->second.workspace_hash;
+  line_found->second.erase(item);
+  if (line_found->second.empty()) {
+    lines_.erase(line_found);
+  }
+  places_.erase(found);
+  if (--waiting_by_workspace_[workspace] == 0) {
+    waiting_by_workspace_.erase(workspace);
+  }
+}
+
+void wait_queue::Drain(
+    const std::function<bool(const waiting_request&)>& try_place) {
+  std::vector<request_id> placed;
+  for (const auto& [target, items] : lines_) {
+    size_t passed_over = 0;
+    for (const auto& [at, item] : items) {
+      if (try_place(item)) {
+        placed.push_back(item.request);
+      } else if (++passed_over == kLookahead) {
+        break;
+      }
+    }
+  }
+  for (const request_id request : placed) {
+    Remove(request);
+  }
+}
+
+std::vector<waiting_request> wait_queue::TakeExpired(time_point now) {
+  std::vector<waiting_request> expired;
+  for (const auto& [target, items] : lines_) {
+    for (const auto& [at, item] : items) {
+      if (item.deadline <= now) {
+        expired.push_back(item);
+      }
+    }
+  }
+  for (const waiting_request& item : expired) {
+    Remove(item.request);
+  }
+  return expired;
+}
+
+std::vector<waiting_request> wait_queue::TakeAll() {
+  return TakeExpired(time_point::max());
+}
+
+size_t wait_queue::CountAhead(const waiting_request& item) const {
+  const auto found = lines_.find(item.target);
+  if (found == lines_.end()) {
+    return 0;
+  }
+  const auto end = found->second.lower_bound(MakePlace(item));
+  return static_cast<size_t>(std::distance(found->second.begin(), end));
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Core/request_router.cc
@@ -0,0 +1,662 @@
+#include "cuminswitch/Core/request_router.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+#include "cuminswitch/Membership/member_table.h"
+
+namespace cuminswitch {
+
+static constexpr uint32_t kForbidden = 403;
+static constexpr uint32_t kNotFound = 404;
+static constexpr uint32_t kConflict = 409;
+static constexpr uint32_t kUnprocessable = 422;
+static constexpr uint32_t kTooManyRequests = 429;
+static constexpr uint32_t kBadGateway = 502;
+static constexpr uint32_t kUnavailable = 503;
+
+static constexpr duration kStartRequestInterval =
+    std::chrono::milliseconds(300);
+static constexpr size_t kMaxAbandonedStarts = 4096;
+static constexpr uint32_t kMaxRetryAfterSeconds = 120;
+/// What reuse is worth beyond its time, by objective.
+static constexpr double kFirstTokenReuseWeight = 1.2;
+static constexpr double kReuseReuseWeight = 3.0;
+/// Batch work has time, so it always goes where its prefix is.
+static constexpr double kBatchReuseWeight = 6.0;
+/// Fewer computed tokens than this say little about a replica's speed.
+static constexpr double kLeastTokensToLearnFrom = 256;
+/// A level counts as hit when this share of it came from the cache.
+static constexpr double kHitShare = 0.9;
+
+request_router::request_router(const options& opts, const member_table& members)
+    : options_(opts),
+      members_(members),
+      policy_(MakePlacementPolicy(opts.policy, opts.random_seed)),
+      prefixes_({.capacity = opts.prefix_capacity}),
+      retries_(opts.retries) {
+  assert(policy_ != nullptr && "settings name an unknown routing policy");
+  // Attempt numbers of an earlier start of this daemon must never be met
+  // again: an upstream's late answer to one would count for a new request.
+  next_attempt_ = opts.self.incarnation << 20;
+}
+
+void request_router::OnConfiguration(
+    time_point now,
+    std::shared_ptr<const configuration> config,
+    action_list& out) {
+  config_ = std::move(config);
+  replicas_.Reconfigure(now, *config_);
+  DrainQueue(now, out);
+}
+
+std::optional<request_router::refusal> request_router::Check(
+    const request& item) const {
+  if (admission_closed_) {
+    return refusal{.status = kUnavailable,
+                   .retry_after_seconds = 1,
+                   .message = "this host is leaving"};
+  }
+  if (config_ == nullptr) {
+    return refusal{.status = kUnavailable,
+                   .retry_after_seconds = 1,
+                   .message = "no configuration is in force yet"};
+  }
+  const std::string& name = item.info.target;
+  if (item.workspace == nullptr) {
+    return refusal{.status = kNotFound,
+                   .message = "unknown workspace " + item.info.workspace};
+  }
+  if (config_->FindModel(name) == nullptr &&
+      config_->FindService(name) == nullptr) {
+    return refusal{.status = kNotFound,
+                   .message = "unknown model or service " + name};
+  }
+  const auto& uses = item.workspace->uses;
+  if (std::find(uses.begin(), uses.end(), name) == uses.end()) {
+    return refusal{.status = kForbidden,
+                   .message = "the workspace may not use " + name};
+  }
+  return std::nullopt;
+}
+
+void request_router::PrepareLevels(request& item) const {
+  // Everything that makes a cache another cache goes into the hashes, so no
+  // lookup can cross workspaces, models, versions or adapters.
+  const model_spec* model = config_->FindModel(item.info.target);
+  uint64_t scope = Hash64(item.info.workspace);
+  scope = CombineHash(scope, Hash64(item.info.target));
+  if (model != nullptr) {
+    scope = CombineHash(scope, Hash64(model->version));
+    scope = CombineHash(scope, Hash64(model->adapter));
+  }
+  item.scope = scope;
+  for (prefix_level& level : item.info.levels) {
+    level.hash = CombineHash(scope, level.hash);
+  }
+}
+
+void request_router::OnRequest(time_point now,
+                               const request_arrived& event,
+                               action_list& out) {
+  ++counters_.requests;
+  request& item = requests_[event.request];
+  item.info = event;
+  item.config = config_;
+  item.workspace_hash = Hash64(event.workspace);
+  item.deadline = now + event.time_limit;
+  item.workspace =
+      config_ == nullptr ? nullptr : config_->FindWorkspace(event.workspace);
+  if (const std::optional<refusal> why = Check(item)) {
+    Refuse(event.request, *why, out);
+    return;
+  }
+  const service_spec* service = config_->FindService(event.target);
+  item.once = !event.idempotency_key.empty();
+  item.repeatable = !item.once && (service == nullptr || service->repeatable);
+  if (service != nullptr && !service->repeatable && !item.once) {
+    Refuse(event.request,
+           {.status = 400,
+            .message = event.target +
+                       " may not be repeated, so an Idempotency-Key is needed"},
+           out);
+    return;
+  }
+  PrepareLevels(item);
+  if (!item.once) {
+    Admit(now, item, out);
+    return;
+  }
+  item.at = stage::kStarting;
+  item.start_deadline = std::min(item.deadline, now + options_.start_timeout);
+  item.key = Hash128(event.idempotency_key, item.workspace_hash);
+  SendStartRequest(now, item, out);
+}
+
+void request_router::SendStartRequest(time_point now,
+                                      request& item,
+                                      action_list& out) {
+  item.next_start_request = now + kStartRequestInterval;
+  const auto shard =
+      static_cast<shard_number>(item.key.high % options_.shard_count);
+  const member* owner = members_.FindOwner(shard);
+  if (owner == nullptr) {
+    return;
+  }
+  out.push_back(send_peer{
+      .to = owner->peer_address,
+      .message = start_request{.reply_to = options_.self.peer_address,
+                               .host = options_.self.host,
+                               .incarnation = options_.self.incarnation,
+                               .request = item.info.request,
+                               .shard = shard,
+                               .key = item.key,
+                               .key_issued = item.info.key_issued,
+                               .request_digest = item.info.request_digest}});
+}
+
+void request_router::ReleaseStart(const request& item, action_list& out) const {
+  const auto shard =
+      static_cast<shard_number>(item.key.high % options_.shard_count);
+  const member* owner = members_.FindOwner(shard);
+  if (owner == nullptr) {
+    return;
+  }
+  out.push_back(send_peer{
+      .to = owner->peer_address,
+      .message = release_report{.shard = shard,
+                                .key = item.key,
+                                .host = options_.self.host,
+                                .incarnation = options_.self.incarnation,
+                                .request = item.info.request}});
+}
+
+void request_router::OnStartReply(time_point now,
+                                  const start_reply& reply,
+                                  action_list& out) {
+  const auto found = requests_.find(reply.request);
+  if (found == requests_.end() || found->second.at != stage::kStarting) {
+    // A grant that comes after the request was given up on would leave its
+    // key started for ever although nothing ran: give it back. One that was
+    // used must never be given back, so only abandoned starts are.
+    const auto abandoned = abandoned_starts_.find(reply.request);
+    if (abandoned != abandoned_starts_.end() &&
+        reply.verdict == start_verdict::kGranted) {
+      if (const member* owner = members_.FindOwner(abandoned->second.shard)) {
+        out.push_back(
+            send_peer{.to = owner->peer_address, .message = abandoned->second});
+      }
+    }
+    return;
+  }
+  request& item = found->second;
+  switch (reply.verdict) {
+    case start_verdict::kGranted:
+      item.epoch = reply.epoch;
+      Admit(now, item, out);
+      return;
+    case start_verdict::kNotOwner:
+      return;
+    case start_verdict::kRefused:
+      Refuse(reply.request,
+             {.status = kUnavailable,
+              .retry_after_seconds = reply.retry_after_seconds,
+              .message = "the start could not be recorded"},
+             out);
+      return;
+    case start_verdict::kExpired:
+      Refuse(reply.request,
+             {.status = kUnprocessable,
+              .message = "the Idempotency-Key is too old or from the future"},
+             out);
+      return;
+    case start_verdict::kMismatch:
+      Refuse(reply.request,
+             {.status = kUnprocessable,
+              .message = "the Idempotency-Key was used for another request"},
+             out);
+      return;
+    case start_verdict::kStarted:
+      item.may_have_run = true;
+      Refuse(reply.request,
+             {.status = kConflict,
+              .retry_after_seconds = 1,
+              .message = "a request with this Idempotency-Key was started; "
+                         "its end is not known here"},
+             out);
+      return;
+    case start_verdict::kAnswered:
+      out.push_back(answer_request{.request = reply.request,
+                                   .result = outcome::kAnswered,
+                                   .status = reply.answer.status,
+                                   .retry_after_seconds = 0,
+                                   .message = {},
+                                   .recorded = reply.answer});
+      ++counters_.answered;
+      Erase(reply.request);
+      return;
+  }
+}
+
+std::span<const std::string> request_router::AllowedDomains(
+    const request& item) const {
+  for (const placement_spec& rule : config_->placements) {
+    if (rule.workspace == item.info.workspace &&
+        rule.target == item.info.target) {
+      return rule.failure_domains;
+    }
+  }
+  return {};
+}
+
+double request_router::ReuseWeight(const request& item) const {
+  if (item.workspace->priority == priority_class::kBatch) {
+    return kBatchReuseWeight;
+  }
+  return config_->platform.objective == routing_objective::kReuse
+             ? kReuseReuseWeight
+             : kFirstTokenReuseWeight;
+}
+
+waiting_request request_router::MakeWaiting(const request& item) const {
+  return {.request = item.info.request,
+          .target = item.info.target,
+          .priority = item.workspace->priority,
+          .workspace_hash = item.workspace_hash,
+          .arrived = item.deadline - item.info.time_limit,
+          .deadline = item.deadline};
+}
+
+void request_router::Admit(time_point now, request& item, action_list& out) {
+  item.at = stage::kWaiting;
+  // A newcomer does not pass those that wait already and are as urgent.
+  if (queue_.CountAhead(MakeWaiting(item)) == 0 && TryPlace(now, item, out)) {
+    return;
+  }
+  Enqueue(now, item, out);
+}
+
+double request_router::EstimateWaitSeconds(time_point now,
+                                           const request& item) const {
+  const auto meter = meters_.find(item.info.target);
+  const double rate = meter == meters_.end() ? drain_meter().RatePerSecond(now)
+                                             : meter->second.RatePerSecond(now);
+  const auto ahead = static_cast<double>(queue_.CountAhead(MakeWaiting(item)));
+  return ahead / rate;
+}
+
+uint32_t request_router::EstimateRetryAfter(time_point now,
+                                            const request& item) const {
+  // The earliest time at which a request like this one would be taken: when
+  // enough of those ahead have been served.
+  const double wait = EstimateWaitSeconds(now, item);
+  const double excess = wait - ToSeconds(item.info.time_limit) / 2;
+  return std::clamp<uint32_t>(
+      static_cast<uint32_t>(std::ceil(std::max(0.0, excess))), 1,
+      kMaxRetryAfterSeconds);
+}
+
+void request_router::Enqueue(time_point now, request& item, action_list& out) {
+  const double patience = ToSeconds(item.deadline - now);
+  if (EstimateWaitSeconds(now, item) > patience) {
+    ++counters_.shed;
+    Refuse(item.info.request,
+           {.status = kTooManyRequests,
+            .retry_after_seconds = EstimateRetryAfter(now, item),
+            .message = "too many requests are waiting"},
+           out);
+    return;
+  }
+  queue_.Push(MakeWaiting(item));
+}
+
+bool request_router::TryPlace(time_point now, request& item, action_list& out) {
+  if (!item.counted && !limiter_.HasRoom(now, item.workspace_hash,
+                                         item.workspace->max_in_flight)) {
+    return false;
+  }
+  const eligible_replicas eligible = replicas_.ListEligible(
+      now, item.info.target, AllowedDomains(item), item.excluded);
+  if (eligible.indices.empty()) {
+    return false;
+  }
+  const placement chosen =
+      policy_->Choose({.now = now,
+                       .levels = item.info.levels,
+                       .prompt_tokens = item.info.prompt_tokens,
+                       .eligible = eligible.indices,
+                       .replicas = replicas_,
+                       .prefixes = prefixes_,
+                       .reuse_weight = ReuseWeight(item)});
+  Dispatch(now, item, chosen, out);
+  return true;
+}
+
+void request_router::Dispatch(time_point now,
+                              request& item,
+                              const placement& chosen,
+                              action_list& out) {
+  const replica& target = replicas_[chosen.index];
+  if (!item.counted) {
+    item.counted = true;
+    limiter_.OnStart(item.workspace_hash);
+    retries_.OnFirstAttempt();
+  }
+  attempt next{
+      .id = next_attempt_++,
+      .index = chosen.index,
+      .expected_tokens = std::max(
+          0.0, item.info.prompt_tokens - chosen.expected_cached_tokens),
+      .sent = now,
+      .first_byte = std::nullopt,
+      .unqueued = replicas_.EstimateQueueSeconds(now, chosen.index) == 0,
+      .believed_age = std::nullopt};
+  const auto& levels = item.info.levels;
+  if (levels.size() >= 2) {
+    for (const prefix_holder& holder :
+         prefixes_.Find(levels[levels.size() - 2].hash)) {
+      if (holder.index == chosen.index &&
+          holder.incarnation == target.incarnation) {
+        next.believed_age = now - holder.used_at;
+      }
+    }
+  }
+  for (const prefix_level& level : levels) {
+    prefixes_.Touch(level.hash, {.index = chosen.index,
+                                 .incarnation = target.incarnation,
+                                 .used_at = now});
+  }
+  replicas_.OnDispatch(chosen.index, next.expected_tokens);
+  attempts_[next.id] = item.info.request;
+  item.at = stage::kRunning;
+  out.push_back(dispatch_attempt{.request = item.info.request,
+                                 .attempt = next.id,
+                                 .upstream = target.spec.name,
+                                 .address = target.spec.address,
+                                 .fencing = item.epoch,
+                                 .cache_scope = item.scope,
+                                 .fresh_connection = !item.repeatable});
+  item.running = next;
+}
+
+void request_router::DrainQueue(time_point now, action_list& out) {
+  if (queue_.size() == 0) {
+    return;
+  }
+  queue_.Drain([&](const waiting_request& waiting) {
+    return TryPlace(now, requests_.at(waiting.request), out);
+  });
+}
+
+void request_router::OnFirstByte(time_point now,
+                                 const attempt_first_byte& event) {
+  const auto found = attempts_.find(event.attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  attempt& running = *requests_.at(found->second).running;
+  if (!running.first_byte) {
+    running.first_byte = now;
+    replicas_.OnFirstByte(running.index, running.expected_tokens);
+  }
+}
+
+void request_router::LearnFromAnswer(time_point now,
+                                     const request& item,
+                                     const attempt& done,
+                                     const attempt_ended& event) {
+  replica& target = replicas_.at(done.index);
+  for (const prefix_level& level : item.info.levels) {
+    prefixes_.Touch(level.hash, {.index = done.index,
+                                 .incarnation = target.incarnation,
+                                 .used_at = now});
+  }
+  if (event.prompt_tokens == 0) {
+    return;
+  }
+  counters_.prompt_tokens += event.prompt_tokens;
+  counters_.cached_tokens += event.cached_tokens;
+  const double computed =
+      static_cast<double>(event.prompt_tokens) - event.cached_tokens;
+  if (done.unqueued && done.first_byte && computed >= kLeastTokensToLearnFrom) {
+    replicas_.LearnPrefillRate(done.index, computed,
+                               *done.first_byte - done.sent);
+  }
+  const auto& levels = item.info.levels;
+  if (!done.believed_age || item.info.prompt_tokens == 0) {
+    return;
+  }
+  // How long the engine keeps what is not used: a hit at some age says at
+  // least that long, a miss says less.
+  const double scale =
+      static_cast<double>(event.prompt_tokens) / item.info.prompt_tokens;
+  const double shared = levels[levels.size() - 2].tokens * scale;
+  const double age = ToSeconds(*done.believed_age);
+  if (event.cached_tokens >= kHitShare * shared) {
+    target.retention_seconds = std::max(target.retention_seconds, age);
+  } else if (age < 2 * target.retention_seconds) {
+    target.retention_seconds =
+        std::max(0.5, 0.7 * target.retention_seconds + 0.3 * age * 0.8);
+  }
+}
+
+void request_router::OnAttemptEnded(time_point now,
+                                    const attempt_ended& event,
+                                    action_list& out) {
+  const auto found = attempts_.find(event.attempt);
+  if (found == attempts_.end()) {
+    ++counters_.late_answers;
+    return;
+  }
+  const request_id id = found->second;
+  attempts_.erase(found);
+  request& item = requests_.at(id);
+  const attempt done = *std::exchange(item.running, std::nullopt);
+  if (!done.first_byte) {
+    replicas_.OnFirstByte(done.index, done.expected_tokens);
+  }
+  replicas_.OnEnd(done.index);
+  meters_[item.info.target].OnCompletion(now);
+  if (event.result == outcome::kAnswered) {
+    replicas_.OnAnswered(done.index);
+    LearnFromAnswer(now, item, done, event);
+    ReportFinish(item, outcome::kAnswered, event.answer, out);
+    ++counters_.answered;
+    Erase(id);
+  } else if (item.caller_gone && !item.once) {
+    Erase(id);
+  } else {
+    if (event.refused_busy) {
+      replicas_.OnBusy(now, done.index);
+    } else {
+      replicas_.OnFailure(now, done.index);
+    }
+    if (event.result == outcome::kUnknown) {
+      item.may_have_run = true;
+    }
+    item.excluded.push_back(done.index);
+    Retry(now, item, event, out);
+  }
+  DrainQueue(now, out);
+}
+
+void request_router::Retry(time_point now,
+                           request& item,
+                           const attempt_ended& event,
+                           action_list& out) {
+  const request_id id = item.info.request;
+  const bool is_safe = event.result == outcome::kNotRun || item.repeatable;
+  const bool is_useful = !event.answer_begun && now < item.deadline;
+  if (!is_safe || !is_useful) {
+    Refuse(id,
+           {.status = kBadGateway,
+            .retry_after_seconds = item.repeatable ? 1U : 0U,
+            .message = "the upstream's answer broke off"},
+           out);
+    return;
+  }
+  if (!retries_.TrySpend()) {
+    Refuse(id,
+           {.status = kUnavailable,
+            .retry_after_seconds = EstimateRetryAfter(now, item),
+            .message = "upstreams fail and the retry budget is spent"},
+           out);
+    return;
+  }
+  ++counters_.retries;
+  // With every replica tried, better any of them again than none.
+  const eligible_replicas others = replicas_.ListEligible(
+      now, item.info.target, AllowedDomains(item), item.excluded);
+  if (others.indices.empty() && !others.any_full) {
+    item.excluded.clear();
+  }
+  Admit(now, item, out);
+}
+
+void request_router::OnCallerGone(time_point now,
+                                  const caller_gone& event,
+                                  action_list& out) {
+  const auto found = requests_.find(event.request);
+  if (found == requests_.end()) {
+    return;
+  }
+  request& item = found->second;
+  if (item.at != stage::kRunning) {
+    queue_.Remove(event.request);
+    Refuse(event.request, {.status = 499, .message = "the caller left"}, out);
+    return;
+  }
+  item.caller_gone = true;
+  if (item.once) {
+    // It runs on: its answer is kept for the caller's repeat.
+    return;
+  }
+  const attempt running = *std::exchange(item.running, std::nullopt);
+  attempts_.erase(running.id);
+  if (!running.first_byte) {
+    replicas_.OnFirstByte(running.index, running.expected_tokens);
+  }
+  replicas_.OnEnd(running.index);
+  out.push_back(cancel_attempt{.attempt = running.id});
+  Erase(event.request);
+  DrainQueue(now, out);
+}
+
+void request_router::ReportFinish(const request& item,
+                                  outcome result,
+                                  const recorded_answer& answer,
+                                  action_list& out) const {
+  if (!item.once || item.epoch == 0) {
+    return;
+  }
+  const auto shard =
+      static_cast<shard_number>(item.key.high % options_.shard_count);
+  if (const member* owner = members_.FindOwner(shard)) {
+    out.push_back(send_peer{.to = owner->peer_address,
+                            .message = finish_report{.shard = shard,
+                                                     .key = item.key,
+                                                     .result = result,
+                                                     .answer = answer}});
+  }
+}
+
+void request_router::Refuse(request_id id,
+                            const refusal& why,
+                            action_list& out) {
+  request& item = requests_.at(id);
+  const outcome result =
+      item.may_have_run ? outcome::kUnknown : outcome::kNotRun;
+  const bool asked_for_start =
+      item.once && item.config != nullptr && item.workspace != nullptr;
+  if (asked_for_start && result == outcome::kNotRun) {
+    // Nothing ran under the key and, with the request gone, nothing will.
+    ReleaseStart(item, out);
+    abandoned_starts_[id] = {.shard = static_cast<shard_number>(
+                                 item.key.high % options_.shard_count),
+                             .key = item.key,
+                             .host = options_.self.host,
+                             .incarnation = options_.self.incarnation,
+                             .request = id};
+    if (abandoned_starts_.size() > kMaxAbandonedStarts) {
+      abandoned_starts_.erase(abandoned_starts_.begin());
+    }
+  } else if (item.epoch != 0) {
+    ReportFinish(item, outcome::kUnknown, {}, out);
+  }
+  ++(result == outcome::kNotRun ? counters_.not_run : counters_.unknown);
+  out.push_back(answer_request{.request = id,
+                               .result = result,
+                               .status = why.status,
+                               .retry_after_seconds = why.retry_after_seconds,
+                               .message = why.message,
+                               .recorded = {}});
+  Erase(id);
+}
+
+void request_router::Erase(request_id id) {
+  const auto found = requests_.find(id);
+  if (found->second.counted) {
+    limiter_.OnEnd(found->second.workspace_hash);
+  }
+  requests_.erase(found);
+}
+
+void request_router::OnUpstreamReport(time_point now,
+                                      const upstream_report& report,
+                                      action_list& out) {
+  replicas_.OnReport(now, report);
+  DrainQueue(now, out);
+}
+
+void request_router::OnTick(time_point now, action_list& out) {
+  for (const waiting_request& expired : queue_.TakeExpired(now)) {
+    const request& item = requests_.at(expired.request);
+    Refuse(expired.request,
+           {.status = kUnavailable,
+            .retry_after_seconds = EstimateRetryAfter(now, item),
+            .message = "no upstream had room in time"},
+           out);
+  }
+  std::vector<request_id> late_starts;
+  for (auto& [id, item] : requests_) {
+    if (item.at != stage::kStarting) {
+      continue;
+    }
+    if (now >= item.start_deadline) {
+      late_starts.push_back(id);
+    } else if (now >= item.next_start_request) {
+      SendStartRequest(now, item, out);
+    }
+  }
+  for (const request_id id : late_starts) {
+    Refuse(id,
+           {.status = kUnavailable,
+            .retry_after_seconds = 2,
+            .message = "the start could not be recorded in time"},
+           out);
+  }
+  DrainQueue(now, out);
+}
+
+void request_router::FillStatus(core_status& status) const {
+  status.counters = counters_;
+  status.waiting = queue_.size();
+  status.running = attempts_.size();
+  status.known_prefixes = prefixes_.size();
+  for (const replica_index index : replicas_.configured()) {
+    const replica& item = replicas_[index];
+    status.upstreams.push_back({.name = item.spec.name,
+                                .reachable = item.reachable,
+                                .leaving = item.leaving || item.spec.leaving,
+                                .reported = item.reported,
+                                .incarnation = item.incarnation,
+                                .in_flight = item.in_flight,
+                                .limit = item.limit,
+                                .prefill_rate = item.prefill_rate,
+                                .retention_seconds = item.retention_seconds});
+  }
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Daemon/gateway_task.cc
@@ -0,0 +1,413 @@
+#include "cuminswitch/Daemon/gateway_task.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "cuminswitch/Config/configuration.h"
+#include "cuminswitch/Daemon/chat_request.h"
+#include "cuminswitch/Kernel/kernel.h"
+#include "cuminswitch/Net/http_call.h"
+#include "cuminswitch/Net/http_exchange.h"
+#include "cuminswitch/Support/digest.h"
+
+namespace cuminswitch {
+
+static constexpr uint32_t kOk = 200;
+static constexpr uint32_t kBadRequest = 400;
+static constexpr uint32_t kUnauthorized = 401;
+static constexpr uint32_t kForbidden = 403;
+static constexpr uint32_t kNotFound = 404;
+static constexpr uint32_t kUnavailable = 503;
+static constexpr std::string_view kJson = "application/json";
+static constexpr std::string_view kPlainText = "text/plain; version=0.0.4";
+static constexpr std::string_view kServicePrefix = "/services/";
+static constexpr std::string_view kBearer = "Bearer ";
+static constexpr size_t kMaxKeyLength = 256;
+/// A workspace is spread over one more host per so many requests in flight.
+static constexpr uint32_t kInFlightPerHost = 64;
+static constexpr size_t kLeastAddresses = 2;
+static constexpr size_t kMostAddresses = 4;
+/// How long a caller waits when it does not say, by class.
+static constexpr duration kInteractiveTimeLimit = std::chrono::seconds(5);
+static constexpr duration kStandardTimeLimit = std::chrono::seconds(15);
+static constexpr duration kBatchTimeLimit = std::chrono::minutes(5);
+static constexpr int64_t kMaxTimeLimitMs = 3'600'000;
+
+static void ReplyError(http_exchange& exchange,
+                       uint32_t status,
+                       std::string_view message) {
+  const nlohmann::json error = {
+      {"error",
+       {{"message", message}, {"outcome", ToString(outcome::kNotRun)}}}};
+  http_headers headers = {{.name = "X-Cuminswitch-Outcome",
+                           .value = std::string(ToString(outcome::kNotRun))}};
+  if (status == kUnavailable) {
+    headers.push_back({.name = "Retry-After", .value = "1"});
+  }
+  exchange.Reply(status, kJson, error.dump(), headers);
+}
+
+static duration DefaultTimeLimit(priority_class priority) {
+  switch (priority) {
+    case priority_class::kInteractive:
+      return kInteractiveTimeLimit;
+    case priority_class::kStandard:
+      return kStandardTimeLimit;
+    case priority_class::kBatch:
+      return kBatchTimeLimit;
+  }
+  return kStandardTimeLimit;
+}
+
+/// Reads a decimal number that is the whole of \p text.
+static std::optional<int64_t> ParseNumber(std::string_view text) {
+  int64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+static duration ReadTimeLimit(const http_exchange& exchange,
+                              priority_class priority) {
+  const std::optional<int64_t> millis =
+      ParseNumber(exchange.Header("X-Time-Limit-Ms"));
+  if (!millis || *millis <= 0 || *millis > kMaxTimeLimitMs) {
+    return DefaultTimeLimit(priority);
+  }
+  return std::chrono::milliseconds(*millis);
+}
+
+static std::string BearerToken(const http_exchange& exchange) {
+  const std::string value = exchange.Header("Authorization");
+  return value.starts_with(kBearer) ? value.substr(kBearer.size())
+                                    : std::string();
+}
+
+gateway_task::gateway_task(const kernel& services, options opts)
+    : services_(services),
+      options_(std::move(opts)),
+      next_request_(options_.incarnation << 20) {}
+
+gateway_task::~gateway_task() = default;
+
+void gateway_task::OnStart() {
+  const daemon_settings& settings = options_.settings;
+  client_ = std::make_unique<http_client>(base());
+  server_ = std::make_unique<http_server>(
+      base(),
+      http_server::options{.listen = settings.caller_address,
+                           .max_body_size = settings.max_body_size,
+                           .max_header_size = settings.max_header_size,
+                           .read_timeout = settings.caller_read_timeout,
+                           .write_timeout = settings.caller_write_timeout},
+      *this);
+}
+
+void gateway_task::OnStop() {
+  probes_.clear();
+  status_waiters_.clear();
+  server_.reset();
+  relays_.clear();
+  client_.reset();
+}
+
+void gateway_task::Receive(gateway_message message) {
+  std::visit([this](const auto& item) { Take(item); }, message);
+}
+
+request_relay* gateway_task::FindRelay(request_id request) {
+  const auto found = relays_.find(request);
+  return found == relays_.end() ? nullptr : found->second.get();
+}
+
+void gateway_task::Take(const dispatch_attempt& action) {
+  request_relay* relay = FindRelay(action.request);
+  if (relay == nullptr) {
+    OnRelayEvent(
+        attempt_ended{.attempt = action.attempt, .result = outcome::kNotRun});
+    return;
+  }
+  if (relay->attempt() == 0) {
+    metrics_.dispatch_delay.Add(
+        std::chrono::duration<double>(std::chrono::steady_clock::now() -
+                                      relay->arrived())
+            .count());
+  }
+  relay_by_attempt_.erase(relay->attempt());
+  relay_by_attempt_[action.attempt] = action.request;
+  relay->Dispatch(action, *client_);
+}
+
+void gateway_task::Take(const cancel_attempt& action) {
+  const auto found = relay_by_attempt_.find(action.attempt);
+  if (found == relay_by_attempt_.end()) {
+    return;
+  }
+  relays_.erase(found->second);
+  relay_by_attempt_.erase(found);
+}
+
+void gateway_task::Take(const answer_request& action) {
+  if (request_relay* relay = FindRelay(action.request)) {
+    relay->Answer(action);
+  }
+}
+
+void gateway_task::Take(const probe_upstream& action) {
+  auto probe = std::make_unique<upstream_probe>(
+      action, *client_, [this](upstream_probe& done, upstream_report report) {
+        OnRelayEvent(std::move(report));
+        probes_.erase(&done);
+      });
+  upstream_probe* key = probe.get();
+  probes_[key] = std::move(probe);
+}
+
+void gateway_task::Take(const configuration_adopted& action) {
+  config_ = action.config;
+  by_credential_.clear();
+  for (const workspace_spec& workspace : config_->workspaces) {
+    by_credential_[workspace.credential_sha256] = &workspace;
+  }
+}
+
+void gateway_task::Take(const members_changed& action) {
+  addresses_.SetMembers(action.members);
+}
+
+void gateway_task::Take(const status_answer& answer) {
+  const auto found = status_waiters_.find(answer.ticket);
+  if (found == status_waiters_.end()) {
+    return;
+  }
+  http_exchange& exchange = *found->second;
+  if (exchange.Path() == "/metrics") {
+    exchange.Reply(kOk, kPlainText, WriteMetrics(metrics_, *answer.status));
+  } else {
+    exchange.Reply(kOk, kJson, WriteStatus(*answer.status));
+  }
+  status_waiters_.erase(found);
+}
+
+void gateway_task::OnRelayEvent(core_event event) {
+  services_.FindPort<decision_message>(kDecisionService).Post(std::move(event));
+}
+
+void gateway_task::OnFirstToken(const request_relay& relay) {
+  metrics_.Of(relay.workspace())
+      .first_token.Add(std::chrono::duration<double>(
+                           std::chrono::steady_clock::now() - relay.arrived())
+                           .count());
+}
+
+void gateway_task::OnTokenGap(const request_relay& relay, double seconds) {
+  metrics_.Of(relay.workspace()).between_tokens.Add(seconds);
+}
+
+void gateway_task::OnRelayDone(request_relay& relay, outcome result) {
+  metrics_.Of(relay.workspace()).Count(result);
+  relay_by_attempt_.erase(relay.attempt());
+  relays_.erase(relay.request());
+}
+
+void gateway_task::OnRequest(exchange_ptr exchange) {
+  const std::string_view path = exchange->Path();
+  if (path == "/v1/chat/completions") {
+    BeginChat(exchange);
+  } else if (path.starts_with(kServicePrefix)) {
+    BeginServiceCall(exchange);
+  } else if (path == "/v1/addresses") {
+    AnswerAddresses(exchange);
+  } else if (path == "/healthz") {
+    exchange->Reply(kOk, kJson, R"({"status":"ok"})");
+  } else if (path == "/readyz") {
+    AnswerReadiness(exchange);
+  } else if (path == "/status" || path == "/metrics") {
+    AskStatus(exchange);
+  } else {
+    ReplyError(*exchange, kNotFound, "no such path");
+  }
+}
+
+void gateway_task::AnswerReadiness(const exchange_ptr& exchange) {
+  if (config_ == nullptr) {
+    ReplyError(*exchange, kUnavailable, "no configuration is in force yet");
+    return;
+  }
+  exchange->Reply(kOk, kJson, R"({"status":"ready"})");
+}
+
+bool gateway_task::IsOperator(const http_exchange& exchange) const {
+  const std::string& wanted = options_.settings.operator_credential_sha256;
+  return wanted.empty() ||
+         EqualInConstantTime(Sha256Hex(BearerToken(exchange)), wanted);
+}
+
+void gateway_task::AskStatus(const exchange_ptr& exchange) {
+  if (!IsOperator(*exchange)) {
+    ReplyError(*exchange, kUnauthorized, "an operator's credential is needed");
+    return;
+  }
+  const uint64_t ticket = next_ticket_++;
+  status_waiters_[ticket] = exchange;
+  services_.FindPort<decision_message>(kDecisionService)
+      .Post(status_query{.ticket = ticket});
+}
+
+const workspace_spec* gateway_task::Authenticate(const exchange_ptr& exchange) {
+  if (config_ == nullptr) {
+    ReplyError(*exchange, kUnavailable, "no configuration is in force yet");
+    return nullptr;
+  }
+  const std::string token = BearerToken(*exchange);
+  if (token.empty()) {
+    ReplyError(*exchange, kUnauthorized, "a workspace credential is needed");
+    return nullptr;
+  }
+  // The lookup is by digest, so its time tells nothing of the credential; the
+  // match is then confirmed in constant time.
+  const std::string digest = Sha256Hex(token);
+  const auto found = by_credential_.find(digest);
+  if (found == by_credential_.end() ||
+      !EqualInConstantTime(found->second->credential_sha256, digest)) {
+    ReplyError(*exchange, kUnauthorized, "the credential is not known");
+    return nullptr;
+  }
+  const std::string named = exchange->Header("X-Workspace");
+  if (!named.empty() && named != found->second->name) {
+    ReplyError(*exchange, kForbidden, "the credential is not that workspace's");
+    return nullptr;
+  }
+  return found->second;
+}
+
+void gateway_task::AnswerAddresses(const exchange_ptr& exchange) {
+  const workspace_spec* workspace = Authenticate(exchange);
+  if (workspace == nullptr) {
+    return;
+  }
+  const size_t wanted =
+      std::clamp<size_t>(1 + workspace->max_in_flight / kInFlightPerHost,
+                         kLeastAddresses, kMostAddresses);
+  nlohmann::json json;
+  json["time_to_live_seconds"] = options_.settings.address_time_to_live.count();
+  json["addresses"] = nlohmann::json::array();
+  for (const member* item : addresses_.Choose(workspace->name, wanted)) {
+    json["addresses"].push_back({{"host", item->host},
+                                 {"address", item->caller_address.ToString()},
+                                 {"failure_domain", item->failure_domain}});
+  }
+  exchange->Reply(kOk, kJson, json.dump() + "\n");
+}
+
+bool gateway_task::ReadIdempotencyKey(const exchange_ptr& exchange,
+                                      request_arrived& event) const {
+  event.idempotency_key = exchange->Header("Idempotency-Key");
+  if (event.idempotency_key.empty()) {
+    return true;
+  }
+  const std::string_view key = event.idempotency_key;
+  const size_t dash = key.find('-');
+  const std::optional<int64_t> issued = ParseNumber(key.substr(0, dash));
+  if (dash == std::string_view::npos || key.size() > kMaxKeyLength || !issued ||
+      *issued <= 0) {
+    ReplyError(*exchange, kBadRequest,
+               "Idempotency-Key must be <unix seconds>-<text>, at most 256 "
+               "characters");
+    return false;
+  }
+  event.key_issued = static_cast<uint64_t>(*issued);
+  event.request_digest = Hash128(exchange->Body(), Hash64(exchange->Path()));
+  return true;
+}
+
+void gateway_task::BeginChat(const exchange_ptr& exchange) {
+  const workspace_spec* workspace = Authenticate(exchange);
+  if (workspace == nullptr) {
+    return;
+  }
+  if (exchange->Method() != "POST") {
+    ReplyError(*exchange, kBadRequest, "the method must be POST");
+    return;
+  }
+  request_arrived event{.workspace = workspace->name};
+  try {
+    chat_request chat = ParseChatRequest(exchange->Body());
+    event.target = std::move(chat.model);
+    event.levels = std::move(chat.levels);
+    event.prompt_tokens = chat.prompt_tokens;
+  } catch (const chat_request_error& error) {
+    ReplyError(*exchange, kBadRequest, error.what());
+    return;
+  }
+  event.time_limit = ReadTimeLimit(*exchange, workspace->priority);
+  BeginRequest(
+      exchange, std::move(event),
+      {.method = http_method::kPost,
+       .path = "/v1/chat/completions",
+       .headers = {{.name = "Content-Type", .value = std::string(kJson)}}});
+}
+
+void gateway_task::BeginServiceCall(const exchange_ptr& exchange) {
+  const workspace_spec* workspace = Authenticate(exchange);
+  if (workspace == nullptr) {
+    return;
+  }
+  const std::string_view rest = exchange->Path().substr(kServicePrefix.size());
+  const size_t slash = rest.find('/');
+  request_arrived event{.workspace = workspace->name,
+                        .target = std::string(rest.substr(0, slash))};
+  event.time_limit = ReadTimeLimit(*exchange, workspace->priority);
+  std::string path = slash == std::string_view::npos
+                         ? std::string("/")
+                         : std::string(rest.substr(slash));
+  if (!exchange->Query().empty()) {
+    path += "?" + std::string(exchange->Query());
+  }
+  const bool is_get = exchange->Method() == "GET";
+  std::string type = exchange->Header("Content-Type");
+  http_headers headers;
+  if (!type.empty()) {
+    headers.push_back({.name = "Content-Type", .value = std::move(type)});
+  }
+  BeginRequest(exchange, std::move(event),
+               {.method = is_get ? http_method::kGet : http_method::kPost,
+                .path = std::move(path),
+                .headers = std::move(headers)});
+}
+
+void gateway_task::BeginRequest(const exchange_ptr& exchange,
+                                request_arrived event,
+                                request_relay::options relay) {
+  if (!ReadIdempotencyKey(exchange, event)) {
+    return;
+  }
+  const request_id id = ++next_request_;
+  event.request = id;
+  relay.request = id;
+  relay.workspace = event.workspace;
+  relay.caller = exchange;
+  relay.body = exchange->Body();
+  relay.keep_answer = !event.idempotency_key.empty();
+  if (relay.keep_answer) {
+    relay.headers.push_back(
+        {.name = "Idempotency-Key", .value = event.idempotency_key});
+  }
+  relay.connect_timeout = options_.settings.upstream_connect_timeout;
+  relay.idle_timeout = options_.settings.upstream_idle_timeout;
+  relay.arrived = std::chrono::steady_clock::now();
+  relays_[id] = std::make_unique<request_relay>(std::move(relay), *this);
+  exchange->SetOnClosed([this, id] {
+    if (request_relay* found = FindRelay(id)) {
+      found->OnCallerGone();
+      OnRelayEvent(caller_gone{.request = id});
+    }
+  });
+  OnRelayEvent(std::move(event));
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Net/http_call.cc
@@ -0,0 +1,168 @@
+#include "cuminswitch/Net/http_call.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <string>
+#include <utility>
+
+namespace cuminswitch {
+
+static evhttp_cmd_type ToCommand(http_method method) {
+  switch (method) {
+    case http_method::kGet:
+      return EVHTTP_REQ_GET;
+    case http_method::kPost:
+      return EVHTTP_REQ_POST;
+    case http_method::kPut:
+      return EVHTTP_REQ_PUT;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+static timeval ToTimeval(std::chrono::milliseconds value) {
+  constexpr int64_t kMillisPerSecond = 1000;
+  return {.tv_sec = static_cast<time_t>(value.count() / kMillisPerSecond),
+          .tv_usec = static_cast<suseconds_t>(value.count() % kMillisPerSecond *
+                                              1000)};
+}
+
+http_call::http_call(http_client& client,
+                     const http_call_options& opts,
+                     http_call_handler& handler)
+    : client_(client),
+      handler_(handler),
+      to_(opts.to),
+      fresh_(opts.fresh_connection),
+      connect_timer_(client.base_, [this] { OnConnectTimer(); }) {
+  connection_ = client_.Acquire(opts);
+  const timeval idle = ToTimeval(opts.idle_timeout);
+  evhttp_connection_set_timeout_tv(connection_, &idle);
+  Send(opts);
+  connect_timer_.Start(opts.connect_timeout);
+}
+
+http_call::~http_call() {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  evhttp_cancel_request(request_);
+  client_.GiveBack(to_, connection_, false);
+}
+
+void http_call::Send(const http_call_options& opts) {
+  const auto on_done = [](evhttp_request* request, void* raw) {
+    auto* self = static_cast<http_call*>(raw);
+    const bool whole =
+        request != nullptr && evhttp_request_get_response_code(request) != 0;
+    if (whole && !self->failed_after_connect_) {
+      self->Finish(http_end::kComplete);
+      return;
+    }
+    self->Finish(self->failed_after_connect_ ? http_end::kBroken
+                                             : http_end::kNotConnected);
+  };
+  const auto on_header = [](evhttp_request* request, void* raw) {
+    static_cast<http_call*>(raw)->OnHeaderEvent(request);
+    return 0;
+  };
+  const auto on_chunk = [](evhttp_request* request, void* raw) {
+    static_cast<http_call*>(raw)->OnChunkEvent(request);
+  };
+  // Called only for a request that is on a connection; a failure to connect
+  // ends in `on_done` without it. That difference is what makes "not run"
+  // true.
+  const auto on_error = [](evhttp_request_error /*error*/, void* raw) {
+    static_cast<http_call*>(raw)->failed_after_connect_ = true;
+  };
+  request_ = evhttp_request_new(on_done, this);
+  evhttp_request_set_header_cb(request_, on_header);
+  evhttp_request_set_chunked_cb(request_, on_chunk);
+  evhttp_request_set_error_cb(request_, on_error);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request_);
+  evhttp_add_header(headers, "Host", opts.to.ToString().c_str());
+  for (const http_header& header : opts.headers) {
+    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+  }
+  if (fresh_) {
+    evhttp_add_header(headers, "Connection", "close");
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(request_), opts.body.data(),
+               opts.body.size());
+  evhttp_make_request(connection_, request_, ToCommand(opts.method),
+                      opts.path.c_str());
+}
+
+void http_call::OnHeaderEvent(evhttp_request* request) {
+  http_response_head head{.status = static_cast<uint32_t>(
+                              evhttp_request_get_response_code(request)),
+                          .headers = {}};
+  const evkeyvalq* fields = evhttp_request_get_input_headers(request);
+  for (const evkeyval* field = fields->tqh_first; field != nullptr;
+       field = field->next.tqe_next) {
+    head.headers.push_back({.name = field->key, .value = field->value});
+  }
+  close_announced_ =
+      strcasecmp(std::string(head.Find("Connection")).c_str(), "close") == 0;
+  handler_.OnHeaders(head);
+}
+
+void http_call::OnChunkEvent(evhttp_request* request) {
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  const size_t size = evbuffer_get_length(input);
+  if (size == 0 || ended_) {
+    return;
+  }
+  const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+  handler_.OnData({data, size});
+}
+
+bool http_call::IsConnected() const {
+  bufferevent* stream = evhttp_connection_get_bufferevent(connection_);
+  const evutil_socket_t fd = bufferevent_getfd(stream);
+  sockaddr_storage address;
+  socklen_t size = sizeof(address);
+  return fd >= 0 &&
+         getpeername(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+}
+
+void http_call::OnConnectTimer() {
+  if (ended_ || IsConnected()) {
+    return;
+  }
+  // evhttp writes only once it is connected, so nothing was sent.
+  evhttp_cancel_request(std::exchange(request_, nullptr));
+  ended_ = true;
+  client_.GiveBack(to_, connection_, false);
+  handler_.OnEnd(http_end::kNotConnected);
+}
+
+void http_call::Finish(http_end end) {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  connect_timer_.Cancel();
+  const bool keep = end == http_end::kComplete && !fresh_ && !close_announced_;
+  client_.GiveBack(to_, connection_, keep);
+  handler_.OnEnd(end);
+}
+
+void http_call::PauseReading() {
+  bufferevent_disable(evhttp_connection_get_bufferevent(connection_), EV_READ);
+}
+
+void http_call::ResumeReading() {
+  if (!ended_) {
+    bufferevent_enable(evhttp_connection_get_bufferevent(connection_), EV_READ);
+  }
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Once/shard_keeper.cc
@@ -0,0 +1,163 @@
+#include "cuminswitch/Once/shard_keeper.h"
+
+#include "cuminswitch/Membership/member_table.h"
+#include "cuminswitch/Support/hash.h"
+
+namespace cuminswitch {
+
+/// Separates this use of rendezvous hashing from the others.
+static constexpr uint64_t kShardHashSeed = 0x5ca1ab1e;
+static constexpr duration kClaimRetryInterval = std::chrono::milliseconds(700);
+static constexpr duration kRebalanceInterval = std::chrono::seconds(2);
+
+shard_keeper::shard_keeper(const options& opts)
+    : options_(opts), random_(opts.random_seed) {
+  const duration interval =
+      FromSeconds(opts.shard_count / opts.fleet_writes_per_second);
+  for (shard_number shard = 0; shard < opts.shard_count; ++shard) {
+    slots_.push_back({.ledger = shard_ledger({.shard = shard,
+                                              .host = opts.host,
+                                              .incarnation = opts.incarnation,
+                                              .retention = opts.retention,
+                                              .write_interval = interval})});
+  }
+}
+
+shard_number shard_keeper::ShardOf(const key_hash& key) const {
+  return static_cast<shard_number>(key.high % options_.shard_count);
+}
+
+bool shard_keeper::Owns(shard_number shard) const {
+  return shard < slots_.size() && slots_[shard].ledger.is_owned();
+}
+
+std::vector<shard_number> shard_keeper::OwnedShards() const {
+  std::vector<shard_number> owned;
+  for (shard_number shard = 0; shard < options_.shard_count; ++shard) {
+    const shard_ledger::ownership state = slots_[shard].ledger.state();
+    if (state == shard_ledger::ownership::kOwned ||
+        state == shard_ledger::ownership::kUncertain) {
+      owned.push_back(shard);
+    }
+  }
+  return owned;
+}
+
+uint64_t shard_keeper::CountWrites() const {
+  uint64_t writes = 0;
+  for (const slot& item : slots_) {
+    writes += item.ledger.write_count();
+  }
+  return writes;
+}
+
+void shard_keeper::ConsiderClaim(time_point now,
+                                 const member_table& members,
+                                 slot& item,
+                                 shard_number shard,
+                                 action_list& out) {
+  const member* owner = members.FindOwner(shard);
+  const bool owned_elsewhere =
+      owner != nullptr && owner->host != options_.host && owner->IsServing();
+  if (owned_elsewhere) {
+    item.vacant_since = time_point::max();
+    return;
+  }
+  if (item.vacant_since == time_point::max()) {
+    item.vacant_since = now;
+  }
+  if (now - item.vacant_since < options_.claim_delay || now < item.next_claim) {
+    return;
+  }
+  if (!members.IsAmongFirst(CombineHash(kShardHashSeed, shard), 1,
+                            member_scope::kAll)) {
+    return;
+  }
+  const auto jitter = static_cast<duration::rep>(
+      random_() % static_cast<uint64_t>(kClaimRetryInterval.count()));
+  item.next_claim = now + kClaimRetryInterval + duration(jitter);
+  item.ledger.Claim(out);
+}
+
+void shard_keeper::Rebalance(time_point now,
+                             uint64_t unix_now,
+                             const member_table& members,
+                             action_list& out) {
+  if (now < next_rebalance_) {
+    return;
+  }
+  next_rebalance_ = now + kRebalanceInterval;
+  const size_t serving = members.CountServing();
+  const size_t fair = (options_.shard_count + serving - 1) / serving;
+  const std::vector<shard_number> owned = OwnedShards();
+  // Handing a shard back loses the kept answers, so a daemon does it only
+  // when it carries far more than its part, and one shard at a time.
+  if (owned.size() <= 2 * fair) {
+    return;
+  }
+  for (const shard_number shard : owned) {
+    if (!members.IsAmongFirst(CombineHash(kShardHashSeed, shard), 1,
+                              member_scope::kAll)) {
+      slots_[shard].ledger.HandBack(unix_now, out);
+      return;
+    }
+  }
+}
+
+void shard_keeper::OnTick(time_point now,
+                          uint64_t unix_now,
+                          const member_table& members,
+                          action_list& out) {
+  for (shard_number shard = 0; shard < options_.shard_count; ++shard) {
+    slot& item = slots_[shard];
+    item.ledger.OnTick(now, unix_now, out);
+    if (!leaving_ && item.ledger.state() == shard_ledger::ownership::kNone) {
+      ConsiderClaim(now, members, item, shard, out);
+    }
+  }
+  if (leaving_) {
+    HandBackAll(unix_now, out);
+    return;
+  }
+  Rebalance(now, unix_now, members, out);
+}
+
+void shard_keeper::HandBackAll(uint64_t unix_now, action_list& out) {
+  leaving_ = true;
+  for (slot& item : slots_) {
+    item.ledger.HandBack(unix_now, out);
+  }
+}
+
+void shard_keeper::OnPlatformAnswer(time_point now,
+                                    uint64_t unix_now,
+                                    const platform_answer& answer,
+                                    action_list& out) {
+  if (answer.tag.shard < slots_.size()) {
+    slots_[answer.tag.shard].ledger.OnPlatformAnswer(now, unix_now, answer,
+                                                     out);
+  }
+}
+
+void shard_keeper::OnStart(time_point now,
+                           uint64_t unix_now,
+                           const start_request& request,
+                           action_list& out) {
+  if (request.shard < slots_.size()) {
+    slots_[request.shard].ledger.OnStart(now, unix_now, request, out);
+  }
+}
+
+void shard_keeper::OnFinish(const finish_report& report) {
+  if (report.shard < slots_.size()) {
+    slots_[report.shard].ledger.OnFinish(report);
+  }
+}
+
+void shard_keeper::OnRelease(const release_report& report) {
+  if (report.shard < slots_.size()) {
+    slots_[report.shard].ledger.OnRelease(report);
+  }
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Platform/platform_client.cc
@@ -0,0 +1,148 @@
+#include "cuminswitch/Platform/platform_client.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "cuminswitch/Net/http_call.h"
+
+namespace cuminswitch {
+
+static constexpr uint32_t kOk = 200;
+static constexpr uint32_t kNotModified = 304;
+static constexpr uint32_t kNotFound = 404;
+static constexpr uint32_t kConflict = 409;
+
+static http_call_options MakeCallOptions(const platform_client::options& opts,
+                                         const platform_call& call) {
+  http_call_options result{.to = opts.address,
+                           .method = http_method::kGet,
+                           .path = "/kv/" + call.key,
+                           .headers = {},
+                           .body = {},
+                           .connect_timeout = opts.connect_timeout,
+                           .idle_timeout = opts.call_timeout};
+  switch (call.operation) {
+    case platform_operation::kRead:
+      break;
+    case platform_operation::kCompareAndSwap:
+      result.method = http_method::kPut;
+      result.headers.push_back({.name = "X-Expected-Revision",
+                                .value = std::to_string(call.expected)});
+      result.body = call.value;
+      break;
+    case platform_operation::kWatch:
+      result.path += "?watch=" + std::to_string(call.expected) +
+                     "&wait_ms=" + std::to_string(opts.watch_time.count());
+      result.idle_timeout = opts.call_timeout + opts.watch_time;
+      break;
+    case platform_operation::kListHosts:
+      result.path = "/hosts";
+      break;
+  }
+  return result;
+}
+
+static revision_number ParseRevision(std::string_view text) {
+  revision_number revision = 0;
+  std::from_chars(text.data(), text.data() + text.size(), revision);
+  return revision;
+}
+
+/// Reads `[{"host": ..., "peer_address": ..., "leaving": ...}]`; lines that
+/// are not of that form are passed over.
+static std::vector<listed_host> ParseHosts(std::string_view text) {
+  std::vector<listed_host> hosts;
+  const auto json = nlohmann::json::parse(text, nullptr, false);
+  if (!json.is_array()) {
+    return hosts;
+  }
+  for (const auto& item : json) {
+    if (!item.is_object()) {
+      continue;
+    }
+    const auto address =
+        ParseEndpoint(item.value("peer_address", std::string()));
+    if (address) {
+      hosts.push_back({.host = item.value("host", std::string()),
+                       .peer_address = *address,
+                       .leaving = item.value("leaving", false)});
+    }
+  }
+  return hosts;
+}
+
+/// One call that has not been answered.
+class platform_client::pending : public http_call_handler {
+ public:
+  pending(platform_client& owner,
+          const platform_call& call,
+          answer_callback on_answer)
+      : owner_(owner),
+        operation_(call.operation),
+        expected_(call.expected),
+        on_answer_(std::move(on_answer)) {
+    answer_.tag = call.tag;
+    call_ = owner.client_.Start(MakeCallOptions(owner.options_, call), *this);
+  }
+
+  void OnHeaders(const http_response_head& head) override {
+    status_ = head.status;
+    answer_.revision = ParseRevision(head.Find("X-Revision"));
+  }
+  void OnData(std::string_view data) override { answer_.value += data; }
+
+  void OnEnd(http_end end) override {
+    answer_.status =
+        end == http_end::kComplete ? ReadStatus() : platform_status::kNoAnswer;
+    if (answer_.status == platform_status::kOk &&
+        operation_ == platform_operation::kListHosts) {
+      answer_.hosts = ParseHosts(answer_.value);
+    }
+    const answer_callback on_answer = std::move(on_answer_);
+    const platform_answer answer = std::move(answer_);
+    owner_.pending_.erase(this);
+    on_answer(answer);
+  }
+
+ private:
+  platform_status ReadStatus() {
+    switch (status_) {
+      case kOk:
+        return platform_status::kOk;
+      case kNotModified:
+        answer_.revision = expected_;
+        return platform_status::kOk;
+      case kNotFound:
+        return platform_status::kAbsent;
+      case kConflict:
+        return platform_status::kConflict;
+      default:
+        // An error of the service says nothing of the write's fate.
+        return platform_status::kNoAnswer;
+    }
+  }
+
+  platform_client& owner_;
+  platform_operation operation_;
+  revision_number expected_;
+  answer_callback on_answer_;
+  platform_answer answer_;
+  uint32_t status_ = 0;
+  std::unique_ptr<http_call> call_;
+};
+
+platform_client::platform_client(event_base* base, const options& opts)
+    : options_(opts), client_(base) {}
+
+platform_client::~platform_client() = default;
+
+void platform_client::Call(const platform_call& call,
+                           answer_callback on_answer) {
+  auto item = std::make_unique<pending>(*this, call, std::move(on_answer));
+  pending* key = item.get();
+  pending_[key] = std::move(item);
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Routing/placement_policy.cc
@@ -0,0 +1,100 @@
+// The baselines that the product's policy is measured against.
+#include "cuminswitch/Routing/placement_policy.h"
+
+#include <algorithm>
+#include <random>
+
+#include "cuminswitch/Routing/placement_query.h"
+#include "cuminswitch/Routing/prefix_cost_policy.h"
+#include "cuminswitch/Support/rendezvous.h"
+
+namespace cuminswitch {
+namespace {
+
+class random_policy : public placement_policy {
+ public:
+  explicit random_policy(uint64_t seed) : random_(seed) {}
+  placement Choose(const placement_query& query) override {
+    return {.index = query.eligible[random_() % query.eligible.size()]};
+  }
+
+ private:
+  std::mt19937_64 random_;
+};
+
+class round_robin_policy : public placement_policy {
+ public:
+  placement Choose(const placement_query& query) override {
+    return {.index = query.eligible[next_++ % query.eligible.size()]};
+  }
+
+ private:
+  size_t next_ = 0;
+};
+
+class least_in_flight_policy : public placement_policy {
+ public:
+  explicit least_in_flight_policy(uint64_t seed) : random_(seed) {}
+  placement Choose(const placement_query& query) override {
+    const size_t start = random_() % query.eligible.size();
+    replica_index best = query.eligible[start];
+    for (size_t i = 1; i < query.eligible.size(); ++i) {
+      const replica_index index =
+          query.eligible[(start + i) % query.eligible.size()];
+      if (Load(query, index) < Load(query, best)) {
+        best = index;
+      }
+    }
+    return {.index = best};
+  }
+
+ private:
+  static uint32_t Load(const placement_query& query, replica_index index) {
+    const replica& item = query.replicas[index];
+    return item.in_flight + item.others_in_flight;
+  }
+
+  std::mt19937_64 random_;
+};
+
+/// Rendezvous hashing on the shared prefix, without regard to load.
+class prefix_hash_policy : public placement_policy {
+ public:
+  placement Choose(const placement_query& query) override {
+    const size_t count = query.levels.size();
+    const uint64_t key =
+        count == 0 ? 0 : query.levels[count >= 2 ? count - 2 : 0].hash;
+    const auto weight = [&](replica_index index) {
+      return RendezvousWeight(key, query.replicas[index].name_hash);
+    };
+    return {.index =
+                *std::max_element(query.eligible.begin(), query.eligible.end(),
+                                  [&](replica_index a, replica_index b) {
+                                    return weight(a) < weight(b);
+                                  })};
+  }
+};
+
+}  // namespace
+
+std::unique_ptr<placement_policy> MakePlacementPolicy(std::string_view name,
+                                                      uint64_t random_seed) {
+  if (name == "prefix_cost") {
+    return std::make_unique<prefix_cost_policy>();
+  }
+  if (name == "random") {
+    return std::make_unique<random_policy>(random_seed);
+  }
+  if (name == "round_robin") {
+    return std::make_unique<round_robin_policy>();
+  }
+  if (name == "least_in_flight") {
+    return std::make_unique<least_in_flight_policy>(random_seed);
+  }
+  if (name == "prefix_hash") {
+    return std::make_unique<prefix_hash_policy>();
+  }
+  return nullptr;
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -0,0 +1,109 @@
+#include "cuminswitch/Routing/prefix_cost_policy.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+#include "cuminswitch/Routing/placement_query.h"
+#include "cuminswitch/Routing/prefix_index.h"
+#include "cuminswitch/Support/rendezvous.h"
+
+namespace cuminswitch {
+
+/// How likely a prefix is cached at its homes when nothing is known of it.
+static constexpr std::array<double, 3> kHomePrior = {0.5, 0.2, 0.1};
+/// Even a fresh entry may have been evicted by others' requests.
+static constexpr double kFreshHit = 0.97;
+/// Seconds added per request in flight: decoding slows with the batch, and
+/// among equals the least busy replica should win.
+static constexpr double kBatchSeconds = 0.002;
+
+/// The level whose homes a request looks for: the innermost that is shared,
+/// which is the last but one, since the last is the request's own.
+static size_t SharedLevel(std::span<const prefix_level> levels) {
+  return levels.size() >= 2 ? levels.size() - 2 : 0;
+}
+
+double prefix_cost_policy::EstimateHit(const placement_query& query,
+                                       const prefix_holder& holder) {
+  const replica& item = query.replicas[holder.index];
+  if (item.incarnation != holder.incarnation) {
+    return 0;
+  }
+  const double age = std::max(0.0, ToSeconds(query.now - holder.used_at));
+  const double retention = std::max(0.1, item.retention_seconds);
+  if (age <= retention) {
+    return kFreshHit;
+  }
+  return kFreshHit * std::exp(-(age - retention) / retention);
+}
+
+prefix_cost_policy::home_list prefix_cost_policy::RankHomes(
+    const placement_query& query,
+    uint64_t prefix) {
+  home_list homes;
+  std::array<uint64_t, kHomes> weights{};
+  for (const replica_index index : query.eligible) {
+    uint64_t weight = RendezvousWeight(prefix, query.replicas[index].name_hash);
+    replica_index candidate = index;
+    for (size_t rank = 0; rank < kHomes; ++rank) {
+      if (rank < homes.count && weight <= weights[rank]) {
+        continue;
+      }
+      std::swap(weight, weights[rank]);
+      std::swap(candidate, homes.indices[rank]);
+      if (rank == homes.count) {
+        ++homes.count;
+        break;
+      }
+    }
+  }
+  return homes;
+}
+
+void prefix_cost_policy::CollectExpectedHits(const placement_query& query) {
+  expected_.assign(query.eligible.size(), 0);
+  const auto raise = [&](replica_index index, double tokens) {
+    const auto found =
+        std::lower_bound(query.eligible.begin(), query.eligible.end(), index);
+    if (found != query.eligible.end() && *found == index) {
+      double& expected = expected_[found - query.eligible.begin()];
+      expected = std::max(expected, tokens);
+    }
+  };
+  if (query.levels.empty()) {
+    return;
+  }
+  for (const prefix_level& level : query.levels) {
+    for (const prefix_holder& holder : query.prefixes.Find(level.hash)) {
+      raise(holder.index, EstimateHit(query, holder) * level.tokens);
+    }
+  }
+  const prefix_level& shared = query.levels[SharedLevel(query.levels)];
+  const home_list homes = RankHomes(query, shared.hash);
+  for (size_t rank = 0; rank < homes.count; ++rank) {
+    raise(homes.indices[rank], kHomePrior[rank] * shared.tokens);
+  }
+}
+
+placement prefix_cost_policy::Choose(const placement_query& query) {
+  assert(!query.eligible.empty() && "nowhere to place the request");
+  CollectExpectedHits(query);
+  placement best{.index = query.eligible.front()};
+  double best_cost = 0;
+  for (size_t i = 0; i < query.eligible.size(); ++i) {
+    const replica_index index = query.eligible[i];
+    const replica& item = query.replicas[index];
+    const double uncached = std::max(0.0, query.prompt_tokens - expected_[i]);
+    const double cost = query.replicas.EstimateQueueSeconds(query.now, index) +
+                        query.reuse_weight * uncached / item.prefill_rate +
+                        kBatchSeconds * item.in_flight;
+    if (i == 0 || cost < best_cost) {
+      best_cost = cost;
+      best = {.index = index, .expected_cached_tokens = expected_[i]};
+    }
+  }
+  return best;
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Routing/replica_table.cc
@@ -0,0 +1,194 @@
+#include "cuminswitch/Routing/replica_table.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+#include "cuminswitch/Support/hash.h"
+
+namespace cuminswitch {
+
+/// A replica in a new incarnation starts at this share of its limit and gets
+/// the whole of it after the ramp.
+static constexpr double kSlowStartShare = 0.25;
+static constexpr double kSlowStartSeconds = 3;
+static constexpr duration kFirstEjection = std::chrono::milliseconds(500);
+static constexpr uint32_t kMaxEjectionDoublings = 4;
+static constexpr double kBusyDecrease = 0.7;
+static constexpr double kLearningRate = 0.2;
+static constexpr double kSlowestPrefillRate = 100;
+static constexpr double kFastestPrefillRate = 1e7;
+/// A report loses half its weight in this many seconds.
+static constexpr double kReportHalfLife = 1.0;
+
+void replica_table::Reconfigure(time_point now, const configuration& config) {
+  configured_.clear();
+  by_target_.clear();
+  for (const model_spec& model : config.models) {
+    by_target_[model.name].version = model.version;
+  }
+  for (const upstream_spec& spec : config.upstreams) {
+    const auto [found, is_new] = by_name_.try_emplace(
+        spec.name, static_cast<replica_index>(replicas_.size()));
+    if (is_new) {
+      replicas_.push_back(
+          {.spec = spec, .name_hash = Hash64(spec.name), .warm_since = now});
+      replicas_.back().limit = spec.max_in_flight;
+    }
+    replica& item = replicas_[found->second];
+    item.limit = std::min<double>(item.limit, spec.max_in_flight);
+    item.spec = spec;
+    configured_.push_back(found->second);
+    for (const std::string& target : spec.serves) {
+      by_target_[target].indices.push_back(found->second);
+    }
+  }
+  for (auto& [name, target] : by_target_) {
+    std::sort(target.indices.begin(), target.indices.end());
+  }
+}
+
+void replica_table::OnReport(time_point now, const upstream_report& report) {
+  const auto found = by_name_.find(report.upstream);
+  if (found == by_name_.end()) {
+    return;
+  }
+  replica& item = replicas_[found->second];
+  item.reachable = report.reachable;
+  if (!report.reachable) {
+    return;
+  }
+  if (item.reported && item.incarnation != report.incarnation) {
+    item.warm_since = now;
+    item.limit = item.spec.max_in_flight;
+  }
+  item.reported = true;
+  item.incarnation = report.incarnation;
+  item.leaving = report.leaving;
+  item.models = report.models;
+  item.reported_at = now - report.age;
+  const uint32_t total = report.running + report.waiting;
+  item.others_in_flight = total > item.in_flight ? total - item.in_flight : 0;
+  item.others_waiting_tokens = std::max(
+      0.0, static_cast<double>(report.waiting_tokens) - item.pending_tokens);
+}
+
+void replica_table::OnDispatch(replica_index index, double expected_tokens) {
+  replica& item = replicas_[index];
+  ++item.in_flight;
+  item.pending_tokens += expected_tokens;
+}
+
+void replica_table::OnFirstByte(replica_index index, double expected_tokens) {
+  replica& item = replicas_[index];
+  item.pending_tokens = std::max(0.0, item.pending_tokens - expected_tokens);
+}
+
+void replica_table::OnAnswered(replica_index index) {
+  replica& item = replicas_[index];
+  item.failures_in_row = 0;
+  item.limit = std::min<double>(item.spec.max_in_flight,
+                                item.limit + 1.0 / std::max(1.0, item.limit));
+}
+
+void replica_table::OnBusy(time_point now, replica_index index) {
+  replica& item = replicas_[index];
+  item.limit = std::max(1.0, item.limit * kBusyDecrease);
+  item.ejected_until = std::max(item.ejected_until, now + kFirstEjection / 10);
+}
+
+void replica_table::OnFailure(time_point now, replica_index index) {
+  replica& item = replicas_[index];
+  const uint32_t doublings =
+      std::min(item.failures_in_row, kMaxEjectionDoublings);
+  ++item.failures_in_row;
+  item.ejected_until = now + kFirstEjection * (1 << doublings);
+}
+
+void replica_table::OnEnd(replica_index index) {
+  replica& item = replicas_[index];
+  assert(item.in_flight > 0 && "an attempt ended twice");
+  --item.in_flight;
+}
+
+void replica_table::LearnPrefillRate(replica_index index,
+                                     double tokens,
+                                     duration took) {
+  replica& item = replicas_[index];
+  const double seconds = std::max(1e-4, ToSeconds(took));
+  const double sample =
+      std::clamp(tokens / seconds, kSlowestPrefillRate, kFastestPrefillRate);
+  item.prefill_rate += kLearningRate * (sample - item.prefill_rate);
+}
+
+bool replica_table::ServesVersion(const replica& item,
+                                  std::string_view target,
+                                  std::string_view version) {
+  return std::any_of(item.models.begin(), item.models.end(),
+                     [&](const loaded_model& model) {
+                       return model.name == target && model.version == version;
+                     });
+}
+
+static double DecayReport(time_point now, const replica& item) {
+  const double age = std::max(0.0, ToSeconds(now - item.reported_at));
+  return std::exp2(-age / kReportHalfLife);
+}
+
+bool replica_table::HasRoom(time_point now, const replica& item) const {
+  const double age = ToSeconds(now - item.warm_since);
+  const double ramp = std::min(
+      1.0, kSlowStartShare + (1 - kSlowStartShare) * age / kSlowStartSeconds);
+  const double others = item.others_in_flight * DecayReport(now, item);
+  return item.in_flight + others + 1 <= std::max(1.0, item.limit * ramp);
+}
+
+eligible_replicas replica_table::ListEligible(
+    time_point now,
+    std::string_view target,
+    std::span<const std::string> failure_domains,
+    std::span<const replica_index> excluded) const {
+  eligible_replicas result;
+  const auto found = by_target_.find(target);
+  if (found == by_target_.end()) {
+    return result;
+  }
+  const std::string& version = found->second.version;
+  for (const replica_index index : found->second.indices) {
+    const replica& item = replicas_[index];
+    const bool allowed =
+        failure_domains.empty() ||
+        std::find(failure_domains.begin(), failure_domains.end(),
+                  item.spec.failure_domain) != failure_domains.end();
+    if (!allowed || item.spec.leaving || item.leaving) {
+      continue;
+    }
+    result.any_serving = true;
+    // Until an engine has reported the configured version it gets nothing:
+    // its answer could come from older weights.
+    const bool has_weights =
+        version.empty() ||
+        (item.reported && ServesVersion(item, target, version));
+    const bool usable =
+        item.reachable && now >= item.ejected_until &&
+        std::find(excluded.begin(), excluded.end(), index) == excluded.end();
+    if (!has_weights || !usable) {
+      continue;
+    }
+    if (!HasRoom(now, item)) {
+      result.any_full = true;
+      continue;
+    }
+    result.indices.push_back(index);
+  }
+  return result;
+}
+
+double replica_table::EstimateQueueSeconds(time_point now,
+                                           replica_index index) const {
+  const replica& item = replicas_[index];
+  const double others = item.others_waiting_tokens * DecayReport(now, item);
+  return (item.pending_tokens + others) / item.prefill_rate;
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/tools/cuminctl/cuminctl.cc
@@ -0,0 +1,87 @@
+// The operators' command line.
+#include <signal.h>
+
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include "command.h"
+#include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/Support/findings_error.h"
+
+namespace cuminswitch {
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    throw usage_error(path + ": cannot be read");
+  }
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+namespace {
+
+struct command {
+  const char* name;
+  const char* help;
+  int (*run)(const argument_list& arguments);
+};
+
+constexpr command kCommands[] = {
+    {"check", "Check a document and report every finding", &RunCheck},
+    {"diff", "Compare a document with the one in force", &RunDiff},
+    {"submit", "Put a document into force", &RunSubmit},
+    {"show", "Print the document in force", &RunShow},
+    {"status", "Print what daemons see", &RunStatus},
+    {"addresses", "Ask a daemon which hosts a workspace should use",
+     &RunAddresses},
+    {"hash", "Print the digest of a credential, for a document", &RunHash},
+};
+
+void PrintUsage(std::ostream& out) {
+  out << "Usage: cuminctl COMMAND [OPTION...]\n\nCommands:\n";
+  for (const command& item : kCommands) {
+    out << "  " << item.name
+        << std::string(11 - std::string(item.name).size(), ' ') << item.help
+        << "\n";
+  }
+  out << "\n`cuminctl COMMAND --help` lists the options of a command.\n";
+}
+
+int Main(const argument_list& arguments) {
+  if (arguments.empty()) {
+    PrintUsage(std::cerr);
+    return kBadUsage;
+  }
+  const std::string& name = arguments.front();
+  if (name == "--help" || name == "-?" || name == "help") {
+    PrintUsage(std::cout);
+    return kSuccess;
+  }
+  for (const command& item : kCommands) {
+    if (name == item.name) {
+      return item.run({arguments.begin() + 1, arguments.end()});
+    }
+  }
+  throw usage_error(name + ": unknown command");
+}
+
+}  // namespace
+}  // namespace cuminswitch
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  try {
+    return cuminswitch::Main(cuminswitch::ArgumentsOf(argc, argv));
+  } catch (const cuminswitch::usage_error& error) {
+    std::cerr << "cuminctl: " << error.what() << "\n";
+    return cuminswitch::kBadUsage;
+  } catch (const cuminswitch::findings_error& error) {
+    std::cerr << error.what() << "\n";
+    return cuminswitch::kFindings;
+  } catch (const std::exception& error) {
+    std::cerr << "cuminctl: " << error.what() << "\n";
+    return cuminswitch::kFailed;
+  }
+}
--- /dev/null
+++ b/tools/cuminctl/daemon_commands.cc
@@ -0,0 +1,102 @@
+// Commands that ask daemons.
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "command.h"
+#include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/Net/blocking_http.h"
+
+namespace cuminswitch {
+namespace {
+
+constexpr uint32_t kOkStatus = 200;
+
+std::string Fetch(const std::string& address,
+                  const std::string& path,
+                  const std::string& credential) {
+  const std::optional<endpoint> to = ParseEndpoint(address);
+  if (!to) {
+    throw usage_error(address + ": not a numeric address:port");
+  }
+  http_call_options call{.to = *to, .path = path};
+  if (!credential.empty()) {
+    call.headers.push_back(
+        {.name = "Authorization", .value = "Bearer " + credential});
+  }
+  const blocking_response response = FetchBlocking(call);
+  if (response.end != http_end::kComplete) {
+    throw std::runtime_error(address + ": does not answer");
+  }
+  if (response.head.status != kOkStatus) {
+    throw std::runtime_error(address + ": status " +
+                             std::to_string(response.head.status) + " " +
+                             response.body);
+  }
+  return response.body;
+}
+
+void PrintStatus(const std::string& address, const std::string& body) {
+  const auto json = nlohmann::json::parse(body);
+  std::cout << address << " generation=" << json["generation"]
+            << " waiting=" << json["waiting"] << " running=" << json["running"]
+            << " shards=" << json["shards"].size() << "\n";
+  for (const auto& item : json["members"]) {
+    std::cout << "  member " << item["host"].get<std::string>() << " "
+              << item["failure_domain"].get<std::string>() << " "
+              << item["status"].get<std::string>()
+              << " shards=" << item["shards"].size() << "\n";
+  }
+  for (const auto& item : json["upstreams"]) {
+    std::cout << "  upstream " << item["name"].get<std::string>()
+              << (item["reachable"].get<bool>() ? " reachable" : " unreachable")
+              << (item["leaving"].get<bool>() ? " leaving" : "")
+              << " in_flight=" << item["in_flight"] << "\n";
+  }
+}
+
+}  // namespace
+
+int RunStatus(const argument_list& arguments) {
+  std::string credential;
+  bool json = false;
+  option_parser parser("cuminctl status", "[OPTION...] ADDRESS...");
+  parser.AddString("credential", credential, "The operators' credential");
+  parser.AddFlag("json", json, "Print the daemons' answers as they are");
+  const argument_list addresses = parser.Parse(arguments);
+  if (addresses.empty()) {
+    throw usage_error("at least one daemon's address:port is needed");
+  }
+  int result = kSuccess;
+  for (const std::string& address : addresses) {
+    try {
+      const std::string body = Fetch(address, "/status", credential);
+      if (json) {
+        std::cout << body;
+      } else {
+        PrintStatus(address, body);
+      }
+    } catch (const usage_error&) {
+      throw;
+    } catch (const std::runtime_error& error) {
+      std::cerr << "cuminctl: " << error.what() << "\n";
+      result = kFailed;
+    }
+  }
+  return result;
+}
+
+int RunAddresses(const argument_list& arguments) {
+  std::string credential;
+  option_parser parser("cuminctl addresses", "[OPTION...] ADDRESS");
+  parser.AddString("credential", credential, "The workspace's credential");
+  const argument_list rest = parser.Parse(arguments);
+  if (rest.size() != 1) {
+    throw usage_error("exactly one daemon's address:port is needed");
+  }
+  std::cout << Fetch(rest.front(), "/v1/addresses", credential);
+  return kSuccess;
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/tools/cuminswitchd/cuminswitchd.cc
@@ -0,0 +1,116 @@
+// The daemon of an entry host: reads its settings, runs, and stops gracefully
+// on SIGTERM or SIGINT.
+#include <glog/logging.h>
+#include <signal.h>
+
+#include <atomic>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/Daemon/router_daemon.h"
+#include "cuminswitch/Settings/daemon_settings.h"
+#include "cuminswitch/Support/findings_error.h"
+
+namespace cuminswitch {
+namespace {
+
+enum exit_code : int {
+  kSuccess = 0,
+  kCannotRun = 1,
+  kBadUsage = 2,
+  kBadSettings = 3,
+};
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    throw usage_error(path + ": cannot be read");
+  }
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+/// Waits for SIGTERM or SIGINT, or for the kernel's notice of a complete
+/// graceful stop, which comes as SIGUSR1 to this thread.
+class signal_waiter {
+ public:
+  signal_waiter() {
+    sigemptyset(&signals_);
+    sigaddset(&signals_, SIGTERM);
+    sigaddset(&signals_, SIGINT);
+    sigaddset(&signals_, SIGUSR1);
+    // Before any other thread starts, so that all of them inherit it.
+    pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+  }
+
+  int Wait() const {
+    int number = 0;
+    sigwait(&signals_, &number);
+    return number;
+  }
+
+ private:
+  sigset_t signals_{};
+};
+
+int Run(const daemon_settings& settings) {
+  const signal_waiter signals;
+  const pthread_t main_thread = pthread_self();
+  router_daemon daemon(settings,
+                       [main_thread] { pthread_kill(main_thread, SIGUSR1); });
+  daemon.Start();
+  LOG(INFO) << "event=started host=" << settings.host
+            << " callers=" << settings.caller_address.ToString()
+            << " peers=" << settings.peer_address.ToString();
+  signals.Wait();
+  LOG(INFO) << "event=stopping host=" << settings.host;
+  daemon.BeginStop();
+  // A second signal ends it at once.
+  const bool graceful = signals.Wait() == SIGUSR1;
+  daemon.Stop();
+  LOG(INFO) << "event=stopped host=" << settings.host
+            << " graceful=" << (graceful ? "yes" : "no");
+  return kSuccess;
+}
+
+int Main(int argc, char** argv) {
+  bool check_only = false;
+  option_parser parser("cuminswitchd", "[OPTION...] SETTINGS.toml");
+  parser.AddFlag("check", check_only, "Check the settings and exit");
+  const std::vector<std::string> rest = parser.Parse(ArgumentsOf(argc, argv));
+  if (rest.size() != 1) {
+    throw usage_error("exactly one settings file is needed");
+  }
+  const daemon_settings settings =
+      ParseDaemonSettings(ReadFile(rest.front()), rest.front());
+  if (check_only) {
+    std::cout << rest.front() << ": no findings\n";
+    return kSuccess;
+  }
+  return Run(settings);
+}
+
+}  // namespace
+}  // namespace cuminswitch
+
+int main(int argc, char** argv) {
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  try {
+    return cuminswitch::Main(argc, argv);
+  } catch (const cuminswitch::usage_error& error) {
+    std::cerr << "cuminswitchd: " << error.what() << "\n";
+    return cuminswitch::kBadUsage;
+  } catch (const cuminswitch::findings_error& error) {
+    std::cerr << error.what() << "\n";
+    return cuminswitch::kBadSettings;
+  } catch (const std::exception& error) {
+    std::cerr << "cuminswitchd: " << error.what() << "\n";
+    return cuminswitch::kCannotRun;
+  }
+}
--- /dev/null
+++ b/utils/fetch/fetch.cc
@@ -0,0 +1,52 @@
+// Fetches a path and prints the body; succeeds only on a 2xx status. Any word
+// after the path makes it a POST with that body; `-` makes it an empty POST.
+// Headers come from the variable FETCH_HEADERS, one `Name: value` a line.
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+
+#include "cuminswitch/Net/blocking_http.h"
+
+using cuminswitch::http_end;
+
+static cuminswitch::http_headers ReadHeaders() {
+  cuminswitch::http_headers headers;
+  const char* text = std::getenv("FETCH_HEADERS");
+  std::istringstream lines(text == nullptr ? "" : text);
+  for (std::string line; std::getline(lines, line);) {
+    const size_t colon = line.find(": ");
+    if (colon != std::string::npos) {
+      headers.push_back(
+          {.name = line.substr(0, colon), .value = line.substr(colon + 2)});
+    }
+  }
+  return headers;
+}
+
+int main(int argc, char** argv) {
+  if (argc < 3) {
+    std::cerr << "usage: fetch ADDRESS PATH [BODY]\n";
+    return 2;
+  }
+  const auto address = cuminswitch::ParseEndpoint(argv[1]);
+  if (!address) {
+    std::cerr << "fetch: " << argv[1] << ": not a numeric address:port\n";
+    return 2;
+  }
+  cuminswitch::http_call_options call{
+      .to = *address, .path = argv[2], .headers = ReadHeaders()};
+  if (argc > 3) {
+    call.method = cuminswitch::http_method::kPost;
+    call.body = std::string(argv[3]) == "-" ? "" : argv[3];
+  }
+  const auto response = cuminswitch::FetchBlocking(call);
+  const uint32_t status = response.head.status;
+  std::cout << response.body;
+  if (response.end != http_end::kComplete || status < 200 || status > 299) {
+    std::cerr << "fetch: status " << status << "\n";
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/utils/service_stand_in/service_stand_in.cc
@@ -0,0 +1,133 @@
+// A stand-in for a plain service. It counts how often it ran each idempotency
+// key, so that a doubled order shows.
+//
+//   any path      runs once, waits, answers {"run", "key", "echo"}
+//   GET /load     a load report without models
+//   GET /control/runs   {"runs", "keys", "doubled"}
+//   POST /control?break_after_run=N   the next N requests run, and then their
+//                                     connections break without an answer
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <chrono>
+#include <deque>
+#include <exception>
+#include <iostream>
+#include <map>
+
+#include "StandIn/stand_in_main.h"
+#include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/Net/http_exchange.h"
+#include "cuminswitch/Net/loop_timer.h"
+#include "cuminswitch/Support/hash.h"
+
+namespace cuminswitch {
+namespace {
+
+using clock = std::chrono::steady_clock;
+using exchange_ptr = std::shared_ptr<http_exchange>;
+
+constexpr std::string_view kJson = "application/json";
+constexpr std::chrono::milliseconds kSweep{1};
+
+class service_stand_in : public http_request_handler {
+ public:
+  service_stand_in(event_base* base, std::chrono::milliseconds delay)
+      : delay_(delay), timer_(base, [this] { Sweep(); }) {
+    timer_.Start(kSweep);
+  }
+
+  void OnRequest(exchange_ptr exchange) override {
+    const std::string_view path = exchange->Path();
+    if (path == "/load") {
+      exchange->Reply(200, kJson,
+                      nlohmann::json({{"incarnation", 1},
+                                      {"running", pending_.size()},
+                                      {"waiting", 0}})
+                          .dump());
+    } else if (path == "/control/runs") {
+      AnswerRuns(*exchange);
+    } else if (path == "/control") {
+      const std::string count = exchange->Parameter("break_after_run");
+      std::from_chars(count.data(), count.data() + count.size(), breaks_);
+      exchange->Reply(200, kJson, "{}");
+    } else {
+      Run(exchange);
+    }
+  }
+
+ private:
+  struct pending_answer {
+    clock::time_point at;
+    exchange_ptr exchange;
+    std::string body;
+  };
+
+  void Run(const exchange_ptr& exchange) {
+    const std::string key = exchange->Header("Idempotency-Key");
+    ++runs_;
+    const uint64_t run = key.empty() ? 1 : ++runs_by_key_[key];
+    if (breaks_ > 0) {
+      --breaks_;
+      exchange->Abort();
+      return;
+    }
+    const nlohmann::json answer = {
+        {"run", run}, {"key", key}, {"echo", Hash64(exchange->Body())}};
+    pending_.push_back({.at = clock::now() + delay_,
+                        .exchange = exchange,
+                        .body = answer.dump()});
+  }
+
+  void AnswerRuns(http_exchange& exchange) const {
+    uint64_t doubled = 0;
+    for (const auto& [key, count] : runs_by_key_) {
+      doubled += count > 1 ? 1 : 0;
+    }
+    const nlohmann::json json = {
+        {"runs", runs_}, {"keys", runs_by_key_.size()}, {"doubled", doubled}};
+    exchange.Reply(200, kJson, json.dump() + "\n");
+  }
+
+  void Sweep() {
+    timer_.Start(kSweep);
+    while (!pending_.empty() && pending_.front().at <= clock::now()) {
+      pending_.front().exchange->Reply(200, kJson, pending_.front().body);
+      pending_.pop_front();
+    }
+  }
+
+  std::chrono::milliseconds delay_;
+  loop_timer timer_;
+  std::deque<pending_answer> pending_;
+  std::map<std::string, uint64_t> runs_by_key_;
+  uint64_t runs_ = 0;
+  uint64_t breaks_ = 0;
+};
+
+int Main(int argc, char** argv) {
+  std::string listen = "127.0.0.1:0";
+  int delay_ms = 20;
+  option_parser parser("service_stand_in", "[OPTION...]");
+  parser.AddString("listen", listen, "Where to listen", "ADDRESS");
+  parser.AddInteger("delay-ms", delay_ms, "How long a call takes");
+  if (!parser.Parse(ArgumentsOf(argc, argv)).empty()) {
+    throw usage_error("no arguments are taken");
+  }
+  return RunStandIn(listen, [&](event_base* base) {
+    return std::make_unique<service_stand_in>(
+        base, std::chrono::milliseconds(delay_ms));
+  });
+}
+
+}  // namespace
+}  // namespace cuminswitch
+
+int main(int argc, char** argv) {
+  try {
+    return cuminswitch::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "service_stand_in: " << error.what() << "\n";
+    return 1;
+  }
+}
