--- a/include/cuminswitch/ConfigSync/config_sync.h
+++ b/include/cuminswitch/ConfigSync/config_sync.h
@@ -35,6 +35,9 @@
     /// Time that a starting daemon gives its peers before it asks the
     /// platform, so that a herd of restarts does not fall upon the platform.
     duration start_grace = std::chrono::milliseconds(400);
+    /// Time after which one that is no watcher asks the platform itself; up to
+    /// as much again is added at random.
+    duration empty_grace = std::chrono::milliseconds(1500);
   };
 
   explicit config_sync(const options& opts);
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -63,6 +63,9 @@
                         action_list& out);
   void OnStartReply(time_point now, const start_reply& reply, action_list& out);
   void OnTick(time_point now, action_list& out);
+  /// Whether the platform answered the last call. While it does not, a shard
+  /// without owner gets none.
+  void SetPlatformReachable(bool reachable) { platform_reachable_ = reachable; }
   /// Refuses new requests from now on.
   void CloseAdmission() { admission_closed_ = true; }
 
@@ -120,6 +123,12 @@
   std::optional<refusal> Check(const request& item) const;
   void PrepareLevels(request& item) const;
   void SendStartRequest(time_point now, request& item, action_list& out);
+  /// Gives up on starts that are late or that nobody can grant.
+  void ExpireStarts(time_point now, action_list& out);
+  /// Whether nobody can grant the start and nobody will before the platform
+  /// answers again.
+  bool IsStartHopeless(const request& item) const;
+  shard_number ShardOf(const request& item) const;
   void ReleaseStart(const request& item, action_list& out) const;
   void Admit(time_point now, request& item, action_list& out);
   void Enqueue(time_point now, request& item, action_list& out);
@@ -138,6 +147,8 @@
              const attempt_ended& event,
              action_list& out);
   void Refuse(request_id id, const refusal& why, action_list& out);
+  /// What is true of a request that ends without an upstream's answer.
+  static outcome JudgeRefused(const request& item);
   void ReportFinish(const request& item,
                     outcome result,
                     const recorded_answer& answer,
@@ -166,6 +177,7 @@
   core_counters counters_;
   attempt_id next_attempt_ = 1;
   bool admission_closed_ = false;
+  bool platform_reachable_ = true;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -37,6 +37,8 @@
   std::string idempotency_key;
   /// When the key was created, in Unix seconds.
   uint64_t key_issued = 0;
+  /// The caller says that it has never sent this key before.
+  bool is_first_attempt = false;
   hash128 request_digest;
   /// How long the caller will wait for the first byte.
   duration time_limit{0};
--- a/lib/ConfigSync/config_sync.cc
+++ b/lib/ConfigSync/config_sync.cc
@@ -28,15 +28,19 @@
   if (started_ == time_point::max()) {
     started_ = now;
     next_watch_ = now + options_.start_grace;
+    options_.empty_grace += duration(static_cast<duration::rep>(
+        random_() % static_cast<uint64_t>(options_.empty_grace.count())));
   }
   ReadMissingChunks(out);
   const uint64_t key =
       CombineHash(kWatchHashSeed, Hash64(options_.failure_domain));
   const bool is_watcher = members.IsAmongFirst(
       key, options_.watchers, member_scope::kSameFailureDomain);
-  // A daemon that has nothing to serve from looks for itself once, should
-  // its peers have nothing either.
-  const bool is_empty = generation_ == 0 && !read_platform_;
+  // A daemon that still has nothing looks for itself once, should the
+  // watchers be out of its reach. It leaves them the time to read it first: at
+  // a restart of all, every daemon is empty.
+  const bool is_empty = generation_ == 0 && !read_platform_ &&
+                        now >= started_ + options_.empty_grace;
   if (watching_ || now < next_watch_ || (!is_watcher && !is_empty)) {
     return;
   }
@@ -151,8 +155,7 @@
 }
 
 void config_sync::AdoptIfWhole(action_list& out) {
-  if (!next_head_ || next_head_->generation <= generation_) {
-    next_head_.reset();
+  if (!next_head_) {
     return;
   }
   std::vector<const configuration*> fragments;
--- a/lib/Core/decision_core.cc
+++ b/lib/Core/decision_core.cc
@@ -129,6 +129,7 @@
 void decision_core::Handle(time_point now,
                            const platform_answer& event,
                            action_list& out) {
+  router_.SetPlatformReachable(event.status != platform_status::kNoAnswer);
   switch (event.tag.owner) {
     case call_owner::kConfigurationHead:
     case call_owner::kConfigurationChunk:
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -19,6 +19,8 @@
 
 static constexpr duration kStartRequestInterval =
     std::chrono::milliseconds(300);
+/// Longer than a new owner takes to be found.
+static constexpr uint32_t kStartRetrySeconds = 3;
 static constexpr size_t kMaxAbandonedStarts = 4096;
 static constexpr uint32_t kMaxRetryAfterSeconds = 120;
 /// What reuse is worth beyond its time, by objective.
@@ -107,6 +109,7 @@
   item.config = config_;
   item.workspace_hash = Hash64(event.workspace);
   item.deadline = now + event.time_limit;
+  item.once = !event.idempotency_key.empty();
   item.workspace =
       config_ == nullptr ? nullptr : config_->FindWorkspace(event.workspace);
   if (const std::optional<refusal> why = Check(item)) {
@@ -114,7 +117,6 @@
     return;
   }
   const service_spec* service = config_->FindService(event.target);
-  item.once = !event.idempotency_key.empty();
   item.repeatable = !item.once && (service == nullptr || service->repeatable);
   if (service != nullptr && !service->repeatable && !item.once) {
     Refuse(event.request,
@@ -133,14 +135,22 @@
   item.start_deadline = std::min(item.deadline, now + options_.start_timeout);
   item.key = Hash128(event.idempotency_key, item.workspace_hash);
   SendStartRequest(now, item, out);
+  ExpireStarts(now, out);
+}
+
+shard_number request_router::ShardOf(const request& item) const {
+  return static_cast<shard_number>(item.key.high % options_.shard_count);
+}
+
+bool request_router::IsStartHopeless(const request& item) const {
+  return !platform_reachable_ && members_.FindOwner(ShardOf(item)) == nullptr;
 }
 
 void request_router::SendStartRequest(time_point now,
                                       request& item,
                                       action_list& out) {
   item.next_start_request = now + kStartRequestInterval;
-  const auto shard =
-      static_cast<shard_number>(item.key.high % options_.shard_count);
+  const shard_number shard = ShardOf(item);
   const member* owner = members_.FindOwner(shard);
   if (owner == nullptr) {
     return;
@@ -158,8 +168,7 @@
 }
 
 void request_router::ReleaseStart(const request& item, action_list& out) const {
-  const auto shard =
-      static_cast<shard_number>(item.key.high % options_.shard_count);
+  const shard_number shard = ShardOf(item);
   const member* owner = members_.FindOwner(shard);
   if (owner == nullptr) {
     return;
@@ -213,6 +222,8 @@
              out);
       return;
     case start_verdict::kMismatch:
+      // The key belongs to another request; this one never ran.
+      item.info.is_first_attempt = true;
       Refuse(reply.request,
              {.status = kUnprocessable,
               .message = "the Idempotency-Key was used for another request"},
@@ -551,8 +562,7 @@
   if (!item.once || item.epoch == 0) {
     return;
   }
-  const auto shard =
-      static_cast<shard_number>(item.key.high % options_.shard_count);
+  const shard_number shard = ShardOf(item);
   if (const member* owner = members_.FindOwner(shard)) {
     out.push_back(send_peer{.to = owner->peer_address,
                             .message = finish_report{.shard = shard,
@@ -562,15 +572,25 @@
   }
 }
 
+outcome request_router::JudgeRefused(const request& item) {
+  if (item.may_have_run) {
+    return outcome::kUnknown;
+  }
+  // "Not run" is about the order, which is the key. Unless the start was
+  // granted, or the caller has never sent the key, an earlier request with it
+  // may have run without this daemon's knowledge.
+  const bool key_is_new = item.epoch != 0 || item.info.is_first_attempt;
+  return item.once && !key_is_new ? outcome::kUnknown : outcome::kNotRun;
+}
+
 void request_router::Refuse(request_id id,
                             const refusal& why,
                             action_list& out) {
   request& item = requests_.at(id);
-  const outcome result =
-      item.may_have_run ? outcome::kUnknown : outcome::kNotRun;
+  const outcome result = JudgeRefused(item);
   const bool asked_for_start =
       item.once && item.config != nullptr && item.workspace != nullptr;
-  if (asked_for_start && result == outcome::kNotRun) {
+  if (asked_for_start && !item.may_have_run) {
     // Nothing ran under the key and, with the request gone, nothing will.
     ReleaseStart(item, out);
     abandoned_starts_[id] = {.shard = static_cast<shard_number>(
@@ -610,33 +630,37 @@
   DrainQueue(now, out);
 }
 
-void request_router::OnTick(time_point now, action_list& out) {
-  for (const waiting_request& expired : queue_.TakeExpired(now)) {
-    const request& item = requests_.at(expired.request);
-    Refuse(expired.request,
-           {.status = kUnavailable,
-            .retry_after_seconds = EstimateRetryAfter(now, item),
-            .message = "no upstream had room in time"},
-           out);
-  }
-  std::vector<request_id> late_starts;
+void request_router::ExpireStarts(time_point now, action_list& out) {
+  std::vector<request_id> late;
   for (auto& [id, item] : requests_) {
     if (item.at != stage::kStarting) {
       continue;
     }
-    if (now >= item.start_deadline) {
-      late_starts.push_back(id);
+    if (now >= item.start_deadline || IsStartHopeless(item)) {
+      late.push_back(id);
     } else if (now >= item.next_start_request) {
       SendStartRequest(now, item, out);
     }
   }
-  for (const request_id id : late_starts) {
+  for (const request_id id : late) {
     Refuse(id,
            {.status = kUnavailable,
-            .retry_after_seconds = 2,
+            .retry_after_seconds = kStartRetrySeconds,
             .message = "the start could not be recorded in time"},
            out);
   }
+}
+
+void request_router::OnTick(time_point now, action_list& out) {
+  for (const waiting_request& expired : queue_.TakeExpired(now)) {
+    const request& item = requests_.at(expired.request);
+    Refuse(expired.request,
+           {.status = kUnavailable,
+            .retry_after_seconds = EstimateRetryAfter(now, item),
+            .message = "no upstream had room in time"},
+           out);
+  }
+  ExpireStarts(now, out);
   DrainQueue(now, out);
 }
 
--- a/lib/Daemon/gateway_task.cc
+++ b/lib/Daemon/gateway_task.cc
@@ -321,6 +321,7 @@
     return false;
   }
   event.key_issued = static_cast<uint64_t>(*issued);
+  event.is_first_attempt = exchange->Header("Idempotency-Attempt") == "1";
   event.request_digest = Hash128(exchange->Body(), Hash64(exchange->Path()));
   return true;
 }
--- /dev/null
+++ b/utils/check_guards.sh
@@ -0,0 +1,54 @@
+#!/usr/bin/env bash
+# Takes each guard in test/guards out of a scratch copy of the sources and
+# checks that the scenarios it names then fail. A scenario that passes without
+# its guard proves nothing.
+#
+# A guard file holds `prevents:`, `fails:` and `file:` lines, then the guarded
+# text and what stands in its place without the guard, each after a `---` line.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+mkdir "$scratch/source"
+git ls-files -z | xargs -0 cp --parents -t "$scratch/source"
+cmake -S "$scratch/source" -B "$scratch/build" -G Ninja >/dev/null
+
+field() { sed -n "s/^$1: //p" "$2"; }
+failures=0
+for guard in ${1:-test/guards/*.guard}; do
+  name=$(basename "$guard" .guard)
+  file=$(field file "$guard")
+  cp "$scratch/source/$file" "$scratch/saved"
+  if ! perl -e '
+    local $/;
+    open(my $g, "<", $ARGV[0]); my (undef, $old, $new) = split(/^---\n/m, <$g>);
+    open(my $f, "<", $ARGV[1]); my $text = <$f>;
+    my $at = index($text, $old);
+    exit 1 if $at < 0;
+    substr($text, $at, length($old)) = $new;
+    open(my $o, ">", $ARGV[1]); print $o $text;' \
+    "$guard" "$scratch/source/$file"; then
+    echo "STALE  $name: the guarded text is not in $file"
+    failures=$((failures + 1))
+    continue
+  fi
+  if ! ninja -C "$scratch/build" scenario_test >"$scratch/log" 2>&1; then
+    echo "BROKEN $name: does not build without the guard"
+    grep error "$scratch/log" | head -3
+    failures=$((failures + 1))
+  fi
+  for scenario in $(field fails "$guard"); do
+    if "$scratch/build/test/scenario_test" \
+      --gtest_filter="*.Holds/$scenario" >"$scratch/log" 2>&1; then
+      echo "PASSES $name: $scenario passes without the guard"
+      failures=$((failures + 1))
+    else
+      reason=$(grep -m1 -oE "scenario: .*" "$scratch/log" || echo crashed)
+      echo "fails  $name: $scenario: ${reason#scenario: }"
+    fi
+  done
+  # Newer than the object file, so that the next build compiles it again.
+  cp "$scratch/saved" "$scratch/source/$file"
+done
+echo "$failures guards not shown to matter"
+((failures == 0))
