Test each package, and random schedules of faults over the cores

Found on the way: a connection that was aborted inside libevhtp's own callback crashed the process; it is now closed from the loop.

--- a/include/cuminswitch/Net/http_exchange.h
+++ b/include/cuminswitch/Net/http_exchange.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -15,7 +16,7 @@
 namespace cuminswitch {
 
 /// Outlives the connection: once the caller is gone, replies go nowhere.
-class http_exchange {
+class http_exchange : public std::enable_shared_from_this<http_exchange> {
  public:
   explicit http_exchange(evhtp_request* request) : request_(request) {}
 
@@ -41,7 +42,7 @@
   void SendChunk(std::string_view data);
   void EndStream();
   /// Closes the connection without a proper end, so that the caller sees that
-  /// the reply is not whole.
+  /// the reply is not whole. It happens from the loop.
   void Abort();
 
   bool HasBegun() const { return has_begun_; }
--- a/lib/Net/http_exchange.cc
+++ b/lib/Net/http_exchange.cc
@@ -9,6 +9,8 @@
 #include <memory>
 #include <utility>
 
+#include "cuminswitch/Net/loop_timer.h"
+
 namespace cuminswitch {
 namespace {
 
@@ -133,7 +135,12 @@
     return;
   }
   has_ended_ = true;
-  evhtp_connection_free(request_->conn);
+  // libevhtp still parses on this connection when its callback returns.
+  CallLater(request_->conn->evbase, [self = shared_from_this()] {
+    if (self->request_ != nullptr) {
+      evhtp_connection_free(self->request_->conn);
+    }
+  });
 }
 
 size_t http_exchange::PendingBytes() const {
--- a/test/Scenario/world.cc
+++ b/test/Scenario/world.cc
@@ -88,6 +88,7 @@
 }
 
 void world::Start(const std::string& name) {
+  Kill(name);
   world_host& host = Host(name);
   host.incarnation = next_incarnation_++;
   host.frozen = false;
--- /dev/null
+++ b/unittests/Admission/wait_queue_test.cc
@@ -0,0 +1,141 @@
+#include "cuminswitch/Admission/wait_queue.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace cuminswitch {
+namespace {
+
+time_point At(int millis) {
+  return time_point(std::chrono::milliseconds(millis));
+}
+
+waiting_request MakeWaiting(request_id id,
+                            priority_class priority,
+                            int arrived,
+                            uint64_t workspace = 1) {
+  return {.request = id,
+          .target = "m",
+          .priority = priority,
+          .workspace_hash = workspace,
+          .arrived = At(arrived),
+          .deadline = At(arrived + 600'000)};
+}
+
+std::vector<request_id> DrainAll(wait_queue& queue) {
+  std::vector<request_id> order;
+  queue.Drain([&](const waiting_request& item) {
+    order.push_back(item.request);
+    return true;
+  });
+  return order;
+}
+
+TEST(WaitQueueTest, UrgentRequestsPassLessUrgentOnes) {
+  wait_queue queue;
+  queue.Push(MakeWaiting(1, priority_class::kBatch, 0));
+  queue.Push(MakeWaiting(2, priority_class::kStandard, 100));
+  queue.Push(MakeWaiting(3, priority_class::kInteractive, 200, 2));
+  EXPECT_EQ(DrainAll(queue), (std::vector<request_id>{3, 2, 1}));
+}
+
+// Symptom: overnight checks never run while there is interactive traffic.
+// Cause: strict priority starves the lower classes.
+TEST(WaitQueueTest, BatchRequestAgesIntoTheFront) {
+  wait_queue queue;
+  queue.Push(MakeWaiting(1, priority_class::kBatch, 0));
+  queue.Push(MakeWaiting(2, priority_class::kInteractive, 31'000, 2));
+  EXPECT_EQ(DrainAll(queue), (std::vector<request_id>{1, 2}));
+}
+
+TEST(WaitQueueTest, WorkspaceWithManyWaitingIsSetBack) {
+  wait_queue queue;
+  for (request_id id = 1; id <= 10; ++id) {
+    queue.Push(MakeWaiting(id, priority_class::kInteractive, 0, 1));
+  }
+  queue.Push(MakeWaiting(11, priority_class::kInteractive, 50, 2));
+  const std::vector<request_id> order = DrainAll(queue);
+  const auto place = std::find(order.begin(), order.end(), 11U);
+  EXPECT_LT(place - order.begin(), 4);
+}
+
+TEST(WaitQueueTest, ExpiredRequestsAreTakenOut) {
+  wait_queue queue;
+  waiting_request early = MakeWaiting(1, priority_class::kStandard, 0);
+  early.deadline = At(10);
+  queue.Push(early);
+  queue.Push(MakeWaiting(2, priority_class::kStandard, 0));
+  EXPECT_TRUE(queue.TakeExpired(At(9)).empty());
+  ASSERT_EQ(queue.TakeExpired(At(10)).size(), 1U);
+  EXPECT_EQ(queue.size(), 1U);
+}
+
+/// Keeps all requests in one list and sorts it for each question.
+class naive_queue {
+ public:
+  void Push(const waiting_request& item) {
+    static constexpr int kDelays[] = {0, 1000, 30'000};
+    const auto same =
+        std::count_if(items_.begin(), items_.end(), [&](const placed& other) {
+          return other.item.workspace_hash == item.workspace_hash;
+        });
+    const duration delay = std::chrono::milliseconds(
+        kDelays[static_cast<int>(item.priority)] + 20 * same);
+    items_.push_back({item.arrived + delay, item});
+  }
+  void Remove(request_id id) {
+    std::erase_if(items_,
+                  [id](const placed& p) { return p.item.request == id; });
+  }
+  std::vector<request_id> Order() {
+    std::sort(items_.begin(), items_.end(), [](const auto& a, const auto& b) {
+      return std::tie(a.at, a.item.request) < std::tie(b.at, b.item.request);
+    });
+    std::vector<request_id> order;
+    for (const placed& p : items_) {
+      order.push_back(p.item.request);
+    }
+    return order;
+  }
+
+ private:
+  struct placed {
+    time_point at;
+    waiting_request item;
+  };
+  std::vector<placed> items_;
+};
+
+TEST(WaitQueueDifferentialTest, AgreesWithTheNaiveQueue) {
+  std::mt19937_64 random(5);
+  for (int round = 0; round < 200; ++round) {
+    wait_queue queue;
+    naive_queue naive;
+    for (request_id id = 1; id <= 60; ++id) {
+      if (random() % 4 == 0) {
+        const request_id gone = 1 + random() % id;
+        queue.Remove(gone);
+        naive.Remove(gone);
+      }
+      const waiting_request item =
+          MakeWaiting(id, static_cast<priority_class>(random() % 3),
+                      static_cast<int>(random() % 5000), random() % 4);
+      const std::vector<request_id> before = naive.Order();
+      const size_t ahead = queue.CountAhead(item);
+      queue.Push(item);
+      naive.Push(item);
+      const std::vector<request_id> order = naive.Order();
+      EXPECT_EQ(static_cast<size_t>(std::find(order.begin(), order.end(), id) -
+                                    order.begin()),
+                ahead);
+    }
+    EXPECT_EQ(DrainAll(queue), naive.Order());
+    EXPECT_EQ(queue.size(), 0U);
+  }
+}
+
+}  // namespace
+}  // namespace cuminswitch
--- /dev/null
+++ b/unittests/Core/request_router_test.cc
@@ -0,0 +1,199 @@
+#include "cuminswitch/Core/request_router.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <variant>
+
+#include "cuminswitch/Membership/member_table.h"
+
+namespace cuminswitch {
+namespace {
+
+class RequestRouterTest : public testing::Test {
+ protected:
+  RequestRouterTest()
+      : members_({.self = {.host = "h", .incarnation = 1}}),
+        router_({.self = members_.self()}, members_) {
+    auto config = std::make_shared<configuration>();
+    config->models = {{.name = "m", .version = "1"}};
+    config->upstreams = {{.name = "a", .serves = {"m"}, .max_in_flight = 2},
+                         {.name = "b", .serves = {"m"}, .max_in_flight = 2}};
+    config->workspaces = {{.name = "v", .uses = {"m"}},
+                          {.name = "w", .uses = {"m"}, .max_in_flight = 3}};
+    router_.OnConfiguration(now_, config, out_);
+    Report("a");
+    Report("b");
+    now_ += std::chrono::seconds(10);
+  }
+
+  void Report(const std::string& upstream) {
+    router_.OnUpstreamReport(now_,
+                             {.upstream = upstream,
+                              .reachable = true,
+                              .incarnation = 1,
+                              .models = {{.name = "m", .version = "1"}}},
+                             out_);
+  }
+
+  void Arrive(request_id id,
+              const std::string& workspace = "v",
+              duration limit = std::chrono::seconds(60)) {
+    router_.OnRequest(
+        now_,
+        {.request = id,
+         .workspace = workspace,
+         .target = "m",
+         .levels = {{.hash = 1, .tokens = 1000}, {.hash = id, .tokens = 1100}},
+         .prompt_tokens = 1100,
+         .time_limit = limit},
+        out_);
+  }
+
+  template <class Action>
+  std::optional<Action> Take() {
+    for (size_t i = 0; i < out_.size(); ++i) {
+      if (auto* action = std::get_if<Action>(&out_[i])) {
+        Action result = *action;
+        out_.erase(out_.begin() + static_cast<std::ptrdiff_t>(i));
+        return result;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void End(attempt_id attempt, outcome result, bool begun = false) {
+    router_.OnAttemptEnded(now_,
+                           {.attempt = attempt,
+                            .result = result,
+                            .unreachable = result == outcome::kNotRun,
+                            .answer_begun = begun},
+                           out_);
+  }
+
+  time_point now_{std::chrono::seconds(1)};
+  member_table members_;
+  request_router router_;
+  action_list out_;
+};
+
+TEST_F(RequestRouterTest, SharedPrefixGoesToTheSameReplica) {
+  Arrive(1);
+  const auto first = Take<dispatch_attempt>();
+  ASSERT_TRUE(first);
+  End(first->attempt, outcome::kAnswered, true);
+  Arrive(2);
+  EXPECT_EQ(Take<dispatch_attempt>()->upstream, first->upstream);
+}
+
+// Symptom: one wholesaler's answer comes from another's cached contract.
+// Cause: equal text hashes alike unless the workspace is part of the hash.
+TEST_F(RequestRouterTest, WorkspacesHaveDifferentCacheScopes) {
+  Arrive(1, "v");
+  const auto first = Take<dispatch_attempt>();
+  Arrive(2, "w");
+  const auto second = Take<dispatch_attempt>();
+  EXPECT_NE(first->cache_scope, second->cache_scope);
+  EXPECT_NE(first->cache_scope, 0U);
+}
+
+TEST_F(RequestRouterTest, FailedAttemptIsRetriedElsewhere) {
+  Arrive(1);
+  const auto first = Take<dispatch_attempt>();
+  End(first->attempt, outcome::kUnknown);
+  const auto second = Take<dispatch_attempt>();
+  ASSERT_TRUE(second);
+  EXPECT_NE(second->upstream, first->upstream);
+  EXPECT_NE(second->attempt, first->attempt);
+}
+
+// Symptom: a caller gets parts of two answers, one after the other.
+// Cause: a stream that had begun was started again on another engine.
+TEST_F(RequestRouterTest, AnswerThatHasBegunIsNotRetried) {
+  Arrive(1);
+  End(Take<dispatch_attempt>()->attempt, outcome::kUnknown, true);
+  EXPECT_FALSE(Take<dispatch_attempt>());
+  EXPECT_EQ(Take<answer_request>()->result, outcome::kUnknown);
+}
+
+// Symptom: a caller gets another's answer.
+// Sequence: an attempt is given up, and its answer comes late.
+// Cause: the late answer carries the old attempt's number.
+TEST_F(RequestRouterTest, LateAnswerOfAnotherAttemptIsDropped) {
+  Arrive(1);
+  const auto first = Take<dispatch_attempt>();
+  End(first->attempt, outcome::kNotRun);
+  const auto second = Take<dispatch_attempt>();
+  End(first->attempt, outcome::kAnswered, true);
+  EXPECT_EQ(router_.counters().late_answers, 1U);
+  EXPECT_EQ(router_.counters().answered, 0U);
+  End(second->attempt, outcome::kAnswered, true);
+  EXPECT_EQ(router_.counters().answered, 1U);
+}
+
+TEST_F(RequestRouterTest, AttemptNumbersDifferBetweenStarts) {
+  Arrive(1);
+  request_router other({.self = {.host = "h", .incarnation = 2}}, members_);
+  EXPECT_LT(Take<dispatch_attempt>()->attempt, attempt_id{2} << 20);
+}
+
+TEST_F(RequestRouterTest, CallerThatLeftCancelsItsAttempt) {
+  Arrive(1);
+  const auto first = Take<dispatch_attempt>();
+  router_.OnCallerGone(now_, {.request = 1}, out_);
+  EXPECT_EQ(Take<cancel_attempt>()->attempt, first->attempt);
+  EXPECT_TRUE(router_.IsIdle());
+}
+
+TEST_F(RequestRouterTest, WorkspaceOverItsLimitWaits) {
+  for (request_id id = 1; id <= 4; ++id) {
+    Arrive(id, "w");
+  }
+  std::vector<attempt_id> attempts;
+  while (const auto action = Take<dispatch_attempt>()) {
+    attempts.push_back(action->attempt);
+  }
+  ASSERT_EQ(attempts.size(), 3U);
+  End(attempts[0], outcome::kAnswered, true);
+  EXPECT_TRUE(Take<dispatch_attempt>());
+}
+
+TEST_F(RequestRouterTest, WaitingRequestThatExpiresIsNotRun) {
+  for (request_id id = 1; id <= 5; ++id) {
+    Arrive(id, "v", std::chrono::seconds(30));
+  }
+  now_ += std::chrono::seconds(31);
+  router_.OnTick(now_, out_);
+  const auto answer = Take<answer_request>();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result, outcome::kNotRun);
+  EXPECT_GT(answer->retry_after_seconds, 0U);
+}
+
+// Symptom: callers wait until their deadline for an answer that was never to
+//   come.
+// Cause: a queue longer than the deadline is joined instead of refused.
+TEST_F(RequestRouterTest, HopelessWaitIsRefusedAtOnce) {
+  for (request_id id = 1; id <= 4; ++id) {
+    Arrive(id);
+  }
+  for (request_id id = 5; id <= 60; ++id) {
+    Arrive(id, "v", std::chrono::seconds(20));
+  }
+  EXPECT_GT(router_.counters().shed, 0U);
+  const auto answer = Take<answer_request>();
+  EXPECT_EQ(answer->status, 429U);
+  EXPECT_GT(answer->retry_after_seconds, 0U);
+}
+
+TEST_F(RequestRouterTest, UnknownNamesAreRefused) {
+  Arrive(1, "nobody");
+  EXPECT_EQ(Take<answer_request>()->status, 404U);
+  router_.OnRequest(now_, {.request = 2, .workspace = "v", .target = "x"},
+                    out_);
+  EXPECT_EQ(Take<answer_request>()->status, 404U);
+  EXPECT_TRUE(router_.IsIdle());
+}
+
+}  // namespace
+}  // namespace cuminswitch
--- /dev/null
+++ b/unittests/Net/http_test.cc
@@ -0,0 +1,240 @@
+// The HTTP server and client together on loopback.
+#include <event2/event.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cuminswitch/Net/bind_error.h"
+#include "cuminswitch/Net/http_call.h"
+#include "cuminswitch/Net/http_exchange.h"
+#include "cuminswitch/Net/http_server.h"
+#include "cuminswitch/Net/loop_timer.h"
+
+namespace cuminswitch {
+namespace {
+
+class function_handler : public http_request_handler {
+ public:
+  void OnRequest(std::shared_ptr<http_exchange> exchange) override {
+    serve(exchange);
+  }
+  std::function<void(std::shared_ptr<http_exchange>)> serve;
+};
+
+class recording_handler : public http_call_handler {
+ public:
+  explicit recording_handler(event_base* base) : base_(base) {}
+  void OnHeaders(const http_response_head& value) override { head = value; }
+  void OnData(std::string_view data) override {
+    body += data;
+    if (on_data) {
+      on_data();
+    }
+  }
+  void OnEnd(http_end value) override {
+    end = value;
+    ended = true;
+    event_base_loopbreak(base_);
+  }
+  http_response_head head;
+  std::string body;
+  http_end end = http_end::kNotConnected;
+  bool ended = false;
+  std::function<void()> on_data;
+
+ private:
+  event_base* base_;
+};
+
+class HttpTest : public testing::Test {
+ protected:
+  HttpTest() : base_(event_base_new()), client_(new http_client(base_)) {
+    server_ = std::make_unique<http_server>(
+        base_,
+        http_server::options{.listen = {"127.0.0.1", 0},
+                             .max_body_size = 1000,
+                             .max_header_size = 2000},
+        handler_);
+  }
+  ~HttpTest() override {
+    client_.reset();
+    server_.reset();
+    event_base_loop(base_, EVLOOP_NONBLOCK);
+    event_base_free(base_);
+  }
+
+  http_call_options To(const std::string& path) const {
+    return {.to = server_->Address(), .path = path};
+  }
+
+  recording_handler Call(const http_call_options& opts) {
+    recording_handler result(base_);
+    const std::unique_ptr<http_call> call = client_->Start(opts, result);
+    event_base_dispatch(base_);
+    return result;
+  }
+
+  event_base* base_;
+  function_handler handler_;
+  std::unique_ptr<http_client> client_;
+  std::unique_ptr<http_server> server_;
+};
+
+TEST_F(HttpTest, WholeReplyIsRead) {
+  handler_.serve = [](const auto& exchange) {
+    EXPECT_EQ(exchange->Method(), "POST");
+    EXPECT_EQ(exchange->Path(), "/a/b");
+    EXPECT_EQ(exchange->Parameter("x"), "1 2");
+    EXPECT_EQ(exchange->Header("X-Test"), "yes");
+    exchange->Reply(201, "text/plain", "got " + std::string(exchange->Body()),
+                    {{.name = "X-Answer", .value = "fine"}});
+  };
+  http_call_options opts = To("/a/b?x=1%202");
+  opts.method = http_method::kPost;
+  opts.body = "body";
+  opts.headers = {{.name = "X-Test", .value = "yes"}};
+  const recording_handler result = Call(opts);
+  EXPECT_EQ(result.end, http_end::kComplete);
+  EXPECT_EQ(result.head.status, 201U);
+  EXPECT_EQ(result.head.Find("x-answer"), "fine");
+  EXPECT_EQ(result.body, "got body");
+}
+
+TEST_F(HttpTest, ConnectionsAreKeptAndUsedAgain) {
+  handler_.serve = [](const auto& exchange) {
+    exchange->Reply(200, "text/plain", "x");
+  };
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Call(To("/")).end, http_end::kComplete);
+  }
+}
+
+// Symptom: an order that ran is told "not run", or the other way round.
+// Cause: a refused connection and a broken one look alike to a careless
+//   client.
+TEST_F(HttpTest, RefusedConnectionIsNotConnected) {
+  http_call_options opts = To("/");
+  server_.reset();
+  EXPECT_EQ(Call(opts).end, http_end::kNotConnected);
+}
+
+TEST_F(HttpTest, ConnectionThatBreaksAfterTheRequestIsBroken) {
+  handler_.serve = [](const auto& exchange) { exchange->Abort(); };
+  EXPECT_EQ(Call(To("/")).end, http_end::kBroken);
+  http_call_options fresh = To("/");
+  fresh.fresh_connection = true;
+  EXPECT_EQ(Call(fresh).end, http_end::kBroken);
+}
+
+TEST_F(HttpTest, StreamThatBreaksHalfwayIsBroken) {
+  handler_.serve = [](const auto& exchange) {
+    exchange->BeginStream(200, "text/event-stream");
+    exchange->SendChunk("half");
+  };
+  recording_handler result(base_);
+  const std::unique_ptr<http_call> call = client_->Start(To("/"), result);
+  result.on_data = [this] { CallLater(base_, [this] { server_.reset(); }); };
+  event_base_dispatch(base_);
+  EXPECT_EQ(result.end, http_end::kBroken);
+  EXPECT_EQ(result.body, "half");
+}
+
+TEST_F(HttpTest, SilentServerIsBrokenAfterTheIdleTimeout) {
+  handler_.serve = [](const auto&) {};
+  http_call_options opts = To("/");
+  opts.idle_timeout = std::chrono::milliseconds(50);
+  EXPECT_EQ(Call(opts).end, http_end::kBroken);
+}
+
+TEST_F(HttpTest, StreamArrivesWhole) {
+  handler_.serve = [](const auto& exchange) {
+    exchange->BeginStream(200, "text/event-stream");
+    for (int i = 0; i < 1000; ++i) {
+      exchange->SendChunk("piece " + std::to_string(i) + "\n");
+    }
+    exchange->EndStream();
+  };
+  const recording_handler result = Call(To("/"));
+  EXPECT_EQ(result.end, http_end::kComplete);
+  EXPECT_TRUE(result.body.ends_with("piece 999\n"));
+}
+
+TEST_F(HttpTest, OversizedBodyIsAnswered413) {
+  handler_.serve = [](const auto&) { ADD_FAILURE() << "must not be served"; };
+  http_call_options opts = To("/");
+  opts.method = http_method::kPost;
+  opts.body = std::string(1001, 'x');
+  EXPECT_EQ(Call(opts).head.status, 413U);
+}
+
+TEST_F(HttpTest, OversizedHeadersAreAnswered431) {
+  handler_.serve = [](const auto&) { ADD_FAILURE() << "must not be served"; };
+  http_call_options opts = To("/");
+  opts.headers = {{.name = "X-Long", .value = std::string(2100, 'x')}};
+  EXPECT_EQ(Call(opts).head.status, 431U);
+}
+
+TEST_F(HttpTest, CallerThatLeavesIsNoticed) {
+  bool closed = false;
+  std::shared_ptr<http_exchange> kept;
+  handler_.serve = [&](const std::shared_ptr<http_exchange>& exchange) {
+    kept = exchange;
+    exchange->BeginStream(200, "text/plain");
+    exchange->SendChunk("x");
+    exchange->SetOnClosed([&] {
+      closed = true;
+      event_base_loopbreak(base_);
+    });
+  };
+  recording_handler result(base_);
+  std::unique_ptr<http_call> call = client_->Start(To("/"), result);
+  result.on_data = [&] { CallLater(base_, [&] { call.reset(); }); };
+  event_base_dispatch(base_);
+  EXPECT_TRUE(closed);
+  EXPECT_TRUE(kept->IsClosed());
+  kept->SendChunk("nobody reads this");
+}
+
+// Symptom: a slow caller makes the daemon hold a whole stream in memory.
+// Cause: the upstream is read faster than the caller reads.
+TEST_F(HttpTest, PausedCallIsNotRead) {
+  std::shared_ptr<http_exchange> kept;
+  handler_.serve = [&](const std::shared_ptr<http_exchange>& exchange) {
+    kept = exchange;
+    exchange->BeginStream(200, "text/plain");
+    exchange->SendChunk("first");
+  };
+  recording_handler result(base_);
+  const std::unique_ptr<http_call> call = client_->Start(To("/"), result);
+  result.on_data = [&] { event_base_loopbreak(base_); };
+  event_base_dispatch(base_);
+  call->PauseReading();
+  const std::string piece(1 << 16, 'x');
+  for (int i = 0; i < 400; ++i) {
+    kept->SendChunk(piece);
+    event_base_loop(base_, EVLOOP_NONBLOCK);
+  }
+  EXPECT_EQ(result.body, "first");
+  EXPECT_GT(kept->PendingBytes(), 1U << 20);
+  result.on_data = nullptr;
+  call->ResumeReading();
+  kept->EndStream();
+  event_base_dispatch(base_);
+  EXPECT_EQ(result.body.size(), 5 + 400 * piece.size());
+}
+
+TEST_F(HttpTest, PortInUseIsAnError) {
+  try {
+    http_server second(base_, {.listen = server_->Address()}, handler_);
+    FAIL() << "two servers on one port";
+  } catch (const bind_error& error) {
+    EXPECT_NE(std::string(error.what()).find(server_->Address().ToString()),
+              std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace cuminswitch
--- /dev/null
+++ b/unittests/Once/shard_ledger_test.cc
@@ -0,0 +1,224 @@
+#include "cuminswitch/Once/shard_ledger.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <variant>
+
+namespace cuminswitch {
+namespace {
+
+constexpr uint64_t kUnixNow = 1'800'000'000;
+
+/// A ledger whose platform is this test.
+class ShardLedgerTest : public testing::Test {
+ protected:
+  ShardLedgerTest() : ledger_({.shard = 0, .host = "h1", .incarnation = 1}) {}
+
+  platform_call TakeCall() {
+    for (size_t i = 0; i < out_.size(); ++i) {
+      if (auto* call = std::get_if<platform_call>(&out_[i])) {
+        platform_call result = *call;
+        out_.erase(out_.begin() + static_cast<std::ptrdiff_t>(i));
+        return result;
+      }
+    }
+    ADD_FAILURE() << "no platform call was made";
+    return {};
+  }
+
+  bool HasCall() const {
+    return std::any_of(out_.begin(), out_.end(), [](const core_action& a) {
+      return std::holds_alternative<platform_call>(a);
+    });
+  }
+
+  std::optional<start_verdict> TakeVerdict() {
+    for (size_t i = 0; i < out_.size(); ++i) {
+      if (auto* sent = std::get_if<send_peer>(&out_[i])) {
+        const start_verdict verdict =
+            std::get<start_reply>(sent->message).verdict;
+        out_.erase(out_.begin() + static_cast<std::ptrdiff_t>(i));
+        return verdict;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Answer(const platform_call& call,
+              platform_status status,
+              revision_number revision = 0,
+              std::string value = {}) {
+    ledger_.OnPlatformAnswer(now_, kUnixNow,
+                             {.tag = call.tag,
+                              .status = status,
+                              .revision = revision,
+                              .value = std::move(value)},
+                             out_);
+  }
+
+  void Own() {
+    ledger_.Claim(out_);
+    Answer(TakeCall(), platform_status::kAbsent);
+    Answer(TakeCall(), platform_status::kOk, 1);
+    ASSERT_TRUE(ledger_.is_owned());
+  }
+
+  start_request MakeStart(uint64_t key, request_id request) {
+    return {.host = "h2",
+            .incarnation = 1,
+            .request = request,
+            .key = {key, key},
+            .key_issued = kUnixNow};
+  }
+
+  void Start(uint64_t key, request_id request) {
+    ledger_.OnStart(now_, kUnixNow, MakeStart(key, request), out_);
+  }
+
+  void Advance(int millis) {
+    now_ += std::chrono::milliseconds(millis);
+    ledger_.OnTick(now_, kUnixNow, out_);
+  }
+
+  time_point now_{std::chrono::seconds(1)};
+  shard_ledger ledger_;
+  action_list out_;
+};
+
+TEST_F(ShardLedgerTest, GrantsOnlyAfterTheJournalIsWritten) {
+  Own();
+  Start(1, 1);
+  EXPECT_EQ(TakeVerdict(), std::nullopt);
+  const platform_call commit = TakeCall();
+  EXPECT_EQ(DecodeShardRecord(commit.value).entries.size(), 1U);
+  Answer(commit, platform_status::kOk, 2);
+  EXPECT_EQ(TakeVerdict(), start_verdict::kGranted);
+}
+
+TEST_F(ShardLedgerTest, StartsThatComeDuringAWriteShareTheNext) {
+  Own();
+  Start(1, 1);
+  const platform_call first = TakeCall();
+  for (uint64_t key = 2; key <= 50; ++key) {
+    Start(key, key);
+  }
+  EXPECT_FALSE(HasCall());
+  Answer(first, platform_status::kOk, 2);
+  Advance(100);
+  EXPECT_EQ(DecodeShardRecord(TakeCall().value).entries.size(), 50U);
+  EXPECT_EQ(ledger_.write_count(), 3U);
+}
+
+TEST_F(ShardLedgerTest, WritesKeepToTheirBudget) {
+  Own();
+  Start(1, 1);
+  Answer(TakeCall(), platform_status::kOk, 2);
+  Start(2, 2);
+  EXPECT_FALSE(HasCall());
+  Advance(100);
+  EXPECT_TRUE(HasCall());
+}
+
+TEST_F(ShardLedgerTest, OwnLateWriteIsRecognisedAfterAConflict) {
+  Own();
+  Start(1, 1);
+  const platform_call commit = TakeCall();
+  Answer(commit, platform_status::kNoAnswer);
+  EXPECT_EQ(TakeVerdict(), start_verdict::kRefused);
+  Advance(600);
+  // The read-back sees the old record; the lost write comes through after it.
+  const shard_record old{
+      .epoch = 1, .owner_host = "h1", .owner_incarnation = 1};
+  Answer(TakeCall(), platform_status::kOk, 1, EncodeShardRecord(old));
+  Start(2, 2);
+  Answer(TakeCall(), platform_status::kConflict, 2);
+  Advance(1);
+  Answer(TakeCall(), platform_status::kOk, 2, commit.value);
+  Advance(100);
+  const platform_call again = TakeCall();
+  EXPECT_EQ(again.expected, 2U);
+  Answer(again, platform_status::kOk, 3);
+  EXPECT_EQ(TakeVerdict(), start_verdict::kGranted);
+}
+
+TEST_F(ShardLedgerTest, RecordOfAnotherOwnerDeposes) {
+  Own();
+  Start(1, 1);
+  Answer(TakeCall(), platform_status::kConflict, 5);
+  Advance(1);
+  const shard_record other{
+      .epoch = 2, .owner_host = "h3", .owner_incarnation = 1};
+  Answer(TakeCall(), platform_status::kOk, 5, EncodeShardRecord(other));
+  EXPECT_EQ(TakeVerdict(), start_verdict::kRefused);
+  EXPECT_EQ(ledger_.state(), shard_ledger::ownership::kNone);
+}
+
+TEST_F(ShardLedgerTest, RecordThatIsNotOursIsNotServed) {
+  ledger_.Claim(out_);
+  Answer(TakeCall(), platform_status::kOk, 5, "not a record");
+  EXPECT_EQ(ledger_.state(), shard_ledger::ownership::kNone);
+}
+
+// Symptom: a key that was pruned runs again under a new owner.
+// Sequence: the owner prunes an entry; a successor whose clock is far behind
+//   is asked to start the same key.
+// Cause: the successor would find neither the entry nor an age to refuse.
+TEST_F(ShardLedgerTest, PrunedKeyIsRefusedWhateverTheClockSays) {
+  Own();
+  start_request old_start = MakeStart(1, 1);
+  old_start.key_issued = kUnixNow - 500;
+  ledger_.OnStart(now_, kUnixNow, old_start, out_);
+  Answer(TakeCall(), platform_status::kOk, 2);
+  EXPECT_EQ(TakeVerdict(), start_verdict::kGranted);
+  now_ += std::chrono::seconds(400);
+  const uint64_t later = kUnixNow + 400;
+  start_request next = MakeStart(2, 2);
+  next.key_issued = later;
+  ledger_.OnStart(now_, later, next, out_);
+  const shard_record record = DecodeShardRecord(TakeCall().value);
+  EXPECT_EQ(record.entries.size(), 1U);
+
+  shard_ledger successor({.shard = 0, .host = "h2", .incarnation = 1});
+  out_.clear();
+  successor.Claim(out_);
+  const platform_call read = TakeCall();
+  successor.OnPlatformAnswer(now_, kUnixNow,
+                             {.tag = read.tag,
+                              .status = platform_status::kOk,
+                              .revision = 3,
+                              .value = EncodeShardRecord(record)},
+                             out_);
+  const platform_call claim = TakeCall();
+  successor.OnPlatformAnswer(
+      now_, kUnixNow,
+      {.tag = claim.tag, .status = platform_status::kOk, .revision = 4}, out_);
+  successor.OnStart(now_, kUnixNow, old_start, out_);
+  EXPECT_EQ(TakeVerdict(), start_verdict::kExpired);
+}
+
+TEST_F(ShardLedgerTest, LongAnswerIsNotKept) {
+  Own();
+  Start(1, 1);
+  Answer(TakeCall(), platform_status::kOk, 2);
+  TakeVerdict();
+  ledger_.OnFinish({.key = {1, 1},
+                    .result = outcome::kAnswered,
+                    .answer = {200, "t", std::string(20'000, 'x')}});
+  Start(1, 9);
+  EXPECT_EQ(TakeVerdict(), start_verdict::kStarted);
+}
+
+TEST_F(ShardLedgerTest, HandBackLeavesTheStartsToTheSuccessor) {
+  Own();
+  Start(1, 1);
+  Answer(TakeCall(), platform_status::kOk, 2);
+  TakeVerdict();
+  ledger_.HandBack(kUnixNow, out_);
+  const shard_record record = DecodeShardRecord(TakeCall().value);
+  EXPECT_TRUE(record.owner_host.empty());
+  EXPECT_EQ(record.entries.size(), 1U);
+}
+
+}  // namespace
+}  // namespace cuminswitch
--- /dev/null
+++ b/unittests/Routing/prefix_cost_policy_test.cc
@@ -0,0 +1,183 @@
+#include "cuminswitch/Routing/prefix_cost_policy.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <numeric>
+#include <random>
+
+#include "cuminswitch/Routing/placement_query.h"
+#include "cuminswitch/Routing/prefix_index.h"
+#include "cuminswitch/Support/rendezvous.h"
+
+namespace cuminswitch {
+namespace {
+
+constexpr uint32_t kContractTokens = 6000;
+constexpr uint32_t kPromptTokens = 6100;
+
+class PrefixCostPolicyTest : public testing::Test {
+ protected:
+  PrefixCostPolicyTest() : prefixes_({.capacity = 1000}) {
+    configuration config;
+    config.models = {{.name = "m", .version = "1"}};
+    for (int i = 0; i < 12; ++i) {
+      config.upstreams.push_back({.name = "u" + std::to_string(100 + i),
+                                  .serves = {"m"},
+                                  .max_in_flight = 100});
+    }
+    table_.Reconfigure(now_, config);
+    for (const upstream_spec& spec : config.upstreams) {
+      table_.OnReport(now_, {.upstream = spec.name,
+                             .reachable = true,
+                             .incarnation = 1,
+                             .models = {{.name = "m", .version = "1"}}});
+    }
+    eligible_.resize(12);
+    std::iota(eligible_.begin(), eligible_.end(), 0);
+  }
+
+  placement Choose(uint64_t contract, uint64_t order = 99) {
+    levels_ = {{.hash = contract, .tokens = kContractTokens},
+               {.hash = order, .tokens = kPromptTokens}};
+    return policy_.Choose(MakeQuery());
+  }
+
+  placement_query MakeQuery() {
+    return {.now = now_,
+            .levels = levels_,
+            .prompt_tokens = kPromptTokens,
+            .eligible = eligible_,
+            .replicas = table_,
+            .prefixes = prefixes_,
+            .reuse_weight = 1.2};
+  }
+
+  void Warm(uint64_t contract, replica_index index, uint64_t incarnation = 1) {
+    prefixes_.Touch(
+        contract,
+        {.index = index, .incarnation = incarnation, .used_at = now_});
+  }
+
+  time_point now_{std::chrono::seconds(100)};
+  replica_table table_;
+  prefix_index prefixes_;
+  std::vector<replica_index> eligible_;
+  std::vector<prefix_level> levels_;
+  prefix_cost_policy policy_;
+};
+
+TEST_F(PrefixCostPolicyTest, WarmReplicaIsChosen) {
+  Warm(5, 7);
+  const placement chosen = Choose(5);
+  EXPECT_EQ(chosen.index, 7U);
+  EXPECT_GT(chosen.expected_cached_tokens, 0.9 * kContractTokens);
+}
+
+// Symptom: daemons that have just started scatter a contract over all engines.
+// Cause: with empty tables each would choose for itself.
+TEST_F(PrefixCostPolicyTest, ColdDaemonsAgreeOnAHome) {
+  for (uint64_t contract = 1; contract < 200; ++contract) {
+    prefix_cost_policy other;
+    const placement mine = Choose(contract);
+    EXPECT_EQ(other.Choose(MakeQuery()).index, mine.index);
+  }
+}
+
+// Symptom: an order computes a contract that was lost in a crash.
+// Cause: what a dead incarnation held is gone.
+TEST_F(PrefixCostPolicyTest, DeadIncarnationHoldsNothing) {
+  const replica_index home = Choose(5).index;
+  const replica_index other = (home + 1) % 12;
+  Warm(5, other, 0);
+  EXPECT_EQ(Choose(5).index, home);
+}
+
+TEST_F(PrefixCostPolicyTest, HotPrefixSpreadsWhenItsQueueOutgrowsRecomputing) {
+  Warm(5, 7);
+  table_.OnDispatch(7, 5 * kContractTokens);
+  const placement chosen = Choose(5);
+  EXPECT_NE(chosen.index, 7U);
+  Warm(5, chosen.index);
+  table_.OnFirstByte(7, 5 * kContractTokens);
+  EXPECT_GT(Choose(5).expected_cached_tokens, 0.9 * kContractTokens);
+}
+
+TEST_F(PrefixCostPolicyTest, LongUnusedPrefixIsExpectedToBeEvicted) {
+  Warm(5, 7);
+  const placement fresh = Choose(5);
+  now_ += std::chrono::seconds(60);
+  const placement old = Choose(5);
+  EXPECT_GT(fresh.expected_cached_tokens, 0.9 * kContractTokens);
+  // No more than a home of which nothing is known.
+  EXPECT_LE(old.expected_cached_tokens, 0.5 * kContractTokens);
+}
+
+/// The cost of each replica, computed the long way round.
+placement ChooseNaively(const placement_query& query) {
+  const prefix_level& shared = query.levels[query.levels.size() - 2];
+  std::vector<replica_index> homes(query.eligible.begin(),
+                                   query.eligible.end());
+  std::sort(homes.begin(), homes.end(), [&](auto a, auto b) {
+    return RendezvousWeight(shared.hash, query.replicas[a].name_hash) >
+           RendezvousWeight(shared.hash, query.replicas[b].name_hash);
+  });
+  const double prior[] = {0.5, 0.2, 0.1};
+  placement best;
+  double best_cost = INFINITY;
+  for (const replica_index index : query.eligible) {
+    double cached = 0;
+    for (const prefix_level& level : query.levels) {
+      for (const prefix_holder& holder : query.prefixes.Find(level.hash)) {
+        if (holder.index == index) {
+          cached =
+              std::max(cached, prefix_cost_policy::EstimateHit(query, holder) *
+                                   level.tokens);
+        }
+      }
+    }
+    for (size_t rank = 0; rank < 3 && rank < homes.size(); ++rank) {
+      if (homes[rank] == index) {
+        cached = std::max(cached, prior[rank] * shared.tokens);
+      }
+    }
+    const replica& item = query.replicas[index];
+    const double cost = query.replicas.EstimateQueueSeconds(query.now, index) +
+                        query.reuse_weight *
+                            std::max(0.0, query.prompt_tokens - cached) /
+                            item.prefill_rate +
+                        0.002 * item.in_flight;
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = {.index = index, .expected_cached_tokens = cached};
+    }
+  }
+  return best;
+}
+
+TEST_F(PrefixCostPolicyTest, AgreesWithTheNaiveChoice) {
+  std::mt19937_64 random(8);
+  for (int round = 0; round < 3000; ++round) {
+    Warm(random() % 20, static_cast<replica_index>(random() % 12),
+         random() % 2);
+    table_.OnDispatch(static_cast<replica_index>(random() % 12),
+                      static_cast<double>(random() % 4000));
+    eligible_.clear();
+    for (replica_index index = 0; index < 12; ++index) {
+      if (random() % 4 != 0) {
+        eligible_.push_back(index);
+      }
+    }
+    if (eligible_.empty()) {
+      continue;
+    }
+    const placement chosen = Choose(random() % 20, random() % 20);
+    const placement naive = ChooseNaively(MakeQuery());
+    EXPECT_EQ(chosen.index, naive.index);
+    EXPECT_DOUBLE_EQ(chosen.expected_cached_tokens,
+                     naive.expected_cached_tokens);
+  }
+}
+
+}  // namespace
+}  // namespace cuminswitch
--- /dev/null
+++ b/unittests/Routing/replica_table_test.cc
@@ -0,0 +1,128 @@
+#include "cuminswitch/Routing/replica_table.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminswitch {
+namespace {
+
+time_point At(int millis) {
+  return time_point(std::chrono::milliseconds(millis));
+}
+
+configuration MakeConfiguration() {
+  configuration config;
+  config.models = {{.name = "m", .version = "2"}};
+  config.upstreams = {
+      {.name = "a", .failure_domain = "x", .serves = {"m"}, .max_in_flight = 8},
+      {.name = "b",
+       .failure_domain = "y",
+       .serves = {"m"},
+       .max_in_flight = 8}};
+  return config;
+}
+
+upstream_report MakeReport(const std::string& name,
+                           const std::string& version = "2") {
+  return {.upstream = name,
+          .reachable = true,
+          .incarnation = 1,
+          .models = {{.name = "m", .version = version}}};
+}
+
+class ReplicaTableTest : public testing::Test {
+ protected:
+  ReplicaTableTest() {
+    table_.Reconfigure(At(0), MakeConfiguration());
+    table_.OnReport(At(0), MakeReport("a"));
+    table_.OnReport(At(0), MakeReport("b"));
+  }
+
+  std::vector<replica_index> Eligible(
+      int millis,
+      const std::vector<std::string>& domains = {}) const {
+    return table_.ListEligible(At(millis), "m", domains, {}).indices;
+  }
+
+  replica_table table_;
+};
+
+TEST_F(ReplicaTableTest, PlacementRuleLimitsFailureDomains) {
+  EXPECT_EQ(Eligible(0), (std::vector<replica_index>{0, 1}));
+  EXPECT_EQ(Eligible(0, {"y"}), (std::vector<replica_index>{1}));
+}
+
+TEST_F(ReplicaTableTest, OtherWeightsAreNotEligible) {
+  table_.OnReport(At(0), MakeReport("a", "1"));
+  EXPECT_EQ(Eligible(0), (std::vector<replica_index>{1}));
+}
+
+TEST_F(ReplicaTableTest, LeavingAndUnreachableReplicasAreNotEligible) {
+  upstream_report leaving = MakeReport("a");
+  leaving.leaving = true;
+  table_.OnReport(At(0), leaving);
+  table_.OnReport(At(0), {.upstream = "b", .reachable = false});
+  EXPECT_TRUE(Eligible(0).empty());
+}
+
+TEST_F(ReplicaTableTest, FailingReplicaIsEjectedForLongerEachTime) {
+  table_.OnFailure(At(0), 0);
+  EXPECT_EQ(Eligible(100).size(), 1U);
+  EXPECT_EQ(Eligible(600).size(), 2U);
+  table_.OnFailure(At(600), 0);
+  EXPECT_EQ(Eligible(1200).size(), 1U);
+  EXPECT_EQ(Eligible(1700).size(), 2U);
+}
+
+// Symptom: a replica that comes back from a crash is flooded and falls again.
+// Cause: it is cold, and counts as the least busy of all.
+TEST_F(ReplicaTableTest, ReplicaInANewIncarnationRampsUp) {
+  upstream_report restarted = MakeReport("a");
+  restarted.incarnation = 2;
+  table_.OnReport(At(10'000), restarted);
+  const auto count_room = [&](int millis) {
+    int room = 0;
+    while (table_.ListEligible(At(millis), "m", {}, {{1}}).indices.size() ==
+           1) {
+      table_.OnDispatch(0, 0);
+      ++room;
+    }
+    for (int i = 0; i < room; ++i) {
+      table_.OnEnd(0);
+    }
+    return room;
+  };
+  EXPECT_EQ(count_room(10'000), 2);
+  EXPECT_EQ(count_room(14'000), 8);
+}
+
+TEST_F(ReplicaTableTest, BusyReplicaGetsLessAndRecovers) {
+  const double full = table_[0].limit;
+  table_.OnBusy(At(0), 0);
+  EXPECT_LT(table_[0].limit, full);
+  for (int i = 0; i < 1000; ++i) {
+    table_.OnAnswered(0);
+  }
+  EXPECT_EQ(table_[0].limit, full);
+}
+
+TEST_F(ReplicaTableTest, OldReportLosesItsWeight) {
+  upstream_report report = MakeReport("a");
+  report.waiting_tokens = 80'000;
+  table_.OnReport(At(0), report);
+  EXPECT_NEAR(table_.EstimateQueueSeconds(At(0), 0), 10, 0.1);
+  EXPECT_LT(table_.EstimateQueueSeconds(At(5000), 0), 1);
+}
+
+TEST_F(ReplicaTableTest, ReconfigurationKeepsCounts) {
+  table_.OnDispatch(0, 10);
+  configuration config = MakeConfiguration();
+  config.upstreams.insert(config.upstreams.begin(),
+                          {.name = "A0", .serves = {"m"}, .max_in_flight = 1});
+  table_.Reconfigure(At(0), config);
+  EXPECT_EQ(table_[0].spec.name, "a");
+  EXPECT_EQ(table_[0].in_flight, 1U);
+  EXPECT_EQ(Eligible(0), (std::vector<replica_index>{0, 1}));
+}
+
+}  // namespace
+}  // namespace cuminswitch
--- a/utils/check_guards.sh
+++ b/utils/check_guards.sh
@@ -32,7 +32,8 @@
     failures=$((failures + 1))
     continue
   fi
-  if ! ninja -C "$scratch/build" scenario_test >"$scratch/log" 2>&1; then
+  if ! ninja -C "$scratch/build" scenario_test random_schedule_test \
+    >"$scratch/log" 2>&1; then
     echo "BROKEN $name: does not build without the guard"
     grep error "$scratch/log" | head -3
     failures=$((failures + 1))
@@ -47,6 +48,9 @@
       echo "fails  $name: $scenario: ${reason#scenario: }"
     fi
   done
+  seeds=$("$scratch/build/test/random_schedule_test" 2>/dev/null |
+    grep -c "^\[  FAILED  \] .* ms)$" || true)
+  echo "       $name: $seeds random schedules fail too"
   # Newer than the object file, so that the next build compiles it again.
   cp "$scratch/saved" "$scratch/source/$file"
 done
