Measure the routing, and stop daemons fleeing from their best replicas

Cause: the load report counted waiting prompt tokens, cached ones included, so a replica that served its prefix from cache looked the busiest; daemons moved to others, which had to compute, and queues grew everywhere. Ruled out: the queue of the router (empty), the engines' decoding (idle). Change: others' waiting requests times the tokens that requests were measured to compute; a first home counts as warm unless known otherwise; recomputing weighs three times its duration (six where reuse matters most).

Also: a caller that waited over 30 s for its answer was cut off without a word, since the read timeout ran on while it had nothing to send (new test).

--- a/include/cuminswitch/Net/http_server.h
+++ b/include/cuminswitch/Net/http_server.h
@@ -56,6 +56,8 @@
  private:
   struct hooks;
 
+  /// Bounds the wait for the peer's bytes only while \p reading a request.
+  void SetTimeouts(evhtp_connection* connection, bool reading);
   std::shared_ptr<http_exchange>& ExchangeOf(evhtp_request* request);
 
   options options_;
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -85,8 +85,6 @@
   duration age{0};
   uint32_t running = 0;
   uint32_t waiting = 0;
-  /// Prompt tokens waiting to be computed.
-  uint64_t waiting_tokens = 0;
   bool leaving = false;
   std::vector<loaded_model> models;
 };
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -24,16 +24,19 @@
   uint64_t incarnation = 0;
   std::vector<loaded_model> models;
   time_point reported_at{};
-  /// Requests and waiting prompt tokens of other daemons, as the last report
-  /// had them: its totals less this daemon's own at that time.
+  /// Other daemons' requests, as the last report had them: its totals less
+  /// this daemon's own at that time.
   uint32_t others_in_flight = 0;
-  double others_waiting_tokens = 0;
+  uint32_t others_waiting = 0;
 
-  /// Exact: this daemon's attempts.
+  /// Exact: this daemon's attempts, and those without a first byte yet.
   uint32_t in_flight = 0;
+  uint32_t waiting = 0;
   /// Prompt tokens sent whose first byte has not come, less expected hits.
   double pending_tokens = 0;
 
+  /// Prompt tokens that a request makes it compute, on average over answers.
+  double computed_per_request = 500;
   /// Prompt tokens computed per second, estimated from answers.
   double prefill_rate = 8000;
   /// How long an unused prefix stays cached, estimated from answers.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -43,6 +43,8 @@
   /// The attempt failed, or the upstream could not be reached.
   void OnFailure(time_point now, replica_index index);
   void OnEnd(replica_index index);
+  /// Learns how many tokens a request made the replica compute.
+  void LearnComputed(replica_index index, double tokens);
   /// Learns the prefill rate from an attempt that did not queue.
   void LearnPrefillRate(replica_index index, double tokens, duration took);
 
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -24,10 +24,10 @@
 static constexpr size_t kMaxAbandonedStarts = 4096;
 static constexpr uint32_t kMaxRetryAfterSeconds = 120;
 /// What reuse is worth beyond its time, by objective.
-static constexpr double kFirstTokenReuseWeight = 1.2;
-static constexpr double kReuseReuseWeight = 3.0;
+static constexpr double kFirstTokenReuseWeight = 3.0;
+static constexpr double kReuseReuseWeight = 6.0;
 /// Batch work has time, so it always goes where its prefix is.
-static constexpr double kBatchReuseWeight = 6.0;
+static constexpr double kBatchReuseWeight = 12.0;
 /// Fewer computed tokens than this say little about a replica's speed.
 static constexpr double kLeastTokensToLearnFrom = 256;
 /// A level counts as hit when this share of it came from the cache.
@@ -431,6 +431,7 @@
   counters_.cached_tokens += event.cached_tokens;
   const double computed =
       static_cast<double>(event.prompt_tokens) - event.cached_tokens;
+  replicas_.LearnComputed(done.index, computed);
   if (done.unqueued && done.first_byte && computed >= kLeastTokensToLearnFrom) {
     replicas_.LearnPrefillRate(done.index, computed,
                                *done.first_byte - done.sent);
--- a/lib/Daemon/upstream_probe.cc
+++ b/lib/Daemon/upstream_probe.cc
@@ -62,7 +62,6 @@
   report.age = std::chrono::milliseconds(ReadCount(json, "age_ms"));
   report.running = static_cast<uint32_t>(ReadCount(json, "running"));
   report.waiting = static_cast<uint32_t>(ReadCount(json, "waiting"));
-  report.waiting_tokens = ReadCount(json, "waiting_tokens");
   const auto leaving = json.find("leaving");
   report.leaving =
       leaving != json.end() && leaving->is_boolean() && leaving->get<bool>();
--- a/lib/Net/http_server.cc
+++ b/lib/Net/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <evhtp.h>
 #include <sys/socket.h>
@@ -67,6 +68,7 @@
     const std::shared_ptr<http_exchange> exchange = found->second;
     self->exchanges_.erase(found);
     exchange->OnRequestFinished();
+    self->SetTimeouts(request->conn, true);
     return EVHTP_RES_OK;
   }
 
@@ -101,6 +103,8 @@
     auto* self = static_cast<http_server*>(raw);
     const std::shared_ptr<http_exchange> exchange = self->ExchangeOf(request);
     exchange->Load();
+    // From here on the caller is silent because it waits for its answer.
+    self->SetTimeouts(request->conn, false);
     if (exchange->rejected_ != 0) {
       exchange->Reply(exchange->rejected_, "application/json",
                       R"({"error":{"message":"the request is over a limit",)"
@@ -147,6 +151,15 @@
   evhtp_free(evhtp_);
 }
 
+void http_server::SetTimeouts(evhtp_connection* connection, bool reading) {
+  const timeval read = ToTimeval(options_.read_timeout);
+  const timeval write = ToTimeval(options_.write_timeout);
+  if (connection->bev != nullptr) {
+    bufferevent_set_timeouts(connection->bev, reading ? &read : nullptr,
+                             &write);
+  }
+}
+
 std::shared_ptr<http_exchange>& http_server::ExchangeOf(
     evhtp_request* request) {
   std::shared_ptr<http_exchange>& exchange = exchanges_[request];
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -11,7 +11,7 @@
 namespace cuminswitch {
 
 /// How likely a prefix is cached at its homes when nothing is known of it.
-static constexpr std::array<double, 3> kHomePrior = {0.5, 0.2, 0.1};
+static constexpr std::array<double, 3> kHomePrior = {0.9, 0.3, 0.1};
 /// Even a fresh entry may have been evicted by others' requests.
 static constexpr double kFreshHit = 0.97;
 /// Seconds added per request in flight: decoding slows with the batch, and
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -69,18 +69,20 @@
   item.reported_at = now - report.age;
   const uint32_t total = report.running + report.waiting;
   item.others_in_flight = total > item.in_flight ? total - item.in_flight : 0;
-  item.others_waiting_tokens = std::max(
-      0.0, static_cast<double>(report.waiting_tokens) - item.pending_tokens);
+  item.others_waiting =
+      report.waiting > item.waiting ? report.waiting - item.waiting : 0;
 }
 
 void replica_table::OnDispatch(replica_index index, double expected_tokens) {
   replica& item = replicas_[index];
   ++item.in_flight;
+  ++item.waiting;
   item.pending_tokens += expected_tokens;
 }
 
 void replica_table::OnFirstByte(replica_index index, double expected_tokens) {
   replica& item = replicas_[index];
+  --item.waiting;
   item.pending_tokens = std::max(0.0, item.pending_tokens - expected_tokens);
 }
 
@@ -105,6 +107,12 @@
   item.ejected_until = now + kFirstEjection * (1 << doublings);
 }
 
+void replica_table::LearnComputed(replica_index index, double tokens) {
+  replica& item = replicas_[index];
+  item.computed_per_request +=
+      kLearningRate * (tokens - item.computed_per_request);
+}
+
 void replica_table::OnEnd(replica_index index) {
   replica& item = replicas_[index];
   assert(item.in_flight > 0 && "an attempt ended twice");
@@ -187,7 +195,10 @@
 double replica_table::EstimateQueueSeconds(time_point now,
                                            replica_index index) const {
   const replica& item = replicas_[index];
-  const double others = item.others_waiting_tokens * DecayReport(now, item);
+  // An engine's own count of waiting tokens would include what it has cached,
+  // which made daemons flee from the replicas that served them best.
+  const double others =
+      item.others_waiting * item.computed_per_request * DecayReport(now, item);
   return (item.pending_tokens + others) / item.prefill_rate;
 }
 
--- a/unittests/Net/http_test.cc
+++ b/unittests/Net/http_test.cc
@@ -149,6 +149,25 @@
   EXPECT_EQ(Call(opts).end, http_end::kBroken);
 }
 
+// Symptom: an answer that takes long breaks off without a word.
+// Sequence: a caller sends its request and waits for longer than the server
+//   waits for a caller's bytes.
+// Cause: a caller that waits for its answer has nothing to send.
+TEST_F(HttpTest, WaitingCallerIsNotTimedOut) {
+  server_ = std::make_unique<http_server>(
+      base_,
+      http_server::options{.listen = {"127.0.0.1", 0},
+                           .read_timeout = std::chrono::milliseconds(30)},
+      handler_);
+  std::unique_ptr<loop_timer> timer;
+  handler_.serve = [&](const std::shared_ptr<http_exchange>& exchange) {
+    timer = std::make_unique<loop_timer>(
+        base_, [exchange] { exchange->Reply(200, "text/plain", "late"); });
+    timer->Start(std::chrono::milliseconds(150));
+  };
+  EXPECT_EQ(Call(To("/")).body, "late");
+}
+
 TEST_F(HttpTest, StreamArrivesWhole) {
   handler_.serve = [](const auto& exchange) {
     exchange->BeginStream(200, "text/event-stream");
--- a/utils/ask/ask.cc
+++ b/utils/ask/ask.cc
@@ -99,14 +99,14 @@
   parser.AddString("credential", credential, "The workspace's credential");
   parser.AddString("model", model, "The model");
   parser.AddInteger("kilobytes", kilobytes, "Length of the shared prefix");
-  parser.AddFlag("direct", direct, "Use the daemon itself, whatever it answers");
+  parser.AddFlag("direct", direct,
+                 "Use the daemon itself, whatever it answers");
   parser.Parse(ArgumentsOf(argc, argv));
   const std::optional<endpoint> first = ParseEndpoint(daemon);
   if (!first) {
     throw usage_error("--daemon must be a numeric address:port");
   }
-  const endpoint address =
-      direct ? *first : AskAddress(*first, credential);
+  const endpoint address = direct ? *first : AskAddress(*first, credential);
   const std::unique_ptr<event_base, base_deleter> base(event_base_new());
   printing_handler handler(base.get());
   const clock::time_point begin = clock::now();
--- /dev/null
+++ b/utils/load_tool/caller.h
@@ -0,0 +1,65 @@
+// One caller: asks for an address, sends one request, and checks the answer.
+#ifndef CUMINSWITCH_UTILS_LOAD_TOOL_CALLER_H_
+#define CUMINSWITCH_UTILS_LOAD_TOOL_CALLER_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cuminswitch/Daemon/answer_reader.h"
+#include "cuminswitch/Net/http_client.h"
+#include "load_tool/workload.h"
+
+namespace cuminswitch {
+
+/// How one request ended.
+struct call_result {
+  const trace_request* request = nullptr;
+  uint32_t status = 0;
+  std::string outcome;
+  /// Seconds from sending to the first byte of a 200 answer; negative without.
+  double first_token = -1;
+  double whole = -1;
+  token_usage usage;
+  /// The stream ended without its terminal mark.
+  bool truncated = false;
+  /// A token was missing, out of order, or another request's.
+  bool crossed = false;
+  bool retry_after = false;
+};
+
+class caller : private http_call_handler {
+ public:
+  using clock = std::chrono::steady_clock;
+  using callback = std::function<void(caller&, const call_result&)>;
+
+  struct options {
+    const trace_request* request = nullptr;
+    endpoint address;
+    std::string model;
+    std::string service;
+    std::string key;
+  };
+
+  caller(const options& opts, http_client& client, callback on_done);
+  ~caller() override;
+
+ private:
+  void OnHeaders(const http_response_head& head) override;
+  void OnData(std::string_view data) override;
+  void OnEnd(http_end end) override;
+  void CheckTokens();
+
+  callback on_done_;
+  call_result result_;
+  clock::time_point sent_;
+  answer_reader reader_;
+  std::string body_;
+  std::string digest_;
+  std::unique_ptr<http_call> call_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_UTILS_LOAD_TOOL_CALLER_H_
