Price a placement by what it delays, and keep long queues out of engines

Cause of the collapse at 250 requests/s: engines were busy computing prefixes that others held (40 waiting in each engine, 1-4 decoding). Each daemon passed over a busy home whenever another replica looked a little less busy; under load everything looks busy, so every prefix was computed everywhere. Ruled out: our processes' time (0.3 of a core over 8 daemons), the load tool. Change: computing costs its time for all that wait at that replica; a request waits for a replica without room where that is cheaper; each daemon starts with its part of a replica's limit and adapts it to the lateness of first bytes.

--- a/include/cuminswitch/Admission/wait_queue.h
+++ b/include/cuminswitch/Admission/wait_queue.h
@@ -63,7 +63,7 @@
 
   /// Requests per target that may be passed over because of a limit of their
   /// own before the rest is left for later.
-  static constexpr size_t kLookahead = 16;
+  static constexpr size_t kLookahead = 32;
 
   place MakePlace(const waiting_request& item) const;
 
--- a/include/cuminswitch/Routing/placement_policy.h
+++ b/include/cuminswitch/Routing/placement_policy.h
@@ -17,6 +17,7 @@
 class placement_policy {
  public:
   virtual ~placement_policy() = default;
+  /// Chooses a replica with room, or says which one to wait for.
   virtual placement Choose(const placement_query& query) = 0;
 };
 
--- a/include/cuminswitch/Routing/placement_query.h
+++ b/include/cuminswitch/Routing/placement_query.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <span>
+#include <vector>
 
 #include "cuminswitch/Protocol/core_event.h"
 #include "cuminswitch/Routing/replica_table.h"
@@ -20,18 +21,22 @@
   /// Prefixes of the request, outermost first; hashes carry the cache scope.
   std::span<const prefix_level> levels;
   uint32_t prompt_tokens = 0;
-  /// Replicas that can take the request, in ascending order; never empty.
+  /// Replicas that can serve the request, in ascending order; never empty.
   std::span<const replica_index> eligible;
+  /// For each of them, whether it has room now.
+  const std::vector<bool>& has_room;
   const replica_table& replicas;
   prefix_index& prefixes;
-  /// The cost of recomputing a token that some replica holds, as a multiple
-  /// of the time it takes.
+  /// What recomputing a prefix costs, as a multiple of the time it takes, when
+  /// the prefix is rarely used.
   double reuse_weight = 1;
 };
 
 /// Where a request goes.
 struct placement {
   replica_index index = 0;
+  /// The replica has no room: the request is to wait for it.
+  bool must_wait = false;
   /// Prompt tokens that the replica probably has cached.
   double expected_cached_tokens = 0;
 };
--- a/include/cuminswitch/Routing/prefix_cost_policy.h
+++ b/include/cuminswitch/Routing/prefix_cost_policy.h
@@ -18,8 +18,10 @@
 /// computation of what it does not hold, weighted by `reuse_weight`. What it
 /// holds is estimated from this daemon's own placements, and, where it has
 /// none, from rendezvous hashing: every daemon ranks the same few homes for a
-/// prefix, so others have probably placed it there. A hot prefix spreads to
-/// its next homes as the queue at the first outgrows the recomputation.
+/// prefix, so others have probably placed it there. A request waits for a
+/// replica without room where that costs less than recomputing elsewhere. A
+/// hot prefix spreads as the queue at its replicas outgrows the recomputation,
+/// which weighs less the more requests share it.
 class prefix_cost_policy : public placement_policy {
  public:
   placement Choose(const placement_query& query) override;
@@ -37,6 +39,7 @@
   };
 
   static home_list RankHomes(const placement_query& query, uint64_t prefix);
+  static double RecomputeWeight(const placement_query& query);
   void CollectExpectedHits(const placement_query& query);
 
   /// Expected cached tokens by position in `eligible`; kept between calls to
--- a/include/cuminswitch/Routing/prefix_index.h
+++ b/include/cuminswitch/Routing/prefix_index.h
@@ -40,17 +40,28 @@
   void Remove(uint64_t hash, replica_index index);
   /// Returns who should hold \p hash; invalid after the next call.
   std::span<const prefix_holder> Find(uint64_t hash);
+  /// Counts one use of \p hash by a request.
+  void CountUse(time_point now, uint64_t hash);
+  /// Returns the uses of \p hash of late; each loses its weight over seconds.
+  double RecentUses(time_point now, uint64_t hash);
   size_t size() const { return newer_.size() + older_.size(); }
 
  private:
-  using holder_map = std::unordered_map<uint64_t, std::vector<prefix_holder>>;
+  struct entry {
+    std::vector<prefix_holder> holders;
+    /// Decayed count of uses, as of `counted_at`.
+    double uses = 0;
+    time_point counted_at{};
+  };
+  using entry_map = std::unordered_map<uint64_t, entry>;
 
-  std::vector<prefix_holder>* Promote(uint64_t hash);
+  entry* Promote(uint64_t hash);
+  entry& FindOrAdd(uint64_t hash);
   void RotateIfFull();
 
   options options_;
-  holder_map newer_;
-  holder_map older_;
+  entry_map newer_;
+  entry_map older_;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -41,8 +41,14 @@
   double prefill_rate = 8000;
   /// How long an unused prefix stays cached, estimated from answers.
   double retention_seconds = 10;
-  /// Adaptive limit on requests in flight over all daemons.
+  /// Adaptive limit on this daemon's requests in flight.
   double limit = 16;
+  /// When the limit was last lowered.
+  time_point lowered_at{};
+  /// How long an attempt takes from dispatch to end, on average.
+  double service_seconds = 0.5;
+  /// Requests that wait in this daemon for room here.
+  uint32_t queued_here = 0;
   /// No attempt goes there before this.
   time_point ejected_until{};
   uint32_t failures_in_row = 0;
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -50,6 +50,7 @@
     std::shared_ptr<const configuration> config,
     action_list& out) {
   config_ = std::move(config);
+  replicas_.SetFleetSize(members_.CountServing());
   replicas_.Reconfigure(now, *config_);
   DrainQueue(now, out);
 }
@@ -338,9 +339,14 @@
                        .levels = item.info.levels,
                        .prompt_tokens = item.info.prompt_tokens,
                        .eligible = eligible.indices,
+                       .has_room = eligible.has_room,
                        .replicas = replicas_,
                        .prefixes = prefixes_,
                        .reuse_weight = ReuseWeight(item)});
+  if (chosen.must_wait) {
+    replicas_.CountQueued(chosen.index);
+    return false;
+  }
   Dispatch(now, item, chosen, out);
   return true;
 }
@@ -375,6 +381,7 @@
     }
   }
   for (const prefix_level& level : levels) {
+    prefixes_.CountUse(now, level.hash);
     prefixes_.Touch(level.hash, {.index = chosen.index,
                                  .incarnation = target.incarnation,
                                  .used_at = now});
@@ -393,6 +400,7 @@
 }
 
 void request_router::DrainQueue(time_point now, action_list& out) {
+  replicas_.ClearQueued();
   if (queue_.size() == 0) {
     return;
   }
@@ -411,6 +419,11 @@
   if (!running.first_byte) {
     running.first_byte = now;
     replicas_.OnFirstByte(running.index, running.expected_tokens);
+    // Of the whole prompt: that a prefix was not cached after all says nothing
+    // about too many requests.
+    const double computing = requests_.at(found->second).info.prompt_tokens /
+                             replicas_[running.index].prefill_rate;
+    replicas_.AdaptLimit(now, running.index, now - running.sent, computing);
   }
 }
 
@@ -469,7 +482,7 @@
   if (!done.first_byte) {
     replicas_.OnFirstByte(done.index, done.expected_tokens);
   }
-  replicas_.OnEnd(done.index);
+  replicas_.OnEnd(done.index, now - done.sent);
   meters_[item.info.target].OnCompletion(now);
   if (event.result == outcome::kAnswered) {
     replicas_.OnAnswered(done.index);
@@ -521,7 +534,7 @@
   // With every replica tried, better any of them again than none.
   const eligible_replicas others = replicas_.ListEligible(
       now, item.info.target, AllowedDomains(item), item.excluded);
-  if (others.indices.empty() && !others.any_full) {
+  if (others.indices.empty()) {
     item.excluded.clear();
   }
   Admit(now, item, out);
@@ -550,7 +563,7 @@
   if (!running.first_byte) {
     replicas_.OnFirstByte(running.index, running.expected_tokens);
   }
-  replicas_.OnEnd(running.index);
+  replicas_.OnEnd(running.index, now - running.sent);
   out.push_back(cancel_attempt{.attempt = running.id});
   Erase(event.request);
   DrainQueue(now, out);
@@ -653,6 +666,7 @@
 }
 
 void request_router::OnTick(time_point now, action_list& out) {
+  replicas_.SetFleetSize(members_.CountServing());
   for (const waiting_request& expired : queue_.TakeExpired(now)) {
     const request& item = requests_.at(expired.request);
     Refuse(expired.request,
--- a/lib/Routing/placement_policy.cc
+++ b/lib/Routing/placement_policy.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <random>
+#include <span>
+#include <vector>
 
 #include "cuminswitch/Routing/placement_query.h"
 #include "cuminswitch/Routing/prefix_cost_policy.h"
@@ -11,41 +13,72 @@
 namespace cuminswitch {
 namespace {
 
-class random_policy : public placement_policy {
+/// A baseline: takes one of the replicas with room, and waits when there is
+/// none.
+class baseline_policy : public placement_policy {
  public:
-  explicit random_policy(uint64_t seed) : random_(seed) {}
   placement Choose(const placement_query& query) override {
-    return {.index = query.eligible[random_() % query.eligible.size()]};
+    with_room_.clear();
+    for (size_t i = 0; i < query.eligible.size(); ++i) {
+      if (query.has_room[i]) {
+        with_room_.push_back(query.eligible[i]);
+      }
+    }
+    if (with_room_.empty()) {
+      return {.index = query.eligible.front(), .must_wait = true};
+    }
+    return {.index = Pick(query, with_room_)};
   }
 
+ protected:
+  virtual replica_index Pick(const placement_query& query,
+                             std::span<const replica_index> with_room) = 0;
+
  private:
-  std::mt19937_64 random_;
+  std::vector<replica_index> with_room_;
 };
 
-class round_robin_policy : public placement_policy {
+class random_policy : public baseline_policy {
  public:
-  placement Choose(const placement_query& query) override {
-    return {.index = query.eligible[next_++ % query.eligible.size()]};
+  explicit random_policy(uint64_t seed) : random_(seed) {}
+
+ protected:
+  replica_index Pick(const placement_query& /*query*/,
+                     std::span<const replica_index> with_room) override {
+    return with_room[random_() % with_room.size()];
+  }
+
+ private:
+  std::mt19937_64 random_;
+};
+
+class round_robin_policy : public baseline_policy {
+ protected:
+  replica_index Pick(const placement_query& /*query*/,
+                     std::span<const replica_index> with_room) override {
+    return with_room[next_++ % with_room.size()];
   }
 
  private:
   size_t next_ = 0;
 };
 
-class least_in_flight_policy : public placement_policy {
+class least_in_flight_policy : public baseline_policy {
  public:
   explicit least_in_flight_policy(uint64_t seed) : random_(seed) {}
-  placement Choose(const placement_query& query) override {
-    const size_t start = random_() % query.eligible.size();
-    replica_index best = query.eligible[start];
-    for (size_t i = 1; i < query.eligible.size(); ++i) {
-      const replica_index index =
-          query.eligible[(start + i) % query.eligible.size()];
+
+ protected:
+  replica_index Pick(const placement_query& query,
+                     std::span<const replica_index> with_room) override {
+    const size_t start = random_() % with_room.size();
+    replica_index best = with_room[start];
+    for (size_t i = 1; i < with_room.size(); ++i) {
+      const replica_index index = with_room[(start + i) % with_room.size()];
       if (Load(query, index) < Load(query, best)) {
         best = index;
       }
     }
-    return {.index = best};
+    return best;
   }
 
  private:
@@ -58,20 +91,20 @@
 };
 
 /// Rendezvous hashing on the shared prefix, without regard to load.
-class prefix_hash_policy : public placement_policy {
- public:
-  placement Choose(const placement_query& query) override {
+class prefix_hash_policy : public baseline_policy {
+ protected:
+  replica_index Pick(const placement_query& query,
+                     std::span<const replica_index> with_room) override {
     const size_t count = query.levels.size();
     const uint64_t key =
         count == 0 ? 0 : query.levels[count >= 2 ? count - 2 : 0].hash;
     const auto weight = [&](replica_index index) {
       return RendezvousWeight(key, query.replicas[index].name_hash);
     };
-    return {.index =
-                *std::max_element(query.eligible.begin(), query.eligible.end(),
-                                  [&](replica_index a, replica_index b) {
-                                    return weight(a) < weight(b);
-                                  })};
+    return *std::max_element(with_room.begin(), with_room.end(),
+                             [&](replica_index a, replica_index b) {
+                               return weight(a) < weight(b);
+                             });
   }
 };
 
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <limits>
 
 #include "cuminswitch/Routing/placement_query.h"
 #include "cuminswitch/Routing/prefix_index.h"
@@ -14,6 +15,8 @@
 static constexpr std::array<double, 3> kHomePrior = {0.9, 0.3, 0.1};
 /// Even a fresh entry may have been evicted by others' requests.
 static constexpr double kFreshHit = 0.97;
+/// Recent uses of a prefix at which half of the weight of recomputing is gone.
+static constexpr double kHotUses = 8;
 /// Seconds added per request in flight: decoding slows with the batch, and
 /// among equals the least busy replica should win.
 static constexpr double kBatchSeconds = 0.002;
@@ -86,21 +89,42 @@
   }
 }
 
+double prefix_cost_policy::RecomputeWeight(const placement_query& query) {
+  // A copy of a prefix that is used all the time serves many requests, so its
+  // cost is shared by them; but the first one still waits for it.
+  const size_t shared = SharedLevel(query.levels);
+  const double uses =
+      query.levels.empty()
+          ? 0
+          : query.prefixes.RecentUses(query.now, query.levels[shared].hash);
+  return 1 + (query.reuse_weight - 1) / (1 + uses / kHotUses);
+}
+
 placement prefix_cost_policy::Choose(const placement_query& query) {
   assert(!query.eligible.empty() && "nowhere to place the request");
   CollectExpectedHits(query);
-  placement best{.index = query.eligible.front()};
-  double best_cost = 0;
+  const double weight = RecomputeWeight(query);
+  placement best;
+  double best_cost = std::numeric_limits<double>::infinity();
   for (size_t i = 0; i < query.eligible.size(); ++i) {
     const replica_index index = query.eligible[i];
     const replica& item = query.replicas[index];
     const double uncached = std::max(0.0, query.prompt_tokens - expected_[i]);
-    const double cost = query.replicas.EstimateQueueSeconds(query.now, index) +
-                        query.reuse_weight * uncached / item.prefill_rate +
-                        kBatchSeconds * item.in_flight;
-    if (i == 0 || cost < best_cost) {
+    // What a replica computes for this request, all that wait there wait for
+    // too. Without their part in the price, a busy fleet spreads each prefix
+    // over all replicas, computes it on each, and gets busier still.
+    const double delayed = 1 + query.replicas.EstimateWaiting(query.now, index);
+    double cost = query.replicas.EstimateQueueSeconds(query.now, index) +
+                  weight * delayed * uncached / item.prefill_rate +
+                  kBatchSeconds * item.in_flight;
+    if (!query.has_room[i]) {
+      cost += query.replicas.EstimateRoomSeconds(index);
+    }
+    if (cost < best_cost) {
       best_cost = cost;
-      best = {.index = index, .expected_cached_tokens = expected_[i]};
+      best = {.index = index,
+              .must_wait = !query.has_room[i],
+              .expected_cached_tokens = expected_[i]};
     }
   }
   return best;
--- a/lib/Routing/prefix_index.cc
+++ b/lib/Routing/prefix_index.cc
@@ -1,12 +1,14 @@
 #include "cuminswitch/Routing/prefix_index.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cuminswitch {
 
 /// Holders kept per prefix; a hotter one is spread wide enough by then.
 static constexpr size_t kMaxHolders = 16;
+static constexpr double kUseLifetimeSeconds = 5;
 
 prefix_index::prefix_index(const options& opts) : options_(opts) {}
 
@@ -18,7 +20,7 @@
   newer_.clear();
 }
 
-std::vector<prefix_holder>* prefix_index::Promote(uint64_t hash) {
+prefix_index::entry* prefix_index::Promote(uint64_t hash) {
   if (const auto found = newer_.find(hash); found != newer_.end()) {
     return &found->second;
   }
@@ -26,51 +28,70 @@
   if (found == older_.end()) {
     return nullptr;
   }
-  std::vector<prefix_holder> holders = std::move(found->second);
+  entry moved = std::move(found->second);
   older_.erase(found);
   RotateIfFull();
-  return &(newer_[hash] = std::move(holders));
+  return &(newer_[hash] = std::move(moved));
 }
 
-void prefix_index::Touch(uint64_t hash, const prefix_holder& holder) {
-  std::vector<prefix_holder>* holders = Promote(hash);
-  if (holders == nullptr) {
-    RotateIfFull();
-    newer_[hash] = {holder};
-    return;
+prefix_index::entry& prefix_index::FindOrAdd(uint64_t hash) {
+  if (entry* found = Promote(hash)) {
+    return *found;
   }
-  for (prefix_holder& item : *holders) {
+  RotateIfFull();
+  return newer_[hash];
+}
+
+void prefix_index::Touch(uint64_t hash, const prefix_holder& holder) {
+  std::vector<prefix_holder>& holders = FindOrAdd(hash).holders;
+  for (prefix_holder& item : holders) {
     if (item.index == holder.index) {
       item = holder;
       return;
     }
   }
-  if (holders->size() < kMaxHolders) {
-    holders->push_back(holder);
+  if (holders.size() < kMaxHolders) {
+    holders.push_back(holder);
     return;
   }
-  *std::min_element(holders->begin(), holders->end(),
+  *std::min_element(holders.begin(), holders.end(),
                     [](const prefix_holder& a, const prefix_holder& b) {
                       return a.used_at < b.used_at;
                     }) = holder;
 }
 
 void prefix_index::Remove(uint64_t hash, replica_index index) {
-  std::vector<prefix_holder>* holders = Promote(hash);
-  if (holders == nullptr) {
+  entry* found = Promote(hash);
+  if (found == nullptr) {
     return;
   }
-  std::erase_if(*holders, [index](const prefix_holder& item) {
+  std::erase_if(found->holders, [index](const prefix_holder& item) {
     return item.index == index;
   });
 }
 
 std::span<const prefix_holder> prefix_index::Find(uint64_t hash) {
-  const std::vector<prefix_holder>* holders = Promote(hash);
-  if (holders == nullptr) {
+  const entry* found = Promote(hash);
+  if (found == nullptr) {
     return {};
   }
-  return *holders;
+  return found->holders;
+}
+
+double prefix_index::RecentUses(time_point now, uint64_t hash) {
+  const entry* found = Promote(hash);
+  if (found == nullptr) {
+    return 0;
+  }
+  const double age = std::max(0.0, ToSeconds(now - found->counted_at));
+  return found->uses * std::exp(-age / kUseLifetimeSeconds);
+}
+
+void prefix_index::CountUse(time_point now, uint64_t hash) {
+  const double uses = RecentUses(now, hash);
+  entry& found = FindOrAdd(hash);
+  found.uses = uses + 1;
+  found.counted_at = now;
 }
 
 }  // namespace cuminswitch
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -15,6 +15,18 @@
 static constexpr duration kFirstEjection = std::chrono::milliseconds(500);
 static constexpr uint32_t kMaxEjectionDoublings = 4;
 static constexpr double kBusyDecrease = 0.7;
+/// A first byte may come this much later than computing alone would take; past
+/// it the replica's own queue is too long, and requests wait better here,
+/// where they can be ordered, refused in time, or sent elsewhere.
+static constexpr double kLateFactor = 1.5;
+static constexpr double kLateSeconds = 0.3;
+/// A decrease takes the limit down in proportion to the lateness, within these.
+static constexpr double kLargestDecrease = 0.5;
+static constexpr double kSmallestDecrease = 0.9;
+/// The effect of a decrease shows only after the queue's length, but a long
+/// queue must not make the adaptation slow.
+static constexpr duration kLeastDecreasePause = std::chrono::milliseconds(250);
+static constexpr duration kLongestDecreasePause = std::chrono::seconds(1);
 static constexpr double kLearningRate = 0.2;
 static constexpr double kSlowestPrefillRate = 100;
 static constexpr double kFastestPrefillRate = 1e7;
@@ -33,7 +45,7 @@
     if (is_new) {
       replicas_.push_back(
           {.spec = spec, .name_hash = Hash64(spec.name), .warm_since = now});
-      replicas_.back().limit = spec.max_in_flight;
+      replicas_.back().limit = FirstLimit(spec);
     }
     replica& item = replicas_[found->second];
     item.limit = std::min<double>(item.limit, spec.max_in_flight);
@@ -60,7 +72,7 @@
   }
   if (item.reported && item.incarnation != report.incarnation) {
     item.warm_since = now;
-    item.limit = item.spec.max_in_flight;
+    item.limit = FirstLimit(item.spec);
   }
   item.reported = true;
   item.incarnation = report.incarnation;
@@ -87,10 +99,43 @@
 }
 
 void replica_table::OnAnswered(replica_index index) {
+  replicas_[index].failures_in_row = 0;
+}
+
+void replica_table::AdaptLimit(time_point now,
+                               replica_index index,
+                               duration took,
+                               double computing) {
   replica& item = replicas_[index];
-  item.failures_in_row = 0;
-  item.limit = std::min<double>(item.spec.max_in_flight,
-                                item.limit + 1.0 / std::max(1.0, item.limit));
+  const double expected = kLateFactor * computing + kLateSeconds;
+  const double seconds = ToSeconds(took);
+  if (seconds <= expected) {
+    RaiseLimit(item);
+    return;
+  }
+  const duration pause =
+      std::clamp(took, kLeastDecreasePause, kLongestDecreasePause);
+  if (now - item.lowered_at >= pause) {
+    item.lowered_at = now;
+    item.limit = std::max(
+        1.0, item.limit * std::clamp(expected / seconds, kLargestDecrease,
+                                     kSmallestDecrease));
+  }
+}
+
+void replica_table::RaiseLimit(replica& item) {
+  // Raised only while it is used, or an idle hour would raise it to the top.
+  if (item.in_flight + 1 < item.limit) {
+    return;
+  }
+  // Doubles each round until it was too high for the first time.
+  const bool is_probing = item.lowered_at == time_point();
+  const double step = is_probing ? 1 : 1 / std::max(1.0, item.limit);
+  item.limit = std::min<double>(item.spec.max_in_flight, item.limit + step);
+}
+
+double replica_table::FirstLimit(const upstream_spec& spec) const {
+  return std::max(1.0, spec.max_in_flight / static_cast<double>(fleet_size_));
 }
 
 void replica_table::OnBusy(time_point now, replica_index index) {
@@ -113,10 +158,24 @@
       kLearningRate * (tokens - item.computed_per_request);
 }
 
-void replica_table::OnEnd(replica_index index) {
+void replica_table::OnEnd(replica_index index, duration took) {
   replica& item = replicas_[index];
   assert(item.in_flight > 0 && "an attempt ended twice");
   --item.in_flight;
+  item.service_seconds +=
+      kLearningRate * (ToSeconds(took) - item.service_seconds);
+}
+
+double replica_table::EstimateRoomSeconds(replica_index index) const {
+  const replica& item = replicas_[index];
+  return (item.queued_here + 1) * item.service_seconds /
+         std::max(1.0, item.limit);
+}
+
+void replica_table::ClearQueued() {
+  for (replica& item : replicas_) {
+    item.queued_here = 0;
+  }
 }
 
 void replica_table::LearnPrefillRate(replica_index index,
@@ -143,12 +202,11 @@
   return std::exp2(-age / kReportHalfLife);
 }
 
-bool replica_table::HasRoom(time_point now, const replica& item) const {
+bool replica_table::HasRoom(time_point now, const replica& item) {
   const double age = ToSeconds(now - item.warm_since);
   const double ramp = std::min(
       1.0, kSlowStartShare + (1 - kSlowStartShare) * age / kSlowStartSeconds);
-  const double others = item.others_in_flight * DecayReport(now, item);
-  return item.in_flight + others + 1 <= std::max(1.0, item.limit * ramp);
+  return item.in_flight + 1 <= std::max(1.0, item.limit * ramp);
 }
 
 eligible_replicas replica_table::ListEligible(
@@ -171,7 +229,6 @@
     if (!allowed || item.spec.leaving || item.leaving) {
       continue;
     }
-    result.any_serving = true;
     // Until an engine has reported the configured version it gets nothing:
     // its answer could come from older weights.
     const bool has_weights =
@@ -183,15 +240,19 @@
     if (!has_weights || !usable) {
       continue;
     }
-    if (!HasRoom(now, item)) {
-      result.any_full = true;
-      continue;
-    }
     result.indices.push_back(index);
+    result.has_room.push_back(HasRoom(now, item));
   }
   return result;
 }
 
+double replica_table::EstimateWaiting(time_point now,
+                                      replica_index index) const {
+  const replica& item = replicas_[index];
+  return item.waiting + item.queued_here +
+         item.others_waiting * DecayReport(now, item);
+}
+
 double replica_table::EstimateQueueSeconds(time_point now,
                                            replica_index index) const {
   const replica& item = replicas_[index];
