Charge only what is computed again with the delay of those that wait

Cause of the loss at 100 requests/s: the delay of waiting requests was charged on every uncached token, the order's own included, so a busy home lost even the requests it had cached; and eight daemons began with too low limits.

--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -13,10 +13,9 @@
 
 /// How likely a prefix is cached at its homes when nothing is known of it.
 static constexpr std::array<double, 3> kHomePrior = {0.9, 0.3, 0.1};
-/// Even a fresh entry may have been evicted by others' requests.
-static constexpr double kFreshHit = 0.97;
+static constexpr double kFreshHit = 1;
 /// Recent uses of a prefix at which half of the weight of recomputing is gone.
-static constexpr double kHotUses = 8;
+static constexpr double kHotUses = 60;
 /// Seconds added per request in flight: decoding slows with the batch, and
 /// among equals the least busy replica should win.
 static constexpr double kBatchSeconds = 0.002;
@@ -104,18 +103,24 @@
   assert(!query.eligible.empty() && "nowhere to place the request");
   CollectExpectedHits(query);
   const double weight = RecomputeWeight(query);
+  const double shared =
+      query.levels.empty() ? 0 : query.levels[SharedLevel(query.levels)].tokens;
   placement best;
   double best_cost = std::numeric_limits<double>::infinity();
   for (size_t i = 0; i < query.eligible.size(); ++i) {
     const replica_index index = query.eligible[i];
     const replica& item = query.replicas[index];
-    const double uncached = std::max(0.0, query.prompt_tokens - expected_[i]);
-    // What a replica computes for this request, all that wait there wait for
-    // too. Without their part in the price, a busy fleet spreads each prefix
-    // over all replicas, computes it on each, and gets busier still.
-    const double delayed = 1 + query.replicas.EstimateWaiting(query.now, index);
+    // Computed again although some replica has it, or will have it.
+    const double missing = std::max(0.0, shared - expected_[i]);
+    const double own =
+        std::max(0.0, query.prompt_tokens - std::max(shared, expected_[i]));
+    // What a replica computes again, all that wait there wait for too. Without
+    // their part in the price, a busy fleet spreads each prefix over all
+    // replicas, computes it on each, and gets busier still.
+    const double delayed =
+        weight + query.replicas.EstimateWaiting(query.now, index);
     double cost = query.replicas.EstimateQueueSeconds(query.now, index) +
-                  weight * delayed * uncached / item.prefill_rate +
+                  (own + delayed * missing) / item.prefill_rate +
                   kBatchSeconds * item.in_flight;
     if (!query.has_room[i]) {
       cost += query.replicas.EstimateRoomSeconds(index);
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -27,6 +27,9 @@
 /// queue must not make the adaptation slow.
 static constexpr duration kLeastDecreasePause = std::chrono::milliseconds(250);
 static constexpr duration kLongestDecreasePause = std::chrono::seconds(1);
+/// A daemon starts with this multiple of its even part of a replica's limit:
+/// one workspace's traffic meets at a few daemons, so parts are not even.
+static constexpr double kFirstLimitFactor = 4;
 static constexpr double kLearningRate = 0.2;
 static constexpr double kSlowestPrefillRate = 100;
 static constexpr double kFastestPrefillRate = 1e7;
@@ -135,7 +138,9 @@
 }
 
 double replica_table::FirstLimit(const upstream_spec& spec) const {
-  return std::max(1.0, spec.max_in_flight / static_cast<double>(fleet_size_));
+  const double part = kFirstLimitFactor * spec.max_in_flight /
+                      static_cast<double>(fleet_size_);
+  return std::clamp<double>(part, 1, spec.max_in_flight);
 }
 
 void replica_table::OnBusy(time_point now, replica_index index) {
