Leave the engine's own queue out of the wait for room

Cause of the collapse at 250 requests/s, found by looking at limits and queues of a running fleet: a daemon's estimate of when a full home has room again used the whole time that requests spent there, the engine's queue included. The busier all were, the worse the home looked, so it was passed over and its prefixes were computed elsewhere.

--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -45,8 +45,8 @@
   double limit = 16;
   /// When the limit was last lowered.
   time_point lowered_at{};
-  /// How long an attempt takes from dispatch to end, on average.
-  double service_seconds = 0.5;
+  /// How long an answer takes from its first byte to its end, on average.
+  double answer_seconds = 0.3;
   /// Requests that wait in this daemon for room here.
   uint32_t queued_here = 0;
   /// No attempt goes there before this.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -51,8 +51,10 @@
   void OnBusy(time_point now, replica_index index);
   /// The attempt failed, or the upstream could not be reached.
   void OnFailure(time_point now, replica_index index);
-  /// The attempt is over, \p took after its dispatch.
-  void OnEnd(replica_index index, duration took);
+  /// The attempt is over.
+  void OnEnd(replica_index index);
+  /// Learns how long an answer took from its first byte to its end.
+  void LearnAnswerTime(replica_index index, duration took);
   /// Learns how many tokens a request made the replica compute.
   void LearnComputed(replica_index index, double tokens);
   /// Learns the prefill rate from an attempt that did not queue.
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -432,6 +432,9 @@
                                      const attempt& done,
                                      const attempt_ended& event) {
   replica& target = replicas_.at(done.index);
+  if (done.first_byte) {
+    replicas_.LearnAnswerTime(done.index, now - *done.first_byte);
+  }
   for (const prefix_level& level : item.info.levels) {
     prefixes_.Touch(level.hash, {.index = done.index,
                                  .incarnation = target.incarnation,
@@ -482,7 +485,7 @@
   if (!done.first_byte) {
     replicas_.OnFirstByte(done.index, done.expected_tokens);
   }
-  replicas_.OnEnd(done.index, now - done.sent);
+  replicas_.OnEnd(done.index);
   meters_[item.info.target].OnCompletion(now);
   if (event.result == outcome::kAnswered) {
     replicas_.OnAnswered(done.index);
@@ -563,7 +566,7 @@
   if (!running.first_byte) {
     replicas_.OnFirstByte(running.index, running.expected_tokens);
   }
-  replicas_.OnEnd(running.index, now - running.sent);
+  replicas_.OnEnd(running.index);
   out.push_back(cancel_attempt{.attempt = running.id});
   Erase(event.request);
   DrainQueue(now, out);
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -65,26 +65,26 @@
 
 void prefix_cost_policy::CollectExpectedHits(const placement_query& query) {
   expected_.assign(query.eligible.size(), 0);
-  const auto raise = [&](replica_index index, double tokens) {
-    const auto found =
-        std::lower_bound(query.eligible.begin(), query.eligible.end(), index);
-    if (found != query.eligible.end() && *found == index) {
-      double& expected = expected_[found - query.eligible.begin()];
-      expected = std::max(expected, tokens);
-    }
-  };
   if (query.levels.empty()) {
     return;
   }
-  for (const prefix_level& level : query.levels) {
-    for (const prefix_holder& holder : query.prefixes.Find(level.hash)) {
-      raise(holder.index, EstimateHit(query, holder) * level.tokens);
-    }
-  }
   const prefix_level& shared = query.levels[SharedLevel(query.levels)];
   const home_list homes = RankHomes(query, shared.hash);
+  // Only homes are believed. A copy elsewhere, made in a moment of pressure,
+  // would keep drawing requests and push other prefixes out of that cache.
   for (size_t rank = 0; rank < homes.count; ++rank) {
-    raise(homes.indices[rank], kHomePrior[rank] * shared.tokens);
+    const replica_index home = homes.indices[rank];
+    double tokens = kHomePrior[rank] * shared.tokens;
+    for (const prefix_level& level : query.levels) {
+      for (const prefix_holder& holder : query.prefixes.Find(level.hash)) {
+        if (holder.index == home) {
+          tokens = std::max(tokens, EstimateHit(query, holder) * level.tokens);
+        }
+      }
+    }
+    const auto found =
+        std::lower_bound(query.eligible.begin(), query.eligible.end(), home);
+    expected_[static_cast<size_t>(found - query.eligible.begin())] = tokens;
   }
 }
 
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -138,8 +138,8 @@
 }
 
 double replica_table::FirstLimit(const upstream_spec& spec) const {
-  const double part = kFirstLimitFactor * spec.max_in_flight /
-                      static_cast<double>(fleet_size_);
+  const double part =
+      kFirstLimitFactor * spec.max_in_flight / static_cast<double>(fleet_size_);
   return std::clamp<double>(part, 1, spec.max_in_flight);
 }
 
@@ -163,18 +163,26 @@
       kLearningRate * (tokens - item.computed_per_request);
 }
 
-void replica_table::OnEnd(replica_index index, duration took) {
+void replica_table::OnEnd(replica_index index) {
   replica& item = replicas_[index];
   assert(item.in_flight > 0 && "an attempt ended twice");
   --item.in_flight;
-  item.service_seconds +=
-      kLearningRate * (ToSeconds(took) - item.service_seconds);
+}
+
+void replica_table::LearnAnswerTime(replica_index index, duration took) {
+  replica& item = replicas_[index];
+  item.answer_seconds +=
+      kLearningRate * (ToSeconds(took) - item.answer_seconds);
 }
 
 double replica_table::EstimateRoomSeconds(replica_index index) const {
   const replica& item = replicas_[index];
-  return (item.queued_here + 1) * item.service_seconds /
-         std::max(1.0, item.limit);
+  // Room comes as fast as requests are computed or as answers end, whichever
+  // is slower. Time that requests wait in the engine is not part of it: with
+  // it a busy home looked worse the busier all were, and was passed over.
+  const double computing = item.computed_per_request / item.prefill_rate;
+  const double answering = item.answer_seconds / std::max(1.0, item.limit);
+  return (item.queued_here + 1) * std::max(computing, answering);
 }
 
 void replica_table::ClearQueued() {
--- a/unittests/Config/document_test.cc
+++ b/unittests/Config/document_test.cc
@@ -146,6 +146,7 @@
     fragments.push_back(ParseFragment(chunk, "chunk"));
   }
   std::vector<const configuration*> pointers;
+  pointers.reserve(fragments.size());
   for (const configuration& fragment : fragments) {
     pointers.push_back(&fragment);
   }
--- a/unittests/Daemon/address_book_test.cc
+++ b/unittests/Daemon/address_book_test.cc
@@ -10,6 +10,7 @@
 
 std::vector<member> MakeMembers() {
   std::vector<member> members;
+  members.reserve(8);
   for (int i = 0; i < 8; ++i) {
     members.push_back({.host = "h" + std::to_string(i),
                        .failure_domain = "d" + std::to_string(i % 4),
--- a/utils/load_tool/load_tool.cc
+++ b/utils/load_tool/load_tool.cc
@@ -285,6 +285,7 @@
              double warmup) {
   totals sum;
   std::vector<const call_result*> ordered;
+  ordered.reserve(results.size());
   for (const call_result& result : results) {
     ordered.push_back(&result);
   }
