--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,9 @@
 	@bash utils/sources.sh | grep '\.cc$$' | xargs -P $$(nproc) -n 3 \
 	  clang-tidy --quiet -p $(BUILD)
 
+bench: build
+	@$(BUILD)/benchmarks/core_benchmark
+	@$(BUILD)/benchmarks/fleet_scale
+
 clean:
 	@rm -rf $(BUILD)
--- a/test/Scenario/world.cc
+++ b/test/Scenario/world.cc
@@ -204,6 +204,9 @@
 }
 
 void world::Do(world_host& host, const send_peer& action) {
+  if (peer_observer_) {
+    peer_observer_(action.message);
+  }
   for (auto& [name, other] : hosts_) {
     if (other.peer_address == action.to && !IsCut(host.name, name)) {
       FeedLater(kHop, name, other.incarnation,
--- a/test/Scenario/world.h
+++ b/test/Scenario/world.h
@@ -127,6 +127,10 @@
   time_point now() const { return now_; }
   /// Checks what must hold at the end of a scenario.
   void CheckEnd() const;
+  /// Is told of every message between hosts.
+  void SetPeerObserver(std::function<void(const peer_message&)> observer) {
+    peer_observer_ = std::move(observer);
+  }
   /// How often a host took a running one that was not frozen for dead.
   uint64_t false_deaths() const { return false_deaths_; }
   uint64_t platform_calls() const { return platform_.call_count(); }
@@ -216,6 +220,7 @@
   int lose_answers_ = 0;
   std::string version_ = "1";
   uint64_t false_deaths_ = 0;
+  std::function<void(const peer_message&)> peer_observer_;
 };
 
 }  // namespace cuminswitch
