--- a/include/cuminswitch/Routing/prefix_index.h
+++ b/include/cuminswitch/Routing/prefix_index.h
@@ -36,8 +36,6 @@
 
   /// Notes that \p holder has computed or used \p hash.
   void Touch(uint64_t hash, const prefix_holder& holder);
-  /// Notes that replica \p index does not hold \p hash.
-  void Remove(uint64_t hash, replica_index index);
   /// Returns who should hold \p hash; invalid after the next call.
   std::span<const prefix_holder> Find(uint64_t hash);
   /// Counts one use of \p hash by a request.
--- a/lib/Routing/prefix_index.cc
+++ b/lib/Routing/prefix_index.cc
@@ -60,16 +60,6 @@
                     }) = holder;
 }
 
-void prefix_index::Remove(uint64_t hash, replica_index index) {
-  entry* found = Promote(hash);
-  if (found == nullptr) {
-    return;
-  }
-  std::erase_if(found->holders, [index](const prefix_holder& item) {
-    return item.index == index;
-  });
-}
-
 std::span<const prefix_holder> prefix_index::Find(uint64_t hash) {
   const entry* found = Promote(hash);
   if (found == nullptr) {
