Report how fast the error budgets burn

cuminctl report gathers the daemons' histograms and gives, for the platform and each workspace, the burn rate of time to first token, time between tokens and answered share over a short window (while it watches) and a long one (since the daemons' start). The HTML page with plots is not built yet.

--- a/test/process/configuration.sh
+++ b/test/process/configuration.sh
@@ -26,6 +26,13 @@
 for port in "${CALLER_PORTS[@]}"; do
   wait_for 9 in_force "$port"
 done
+"$BUILD/utils/ask" --direct --daemon "127.0.0.1:${CALLER_PORTS[0]}" \
+  --credential example-newsagents --model reply --kilobytes 4 >/dev/null
+"$cuminctl" report --platform "$PLATFORM" --seconds 0 \
+  "${CALLER_PORTS[@]/#/127.0.0.1:}" >"$WORK/report"
+grep -q "^newsagents .*long\|^newsagents .*short" "$WORK/report" ||
+  fail "the report does not know the workspace: $(cat "$WORK/report")"
+
 "$BUILD/utils/fetch" "$PLATFORM" "/control?outage_ms=600000" - >/dev/null
 kill -9 "${DAEMON_PIDS[2]}"
 start_daemon 2
--- a/tools/cuminctl/cuminctl.cc
+++ b/tools/cuminctl/cuminctl.cc
@@ -36,6 +36,7 @@
     {"status", "Print what daemons see", &RunStatus},
     {"addresses", "Ask a daemon which hosts a workspace should use",
      &RunAddresses},
+    {"report", "Print how fast the error budgets burn", &RunReport},
     {"hash", "Print the digest of a credential, for a document", &RunHash},
 };
 
--- a/tools/cuminctl/daemon_commands.cc
+++ b/tools/cuminctl/daemon_commands.cc
@@ -1,12 +1,19 @@
 // Commands that ask daemons.
+#include <chrono>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "command.h"
 #include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/Config/configuration.h"
+#include "cuminswitch/Control/configuration_store.h"
 #include "cuminswitch/Net/blocking_http.h"
+#include "cuminswitch/Platform/blocking_platform.h"
+#include "cuminswitch/Report/burn_report.h"
+#include "cuminswitch/Report/metric_sample.h"
 
 namespace cuminswitch {
 namespace {
@@ -87,6 +94,43 @@
   return result;
 }
 
+int RunReport(const argument_list& arguments) {
+  std::string credential;
+  std::string platform;
+  int seconds = 10;
+  bool json = false;
+  option_parser parser("cuminctl report", "[OPTION...] ADDRESS...");
+  parser.AddString("credential", credential, "The operators' credential");
+  parser.AddString("platform", platform,
+                   "The platform service, for the objectives", "ADDRESS");
+  parser.AddInteger("seconds", seconds,
+                    "Length of the short window; the long one is since the "
+                    "daemons' start");
+  parser.AddFlag("json", json, "Print the report as JSON");
+  const argument_list addresses = parser.Parse(arguments);
+  const std::optional<endpoint> platform_address = ParseEndpoint(platform);
+  if (addresses.empty() || !platform_address || seconds < 0) {
+    throw usage_error(
+        "--platform, a positive --seconds and at least one "
+        "daemon's address:port are needed");
+  }
+  blocking_platform platform_access({.address = *platform_address});
+  const platform_spec objectives =
+      configuration_store(platform_access).Fetch().config.platform;
+  const auto sample = [&] {
+    metric_sample result;
+    for (const std::string& address : addresses) {
+      AddMetricsPage(Fetch(address, "/metrics", credential), result);
+    }
+    return result;
+  };
+  const metric_sample begin = sample();
+  std::this_thread::sleep_for(std::chrono::seconds(seconds));
+  const auto rows = ComputeBurn(objectives, begin, sample());
+  std::cout << (json ? WriteBurnJson(rows) : WriteBurnText(rows));
+  return kSuccess;
+}
+
 int RunAddresses(const argument_list& arguments) {
   std::string credential;
   option_parser parser("cuminctl addresses", "[OPTION...] ADDRESS");
