--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -210,9 +210,13 @@
                      });
 }
 
-static double DecayReport(time_point now, const replica& item) {
+/// Other daemons' waiting requests, the older the report the fewer.
+static double OthersWaiting(time_point now, const replica& item) {
+  if (item.others_waiting == 0) {
+    return 0;
+  }
   const double age = std::max(0.0, ToSeconds(now - item.reported_at));
-  return std::exp2(-age / kReportHalfLife);
+  return item.others_waiting * std::exp2(-age / kReportHalfLife);
 }
 
 bool replica_table::HasRoom(time_point now, const replica& item) {
@@ -262,8 +266,7 @@
 double replica_table::EstimateWaiting(time_point now,
                                       replica_index index) const {
   const replica& item = replicas_[index];
-  return item.waiting + item.queued_here +
-         item.others_waiting * DecayReport(now, item);
+  return item.waiting + item.queued_here + OthersWaiting(now, item);
 }
 
 double replica_table::EstimateQueueSeconds(time_point now,
@@ -271,8 +274,7 @@
   const replica& item = replicas_[index];
   // An engine's own count of waiting tokens would include what it has cached,
   // which made daemons flee from the replicas that served them best.
-  const double others =
-      item.others_waiting * item.computed_per_request * DecayReport(now, item);
+  const double others = OthersWaiting(now, item) * item.computed_per_request;
   return (item.pending_tokens + others) / item.prefill_rate;
 }
 
