--- a/benchmarks/core_benchmark.cc
+++ b/benchmarks/core_benchmark.cc
@@ -19,7 +19,7 @@
 
 constexpr size_t kWorkspaces = 8700;
 
-void BM_PlaceRequest(benchmark::State& state) {
+void PlaceRequest(benchmark::State& state) {
   const auto replicas = static_cast<size_t>(state.range(0));
   const time_point now{std::chrono::seconds(100)};
   configuration config;
@@ -61,7 +61,7 @@
     benchmark::DoNotOptimize(chosen);
   }
 }
-BENCHMARK(BM_PlaceRequest)->Arg(12)->Arg(100)->Arg(600);
+BENCHMARK(PlaceRequest)->Arg(12)->Arg(100)->Arg(600);
 
 configuration MakeLargeConfiguration() {
   configuration config;
@@ -75,17 +75,17 @@
   return config;
 }
 
-void BM_ParseWholeDocument(benchmark::State& state) {
+void ParseWholeDocument(benchmark::State& state) {
   const std::string text = WriteDocument(MakeLargeConfiguration());
   for (auto _ : state) {
     benchmark::DoNotOptimize(ParseDocument(text, "large"));
   }
   state.counters["bytes"] = static_cast<double>(text.size());
 }
-BENCHMARK(BM_ParseWholeDocument)->Unit(benchmark::kMillisecond);
+BENCHMARK(ParseWholeDocument)->Unit(benchmark::kMillisecond);
 
 /// What a daemon does for one changed workspace: one chunk, and the merge.
-void BM_AdoptOneChangedChunk(benchmark::State& state) {
+void AdoptOneChangedChunk(benchmark::State& state) {
   const std::vector<std::string> chunks = WriteChunks(MakeLargeConfiguration());
   std::vector<configuration> fragments;
   fragments.reserve(chunks.size());
@@ -103,9 +103,9 @@
   }
   state.counters["chunk_bytes"] = static_cast<double>(chunks[1].size());
 }
-BENCHMARK(BM_AdoptOneChangedChunk)->Unit(benchmark::kMillisecond);
+BENCHMARK(AdoptOneChangedChunk)->Unit(benchmark::kMillisecond);
 
-void BM_EncodeShardRecord(benchmark::State& state) {
+void EncodeShardRecord(benchmark::State& state) {
   shard_record record{.epoch = 1, .owner_host = "h"};
   for (uint64_t i = 0; i < static_cast<uint64_t>(state.range(0)); ++i) {
     record.entries.push_back({.key = {i, i}, .issued = i});
@@ -116,7 +116,7 @@
   }
   state.counters["bytes"] = static_cast<double>(size);
 }
-BENCHMARK(BM_EncodeShardRecord)->Arg(100)->Arg(1000)->Arg(20'000);
+BENCHMARK(EncodeShardRecord)->Arg(100)->Arg(1000)->Arg(20'000);
 
 }  // namespace
 }  // namespace cuminswitch
