--- a/include/cuminswitch/Config/document_diff.h
+++ b/include/cuminswitch/Config/document_diff.h
@@ -23,7 +23,8 @@
                                                 const configuration& after);
 
 /// Lists the places that both \p mine and \p theirs change from \p base, and
-/// that end differently: what an operator must settle by hand.
+/// that end differently: what an operator must settle by hand. In each,
+/// `before` is their text and `after` is mine.
 std::vector<document_change> FindConflicts(const configuration& base,
                                            const configuration& mine,
                                            const configuration& theirs);
--- a/lib/Net/http_call.cc
+++ b/lib/Net/http_call.cc
@@ -12,6 +12,8 @@
 #include <string>
 #include <utility>
 
+#include "timeval.h"
+
 namespace cuminswitch {
 
 static evhttp_cmd_type ToCommand(http_method method) {
@@ -26,13 +28,6 @@
   return EVHTTP_REQ_GET;
 }
 
-static timeval ToTimeval(std::chrono::milliseconds value) {
-  constexpr int64_t kMillisPerSecond = 1000;
-  return {.tv_sec = static_cast<time_t>(value.count() / kMillisPerSecond),
-          .tv_usec = static_cast<suseconds_t>(value.count() % kMillisPerSecond *
-                                              1000)};
-}
-
 http_call::http_call(http_client& client,
                      const http_call_options& opts,
                      http_call_handler& handler)
--- a/lib/Net/http_server.cc
+++ b/lib/Net/http_server.cc
@@ -13,6 +13,7 @@
 
 #include "cuminswitch/Net/bind_error.h"
 #include "cuminswitch/Net/http_exchange.h"
+#include "timeval.h"
 
 namespace cuminswitch {
 
@@ -23,13 +24,6 @@
 static constexpr uint32_t kContentTooLarge = 413;
 static constexpr uint32_t kHeadersTooLarge = 431;
 
-static timeval ToTimeval(std::chrono::milliseconds value) {
-  constexpr int64_t kMillisPerSecond = 1000;
-  return {.tv_sec = static_cast<time_t>(value.count() / kMillisPerSecond),
-          .tv_usec = static_cast<suseconds_t>(value.count() % kMillisPerSecond *
-                                              1000)};
-}
-
 /// The library's callbacks.
 struct http_server::hooks {
   static evhtp_res OnHeader(evhtp_request_t* request,
--- a/lib/Net/loop_timer.cc
+++ b/lib/Net/loop_timer.cc
@@ -5,14 +5,9 @@
 #include <memory>
 #include <utility>
 
-namespace cuminswitch {
+#include "timeval.h"
 
-static timeval ToTimeval(std::chrono::microseconds value) {
-  constexpr int64_t kMicrosPerSecond = 1'000'000;
-  return {
-      .tv_sec = static_cast<time_t>(value.count() / kMicrosPerSecond),
-      .tv_usec = static_cast<suseconds_t>(value.count() % kMicrosPerSecond)};
-}
+namespace cuminswitch {
 
 loop_timer::loop_timer(event_base* base, std::function<void()> on_fire)
     : on_fire_(std::move(on_fire)) {
