Clear the callback that a slow caller's exchange kept of its relay

Cause: a relay whose caller was slow left a callback in the exchange, which lives on until the caller has taken the last bytes; the callback then used the relay after its end.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # `make demo` and `make check` do all that they need, packages included.
 BUILD ?= build
 
-.PHONY: all setup build check demo format format-check lint bench clean generate
+.PHONY: all setup build check demo format format-check lint bench sanitize clean generate
 
 all: build
 
@@ -15,6 +15,15 @@
 check: build
 	@ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# The tests that own sockets and callbacks, under the address sanitizer.
+SANITIZED = daemon_test net_test once_test core_test scenario_test
+sanitize: setup
+	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DCUMINSWITCH_SANITIZE=ON >/dev/null
+	@ninja -C $(BUILD)-sanitize $(SANITIZED)
+	@for test in $(SANITIZED); do \
+	  ASAN_OPTIONS=detect_leaks=0 $$(find $(BUILD)-sanitize -name $$test -type f) \
+	    --gtest_brief=1 || exit 1; done
+
 demo: build
 	@BUILD=$(BUILD) bash utils/demo.sh
 
--- a/lib/Daemon/request_relay.cc
+++ b/lib/Daemon/request_relay.cc
@@ -30,7 +30,11 @@
 request_relay::request_relay(options opts, relay_observer& observer)
     : options_(std::move(opts)), observer_(observer) {}
 
-request_relay::~request_relay() = default;
+request_relay::~request_relay() {
+  // The exchange lives on until the caller has taken the last bytes, and would
+  // call back into this object.
+  options_.caller->SetOnDrained(nullptr);
+}
 
 void request_relay::Dispatch(const dispatch_attempt& action,
                              http_client& client) {
