Shed nothing before a drain rate is known

Cause: without a completion the drain rate counted as 0.1/s, so one request ahead was a wait of 10 s. Ruled out: too short streams (made longer, failed all the same). The test of hopeless waits now measures a rate first and asserts the same; a new one covers the start.

--- a/include/cuminswitch/Admission/drain_meter.h
+++ b/include/cuminswitch/Admission/drain_meter.h
@@ -14,6 +14,8 @@
 class drain_meter {
  public:
   void OnCompletion(time_point now);
+  /// Whether any completion has been seen.
+  bool HasMeasured() const { return started_; }
   /// Returns completions per second, at least a small positive number.
   double RatePerSecond(time_point now) const;
 
--- a/test/process/graceful_stop.sh
+++ b/test/process/graceful_stop.sh
@@ -4,7 +4,8 @@
 # Cause: a daemon that closes its connections before its streams have ended.
 source "$(dirname "$0")/harness.sh"
 TIME_TO_LIVE=1
-ENGINE_OPTIONS="--decode-ms 150"
+# Long enough for all four streams to be seen running on a busy machine.
+ENGINE_OPTIONS="--decode-ms 400"
 
 start_cluster 2 "$SOURCE/examples/sneachta.toml" east-1 east-2
 asks=()
@@ -18,7 +19,8 @@
   "$BUILD/tools/cuminctl" status "127.0.0.1:${CALLER_PORTS[0]}" |
     grep -q "running=4"
 }
-wait_for 10 running
+wait_for 10 running || fail "not all streams run: $("$BUILD/tools/cuminctl" status \
+  "127.0.0.1:${CALLER_PORTS[0]}") $(tail -n 3 "$WORK"/ask-*)"
 kill -TERM "${DAEMON_PIDS[0]}"
 for pid in "${asks[@]}"; do
   wait "$pid" || fail "a stream was cut off: $(cat "$WORK"/ask-*)"
--- a/unittests/Core/request_router_test.cc
+++ b/unittests/Core/request_router_test.cc
@@ -171,10 +171,23 @@
   EXPECT_GT(answer->retry_after_seconds, 0U);
 }
 
+// Symptom: a host that has just started refuses requests for "too many
+// waiting". Sequence: a few requests come before the first request has ended.
+// Cause: without a measured rate the wait was taken for very long.
+TEST_F(request_router_test, NothingIsShedBeforeARateIsKnown) {
+  for (request_id id = 1; id <= 10; ++id) {
+    Arrive(id, "v", std::chrono::seconds(5));
+  }
+  EXPECT_EQ(router_.counters().shed, 0U);
+  EXPECT_FALSE(Take<answer_request>());
+}
+
 // Symptom: callers wait until their deadline for an answer that was never to
 //   come.
 // Cause: a queue longer than the deadline is joined instead of refused.
 TEST_F(request_router_test, HopelessWaitIsRefusedAtOnce) {
+  Arrive(100);
+  End(Take<dispatch_attempt>()->attempt, outcome::kAnswered, true);
   for (request_id id = 1; id <= 4; ++id) {
     Arrive(id);
   }
