--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -125,6 +125,8 @@
   void SendStartRequest(time_point now, request& item, action_list& out);
   /// Gives up on starts that are late or that nobody can grant.
   void ExpireStarts(time_point now, action_list& out);
+  bool IsStartOver(time_point now, const request& item) const;
+  void RefuseLateStart(request_id id, action_list& out);
   /// Whether nobody can grant the start and nobody will before the platform
   /// answers again.
   bool IsStartHopeless(const request& item) const;
--- a/include/cuminswitch/Once/shard_keeper.h
+++ b/include/cuminswitch/Once/shard_keeper.h
@@ -52,7 +52,6 @@
   /// Hands every shard back; `OwnedShards` becomes empty as that succeeds.
   void HandBackAll(uint64_t unix_now, action_list& out);
 
-  shard_number ShardOf(const key_hash& key) const;
   std::vector<shard_number> OwnedShards() const;
   bool Owns(shard_number shard) const;
   uint64_t CountWrites() const;
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -136,13 +136,19 @@
   item.start_deadline = std::min(item.deadline, now + options_.start_timeout);
   item.key = Hash128(event.idempotency_key, item.workspace_hash);
   SendStartRequest(now, item, out);
-  ExpireStarts(now, out);
+  if (IsStartOver(now, item)) {
+    RefuseLateStart(event.request, out);
+  }
 }
 
 shard_number request_router::ShardOf(const request& item) const {
   return static_cast<shard_number>(item.key.high % options_.shard_count);
 }
 
+bool request_router::IsStartOver(time_point now, const request& item) const {
+  return now >= item.start_deadline || IsStartHopeless(item);
+}
+
 bool request_router::IsStartHopeless(const request& item) const {
   return !platform_reachable_ && members_.FindOwner(ShardOf(item)) == nullptr;
 }
@@ -293,8 +299,12 @@
 double request_router::EstimateWaitSeconds(time_point now,
                                            const request& item) const {
   const auto meter = meters_.find(item.info.target);
-  const double rate = meter == meters_.end() ? drain_meter().RatePerSecond(now)
-                                             : meter->second.RatePerSecond(now);
+  // A daemon that has just started knows no rate. Taking it for slow would
+  // refuse requests that only wait for the first load reports.
+  if (meter == meters_.end() || !meter->second.HasMeasured()) {
+    return 0;
+  }
+  const double rate = meter->second.RatePerSecond(now);
   const auto ahead = static_cast<double>(queue_.CountAhead(MakeWaiting(item)));
   return ahead / rate;
 }
@@ -653,21 +663,25 @@
     if (item.at != stage::kStarting) {
       continue;
     }
-    if (now >= item.start_deadline || IsStartHopeless(item)) {
+    if (IsStartOver(now, item)) {
       late.push_back(id);
     } else if (now >= item.next_start_request) {
       SendStartRequest(now, item, out);
     }
   }
   for (const request_id id : late) {
-    Refuse(id,
-           {.status = kUnavailable,
-            .retry_after_seconds = kStartRetrySeconds,
-            .message = "the start could not be recorded in time"},
-           out);
+    RefuseLateStart(id, out);
   }
 }
 
+void request_router::RefuseLateStart(request_id id, action_list& out) {
+  Refuse(id,
+         {.status = kUnavailable,
+          .retry_after_seconds = kStartRetrySeconds,
+          .message = "the start could not be recorded in time"},
+         out);
+}
+
 void request_router::OnTick(time_point now, action_list& out) {
   replicas_.SetFleetSize(members_.CountServing());
   for (const waiting_request& expired : queue_.TakeExpired(now)) {
--- a/lib/Once/shard_keeper.cc
+++ b/lib/Once/shard_keeper.cc
@@ -23,10 +23,6 @@
   }
 }
 
-shard_number shard_keeper::ShardOf(const key_hash& key) const {
-  return static_cast<shard_number>(key.high % options_.shard_count);
-}
-
 bool shard_keeper::Owns(shard_number shard) const {
   return shard < slots_.size() && slots_[shard].ledger.is_owned();
 }
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -72,19 +72,26 @@
   const home_list homes = RankHomes(query, shared.hash);
   // Only homes are believed. A copy elsewhere, made in a moment of pressure,
   // would keep drawing requests and push other prefixes out of that cache.
+  static_assert(kHomePrior.size() == kHomes);
+  std::array<double, kHomes> tokens{};
   for (size_t rank = 0; rank < homes.count; ++rank) {
-    const replica_index home = homes.indices[rank];
-    double tokens = kHomePrior[rank] * shared.tokens;
-    for (const prefix_level& level : query.levels) {
-      for (const prefix_holder& holder : query.prefixes.Find(level.hash)) {
-        if (holder.index == home) {
-          tokens = std::max(tokens, EstimateHit(query, holder) * level.tokens);
+    tokens[rank] = kHomePrior[rank] * shared.tokens;
+  }
+  for (const prefix_level& level : query.levels) {
+    for (const prefix_holder& holder : query.prefixes.Find(level.hash)) {
+      for (size_t rank = 0; rank < homes.count; ++rank) {
+        if (holder.index == homes.indices[rank]) {
+          tokens[rank] =
+              std::max(tokens[rank], EstimateHit(query, holder) * level.tokens);
         }
       }
     }
-    const auto found =
-        std::lower_bound(query.eligible.begin(), query.eligible.end(), home);
-    expected_[static_cast<size_t>(found - query.eligible.begin())] = tokens;
+  }
+  for (size_t rank = 0; rank < homes.count; ++rank) {
+    const auto found = std::lower_bound(
+        query.eligible.begin(), query.eligible.end(), homes.indices[rank]);
+    expected_[static_cast<size_t>(found - query.eligible.begin())] =
+        tokens[rank];
   }
 }
 
--- a/utils/ask/ask.cc
+++ b/utils/ask/ask.cc
@@ -4,7 +4,6 @@
 #include <event2/event.h>
 
 #include <chrono>
-#include <exception>
 #include <iomanip>
 #include <iostream>
 #include <memory>
@@ -12,6 +11,7 @@
 #include <optional>
 
 #include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/CommandLine/program.h"
 #include "cuminswitch/Daemon/answer_reader.h"
 #include "cuminswitch/Net/blocking_http.h"
 #include "cuminswitch/Net/http_call.h"
@@ -140,10 +140,5 @@
 }  // namespace cuminswitch
 
 int main(int argc, char** argv) {
-  try {
-    return cuminswitch::Main(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << "ask: " << error.what() << "\n";
-    return 1;
-  }
+  return cuminswitch::RunProgram("ask", &cuminswitch::Main, argc, argv);
 }
--- a/utils/engine_stand_in/engine_stand_in.cc
+++ b/utils/engine_stand_in/engine_stand_in.cc
@@ -20,13 +20,12 @@
 #include <charconv>
 #include <chrono>
 #include <deque>
-#include <exception>
-#include <iostream>
 #include <list>
 
 #include "StandIn/prefix_cache.h"
 #include "StandIn/stand_in_main.h"
 #include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/CommandLine/program.h"
 #include "cuminswitch/Net/http_exchange.h"
 #include "cuminswitch/Net/loop_timer.h"
 #include "cuminswitch/Support/hash.h"
@@ -401,10 +400,6 @@
 }  // namespace cuminswitch
 
 int main(int argc, char** argv) {
-  try {
-    return cuminswitch::Main(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << "engine_stand_in: " << error.what() << "\n";
-    return 1;
-  }
+  return cuminswitch::RunProgram("engine_stand_in", &cuminswitch::Main, argc,
+                                 argv);
 }
--- a/utils/load_tool/load_tool.cc
+++ b/utils/load_tool/load_tool.cc
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
-#include <exception>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -17,6 +16,7 @@
 #include <sstream>
 
 #include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/CommandLine/program.h"
 #include "cuminswitch/Net/blocking_http.h"
 #include "cuminswitch/Net/loop_timer.h"
 #include "load_tool/caller.h"
@@ -452,10 +452,5 @@
 }  // namespace cuminswitch
 
 int main(int argc, char** argv) {
-  try {
-    return cuminswitch::Main(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << "load_tool: " << error.what() << "\n";
-    return 1;
-  }
+  return cuminswitch::RunProgram("load_tool", &cuminswitch::Main, argc, argv);
 }
