--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 
 # Regenerates the committed code; needs the package flatbuffers-compiler.
 generate:
-	@flatc --cpp -o generated lib/Wire/peer.fbs lib/Records/records.fbs
+	@flatc --cpp -o generated lib/Wire/peer.fbs lib/Records/records.fbs \
+	  lib/Fleet/fleet.fbs
 
 format:
 	@bash utils/sources.sh | xargs clang-format -i
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -26,7 +26,7 @@
 
 namespace cuminswitch {
 
-class member_table;
+class shard_directory;
 
 /// Admits requests, asks for the start of those that may run only once,
 /// places them, retries them where that is safe, and ends each with the
@@ -42,10 +42,15 @@
     shard_number shard_count = 16;
     /// How long the start of a non-repeatable request may take.
     duration start_timeout = std::chrono::seconds(5);
+    /// For each target by itself.
     retry_budget::options retries;
+    replica_table::options replicas;
+    /// Refuse at once what no upstream can take now; otherwise it waits for
+    /// one until its time is over.
+    bool refuse_without_upstream = false;
   };
 
-  request_router(const options& opts, const member_table& members);
+  request_router(const options& opts, const shard_directory& members);
 
   void OnConfiguration(time_point now,
                        std::shared_ptr<const configuration> config,
@@ -61,6 +66,8 @@
   void OnUpstreamReport(time_point now,
                         const upstream_report& report,
                         action_list& out);
+  void OnUpstreamLoad(time_point now, const upstream_load& load);
+  void OnUpstreamChanging(const upstream_changing& event);
   void OnStartReply(time_point now, const start_reply& reply, action_list& out);
   void OnTick(time_point now, action_list& out);
   /// Whether the platform answered the last call. While it does not, a shard
@@ -110,6 +117,9 @@
     epoch_number epoch = 0;
     key_hash key;
     std::vector<replica_index> excluded;
+    /// Attempts that reached an upstream, and those that may have run.
+    uint32_t arrivals = 0;
+    uint32_t runs = 0;
     std::optional<attempt> running;
   };
 
@@ -118,10 +128,13 @@
     uint32_t status = 503;
     uint32_t retry_after_seconds = 0;
     std::string message;
+    duration retry_after{0};
   };
 
   std::optional<refusal> Check(const request& item) const;
   void PrepareLevels(request& item) const;
+  /// Tells apart the caches that must not meet: pools, targets, weights.
+  static uint64_t CacheScope(const request& item, std::string_view version);
   void SendStartRequest(time_point now, request& item, action_list& out);
   /// Gives up on starts that are late or that nobody can grant.
   void ExpireStarts(time_point now, action_list& out);
@@ -157,20 +170,26 @@
                     action_list& out) const;
   void Erase(request_id id);
   std::span<const std::string> AllowedDomains(const request& item) const;
+  priority_class PriorityOf(const request& item) const;
+  retry_budget& BudgetOf(const std::string& target);
+  bool MayRunAgain(const request& item, const attempt_ended& event) const;
+  bool HasUpstream(time_point now, const request& item) const;
   uint32_t EstimateRetryAfter(time_point now, const request& item) const;
   double EstimateWaitSeconds(time_point now, const request& item) const;
   waiting_request MakeWaiting(const request& item) const;
   double ReuseWeight(const request& item) const;
 
   options options_;
-  const member_table& members_;
+  const shard_directory& members_;
   std::shared_ptr<const configuration> config_;
   std::unique_ptr<placement_policy> policy_;
   replica_table replicas_;
   prefix_index prefixes_;
   wait_queue queue_;
   workspace_limiter limiter_;
-  retry_budget retries_;
+  std::map<std::string, retry_budget, std::less<>> retries_;
+  /// The largest fleet seen; the part of a daemon that is away may be spent.
+  size_t largest_fleet_ = 1;
   std::map<std::string, drain_meter, std::less<>> meters_;
   std::unordered_map<request_id, request> requests_;
   std::unordered_map<attempt_id, request_id> attempts_;
--- /dev/null
+++ b/include/cuminswitch/Edge/attempt_verdict.h
@@ -0,0 +1,62 @@
+/// \file
+/// What an attempt's end means for its request.
+#ifndef CUMINSWITCH_EDGE_ATTEMPT_VERDICT_H_
+#define CUMINSWITCH_EDGE_ATTEMPT_VERDICT_H_
+
+#include <cstdint>
+
+#include "cuminswitch/Support/outcome.h"
+
+namespace cuminswitch {
+
+/// What came back from an upstream.
+enum class attempt_answer : uint8_t {
+  /// A whole answer of success, signed and for this attempt.
+  kSuccess,
+  /// A whole, signed answer of failure after a run.
+  kFailure,
+  /// The upstream states that it did not run the request.
+  kRefused,
+  /// Another upstream than was meant, or other weights: not run.
+  kMismatch,
+  /// No connection came about.
+  kNotConnected,
+  /// The connection broke before the answer was whole.
+  kBroken,
+  /// Something that is no answer to this attempt.
+  kForeign,
+};
+
+/// How much of the answer the caller already has.
+enum class answer_progress : uint8_t { kNothing, kBegun };
+
+/// What to do about it.
+enum class verdict_action : uint8_t {
+  /// The caller gets this answer.
+  kHandOn,
+  /// Another upstream may be asked; if none can be, the caller gets this
+  /// answer.
+  kPlaceAgainOrHandOn,
+  /// Another upstream may be asked; if none can be, the caller is told what is
+  /// known.
+  kPlaceAgain,
+  /// The caller is told that the end is not known.
+  kTellUnknown,
+  /// The caller's connection ends, so that the answer cannot pass for whole.
+  kCutOff,
+};
+
+struct attempt_verdict {
+  outcome result = outcome::kUnknown;
+  verdict_action action = verdict_action::kTellUnknown;
+};
+
+/// Judges an attempt. \p may_repeat says that the request may run again, for a
+/// stream that it may go on elsewhere after its last event.
+attempt_verdict JudgeAttempt(attempt_answer answer,
+                             answer_progress progress,
+                             bool may_repeat);
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_EDGE_ATTEMPT_VERDICT_H_
--- /dev/null
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -0,0 +1,44 @@
+/// \file
+/// Counts and times of the requests that a daemon serves on the platform.
+#ifndef CUMINSWITCH_EDGE_EDGE_METRICS_H_
+#define CUMINSWITCH_EDGE_EDGE_METRICS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "cuminswitch/Core/core_status.h"
+#include "cuminswitch/Metrics/latency_histogram.h"
+#include "cuminswitch/Support/outcome.h"
+
+namespace cuminswitch {
+
+/// Bounded: routes come from the configuration, reasons from this program.
+class edge_metrics {
+ public:
+  void CountEnd(const std::string& route,
+                outcome result,
+                std::string_view reason,
+                double seconds);
+  void CountFirstByte(const std::string& route, double seconds);
+  /// Answers of our own to what is no request of any route.
+  void CountRejected(uint32_t status) { ++rejected_[status]; }
+  std::string Write(const core_status& status,
+                    uint64_t log_lines_dropped,
+                    uint64_t upstream_connections) const;
+
+ private:
+  struct route_metrics {
+    std::map<std::string, uint64_t> ends;
+    latency_histogram duration;
+    latency_histogram first_byte;
+  };
+
+  std::map<std::string, route_metrics> routes_;
+  std::map<uint32_t, uint64_t> rejected_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_EDGE_EDGE_METRICS_H_
--- /dev/null
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -0,0 +1,128 @@
+/// \file
+/// The task that serves callers on the platform.
+#ifndef CUMINSWITCH_EDGE_EDGE_TASK_H_
+#define CUMINSWITCH_EDGE_EDGE_TASK_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cuminswitch/Core/request_router.h"
+#include "cuminswitch/Edge/edge_metrics.h"
+#include "cuminswitch/Edge/edge_protocol.h"
+#include "cuminswitch/Edge/request_flow.h"
+#include "cuminswitch/Fleet/fleet_message.h"
+#include "cuminswitch/Http1/caller_server.h"
+#include "cuminswitch/Http1/upstream_pool.h"
+#include "cuminswitch/Kernel/loop_task.h"
+#include "cuminswitch/Protocol/shard_directory.h"
+
+namespace cuminswitch {
+
+class event_log;
+class kernel;
+
+/// What the edge is told.
+using edge_message = fleet_news;
+
+/// Reads requests, lets the router decide, and carries its decisions out. The
+/// router runs in this task: a decision is a call, not a message.
+class edge_task : public loop_task<edge_message>,
+                  public caller_handler,
+                  public flow_owner,
+                  public shard_directory {
+ public:
+  struct options {
+    daemon_record self;
+    /// Repeats that the fleet may send to a service: a share of its requests,
+    /// and a number in each window.
+    double retry_share = 0.2;
+    double retry_burst = 50;
+    /// How long engines with older weights may begin requests.
+    duration old_weights_time = std::chrono::seconds(6);
+    /// A stopping daemon has ended by then.
+    duration grace = std::chrono::seconds(8);
+  };
+  struct parts {
+    const edge_protocol& protocol;
+    event_log& log;
+    /// Called when a graceful stop is complete.
+    std::function<void()> on_stopped;
+  };
+
+  edge_task(event_base* base,
+            const kernel& services,
+            const options& opts,
+            const parts& with);
+  ~edge_task() override;
+
+  std::string_view Name() const override { return kEdgeService; }
+  void Start() override;
+  void Stop() override;
+
+  /// Leaves the address answers, goes on serving, and ends in time.
+  void BeginStop();
+  bool IsReady() const;
+  /// The callers' addresses of the daemons that take requests.
+  std::vector<daemon_record> ListServing() const;
+  std::string WriteMetrics() const;
+
+ protected:
+  void Receive(edge_message message) override;
+
+ private:
+  void OnRequest(caller_exchange& exchange) override;
+  void OnFlowEvent(core_event event) override;
+  void OnFlowLoad(const std::string& upstream, const told_load& load) override;
+  void OnFlowMismatch(const std::string& upstream) override;
+  void OnFlowEnd(request_flow& flow, const flow_end& end) override;
+  const member* FindOwner(shard_number shard) const override;
+  size_t CountServing() const override;
+
+  void Take(const knowledge_changed& news);
+  void Take(const peers_changed& news);
+  void Take(const weights_changing& news);
+
+  /// Answers what is not forwarded; returns the status that it got, or 0.
+  uint32_t CheckRequest(const caller_request& request,
+                        const route_spec*& route,
+                        const workspace_plan*& workspace) const;
+  void BeginFlow(caller_exchange& exchange,
+                 caller_request request,
+                 const route_spec& route,
+                 const workspace_plan* workspace);
+  request_arrived DescribeArrival(const request_flow::options& flow,
+                                  const workspace_plan* workspace) const;
+  void HandToRouter(time_point now, const core_event& event);
+  void Perform(time_point now, action_list actions);
+  void Perform(time_point now, const dispatch_attempt& action);
+  request_flow* FindFlow(request_id id) const;
+  void OnTick();
+  void OnStopTick();
+  void LogEnd(const request_flow& flow, const flow_end& end) const;
+
+  const kernel& services_;
+  options options_;
+  parts with_;
+  request_router router_;
+  upstream_pool pool_;
+  std::unique_ptr<caller_server> server_;
+  loop_timer tick_timer_;
+  loop_timer stop_timer_;
+  std::shared_ptr<const fleet_knowledge> knowledge_;
+  std::vector<daemon_record> peers_;
+  std::vector<std::string> changing_;
+  size_t fleet_size_ = 1;
+  std::unordered_map<request_id, std::unique_ptr<request_flow>> flows_;
+  request_id next_request_ = 0;
+  edge_metrics metrics_;
+  bool is_stopping_ = false;
+  time_point stopping_since_{};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_EDGE_EDGE_TASK_H_
--- /dev/null
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -0,0 +1,143 @@
+/// \file
+/// The I/O of one caller's request.
+#ifndef CUMINSWITCH_EDGE_REQUEST_FLOW_H_
+#define CUMINSWITCH_EDGE_REQUEST_FLOW_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cuminswitch/Edge/attempt_verdict.h"
+#include "cuminswitch/Edge/edge_protocol.h"
+#include "cuminswitch/Edge/event_splitter.h"
+#include "cuminswitch/Fleet/route_plan.h"
+#include "cuminswitch/Http1/caller_exchange.h"
+#include "cuminswitch/Http1/upstream_call.h"
+#include "cuminswitch/Net/loop_timer.h"
+#include "cuminswitch/Protocol/core_action.h"
+#include "cuminswitch/Protocol/core_event.h"
+
+struct event_base;
+
+namespace cuminswitch {
+
+class request_flow;
+class upstream_pool;
+
+/// How a request ended for its caller, for logs and counts.
+struct flow_end {
+  outcome result = outcome::kUnknown;
+  /// 0 when the connection was cut.
+  uint32_t status = 0;
+  std::string_view reason;
+};
+
+/// Takes what a flow has to tell. A flow may be destroyed only from the loop.
+class flow_owner {
+ public:
+  virtual ~flow_owner() = default;
+  virtual void OnFlowEvent(core_event event) = 0;
+  virtual void OnFlowLoad(const std::string& upstream,
+                          const told_load& load) = 0;
+  virtual void OnFlowMismatch(const std::string& upstream) = 0;
+  virtual void OnFlowEnd(request_flow& flow, const flow_end& end) = 0;
+};
+
+/// Carries out what the router decides about one request: sends attempts, and
+/// brings the caller an answer that is whole, or visibly is not.
+class request_flow : private caller_listener, private upstream_handler {
+ public:
+  struct options {
+    request_id id = 0;
+    caller_exchange* exchange = nullptr;
+    caller_request request;
+    /// Kept alive with the flow.
+    std::shared_ptr<const route_plan> plan;
+    const route_spec* route = nullptr;
+    std::string workspace;
+    uint32_t rank = 0;
+    bool uses_cache = false;
+    time_point arrived{};
+    /// When the request is given up on.
+    time_point deadline{};
+  };
+  struct parts {
+    event_base* base;
+    upstream_pool& pool;
+    const edge_protocol& protocol;
+    flow_owner& owner;
+  };
+
+  request_flow(options opts, const parts& with);
+  ~request_flow() override;
+
+  /// Begins to wait for the deadline and the caller.
+  void Start();
+  void Dispatch(time_point now, const dispatch_attempt& action);
+  /// The router has no further upstream for it.
+  void GiveUp(const answer_request& action);
+  /// Stops the present attempt.
+  void CancelAttempt();
+
+  request_id id() const { return options_.id; }
+  attempt_id attempt() const { return attempt_; }
+  bool has_ended() const { return has_ended_; }
+  const caller_request& request() const { return options_.request; }
+  const route_spec& route() const { return *options_.route; }
+  const std::string& workspace() const { return options_.workspace; }
+  const std::string& upstream() const { return upstream_; }
+  time_point arrived() const { return options_.arrived; }
+  std::optional<time_point> first_byte_at() const { return first_byte_at_; }
+
+ private:
+  void OnCallerGone() override;
+  void OnCallerDrained() override;
+  void OnAnswerHead(const message_head& head) override;
+  void OnAnswerBody(std::string_view data) override;
+  void OnCallEnd(call_end end) override;
+
+  void OnDeadline();
+  bool MayRepeat() const;
+  attempt_answer Classify(call_end end) const;
+  void Judge(attempt_answer answer);
+  void TellRouter(attempt_answer answer, const attempt_verdict& verdict);
+  bool IsForwarding() const;
+  void Forward(std::string_view data);
+  void SendAnswerHead(std::optional<uint64_t> length);
+  void DeliverWhole();
+  void DeliverKept();
+  void ReplyOwn(uint32_t status,
+                outcome result,
+                std::string_view reason,
+                duration retry_after);
+  void CutOff(std::string_view reason);
+  void End(const flow_end& end);
+
+  /// An answer of the present attempt.
+  struct answer_state {
+    message_head head;
+    answer_attributes attributes;
+    std::string body;
+    bool has_head = false;
+  };
+
+  options options_;
+  parts with_;
+  loop_timer timer_;
+  attempt_id attempt_ = 0;
+  std::string upstream_;
+  std::unique_ptr<upstream_call> call_;
+  answer_state answer_;
+  /// A failure that the caller gets if no other attempt succeeds.
+  std::optional<answer_state> kept_failure_;
+  event_splitter splitter_;
+  std::optional<time_point> first_byte_at_;
+  bool is_head_sent_ = false;
+  bool is_paused_ = false;
+  bool has_ended_ = false;
+  bool may_have_run_ = false;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_EDGE_REQUEST_FLOW_H_
--- /dev/null
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -0,0 +1,47 @@
+/// \file
+/// Messages that the fleet task takes and sends.
+#ifndef CUMINSWITCH_FLEET_FLEET_MESSAGE_H_
+#define CUMINSWITCH_FLEET_FLEET_MESSAGE_H_
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cuminswitch/Fleet/fleet_knowledge.h"
+#include "cuminswitch/Fleet/peer_frame.h"
+
+namespace cuminswitch {
+
+/// The daemon stops: peers are told at once.
+struct fleet_stop_requested {};
+/// Whether the daemon takes callers.
+struct readiness_changed {
+  bool is_ready = false;
+};
+using fleet_message = std::variant<fleet_stop_requested, readiness_changed>;
+
+/// What is known of the deployment changed.
+struct knowledge_changed {
+  std::shared_ptr<const fleet_knowledge> knowledge;
+};
+/// The living peers, or what they say of themselves, changed.
+struct peers_changed {
+  std::vector<daemon_record> living;
+  /// Daemons of the deployment, dead ones and this one included.
+  size_t known = 1;
+};
+/// The upstreams whose weights are being changed just now.
+struct weights_changing {
+  std::vector<std::string> upstreams;
+};
+using fleet_news =
+    std::variant<knowledge_changed, peers_changed, weights_changing>;
+
+/// The names of the services, for the kernel's registry.
+inline constexpr std::string_view kFleetService = "fleet";
+inline constexpr std::string_view kEdgeService = "edge";
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_FLEET_MESSAGE_H_
--- /dev/null
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -0,0 +1,110 @@
+/// \file
+/// The task that knows the deployment.
+#ifndef CUMINSWITCH_FLEET_FLEET_TASK_H_
+#define CUMINSWITCH_FLEET_FLEET_TASK_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cuminswitch/Fleet/fleet_message.h"
+#include "cuminswitch/Fleet/item_feed.h"
+#include "cuminswitch/Fleet/leader_election.h"
+#include "cuminswitch/Fleet/peer_roster.h"
+#include "cuminswitch/Fleet/weights_rollout.h"
+#include "cuminswitch/Kernel/loop_task.h"
+#include "cuminswitch/Net/peer_transport.h"
+
+namespace cuminswitch {
+
+class engine_control;
+class event_log;
+class kernel;
+
+/// Follows the store, talks to peers, and, while it leads, brings engines to
+/// the wanted weights. Its news go to the edge.
+class fleet_task : public loop_task<fleet_message>, public peer_frame_handler {
+ public:
+  struct options {
+    daemon_record self;
+    std::vector<endpoint> seeds;
+    /// Where this daemon lists itself, and where leaders hold their lease.
+    std::string daemons_prefix;
+    std::string leader_key;
+    /// No two leaders may send orders within this time of each other.
+    duration leader_gap = std::chrono::seconds(3);
+  };
+  /// What the task works with; all of it outlives the task.
+  struct parts {
+    item_store& store;
+    knowledge_decoder& decoder;
+    engine_control& engines;
+    event_log& log;
+  };
+
+  fleet_task(event_base* base,
+             const kernel& services,
+             options opts,
+             const parts& with);
+
+  std::string_view Name() const override { return kFleetService; }
+  void Start() override;
+  void Stop() override;
+
+ protected:
+  void Receive(fleet_message message) override;
+
+ private:
+  bool OnFrame(std::span<const uint8_t> frame) override;
+  void OnBeat(const beat_frame& beat);
+  void OnItemsRequest(const items_request_frame& request);
+
+  void OnTick();
+  void OnItemsChanged();
+  void Publish(std::shared_ptr<const fleet_knowledge> decoded);
+  /// Keeps upstreams whose entry went with the store's trouble.
+  void KeepLapsed(time_point now, fleet_knowledge& knowledge);
+  void RegisterSelf();
+  void SendBeat(const endpoint& to);
+  void Announce();
+  void AskPeers(time_point now);
+  void PublishPeers(time_point now);
+  void PublishChanging();
+  void RunRollout(time_point now);
+  void Perform(const rollout_step& step);
+  void OnEngineReport(const rollout_step& step,
+                      const std::optional<engine_report>& report);
+
+  /// An upstream that is missing from the store.
+  struct lapsed_upstream {
+    upstream_entry entry;
+    time_point until{};
+  };
+
+  const kernel& services_;
+  options options_;
+  parts with_;
+  peer_roster roster_;
+  item_feed feed_;
+  leader_election election_;
+  weights_rollout rollout_;
+  std::unique_ptr<peer_transport> transport_;
+  loop_timer beat_timer_;
+  loop_timer rollout_timer_;
+  std::shared_ptr<const fleet_knowledge> decoded_;
+  std::shared_ptr<const fleet_knowledge> knowledge_;
+  std::vector<lapsed_upstream> lapsed_;
+  std::vector<std::string> leader_changing_;
+  std::vector<std::string> published_changing_;
+  time_point leader_changing_at_{};
+  std::vector<std::string> published_peers_;
+  time_point asked_at_{};
+  time_point next_registration_{};
+  bool is_registering_ = false;
+  bool is_registered_ = false;
+  bool was_leading_ = false;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_FLEET_TASK_H_
--- /dev/null
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -0,0 +1,64 @@
+/// \file
+/// Keeps a view of the store's items up to date.
+#ifndef CUMINSWITCH_FLEET_ITEM_FEED_H_
+#define CUMINSWITCH_FLEET_ITEM_FEED_H_
+
+#include <functional>
+#include <memory>
+
+#include "cuminswitch/Fleet/item_store.h"
+#include "cuminswitch/Net/loop_timer.h"
+#include "cuminswitch/Support/time.h"
+
+struct event_base;
+
+namespace cuminswitch {
+
+class event_log;
+struct items_reply_frame;
+
+/// Reads everything once, then follows the changes; begins anew when the store
+/// has dropped the history in between.
+class item_feed {
+ public:
+  item_feed(event_base* base,
+            item_store& store,
+            event_log& log,
+            std::function<void()> on_change);
+  ~item_feed();
+
+  void Start();
+  /// Takes in items that a peer sent.
+  void OnPeerItems(const items_reply_frame& reply);
+  const item_view& view() const { return view_; }
+  /// Whether the store answered this daemon within \p span.
+  bool IsFresh(time_point now, duration span) const {
+    return now - answered_at_ <= span;
+  }
+  /// When the store last failed to answer; long ago if never.
+  time_point failed_at() const { return failed_at_; }
+
+ private:
+  void Next();
+  void ReadAll();
+  void Watch();
+  void OnItems(bool is_complete, const store_items& answer);
+  void OnFailure(store_end end);
+  void OnSuccess();
+
+  item_store& store_;
+  event_log& log_;
+  std::function<void()> on_change_;
+  loop_timer timer_;
+  item_view view_;
+  bool must_read_all_ = true;
+  bool is_lost_ = false;
+  duration pause_{0};
+  time_point answered_at_{};
+  time_point failed_at_{};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_ITEM_FEED_H_
--- /dev/null
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -0,0 +1,66 @@
+/// \file
+/// What daemons tell one another on the platform. The structs are one family
+/// and share this header.
+#ifndef CUMINSWITCH_FLEET_PEER_FRAME_H_
+#define CUMINSWITCH_FLEET_PEER_FRAME_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "cuminswitch/Fleet/item_view.h"
+#include "cuminswitch/Support/endpoint.h"
+
+namespace cuminswitch {
+
+/// One daemon as it describes itself.
+struct daemon_record {
+  std::string name;
+  uint64_t incarnation = 0;
+  endpoint peer_address;
+  endpoint caller_address;
+  std::string failure_domain;
+  /// It has a configuration and takes callers.
+  bool is_ready = false;
+  bool is_leaving = false;
+  /// Everything up to this revision of the store is known to it.
+  revision_number revision = 0;
+};
+
+/// Sent to peers all the time; the lack of beats shows that a daemon is gone.
+struct beat_frame {
+  daemon_record sender;
+  /// Peers that the sender has heard just now, so that a daemon finds others
+  /// without the store.
+  std::vector<endpoint> heard;
+  /// Upstreams whose weights the sender, as the leader, is changing.
+  std::vector<std::string> changing;
+};
+
+/// Asks for what changed after a revision.
+struct items_request_frame {
+  endpoint reply_to;
+  revision_number after = 0;
+};
+
+struct items_reply_frame {
+  revision_number revision = 0;
+  /// All items that exist are listed; otherwise only those that changed.
+  bool is_complete = false;
+  std::vector<item_change> items;
+};
+
+using peer_frame =
+    std::variant<beat_frame, items_request_frame, items_reply_frame>;
+
+std::string EncodePeerFrame(const peer_frame& frame);
+/// Returns nothing for bytes that are no frame.
+std::optional<peer_frame> DecodePeerFrame(std::span<const uint8_t> bytes);
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_PEER_FRAME_H_
--- /dev/null
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -0,0 +1,73 @@
+/// \file
+/// Which other daemons there are, and which of them live.
+#ifndef CUMINSWITCH_FLEET_PEER_ROSTER_H_
+#define CUMINSWITCH_FLEET_PEER_ROSTER_H_
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "cuminswitch/Fleet/fleet_knowledge.h"
+#include "cuminswitch/Fleet/peer_frame.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+/// Keeps the peers that the store lists, those that were heard, and those that
+/// others have heard. A peer lives while its beats come.
+class peer_roster {
+ public:
+  struct options {
+    std::string self_name;
+    endpoint self_address;
+    /// Where to look for the first peers; some may be stale.
+    std::vector<endpoint> seeds;
+  };
+
+  /// Time between two rounds of beats. A peer whose beats are missing is out
+  /// of the address answers within a second.
+  static constexpr duration kBeatInterval = std::chrono::milliseconds(250);
+
+  explicit peer_roster(options opts);
+
+  void SetListed(std::span<const daemon_entry> daemons);
+  /// Returns whether what the peer says of itself changed.
+  bool OnBeat(time_point now, const beat_frame& beat);
+  /// Whom to send the next round of beats; the cost of a round is bounded.
+  std::vector<endpoint> ChooseTargets(time_point now);
+  /// Everybody who may listen, for what must be known at once.
+  std::vector<endpoint> ListReachable(time_point now) const;
+  /// The peers that live, ready or not.
+  std::vector<daemon_record> ListLiving(time_point now) const;
+  /// Returns a living peer that knows most, if it knows more than \p revision.
+  const daemon_record* FindAhead(time_point now,
+                                 revision_number revision) const;
+  /// Daemons of the deployment as far as is known, this one included.
+  size_t CountKnown() const;
+
+ private:
+  struct peer {
+    daemon_record record;
+    time_point heard_at{};
+  };
+  struct address_state {
+    time_point heard_at{};
+    time_point tried_at{};
+    /// Named by the store, a seed, or a peer.
+    time_point named_at{};
+    bool is_listed = false;
+  };
+
+  bool IsLiving(time_point now, const peer& item) const;
+  duration Horizon() const;
+
+  options options_;
+  std::map<std::string, peer> peers_;
+  std::map<endpoint, address_state> addresses_;
+  size_t next_target_ = 0;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_PEER_ROSTER_H_
--- /dev/null
+++ b/include/cuminswitch/Fleet/weights_rollout.h
@@ -0,0 +1,97 @@
+/// \file
+/// Brings engines to the weights that the operators want.
+#ifndef CUMINSWITCH_FLEET_WEIGHTS_ROLLOUT_H_
+#define CUMINSWITCH_FLEET_WEIGHTS_ROLLOUT_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cuminswitch/Fleet/fleet_knowledge.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+/// What an engine says of itself.
+struct engine_report {
+  bool is_busy = false;
+  /// Orders that it has accepted since its start.
+  uint64_t accepted_orders = 0;
+  std::vector<weights_version> weights;
+};
+
+/// How an order to an engine ended.
+enum class order_end : uint8_t {
+  kAccepted,
+  /// It has these weights already.
+  kHolds,
+  /// Another order is in progress, or the engine is not as was expected.
+  kConflict,
+  /// The engine will not do it.
+  kRejected,
+  /// No answer: it may be carried out, even seconds later.
+  kUnknown,
+};
+
+std::string_view ToString(order_end value);
+
+/// A question to an engine, or an order where `order` is set.
+struct rollout_step {
+  std::string upstream;
+  endpoint address;
+  struct weights_order {
+    weights_version weights;
+    /// Carry it out only if the engine has accepted so many orders.
+    uint64_t accepted_orders = 0;
+  };
+  std::optional<weights_order> order;
+};
+
+/// Decides, for the leader, which engine changes its weights when. Each engine
+/// is asked for its state first; an order then names that state, so that one
+/// that is carried out late cannot undo a newer one. Opens nothing and reads
+/// no clock.
+class weights_rollout {
+ public:
+  /// Engines of one service that change at a time. More at once make each
+  /// change take longer, and take more of the service away.
+  static constexpr size_t kChangesAtOnce = 2;
+
+  /// Returns what to do now; only the leader may call it.
+  std::vector<rollout_step> OnTick(time_point now,
+                                   const fleet_knowledge& knowledge);
+  /// Takes in an answer, or its absence, and returns the next step.
+  std::optional<rollout_step> OnReport(
+      time_point now,
+      const std::string& upstream,
+      const std::optional<engine_report>& report);
+  void OnOrderEnd(time_point now, const std::string& upstream, order_end end);
+  /// Upstreams that should get no requests for the moment.
+  std::vector<std::string> ListChanging() const;
+  /// The lead is lost; nothing is under way any more.
+  void Clear() { engines_.clear(); }
+
+ private:
+  enum class stage : uint8_t { kIdle, kAsked, kOrdered, kChanging };
+  struct engine {
+    stage at = stage::kIdle;
+    std::string service;
+    endpoint address;
+    weights_version wanted;
+    time_point next_step{};
+    time_point since{};
+  };
+
+  static std::optional<weights_version> FindWanted(
+      const fleet_knowledge& knowledge,
+      const upstream_entry& entry);
+  void DropSettled(const fleet_knowledge& knowledge);
+
+  std::map<std::string, engine> engines_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_WEIGHTS_ROLLOUT_H_
--- /dev/null
+++ b/include/cuminswitch/Http1/upstream_pool.h
@@ -0,0 +1,52 @@
+/// \file
+/// Kept connections to upstreams.
+#ifndef CUMINSWITCH_HTTP1_UPSTREAM_POOL_H_
+#define CUMINSWITCH_HTTP1_UPSTREAM_POOL_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "cuminswitch/Http1/upstream_call.h"
+
+struct event_base;
+
+namespace cuminswitch {
+
+class upstream_connection;
+
+/// Makes calls on one event loop. Each connection carries one request at a
+/// time and is kept for as long as its upstream announced.
+class upstream_pool {
+ public:
+  explicit upstream_pool(event_base* base);
+  upstream_pool(const upstream_pool&) = delete;
+  upstream_pool& operator=(const upstream_pool&) = delete;
+  ~upstream_pool();
+
+  std::unique_ptr<upstream_call> Start(const upstream_request& request,
+                                       upstream_handler& handler);
+  /// Closes the idle connections to \p to, whose upstream is gone.
+  void Forget(const endpoint& to);
+  uint64_t opened_count() const { return opened_; }
+
+ private:
+  friend class upstream_connection;
+  friend class pooled_call;
+
+  std::unique_ptr<upstream_connection> Acquire(const upstream_request& request);
+  void GiveBack(std::unique_ptr<upstream_connection> connection);
+  void DropIdle(upstream_connection* connection);
+  /// Destroys a connection that may be on the stack, from the loop.
+  void Release(std::unique_ptr<upstream_connection> connection);
+
+  event_base* base_;
+  std::map<endpoint, std::vector<std::unique_ptr<upstream_connection>>> idle_;
+  uint64_t opened_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_HTTP1_UPSTREAM_POOL_H_
--- a/include/cuminswitch/Membership/member_table.h
+++ b/include/cuminswitch/Membership/member_table.h
@@ -15,6 +15,7 @@
 #include "cuminswitch/Protocol/core_action.h"
 #include "cuminswitch/Protocol/member.h"
 #include "cuminswitch/Protocol/peer_message.h"
+#include "cuminswitch/Protocol/shard_directory.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
@@ -23,7 +24,7 @@
 enum class member_scope : uint8_t { kAll, kSameFailureDomain };
 
 /// One daemon's view of all daemons.
-class member_table {
+class member_table : public shard_directory {
  public:
   struct options {
     member self;
@@ -68,12 +69,12 @@
   std::vector<member> ListMembers() const;
   const member* Find(std::string_view host) const;
   /// Returns the serving member that says it owns \p shard.
-  const member* FindOwner(shard_number shard) const;
+  const member* FindOwner(shard_number shard) const override;
   /// Whether this daemon is among the first \p ranks by rendezvous of \p key
   /// over the serving members, or over those of its failure domain.
   bool IsAmongFirst(uint64_t key, size_t ranks, member_scope scope) const;
   /// The number of serving members, this daemon included.
-  size_t CountServing() const;
+  size_t CountServing() const override;
   /// Whether any other daemon has ever been heard.
   bool HasPeers() const { return !others_.empty(); }
   /// Grows with every change of the view.
--- a/include/cuminswitch/Net/http_client.h
+++ b/include/cuminswitch/Net/http_client.h
@@ -22,7 +22,7 @@
 
 class http_call;
 
-enum class http_method : uint8_t { kGet, kPost, kPut };
+enum class http_method : uint8_t { kGet, kPost, kPut, kDelete };
 
 /// A request to make.
 struct http_call_options {
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -34,6 +34,10 @@
   /// Use no kept connection: one that the upstream has closed in the meantime
   /// would leave in doubt whether it ran the request.
   bool fresh_connection = false;
+  /// The weights that the upstream is believed to have; empty for a service.
+  std::string weights_version;
+  /// The request's earlier attempts.
+  uint32_t earlier_attempts = 0;
 };
 
 /// Stop an attempt; nothing more of it goes to the caller.
@@ -48,6 +52,8 @@
   uint32_t status = 0;
   /// 0 when coming back makes no sense.
   uint32_t retry_after_seconds = 0;
+  /// A finer `retry_after_seconds`, for callers that understand fractions.
+  duration retry_after{0};
   std::string message;
   /// The earlier answer to the same key, when `result` is `kAnswered`.
   recorded_answer recorded;
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -5,10 +5,12 @@
 #define CUMINSWITCH_PROTOCOL_CORE_EVENT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "cuminswitch/Config/configuration.h"
 #include "cuminswitch/Protocol/ids.h"
 #include "cuminswitch/Protocol/peer_message.h"
 #include "cuminswitch/Protocol/platform_call.h"
@@ -24,6 +26,17 @@
   uint32_t tokens = 0;
 };
 
+/// Whether a request may reach more than one upstream that runs it.
+enum class repeat_rule : uint8_t {
+  /// As the configuration says of its target.
+  kByTarget,
+  /// It may run any number of times.
+  kRepeatable,
+  /// It runs at most once; only an attempt that is known not to have run is
+  /// placed again.
+  kOnce,
+};
+
 /// A caller's request has been read whole and its credential checked.
 struct request_arrived {
   request_id request = 0;
@@ -42,6 +55,26 @@
   hash128 request_digest;
   /// How long the caller will wait for the first byte.
   duration time_limit{0};
+  repeat_rule repeats = repeat_rule::kByTarget;
+  /// Upstreams that may run it; 0 for no limit.
+  uint32_t max_runs = 0;
+  /// Who shares its cached prefixes; its workspace where this is empty.
+  std::string cache_pool;
+  /// In place of its workspace's.
+  std::optional<priority_class> priority;
+};
+
+/// An upstream told its load along with an answer.
+struct upstream_load {
+  std::string upstream;
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+};
+
+/// Weights are being changed at an upstream, which runs nothing meanwhile.
+struct upstream_changing {
+  std::string upstream;
+  bool is_changing = false;
 };
 
 /// The caller closed its connection.
@@ -62,6 +95,9 @@
   bool refused_busy = false;
   /// The upstream could not be reached at all.
   bool unreachable = false;
+  /// The upstream ran it and answered with a failure of its own. That happens
+  /// at sound upstreams too, so only their share counts against it.
+  bool failed_in_run = false;
   /// Whether the caller has been sent any of this attempt's answer.
   bool answer_begun = false;
   /// Exact counts from the answer; 0 when it carried none.
--- a/include/cuminswitch/Routing/placement_query.h
+++ b/include/cuminswitch/Routing/placement_query.h
@@ -25,6 +25,8 @@
   std::span<const replica_index> eligible;
   /// For each of them, whether it has room now.
   const std::vector<bool>& has_room;
+  /// For each of them, seconds that it costs beyond its work; may be empty.
+  std::span<const double> penalty_seconds = {};
   const replica_table& replicas;
   prefix_index& prefixes;
   /// What recomputing a prefix costs, as a multiple of the time it takes, when
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -8,6 +8,7 @@
 
 #include "cuminswitch/Config/configuration.h"
 #include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Routing/outlier_detector.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
@@ -52,6 +53,9 @@
   /// No attempt goes there before this.
   time_point ejected_until{};
   uint32_t failures_in_row = 0;
+  outlier_detector answers;
+  /// Its weights are being changed.
+  bool changing = false;
   /// When it was first seen in its present incarnation, for slow start.
   time_point warm_since{};
 };
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,11 +26,25 @@
   std::vector<replica_index> indices;
   /// For each of them, whether it has room for one more request.
   std::vector<bool> has_room;
+  /// For each of them, seconds that it costs beyond its work: what an answer
+  /// loses in value by being made there.
+  std::vector<double> penalty_seconds;
 };
 
 /// Keeps each replica's counts, limits and health.
 class replica_table {
  public:
+  struct options {
+    /// How long replicas with other weights than the configured ones go on
+    /// serving; 0 for not at all.
+    duration old_weights_time{0};
+    /// After this long, a request prefers a replica with the new weights.
+    duration old_weights_grace{0};
+  };
+
+  replica_table() = default;
+  explicit replica_table(const options& opts) : options_(opts) {}
+
   /// Sets how many daemons share the replicas. A daemon starts with its part
   /// of each replica's limit and adapts from there.
   void SetFleetSize(size_t size) { fleet_size_ = std::max<size_t>(1, size); }
@@ -46,7 +61,14 @@
                   replica_index index,
                   duration took,
                   double computing);
-  void OnAnswered(replica_index index);
+  /// The attempt was answered; \p failed when with a failure of its own.
+  void OnAnswered(time_point now, replica_index index, bool failed);
+  /// Takes in the load that an answer told; it is as fresh as can be.
+  void OnLoad(time_point now, const upstream_load& load);
+  void SetChanging(const upstream_changing& event);
+  /// Returns the version of \p target's weights at the replica, or nothing
+  /// for a service.
+  std::string VersionAt(replica_index index, std::string_view target) const;
   /// The upstream said that it is too busy.
   void OnBusy(time_point now, replica_index index);
   /// The attempt failed, or the upstream could not be reached.
@@ -91,6 +113,8 @@
   struct target_replicas {
     /// The model's version; empty for a service.
     std::string version;
+    /// When that version was first configured here.
+    time_point version_since{};
     std::vector<replica_index> indices;
   };
 
@@ -101,6 +125,14 @@
                             std::string_view target,
                             std::string_view version);
 
+  /// What a replica with \p target's old weights costs; nothing when it is not
+  /// to serve any more.
+  std::optional<double> OldWeightsPenalty(time_point now,
+                                          const target_replicas& target,
+                                          const replica& item) const;
+  void EjectOutlier(time_point now, replica_index index);
+
+  options options_;
   size_t fleet_size_ = 1;
   std::vector<replica> replicas_;
   std::map<std::string, replica_index, std::less<>> by_name_;
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <utility>
 
-#include "cuminswitch/Membership/member_table.h"
+#include "cuminswitch/Protocol/shard_directory.h"
 
 namespace cuminswitch {
 
@@ -21,6 +21,9 @@
     std::chrono::milliseconds(300);
 /// Longer than a new owner takes to be found.
 static constexpr uint32_t kStartRetrySeconds = 3;
+/// When to come back where no upstream can take a request: crashed ones are
+/// replaced, and ejected ones tried again, within about a second.
+static constexpr duration kUpstreamRetryAfter = std::chrono::milliseconds(500);
 static constexpr size_t kMaxAbandonedStarts = 4096;
 static constexpr uint32_t kMaxRetryAfterSeconds = 120;
 /// What reuse is worth beyond its time, by objective.
@@ -33,12 +36,13 @@
 /// A level counts as hit when this share of it came from the cache.
 static constexpr double kHitShare = 0.9;
 
-request_router::request_router(const options& opts, const member_table& members)
+request_router::request_router(const options& opts,
+                               const shard_directory& members)
     : options_(opts),
       members_(members),
       policy_(MakePlacementPolicy(opts.policy, opts.random_seed)),
-      prefixes_({.capacity = opts.prefix_capacity}),
-      retries_(opts.retries) {
+      replicas_(opts.replicas),
+      prefixes_({.capacity = opts.prefix_capacity}) {
   assert(policy_ != nullptr && "settings name an unknown routing policy");
   // Attempt numbers of an earlier start of this daemon must never be met
   // again: an upstream's late answer to one would count for a new request.
@@ -89,7 +93,8 @@
   // Everything that makes a cache another cache goes into the hashes, so no
   // lookup can cross workspaces, models, versions or adapters.
   const model_spec* model = config_->FindModel(item.info.target);
-  uint64_t scope = Hash64(item.info.workspace);
+  const std::string& pool = item.info.cache_pool;
+  uint64_t scope = Hash64(pool.empty() ? item.info.workspace : pool);
   scope = CombineHash(scope, Hash64(item.info.target));
   if (model != nullptr) {
     scope = CombineHash(scope, Hash64(model->version));
@@ -118,8 +123,12 @@
     return;
   }
   const service_spec* service = config_->FindService(event.target);
-  item.repeatable = !item.once && (service == nullptr || service->repeatable);
-  if (service != nullptr && !service->repeatable && !item.once) {
+  const repeat_rule rule = event.repeats;
+  item.repeatable = !item.once && rule != repeat_rule::kOnce &&
+                    (service == nullptr || service->repeatable ||
+                     rule == repeat_rule::kRepeatable);
+  if (rule == repeat_rule::kByTarget && service != nullptr &&
+      !service->repeatable && !item.once) {
     Refuse(event.request,
            {.status = 400,
             .message = event.target +
@@ -270,7 +279,7 @@
 }
 
 double request_router::ReuseWeight(const request& item) const {
-  if (item.workspace->priority == priority_class::kBatch) {
+  if (PriorityOf(item) == priority_class::kBatch) {
     return kBatchReuseWeight;
   }
   return config_->platform.objective == routing_objective::kReuse
@@ -278,10 +287,21 @@
              : kFirstTokenReuseWeight;
 }
 
+priority_class request_router::PriorityOf(const request& item) const {
+  return item.info.priority.value_or(item.workspace->priority);
+}
+
+retry_budget& request_router::BudgetOf(const std::string& target) {
+  const auto [found, is_new] = retries_.try_emplace(target, options_.retries);
+  largest_fleet_ = std::max(largest_fleet_, members_.CountServing());
+  found->second.SetFleetSize(static_cast<double>(largest_fleet_));
+  return found->second;
+}
+
 waiting_request request_router::MakeWaiting(const request& item) const {
   return {.request = item.info.request,
           .target = item.info.target,
-          .priority = item.workspace->priority,
+          .priority = PriorityOf(item),
           .workspace_hash = item.workspace_hash,
           .arrived = item.deadline - item.info.time_limit,
           .deadline = item.deadline};
@@ -320,7 +340,24 @@
       kMaxRetryAfterSeconds);
 }
 
+bool request_router::HasUpstream(time_point now, const request& item) const {
+  return !replicas_
+              .ListEligible(now, item.info.target, AllowedDomains(item),
+                            item.excluded)
+              .indices.empty();
+}
+
 void request_router::Enqueue(time_point now, request& item, action_list& out) {
+  if (options_.refuse_without_upstream && !HasUpstream(now, item)) {
+    ++counters_.shed;
+    Refuse(item.info.request,
+           {.status = kUnavailable,
+            .retry_after_seconds = 1,
+            .message = "no upstream can take it now",
+            .retry_after = kUpstreamRetryAfter},
+           out);
+    return;
+  }
   const double patience = ToSeconds(item.deadline - now);
   if (EstimateWaitSeconds(now, item) > patience) {
     ++counters_.shed;
@@ -350,6 +387,7 @@
                        .prompt_tokens = item.info.prompt_tokens,
                        .eligible = eligible.indices,
                        .has_room = eligible.has_room,
+                       .penalty_seconds = eligible.penalty_seconds,
                        .replicas = replicas_,
                        .prefixes = prefixes_,
                        .reuse_weight = ReuseWeight(item)});
@@ -369,7 +407,7 @@
   if (!item.counted) {
     item.counted = true;
     limiter_.OnStart(item.workspace_hash);
-    retries_.OnFirstAttempt();
+    BudgetOf(item.info.target).OnFirstAttempt();
   }
   attempt next{
       .id = next_attempt_++,
@@ -397,6 +435,10 @@
                                  .used_at = now});
   }
   replicas_.OnDispatch(chosen.index, next.expected_tokens);
+  const std::string version =
+      replicas_.VersionAt(chosen.index, item.info.target);
+  const uint32_t earlier = item.arrivals++;
+  ++item.runs;
   attempts_[next.id] = item.info.request;
   item.at = stage::kRunning;
   out.push_back(dispatch_attempt{.request = item.info.request,
@@ -404,8 +446,10 @@
                                  .upstream = target.spec.name,
                                  .address = target.spec.address,
                                  .fencing = item.epoch,
-                                 .cache_scope = item.scope,
-                                 .fresh_connection = !item.repeatable});
+                                 .cache_scope = CacheScope(item, version),
+                                 .fresh_connection = !item.repeatable,
+                                 .weights_version = version,
+                                 .earlier_attempts = earlier});
   item.running = next;
 }
 
@@ -419,6 +463,16 @@
   });
 }
 
+uint64_t request_router::CacheScope(const request& item,
+                                    std::string_view version) {
+  const std::string& pool = item.info.cache_pool;
+  uint64_t scope = Hash64(pool.empty() ? item.info.workspace : pool);
+  scope = CombineHash(scope, Hash64(item.info.target));
+  // Of the weights that the upstream has, not of those that it should have: a
+  // cache made under others must never be found.
+  return CombineHash(scope, Hash64(version));
+}
+
 void request_router::OnFirstByte(time_point now,
                                  const attempt_first_byte& event) {
   const auto found = attempts_.find(event.attempt);
@@ -451,6 +505,12 @@
                                  .used_at = now});
   }
   if (event.prompt_tokens == 0) {
+    // The answer carries no counts, so the expectation stands for them.
+    if (done.unqueued && done.first_byte &&
+        done.expected_tokens >= kLeastTokensToLearnFrom) {
+      replicas_.LearnPrefillRate(done.index, done.expected_tokens,
+                                 *done.first_byte - done.sent);
+    }
     return;
   }
   counters_.prompt_tokens += event.prompt_tokens;
@@ -497,8 +557,14 @@
   }
   replicas_.OnEnd(done.index);
   meters_[item.info.target].OnCompletion(now);
+  if (event.unreachable) {
+    --item.arrivals;
+  }
+  if (event.result == outcome::kNotRun) {
+    --item.runs;
+  }
   if (event.result == outcome::kAnswered) {
-    replicas_.OnAnswered(done.index);
+    replicas_.OnAnswered(now, done.index, event.failed_in_run);
     LearnFromAnswer(now, item, done, event);
     ReportFinish(item, outcome::kAnswered, event.answer, out);
     ++counters_.answered;
@@ -508,6 +574,8 @@
   } else {
     if (event.refused_busy) {
       replicas_.OnBusy(now, done.index);
+    } else if (event.failed_in_run) {
+      replicas_.OnAnswered(now, done.index, true);
     } else {
       replicas_.OnFailure(now, done.index);
     }
@@ -520,12 +588,21 @@
   DrainQueue(now, out);
 }
 
+bool request_router::MayRunAgain(const request& item,
+                                 const attempt_ended& event) const {
+  if (event.result == outcome::kNotRun) {
+    return true;
+  }
+  const uint32_t limit = item.info.max_runs;
+  return item.repeatable && (limit == 0 || item.runs < limit);
+}
+
 void request_router::Retry(time_point now,
                            request& item,
                            const attempt_ended& event,
                            action_list& out) {
   const request_id id = item.info.request;
-  const bool is_safe = event.result == outcome::kNotRun || item.repeatable;
+  const bool is_safe = MayRunAgain(item, event);
   const bool is_useful = !event.answer_begun && now < item.deadline;
   if (!is_safe || !is_useful) {
     Refuse(id,
@@ -535,7 +612,7 @@
            out);
     return;
   }
-  if (!retries_.TrySpend()) {
+  if (!event.unreachable && !BudgetOf(item.info.target).TrySpend()) {
     Refuse(id,
            {.status = kUnavailable,
             .retry_after_seconds = EstimateRetryAfter(now, item),
@@ -637,6 +714,7 @@
                                .result = result,
                                .status = why.status,
                                .retry_after_seconds = why.retry_after_seconds,
+                               .retry_after = why.retry_after,
                                .message = why.message,
                                .recorded = {}});
   Erase(id);
@@ -657,6 +735,14 @@
   DrainQueue(now, out);
 }
 
+void request_router::OnUpstreamLoad(time_point now, const upstream_load& load) {
+  replicas_.OnLoad(now, load);
+}
+
+void request_router::OnUpstreamChanging(const upstream_changing& event) {
+  replicas_.SetChanging(event);
+}
+
 void request_router::ExpireStarts(time_point now, action_list& out) {
   std::vector<request_id> late;
   for (auto& [id, item] : requests_) {
--- /dev/null
+++ b/lib/Edge/edge_metrics.cc
@@ -0,0 +1,77 @@
+#include "cuminswitch/Edge/edge_metrics.h"
+
+#include "cuminswitch/Metrics/metric_page.h"
+
+namespace cuminswitch {
+
+/// Routes that are counted by name; a configuration may hold thousands.
+static constexpr size_t kMaxRoutes = 64;
+static constexpr std::string_view kOtherRoutes = "other";
+
+void edge_metrics::CountEnd(const std::string& route,
+                            outcome result,
+                            std::string_view reason,
+                            double seconds) {
+  const bool has_place = routes_.contains(route) || routes_.size() < kMaxRoutes;
+  route_metrics& item = routes_[has_place ? route : std::string(kOtherRoutes)];
+  const std::string labels = "outcome=\"" + std::string(ToString(result)) +
+                             "\",reason=\"" + std::string(reason) + "\"";
+  ++item.ends[labels];
+  item.duration.Add(seconds);
+}
+
+void edge_metrics::CountFirstByte(const std::string& route, double seconds) {
+  const auto found = routes_.find(route);
+  if (found != routes_.end()) {
+    found->second.first_byte.Add(seconds);
+  }
+}
+
+std::string edge_metrics::Write(const core_status& status,
+                                uint64_t log_lines_dropped,
+                                uint64_t upstream_connections) const {
+  metric_page page;
+  page.Begin("cuminswitch_requests_total", "counter",
+             "Ended requests by route, outcome and reason.");
+  for (const auto& [route, item] : routes_) {
+    for (const auto& [labels, count] : item.ends) {
+      page.Add(static_cast<double>(count), "route=\"" + route + "\"," + labels);
+    }
+  }
+  page.Begin("cuminswitch_request_seconds", "histogram",
+             "Time from a request's head to its end.");
+  for (const auto& [route, item] : routes_) {
+    page.Add(item.duration, "route=\"" + route + "\"");
+  }
+  page.Begin("cuminswitch_first_byte_seconds", "histogram",
+             "Time from a request's head to the first byte for its caller.");
+  for (const auto& [route, item] : routes_) {
+    page.Add(item.first_byte, "route=\"" + route + "\"");
+  }
+  page.Begin("cuminswitch_rejected_total", "counter",
+             "Requests of no route, by status.");
+  for (const auto& [code, count] : rejected_) {
+    page.Add(static_cast<double>(count),
+             "status=\"" + std::to_string(code) + "\"");
+  }
+  page.Begin("cuminswitch_retries_total", "counter",
+             "Attempts beyond a request's first.");
+  page.Add(static_cast<double>(status.counters.retries));
+  page.Begin("cuminswitch_waiting_requests", "gauge",
+             "Requests that wait for an upstream.");
+  page.Add(static_cast<double>(status.waiting));
+  page.Begin("cuminswitch_upstream_in_flight", "gauge",
+             "This daemon's attempts at each upstream.");
+  for (const upstream_status& item : status.upstreams) {
+    page.Add(item.in_flight, "upstream=\"" + item.name + "\"");
+  }
+  page.Begin("cuminswitch_upstream_connections_total", "counter",
+             "Connections opened to upstreams.");
+  page.Add(static_cast<double>(upstream_connections));
+  page.Begin("cuminswitch_log_lines_dropped_total", "counter",
+             "Log lines that were not written.");
+  page.Add(static_cast<double>(log_lines_dropped));
+  return page.Take();
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Edge/edge_task.cc
@@ -0,0 +1,436 @@
+#include "cuminswitch/Edge/edge_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cuminswitch/Edge/plan_translator.h"
+#include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Kernel/kernel.h"
+#include "cuminswitch/Log/event_log.h"
+#include "cuminswitch/Support/hash.h"
+
+namespace cuminswitch {
+
+static constexpr uint32_t kUnauthorized = 401;
+static constexpr uint32_t kNotFound = 404;
+static constexpr uint32_t kUnavailable = 503;
+/// The router expires waiting requests on its tick.
+static constexpr duration kTickInterval = std::chrono::milliseconds(50);
+static constexpr duration kIdleTickInterval = std::chrono::milliseconds(250);
+/// When to come back to a daemon that knows no configuration yet.
+static constexpr duration kStartRetryAfter = std::chrono::milliseconds(500);
+/// Callers keep an address answer for two seconds, some of them three times as
+/// long; until then they open connections here.
+static constexpr duration kLongestAddressUse = std::chrono::milliseconds(6200);
+/// Left of the grace when the process ends at the latest.
+static constexpr duration kExitMargin = std::chrono::milliseconds(600);
+static constexpr duration kStopTickInterval = std::chrono::milliseconds(100);
+/// Of the bound on repeats; the rest covers what other daemons cannot know.
+static constexpr double kRetryShareUsed = 0.8;
+static constexpr double kRetryBurstUsed = 0.7;
+/// Left of the time in which old weights may be used, for a request's way.
+static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(700);
+/// Engines with new weights are preferred from then on: answers of old ones
+/// lose value from 1.5 s after the naming.
+static constexpr duration kOldWeightsGrace = std::chrono::milliseconds(1200);
+static constexpr duration kDefaultPatience = std::chrono::seconds(60);
+
+static request_router::options RouterOptions(const edge_task::options& opts) {
+  request_router::options options;
+  options.self.host = opts.self.name;
+  options.self.incarnation = opts.self.incarnation;
+  options.random_seed = opts.self.incarnation;
+  options.retries = {.share = opts.retry_share * kRetryShareUsed,
+                     .burst = opts.retry_burst * kRetryBurstUsed,
+                     .is_shared = true};
+  options.replicas = {
+      .old_weights_time = opts.old_weights_time - kOldWeightsMargin,
+      .old_weights_grace = kOldWeightsGrace};
+  options.refuse_without_upstream = true;
+  return options;
+}
+
+edge_task::edge_task(event_base* base,
+                     const kernel& services,
+                     const options& opts,
+                     const parts& with)
+    : loop_task(base),
+      services_(services),
+      options_(opts),
+      with_(with),
+      router_(RouterOptions(opts), *this),
+      pool_(base),
+      tick_timer_(base, [this] { OnTick(); }),
+      stop_timer_(base, [this] { OnStopTick(); }) {}
+
+edge_task::~edge_task() {
+  *alive_ = false;
+}
+
+void edge_task::Start() {
+  server_ = std::make_unique<caller_server>(
+      base(), options_.self.caller_address, *this);
+  OnTick();
+}
+
+void edge_task::Stop() {
+  tick_timer_.Cancel();
+  stop_timer_.Cancel();
+  flows_.clear();
+  server_.reset();
+}
+
+const member* edge_task::FindOwner(shard_number /*shard*/) const {
+  return nullptr;
+}
+
+size_t edge_task::CountServing() const {
+  return fleet_size_;
+}
+
+bool edge_task::IsReady() const {
+  return knowledge_ != nullptr && knowledge_->plan != nullptr && !is_stopping_;
+}
+
+std::vector<daemon_record> edge_task::ListServing() const {
+  std::vector<daemon_record> serving;
+  for (const daemon_record& item : peers_) {
+    if (item.is_ready && !item.is_leaving) {
+      serving.push_back(item);
+    }
+  }
+  if (IsReady()) {
+    serving.push_back(options_.self);
+  }
+  return serving;
+}
+
+std::string edge_task::WriteMetrics() const {
+  core_status status;
+  router_.FillStatus(status);
+  return metrics_.Write(status, with_.log.dropped_count(),
+                        pool_.opened_count());
+}
+
+void edge_task::Receive(edge_message message) {
+  std::visit([this](const auto& news) { Take(news); }, message);
+}
+
+void edge_task::Take(const knowledge_changed& news) {
+  const bool was_ready = IsReady();
+  knowledge_ = news.knowledge;
+  if (knowledge_->plan == nullptr) {
+    return;
+  }
+  const route_plan& plan = *knowledge_->plan;
+  server_->SetLimits({.max_head_size = plan.max_head_size,
+                      .max_body_size = plan.max_body_size,
+                      .request_timeout = plan.request_timeout,
+                      .idle_timeout = plan.idle_timeout});
+  const time_point now = ReadBootClock();
+  action_list actions;
+  router_.OnConfiguration(now, TranslatePlan(*knowledge_), actions);
+  for (const upstream_entry& entry : knowledge_->upstreams) {
+    router_.OnUpstreamReport(now, TranslateUpstream(entry), actions);
+  }
+  Perform(now, std::move(actions));
+  if (IsReady() && !was_ready) {
+    with_.log.Write(log_class::kLifecycle,
+                    log_line("ready").Add("configuration", plan.version));
+    services_.FindPort<fleet_message>(kFleetService)
+        .Post(readiness_changed{.is_ready = true});
+  }
+}
+
+void edge_task::Take(const peers_changed& news) {
+  peers_ = news.living;
+  fleet_size_ = news.known;
+}
+
+void edge_task::Take(const weights_changing& news) {
+  for (const std::string& id : changing_) {
+    router_.OnUpstreamChanging({.upstream = id, .is_changing = false});
+  }
+  changing_ = news.upstreams;
+  for (const std::string& id : changing_) {
+    router_.OnUpstreamChanging({.upstream = id, .is_changing = true});
+  }
+}
+
+uint32_t edge_task::CheckRequest(const caller_request& request,
+                                 const route_spec*& route,
+                                 const workspace_plan*& workspace) const {
+  if (knowledge_ == nullptr || knowledge_->plan == nullptr) {
+    return kUnavailable;
+  }
+  const route_plan& plan = *knowledge_->plan;
+  route = plan.FindRoute(request.host, request.path);
+  if (route == nullptr) {
+    return kNotFound;
+  }
+  if (plan.workspaces.empty() || route->is_public) {
+    return 0;
+  }
+  workspace = plan.FindHolder(request.credential);
+  return workspace == nullptr ? kUnauthorized : 0;
+}
+
+void edge_task::OnRequest(caller_exchange& exchange) {
+  caller_request request = with_.protocol.ReadRequest(exchange.Head());
+  const route_spec* route = nullptr;
+  const workspace_plan* workspace = nullptr;
+  const uint32_t status = CheckRequest(request, route, workspace);
+  if (status == 0) {
+    BeginFlow(exchange, std::move(request), *route, workspace);
+    return;
+  }
+  metrics_.CountRejected(status);
+  const uint64_t version = knowledge_ == nullptr || knowledge_->plan == nullptr
+                               ? 0
+                               : knowledge_->plan->version;
+  with_.log.Write(log_class::kRequest, log_line("request_rejected")
+                                           .Add("id", request.attempt)
+                                           .Add("host", request.host)
+                                           .Add("path", request.path)
+                                           .Add("status", status)
+                                           .Add("configuration", version));
+  http_headers headers;
+  if (status == kUnavailable) {
+    headers.push_back({.name = "Retry-After",
+                       .value = std::to_string(ToSeconds(kStartRetryAfter))});
+  }
+  Reply(exchange, status, std::move(headers), {}, false);
+}
+
+/// Chooses among a route's services by weight, the same for one attempt.
+static const std::string& ChooseService(const route_spec& route,
+                                        std::string_view attempt) {
+  uint64_t total = 0;
+  for (const route_share& share : route.shares) {
+    total += share.weight;
+  }
+  uint64_t point = total == 0 ? 0 : Hash64(attempt) % total;
+  for (const route_share& share : route.shares) {
+    if (point < share.weight) {
+      return share.service;
+    }
+    point -= share.weight;
+  }
+  return route.shares.front().service;
+}
+
+/// Each level is the prompt up to the end of one part.
+static std::vector<prefix_level> MakeLevels(
+    const std::vector<prompt_part>& parts) {
+  std::vector<prefix_level> levels;
+  uint64_t hash = 0;
+  uint32_t tokens = 0;
+  for (const prompt_part& part : parts) {
+    hash = CombineHash(hash, Hash64(part.id));
+    tokens += part.tokens;
+    levels.push_back({.hash = hash, .tokens = tokens});
+  }
+  return levels;
+}
+
+request_arrived edge_task::DescribeArrival(
+    const request_flow::options& flow,
+    const workspace_plan* workspace) const {
+  const route_spec& route = *flow.route;
+  const std::string& service = ChooseService(route, flow.request.attempt);
+  const service_plan* plan = flow.plan->FindService(service);
+  const bool is_engine = plan != nullptr && plan->is_engine;
+  const bool may_repeat = route.kind == request_kind::kRepeatable ||
+                          route.kind == request_kind::kResumableStream;
+  request_arrived arrival{
+      .request = flow.id,
+      .workspace = flow.workspace,
+      .target = TargetName(service, is_engine ? flow.request.model : ""),
+      .levels = MakeLevels(flow.request.parts),
+      .prompt_tokens = flow.request.prompt_tokens,
+      .time_limit = flow.deadline - flow.arrived,
+      .repeats = may_repeat ? repeat_rule::kRepeatable : repeat_rule::kOnce,
+      .max_runs = route.max_attempts,
+      .cache_pool = {},
+      .priority = TranslateRank(flow.rank)};
+  const bool is_isolated = workspace != nullptr && workspace->is_isolated;
+  arrival.cache_pool = is_isolated ? "workspace/" + workspace->name : "shared";
+  return arrival;
+}
+
+void edge_task::BeginFlow(caller_exchange& exchange,
+                          caller_request request,
+                          const route_spec& route,
+                          const workspace_plan* workspace) {
+  const time_point now = ReadBootClock();
+  const duration patience = std::min<duration>(
+      request.patience.value_or(kDefaultPatience), route.timeout);
+  request_flow::options options{
+      .id = ++next_request_,
+      .exchange = &exchange,
+      .request = std::move(request),
+      .plan = knowledge_->plan,
+      .route = &route,
+      .workspace = workspace == nullptr ? std::string() : workspace->name,
+      .rank = workspace == nullptr ? route.rank
+                                   : workspace->rank.value_or(route.rank),
+      .uses_cache = false,
+      .arrived = now,
+      .deadline = now + patience};
+  options.uses_cache = !options.request.parts.empty();
+  request_arrived arrival = DescribeArrival(options, workspace);
+  const request_id id = options.id;
+  auto flow = std::make_unique<request_flow>(
+      std::move(options), request_flow::parts{.base = base(),
+                                              .pool = pool_,
+                                              .protocol = with_.protocol,
+                                              .owner = *this});
+  request_flow& started = *flow;
+  flows_[id] = std::move(flow);
+  started.Start();
+  HandToRouter(now, std::move(arrival));
+}
+
+request_flow* edge_task::FindFlow(request_id id) const {
+  const auto found = flows_.find(id);
+  return found == flows_.end() ? nullptr : found->second.get();
+}
+
+void edge_task::OnFlowEvent(core_event event) {
+  HandToRouter(ReadBootClock(), event);
+}
+
+void edge_task::HandToRouter(time_point now, const core_event& event) {
+  action_list actions;
+  if (const auto* arrived = std::get_if<request_arrived>(&event)) {
+    router_.OnRequest(now, *arrived, actions);
+  } else if (const auto* first = std::get_if<attempt_first_byte>(&event)) {
+    router_.OnFirstByte(now, *first);
+  } else if (const auto* ended = std::get_if<attempt_ended>(&event)) {
+    router_.OnAttemptEnded(now, *ended, actions);
+  } else if (const auto* gone = std::get_if<caller_gone>(&event)) {
+    router_.OnCallerGone(now, *gone, actions);
+  }
+  Perform(now, std::move(actions));
+}
+
+void edge_task::Perform(time_point now, action_list actions) {
+  for (const core_action& action : actions) {
+    if (const auto* dispatch = std::get_if<dispatch_attempt>(&action)) {
+      Perform(now, *dispatch);
+    } else if (const auto* answer = std::get_if<answer_request>(&action)) {
+      if (request_flow* flow = FindFlow(answer->request)) {
+        flow->GiveUp(*answer);
+      }
+    }
+    // A cancelled attempt's flow has ended by itself and dropped its call.
+  }
+}
+
+void edge_task::Perform(time_point now, const dispatch_attempt& action) {
+  request_flow* flow = FindFlow(action.request);
+  if (flow == nullptr || flow->has_ended()) {
+    HandToRouter(now, attempt_ended{.attempt = action.attempt,
+                                    .result = outcome::kNotRun,
+                                    .answer_begun = true,
+                                    .answer = {}});
+    return;
+  }
+  with_.log.Write(log_class::kRequest,
+                  log_line("attempt_placed")
+                      .Add("id", flow->request().attempt)
+                      .Add("upstream", action.upstream)
+                      .Add("weights", action.weights_version)
+                      .Add("earlier_attempts", action.earlier_attempts)
+                      .Add("waited_ms", now - flow->arrived())
+                      .Add("revision", knowledge_->revision));
+  flow->Dispatch(now, action);
+}
+
+void edge_task::OnFlowLoad(const std::string& upstream, const told_load& load) {
+  router_.OnUpstreamLoad(
+      ReadBootClock(),
+      {.upstream = upstream, .running = load.running, .waiting = load.waiting});
+}
+
+void edge_task::OnFlowMismatch(const std::string& upstream) {
+  with_.log.Write(log_class::kBelief,
+                  log_line("upstream_mismatch")
+                      .Add("upstream", upstream)
+                      .Add("revision", knowledge_->revision));
+}
+
+void edge_task::LogEnd(const request_flow& flow, const flow_end& end) const {
+  const time_point now = ReadBootClock();
+  log_line line("request_ended");
+  line.Add("id", flow.request().attempt)
+      .Add("route", flow.route().name)
+      .Add("workspace", flow.workspace())
+      .Add("outcome", ToString(end.result))
+      .Add("status", end.status)
+      .Add("reason", end.reason)
+      .Add("upstream", flow.upstream())
+      .Add("took_ms", now - flow.arrived());
+  if (flow.first_byte_at()) {
+    line.Add("first_byte_ms", *flow.first_byte_at() - flow.arrived());
+  }
+  with_.log.Write(log_class::kRequest,
+                  line.Add("configuration", knowledge_->plan->version));
+}
+
+void edge_task::OnFlowEnd(request_flow& flow, const flow_end& end) {
+  LogEnd(flow, end);
+  const std::string& route = flow.route().name;
+  metrics_.CountEnd(route, end.result, end.reason,
+                    ToSeconds(ReadBootClock() - flow.arrived()));
+  if (flow.first_byte_at()) {
+    metrics_.CountFirstByte(route,
+                            ToSeconds(*flow.first_byte_at() - flow.arrived()));
+  }
+  CallLater(base(), [this, alive = alive_, id = flow.id()] {
+    if (*alive) {
+      flows_.erase(id);
+    }
+  });
+}
+
+void edge_task::OnTick() {
+  const time_point now = ReadBootClock();
+  action_list actions;
+  router_.OnTick(now, actions);
+  Perform(now, std::move(actions));
+  with_.log.Flush();
+  tick_timer_.Start(flows_.empty() ? kIdleTickInterval : kTickInterval);
+}
+
+void edge_task::BeginStop() {
+  if (is_stopping_) {
+    return;
+  }
+  is_stopping_ = true;
+  stopping_since_ = ReadBootClock();
+  with_.log.Write(log_class::kLifecycle,
+                  log_line("stopping").Add("requests", flows_.size()));
+  server_->BeginDrain();
+  services_.FindPort<fleet_message>(kFleetService).Post(fleet_stop_requested{});
+  OnStopTick();
+}
+
+void edge_task::OnStopTick() {
+  const duration elapsed = ReadBootClock() - stopping_since_;
+  const bool is_closed = elapsed >= kLongestAddressUse;
+  if (is_closed) {
+    server_->CloseIdle();
+  }
+  if ((is_closed && flows_.empty()) ||
+      elapsed >= options_.grace - kExitMargin) {
+    with_.log.Write(log_class::kLifecycle,
+                    log_line("stopped").Add("requests", flows_.size()));
+    with_.log.Flush();
+    with_.on_stopped();
+    return;
+  }
+  stop_timer_.Start(kStopTickInterval);
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Edge/plan_translator.cc
@@ -0,0 +1,112 @@
+#include "cuminswitch/Edge/plan_translator.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace cuminswitch {
+
+/// The platform sets no limit on a workspace's requests in flight.
+static constexpr uint32_t kNoWorkspaceLimit = 1'000'000;
+/// The name of the workspace that requests without credential belong to.
+static constexpr std::string_view kPublicWorkspace = "";
+
+std::string TargetName(std::string_view service, std::string_view model) {
+  std::string name(service);
+  if (!model.empty()) {
+    name.append("/").append(model);
+  }
+  return name;
+}
+
+priority_class TranslateRank(uint32_t rank) {
+  return rank == 0 ? priority_class::kInteractive : priority_class::kStandard;
+}
+
+/// The newest version of each model: as the operators named it, or as an
+/// upstream has it already, which only shows that the naming is known there
+/// and not yet here.
+static std::map<std::string, uint64_t> NewestVersions(
+    const fleet_knowledge& knowledge) {
+  std::map<std::string, uint64_t> newest;
+  for (const weights_version& item : knowledge.wanted_weights) {
+    uint64_t& version = newest[item.model];
+    version = std::max(version, item.version);
+  }
+  for (const upstream_entry& entry : knowledge.upstreams) {
+    for (const weights_version& item : entry.weights) {
+      uint64_t& version = newest[item.model];
+      version = std::max(version, item.version);
+    }
+  }
+  return newest;
+}
+
+static upstream_spec TranslateSpec(const upstream_entry& entry) {
+  upstream_spec spec{.name = entry.id,
+                     .kind = entry.weights.empty() ? upstream_kind::kService
+                                                   : upstream_kind::kEngine,
+                     .address = entry.address,
+                     .failure_domain = entry.failure_domain,
+                     .serves = {entry.service},
+                     .max_in_flight = std::max<uint32_t>(1, entry.slots),
+                     .leaving = entry.is_draining};
+  for (const weights_version& item : entry.weights) {
+    spec.serves.push_back(TargetName(entry.service, item.model));
+  }
+  return spec;
+}
+
+std::shared_ptr<const configuration> TranslatePlan(
+    const fleet_knowledge& knowledge) {
+  auto config = std::make_shared<configuration>();
+  const std::map<std::string, uint64_t> newest = NewestVersions(knowledge);
+  std::vector<std::string> targets;
+  for (const service_plan& service : knowledge.plan->services) {
+    config->services.push_back({.name = service.name, .repeatable = true});
+    targets.push_back(service.name);
+    for (const std::string& model : service.models) {
+      const auto version = newest.find(model);
+      config->models.push_back(
+          {.name = TargetName(service.name, model),
+           .version = version == newest.end() ? std::string()
+                                              : std::to_string(version->second),
+           .adapter = {}});
+      targets.push_back(config->models.back().name);
+    }
+  }
+  for (const upstream_entry& entry : knowledge.upstreams) {
+    config->upstreams.push_back(TranslateSpec(entry));
+  }
+  config->workspaces.push_back({.name = std::string(kPublicWorkspace),
+                                .uses = targets,
+                                .max_in_flight = kNoWorkspaceLimit});
+  for (const workspace_plan& item : knowledge.plan->workspaces) {
+    config->workspaces.push_back({.name = item.name,
+                                  .uses = targets,
+                                  .max_in_flight = kNoWorkspaceLimit});
+  }
+  const auto by_name = [](const auto& a, const auto& b) {
+    return a.name < b.name;
+  };
+  std::sort(config->services.begin(), config->services.end(), by_name);
+  std::sort(config->models.begin(), config->models.end(), by_name);
+  std::sort(config->upstreams.begin(), config->upstreams.end(), by_name);
+  std::sort(config->workspaces.begin(), config->workspaces.end(), by_name);
+  return config;
+}
+
+upstream_report TranslateUpstream(const upstream_entry& entry) {
+  upstream_report report{.upstream = entry.id,
+                         .reachable = true,
+                         .incarnation = 1,
+                         .leaving = entry.is_draining,
+                         .models = {}};
+  for (const weights_version& item : entry.weights) {
+    report.models.push_back({.name = TargetName(entry.service, item.model),
+                             .version = std::to_string(item.version)});
+  }
+  return report;
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Edge/request_flow.cc
@@ -0,0 +1,360 @@
+#include "cuminswitch/Edge/request_flow.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Http1/upstream_pool.h"
+
+namespace cuminswitch {
+
+static constexpr uint32_t kBadGateway = 502;
+static constexpr uint32_t kUnavailable = 503;
+static constexpr uint32_t kGatewayTimeout = 504;
+static constexpr uint32_t kFirstFailure = 400;
+/// Unsent bytes to a caller at which the upstream is not read any further.
+static constexpr size_t kMaxCallerBacklog = 64UL << 10;
+/// An upstream's own answer at its deadline should come before ours.
+static constexpr duration kDeadlineSlack = std::chrono::milliseconds(20);
+/// The longest wait for a connection; a host that lives accepts within a few
+/// round trips, a lost opening packet costs a second.
+static constexpr std::chrono::milliseconds kConnectTimeout{400};
+/// A request that may not be repeated takes only a connection that was used
+/// just now: one that its upstream has closed meanwhile would leave in doubt
+/// whether the request ran.
+static constexpr std::chrono::milliseconds kMaxIdleForOnce{1'500};
+static constexpr std::chrono::milliseconds kMaxIdle{60'000};
+/// When to come back after a wait that was in vain.
+static constexpr duration kQueueRetryAfter = std::chrono::milliseconds(500);
+
+request_flow::request_flow(options opts, const parts& with)
+    : options_(std::move(opts)),
+      with_(with),
+      timer_(with.base, [this] { OnDeadline(); }) {}
+
+request_flow::~request_flow() {
+  if (!has_ended_ && options_.exchange != nullptr) {
+    options_.exchange->SetListener(nullptr);
+  }
+}
+
+void request_flow::Start() {
+  options_.exchange->SetListener(this);
+  timer_.Start(std::max(duration(0), options_.deadline - options_.arrived) +
+               kDeadlineSlack);
+}
+
+bool request_flow::MayRepeat() const {
+  const request_kind kind = options_.route->kind;
+  return kind == request_kind::kRepeatable ||
+         kind == request_kind::kResumableStream;
+}
+
+void request_flow::Dispatch(time_point now, const dispatch_attempt& action) {
+  attempt_ = action.attempt;
+  upstream_ = action.upstream;
+  answer_ = {};
+  splitter_.DropPartial();
+  dispatch_attributes attributes{
+      .upstream = action.upstream,
+      .workspace = options_.workspace,
+      .time_left = std::max(duration(0), options_.deadline - now),
+      .rank = options_.rank,
+      .cache_scope = std::nullopt,
+      .weights_version = action.weights_version,
+      .last_event = splitter_.last_id()};
+  if (options_.uses_cache) {
+    attributes.cache_scope = action.cache_scope;
+  }
+  const message_head& head = options_.exchange->Head();
+  call_ = with_.pool.Start(
+      {.to = action.address,
+       .method = head.method,
+       .target = head.target,
+       .headers = with_.protocol.WriteRequest(head, attributes),
+       .body = options_.exchange->Body(),
+       .connect_timeout = kConnectTimeout,
+       .max_idle = MayRepeat() ? kMaxIdle : kMaxIdleForOnce},
+      *this);
+}
+
+void request_flow::CancelAttempt() {
+  call_.reset();
+}
+
+void request_flow::OnAnswerHead(const message_head& head) {
+  answer_.head = head;
+  answer_.attributes = with_.protocol.ReadAnswer(head);
+  answer_.has_head = true;
+  if (answer_.attributes.load) {
+    with_.owner.OnFlowLoad(upstream_, *answer_.attributes.load);
+  }
+}
+
+/// Whether the head is of a success that can be this attempt's.
+static bool IsGenuineSuccess(const message_head& head,
+                             const answer_attributes& attributes,
+                             const std::string& attempt) {
+  static constexpr uint32_t kFirstSuccess = 200;
+  static constexpr uint32_t kPastSuccess = 300;
+  return head.status >= kFirstSuccess && head.status < kPastSuccess &&
+         attributes.is_signed && attributes.attempt == attempt &&
+         !head.Has("Content-Encoding");
+}
+
+bool request_flow::IsForwarding() const {
+  return options_.route->IsStream() &&
+         IsGenuineSuccess(answer_.head, answer_.attributes,
+                          options_.request.attempt);
+}
+
+void request_flow::OnAnswerBody(std::string_view data) {
+  if (!IsForwarding()) {
+    answer_.body.append(data);
+    return;
+  }
+  const std::string_view events = splitter_.Add(data);
+  if (!events.empty()) {
+    Forward(events);
+  }
+}
+
+void request_flow::Forward(std::string_view data) {
+  if (!first_byte_at_) {
+    first_byte_at_ = ReadBootClock();
+    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = attempt_});
+  }
+  if (!is_head_sent_) {
+    SendAnswerHead(std::nullopt);
+  }
+  options_.exchange->SendBody(data);
+  if (options_.exchange->PendingBytes() > kMaxCallerBacklog &&
+      call_ != nullptr) {
+    is_paused_ = true;
+    call_->PauseReading();
+  }
+}
+
+void request_flow::OnCallerDrained() {
+  if (std::exchange(is_paused_, false) && call_ != nullptr) {
+    call_->ResumeReading();
+  }
+}
+
+void request_flow::SendAnswerHead(std::optional<uint64_t> length) {
+  is_head_sent_ = true;
+  http_headers headers;
+  for (const http_header& item : answer_.head.headers) {
+    if (!IsConnectionField(answer_.head, item.name)) {
+      headers.push_back(item);
+    }
+  }
+  options_.exchange->SendHead(answer_.head.status, headers,
+                              {.content_length = length});
+}
+
+attempt_answer request_flow::Classify(call_end end) const {
+  switch (end) {
+    case call_end::kNotConnected:
+      return attempt_answer::kNotConnected;
+    case call_end::kBroken:
+      return attempt_answer::kBroken;
+    case call_end::kMalformed:
+      return attempt_answer::kForeign;
+    case call_end::kComplete:
+      break;
+  }
+  const answer_attributes& attributes = answer_.attributes;
+  const bool is_other = !attributes.attempt.empty() &&
+                        attributes.attempt != options_.request.attempt;
+  if (is_other) {
+    return attempt_answer::kForeign;
+  }
+  if (attributes.is_mismatch) {
+    return attempt_answer::kMismatch;
+  }
+  if (attributes.was_not_run) {
+    return attempt_answer::kRefused;
+  }
+  if (IsGenuineSuccess(answer_.head, attributes, options_.request.attempt)) {
+    return attempt_answer::kSuccess;
+  }
+  return answer_.head.status >= kFirstFailure ? attempt_answer::kFailure
+                                              : attempt_answer::kForeign;
+}
+
+void request_flow::OnCallEnd(call_end end) {
+  // The call is on the stack; it is destroyed with the next one or the flow.
+  const std::unique_ptr<upstream_call> ended = std::move(call_);
+  Judge(Classify(end));
+}
+
+void request_flow::Judge(attempt_answer answer) {
+  const answer_progress progress =
+      is_head_sent_ ? answer_progress::kBegun : answer_progress::kNothing;
+  const attempt_verdict verdict = JudgeAttempt(answer, progress, MayRepeat());
+  may_have_run_ = may_have_run_ || verdict.result != outcome::kNotRun;
+  if (answer == attempt_answer::kMismatch) {
+    with_.owner.OnFlowMismatch(upstream_);
+  }
+  switch (verdict.action) {
+    case verdict_action::kHandOn:
+      DeliverWhole();
+      break;
+    case verdict_action::kPlaceAgainOrHandOn:
+      kept_failure_ = std::move(answer_);
+      break;
+    case verdict_action::kPlaceAgain:
+      break;
+    case verdict_action::kTellUnknown:
+      ReplyOwn(kBadGateway, outcome::kUnknown, "answer_broken", duration(0));
+      break;
+    case verdict_action::kCutOff:
+      CutOff("answer_broken");
+      break;
+  }
+  TellRouter(answer, verdict);
+}
+
+void request_flow::TellRouter(attempt_answer answer,
+                              const attempt_verdict& verdict) {
+  // A failure that is handed on ran to its end, which is all the router needs.
+  const bool is_final = has_ended_;
+  with_.owner.OnFlowEvent(
+      attempt_ended{.attempt = attempt_,
+                    .result = verdict.result,
+                    .refused_busy = answer == attempt_answer::kRefused ||
+                                    answer == attempt_answer::kMismatch,
+                    .unreachable = answer == attempt_answer::kNotConnected,
+                    .failed_in_run = answer == attempt_answer::kFailure,
+                    .answer_begun = is_final,
+                    .answer = {}});
+}
+
+void request_flow::DeliverWhole() {
+  if (!first_byte_at_) {
+    first_byte_at_ = ReadBootClock();
+    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = attempt_});
+  }
+  if (IsForwarding()) {
+    const std::string_view rest = splitter_.TakeRest();
+    if (!is_head_sent_) {
+      SendAnswerHead(std::nullopt);
+    }
+    options_.exchange->SendBody(rest);
+  } else {
+    SendAnswerHead(answer_.body.size());
+    options_.exchange->SendBody(answer_.body);
+  }
+  options_.exchange->Finish();
+  End({.result = outcome::kAnswered,
+       .status = answer_.head.status,
+       .reason = "answered"});
+}
+
+void request_flow::DeliverKept() {
+  answer_ = std::move(*kept_failure_);
+  SendAnswerHead(answer_.body.size());
+  options_.exchange->SendBody(answer_.body);
+  options_.exchange->Finish();
+  End({.result = outcome::kAnswered,
+       .status = answer_.head.status,
+       .reason = "upstream_failure"});
+}
+
+void request_flow::GiveUp(const answer_request& action) {
+  if (has_ended_) {
+    return;
+  }
+  if (is_head_sent_) {
+    CutOff("no_upstream_to_go_on");
+    return;
+  }
+  if (kept_failure_) {
+    DeliverKept();
+    return;
+  }
+  if (action.result == outcome::kNotRun && !may_have_run_) {
+    duration wait = action.retry_after;
+    if (wait == duration(0)) {
+      wait = std::chrono::seconds(action.retry_after_seconds);
+    }
+    ReplyOwn(action.status, outcome::kNotRun, action.message, wait);
+    return;
+  }
+  ReplyOwn(kBadGateway, outcome::kUnknown, action.message, duration(0));
+}
+
+/// Writes seconds with a fraction.
+static std::string FormatSeconds(duration value) {
+  std::array<char, 32> text{};
+  const int size =
+      std::snprintf(text.data(), text.size(), "%.2f", ToSeconds(value));
+  return {text.data(), static_cast<size_t>(size)};
+}
+
+void request_flow::ReplyOwn(uint32_t status,
+                            outcome result,
+                            std::string_view reason,
+                            duration retry_after) {
+  http_headers headers;
+  if (retry_after > duration(0)) {
+    headers.push_back(
+        {.name = "Retry-After", .value = FormatSeconds(retry_after)});
+  }
+  Reply(*options_.exchange, status, std::move(headers), {}, false);
+  End({.result = result, .status = status, .reason = reason});
+}
+
+void request_flow::CutOff(std::string_view reason) {
+  options_.exchange->Abort();
+  End({.result = outcome::kUnknown, .status = 0, .reason = reason});
+}
+
+void request_flow::OnDeadline() {
+  if (has_ended_) {
+    return;
+  }
+  const bool is_running = call_ != nullptr;
+  const bool is_sent = is_running || may_have_run_;
+  call_.reset();
+  if (is_head_sent_) {
+    CutOff("deadline");
+  } else if (kept_failure_) {
+    DeliverKept();
+  } else if (is_sent) {
+    ReplyOwn(kGatewayTimeout, outcome::kUnknown, "deadline", duration(0));
+  } else {
+    ReplyOwn(kUnavailable, outcome::kNotRun, "deadline_in_queue",
+             kQueueRetryAfter);
+  }
+  if (is_running) {
+    // Not the first byte of an answer in all its time: that counts against the
+    // upstream as a failed answer does.
+    with_.owner.OnFlowEvent(attempt_ended{.attempt = attempt_,
+                                          .result = outcome::kUnknown,
+                                          .failed_in_run = true,
+                                          .answer_begun = true,
+                                          .answer = {}});
+  } else {
+    with_.owner.OnFlowEvent(caller_gone{.request = options_.id});
+  }
+}
+
+void request_flow::OnCallerGone() {
+  // The upstream sees its connection close, and stops to work.
+  call_.reset();
+  options_.exchange = nullptr;
+  End({.result = outcome::kUnknown, .status = 0, .reason = "caller_gone"});
+  with_.owner.OnFlowEvent(caller_gone{.request = options_.id});
+}
+
+void request_flow::End(const flow_end& end) {
+  has_ended_ = true;
+  timer_.Cancel();
+  with_.owner.OnFlowEnd(*this, end);
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Fleet/fleet_task.cc
@@ -0,0 +1,377 @@
+#include "cuminswitch/Fleet/fleet_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Fleet/engine_control.h"
+#include "cuminswitch/Kernel/kernel.h"
+#include "cuminswitch/Log/event_log.h"
+#include "cuminswitch/Support/hash.h"
+
+namespace cuminswitch {
+
+/// A daemon whose store answered within this time learns news from the store;
+/// otherwise it asks a peer that knows more.
+static constexpr duration kStoreFresh = std::chrono::milliseconds(1400);
+static constexpr duration kAskInterval = std::chrono::milliseconds(200);
+/// The store drops the entries of upstreams that it did not hear while it was
+/// in trouble; those that live are back about two seconds after its return.
+static constexpr duration kLapsedTime = std::chrono::milliseconds(2500);
+/// An entry that goes this soon after a failure of the store is one of those.
+static constexpr duration kStoreTrouble = std::chrono::milliseconds(3500);
+static constexpr duration kRegistrationRetry = std::chrono::milliseconds(700);
+static constexpr duration kRolloutInterval = std::chrono::milliseconds(50);
+/// What a leader said is being changed counts for so long.
+static constexpr duration kChangingTime = std::chrono::milliseconds(900);
+/// Claims to the lead are spread over this.
+static constexpr uint64_t kClaimSpreadMs = 400;
+
+static std::vector<std::string> NamesOf(
+    std::span<const daemon_record> records) {
+  std::vector<std::string> names;
+  for (const daemon_record& item : records) {
+    names.push_back(item.name + "/" + item.caller_address.ToString() +
+                    (item.is_ready ? "/ready" : "/not_ready") +
+                    (item.is_leaving ? "/leaving" : ""));
+  }
+  return names;
+}
+
+fleet_task::fleet_task(event_base* base,
+                       const kernel& services,
+                       options opts,
+                       const parts& with)
+    : loop_task(base),
+      services_(services),
+      options_(std::move(opts)),
+      with_(with),
+      roster_({.self_name = options_.self.name,
+               .self_address = options_.self.peer_address,
+               .seeds = options_.seeds}),
+      feed_(base, with.store, with.log, [this] { OnItemsChanged(); }),
+      election_({.self_name = options_.self.name,
+                 .key = options_.leader_key,
+                 .turn_gap = options_.leader_gap,
+                 .claim_delay = std::chrono::milliseconds(
+                     Hash64(options_.self.name, options_.self.incarnation) %
+                     kClaimSpreadMs)},
+                with.store),
+      beat_timer_(base, [this] { OnTick(); }),
+      rollout_timer_(base, [this] { RunRollout(ReadBootClock()); }) {}
+
+void fleet_task::Start() {
+  transport_ = std::make_unique<peer_transport>(
+      base(),
+      peer_transport::options{.listen = options_.self.peer_address,
+                              .idle_timeout = std::chrono::seconds(5)},
+      *this);
+  feed_.Start();
+  OnTick();
+}
+
+void fleet_task::Stop() {
+  transport_.reset();
+}
+
+void fleet_task::Receive(fleet_message message) {
+  if (const auto* readiness = std::get_if<readiness_changed>(&message)) {
+    options_.self.is_ready = readiness->is_ready;
+  } else {
+    options_.self.is_leaving = true;
+    options_.self.is_ready = false;
+    election_.Resign();
+  }
+  Announce();
+}
+
+bool fleet_task::OnFrame(std::span<const uint8_t> bytes) {
+  const std::optional<peer_frame> frame = DecodePeerFrame(bytes);
+  if (!frame) {
+    with_.log.Write(log_class::kLifecycle,
+                    log_line("peer_frame_malformed").Add("size", bytes.size()));
+    return false;
+  }
+  if (const auto* beat = std::get_if<beat_frame>(&*frame)) {
+    OnBeat(*beat);
+  } else if (const auto* request = std::get_if<items_request_frame>(&*frame)) {
+    OnItemsRequest(*request);
+  } else {
+    feed_.OnPeerItems(std::get<items_reply_frame>(*frame));
+  }
+  return true;
+}
+
+void fleet_task::OnBeat(const beat_frame& beat) {
+  const time_point now = ReadBootClock();
+  const bool is_news = roster_.OnBeat(now, beat);
+  if (!beat.changing.empty()) {
+    leader_changing_ = beat.changing;
+    leader_changing_at_ = now;
+    PublishChanging();
+  }
+  if (is_news) {
+    PublishPeers(now);
+  }
+  AskPeers(now);
+}
+
+void fleet_task::OnItemsRequest(const items_request_frame& request) {
+  const item_view& view = feed_.view();
+  const bool is_complete = !view.RemembersSince(request.after);
+  transport_->Send(
+      request.reply_to,
+      EncodePeerFrame(items_reply_frame{
+          .revision = view.revision(),
+          .is_complete = is_complete,
+          .items = view.ListNewerThan(is_complete ? 0 : request.after)}));
+}
+
+void fleet_task::SendBeat(const endpoint& to) {
+  const time_point now = ReadBootClock();
+  daemon_record self = options_.self;
+  self.revision = feed_.view().revision();
+  beat_frame beat{.sender = self, .heard = {}, .changing = {}};
+  for (const daemon_record& item : roster_.ListLiving(now)) {
+    beat.heard.push_back(item.peer_address);
+  }
+  if (election_.IsLeading(now)) {
+    beat.changing = rollout_.ListChanging();
+  }
+  transport_->Send(to, EncodePeerFrame(beat));
+}
+
+void fleet_task::Announce() {
+  for (const endpoint& to : roster_.ListReachable(ReadBootClock())) {
+    SendBeat(to);
+  }
+}
+
+void fleet_task::OnTick() {
+  beat_timer_.Start(peer_roster::kBeatInterval);
+  const time_point now = ReadBootClock();
+  for (const endpoint& to : roster_.ChooseTargets(now)) {
+    SendBeat(to);
+  }
+  PublishPeers(now);
+  AskPeers(now);
+  RegisterSelf();
+  if (!lapsed_.empty()) {
+    Publish(decoded_);
+  }
+  RunRollout(now);
+}
+
+void fleet_task::AskPeers(time_point now) {
+  const bool is_due = now - asked_at_ >= kAskInterval;
+  if (!is_due || feed_.IsFresh(now, kStoreFresh)) {
+    return;
+  }
+  const revision_number revision = feed_.view().revision();
+  if (const daemon_record* ahead = roster_.FindAhead(now, revision)) {
+    asked_at_ = now;
+    transport_->Send(
+        ahead->peer_address,
+        EncodePeerFrame(items_request_frame{
+            .reply_to = options_.self.peer_address, .after = revision}));
+  }
+}
+
+void fleet_task::PublishPeers(time_point now) {
+  const std::vector<daemon_record> living = roster_.ListLiving(now);
+  std::vector<std::string> names = NamesOf(living);
+  if (names == published_peers_) {
+    return;
+  }
+  published_peers_ = std::move(names);
+  log_line line("peers_changed");
+  std::string text;
+  for (const std::string& name : published_peers_) {
+    text += (text.empty() ? "" : " ") + name;
+  }
+  with_.log.Write(log_class::kBelief, line.Add("living", text));
+  services_.FindPort<fleet_news>(kEdgeService)
+      .Post(peers_changed{.living = living, .known = roster_.CountKnown()});
+}
+
+void fleet_task::RegisterSelf() {
+  const time_point now = ReadBootClock();
+  if (is_registered_ || is_registering_ || now < next_registration_ ||
+      !feed_.view().HasRead()) {
+    return;
+  }
+  is_registering_ = true;
+  with_.store.Write({.key = options_.daemons_prefix + options_.self.name,
+                     .value = options_.self.peer_address.ToString(),
+                     .expected = std::nullopt},
+                    [this](const store_write& written) {
+                      is_registering_ = false;
+                      is_registered_ = written.end == store_end::kDone;
+                      next_registration_ = ReadBootClock() + kRegistrationRetry;
+                    });
+}
+
+void fleet_task::OnItemsChanged() {
+  if (const auto decoded = with_.decoder.Decode(feed_.view())) {
+    const bool is_new_plan =
+        decoded_ == nullptr || decoded->plan != decoded_->plan ||
+        decoded->wanted_weights != decoded_->wanted_weights;
+    decoded_ = decoded;
+    Publish(decoded);
+    if (is_new_plan) {
+      // Peers that the store turns away learn it from here.
+      Announce();
+    }
+  }
+}
+
+void fleet_task::KeepLapsed(time_point now, fleet_knowledge& knowledge) {
+  const auto is_listed = [&](const upstream_entry& entry) {
+    return std::any_of(
+        knowledge.upstreams.begin(), knowledge.upstreams.end(),
+        [&](const upstream_entry& other) { return other.id == entry.id; });
+  };
+  const bool in_trouble = now - feed_.failed_at() < kStoreTrouble;
+  if (knowledge_ != nullptr && in_trouble) {
+    for (const upstream_entry& entry : knowledge_->upstreams) {
+      const bool is_kept = std::any_of(
+          lapsed_.begin(), lapsed_.end(),
+          [&](const auto& item) { return item.entry.id == entry.id; });
+      if (!is_listed(entry) && !is_kept && !entry.is_draining) {
+        lapsed_.push_back({.entry = entry, .until = now + kLapsedTime});
+      }
+    }
+  }
+  std::erase_if(lapsed_, [&](const lapsed_upstream& item) {
+    return now >= item.until || is_listed(item.entry);
+  });
+  for (const lapsed_upstream& item : lapsed_) {
+    knowledge.upstreams.push_back(item.entry);
+  }
+}
+
+static void LogKnowledge(event_log& log, const fleet_knowledge& knowledge) {
+  log_line line("knowledge_changed");
+  line.Add("revision", knowledge.revision)
+      .Add("configuration",
+           knowledge.plan == nullptr ? 0 : knowledge.plan->version);
+  std::string weights;
+  for (const weights_version& item : knowledge.wanted_weights) {
+    weights += (weights.empty() ? "" : " ") + item.model + "=" +
+               std::to_string(item.version);
+  }
+  std::string upstreams;
+  for (const upstream_entry& item : knowledge.upstreams) {
+    upstreams += (upstreams.empty() ? "" : " ") + item.id + "@" +
+                 item.address.ToString();
+    for (const weights_version& has : item.weights) {
+      upstreams += "/v" + std::to_string(has.version);
+    }
+    upstreams += item.is_draining ? "/draining" : "";
+  }
+  log.Write(log_class::kBelief, line.Add("weights", weights)
+                                    .Add("leader", knowledge.leader)
+                                    .Add("upstreams", upstreams));
+}
+
+void fleet_task::Publish(std::shared_ptr<const fleet_knowledge> decoded) {
+  auto next = std::make_shared<fleet_knowledge>(*decoded);
+  KeepLapsed(ReadBootClock(), *next);
+  if (knowledge_ != nullptr && knowledge_->plan == next->plan &&
+      knowledge_->upstreams == next->upstreams &&
+      knowledge_->wanted_weights == next->wanted_weights &&
+      knowledge_->daemons == next->daemons &&
+      knowledge_->leader == next->leader) {
+    return;
+  }
+  knowledge_ = next;
+  roster_.SetListed(next->daemons);
+  LogKnowledge(with_.log, *next);
+  services_.FindPort<fleet_news>(kEdgeService)
+      .Post(knowledge_changed{.knowledge = next});
+  RunRollout(ReadBootClock());
+}
+
+void fleet_task::PublishChanging() {
+  const time_point now = ReadBootClock();
+  std::vector<std::string> changing;
+  if (election_.IsLeading(now)) {
+    changing = rollout_.ListChanging();
+  } else if (now - leader_changing_at_ < kChangingTime) {
+    changing = leader_changing_;
+  }
+  if (changing != published_changing_) {
+    published_changing_ = changing;
+    services_.FindPort<fleet_news>(kEdgeService)
+        .Post(weights_changing{.upstreams = std::move(changing)});
+  }
+}
+
+void fleet_task::RunRollout(time_point now) {
+  if (knowledge_ == nullptr || !feed_.view().HasRead()) {
+    return;
+  }
+  election_.OnTick(now, knowledge_->leader);
+  const bool is_leading = election_.IsLeading(now);
+  if (is_leading != was_leading_) {
+    was_leading_ = is_leading;
+    with_.log.Write(log_class::kLifecycle,
+                    log_line(is_leading ? "lead_taken" : "lead_lost")
+                        .Add("fence", election_.fence()));
+  }
+  if (!election_.MayOrder(now)) {
+    rollout_.Clear();
+    PublishChanging();
+    return;
+  }
+  const std::vector<rollout_step> steps = rollout_.OnTick(now, *knowledge_);
+  PublishChanging();
+  if (!steps.empty()) {
+    // Before the orders, so that no peer sends a request into a change.
+    Announce();
+  }
+  for (const rollout_step& step : steps) {
+    Perform(step);
+  }
+  if (!rollout_.ListChanging().empty()) {
+    rollout_timer_.Start(kRolloutInterval);
+  }
+}
+
+void fleet_task::Perform(const rollout_step& step) {
+  if (!step.order) {
+    with_.engines.Ask(step, [this, step](std::optional<engine_report> report) {
+      OnEngineReport(step, report);
+    });
+    return;
+  }
+  // Between the decision and here the host may have been suspended; an order
+  // that leaves after the lease has ended meets those of the next leader.
+  if (!election_.MayOrder(ReadBootClock())) {
+    rollout_.OnOrderEnd(ReadBootClock(), step.upstream, order_end::kConflict);
+    return;
+  }
+  with_.log.Write(log_class::kBelief,
+                  log_line("order_sent")
+                      .Add("upstream", step.upstream)
+                      .Add("model", step.order->weights.model)
+                      .Add("version", step.order->weights.version)
+                      .Add("accepted_orders", step.order->accepted_orders)
+                      .Add("fence", election_.fence()));
+  with_.engines.Order(step, election_.fence(), [this, step](order_end end) {
+    with_.log.Write(log_class::kBelief, log_line("order_ended")
+                                            .Add("upstream", step.upstream)
+                                            .Add("end", ToString(end)));
+    rollout_.OnOrderEnd(ReadBootClock(), step.upstream, end);
+  });
+}
+
+void fleet_task::OnEngineReport(const rollout_step& step,
+                                const std::optional<engine_report>& report) {
+  const auto order = rollout_.OnReport(ReadBootClock(), step.upstream, report);
+  if (order) {
+    Perform(*order);
+  }
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Fleet/item_feed.cc
@@ -0,0 +1,124 @@
+#include "cuminswitch/Fleet/item_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Fleet/peer_frame.h"
+#include "cuminswitch/Log/event_log.h"
+
+namespace cuminswitch {
+
+/// A watch ends after this long without a change. A connection that has gone
+/// silent is noticed a little later, while beliefs may still be trusted.
+static constexpr std::chrono::milliseconds kWatchTime{1000};
+/// Upstreams renew their items all the time, so a watch returns at once; the
+/// pause bounds the calls. What matters is late by this much at most.
+static constexpr duration kWatchPause = std::chrono::milliseconds(100);
+static constexpr duration kFirstRetry = std::chrono::milliseconds(100);
+/// The store's rates are shared by all daemons, also by those that come back
+/// after a loss of power.
+static constexpr duration kLongestRetry = std::chrono::milliseconds(800);
+
+item_feed::item_feed(event_base* base,
+                     item_store& store,
+                     event_log& log,
+                     std::function<void()> on_change)
+    : store_(store),
+      log_(log),
+      on_change_(std::move(on_change)),
+      timer_(base, [this] { Next(); }) {}
+
+item_feed::~item_feed() {
+  *alive_ = false;
+}
+
+void item_feed::Start() {
+  Next();
+}
+
+void item_feed::Next() {
+  if (must_read_all_) {
+    ReadAll();
+  } else {
+    Watch();
+  }
+}
+
+void item_feed::ReadAll() {
+  store_.ReadAll([this, alive = alive_](const store_items& answer) {
+    if (*alive) {
+      OnItems(true, answer);
+    }
+  });
+}
+
+void item_feed::Watch() {
+  store_.Watch(view_.revision(), kWatchTime,
+               [this, alive = alive_](const store_items& answer) {
+                 if (*alive) {
+                   OnItems(false, answer);
+                 }
+               });
+}
+
+void item_feed::OnItems(bool is_complete, const store_items& answer) {
+  if (answer.end == store_end::kHistoryGone) {
+    must_read_all_ = true;
+    log_.Write(log_class::kBelief,
+               log_line("store_history_gone").Add("after", view_.revision()));
+    timer_.Start(duration(0));
+    return;
+  }
+  if (answer.end != store_end::kDone) {
+    OnFailure(answer.end);
+    return;
+  }
+  OnSuccess();
+  must_read_all_ = false;
+  const bool has_changed =
+      is_complete ? view_.ApplyAll(answer.items, answer.revision)
+                  : view_.ApplyChanges(answer.items, answer.revision);
+  timer_.Start(answer.items.empty() ? duration(0) : kWatchPause);
+  if (has_changed) {
+    on_change_();
+  }
+}
+
+void item_feed::OnSuccess() {
+  answered_at_ = ReadBootClock();
+  pause_ = duration(0);
+  if (std::exchange(is_lost_, false)) {
+    log_.Write(log_class::kLifecycle,
+               log_line("dependency_regained").Add("dependency", "store"));
+  }
+}
+
+void item_feed::OnFailure(store_end end) {
+  failed_at_ = ReadBootClock();
+  pause_ = std::clamp(pause_ * 2, kFirstRetry, kLongestRetry);
+  if (!std::exchange(is_lost_, true)) {
+    log_.Write(log_class::kLifecycle, log_line("dependency_lost")
+                                          .Add("dependency", "store")
+                                          .Add("reason", ToString(end))
+                                          .Add("revision", view_.revision()));
+  }
+  timer_.Start(pause_);
+}
+
+void item_feed::OnPeerItems(const items_reply_frame& reply) {
+  const revision_number before = view_.revision();
+  const bool has_changed =
+      reply.is_complete ? view_.ApplyAll(reply.items, reply.revision)
+                        : view_.ApplyChanges(reply.items, reply.revision);
+  if (!has_changed) {
+    return;
+  }
+  log_.Write(log_class::kBelief, log_line("items_from_peer")
+                                     .Add("before", before)
+                                     .Add("revision", reply.revision)
+                                     .Add("items", reply.items.size()));
+  on_change_();
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Fleet/leader_election.cc
@@ -0,0 +1,123 @@
+#include "cuminswitch/Fleet/leader_election.h"
+
+#include <utility>
+
+namespace cuminswitch {
+
+/// The lease is renewed three times in its life, so that one lost answer does
+/// not end it.
+static constexpr duration kRenewInterval = std::chrono::milliseconds(450);
+/// An order must have arrived before the lease ends at the store.
+static constexpr duration kSafetyMargin = std::chrono::milliseconds(250);
+static constexpr duration kRetryInterval = std::chrono::milliseconds(400);
+
+leader_election::leader_election(options opts, item_store& store)
+    : options_(std::move(opts)), store_(store) {}
+
+leader_election::~leader_election() {
+  *alive_ = false;
+}
+
+bool leader_election::MayOrder(time_point now) const {
+  return IsLeading(now) && now >= may_order_from_;
+}
+
+void leader_election::OnTick(time_point now, const std::string& leader) {
+  now_ = now;
+  if (is_calling_ || has_resigned_ || now < next_call_) {
+    return;
+  }
+  if (lease_ != 0 && fence_ != 0) {
+    Renew(now);
+    return;
+  }
+  if (!leader.empty()) {
+    vacant_since_ = {};
+    return;
+  }
+  if (vacant_since_ == time_point()) {
+    vacant_since_ = now;
+  }
+  if (now - vacant_since_ >= options_.claim_delay) {
+    Claim(now);
+  }
+}
+
+void leader_election::Claim(time_point now) {
+  is_calling_ = true;
+  store_.GrantLease(options_.lease_time,
+                    [this, alive = alive_, now](const store_lease& answer) {
+                      if (*alive) {
+                        OnLease(now, answer);
+                      }
+                    });
+}
+
+void leader_election::OnLease(time_point asked_at, const store_lease& answer) {
+  if (answer.end != store_end::kDone) {
+    is_calling_ = false;
+    next_call_ = now_ + kRetryInterval;
+    return;
+  }
+  lease_ = answer.lease;
+  const duration life = answer.time_to_live - kSafetyMargin;
+  const auto done = [this, alive = alive_, asked_at,
+                     life](const store_write& written) {
+    if (!*alive) {
+      return;
+    }
+    is_calling_ = false;
+    next_call_ = now_ + kRetryInterval;
+    if (written.end != store_end::kDone) {
+      // A write without answer may have been done; then the key goes with the
+      // lease, which nobody renews.
+      Lose();
+      return;
+    }
+    fence_ = written.revision;
+    valid_until_ = asked_at + life;
+    next_call_ = asked_at + kRenewInterval;
+    // The predecessor sent its last order before its lease ended, which was
+    // before this key could be written.
+    may_order_from_ = now_ + options_.turn_gap;
+  };
+  store_.Write({.key = options_.key,
+                .value = options_.self_name,
+                .expected = 0,
+                .lease = lease_},
+               done);
+}
+
+void leader_election::Renew(time_point now) {
+  is_calling_ = true;
+  next_call_ = now + kRenewInterval;
+  const auto done = [this, alive = alive_, now](const store_lease& answer) {
+    if (!*alive) {
+      return;
+    }
+    is_calling_ = false;
+    if (answer.end == store_end::kDone) {
+      valid_until_ = now + answer.time_to_live - kSafetyMargin;
+    } else if (answer.end == store_end::kNoLease) {
+      Lose();
+    }
+  };
+  store_.KeepLease(lease_, done);
+}
+
+void leader_election::Lose() {
+  lease_ = 0;
+  fence_ = 0;
+  valid_until_ = {};
+  vacant_since_ = {};
+}
+
+void leader_election::Resign() {
+  has_resigned_ = true;
+  if (lease_ != 0) {
+    store_.EndLease(lease_);
+  }
+  Lose();
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Fleet/peer_frame.cc
@@ -0,0 +1,165 @@
+#include "cuminswitch/Fleet/peer_frame.h"
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <utility>
+
+#include "fleet_generated.h"
+
+namespace cuminswitch {
+
+namespace {
+
+using builder = flatbuffers::FlatBufferBuilder;
+
+/// Writes a frame's body; returns its type and place.
+class body_writer {
+ public:
+  explicit body_writer(builder& out) : out_(out) {}
+
+  fleet_wire::body type() const { return type_; }
+
+  flatbuffers::Offset<void> operator()(const beat_frame& frame) {
+    type_ = fleet_wire::body_beat;
+    std::vector<std::string> heard;
+    for (const endpoint& item : frame.heard) {
+      heard.push_back(item.ToString());
+    }
+    const daemon_record& sender = frame.sender;
+    return fleet_wire::Createbeat(
+               out_, out_.CreateString(sender.name), sender.incarnation,
+               out_.CreateString(sender.peer_address.ToString()),
+               out_.CreateString(sender.caller_address.ToString()),
+               out_.CreateString(sender.failure_domain), sender.is_ready,
+               sender.is_leaving, sender.revision,
+               out_.CreateVectorOfStrings(heard),
+               out_.CreateVectorOfStrings(frame.changing))
+        .Union();
+  }
+
+  flatbuffers::Offset<void> operator()(const items_request_frame& frame) {
+    type_ = fleet_wire::body_items_request;
+    return fleet_wire::Createitems_request(
+               out_, out_.CreateString(frame.reply_to.ToString()), frame.after)
+        .Union();
+  }
+
+  flatbuffers::Offset<void> operator()(const items_reply_frame& frame) {
+    type_ = fleet_wire::body_items_reply;
+    std::vector<flatbuffers::Offset<fleet_wire::item>> items;
+    for (const item_change& change : frame.items) {
+      const std::string value = change.value.value_or(std::string());
+      items.push_back(fleet_wire::Createitem(
+          out_, out_.CreateString(change.key),
+          out_.CreateVector(reinterpret_cast<const uint8_t*>(value.data()),
+                            value.size()),
+          !change.value.has_value(), change.revision));
+    }
+    return fleet_wire::Createitems_reply(out_, frame.revision,
+                                         frame.is_complete,
+                                         out_.CreateVector(items))
+        .Union();
+  }
+
+ private:
+  builder& out_;
+  fleet_wire::body type_ = fleet_wire::body_NONE;
+};
+
+}  // namespace
+
+std::string EncodePeerFrame(const peer_frame& frame) {
+  builder out;
+  body_writer writer(out);
+  const auto body = std::visit(writer, frame);
+  out.Finish(fleet_wire::Createframe(out, writer.type(), body));
+  return {reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize()};
+}
+
+static std::vector<std::string> ReadTexts(
+    const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* list) {
+  std::vector<std::string> texts;
+  if (list != nullptr) {
+    for (const flatbuffers::String* item : *list) {
+      texts.push_back(item->str());
+    }
+  }
+  return texts;
+}
+
+static std::optional<peer_frame> ReadBeat(const fleet_wire::beat& wire) {
+  const auto peer_address = ParseEndpoint(wire.peer_address()->string_view());
+  const auto caller_address =
+      ParseEndpoint(wire.caller_address()->string_view());
+  if (!peer_address || !caller_address) {
+    return std::nullopt;
+  }
+  beat_frame frame{.sender = {.name = wire.daemon()->str(),
+                              .incarnation = wire.incarnation(),
+                              .peer_address = *peer_address,
+                              .caller_address = *caller_address,
+                              .failure_domain = wire.failure_domain()->str(),
+                              .is_ready = wire.is_ready(),
+                              .is_leaving = wire.is_leaving(),
+                              .revision = wire.revision()},
+                   .heard = {},
+                   .changing = ReadTexts(wire.changing())};
+  for (const std::string& text : ReadTexts(wire.heard())) {
+    if (const auto address = ParseEndpoint(text)) {
+      frame.heard.push_back(*address);
+    }
+  }
+  return frame;
+}
+
+static std::optional<peer_frame> ReadRequest(
+    const fleet_wire::items_request& wire) {
+  const auto reply_to = ParseEndpoint(wire.reply_to()->string_view());
+  if (!reply_to) {
+    return std::nullopt;
+  }
+  return items_request_frame{.reply_to = *reply_to, .after = wire.after()};
+}
+
+static std::optional<peer_frame> ReadReply(
+    const fleet_wire::items_reply& wire) {
+  items_reply_frame frame{.revision = wire.revision(),
+                          .is_complete = wire.is_complete(),
+                          .items = {}};
+  if (wire.items() == nullptr) {
+    return frame;
+  }
+  for (const fleet_wire::item* item : *wire.items()) {
+    item_change change{.key = item->key()->str(),
+                       .value = std::nullopt,
+                       .revision = item->revision()};
+    if (!item->is_gone()) {
+      change.value.emplace();
+      if (item->value() != nullptr) {
+        change.value->assign(item->value()->begin(), item->value()->end());
+      }
+    }
+    frame.items.push_back(std::move(change));
+  }
+  return frame;
+}
+
+std::optional<peer_frame> DecodePeerFrame(std::span<const uint8_t> bytes) {
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+  if (!verifier.VerifyBuffer<fleet_wire::frame>()) {
+    return std::nullopt;
+  }
+  const auto* wire = flatbuffers::GetRoot<fleet_wire::frame>(bytes.data());
+  if (const auto* beat = wire->body_as_beat()) {
+    return ReadBeat(*beat);
+  }
+  if (const auto* request = wire->body_as_items_request()) {
+    return ReadRequest(*request);
+  }
+  if (const auto* reply = wire->body_as_items_reply()) {
+    return ReadReply(*reply);
+  }
+  return std::nullopt;
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Fleet/weights_rollout.cc
@@ -0,0 +1,164 @@
+#include "cuminswitch/Fleet/weights_rollout.h"
+
+#include <algorithm>
+
+namespace cuminswitch {
+
+/// A change takes about a third of a second; an engine that does not show it
+/// after this long is asked again.
+static constexpr duration kChangeTime = std::chrono::milliseconds(900);
+static constexpr duration kBusyPause = std::chrono::milliseconds(150);
+/// After an order without answer: it may still be on its way.
+static constexpr duration kUnknownPause = std::chrono::milliseconds(500);
+static constexpr duration kRejectedPause = std::chrono::seconds(2);
+
+std::string_view ToString(order_end value) {
+  switch (value) {
+    case order_end::kAccepted:
+      return "accepted";
+    case order_end::kHolds:
+      return "holds";
+    case order_end::kConflict:
+      return "conflict";
+    case order_end::kRejected:
+      return "rejected";
+    case order_end::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::optional<weights_version> weights_rollout::FindWanted(
+    const fleet_knowledge& knowledge,
+    const upstream_entry& entry) {
+  for (const weights_version& has : entry.weights) {
+    for (const weights_version& wanted : knowledge.wanted_weights) {
+      if (wanted.model == has.model && wanted.version > has.version) {
+        return wanted;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+void weights_rollout::DropSettled(const fleet_knowledge& knowledge) {
+  std::erase_if(engines_, [&](const auto& item) {
+    const auto entry = std::find_if(
+        knowledge.upstreams.begin(), knowledge.upstreams.end(),
+        [&](const upstream_entry& other) { return other.id == item.first; });
+    return entry == knowledge.upstreams.end() || !FindWanted(knowledge, *entry);
+  });
+}
+
+std::vector<rollout_step> weights_rollout::OnTick(
+    time_point now,
+    const fleet_knowledge& knowledge) {
+  DropSettled(knowledge);
+  std::map<std::string, size_t> under_way;
+  for (const auto& [id, item] : engines_) {
+    under_way[item.service] += item.at == stage::kIdle ? 0 : 1;
+  }
+  std::vector<rollout_step> steps;
+  for (const upstream_entry& entry : knowledge.upstreams) {
+    const std::optional<weights_version> wanted = FindWanted(knowledge, entry);
+    if (!wanted || entry.is_draining) {
+      continue;
+    }
+    engine& item = engines_[entry.id];
+    item.service = entry.service;
+    item.address = entry.address;
+    item.wanted = *wanted;
+    const bool is_overdue =
+        item.at == stage::kChanging && now - item.since > kChangeTime;
+    const bool is_new = item.at == stage::kIdle && now >= item.next_step &&
+                        under_way[entry.service] < kChangesAtOnce;
+    if (!is_overdue && !is_new) {
+      continue;
+    }
+    under_way[entry.service] += is_new ? 1 : 0;
+    item.at = stage::kAsked;
+    item.since = now;
+    steps.push_back({.upstream = entry.id,
+                     .address = entry.address,
+                     .order = std::nullopt});
+  }
+  return steps;
+}
+
+std::optional<rollout_step> weights_rollout::OnReport(
+    time_point now,
+    const std::string& upstream,
+    const std::optional<engine_report>& report) {
+  const auto found = engines_.find(upstream);
+  if (found == engines_.end() || found->second.at != stage::kAsked) {
+    return std::nullopt;
+  }
+  engine& item = found->second;
+  if (!report || report->is_busy) {
+    item.at = stage::kIdle;
+    item.next_step = now + kBusyPause;
+    return std::nullopt;
+  }
+  const bool has_it =
+      std::any_of(report->weights.begin(), report->weights.end(),
+                  [&](const weights_version& has) {
+                    return has.model == item.wanted.model &&
+                           has.version >= item.wanted.version;
+                  });
+  if (has_it) {
+    // The store's list will say so soon.
+    item.at = stage::kIdle;
+    item.next_step = now + kChangeTime;
+    return std::nullopt;
+  }
+  item.at = stage::kOrdered;
+  return rollout_step{
+      .upstream = upstream,
+      .address = item.address,
+      .order = rollout_step::weights_order{
+          .weights = item.wanted, .accepted_orders = report->accepted_orders}};
+}
+
+void weights_rollout::OnOrderEnd(time_point now,
+                                 const std::string& upstream,
+                                 order_end end) {
+  const auto found = engines_.find(upstream);
+  if (found == engines_.end() || found->second.at != stage::kOrdered) {
+    return;
+  }
+  engine& item = found->second;
+  item.since = now;
+  switch (end) {
+    case order_end::kAccepted:
+      item.at = stage::kChanging;
+      return;
+    case order_end::kHolds:
+      item.at = stage::kIdle;
+      item.next_step = now + kChangeTime;
+      return;
+    case order_end::kConflict:
+      item.at = stage::kIdle;
+      item.next_step = now + kBusyPause;
+      return;
+    case order_end::kUnknown:
+      item.at = stage::kIdle;
+      item.next_step = now + kUnknownPause;
+      return;
+    case order_end::kRejected:
+      item.at = stage::kIdle;
+      item.next_step = now + kRejectedPause;
+      return;
+  }
+}
+
+std::vector<std::string> weights_rollout::ListChanging() const {
+  std::vector<std::string> list;
+  for (const auto& [id, item] : engines_) {
+    if (item.at != stage::kIdle) {
+      list.push_back(id);
+    }
+  }
+  return list;
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Http1/caller_connection.cc
@@ -0,0 +1,265 @@
+#include "caller_connection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "cuminswitch/Http1/caller_server.h"
+#include "status_text.h"
+
+namespace cuminswitch {
+
+static constexpr uint32_t kRequestTimeout = 408;
+static constexpr uint32_t kPayloadTooLarge = 413;
+static constexpr uint32_t kHeadTooLarge = 431;
+static constexpr uint32_t kBadRequest = 400;
+/// Unread bytes kept while an answer is under way; more stay in the kernel.
+static constexpr size_t kMaxReadAhead = 64UL << 10;
+/// How long a caller may go on sending after its request was rejected. Closing
+/// with unread bytes resets the connection, and the answer can be lost with it.
+static constexpr std::chrono::milliseconds kLingerTime{500};
+
+caller_connection::caller_connection(caller_server& server, int fd)
+    : server_(server),
+      reader_({.reads = message_reader::kind::kRequest}, *this),
+      timer_(server.base_, [this] { OnTimeout(); }) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  stream_ = bufferevent_socket_new(server.base_, fd, BEV_OPT_CLOSE_ON_FREE);
+  const auto on_read = [](bufferevent* /*stream*/, void* raw) {
+    static_cast<caller_connection*>(raw)->OnReadable();
+  };
+  const auto on_write = [](bufferevent* /*stream*/, void* raw) {
+    static_cast<caller_connection*>(raw)->OnWritten();
+  };
+  const auto on_event = [](bufferevent* /*stream*/, short what, void* raw) {
+    static_cast<caller_connection*>(raw)->OnEvent(what);
+  };
+  bufferevent_setcb(stream_, on_read, on_write, on_event, this);
+  bufferevent_setwatermark(stream_, EV_READ, 0, kMaxReadAhead);
+  bufferevent_enable(stream_, EV_READ | EV_WRITE);
+  BecomeIdle();
+}
+
+caller_connection::~caller_connection() {
+  bufferevent_free(stream_);
+}
+
+void caller_connection::BecomeIdle() {
+  stage_ = stage::kIdle;
+  head_ = {};
+  body_.clear();
+  listener_ = nullptr;
+  timer_.Start(server_.limits_.idle_timeout);
+}
+
+void caller_connection::OnHead(message_head head) {
+  head_ = std::move(head);
+  if (IsSameFieldName(head_.Find("Expect"), "100-continue")) {
+    static constexpr std::string_view kContinue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    bufferevent_write(stream_, kContinue.data(), kContinue.size());
+  }
+  timer_.Start(server_.limits_.request_timeout);
+}
+
+void caller_connection::OnBody(std::string_view data) {
+  body_.append(data);
+}
+
+void caller_connection::OnReadable() {
+  evbuffer* input = bufferevent_get_input(stream_);
+  if (stage_ == stage::kClosing) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
+  ReadRequests();
+}
+
+void caller_connection::ReadRequests() {
+  if (is_reading_) {
+    return;
+  }
+  is_reading_ = true;
+  evbuffer* input = bufferevent_get_input(stream_);
+  while (!is_dropped_ && evbuffer_get_length(input) > 0 &&
+         (stage_ == stage::kIdle || stage_ == stage::kReading)) {
+    if (stage_ == stage::kIdle) {
+      stage_ = stage::kReading;
+      reader_.SetLimits(server_.limits_.max_head_size,
+                        server_.limits_.max_body_size);
+      timer_.Start(server_.limits_.request_timeout);
+    }
+    evbuffer_iovec part{};
+    evbuffer_peek(input, -1, nullptr, &part, 1);
+    size_t consumed = 0;
+    const read_result result = reader_.Read(
+        {static_cast<const char*>(part.iov_base), part.iov_len}, consumed);
+    evbuffer_drain(input, consumed);
+    switch (result) {
+      case read_result::kNeedMore:
+        if (reader_.IsInBody()) {
+          timer_.Start(server_.limits_.request_timeout);
+        }
+        break;
+      case read_result::kMessageDone:
+        OnRequestRead();
+        break;
+      case read_result::kMalformed:
+        Reject(kBadRequest);
+        break;
+      case read_result::kHeadTooLarge:
+        Reject(kHeadTooLarge);
+        break;
+      case read_result::kBodyTooLarge:
+        Reject(kPayloadTooLarge);
+        break;
+    }
+  }
+  is_reading_ = false;
+}
+
+void caller_connection::OnRequestRead() {
+  stage_ = stage::kAnswering;
+  timer_.Cancel();
+  close_after_ = !head_.keep_alive;
+  server_.handler_.OnRequest(*this);
+}
+
+void caller_connection::Reject(uint32_t status) {
+  stage_ = stage::kAnswering;
+  close_after_ = true;
+  timer_.Cancel();
+  Reply(*this, status, {}, {}, true);
+}
+
+void caller_connection::SendHead(uint32_t status,
+                                 const http_headers& headers,
+                                 const answer_framing& framing) {
+  close_after_ = close_after_ || framing.close || server_.IsDraining();
+  is_chunked_ = !framing.content_length.has_value();
+  std::string text =
+      "HTTP/1.1 " + std::to_string(status) + " " + StatusText(status) + "\r\n";
+  for (const http_header& item : headers) {
+    text.append(item.name).append(": ").append(item.value).append("\r\n");
+  }
+  if (is_chunked_) {
+    text += "Transfer-Encoding: chunked\r\n";
+  } else {
+    text +=
+        "Content-Length: " + std::to_string(*framing.content_length) + "\r\n";
+  }
+  if (close_after_) {
+    text += "Connection: close\r\n";
+  }
+  text += "\r\n";
+  bufferevent_write(stream_, text.data(), text.size());
+}
+
+void caller_connection::SendBody(std::string_view data) {
+  if (data.empty()) {
+    return;
+  }
+  if (!is_chunked_) {
+    bufferevent_write(stream_, data.data(), data.size());
+    return;
+  }
+  std::array<char, 24> size_line{};
+  const int size =
+      std::snprintf(size_line.data(), size_line.size(), "%zx\r\n", data.size());
+  bufferevent_write(stream_, size_line.data(), static_cast<size_t>(size));
+  bufferevent_write(stream_, data.data(), data.size());
+  bufferevent_write(stream_, "\r\n", 2);
+}
+
+void caller_connection::Finish() {
+  if (is_chunked_) {
+    static constexpr std::string_view kLastChunk = "0\r\n\r\n";
+    bufferevent_write(stream_, kLastChunk.data(), kLastChunk.size());
+  }
+  listener_ = nullptr;
+  if (close_after_) {
+    CloseGently();
+    return;
+  }
+  BecomeIdle();
+  ReadRequests();
+}
+
+void caller_connection::Abort() {
+  listener_ = nullptr;
+  CloseNow();
+}
+
+size_t caller_connection::PendingBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(stream_));
+}
+
+void caller_connection::CloseGently() {
+  stage_ = stage::kClosing;
+  timer_.Start(kLingerTime);
+  OnWritten();
+}
+
+void caller_connection::OnWritten() {
+  if (stage_ == stage::kAnswering && listener_ != nullptr) {
+    listener_->OnCallerDrained();
+    return;
+  }
+  if (stage_ == stage::kClosing && PendingBytes() == 0 && !is_dropped_) {
+    shutdown(bufferevent_getfd(stream_), SHUT_WR);
+  }
+}
+
+void caller_connection::OnEvent(short what) {
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    CloseNow();
+  }
+}
+
+void caller_connection::OnTimeout() {
+  if (stage_ == stage::kReading) {
+    Reject(kRequestTimeout);
+    return;
+  }
+  CloseNow();
+}
+
+void caller_connection::CloseIfIdle() {
+  if (stage_ == stage::kIdle) {
+    CloseNow();
+  }
+}
+
+void caller_connection::CloseNow() {
+  if (is_dropped_) {
+    return;
+  }
+  is_dropped_ = true;
+  timer_.Cancel();
+  bufferevent_disable(stream_, EV_READ | EV_WRITE);
+  if (caller_listener* listener = std::exchange(listener_, nullptr)) {
+    listener->OnCallerGone();
+  }
+  server_.Drop(this);
+}
+
+void Reply(caller_exchange& exchange,
+           uint32_t status,
+           http_headers headers,
+           std::string_view body,
+           bool close) {
+  exchange.SendHead(status, headers,
+                    {.content_length = body.size(), .close = close});
+  exchange.SendBody(body);
+  exchange.Finish();
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Http1/caller_connection.h
@@ -0,0 +1,74 @@
+/// \file
+/// One caller's connection.
+#ifndef CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
+#define CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
+
+#include <string>
+
+#include "cuminswitch/Http1/caller_exchange.h"
+#include "cuminswitch/Http1/message_reader.h"
+#include "cuminswitch/Net/loop_timer.h"
+
+struct bufferevent;
+
+namespace cuminswitch {
+
+class caller_server;
+
+/// Reads requests one at a time; those that were sent ahead wait unread.
+class caller_connection : public caller_exchange, private message_sink {
+ public:
+  caller_connection(caller_server& server, int fd);
+  ~caller_connection() override;
+
+  const message_head& Head() const override { return head_; }
+  const std::string& Body() const override { return body_; }
+  void SetListener(caller_listener* listener) override { listener_ = listener; }
+  void SendHead(uint32_t status,
+                const http_headers& headers,
+                const answer_framing& framing) override;
+  void SendBody(std::string_view data) override;
+  void Finish() override;
+  void Abort() override;
+  size_t PendingBytes() const override;
+
+  /// Closes it unless a request is being read or answered.
+  void CloseIfIdle();
+
+ private:
+  enum class stage : uint8_t { kIdle, kReading, kAnswering, kClosing };
+
+  void OnHead(message_head head) override;
+  void OnBody(std::string_view data) override;
+
+  void OnReadable();
+  void OnWritten();
+  void OnEvent(short what);
+  void OnTimeout();
+  void ReadRequests();
+  void OnRequestRead();
+  /// Answers what could not be read as a request, and closes.
+  void Reject(uint32_t status);
+  /// Closes once everything is written and the caller has stopped to send.
+  void CloseGently();
+  void CloseNow();
+  void BecomeIdle();
+
+  caller_server& server_;
+  bufferevent* stream_ = nullptr;
+  message_reader reader_;
+  loop_timer timer_;
+  stage stage_ = stage::kIdle;
+  message_head head_;
+  std::string body_;
+  caller_listener* listener_ = nullptr;
+  bool is_chunked_ = false;
+  bool close_after_ = false;
+  bool is_dropped_ = false;
+  /// `ReadRequests` is on the stack.
+  bool is_reading_ = false;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
--- /dev/null
+++ b/lib/Http1/caller_server.cc
@@ -0,0 +1,86 @@
+#include "cuminswitch/Http1/caller_server.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+#include <cerrno>
+#include <cstring>
+#include <vector>
+
+#include "caller_connection.h"
+#include "cuminswitch/Net/bind_error.h"
+#include "cuminswitch/Net/loop_timer.h"
+#include "cuminswitch/Net/socket_address.h"
+
+namespace cuminswitch {
+
+/// Connections that may wait to be accepted. A full queue drops the opening
+/// packet, which costs its caller a second or more.
+static constexpr int kBacklog = 1024;
+
+caller_server::caller_server(event_base* base,
+                             const endpoint& listen,
+                             caller_handler& handler)
+    : base_(base), handler_(handler), listen_(listen) {
+  const sockaddr_in address = ToSocketAddress(listen);
+  const auto on_accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
+                            sockaddr* /*from*/, int /*size*/, void* raw) {
+    static_cast<caller_server*>(raw)->Accept(fd);
+  };
+  listener_ = evconnlistener_new_bind(
+      base, on_accept, this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+      kBacklog, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  if (listener_ == nullptr) {
+    throw bind_error("cannot listen on " + listen.ToString() + ": " +
+                     std::strerror(errno));
+  }
+}
+
+caller_server::~caller_server() {
+  *alive_ = false;
+  evconnlistener_free(listener_);
+}
+
+void caller_server::Accept(int fd) {
+  if (is_closed_) {
+    evutil_closesocket(fd);
+    return;
+  }
+  ++accepted_;
+  auto item = std::make_unique<caller_connection>(*this, fd);
+  caller_connection* key = item.get();
+  connections_[key] = std::move(item);
+}
+
+void caller_server::Drop(caller_connection* connection) {
+  // It may be on the stack, so it is destroyed from the loop.
+  CallLater(base_, [this, alive = alive_, connection] {
+    if (*alive) {
+      connections_.erase(connection);
+    }
+  });
+}
+
+void caller_server::CloseIdle() {
+  is_closed_ = true;
+  evconnlistener_disable(listener_);
+  std::vector<caller_connection*> all;
+  for (const auto& [key, item] : connections_) {
+    all.push_back(key);
+  }
+  for (caller_connection* item : all) {
+    item->CloseIfIdle();
+  }
+}
+
+endpoint caller_server::Address() const {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(evconnlistener_get_fd(listener_),
+              reinterpret_cast<sockaddr*>(&address), &size);
+  return {.address = listen_.address, .port = ntohs(address.sin_port)};
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Http1/upstream_connection.cc
@@ -0,0 +1,218 @@
+#include "upstream_connection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+#include <string>
+#include <utility>
+
+#include "cuminswitch/Http1/upstream_pool.h"
+#include "cuminswitch/Net/socket_address.h"
+#include "pooled_call.h"
+
+namespace cuminswitch {
+
+/// An upstream that announces no time may close at once; a connection to it is
+/// kept this long.
+static constexpr std::chrono::seconds kUnannouncedKeepTime{1};
+/// Bytes of an answer's head; more is not an answer.
+static constexpr size_t kMaxAnswerHead = 64UL << 10;
+static constexpr size_t kMaxAnswerBody = 256UL << 20;
+/// Bytes that the kernel holds for a peer that acknowledges nothing for this
+/// long are given up, and the connection breaks.
+static constexpr int kUserTimeoutMs = 2'000;
+
+upstream_connection::upstream_connection(upstream_pool& pool,
+                                         const endpoint& to)
+    : pool_(pool),
+      to_(to),
+      reader_({.reads = message_reader::kind::kResponse,
+               .max_head_size = kMaxAnswerHead,
+               .max_body_size = kMaxAnswerBody},
+              *this),
+      timer_(pool.base_, [this] { OnTimeout(); }) {
+  stream_ = bufferevent_socket_new(pool.base_, -1, BEV_OPT_CLOSE_ON_FREE);
+  const auto on_read = [](bufferevent* /*stream*/, void* raw) {
+    static_cast<upstream_connection*>(raw)->OnReadable();
+  };
+  const auto on_event = [](bufferevent* /*stream*/, short what, void* raw) {
+    static_cast<upstream_connection*>(raw)->OnEvent(what);
+  };
+  bufferevent_setcb(stream_, on_read, nullptr, on_event, this);
+  bufferevent_enable(stream_, EV_READ | EV_WRITE);
+}
+
+upstream_connection::~upstream_connection() {
+  bufferevent_free(stream_);
+}
+
+static std::string WriteHead(const upstream_request& request) {
+  std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+  for (const http_header& item : request.headers) {
+    text.append(item.name).append(": ").append(item.value).append("\r\n");
+  }
+  const bool has_body = !request.body.empty() || request.method != "GET";
+  if (has_body) {
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  return text + "\r\n";
+}
+
+void upstream_connection::Send(const upstream_request& request,
+                               pooled_call& call) {
+  call_ = &call;
+  is_reusable_ = false;
+  timer_.Cancel();
+  if (request.method == "HEAD") {
+    reader_.ExpectNoBody();
+  }
+  const std::string head = WriteHead(request);
+  bufferevent_write(stream_, head.data(), head.size());
+  bufferevent_write(stream_, request.body.data(), request.body.size());
+  if (!is_connected_) {
+    Connect(request.connect_timeout);
+  }
+}
+
+void upstream_connection::Connect(std::chrono::milliseconds timeout) {
+  const sockaddr_in address = ToSocketAddress(to_);
+  timer_.Start(timeout);
+  if (bufferevent_socket_connect(stream_,
+                                 reinterpret_cast<const sockaddr*>(&address),
+                                 sizeof(address)) != 0) {
+    // The failure is told from the loop, by the timer.
+    timer_.Start(std::chrono::milliseconds(0));
+    return;
+  }
+  const int fd = bufferevent_getfd(stream_);
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof(kUserTimeoutMs));
+}
+
+void upstream_connection::SetReading(bool on) {
+  if (on) {
+    bufferevent_enable(stream_, EV_READ);
+  } else {
+    bufferevent_disable(stream_, EV_READ);
+  }
+}
+
+std::chrono::milliseconds upstream_connection::IdleFor() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - idle_since_);
+}
+
+bool upstream_connection::HasUnsentBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
+}
+
+/// Reads `timeout=N` out of a Keep-Alive field.
+static std::chrono::seconds ReadKeepTime(std::string_view field) {
+  static constexpr std::string_view kTimeout = "timeout=";
+  const size_t at = field.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return kUnannouncedKeepTime;
+  }
+  const std::string_view digits = field.substr(at + kTimeout.size());
+  int seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
+void upstream_connection::OnHead(message_head head) {
+  close_announced_ = !head.keep_alive || head.ends_with_connection;
+  keep_time_ = ReadKeepTime(head.Find("Keep-Alive"));
+  if (call_ != nullptr) {
+    call_->handler().OnAnswerHead(head);
+  }
+}
+
+void upstream_connection::OnBody(std::string_view data) {
+  if (call_ != nullptr) {
+    call_->handler().OnAnswerBody(data);
+  }
+}
+
+void upstream_connection::OnReadable() {
+  evbuffer* input = bufferevent_get_input(stream_);
+  if (call_ == nullptr) {
+    // Bytes that answer no request: what follows on this connection could be
+    // taken for the next request's answer.
+    is_reusable_ = false;
+    pool_.DropIdle(this);
+    return;
+  }
+  while (call_ != nullptr && evbuffer_get_length(input) > 0) {
+    evbuffer_iovec part{};
+    evbuffer_peek(input, -1, nullptr, &part, 1);
+    size_t consumed = 0;
+    const read_result result = reader_.Read(
+        {static_cast<const char*>(part.iov_base), part.iov_len}, consumed);
+    evbuffer_drain(input, consumed);
+    if (result == read_result::kMessageDone) {
+      End(call_end::kComplete);
+      return;
+    }
+    if (result != read_result::kNeedMore) {
+      End(call_end::kMalformed);
+      return;
+    }
+  }
+}
+
+void upstream_connection::OnEvent(short what) {
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    is_connected_ = true;
+    timer_.Cancel();
+    return;
+  }
+  is_reusable_ = false;
+  if (call_ == nullptr) {
+    pool_.DropIdle(this);
+    return;
+  }
+  if (!is_connected_) {
+    End(call_end::kNotConnected);
+    return;
+  }
+  const bool is_orderly = (what & BEV_EVENT_EOF) != 0;
+  const bool is_whole =
+      is_orderly && reader_.ReadEnd() == read_result::kMessageDone;
+  close_announced_ = true;
+  End(is_whole ? call_end::kComplete : call_end::kBroken);
+}
+
+void upstream_connection::OnTimeout() {
+  if (call_ == nullptr) {
+    pool_.DropIdle(this);
+    return;
+  }
+  if (!is_connected_) {
+    End(call_end::kNotConnected);
+  }
+}
+
+void upstream_connection::End(call_end end) {
+  ++served_;
+  const bool has_more = evbuffer_get_length(bufferevent_get_input(stream_)) > 0;
+  // An answer that came before the whole request was sent leaves the rest of
+  // the request due; nothing else may be sent in its place.
+  is_reusable_ = end == call_end::kComplete && !close_announced_ && !has_more &&
+                 !HasUnsentBytes() && keep_time_.count() > 0;
+  idle_since_ = std::chrono::steady_clock::now();
+  if (is_reusable_) {
+    // Well before the upstream closes it, so that no request crosses that.
+    timer_.Start(std::chrono::milliseconds(keep_time_) * 4 / 5);
+  }
+  if (pooled_call* call = std::exchange(call_, nullptr)) {
+    call->End(end);
+  }
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Http1/upstream_connection.h
@@ -0,0 +1,68 @@
+/// \file
+/// One connection to an upstream.
+#ifndef CUMINSWITCH_LIB_HTTP1_UPSTREAM_CONNECTION_H_
+#define CUMINSWITCH_LIB_HTTP1_UPSTREAM_CONNECTION_H_
+
+#include <chrono>
+#include <memory>
+
+#include "cuminswitch/Http1/message_reader.h"
+#include "cuminswitch/Http1/upstream_call.h"
+#include "cuminswitch/Net/loop_timer.h"
+
+struct bufferevent;
+
+namespace cuminswitch {
+
+class pooled_call;
+class upstream_pool;
+
+/// Sends one request at a time and reads its answer.
+class upstream_connection : private message_sink {
+ public:
+  upstream_connection(upstream_pool& pool, const endpoint& to);
+  upstream_connection(const upstream_connection&) = delete;
+  upstream_connection& operator=(const upstream_connection&) = delete;
+  ~upstream_connection() override;
+
+  /// Begins a call; its events go to \p call until the end or `Detach`.
+  void Send(const upstream_request& request, pooled_call& call);
+  /// Ends the interest of the present call.
+  void Detach() { call_ = nullptr; }
+  void SetReading(bool on);
+
+  const endpoint& to() const { return to_; }
+  bool HasServed() const { return served_ > 0; }
+  std::chrono::milliseconds IdleFor() const;
+  /// Whether it may carry another request.
+  bool IsReusable() const { return is_reusable_; }
+
+ private:
+  void OnHead(message_head head) override;
+  void OnBody(std::string_view data) override;
+
+  void Connect(std::chrono::milliseconds timeout);
+  void OnReadable();
+  void OnEvent(short what);
+  void OnTimeout();
+  void End(call_end end);
+  void BecomeIdle();
+  bool HasUnsentBytes() const;
+
+  upstream_pool& pool_;
+  endpoint to_;
+  bufferevent* stream_ = nullptr;
+  message_reader reader_;
+  loop_timer timer_;
+  pooled_call* call_ = nullptr;
+  bool is_connected_ = false;
+  bool is_reusable_ = false;
+  bool close_announced_ = false;
+  uint32_t served_ = 0;
+  std::chrono::seconds keep_time_{0};
+  std::chrono::steady_clock::time_point idle_since_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_LIB_HTTP1_UPSTREAM_CONNECTION_H_
--- /dev/null
+++ b/lib/Http1/upstream_pool.cc
@@ -0,0 +1,115 @@
+#include "cuminswitch/Http1/upstream_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cuminswitch/Net/loop_timer.h"
+#include "pooled_call.h"
+#include "upstream_connection.h"
+
+namespace cuminswitch {
+
+/// Idle connections kept per upstream; descriptors are few on small hosts.
+static constexpr size_t kMaxIdlePerUpstream = 16;
+
+upstream_pool::upstream_pool(event_base* base) : base_(base) {}
+
+upstream_pool::~upstream_pool() {
+  *alive_ = false;
+}
+
+std::unique_ptr<upstream_call> upstream_pool::Start(
+    const upstream_request& request,
+    upstream_handler& handler) {
+  std::unique_ptr<upstream_connection> connection = Acquire(request);
+  upstream_connection& raw = *connection;
+  auto call =
+      std::make_unique<pooled_call>(*this, std::move(connection), handler);
+  raw.Send(request, *call);
+  return call;
+}
+
+std::unique_ptr<upstream_connection> upstream_pool::Acquire(
+    const upstream_request& request) {
+  const auto found = idle_.find(request.to);
+  if (found != idle_.end() && !found->second.empty() &&
+      found->second.back()->IdleFor() < request.max_idle) {
+    std::unique_ptr<upstream_connection> connection =
+        std::move(found->second.back());
+    found->second.pop_back();
+    return connection;
+  }
+  ++opened_;
+  return std::make_unique<upstream_connection>(*this, request.to);
+}
+
+void upstream_pool::Forget(const endpoint& to) {
+  idle_.erase(to);
+}
+
+void upstream_pool::GiveBack(std::unique_ptr<upstream_connection> connection) {
+  auto& kept = idle_[connection->to()];
+  if (connection->IsReusable() && kept.size() < kMaxIdlePerUpstream) {
+    kept.push_back(std::move(connection));
+    return;
+  }
+  Release(std::move(connection));
+}
+
+void upstream_pool::DropIdle(upstream_connection* connection) {
+  const auto found = idle_.find(connection->to());
+  if (found == idle_.end()) {
+    return;
+  }
+  auto& kept = found->second;
+  const auto item = std::find_if(
+      kept.begin(), kept.end(),
+      [connection](const auto& other) { return other.get() == connection; });
+  if (item == kept.end()) {
+    return;
+  }
+  std::unique_ptr<upstream_connection> dropped = std::move(*item);
+  kept.erase(item);
+  Release(std::move(dropped));
+}
+
+void upstream_pool::Release(std::unique_ptr<upstream_connection> connection) {
+  std::shared_ptr<upstream_connection> shared = std::move(connection);
+  shared->SetReading(false);
+  CallLater(base_, [shared] {});
+}
+
+pooled_call::pooled_call(upstream_pool& pool,
+                         std::unique_ptr<upstream_connection> connection,
+                         upstream_handler& handler)
+    : pool_(pool),
+      connection_(std::move(connection)),
+      handler_(handler),
+      is_on_kept_connection_(connection_->HasServed()) {}
+
+pooled_call::~pooled_call() {
+  if (connection_ != nullptr) {
+    connection_->Detach();
+    pool_.Release(std::move(connection_));
+  }
+}
+
+void pooled_call::PauseReading() {
+  if (connection_ != nullptr) {
+    connection_->SetReading(false);
+  }
+}
+
+void pooled_call::ResumeReading() {
+  if (connection_ != nullptr) {
+    connection_->SetReading(true);
+  }
+}
+
+void pooled_call::End(call_end end) {
+  connection_->SetReading(true);
+  pool_.GiveBack(std::move(connection_));
+  handler_.OnCallEnd(end);
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/lib/Log/event_log.cc
@@ -0,0 +1,150 @@
+#include "cuminswitch/Log/event_log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace cuminswitch {
+
+/// A pipe that polls as writable takes this much without blocking (PIPE_BUF).
+static constexpr size_t kSafeWrite = 4096;
+
+static int64_t UnixMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+/// A text as JSON, with invalid UTF-8 replaced.
+static std::string Quote(std::string_view text) {
+  return nlohmann::json(text).dump(-1, ' ', false,
+                                   nlohmann::json::error_handler_t::replace);
+}
+
+log_line::log_line(std::string_view event)
+    : text_("{\"time_ms\":" + std::to_string(UnixMillis()) +
+            ",\"event\":" + Quote(event)) {}
+
+void log_line::AddName(std::string_view name) {
+  text_.append(",\"").append(name).append("\":");
+}
+
+log_line& log_line::Add(std::string_view name, std::string_view value) {
+  AddName(name);
+  text_ += Quote(value);
+  return *this;
+}
+
+log_line& log_line::Add(std::string_view name, int64_t value) {
+  AddName(name);
+  text_ += std::to_string(value);
+  return *this;
+}
+
+log_line& log_line::Add(std::string_view name, uint64_t value) {
+  AddName(name);
+  text_ += std::to_string(value);
+  return *this;
+}
+
+log_line& log_line::Add(std::string_view name, bool value) {
+  AddName(name);
+  text_ += value ? "true" : "false";
+  return *this;
+}
+
+log_line& log_line::Add(std::string_view name,
+                        std::chrono::microseconds value) {
+  constexpr int64_t kMicrosPerMilli = 1000;
+  return Add(name, int64_t{value.count() / kMicrosPerMilli});
+}
+
+bool event_log::TakeBudget() {
+  const auto now = std::chrono::steady_clock::now();
+  if (now - second_began_ >= std::chrono::seconds(1)) {
+    second_began_ = now;
+    request_lines_ = 0;
+  }
+  return ++request_lines_ <= options_.max_request_lines;
+}
+
+bool event_log::MakeRoom(size_t size, log_class kind) {
+  while (pending_size_ + size > options_.max_pending) {
+    // The first line may be half written; it stays.
+    const auto begin = lines_.begin() + (front_written_ > 0 ? 1 : 0);
+    const auto victim = std::min_element(
+        begin, lines_.end(),
+        [](const auto& a, const auto& b) { return a.kind < b.kind; });
+    if (victim == lines_.end() || victim->kind > kind) {
+      return false;
+    }
+    pending_size_ -= victim->text.size();
+    lines_.erase(victim);
+    ++dropped_;
+    ++dropped_total_;
+  }
+  return true;
+}
+
+void event_log::Push(log_class kind, std::string text) {
+  pending_size_ += text.size();
+  lines_.push_back({.kind = kind, .text = std::move(text)});
+}
+
+void event_log::ReportDropped() {
+  if (dropped_ == 0) {
+    return;
+  }
+  log_line line("log_lines_dropped");
+  line.Add("count", std::exchange(dropped_, 0));
+  Push(log_class::kLifecycle, line.text() + "}\n");
+}
+
+void event_log::Write(log_class kind, const log_line& line) {
+  std::string text = line.text() + "}\n";
+  const bool has_budget = kind != log_class::kRequest || TakeBudget();
+  if (!has_budget || !MakeRoom(text.size(), kind)) {
+    ++dropped_;
+    ++dropped_total_;
+    return;
+  }
+  ReportDropped();
+  Push(kind, std::move(text));
+  if (pending_size_ >= kSafeWrite) {
+    Flush();
+  }
+}
+
+void event_log::Flush() {
+  while (!lines_.empty()) {
+    pollfd state{.fd = options_.descriptor, .events = POLLOUT, .revents = 0};
+    if (poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0) {
+      return;
+    }
+    std::string batch;
+    while (!lines_.empty() && batch.size() < kSafeWrite) {
+      const std::string& text = lines_.front().text;
+      const std::string_view rest =
+          std::string_view(text).substr(front_written_);
+      const size_t part = std::min(rest.size(), kSafeWrite - batch.size());
+      batch.append(rest.substr(0, part));
+      front_written_ += part;
+      if (front_written_ == text.size()) {
+        pending_size_ -= text.size();
+        lines_.pop_front();
+        front_written_ = 0;
+        ++written_;
+      }
+    }
+    if (write(options_.descriptor, batch.data(), batch.size()) < 0) {
+      // Nobody can be told; the lines are lost, and counted.
+      ++dropped_total_;
+      return;
+    }
+  }
+}
+
+}  // namespace cuminswitch
--- a/lib/Net/http_call.cc
+++ b/lib/Net/http_call.cc
@@ -24,6 +24,8 @@
       return EVHTTP_REQ_POST;
     case http_method::kPut:
       return EVHTTP_REQ_PUT;
+    case http_method::kDelete:
+      return EVHTTP_REQ_DELETE;
   }
   return EVHTTP_REQ_GET;
 }
--- a/lib/Net/peer_transport.cc
+++ b/lib/Net/peer_transport.cc
@@ -16,20 +16,13 @@
 #include <vector>
 
 #include "cuminswitch/Net/bind_error.h"
+#include "cuminswitch/Net/socket_address.h"
 
 namespace cuminswitch {
 
 /// The big-endian length before each frame.
 using frame_header = std::array<uint8_t, 4>;
 
-static sockaddr_in ToSocketAddress(const endpoint& value) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(value.port);
-  inet_pton(AF_INET, value.address.c_str(), &address.sin_addr);
-  return address;
-}
-
 static uint32_t ReadLength(const frame_header& header) {
   return (uint32_t{header[0]} << 24) | (uint32_t{header[1]} << 16) |
          (uint32_t{header[2]} << 8) | uint32_t{header[3]};
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -129,6 +129,9 @@
     double cost = query.replicas.EstimateQueueSeconds(query.now, index) +
                   (own + delayed * missing) / item.prefill_rate +
                   kBatchSeconds * item.in_flight;
+    if (!query.penalty_seconds.empty()) {
+      cost += query.penalty_seconds[i];
+    }
     if (!query.has_room[i]) {
       cost += query.replicas.EstimateRoomSeconds(index);
     }
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -30,6 +30,11 @@
 /// A daemon starts with this multiple of its even part of a replica's limit:
 /// one workspace's traffic meets at a few daemons, so parts are not even.
 static constexpr double kFirstLimitFactor = 4;
+/// How long a replica that fails far more often than the others gets nothing.
+static constexpr duration kOutlierEjection = std::chrono::seconds(3);
+/// An answer of old weights loses value; a wait of this many seconds for a
+/// replica with the new ones is worth about as much.
+static constexpr double kOldWeightsPenalty = 0.2;
 static constexpr double kLearningRate = 0.2;
 static constexpr double kSlowestPrefillRate = 100;
 static constexpr double kFastestPrefillRate = 1e7;
@@ -38,9 +43,15 @@
 
 void replica_table::Reconfigure(time_point now, const configuration& config) {
   configured_.clear();
-  by_target_.clear();
+  std::map<std::string, target_replicas, std::less<>> earlier;
+  earlier.swap(by_target_);
   for (const model_spec& model : config.models) {
-    by_target_[model.name].version = model.version;
+    target_replicas& target = by_target_[model.name];
+    target.version = model.version;
+    const auto found = earlier.find(model.name);
+    const bool is_same =
+        found != earlier.end() && found->second.version == model.version;
+    target.version_since = is_same ? found->second.version_since : now;
   }
   for (const upstream_spec& spec : config.upstreams) {
     const auto [found, is_new] = by_name_.try_emplace(
@@ -101,8 +112,72 @@
   item.pending_tokens = std::max(0.0, item.pending_tokens - expected_tokens);
 }
 
-void replica_table::OnAnswered(replica_index index) {
-  replicas_[index].failures_in_row = 0;
+void replica_table::OnAnswered(time_point now,
+                               replica_index index,
+                               bool failed) {
+  replica& item = replicas_[index];
+  item.failures_in_row = 0;
+  item.answers.OnAnswer(now, failed);
+  if (failed) {
+    EjectOutlier(now, index);
+  }
+}
+
+void replica_table::EjectOutlier(time_point now, replica_index index) {
+  replica& item = replicas_[index];
+  double failed = 0;
+  double total = 0;
+  for (const replica_index other : configured_) {
+    if (other != index && replicas_[other].spec.serves == item.spec.serves) {
+      replicas_[other].answers.AddTo(failed, total);
+    }
+  }
+  const double others_share = total > 0 ? failed / total : 0;
+  if (item.answers.IsOutlier(others_share)) {
+    item.answers.Reset();
+    item.ejected_until = now + kOutlierEjection;
+  }
+}
+
+void replica_table::OnLoad(time_point now, const upstream_load& load) {
+  const auto found = by_name_.find(load.upstream);
+  if (found == by_name_.end()) {
+    return;
+  }
+  replica& item = replicas_[found->second];
+  item.reported_at = now;
+  const uint32_t total = load.running + load.waiting;
+  item.others_in_flight = total > item.in_flight ? total - item.in_flight : 0;
+  item.others_waiting =
+      load.waiting > item.waiting ? load.waiting - item.waiting : 0;
+}
+
+void replica_table::SetChanging(const upstream_changing& event) {
+  const auto found = by_name_.find(event.upstream);
+  if (found != by_name_.end()) {
+    replicas_[found->second].changing = event.is_changing;
+  }
+}
+
+std::string replica_table::VersionAt(replica_index index,
+                                     std::string_view target) const {
+  for (const loaded_model& model : replicas_[index].models) {
+    if (model.name == target) {
+      return model.version;
+    }
+  }
+  return {};
+}
+
+std::optional<double> replica_table::OldWeightsPenalty(
+    time_point now,
+    const target_replicas& target,
+    const replica& item) const {
+  const duration age = now - target.version_since;
+  if (!item.reported || age >= options_.old_weights_time) {
+    return std::nullopt;
+  }
+  return age < options_.old_weights_grace ? 0 : kOldWeightsPenalty;
 }
 
 void replica_table::AdaptLimit(time_point now,
@@ -232,6 +307,7 @@
     std::span<const std::string> failure_domains,
     std::span<const replica_index> excluded) const {
   eligible_replicas result;
+  eligible_replicas ejected;
   const auto found = by_target_.find(target);
   if (found == by_target_.end()) {
     return result;
@@ -251,16 +327,21 @@
     const bool has_weights =
         version.empty() ||
         (item.reported && ServesVersion(item, target, version));
+    const std::optional<double> penalty =
+        has_weights ? 0 : OldWeightsPenalty(now, found->second, item);
     const bool usable =
-        item.reachable && now >= item.ejected_until &&
+        item.reachable && !item.changing &&
         std::find(excluded.begin(), excluded.end(), index) == excluded.end();
-    if (!has_weights || !usable) {
+    if (!penalty || !usable) {
       continue;
     }
-    result.indices.push_back(index);
-    result.has_room.push_back(HasRoom(now, item));
+    eligible_replicas& list = now >= item.ejected_until ? result : ejected;
+    list.indices.push_back(index);
+    list.has_room.push_back(HasRoom(now, item));
+    list.penalty_seconds.push_back(*penalty);
   }
-  return result;
+  // With every replica ejected, any of them is better than none.
+  return result.indices.empty() ? ejected : result;
 }
 
 double replica_table::EstimateWaiting(time_point now,
--- a/tools/cuminswitchd/cuminswitchd.cc
+++ b/tools/cuminswitchd/cuminswitchd.cc
@@ -15,6 +15,7 @@
 #include "cuminswitch/Daemon/router_daemon.h"
 #include "cuminswitch/Settings/daemon_settings.h"
 #include "cuminswitch/Support/findings_error.h"
+#include "platform/platform_daemon.h"
 
 namespace cuminswitch {
 namespace {
@@ -26,6 +27,8 @@
   kBadSettings = 3,
 };
 
+constexpr int kDefaultMetricsPort = 9100;
+
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
@@ -78,11 +81,37 @@
   return kSuccess;
 }
 
+/// The daemon's second form, on the users' platform.
+int MainOnPlatform(const std::vector<std::string>& rest,
+                   bool check_only,
+                   int metrics_port) {
+  if (rest.size() > 1) {
+    throw usage_error("at most one settings file is needed");
+  }
+  const std::string path =
+      rest.empty() ? platform::SettingsPath() : rest.front();
+  if (check_only) {
+    platform::CheckSettings(path);
+    std::cout << path << ": no findings\n";
+    return kSuccess;
+  }
+  platform::RunDaemon(path, static_cast<uint16_t>(metrics_port));
+  return kSuccess;
+}
+
 int Main(int argc, char** argv) {
   bool check_only = false;
+  bool on_platform = false;
+  int metrics_port = kDefaultMetricsPort;
   option_parser parser("cuminswitchd", "[OPTION...] SETTINGS.toml");
   parser.AddFlag("check", check_only, "Check the settings and exit");
+  parser.AddFlag("platform", on_platform, "Run on the users' platform");
+  parser.AddInteger("metrics-port", metrics_port,
+                   "Where the platform's form serves its metrics");
   const std::vector<std::string> rest = parser.Parse(ArgumentsOf(argc, argv));
+  if (on_platform) {
+    return MainOnPlatform(rest, check_only, metrics_port);
+  }
   if (rest.size() != 1) {
     throw usage_error("exactly one settings file is needed");
   }
