Change the oldest weights first, and copy cached prefixes between engines

Cause: with a version named every 2.4 s and two changes at a time, engines in the order of their ids left the last ones on version 1 for over 6 s, and the bound for old weights ran anew with each naming. Ruled out: lost orders (each was accepted within 10 ms). Now the oldest weights go first, three at a time, and old weights are refused from the first naming that superseded them. An engine that lacks a shared prefix copies it from one that should have it.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -151,7 +151,14 @@
   void Dispatch(time_point now,
                 request& item,
                 const placement& chosen,
+                std::span<const replica_index> eligible,
                 action_list& out);
+  /// Finds an engine with the same weights that should hold more of the
+  /// request's shared prefixes than \p chosen does.
+  std::optional<endpoint> FindCacheSource(
+      const request& item,
+      replica_index chosen,
+      std::span<const replica_index> eligible);
   void DrainQueue(time_point now, action_list& out);
   void LearnFromAnswer(time_point now,
                        const request& item,
--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cuminswitch/Http1/message_head.h"
+#include "cuminswitch/Support/endpoint.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
@@ -47,6 +48,8 @@
   uint32_t rank = 0;
   /// Keeps caches apart that must not meet; nothing for a plain service.
   std::optional<uint64_t> cache_scope;
+  /// An engine to copy cached prefixes from.
+  std::optional<endpoint> cache_source;
   /// The weights that the upstream must have; empty for any.
   std::string weights_version;
   /// Continue a stream after this event.
--- a/include/cuminswitch/Fleet/weights_rollout.h
+++ b/include/cuminswitch/Fleet/weights_rollout.h
@@ -57,7 +57,7 @@
  public:
   /// Engines of one service that change at a time. More at once make each
   /// change take longer, and take more of the service away.
-  static constexpr size_t kChangesAtOnce = 2;
+  static constexpr size_t kChangesAtOnce = 3;
 
   /// Returns what to do now; only the leader may call it.
   std::vector<rollout_step> OnTick(time_point now,
@@ -84,9 +84,19 @@
     time_point since{};
   };
 
-  static std::optional<weights_version> FindWanted(
-      const fleet_knowledge& knowledge,
-      const upstream_entry& entry);
+  /// An engine with older weights than are wanted.
+  struct outdated {
+    const upstream_entry* entry = nullptr;
+    weights_version wanted;
+    uint64_t version = 0;
+  };
+
+  static std::optional<outdated> FindOutdated(const fleet_knowledge& knowledge,
+                                              const upstream_entry& entry);
+  /// Lists engines that live, those with the oldest weights first: versions
+  /// may be named faster than all engines change, and the time in which a
+  /// version may still be used runs from the naming of the next.
+  static std::vector<outdated> ListOutdated(const fleet_knowledge& knowledge);
   void DropSettled(const fleet_knowledge& knowledge);
 
   std::map<std::string, engine> engines_;
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -36,6 +37,9 @@
   bool fresh_connection = false;
   /// The weights that the upstream is believed to have; empty for a service.
   std::string weights_version;
+  /// Another engine that should have more of the prompt's prefixes cached; the
+  /// upstream may copy them from there.
+  std::optional<endpoint> cache_source;
   /// The request's earlier attempts.
   uint32_t earlier_attempts = 0;
 };
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -110,11 +110,15 @@
   void CountQueued(replica_index index) { ++replicas_[index].queued_here; }
 
  private:
+  struct version_start {
+    std::string version;
+    time_point since{};
+  };
   struct target_replicas {
     /// The model's version; empty for a service.
     std::string version;
-    /// When that version was first configured here.
-    time_point version_since{};
+    /// When each version was first configured here, the oldest first.
+    std::vector<version_start> history;
     std::vector<replica_index> indices;
   };
 
@@ -125,9 +129,13 @@
                             std::string_view target,
                             std::string_view version);
 
+  /// When weights of \p version were first superseded.
+  static time_point SupersededAt(const target_replicas& target,
+                                 std::string_view version);
   /// What a replica with \p target's old weights costs; nothing when it is not
   /// to serve any more.
   std::optional<double> OldWeightsPenalty(time_point now,
+                                          std::string_view name,
                                           const target_replicas& target,
                                           const replica& item) const;
   void EjectOutlier(time_point now, replica_index index);
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cuminswitch/Protocol/shard_directory.h"
+#include "cuminswitch/Support/rendezvous.h"
 
 namespace cuminswitch {
 
@@ -395,13 +396,14 @@
     replicas_.CountQueued(chosen.index);
     return false;
   }
-  Dispatch(now, item, chosen, out);
+  Dispatch(now, item, chosen, eligible.indices, out);
   return true;
 }
 
 void request_router::Dispatch(time_point now,
                               request& item,
                               const placement& chosen,
+                              std::span<const replica_index> eligible,
                               action_list& out) {
   const replica& target = replicas_[chosen.index];
   if (!item.counted) {
@@ -428,6 +430,8 @@
       }
     }
   }
+  const std::optional<endpoint> source =
+      FindCacheSource(item, chosen.index, eligible);
   for (const prefix_level& level : levels) {
     prefixes_.CountUse(now, level.hash);
     prefixes_.Touch(level.hash, {.index = chosen.index,
@@ -449,6 +453,7 @@
                                  .cache_scope = CacheScope(item, version),
                                  .fresh_connection = !item.repeatable,
                                  .weights_version = version,
+                                 .cache_source = source,
                                  .earlier_attempts = earlier});
   item.running = next;
 }
@@ -463,6 +468,53 @@
   });
 }
 
+std::optional<endpoint> request_router::FindCacheSource(
+    const request& item,
+    replica_index chosen,
+    std::span<const replica_index> eligible) {
+  const std::string& target = item.info.target;
+  const std::string version = replicas_.VersionAt(chosen, target);
+  const auto& levels = item.info.levels;
+  if (version.empty() || levels.size() < 2) {
+    return std::nullopt;
+  }
+  std::vector<replica_index> others;
+  for (const replica_index index : eligible) {
+    if (replicas_.VersionAt(index, target) == version) {
+      others.push_back(index);
+    }
+  }
+  // From the innermost shared level outwards. Where nothing is known, the
+  // level's home is the best guess: all daemons place it there.
+  for (size_t i = levels.size() - 1; i-- > 0;) {
+    const std::span<const prefix_holder> holders =
+        prefixes_.Find(levels[i].hash);
+    const auto holds = [&](replica_index index) {
+      return std::any_of(
+          holders.begin(), holders.end(), [&](const prefix_holder& holder) {
+            return holder.index == index &&
+                   holder.incarnation == replicas_[index].incarnation;
+          });
+    };
+    if (holds(chosen)) {
+      return std::nullopt;
+    }
+    const auto known = std::find_if(others.begin(), others.end(), holds);
+    if (known != others.end()) {
+      return replicas_[*known].spec.address;
+    }
+    const auto home = std::max_element(
+        others.begin(), others.end(), [&](replica_index a, replica_index b) {
+          return RendezvousWeight(levels[i].hash, replicas_[a].name_hash) <
+                 RendezvousWeight(levels[i].hash, replicas_[b].name_hash);
+        });
+    if (home != others.end() && *home != chosen) {
+      return replicas_[*home].spec.address;
+    }
+  }
+  return std::nullopt;
+}
+
 uint64_t request_router::CacheScope(const request& item,
                                     std::string_view version) {
   const std::string& pool = item.info.cache_pool;
--- a/lib/Edge/plan_translator.cc
+++ b/lib/Edge/plan_translator.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <utility>
 
+#include "cuminswitch/Support/hash.h"
+
 namespace cuminswitch {
 
 /// The platform sets no limit on a workspace's requests in flight.
@@ -105,6 +107,8 @@
   for (const weights_version& item : entry.weights) {
     report.models.push_back({.name = TargetName(entry.service, item.model),
                              .version = std::to_string(item.version)});
+    // New weights discard what is cached, as a restart does.
+    report.incarnation = CombineHash(report.incarnation, item.version);
   }
   return report;
 }
--- a/lib/Fleet/weights_rollout.cc
+++ b/lib/Fleet/weights_rollout.cc
@@ -28,25 +28,43 @@
   return "unknown";
 }
 
-std::optional<weights_version> weights_rollout::FindWanted(
+std::optional<weights_rollout::outdated> weights_rollout::FindOutdated(
     const fleet_knowledge& knowledge,
     const upstream_entry& entry) {
   for (const weights_version& has : entry.weights) {
     for (const weights_version& wanted : knowledge.wanted_weights) {
       if (wanted.model == has.model && wanted.version > has.version) {
-        return wanted;
+        return outdated{
+            .entry = &entry, .wanted = wanted, .version = has.version};
       }
     }
   }
   return std::nullopt;
 }
 
+std::vector<weights_rollout::outdated> weights_rollout::ListOutdated(
+    const fleet_knowledge& knowledge) {
+  std::vector<outdated> list;
+  for (const upstream_entry& entry : knowledge.upstreams) {
+    const std::optional<outdated> item = FindOutdated(knowledge, entry);
+    if (item && !entry.is_draining) {
+      list.push_back(*item);
+    }
+  }
+  std::stable_sort(list.begin(), list.end(),
+                   [](const outdated& a, const outdated& b) {
+                     return a.version < b.version;
+                   });
+  return list;
+}
+
 void weights_rollout::DropSettled(const fleet_knowledge& knowledge) {
   std::erase_if(engines_, [&](const auto& item) {
     const auto entry = std::find_if(
         knowledge.upstreams.begin(), knowledge.upstreams.end(),
         [&](const upstream_entry& other) { return other.id == item.first; });
-    return entry == knowledge.upstreams.end() || !FindWanted(knowledge, *entry);
+    return entry == knowledge.upstreams.end() ||
+           !FindOutdated(knowledge, *entry);
   });
 }
 
@@ -59,15 +77,12 @@
     under_way[item.service] += item.at == stage::kIdle ? 0 : 1;
   }
   std::vector<rollout_step> steps;
-  for (const upstream_entry& entry : knowledge.upstreams) {
-    const std::optional<weights_version> wanted = FindWanted(knowledge, entry);
-    if (!wanted || entry.is_draining) {
-      continue;
-    }
+  for (const outdated& candidate : ListOutdated(knowledge)) {
+    const upstream_entry& entry = *candidate.entry;
     engine& item = engines_[entry.id];
     item.service = entry.service;
     item.address = entry.address;
-    item.wanted = *wanted;
+    item.wanted = candidate.wanted;
     const bool is_overdue =
         item.at == stage::kChanging && now - item.since > kChangeTime;
     const bool is_new = item.at == stage::kIdle && now >= item.next_step &&
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -35,6 +35,8 @@
 /// An answer of old weights loses value; a wait of this many seconds for a
 /// replica with the new ones is worth about as much.
 static constexpr double kOldWeightsPenalty = 0.2;
+/// Versions whose naming is remembered; older ones are not served any more.
+static constexpr size_t kMaxVersionHistory = 16;
 static constexpr double kLearningRate = 0.2;
 static constexpr double kSlowestPrefillRate = 100;
 static constexpr double kFastestPrefillRate = 1e7;
@@ -49,9 +51,16 @@
     target_replicas& target = by_target_[model.name];
     target.version = model.version;
     const auto found = earlier.find(model.name);
-    const bool is_same =
-        found != earlier.end() && found->second.version == model.version;
-    target.version_since = is_same ? found->second.version_since : now;
+    if (found != earlier.end()) {
+      target.history = std::move(found->second.history);
+    }
+    if (target.history.empty() ||
+        target.history.back().version != model.version) {
+      target.history.push_back({.version = model.version, .since = now});
+    }
+    if (target.history.size() > kMaxVersionHistory) {
+      target.history.erase(target.history.begin());
+    }
   }
   for (const upstream_spec& spec : config.upstreams) {
     const auto [found, is_new] = by_name_.try_emplace(
@@ -169,11 +178,32 @@
   return {};
 }
 
+time_point replica_table::SupersededAt(const target_replicas& target,
+                                       std::string_view version) {
+  // The time in which old weights may be used runs from the naming of the
+  // next version, however many were named since.
+  const auto known = std::find_if(
+      target.history.begin(), target.history.end(),
+      [&](const version_start& item) { return item.version == version; });
+  if (known == target.history.end()) {
+    return target.history.front().since;
+  }
+  return std::next(known) == target.history.end() ? target.history.back().since
+                                                  : std::next(known)->since;
+}
+
 std::optional<double> replica_table::OldWeightsPenalty(
     time_point now,
+    std::string_view name,
     const target_replicas& target,
     const replica& item) const {
-  const duration age = now - target.version_since;
+  const auto model = std::find_if(
+      item.models.begin(), item.models.end(),
+      [&](const loaded_model& loaded) { return loaded.name == name; });
+  if (model == item.models.end()) {
+    return std::nullopt;
+  }
+  const duration age = now - SupersededAt(target, model->version);
   if (!item.reported || age >= options_.old_weights_time) {
     return std::nullopt;
   }
@@ -328,7 +358,7 @@
         version.empty() ||
         (item.reported && ServesVersion(item, target, version));
     const std::optional<double> penalty =
-        has_weights ? 0 : OldWeightsPenalty(now, found->second, item);
+        has_weights ? 0 : OldWeightsPenalty(now, target, found->second, item);
     const bool usable =
         item.reachable && !item.changing &&
         std::find(excluded.begin(), excluded.end(), index) == excluded.end();
