Save prefixes to the platform's cache store and copy them from there

A daemon knows only its own placements, so an engine that it sent a prefix to for the first time read it although another had. Ruled out: price of moving (100 GB cost 0.0005). Now an engine that lacks a prefix copies it from one that this daemon knows to hold it, else from the store, and saves it there.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -5,6 +5,7 @@
 #define CUMINSWITCH_CONFIG_CONFIGURATION_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,8 @@
   std::string name;
   std::string version;
   std::string adapter;
+  /// Where engines save prefixes that they computed, and copy them from.
+  std::optional<endpoint> cache_store;
 };
 
 /// A plain service that requests are routed to.
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -153,12 +153,14 @@
                 const placement& chosen,
                 std::span<const replica_index> eligible,
                 action_list& out);
-  /// Finds an engine with the same weights that should hold more of the
-  /// request's shared prefixes than \p chosen does.
-  std::optional<endpoint> FindCacheSource(
-      const request& item,
-      replica_index chosen,
-      std::span<const replica_index> eligible);
+  /// Where \p chosen may copy shared prefixes from, and is to save them to.
+  struct cache_plan {
+    std::optional<endpoint> source;
+    std::optional<endpoint> sink;
+  };
+  cache_plan PlanCache(const request& item,
+                       replica_index chosen,
+                       std::span<const replica_index> eligible);
   void DrainQueue(time_point now, action_list& out);
   void LearnFromAnswer(time_point now,
                        const request& item,
--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -50,6 +50,8 @@
   std::optional<uint64_t> cache_scope;
   /// An engine to copy cached prefixes from.
   std::optional<endpoint> cache_source;
+  /// Where to save computed prefixes.
+  std::optional<endpoint> cache_sink;
   /// The weights that the upstream must have; empty for any.
   std::string weights_version;
   /// Continue a stream after this event.
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -40,6 +40,8 @@
   /// Another engine that should have more of the prompt's prefixes cached; the
   /// upstream may copy them from there.
   std::optional<endpoint> cache_source;
+  /// Where the upstream is to save the prefixes that it computes.
+  std::optional<endpoint> cache_sink;
   /// The request's earlier attempts.
   uint32_t earlier_attempts = 0;
 };
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -430,8 +430,7 @@
       }
     }
   }
-  const std::optional<endpoint> source =
-      FindCacheSource(item, chosen.index, eligible);
+  const cache_plan cache = PlanCache(item, chosen.index, eligible);
   for (const prefix_level& level : levels) {
     prefixes_.CountUse(now, level.hash);
     prefixes_.Touch(level.hash, {.index = chosen.index,
@@ -453,7 +452,8 @@
                                  .cache_scope = CacheScope(item, version),
                                  .fresh_connection = !item.repeatable,
                                  .weights_version = version,
-                                 .cache_source = source,
+                                 .cache_source = cache.source,
+                                 .cache_sink = cache.sink,
                                  .earlier_attempts = earlier});
   item.running = next;
 }
@@ -468,7 +468,7 @@
   });
 }
 
-std::optional<endpoint> request_router::FindCacheSource(
+request_router::cache_plan request_router::PlanCache(
     const request& item,
     replica_index chosen,
     std::span<const replica_index> eligible) {
@@ -476,43 +476,33 @@
   const std::string version = replicas_.VersionAt(chosen, target);
   const auto& levels = item.info.levels;
   if (version.empty() || levels.size() < 2) {
-    return std::nullopt;
-  }
-  std::vector<replica_index> others;
-  for (const replica_index index : eligible) {
-    if (replicas_.VersionAt(index, target) == version) {
-      others.push_back(index);
-    }
-  }
-  // From the innermost shared level outwards. Where nothing is known, the
-  // level's home is the best guess: all daemons place it there.
-  for (size_t i = levels.size() - 1; i-- > 0;) {
-    const std::span<const prefix_holder> holders =
-        prefixes_.Find(levels[i].hash);
-    const auto holds = [&](replica_index index) {
-      return std::any_of(
-          holders.begin(), holders.end(), [&](const prefix_holder& holder) {
-            return holder.index == index &&
-                   holder.incarnation == replicas_[index].incarnation;
-          });
-    };
-    if (holds(chosen)) {
-      return std::nullopt;
-    }
-    const auto known = std::find_if(others.begin(), others.end(), holds);
-    if (known != others.end()) {
-      return replicas_[*known].spec.address;
-    }
-    const auto home = std::max_element(
-        others.begin(), others.end(), [&](replica_index a, replica_index b) {
-          return RendezvousWeight(levels[i].hash, replicas_[a].name_hash) <
-                 RendezvousWeight(levels[i].hash, replicas_[b].name_hash);
+    return {};
+  }
+  const uint64_t shared = levels[levels.size() - 2].hash;
+  const std::span<const prefix_holder> holders = prefixes_.Find(shared);
+  const auto holds = [&](replica_index index) {
+    return std::any_of(
+        holders.begin(), holders.end(), [&](const prefix_holder& holder) {
+          return holder.index == index &&
+                 holder.incarnation == replicas_[index].incarnation;
         });
-    if (home != others.end() && *home != chosen) {
-      return replicas_[*home].spec.address;
-    }
-  }
-  return std::nullopt;
+  };
+  if (holds(chosen)) {
+    return {};
+  }
+  const auto known =
+      std::find_if(eligible.begin(), eligible.end(), [&](replica_index index) {
+        return holds(index) && replicas_.VersionAt(index, target) == version;
+      });
+  if (known != eligible.end()) {
+    return {.source = replicas_[*known].spec.address, .sink = std::nullopt};
+  }
+  const model_spec* model = config_->FindModel(target);
+  if (model == nullptr) {
+    return {};
+  }
+  // Nobody that this daemon knows of has it. Others may have saved it.
+  return {.source = model->cache_store, .sink = model->cache_store};
 }
 
 uint64_t request_router::CacheScope(const request& item,
--- a/lib/Edge/plan_translator.cc
+++ b/lib/Edge/plan_translator.cc
@@ -44,6 +44,15 @@
   return newest;
 }
 
+static std::optional<endpoint> FindCacheStore(const route_plan& plan) {
+  for (const service_plan& service : plan.services) {
+    if (service.cache_store) {
+      return service.cache_store;
+    }
+  }
+  return std::nullopt;
+}
+
 static upstream_spec TranslateSpec(const upstream_entry& entry) {
   upstream_spec spec{.name = entry.id,
                      .kind = entry.weights.empty() ? upstream_kind::kService
@@ -68,12 +77,14 @@
     config->services.push_back({.name = service.name, .repeatable = true});
     targets.push_back(service.name);
     for (const std::string& model : service.models) {
+      const std::optional<endpoint> store = FindCacheStore(*knowledge.plan);
       const auto version = newest.find(model);
       config->models.push_back(
           {.name = TargetName(service.name, model),
            .version = version == newest.end() ? std::string()
                                               : std::to_string(version->second),
-           .adapter = {}});
+           .adapter = {},
+           .cache_store = store});
       targets.push_back(config->models.back().name);
     }
   }
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -64,11 +64,13 @@
       .rank = options_.rank,
       .cache_scope = std::nullopt,
       .cache_source = std::nullopt,
+      .cache_sink = std::nullopt,
       .weights_version = action.weights_version,
       .last_event = splitter_.last_id()};
   if (options_.uses_cache) {
     attributes.cache_scope = action.cache_scope;
     attributes.cache_source = action.cache_source;
+    attributes.cache_sink = action.cache_sink;
   }
   const message_head& head = options_.exchange->Head();
   call_ = with_.pool.Start(
