Price a prefix that can be copied by its copying

Cause: a request waited up to 0.4 s for its prefix's home where copying 6,300 tokens takes 20 ms, since a missing prefix was priced as computed again. Now a prefix that this daemon placed of late costs its copying; an unknown one still goes home. Answers without counts teach the expected tokens.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -45,6 +45,9 @@
   std::string adapter;
   /// Where engines save prefixes that they computed, and copy them from.
   std::optional<endpoint> cache_store;
+  /// Prompt tokens per second that one engine can copy from another; 0 where
+  /// engines cannot copy.
+  double copy_rate = 0;
 };
 
 /// A plain service that requests are routed to.
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -187,6 +187,7 @@
   double EstimateWaitSeconds(time_point now, const request& item) const;
   waiting_request MakeWaiting(const request& item) const;
   double ReuseWeight(const request& item) const;
+  double CopyRate(const request& item) const;
 
   options options_;
   const shard_directory& members_;
--- a/include/cuminswitch/Fleet/route_plan.h
+++ b/include/cuminswitch/Fleet/route_plan.h
@@ -62,6 +62,8 @@
   bool is_engine = false;
   /// Models that its engines serve.
   std::vector<std::string> models;
+  /// Prompt tokens per second that an engine's link carries as cached prefix.
+  double copy_rate = 0;
   /// Set for a store of cached prefixes; it has no upstreams.
   std::optional<endpoint> cache_store;
   /// Connections that one upstream takes from all daemons together.
--- a/include/cuminswitch/Routing/placement_query.h
+++ b/include/cuminswitch/Routing/placement_query.h
@@ -29,6 +29,9 @@
   std::span<const double> penalty_seconds = {};
   const replica_table& replicas;
   prefix_index& prefixes;
+  /// Prompt tokens per second that one replica can copy from another, or from
+  /// a store; 0 where caches cannot be copied.
+  double copy_rate = 0;
   /// What recomputing a prefix costs, as a multiple of the time it takes, when
   /// the prefix is rarely used.
   double reuse_weight = 1;
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -279,6 +279,11 @@
   return {};
 }
 
+double request_router::CopyRate(const request& item) const {
+  const model_spec* model = config_->FindModel(item.info.target);
+  return model == nullptr ? 0 : model->copy_rate;
+}
+
 double request_router::ReuseWeight(const request& item) const {
   if (PriorityOf(item) == priority_class::kBatch) {
     return kBatchReuseWeight;
@@ -391,6 +396,7 @@
                        .penalty_seconds = eligible.penalty_seconds,
                        .replicas = replicas_,
                        .prefixes = prefixes_,
+                       .copy_rate = CopyRate(item),
                        .reuse_weight = ReuseWeight(item)});
   if (chosen.must_wait) {
     replicas_.CountQueued(chosen.index);
@@ -548,6 +554,7 @@
   }
   if (event.prompt_tokens == 0) {
     // The answer carries no counts, so the expectation stands for them.
+    replicas_.LearnComputed(done.index, done.expected_tokens);
     if (done.unqueued && done.first_byte &&
         done.expected_tokens >= kLeastTokensToLearnFrom) {
       replicas_.LearnPrefillRate(done.index, done.expected_tokens,
--- a/lib/Edge/plan_translator.cc
+++ b/lib/Edge/plan_translator.cc
@@ -10,6 +10,9 @@
 
 /// The platform sets no limit on a workspace's requests in flight.
 static constexpr uint32_t kNoWorkspaceLimit = 1'000'000;
+/// Of a link's rate; copies queue behind one another, and from another failure
+/// domain or the store they take about twice as long.
+static constexpr double kCopyRateUsed = 0.5;
 /// The name of the workspace that requests without credential belong to.
 static constexpr std::string_view kPublicWorkspace = "";
 
@@ -84,7 +87,8 @@
            .version = version == newest.end() ? std::string()
                                               : std::to_string(version->second),
            .adapter = {},
-           .cache_store = store});
+           .cache_store = store,
+           .copy_rate = service.copy_rate * kCopyRateUsed});
       targets.push_back(config->models.back().name);
     }
   }
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -14,6 +14,9 @@
 /// How likely a prefix is cached at its homes when nothing is known of it.
 static constexpr std::array<double, 3> kHomePrior = {0.9, 0.3, 0.1};
 static constexpr double kFreshHit = 1;
+/// A prefix that this daemon placed of late is somewhere; one that it never
+/// placed goes home, where the other daemons place it too.
+static constexpr double kLeastUsesToCopy = 0.2;
 /// Recent uses of a prefix at which half of the weight of recomputing is gone.
 static constexpr double kHotUses = 60;
 /// Seconds added per request in flight: decoding slows with the batch, and
@@ -106,6 +109,22 @@
   return 1 + (query.reuse_weight - 1) / (1 + uses / kHotUses);
 }
 
+bool prefix_cost_policy::CanCopy(const placement_query& query) {
+  if (query.copy_rate == 0 || query.levels.empty()) {
+    return false;
+  }
+  const uint64_t shared = query.levels[SharedLevel(query.levels)].hash;
+  return query.prefixes.RecentUses(query.now, shared) > kLeastUsesToCopy;
+}
+
+double prefix_cost_policy::MissingSeconds(const placement_query& query,
+                                          const replica& item,
+                                          double missing,
+                                          double delayed) {
+  return CanCopy(query) ? missing / query.copy_rate
+                        : delayed * missing / item.prefill_rate;
+}
+
 placement prefix_cost_policy::Choose(const placement_query& query) {
   assert(!query.eligible.empty() && "nowhere to place the request");
   CollectExpectedHits(query);
@@ -127,7 +146,8 @@
     const double delayed =
         weight + query.replicas.EstimateWaiting(query.now, index);
     double cost = query.replicas.EstimateQueueSeconds(query.now, index) +
-                  (own + delayed * missing) / item.prefill_rate +
+                  own / item.prefill_rate +
+                  MissingSeconds(query, item, missing, delayed) +
                   kBatchSeconds * item.in_flight;
     if (!query.penalty_seconds.empty()) {
       cost += query.penalty_seconds[i];
@@ -139,7 +159,7 @@
       best_cost = cost;
       best = {.index = index,
               .must_wait = !query.has_room[i],
-              .expected_cached_tokens = expected_[i]};
+              .expected_cached_tokens = CanCopy(query) ? shared : expected_[i]};
     }
   }
   return best;
