Take no request that the end of a stopping daemon would cut, and trust deletions

Now, 2.7 s after SIGTERM, only what ends in time is; the rest is told not run, to come back elsewhere at once.

Cause: they had been turned away by the store until 16.3 s and kept entries that went for 2.5 s, as after an outage. Now entries are kept only when the store was away for all, and only until 2.3 s after its return; beats say whether the store serves the sender.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -89,6 +89,8 @@
   uint32_t CheckRequest(const caller_request& request,
                         const route_spec*& route,
                         const workspace_plan*& workspace) const;
+  /// Whether a stopping daemon can still see the request to its end.
+  bool EndsInTime(const caller_request& request, const route_spec& route) const;
   void BeginFlow(caller_exchange& exchange,
                  caller_request request,
                  const route_spec& route,
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -62,6 +62,8 @@
   void OnTick();
   void OnItemsChanged();
   void Publish(std::shared_ptr<const fleet_knowledge> decoded);
+  /// Notes whether the store that this daemon has lost serves others.
+  void JudgeStore(time_point now, const daemon_record& peer);
   /// Keeps upstreams whose entry went with the store's trouble.
   void KeepLapsed(time_point now, fleet_knowledge& knowledge);
   void RegisterSelf();
@@ -97,6 +99,8 @@
   std::vector<std::string> leader_changing_;
   std::vector<std::string> published_changing_;
   time_point leader_changing_at_{};
+  /// While this daemon had lost the store, the store served another one.
+  bool store_served_others_ = false;
   std::vector<std::string> published_peers_;
   time_point asked_at_{};
   time_point next_registration_{};
--- a/include/cuminswitch/Fleet/item_feed.h
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -35,8 +35,11 @@
   bool IsFresh(time_point now, duration span) const {
     return now - answered_at_ <= span;
   }
-  /// When the store last failed to answer; long ago if never.
-  time_point failed_at() const { return failed_at_; }
+  /// Whether the store's last answer to this daemon was a failure.
+  bool IsLost() const { return is_lost_; }
+  /// When the store was last lost, and when it was last regained.
+  time_point lost_at() const { return lost_at_; }
+  time_point regained_at() const { return regained_at_; }
 
  private:
   void Next();
@@ -55,7 +58,8 @@
   bool is_lost_ = false;
   duration pause_{0};
   time_point answered_at_{};
-  time_point failed_at_{};
+  time_point lost_at_{};
+  time_point regained_at_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -27,6 +27,8 @@
   /// It has a configuration and takes callers.
   bool is_ready = false;
   bool is_leaving = false;
+  /// The store answered it just now.
+  bool has_store = false;
   /// Everything up to this revision of the store is known to it.
   revision_number revision = 0;
 };
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -23,7 +23,13 @@
 /// long; until then they open connections here.
 static constexpr duration kLongestAddressUse = std::chrono::milliseconds(6200);
 /// Left of the grace when the process ends at the latest.
-static constexpr duration kExitMargin = std::chrono::milliseconds(600);
+static constexpr duration kExitMargin = std::chrono::milliseconds(400);
+/// A request that comes this late to a stopping daemon is taken only if its
+/// deadline passes before the process ends; the end would cut it in two.
+static constexpr duration kLatestUnboundedStart =
+    std::chrono::milliseconds(2700);
+/// When to come back after that, to another daemon.
+static constexpr duration kElsewhereRetryAfter = std::chrono::milliseconds(50);
 static constexpr duration kStopTickInterval = std::chrono::milliseconds(100);
 /// Of the bound on repeats; the rest covers what other daemons cannot know.
 static constexpr double kRetryShareUsed = 0.8;
@@ -35,6 +41,10 @@
 static constexpr duration kOldWeightsGrace = std::chrono::milliseconds(1200);
 static constexpr duration kDefaultPatience = std::chrono::seconds(60);
 
+static http_header RetryAfter(duration wait) {
+  return {.name = "Retry-After", .value = std::to_string(ToSeconds(wait))};
+}
+
 static request_router::options RouterOptions(const edge_task::options& opts) {
   request_router::options options;
   options.self.host = opts.self.name;
@@ -157,6 +167,12 @@
   }
 }
 
+static duration PatienceOf(const caller_request& request,
+                           const route_spec& route) {
+  return std::min<duration>(request.patience.value_or(kDefaultPatience),
+                            route.timeout);
+}
+
 uint32_t edge_task::CheckRequest(const caller_request& request,
                                  const route_spec*& route,
                                  const workspace_plan*& workspace) const {
@@ -175,11 +191,24 @@
   return workspace == nullptr ? kUnauthorized : 0;
 }
 
+bool edge_task::EndsInTime(const caller_request& request,
+                           const route_spec& route) const {
+  if (!is_stopping_) {
+    return true;
+  }
+  const duration elapsed = ReadBootClock() - stopping_since_;
+  return elapsed < kLatestUnboundedStart ||
+         elapsed + PatienceOf(request, route) < options_.grace - kExitMargin;
+}
+
 void edge_task::OnRequest(caller_exchange& exchange) {
   caller_request request = with_.protocol.ReadRequest(exchange.Head());
   const route_spec* route = nullptr;
   const workspace_plan* workspace = nullptr;
-  const uint32_t status = CheckRequest(request, route, workspace);
+  uint32_t status = CheckRequest(request, route, workspace);
+  if (status == 0 && !EndsInTime(request, *route)) {
+    status = kUnavailable;
+  }
   if (status == 0) {
     BeginFlow(exchange, std::move(request), *route, workspace);
     return;
@@ -196,8 +225,8 @@
                                            .Add("configuration", version));
   http_headers headers;
   if (status == kUnavailable) {
-    headers.push_back({.name = "Retry-After",
-                       .value = std::to_string(ToSeconds(kStartRetryAfter))});
+    headers.push_back(
+        RetryAfter(is_stopping_ ? kElsewhereRetryAfter : kStartRetryAfter));
   }
   Reply(exchange, status, std::move(headers), {}, false);
 }
@@ -263,8 +292,7 @@
                           const route_spec& route,
                           const workspace_plan* workspace) {
   const time_point now = ReadBootClock();
-  const duration patience = std::min<duration>(
-      request.patience.value_or(kDefaultPatience), route.timeout);
+  const duration patience = PatienceOf(request, route);
   request_flow::options options{
       .id = ++next_request_,
       .exchange = &exchange,
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -16,10 +16,9 @@
 static constexpr duration kStoreFresh = std::chrono::milliseconds(1400);
 static constexpr duration kAskInterval = std::chrono::milliseconds(200);
 /// The store drops the entries of upstreams that it did not hear while it was
-/// in trouble; those that live are back about two seconds after its return.
-static constexpr duration kLapsedTime = std::chrono::milliseconds(2500);
-/// An entry that goes this soon after a failure of the store is one of those.
-static constexpr duration kStoreTrouble = std::chrono::milliseconds(3500);
+/// away; those that live are back about two seconds after its return, and one
+/// that is still missing then is gone.
+static constexpr duration kLapsedTime = std::chrono::milliseconds(2300);
 static constexpr duration kRegistrationRetry = std::chrono::milliseconds(700);
 static constexpr duration kRolloutInterval = std::chrono::milliseconds(50);
 /// What a leader said is being changed counts for so long.
@@ -105,6 +104,7 @@
 void fleet_task::OnBeat(const beat_frame& beat) {
   const time_point now = ReadBootClock();
   const bool is_news = roster_.OnBeat(now, beat);
+  JudgeStore(now, beat.sender);
   if (!beat.changing.empty()) {
     leader_changing_ = beat.changing;
     leader_changing_at_ = now;
@@ -116,6 +116,18 @@
   AskPeers(now);
 }
 
+void fleet_task::JudgeStore(time_point now, const daemon_record& peer) {
+  if (!feed_.IsLost()) {
+    return;
+  }
+  // At first a peer may not have noticed yet.
+  if (now - feed_.lost_at() < kStoreFresh + 2 * peer_roster::kBeatInterval) {
+    store_served_others_ = false;
+  } else if (peer.has_store) {
+    store_served_others_ = true;
+  }
+}
+
 void fleet_task::OnItemsRequest(const items_request_frame& request) {
   const item_view& view = feed_.view();
   const bool is_complete = !view.RemembersSince(request.after);
@@ -131,6 +143,7 @@
   const time_point now = ReadBootClock();
   daemon_record self = options_.self;
   self.revision = feed_.view().revision();
+  self.has_store = feed_.IsFresh(now, kStoreFresh);
   beat_frame beat{.sender = self, .heard = {}, .changing = {}};
   for (const daemon_record& item : roster_.ListLiving(now)) {
     beat.heard.push_back(item.peer_address);
@@ -231,14 +244,18 @@
         knowledge.upstreams.begin(), knowledge.upstreams.end(),
         [&](const upstream_entry& other) { return other.id == entry.id; });
   };
-  const bool in_trouble = now - feed_.failed_at() < kStoreTrouble;
-  if (knowledge_ != nullptr && in_trouble) {
+  // A store that only turned this daemon away has heard the upstreams, and
+  // what went from it is gone: a request there would come too late.
+  const time_point until = feed_.regained_at() + kLapsedTime;
+  const bool was_away = !feed_.IsLost() && !store_served_others_ &&
+                        feed_.regained_at() != time_point();
+  if (knowledge_ != nullptr && was_away && now < until) {
     for (const upstream_entry& entry : knowledge_->upstreams) {
       const bool is_kept = std::any_of(
           lapsed_.begin(), lapsed_.end(),
           [&](const auto& item) { return item.entry.id == entry.id; });
       if (!is_listed(entry) && !is_kept && !entry.is_draining) {
-        lapsed_.push_back({.entry = entry, .until = now + kLapsedTime});
+        lapsed_.push_back({.entry = entry, .until = until});
       }
     }
   }
--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -89,15 +89,16 @@
   answered_at_ = ReadBootClock();
   pause_ = duration(0);
   if (std::exchange(is_lost_, false)) {
+    regained_at_ = answered_at_;
     log_.Write(log_class::kLifecycle,
                log_line("dependency_regained").Add("dependency", "store"));
   }
 }
 
 void item_feed::OnFailure(store_end end) {
-  failed_at_ = ReadBootClock();
   pause_ = std::clamp(pause_ * 2, kFirstRetry, kLongestRetry);
   if (!std::exchange(is_lost_, true)) {
+    lost_at_ = ReadBootClock();
     log_.Write(log_class::kLifecycle, log_line("dependency_lost")
                                           .Add("dependency", "store")
                                           .Add("reason", ToString(end))
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -31,7 +31,7 @@
                out_.CreateString(sender.peer_address.ToString()),
                out_.CreateString(sender.caller_address.ToString()),
                out_.CreateString(sender.failure_domain), sender.is_ready,
-               sender.is_leaving, sender.revision,
+               sender.is_leaving, sender.has_store, sender.revision,
                out_.CreateVectorOfStrings(heard),
                out_.CreateVectorOfStrings(frame.changing))
         .Union();
@@ -101,6 +101,7 @@
                               .failure_domain = wire.failure_domain()->str(),
                               .is_ready = wire.is_ready(),
                               .is_leaving = wire.is_leaving(),
+                              .has_store = wire.has_store(),
                               .revision = wire.revision()},
                    .heard = {},
                    .changing = ReadTexts(wire.changing())};
