--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -67,6 +67,12 @@
                         const upstream_report& report,
                         action_list& out);
   void OnUpstreamLoad(time_point now, const upstream_load& load);
+  void OnPeerBacklogs(time_point now, const peer_backlogs& told) {
+    replicas_.OnPeerBacklogs(now, told);
+  }
+  std::vector<upstream_backlog> ListBacklogs() const {
+    return replicas_.ListBacklogs();
+  }
   void OnUpstreamChanging(const upstream_changing& event);
   void OnStartReply(time_point now, const start_reply& reply, action_list& out);
   void OnTick(time_point now, action_list& out);
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -84,6 +84,9 @@
   void Take(const knowledge_changed& news);
   void Take(const peers_changed& news);
   void Take(const weights_changing& news);
+  void Take(const peer_backlogs& news);
+  /// Lets the peers know what this daemon's requests wait for.
+  void TellBacklogs();
 
   /// Answers what is not forwarded; returns the status that it got, or 0.
   uint32_t CheckRequest(const caller_request& request,
@@ -116,6 +119,7 @@
   std::shared_ptr<const fleet_knowledge> knowledge_;
   std::vector<daemon_record> peers_;
   std::vector<std::string> changing_;
+  std::vector<upstream_backlog> told_backlogs_;
   size_t fleet_size_ = 1;
   std::unordered_map<request_id, std::unique_ptr<request_flow>> flows_;
   request_id next_request_ = 0;
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -19,7 +19,12 @@
 struct readiness_changed {
   bool is_ready = false;
 };
-using fleet_message = std::variant<fleet_stop_requested, readiness_changed>;
+/// What this daemon's requests wait for.
+struct own_backlogs {
+  std::vector<upstream_backlog> backlogs;
+};
+using fleet_message =
+    std::variant<fleet_stop_requested, readiness_changed, own_backlogs>;
 
 /// What is known of the deployment changed.
 struct knowledge_changed {
@@ -35,8 +40,8 @@
 struct weights_changing {
   std::vector<std::string> upstreams;
 };
-using fleet_news =
-    std::variant<knowledge_changed, peers_changed, weights_changing>;
+using fleet_news = std::
+    variant<knowledge_changed, peers_changed, weights_changing, peer_backlogs>;
 
 /// The names of the services, for the kernel's registry.
 inline constexpr std::string_view kFleetService = "fleet";
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cuminswitch/Fleet/item_view.h"
+#include "cuminswitch/Protocol/core_event.h"
 #include "cuminswitch/Support/endpoint.h"
 
 namespace cuminswitch {
@@ -41,6 +42,8 @@
   std::vector<endpoint> heard;
   /// Upstreams whose weights the sender, as the leader, is changing.
   std::vector<std::string> changing;
+  /// What the sender's requests wait for.
+  std::vector<upstream_backlog> backlogs;
 };
 
 /// Asks for what changed after a revision.
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -25,9 +25,9 @@
     std::vector<endpoint> seeds;
   };
 
-  /// Time between two rounds of beats. A peer whose beats are missing is out
-  /// of the address answers within a second.
-  static constexpr duration kBeatInterval = std::chrono::milliseconds(250);
+  /// Time between two rounds of beats. They carry what requests wait for,
+  /// which changes within a few hundred milliseconds.
+  static constexpr duration kBeatInterval = std::chrono::milliseconds(120);
 
   explicit peer_roster(options opts);
 
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -71,6 +71,21 @@
   uint32_t waiting = 0;
 };
 
+/// Prompt tokens that requests wait for at one upstream.
+struct upstream_backlog {
+  /// Hash of the upstream's name.
+  uint64_t upstream = 0;
+  uint32_t tokens = 0;
+  friend bool operator==(const upstream_backlog&,
+                         const upstream_backlog&) = default;
+};
+
+/// Another daemon told what its requests wait for.
+struct peer_backlogs {
+  std::string peer;
+  std::vector<upstream_backlog> backlogs;
+};
+
 /// Weights are being changed at an upstream, which runs nothing meanwhile.
 struct upstream_changing {
   std::string upstream;
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -29,6 +29,8 @@
   /// this daemon's own at that time.
   uint32_t others_in_flight = 0;
   uint32_t others_waiting = 0;
+  /// Prompt tokens that other daemons' requests wait for, as they last told.
+  double others_pending_tokens = 0;
 
   /// Exact: this daemon's attempts, and those without a first byte yet.
   uint32_t in_flight = 0;
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "cuminswitch/Routing/replica.h"
@@ -65,6 +66,12 @@
   void OnAnswered(time_point now, replica_index index, bool failed);
   /// Takes in the load that an answer told; it is as fresh as can be.
   void OnLoad(time_point now, const upstream_load& load);
+  /// Takes in what a peer's requests wait for; replaces what it told before.
+  void OnPeerBacklogs(time_point now, const peer_backlogs& told);
+  /// Forgets what peers told that are silent.
+  void ExpirePeerBacklogs(time_point now);
+  /// Lists what this daemon's requests wait for.
+  std::vector<upstream_backlog> ListBacklogs() const;
   void SetChanging(const upstream_changing& event);
   /// Returns the version of \p target's weights at the replica, or nothing
   /// for a service.
@@ -138,10 +145,18 @@
                                           std::string_view name,
                                           const target_replicas& target,
                                           const replica& item) const;
+  void AddPeerBacklogs(std::span<const upstream_backlog> backlogs, double sign);
   void EjectOutlier(time_point now, replica_index index);
 
+  struct told_backlogs {
+    time_point at{};
+    std::vector<upstream_backlog> backlogs;
+  };
+
   options options_;
   size_t fleet_size_ = 1;
+  std::map<std::string, told_backlogs> peer_backlogs_;
+  std::unordered_map<uint64_t, replica_index> by_hash_;
   std::vector<replica> replicas_;
   std::map<std::string, replica_index, std::less<>> by_name_;
   std::vector<replica_index> configured_;
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -819,6 +819,7 @@
 
 void request_router::OnTick(time_point now, action_list& out) {
   replicas_.SetFleetSize(members_.CountServing());
+  replicas_.ExpirePeerBacklogs(now);
   for (const waiting_request& expired : queue_.TakeExpired(now)) {
     const request& item = requests_.at(expired.request);
     Refuse(expired.request,
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -34,8 +34,9 @@
 /// Of the bound on repeats; the rest covers what other daemons cannot know.
 static constexpr double kRetryShareUsed = 0.8;
 static constexpr double kRetryBurstUsed = 0.7;
-/// Left of the time in which old weights may be used, for a request's way.
-static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(700);
+/// Left of the time in which old weights may be used: under load a request
+/// waited two seconds in an engine's queue before it began.
+static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(1800);
 /// Engines with new weights are preferred from then on: answers of old ones
 /// lose value from 1.5 s after the naming.
 static constexpr duration kOldWeightsGrace = std::chrono::milliseconds(1200);
@@ -173,6 +174,19 @@
                             route.timeout);
 }
 
+void edge_task::Take(const peer_backlogs& news) {
+  router_.OnPeerBacklogs(ReadBootClock(), news);
+}
+
+void edge_task::TellBacklogs() {
+  std::vector<upstream_backlog> backlogs = router_.ListBacklogs();
+  if (backlogs != told_backlogs_) {
+    told_backlogs_ = backlogs;
+    services_.FindPort<fleet_message>(kFleetService)
+        .Post(own_backlogs{.backlogs = std::move(backlogs)});
+  }
+}
+
 uint32_t edge_task::CheckRequest(const caller_request& request,
                                  const route_spec*& route,
                                  const workspace_plan*& workspace) const {
@@ -427,6 +441,7 @@
   action_list actions;
   router_.OnTick(now, actions);
   Perform(now, std::move(actions));
+  TellBacklogs();
   with_.log.Flush();
   tick_timer_.Start(flows_.empty() ? kIdleTickInterval : kTickInterval);
 }
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -74,6 +74,10 @@
 }
 
 void fleet_task::Receive(fleet_message message) {
+  if (auto* own = std::get_if<own_backlogs>(&message)) {
+    own_backlogs_ = std::move(own->backlogs);
+    return;
+  }
   if (const auto* readiness = std::get_if<readiness_changed>(&message)) {
     options_.self.is_ready = readiness->is_ready;
   } else {
@@ -110,6 +114,8 @@
     leader_changing_at_ = now;
     PublishChanging();
   }
+  services_.FindPort<fleet_news>(kEdgeService)
+      .Post(peer_backlogs{.peer = beat.sender.name, .backlogs = beat.backlogs});
   if (is_news) {
     PublishPeers(now);
   }
@@ -144,7 +150,8 @@
   daemon_record self = options_.self;
   self.revision = feed_.view().revision();
   self.has_store = feed_.IsFresh(now, kStoreFresh);
-  beat_frame beat{.sender = self, .heard = {}, .changing = {}};
+  beat_frame beat{
+      .sender = self, .heard = {}, .changing = {}, .backlogs = own_backlogs_};
   for (const daemon_record& item : roster_.ListLiving(now)) {
     beat.heard.push_back(item.peer_address);
   }
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -25,6 +25,10 @@
     for (const endpoint& item : frame.heard) {
       heard.push_back(item.ToString());
     }
+    std::vector<fleet_wire::load> loads;
+    for (const upstream_backlog& item : frame.backlogs) {
+      loads.emplace_back(item.upstream, item.tokens);
+    }
     const daemon_record& sender = frame.sender;
     return fleet_wire::Createbeat(
                out_, out_.CreateString(sender.name), sender.incarnation,
@@ -33,7 +37,8 @@
                out_.CreateString(sender.failure_domain), sender.is_ready,
                sender.is_leaving, sender.has_store, sender.revision,
                out_.CreateVectorOfStrings(heard),
-               out_.CreateVectorOfStrings(frame.changing))
+               out_.CreateVectorOfStrings(frame.changing),
+               out_.CreateVectorOfStructs(loads))
         .Union();
   }
 
@@ -104,7 +109,14 @@
                               .has_store = wire.has_store(),
                               .revision = wire.revision()},
                    .heard = {},
-                   .changing = ReadTexts(wire.changing())};
+                   .changing = ReadTexts(wire.changing()),
+                   .backlogs = {}};
+  if (wire.loads() != nullptr) {
+    for (const fleet_wire::load* item : *wire.loads()) {
+      frame.backlogs.push_back(
+          {.upstream = item->upstream(), .tokens = item->tokens()});
+    }
+  }
   for (const std::string& text : ReadTexts(wire.heard())) {
     if (const auto address = ParseEndpoint(text)) {
       frame.heard.push_back(*address);
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -8,8 +8,9 @@
 /// Beats sent in one round, so that a daemon's cost stays flat as the fleet
 /// grows; a larger fleet is gone through in turn.
 static constexpr size_t kBeatsPerRound = 16;
-/// Beats in a row that may be lost before a peer is taken for gone.
-static constexpr double kMissedBeats = 3.2;
+/// A peer that is silent for so long, in a fleet that one round reaches, is
+/// taken for gone, and is out of the address answers within a second.
+static constexpr duration kLivingTime = std::chrono::milliseconds(800);
 /// A peer that was not heard for so long is tried rarely.
 static constexpr duration kSilentAfter = std::chrono::seconds(2);
 static constexpr duration kSilentInterval = std::chrono::seconds(1);
@@ -95,8 +96,7 @@
 duration peer_roster::Horizon() const {
   const size_t rounds = std::max<size_t>(
       1, (addresses_.size() + kBeatsPerRound - 1) / kBeatsPerRound);
-  return FromSeconds(ToSeconds(kBeatInterval) * kMissedBeats *
-                     static_cast<double>(rounds));
+  return kLivingTime + kBeatInterval * (rounds - 1) * 3;
 }
 
 bool peer_roster::IsLiving(time_point now, const peer& item) const {
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -42,6 +42,8 @@
 static constexpr double kFastestPrefillRate = 1e7;
 /// A report loses half its weight in this many seconds.
 static constexpr double kReportHalfLife = 1.0;
+/// What a peer told is forgotten when nothing follows for so long.
+static constexpr duration kPeerBacklogTime = std::chrono::seconds(1);
 
 void replica_table::Reconfigure(time_point now, const configuration& config) {
   configured_.clear();
@@ -69,6 +71,7 @@
       replicas_.push_back(
           {.spec = spec, .name_hash = Hash64(spec.name), .warm_since = now});
       replicas_.back().limit = FirstLimit(spec);
+      by_hash_[replicas_.back().name_hash] = found->second;
     }
     replica& item = replicas_[found->second];
     item.limit = std::min<double>(item.limit, spec.max_in_flight);
@@ -161,6 +164,45 @@
       load.waiting > item.waiting ? load.waiting - item.waiting : 0;
 }
 
+void replica_table::AddPeerBacklogs(std::span<const upstream_backlog> backlogs,
+                                    double sign) {
+  for (const upstream_backlog& item : backlogs) {
+    const auto found = by_hash_.find(item.upstream);
+    if (found != by_hash_.end()) {
+      double& tokens = replicas_[found->second].others_pending_tokens;
+      tokens = std::max(0.0, tokens + sign * item.tokens);
+    }
+  }
+}
+
+void replica_table::OnPeerBacklogs(time_point now, const peer_backlogs& told) {
+  told_backlogs& known = peer_backlogs_[told.peer];
+  AddPeerBacklogs(known.backlogs, -1);
+  known = {.at = now, .backlogs = told.backlogs};
+  AddPeerBacklogs(known.backlogs, 1);
+}
+
+void replica_table::ExpirePeerBacklogs(time_point now) {
+  std::erase_if(peer_backlogs_, [&](const auto& item) {
+    const bool is_old = now - item.second.at > kPeerBacklogTime;
+    if (is_old) {
+      AddPeerBacklogs(item.second.backlogs, -1);
+    }
+    return is_old;
+  });
+}
+
+std::vector<upstream_backlog> replica_table::ListBacklogs() const {
+  std::vector<upstream_backlog> list;
+  for (const replica& item : replicas_) {
+    if (item.pending_tokens >= 1) {
+      list.push_back({.upstream = item.name_hash,
+                      .tokens = static_cast<uint32_t>(item.pending_tokens)});
+    }
+  }
+  return list;
+}
+
 void replica_table::SetChanging(const upstream_changing& event) {
   const auto found = by_name_.find(event.upstream);
   if (found != by_name_.end()) {
@@ -385,7 +427,9 @@
   const replica& item = replicas_[index];
   // An engine's own count of waiting tokens would include what it has cached,
   // which made daemons flee from the replicas that served them best.
-  const double others = OthersWaiting(now, item) * item.computed_per_request;
+  const double reported = OthersWaiting(now, item) * item.computed_per_request;
+  const double others =
+      peer_backlogs_.empty() ? reported : item.others_pending_tokens;
   return (item.pending_tokens + others) / item.prefill_rate;
 }
 
