Share placements between daemons, and always ask the cache store

Cause: a daemon that had not placed a prefix itself had it computed or copied from the store although an engine held it, and an engine whose cache had dropped a prefix computed it again.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cuminswitch/Admission/drain_meter.h"
@@ -48,6 +49,8 @@
     /// Refuse at once what no upstream can take now; otherwise it waits for
     /// one until its time is over.
     bool refuse_without_upstream = false;
+    /// Keep placements for `TakePlacedPrefixes`.
+    bool tells_placements = false;
   };
 
   request_router(const options& opts, const shard_directory& members);
@@ -67,8 +70,11 @@
                         const upstream_report& report,
                         action_list& out);
   void OnUpstreamLoad(time_point now, const upstream_load& load);
-  void OnPeerBacklogs(time_point now, const peer_backlogs& told) {
-    replicas_.OnPeerBacklogs(now, told);
+  /// Learns where peers have placed what.
+  void OnPeerPlacements(time_point now, const peer_placements& told);
+  /// Returns the shared prefixes that were placed since the last call.
+  std::vector<placed_prefix> TakePlacedPrefixes() {
+    return std::exchange(placed_prefixes_, {});
   }
   std::vector<upstream_backlog> ListBacklogs() const {
     return replicas_.ListBacklogs();
@@ -201,6 +207,7 @@
   std::unique_ptr<placement_policy> policy_;
   replica_table replicas_;
   prefix_index prefixes_;
+  std::vector<placed_prefix> placed_prefixes_;
   wait_queue queue_;
   workspace_limiter limiter_;
   std::map<std::string, retry_budget, std::less<>> retries_;
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -84,9 +84,9 @@
   void Take(const knowledge_changed& news);
   void Take(const peers_changed& news);
   void Take(const weights_changing& news);
-  void Take(const peer_backlogs& news);
+  void Take(const peer_placements& news);
   /// Lets the peers know what this daemon's requests wait for.
-  void TellBacklogs();
+  void TellPlacements();
 
   /// Answers what is not forwarded; returns the status that it got, or 0.
   uint32_t CheckRequest(const caller_request& request,
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -19,12 +19,14 @@
 struct readiness_changed {
   bool is_ready = false;
 };
-/// What this daemon's requests wait for.
-struct own_backlogs {
+/// What this daemon's requests wait for, and what it placed since it last
+/// told.
+struct own_placements {
   std::vector<upstream_backlog> backlogs;
+  std::vector<placed_prefix> prefixes;
 };
 using fleet_message =
-    std::variant<fleet_stop_requested, readiness_changed, own_backlogs>;
+    std::variant<fleet_stop_requested, readiness_changed, own_placements>;
 
 /// What is known of the deployment changed.
 struct knowledge_changed {
@@ -40,8 +42,10 @@
 struct weights_changing {
   std::vector<std::string> upstreams;
 };
-using fleet_news = std::
-    variant<knowledge_changed, peers_changed, weights_changing, peer_backlogs>;
+using fleet_news = std::variant<knowledge_changed,
+                                peers_changed,
+                                weights_changing,
+                                peer_placements>;
 
 /// The names of the services, for the kernel's registry.
 inline constexpr std::string_view kFleetService = "fleet";
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -97,6 +97,7 @@
   std::shared_ptr<const fleet_knowledge> knowledge_;
   std::vector<lapsed_upstream> lapsed_;
   std::vector<upstream_backlog> own_backlogs_;
+  std::vector<placed_prefix> new_prefixes_;
   std::vector<std::string> leader_changing_;
   std::vector<std::string> published_changing_;
   time_point leader_changing_at_{};
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -44,6 +44,8 @@
   std::vector<std::string> changing;
   /// What the sender's requests wait for.
   std::vector<upstream_backlog> backlogs;
+  /// What the sender placed since its last round of beats.
+  std::vector<placed_prefix> prefixes;
 };
 
 /// Asks for what changed after a revision.
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -80,10 +80,19 @@
                          const upstream_backlog&) = default;
 };
 
-/// Another daemon told what its requests wait for.
-struct peer_backlogs {
+/// A shared prefix that was placed at an upstream, which has it from then on.
+struct placed_prefix {
+  uint64_t prefix = 0;
+  /// Hash of the upstream's name.
+  uint64_t upstream = 0;
+};
+
+/// What a daemon tells the others of its placements.
+struct peer_placements {
   std::string peer;
   std::vector<upstream_backlog> backlogs;
+  /// Placed since it last told.
+  std::vector<placed_prefix> prefixes;
 };
 
 /// Weights are being changed at an upstream, which runs nothing meanwhile.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -67,9 +67,11 @@
   /// Takes in the load that an answer told; it is as fresh as can be.
   void OnLoad(time_point now, const upstream_load& load);
   /// Takes in what a peer's requests wait for; replaces what it told before.
-  void OnPeerBacklogs(time_point now, const peer_backlogs& told);
+  void OnPeerPlacements(time_point now, const peer_placements& told);
   /// Forgets what peers told that are silent.
   void ExpirePeerBacklogs(time_point now);
+  /// Returns the replica whose name has \p hash.
+  std::optional<replica_index> FindByHash(uint64_t hash) const;
   /// Lists what this daemon's requests wait for.
   std::vector<upstream_backlog> ListBacklogs() const;
   void SetChanging(const upstream_changing& event);
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -443,6 +443,10 @@
                                  .incarnation = target.incarnation,
                                  .used_at = now});
   }
+  if (levels.size() >= 2 && options_.tells_placements) {
+    placed_prefixes_.push_back({.prefix = levels[levels.size() - 2].hash,
+                                .upstream = target.name_hash});
+  }
   replicas_.OnDispatch(chosen.index, next.expected_tokens);
   const std::string version =
       replicas_.VersionAt(chosen.index, item.info.target);
@@ -481,7 +485,8 @@
   const std::string& target = item.info.target;
   const std::string version = replicas_.VersionAt(chosen, target);
   const auto& levels = item.info.levels;
-  if (version.empty() || levels.size() < 2) {
+  const model_spec* model = config_->FindModel(target);
+  if (version.empty() || levels.size() < 2 || model == nullptr) {
     return {};
   }
   const uint64_t shared = levels[levels.size() - 2].hash;
@@ -494,23 +499,37 @@
         });
   };
   if (holds(chosen)) {
-    return {};
+    // Its cache may have dropped the prefix since; asking the store for what
+    // it still has costs nothing.
+    return {.source = model->cache_store, .sink = std::nullopt};
   }
   const auto known =
       std::find_if(eligible.begin(), eligible.end(), [&](replica_index index) {
         return holds(index) && replicas_.VersionAt(index, target) == version;
       });
   if (known != eligible.end()) {
-    return {.source = replicas_[*known].spec.address, .sink = std::nullopt};
-  }
-  const model_spec* model = config_->FindModel(target);
-  if (model == nullptr) {
-    return {};
+    return {.source = replicas_[*known].spec.address,
+            .sink = model->cache_store};
   }
-  // Nobody that this daemon knows of has it. Others may have saved it.
+  // Nobody is known to have it, so this upstream computes it for all. Only
+  // then it is saved: the request's own part is saved along with it, and would
+  // push shared parts out of the store.
   return {.source = model->cache_store, .sink = model->cache_store};
 }
 
+void request_router::OnPeerPlacements(time_point now,
+                                      const peer_placements& told) {
+  replicas_.OnPeerPlacements(now, told);
+  for (const placed_prefix& item : told.prefixes) {
+    if (const auto index = replicas_.FindByHash(item.upstream)) {
+      prefixes_.Touch(item.prefix,
+                      {.index = *index,
+                       .incarnation = replicas_[*index].incarnation,
+                       .used_at = now});
+    }
+  }
+}
+
 uint64_t request_router::CacheScope(const request& item,
                                     std::string_view version) {
   const std::string& pool = item.info.cache_pool;
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -58,6 +58,7 @@
       .old_weights_time = opts.old_weights_time - kOldWeightsMargin,
       .old_weights_grace = kOldWeightsGrace};
   options.refuse_without_upstream = true;
+  options.tells_placements = true;
   return options;
 }
 
@@ -174,16 +175,18 @@
                             route.timeout);
 }
 
-void edge_task::Take(const peer_backlogs& news) {
-  router_.OnPeerBacklogs(ReadBootClock(), news);
+void edge_task::Take(const peer_placements& news) {
+  router_.OnPeerPlacements(ReadBootClock(), news);
 }
 
-void edge_task::TellBacklogs() {
+void edge_task::TellPlacements() {
   std::vector<upstream_backlog> backlogs = router_.ListBacklogs();
-  if (backlogs != told_backlogs_) {
+  std::vector<placed_prefix> prefixes = router_.TakePlacedPrefixes();
+  if (backlogs != told_backlogs_ || !prefixes.empty()) {
     told_backlogs_ = backlogs;
     services_.FindPort<fleet_message>(kFleetService)
-        .Post(own_backlogs{.backlogs = std::move(backlogs)});
+        .Post(own_placements{.backlogs = std::move(backlogs),
+                             .prefixes = std::move(prefixes)});
   }
 }
 
@@ -441,7 +444,7 @@
   action_list actions;
   router_.OnTick(now, actions);
   Perform(now, std::move(actions));
-  TellBacklogs();
+  TellPlacements();
   with_.log.Flush();
   tick_timer_.Start(flows_.empty() ? kIdleTickInterval : kTickInterval);
 }
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -74,8 +74,10 @@
 }
 
 void fleet_task::Receive(fleet_message message) {
-  if (auto* own = std::get_if<own_backlogs>(&message)) {
+  if (auto* own = std::get_if<own_placements>(&message)) {
     own_backlogs_ = std::move(own->backlogs);
+    new_prefixes_.insert(new_prefixes_.end(), own->prefixes.begin(),
+                         own->prefixes.end());
     return;
   }
   if (const auto* readiness = std::get_if<readiness_changed>(&message)) {
@@ -115,7 +117,9 @@
     PublishChanging();
   }
   services_.FindPort<fleet_news>(kEdgeService)
-      .Post(peer_backlogs{.peer = beat.sender.name, .backlogs = beat.backlogs});
+      .Post(peer_placements{.peer = beat.sender.name,
+                            .backlogs = beat.backlogs,
+                            .prefixes = beat.prefixes});
   if (is_news) {
     PublishPeers(now);
   }
@@ -150,8 +154,11 @@
   daemon_record self = options_.self;
   self.revision = feed_.view().revision();
   self.has_store = feed_.IsFresh(now, kStoreFresh);
-  beat_frame beat{
-      .sender = self, .heard = {}, .changing = {}, .backlogs = own_backlogs_};
+  beat_frame beat{.sender = self,
+                  .heard = {},
+                  .changing = {},
+                  .backlogs = own_backlogs_,
+                  .prefixes = new_prefixes_};
   for (const daemon_record& item : roster_.ListLiving(now)) {
     beat.heard.push_back(item.peer_address);
   }
@@ -173,6 +180,7 @@
   for (const endpoint& to : roster_.ChooseTargets(now)) {
     SendBeat(to);
   }
+  new_prefixes_.clear();
   PublishPeers(now);
   AskPeers(now);
   RegisterSelf();
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -29,6 +29,10 @@
     for (const upstream_backlog& item : frame.backlogs) {
       loads.emplace_back(item.upstream, item.tokens);
     }
+    std::vector<fleet_wire::prefix> prefixes;
+    for (const placed_prefix& item : frame.prefixes) {
+      prefixes.emplace_back(item.prefix, item.upstream);
+    }
     const daemon_record& sender = frame.sender;
     return fleet_wire::Createbeat(
                out_, out_.CreateString(sender.name), sender.incarnation,
@@ -38,7 +42,8 @@
                sender.is_leaving, sender.has_store, sender.revision,
                out_.CreateVectorOfStrings(heard),
                out_.CreateVectorOfStrings(frame.changing),
-               out_.CreateVectorOfStructs(loads))
+               out_.CreateVectorOfStructs(loads),
+               out_.CreateVectorOfStructs(prefixes))
         .Union();
   }
 
@@ -110,13 +115,20 @@
                               .revision = wire.revision()},
                    .heard = {},
                    .changing = ReadTexts(wire.changing()),
-                   .backlogs = {}};
+                   .backlogs = {},
+                   .prefixes = {}};
   if (wire.loads() != nullptr) {
     for (const fleet_wire::load* item : *wire.loads()) {
       frame.backlogs.push_back(
           {.upstream = item->upstream(), .tokens = item->tokens()});
     }
   }
+  if (wire.prefixes() != nullptr) {
+    for (const fleet_wire::prefix* item : *wire.prefixes()) {
+      frame.prefixes.push_back(
+          {.prefix = item->hash(), .upstream = item->upstream()});
+    }
+  }
   for (const std::string& text : ReadTexts(wire.heard())) {
     if (const auto address = ParseEndpoint(text)) {
       frame.heard.push_back(*address);
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -14,9 +14,6 @@
 /// How likely a prefix is cached at its homes when nothing is known of it.
 static constexpr std::array<double, 3> kHomePrior = {0.9, 0.3, 0.1};
 static constexpr double kFreshHit = 1;
-/// A prefix that this daemon placed of late is somewhere; one that it never
-/// placed goes home, where the other daemons place it too.
-static constexpr double kLeastUsesToCopy = 0.2;
 /// Recent uses of a prefix at which half of the weight of recomputing is gone.
 static constexpr double kHotUses = 60;
 /// Seconds added per request in flight: decoding slows with the batch, and
@@ -114,7 +111,11 @@
     return false;
   }
   const uint64_t shared = query.levels[SharedLevel(query.levels)].hash;
-  return query.prefixes.RecentUses(query.now, shared) > kLeastUsesToCopy;
+  const std::span<const prefix_holder> holders = query.prefixes.Find(shared);
+  return std::any_of(
+      holders.begin(), holders.end(), [&](const prefix_holder& holder) {
+        return query.replicas[holder.index].incarnation == holder.incarnation;
+      });
 }
 
 double prefix_cost_policy::MissingSeconds(const placement_query& query,
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -175,7 +175,8 @@
   }
 }
 
-void replica_table::OnPeerBacklogs(time_point now, const peer_backlogs& told) {
+void replica_table::OnPeerPlacements(time_point now,
+                                     const peer_placements& told) {
   told_backlogs& known = peer_backlogs_[told.peer];
   AddPeerBacklogs(known.backlogs, -1);
   known = {.at = now, .backlogs = told.backlogs};
@@ -192,6 +193,14 @@
   });
 }
 
+std::optional<replica_index> replica_table::FindByHash(uint64_t hash) const {
+  const auto found = by_hash_.find(hash);
+  if (found == by_hash_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
 std::vector<upstream_backlog> replica_table::ListBacklogs() const {
   std::vector<upstream_backlog> list;
   for (const replica& item : replicas_) {
