--- a/include/cuminswitch/Fleet/weights_rollout.h
+++ b/include/cuminswitch/Fleet/weights_rollout.h
@@ -55,9 +55,11 @@
 /// no clock.
 class weights_rollout {
  public:
-  /// Engines of one service that change at a time. More at once make each
-  /// change take longer, and take more of the service away.
-  static constexpr size_t kChangesAtOnce = 3;
+  /// Engines of one service that change at a time: a fifth, and at least
+  /// three, since with fewer the last of a dozen is late. More at once make
+  /// each change take longer, and take more of the service away.
+  static constexpr size_t kLeastChangesAtOnce = 3;
+  static constexpr size_t kServicePart = 5;
 
   /// Returns what to do now; only the leader may call it.
   std::vector<rollout_step> OnTick(time_point now,
--- a/lib/Fleet/weights_rollout.cc
+++ b/lib/Fleet/weights_rollout.cc
@@ -72,6 +72,10 @@
     time_point now,
     const fleet_knowledge& knowledge) {
   DropSettled(knowledge);
+  std::map<std::string, size_t> size;
+  for (const upstream_entry& entry : knowledge.upstreams) {
+    ++size[entry.service];
+  }
   std::map<std::string, size_t> under_way;
   for (const auto& [id, item] : engines_) {
     under_way[item.service] += item.at == stage::kIdle ? 0 : 1;
@@ -85,8 +89,10 @@
     item.wanted = candidate.wanted;
     const bool is_overdue =
         item.at == stage::kChanging && now - item.since > kChangeTime;
-    const bool is_new = item.at == stage::kIdle && now >= item.next_step &&
-                        under_way[entry.service] < kChangesAtOnce;
+    const bool is_new =
+        item.at == stage::kIdle && now >= item.next_step &&
+        under_way[entry.service] <
+            std::max(kLeastChangesAtOnce, size[entry.service] / kServicePart);
     if (!is_overdue && !is_new) {
       continue;
     }
