Bound the placements of one request, and prove the path on real processes

Symptom: after one order that every upstream refused, nothing was retried any more. Now two upstreams beyond those that may run it are asked.

The HTTP client sends one Host where the caller gives it.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -101,7 +101,7 @@
   request_arrived DescribeArrival(const request_flow::options& flow,
                                   const workspace_plan* workspace) const;
   void HandToRouter(time_point now, const core_event& event);
-  void Perform(time_point now, action_list actions);
+  void Perform(time_point now, const action_list& actions);
   void Perform(time_point now, const dispatch_attempt& action);
   request_flow* FindFlow(request_id id) const;
   void OnTick();
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -61,7 +61,7 @@
 
   void OnTick();
   void OnItemsChanged();
-  void Publish(std::shared_ptr<const fleet_knowledge> decoded);
+  void Publish(const std::shared_ptr<const fleet_knowledge>& decoded);
   /// Notes whether the store that this daemon has lost serves others.
   void JudgeStore(time_point now, const daemon_record& peer);
   /// Keeps upstreams whose entry went with the store's trouble.
--- a/include/cuminswitch/Http1/caller_exchange.h
+++ b/include/cuminswitch/Http1/caller_exchange.h
@@ -55,7 +55,7 @@
 /// Sends a whole answer of our own and finishes the exchange.
 void Reply(caller_exchange& exchange,
            uint32_t status,
-           http_headers headers,
+           const http_headers& headers,
            std::string_view body,
            bool close);
 
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -25,6 +25,9 @@
 /// When to come back where no upstream can take a request: crashed ones are
 /// replaced, and ejected ones tried again, within about a second.
 static constexpr duration kUpstreamRetryAfter = std::chrono::milliseconds(500);
+/// Upstreams beyond those that may run a request that may refuse it. Without a
+/// bound, one request that all refuse spends the whole budget of retries.
+static constexpr uint32_t kExtraArrivals = 2;
 static constexpr size_t kMaxAbandonedStarts = 4096;
 static constexpr uint32_t kMaxRetryAfterSeconds = 120;
 /// What reuse is worth beyond its time, by objective.
@@ -701,6 +704,16 @@
            out);
     return;
   }
+  const uint32_t runs_allowed = item.info.max_runs;
+  if (runs_allowed != 0 && item.arrivals >= runs_allowed + kExtraArrivals) {
+    Refuse(id,
+           {.status = kUnavailable,
+            .retry_after_seconds = 1,
+            .message = "every upstream that was asked refused it",
+            .retry_after = kUpstreamRetryAfter},
+           out);
+    return;
+  }
   if (!event.unreachable && !BudgetOf(item.info.target).TrySpend()) {
     Refuse(id,
            {.status = kUnavailable,
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -35,7 +35,9 @@
              "Ended requests by route, outcome and reason.");
   for (const auto& [route, item] : routes_) {
     for (const auto& [labels, count] : item.ends) {
-      page.Add(static_cast<double>(count), "route=\"" + route + "\"," + labels);
+      std::string all = "route=\"" + route + "\",";
+      all += labels;
+      page.Add(static_cast<double>(count), all);
     }
   }
   page.Begin("cuminswitch_request_seconds", "histogram",
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -149,7 +149,7 @@
   for (const upstream_entry& entry : knowledge_->upstreams) {
     router_.OnUpstreamReport(now, TranslateUpstream(entry), actions);
   }
-  Perform(now, std::move(actions));
+  Perform(now, actions);
   if (IsReady() && !was_ready) {
     with_.log.Write(log_class::kLifecycle,
                     log_line("ready").Add("configuration", plan.version));
@@ -249,7 +249,7 @@
     headers.push_back(
         RetryAfter(is_stopping_ ? kElsewhereRetryAfter : kStartRetryAfter));
   }
-  Reply(exchange, status, std::move(headers), {}, false);
+  Reply(exchange, status, headers, {}, false);
 }
 
 /// Chooses among a route's services by weight, the same for one attempt.
@@ -360,10 +360,10 @@
   } else if (const auto* gone = std::get_if<caller_gone>(&event)) {
     router_.OnCallerGone(now, *gone, actions);
   }
-  Perform(now, std::move(actions));
+  Perform(now, actions);
 }
 
-void edge_task::Perform(time_point now, action_list actions) {
+void edge_task::Perform(time_point now, const action_list& actions) {
   for (const core_action& action : actions) {
     if (const auto* dispatch = std::get_if<dispatch_attempt>(&action)) {
       Perform(now, *dispatch);
@@ -447,7 +447,7 @@
   const time_point now = ReadBootClock();
   action_list actions;
   router_.OnTick(now, actions);
-  Perform(now, std::move(actions));
+  Perform(now, actions);
   TellPlacements();
   with_.log.Flush();
   tick_timer_.Start(flows_.empty() ? kIdleTickInterval : kTickInterval);
--- a/lib/Edge/plan_translator.cc
+++ b/lib/Edge/plan_translator.cc
@@ -14,7 +14,7 @@
 /// domain or the store they take about twice as long.
 static constexpr double kCopyRateUsed = 0.025;
 /// The name of the workspace that requests without credential belong to.
-static constexpr std::string_view kPublicWorkspace = "";
+static constexpr std::string_view kPublicWorkspace;
 
 std::string TargetName(std::string_view service, std::string_view model) {
   std::string name(service);
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -308,7 +308,7 @@
     headers.push_back(
         {.name = "Retry-After", .value = FormatSeconds(retry_after)});
   }
-  Reply(*options_.exchange, status, std::move(headers), {}, false);
+  Reply(*options_.exchange, status, headers, {}, false);
   End({.result = result, .status = status, .reason = reason});
 }
 
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -306,7 +306,8 @@
                                     .Add("upstreams", upstreams));
 }
 
-void fleet_task::Publish(std::shared_ptr<const fleet_knowledge> decoded) {
+void fleet_task::Publish(
+    const std::shared_ptr<const fleet_knowledge>& decoded) {
   auto next = std::make_shared<fleet_knowledge>(*decoded);
   KeepLapsed(ReadBootClock(), *next);
   if (knowledge_ != nullptr && knowledge_->plan == next->plan &&
@@ -372,9 +373,10 @@
 
 void fleet_task::Perform(const rollout_step& step) {
   if (!step.order) {
-    with_.engines.Ask(step, [this, step](std::optional<engine_report> report) {
-      OnEngineReport(step, report);
-    });
+    with_.engines.Ask(step,
+                      [this, step](const std::optional<engine_report>& report) {
+                        OnEngineReport(step, report);
+                      });
     return;
   }
   // Between the decision and here the host may have been suspended; an order
--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -253,7 +253,7 @@
 
 void Reply(caller_exchange& exchange,
            uint32_t status,
-           http_headers headers,
+           const http_headers& headers,
            std::string_view body,
            bool close) {
   exchange.SendHead(status, headers,
--- a/lib/Net/http_call.cc
+++ b/lib/Net/http_call.cc
@@ -84,10 +84,12 @@
   evhttp_request_set_chunked_cb(request_, on_chunk);
   evhttp_request_set_error_cb(request_, on_error);
   evkeyvalq* headers = evhttp_request_get_output_headers(request_);
-  evhttp_add_header(headers, "Host", opts.to.ToString().c_str());
   for (const http_header& header : opts.headers) {
     evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
   }
+  if (evhttp_find_header(headers, "Host") == nullptr) {
+    evhttp_add_header(headers, "Host", opts.to.ToString().c_str());
+  }
   if (fresh_) {
     evhttp_add_header(headers, "Connection", "close");
   }
--- /dev/null
+++ b/test/process/platform.sh
@@ -0,0 +1,138 @@
+# Sourced by the process tests on the users' platform: a store, upstreams and
+# daemons in the form that runs there.
+source "$(dirname "${BASH_SOURCE[0]}")/harness.sh"
+
+# put KEY VALUE: writes an item to the store.
+put() {
+  "$BUILD/utils/fetch" "$STORE" /kv-txn "{\"precondition\":[],\"puts\":[{
+    \"key\":\"$1\",\"value\":\"$(base64 -w0 <<<"$2")\"}],\"remove\":[]}" \
+    >/dev/null
+}
+
+# remove_item KEY
+remove_item() {
+  "$BUILD/utils/fetch" "$STORE" /kv-txn \
+    "{\"precondition\":[],\"puts\":[],\"remove\":[\"$1\"]}" >/dev/null
+}
+
+# store_fault MODE: refuse, silent, lost or none.
+store_fault() {
+  "$BUILD/utils/fetch" "$STORE" "/fault?mode=$1" - >/dev/null
+}
+
+# put_configuration VERSION [EXTRA_ROUTE]
+put_configuration() {
+  put op/config "{\"version\":$1,\"routes\":[
+    {\"name\":\"stream\",\"host\":\"h\",\"path-prefix\":\"/stream/\",
+     \"kind\":\"stream\",\"timeout-ms\":5000,\"goal-ms\":800,\"priority\":1,
+     \"backend\":\"engines\",\"attempts\":1},
+    {\"name\":\"resume\",\"host\":\"h\",\"path-prefix\":\"/resume/\",
+     \"kind\":\"stream\",\"timeout-ms\":5000,\"goal-ms\":800,\"priority\":0,
+     \"backend\":\"engines\",\"attempts\":3,\"can-resume\":true},
+    {\"name\":\"once\",\"host\":\"h\",\"path-prefix\":\"/once/\",
+     \"kind\":\"non_idempotent\",\"timeout-ms\":600,\"backend\":\"orders\",
+     \"attempts\":1},
+    {\"name\":\"repeat\",\"host\":\"h\",\"path-prefix\":\"/repeat/\",
+     \"kind\":\"idempotent\",\"timeout-ms\":600,\"backend\":\"orders\",
+     \"attempts\":2}${2:+,$2}],
+    \"services\":[{\"name\":\"engines\",\"max-conns\":100,\"engine\":{
+      \"slots\":64,\"models\":[{\"name\":\"m\"}]}},
+     {\"name\":\"orders\",\"max-conns\":100}],
+    \"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,
+     \"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},
+    \"tenants\":[{\"name\":\"w1\",\"api-keys\":[\"key1\"],\"isolated\":true},
+     {\"name\":\"w2\",\"api-keys\":[\"key2\"]}]}"
+}
+
+# start_replica ID SERVICE [MODEL [VERSION]]: starts and lists it.
+start_replica() {
+  start_stand_in "$1" replica_stand_in --id "$1" --model "${3:-}" \
+    --version "${4:-1}"
+  list_replica "$1" "$2" "$ADDRESS" ready "${3:-}" "${4:-1}"
+}
+
+# list_replica ID SERVICE ADDRESS STATE [MODEL VERSION]
+list_replica() {
+  local models="[]"
+  [[ -n ${5:-} ]] && models="[{\"name\":\"$5\",\"version\":$6}]"
+  put "servers/$1" "{\"backend\":\"$2\",\"address\":\"$3\",\"zone\":\"z1\",
+    \"slots\":64,\"state\":\"$4\",\"models\":$models}"
+}
+
+# start_platform_daemon INDEX: leaves its ports in FRONT_n, READY_n, DIRECTORY_n.
+start_platform_daemon() {
+  local i=$1 seeds="${SEEDS:-}"
+  cat >"$WORK/entry-$i.toml" <<SETTINGS
+node-name = "entry-$i"
+zone = "z1"
+seeds = [$seeds]
+[listen]
+front = "127.0.0.1:${PORTS[5 * i]}"
+ready = "127.0.0.1:${PORTS[5 * i + 1]}"
+directory = "127.0.0.1:${PORTS[5 * i + 2]}"
+control = "127.0.0.1:${PORTS[5 * i + 3]}"
+[bounds]
+lease-ms = ${LEADER_GAP_MS:-300}
+grace-s = 8
+[provider]
+address = "$STORE"
+SETTINGS
+  "$BUILD/tools/cuminswitchd" --platform \
+    --metrics-port "${PORTS[5 * i + 4]}" "$WORK/entry-$i.toml" \
+    >>"$WORK/entry-$i.log" 2>&1 &
+  PID=$!
+  started_pids+=("$PID")
+}
+
+front() { echo "127.0.0.1:${PORTS[5 * $1]}"; }
+directory() { echo "127.0.0.1:${PORTS[5 * $1 + 2]}"; }
+is_platform_ready() {
+  "$BUILD/utils/fetch" "127.0.0.1:${PORTS[5 * $1 + 1]}" /ready
+}
+
+# start_platform COUNT: a store, two engines, two services and COUNT daemons.
+start_platform() {
+  local i
+  start_stand_in store store_stand_in
+  STORE=$ADDRESS
+  put_configuration 1
+  start_replica e1 engines m
+  start_replica e2 engines m
+  start_replica s1 orders
+  start_replica s2 orders
+  make_ports $((5 * $1))
+  SEEDS="\"127.0.0.1:${PORTS[3]}\""
+  DAEMON_PIDS=()
+  for ((i = 0; i < $1; ++i)); do
+    start_platform_daemon "$i"
+    DAEMON_PIDS+=("$PID")
+  done
+  for ((i = 0; i < $1; ++i)); do
+    wait_for 10 is_platform_ready "$i"
+  done
+}
+
+# ask INDEX ID PATH [KEY]: sends a POST as a caller; leaves the body in
+# $WORK/out and the status in $WORK/err.
+ask() {
+  FETCH_HEADERS="Host: h
+X-Attempt-Id: $2
+X-Deadline-Ms: ${DEADLINE_MS:-3000}
+X-Model: m
+X-Token-Usage: 100,10
+X-Prompt-Prefix: aa:50,bb:40,$2:10
+Authorization: Token ${4:-key1}" \
+    "$BUILD/utils/fetch" "$(front "$1")" "$3" body >"$WORK/out" 2>"$WORK/err"
+}
+
+# expect_status STATUS INDEX ID PATH [KEY]
+expect_status() {
+  local wanted=$1
+  shift
+  ask "$@" || true
+  grep -q "status $wanted" "$WORK/err" ||
+    fail "$* gave $(cat "$WORK/err"), not $wanted"
+}
+
+# runs ID: how often upstreams ran the request.
+runs() { cat "$WORK"/e?.log "$WORK"/s?.log | grep -c "^run $1 " || true; }
--- a/tools/cuminswitchd/cuminswitchd.cc
+++ b/tools/cuminswitchd/cuminswitchd.cc
@@ -107,7 +107,7 @@
   parser.AddFlag("check", check_only, "Check the settings and exit");
   parser.AddFlag("platform", on_platform, "Run on the users' platform");
   parser.AddInteger("metrics-port", metrics_port,
-                   "Where the platform's form serves its metrics");
+                    "Where the platform's form serves its metrics");
   const std::vector<std::string> rest = parser.Parse(ArgumentsOf(argc, argv));
   if (on_platform) {
     return MainOnPlatform(rest, check_only, metrics_port);
--- a/unittests/Http1/loopback.h
+++ b/unittests/Http1/loopback.h
@@ -42,12 +42,13 @@
   static int Connect(const endpoint& to) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in address = ToSocketAddress(to);
-    connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    static_cast<void>(connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                              sizeof(address)));
     return fd;
   }
 
   void Send(const std::string& data) {
-    send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+    static_cast<void>(send(fd_, data.data(), data.size(), MSG_NOSIGNAL));
   }
   /// Reads what is there into `received`, and notes the end.
   void Poll() {
--- a/unittests/Http1/message_reader_test.cc
+++ b/unittests/Http1/message_reader_test.cc
@@ -109,9 +109,11 @@
 }
 
 TEST(message_reader_test, RefusesControlCharactersInAValue) {
-  const std::string text("GET /a HTTP/1.1\r\nHost: h\r\nName: a\0b\r\n\r\n",
-                         41);
-  EXPECT_EQ(ReadRequest(text).result, read_result::kMalformed);
+  for (const char control : {'\0', '\1', '\x7f'}) {
+    std::string text = "GET /a HTTP/1.1\r\nHost: h\r\nName: a?b\r\n\r\n";
+    text[text.find('?')] = control;
+    EXPECT_EQ(ReadRequest(text).result, read_result::kMalformed);
+  }
 }
 
 TEST(message_reader_test, RefusesBadFirstLines) {
@@ -136,7 +138,7 @@
   const std::string start =
       "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
   for (const std::string size : {"12345678901234567\r\n", "+3\r\nabc\r\n",
-                                  "-3\r\n", "x\r\n", "\r\n", "3\nabc\r\n"}) {
+                                 "-3\r\n", "x\r\n", "\r\n", "3\nabc\r\n"}) {
     EXPECT_EQ(ReadRequest(start + size).result, read_result::kMalformed)
         << size;
   }
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -28,7 +28,8 @@
   upstream_pool_test() : base_(event_base_new()), pool_(base_) {
     listener_ = socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
-    bind(listener_, reinterpret_cast<const sockaddr*>(&any), sizeof(any));
+    static_cast<void>(
+        bind(listener_, reinterpret_cast<const sockaddr*>(&any), sizeof(any)));
     listen(listener_, 8);
     fcntl(listener_, F_SETFL, O_NONBLOCK);
     sockaddr_in bound{};
--- /dev/null
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -0,0 +1,200 @@
+// A stand-in for one upstream on the users' platform: an engine that streams
+// events and changes its weights by order, or a plain service. Each request
+// that it runs is told on standard output as `run ATTEMPT WORKSPACE SALT`.
+// Parts of a request's path make it misbehave: `/refuse/` (not run), `/fail/`
+// (runs and fails), `/cut/` (stops in the middle), `/hang/` (no answer).
+#include <event2/event.h>
+
+#include <chrono>
+#include <iostream>
+#include <list>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "StandIn/stand_in_main.h"
+#include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/Net/http_exchange.h"
+#include "cuminswitch/Net/loop_timer.h"
+
+namespace cuminswitch {
+namespace {
+
+using nlohmann::json;
+using exchange_ptr = std::shared_ptr<http_exchange>;
+
+constexpr char kJson[] = "application/json";
+constexpr int kEvents = 5;
+
+struct replica_options {
+  std::string id = "i-1";
+  std::string model;
+  int version = 1;
+  int event_gap_ms = 10;
+};
+
+class replica : public http_request_handler {
+ public:
+  replica(event_base* base, replica_options opts)
+      : options_(std::move(opts)), timer_(base, [this] { OnTick(); }) {}
+
+  void OnRequest(exchange_ptr exchange) override {
+    const std::string path(exchange->Path());
+    const std::string expected = exchange->Header("X-Expect-Replica");
+    const std::string version = exchange->Header("X-Expect-Version");
+    if ((!expected.empty() && expected != options_.id) ||
+        (!version.empty() && version != std::to_string(options_.version))) {
+      exchange->Reply(421, kJson, "{}", {{"X-Replica-Id", options_.id}});
+    } else if (path == "/report") {
+      Report(*exchange);
+    } else if (path == "/order") {
+      TakeOrder(*exchange);
+    } else {
+      Run(exchange, path);
+    }
+  }
+
+ private:
+  struct stream {
+    exchange_ptr exchange;
+    int next = 1;
+    int last = kEvents;
+  };
+
+  json Models() const {
+    return json::array({{{"name", options_.model},
+                         {"version", options_.version},
+                         {"adapters", json::array()}}});
+  }
+
+  void Report(http_exchange& exchange) {
+    exchange.Reply(200, kJson,
+                   json({{"stage", "colocated"},
+                         {"models", Models()},
+                         {"busy", false},
+                         {"seq", orders_},
+                         {"queued", 0},
+                         {"running", streams_.size()}})
+                       .dump());
+  }
+
+  void TakeOrder(http_exchange& exchange) {
+    const json order = json::parse(exchange.Body());
+    if (order.value("precondition", orders_) != orders_) {
+      exchange.Reply(409, kJson, "{}");
+      return;
+    }
+    ++orders_;
+    options_.version = order.at("version");
+    std::cout << "order " << order.at("holder").get<std::string>() << " "
+              << order.at("fence") << " " << options_.version << std::endl;
+    exchange.Reply(202, kJson, "{}");
+  }
+
+  http_headers AnswerHeaders(const http_exchange& exchange) const {
+    return {{"X-Attempt-Id", exchange.Header("X-Attempt-Id")},
+            {"X-Replica-Stamp", options_.id},
+            {"X-Replica-Load", "1,0,8"},
+            {"X-Weight-Versions", std::to_string(options_.version)},
+            {"Keep-Alive", "timeout=5"}};
+  }
+
+  void Run(const exchange_ptr& exchange, const std::string& path) {
+    const auto has = [&path](const char* part) {
+      return path.find(part) != std::string::npos;
+    };
+    if (has("/refuse/")) {
+      exchange->Reply(503, kJson, "{}",
+                      {{"X-Attempt-Id", exchange->Header("X-Attempt-Id")},
+                       {"X-Not-Executed", "1"}});
+      return;
+    }
+    std::cout << "run " << exchange->Header("X-Attempt-Id") << " "
+              << exchange->Header("X-Tenant") << " "
+              << exchange->Header("X-Cache-Salt") << std::endl;
+    if (has("/hang/")) {
+      hanging_.push_back(exchange);
+    } else if (has("/fail/")) {
+      exchange->Reply(500, kJson, "{}", AnswerHeaders(*exchange));
+    } else if (options_.model.empty()) {
+      exchange->Reply(200, "text/plain", "answer of " + options_.id,
+                      AnswerHeaders(*exchange));
+    } else {
+      Stream(exchange, has("/cut/"));
+    }
+  }
+
+  void Stream(const exchange_ptr& exchange, bool is_cut) {
+    exchange->BeginStream(200, "text/event-stream", AnswerHeaders(*exchange));
+    const std::string last = exchange->Header("Last-Event-Id");
+    streams_.push_back({.exchange = exchange,
+                        .next = last.empty() ? 1 : std::stoi(last) + 1,
+                        .last = is_cut && last.empty() ? 2 : kEvents});
+    if (streams_.size() == 1) {
+      timer_.Start(std::chrono::milliseconds(options_.event_gap_ms));
+    }
+  }
+
+  void OnTick() {
+    streams_.remove_if([](stream& item) { return Advance(item); });
+    if (!streams_.empty()) {
+      timer_.Start(std::chrono::milliseconds(options_.event_gap_ms));
+    }
+  }
+
+  /// Sends the next event; returns whether the stream is over.
+  static bool Advance(stream& item) {
+    if (item.exchange->IsClosed()) {
+      std::cout << "cancelled" << std::endl;
+      return true;
+    }
+    const std::string number = std::to_string(item.next);
+    if (item.next > item.last) {
+      if (item.last == kEvents) {
+        item.exchange->EndStream();
+      } else {
+        item.exchange->SendChunk("id: " + number + "\ndata: to");
+        item.exchange->Abort();
+      }
+      return true;
+    }
+    item.exchange->SendChunk("id: " + number + "\ndata: event " + number +
+                             "\n\n");
+    ++item.next;
+    return false;
+  }
+
+  replica_options options_;
+  loop_timer timer_;
+  std::list<stream> streams_;
+  std::list<exchange_ptr> hanging_;
+  uint64_t orders_ = 0;
+};
+
+int Main(int argc, char** argv) {
+  std::string listen = "127.0.0.1:0";
+  replica_options options;
+  option_parser parser("replica_stand_in", "[OPTION...]");
+  parser.AddString("listen", listen, "Where to listen", "ADDRESS:PORT");
+  parser.AddString("id", options.id, "The name of this start", "ID");
+  parser.AddString("model", options.model, "The model of an engine", "MODEL");
+  parser.AddInteger("version", options.version, "The weights' version");
+  parser.AddInteger("event-gap-ms", options.event_gap_ms,
+                    "Time between two events");
+  parser.Parse(ArgumentsOf(argc, argv));
+  return RunStandIn(listen, [options](event_base* base) {
+    return std::make_unique<replica>(base, options);
+  });
+}
+
+}  // namespace
+}  // namespace cuminswitch
+
+int main(int argc, char** argv) {
+  try {
+    return cuminswitch::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "replica_stand_in: " << error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/utils/store_stand_in/store_stand_in.cc
@@ -0,0 +1,294 @@
+// A stand-in for the users' metadata store: items, watches, conditional writes
+// and leases, in memory. `POST /fault?mode=` makes it refuse every call
+// (`refuse`), answer none (`silent`), do writes without answering (`lost`), or
+// work again (`none`).
+#include <event2/event.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <iostream>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "StandIn/stand_in_main.h"
+#include "cuminswitch/CommandLine/option_parser.h"
+#include "cuminswitch/Net/http_exchange.h"
+#include "cuminswitch/Net/loop_timer.h"
+
+namespace cuminswitch {
+namespace {
+
+using nlohmann::json;
+using exchange_ptr = std::shared_ptr<http_exchange>;
+
+constexpr char kJson[] = "application/json";
+constexpr size_t kPageSize = 500;
+constexpr std::chrono::milliseconds kTick{20};
+
+struct item {
+  std::string value;
+  uint64_t revision = 0;
+  uint64_t created = 0;
+  uint64_t lease = 0;
+};
+
+struct change {
+  std::string key;
+  uint64_t revision = 0;
+  json event;
+};
+
+struct waiting_watch {
+  exchange_ptr exchange;
+  std::string prefix;
+  uint64_t after = 0;
+  std::chrono::steady_clock::time_point until;
+};
+
+struct lease {
+  std::chrono::milliseconds time_to_live{0};
+  std::chrono::steady_clock::time_point until;
+};
+
+class store : public http_request_handler {
+ public:
+  explicit store(event_base* base) : timer_(base, [this] { OnTick(); }) {
+    timer_.Start(kTick);
+  }
+
+  void OnRequest(exchange_ptr exchange) override {
+    const std::string path(exchange->Path());
+    if (path == "/fault") {
+      fault_ = exchange->Parameter("mode");
+      exchange->Reply(200, kJson, "{}");
+      return;
+    }
+    if (fault_ == "silent") {
+      unanswered_.push_back(exchange);
+      return;
+    }
+    if (fault_ == "refuse") {
+      exchange->Reply(503, kJson, "{}");
+      return;
+    }
+    Serve(exchange, path);
+  }
+
+ private:
+  void Serve(const exchange_ptr& exchange, const std::string& path) {
+    if (path == "/kv-range") {
+      ReadRange(*exchange);
+    } else if (path == "/kv-watch") {
+      Watch(exchange);
+    } else if (path == "/kv-txn") {
+      Write(exchange);
+    } else if (path == "/kv-lease") {
+      const auto wanted = json::parse(exchange->Body()).at("ttl-ms");
+      const uint64_t id = ++last_lease_;
+      leases_[id].time_to_live = std::chrono::milliseconds(wanted);
+      AnswerLease(*exchange, id);
+    } else if (path.starts_with("/kv-keep/")) {
+      AnswerLease(*exchange, std::stoull(path.substr(9)));
+    } else if (path.starts_with("/kv-lease-end/")) {
+      EndLease(std::stoull(path.substr(14)));
+      exchange->Reply(200, kJson, "{}");
+    } else {
+      exchange->Reply(404, kJson, "{}");
+    }
+  }
+
+  void AnswerLease(http_exchange& exchange, uint64_t id) {
+    const auto found = leases_.find(id);
+    if (found == leases_.end()) {
+      exchange.Reply(404, kJson, "{}");
+      return;
+    }
+    lease& known = found->second;
+    known.until = std::chrono::steady_clock::now() + known.time_to_live;
+    exchange.Reply(
+        200, kJson,
+        json({{"lease", id}, {"ttl-ms", known.time_to_live.count()}}).dump());
+  }
+
+  void EndLease(uint64_t id) {
+    if (leases_.erase(id) == 0) {
+      return;
+    }
+    std::vector<std::string> keys;
+    for (const auto& [key, known] : items_) {
+      if (known.lease == id) {
+        keys.push_back(key);
+      }
+    }
+    for (const std::string& key : keys) {
+      Remove(key, ++revision_);
+    }
+    WakeWatches();
+  }
+
+  static json ToJson(const std::string& key, const item& known) {
+    return {{"key", key},
+            {"value", known.value},
+            {"rev", known.revision},
+            {"created", known.created},
+            {"lease", known.lease}};
+  }
+
+  void ReadRange(http_exchange& exchange) {
+    const std::string prefix = exchange.Parameter("path-prefix");
+    const std::string after = exchange.Parameter("after");
+    json found = json::array();
+    bool has_more = false;
+    for (const auto& [key, known] : items_) {
+      if (!key.starts_with(prefix) || key <= after) {
+        continue;
+      }
+      if (found.size() == kPageSize) {
+        has_more = true;
+        break;
+      }
+      found.push_back(ToJson(key, known));
+    }
+    exchange.Reply(200, kJson,
+                   json({{"items", found},
+                         {"has-more", has_more},
+                         {"store-revision", revision_}})
+                       .dump());
+  }
+
+  void Watch(const exchange_ptr& exchange) {
+    waiting_watch watch{.exchange = exchange,
+                        .prefix = exchange->Parameter("path-prefix"),
+                        .after = std::stoull(exchange->Parameter("after")),
+                        .until = std::chrono::steady_clock::now() +
+                                 std::chrono::milliseconds(std::stoull(
+                                     exchange->Parameter("wait-ms")))};
+    if (!AnswerWatch(watch, false)) {
+      watches_.push_back(std::move(watch));
+    }
+  }
+
+  bool AnswerWatch(const waiting_watch& watch, bool is_over) {
+    json events = json::array();
+    for (const change& item : history_) {
+      if (item.revision > watch.after && item.key.starts_with(watch.prefix)) {
+        events.push_back(item.event);
+      }
+    }
+    if (events.empty() && !is_over) {
+      return false;
+    }
+    watch.exchange->Reply(
+        200, kJson,
+        json({{"events", events}, {"store-revision", revision_}}).dump());
+    return true;
+  }
+
+  void WakeWatches() {
+    watches_.remove_if([this](const waiting_watch& watch) {
+      return watch.exchange->IsClosed() || AnswerWatch(watch, false);
+    });
+  }
+
+  void Remove(const std::string& key, uint64_t revision) {
+    items_.erase(key);
+    history_.push_back(
+        {.key = key,
+         .revision = revision,
+         .event = {{"key", key}, {"rev", revision}, {"deleted", true}}});
+  }
+
+  void Put(const json& put, uint64_t revision) {
+    const auto key = put.at("key").get<std::string>();
+    item& known = items_[key];
+    known.value = put.at("value").get<std::string>();
+    known.revision = revision;
+    known.created = known.created == 0 ? revision : known.created;
+    known.lease = put.value("lease", uint64_t{0});
+    history_.push_back(
+        {.key = key, .revision = revision, .event = ToJson(key, known)});
+  }
+
+  void Write(const exchange_ptr& exchange) {
+    const json body = json::parse(exchange->Body());
+    for (const json& row : body.value("precondition", json::array())) {
+      const auto found = items_.find(row.at("key").get<std::string>());
+      const uint64_t now = found == items_.end() ? 0 : found->second.revision;
+      if (now != row.at("rev").get<uint64_t>()) {
+        exchange->Reply(412, kJson, R"({"items":[]})");
+        return;
+      }
+    }
+    for (const json& put : body.value("puts", json::array())) {
+      const uint64_t wanted = put.value("lease", uint64_t{0});
+      if (wanted != 0 && !leases_.contains(wanted)) {
+        exchange->Reply(404, kJson, "{}");
+        return;
+      }
+    }
+    const uint64_t revision = ++revision_;
+    for (const json& put : body.value("puts", json::array())) {
+      Put(put, revision);
+    }
+    for (const json& key : body.value("remove", json::array())) {
+      Remove(key.get<std::string>(), revision);
+    }
+    WakeWatches();
+    if (fault_ == "lost") {
+      unanswered_.push_back(exchange);
+      return;
+    }
+    exchange->Reply(200, kJson, json({{"rev", revision}}).dump());
+  }
+
+  void OnTick() {
+    timer_.Start(kTick);
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<uint64_t> ended;
+    for (const auto& [id, known] : leases_) {
+      if (now >= known.until) {
+        ended.push_back(id);
+      }
+    }
+    for (const uint64_t id : ended) {
+      EndLease(id);
+    }
+    watches_.remove_if([&](const waiting_watch& watch) {
+      return now >= watch.until && AnswerWatch(watch, true);
+    });
+  }
+
+  loop_timer timer_;
+  std::string fault_;
+  std::map<std::string, item> items_;
+  std::map<uint64_t, lease> leases_;
+  std::vector<change> history_;
+  std::list<waiting_watch> watches_;
+  std::vector<exchange_ptr> unanswered_;
+  uint64_t revision_ = 1;
+  uint64_t last_lease_ = 0;
+};
+
+int Main(int argc, char** argv) {
+  std::string listen = "127.0.0.1:0";
+  option_parser parser("store_stand_in", "[OPTION...]");
+  parser.AddString("listen", listen, "Where to listen", "ADDRESS:PORT");
+  parser.Parse(ArgumentsOf(argc, argv));
+  return RunStandIn(
+      listen, [](event_base* base) { return std::make_unique<store>(base); });
+}
+
+}  // namespace
+}  // namespace cuminswitch
+
+int main(int argc, char** argv) {
+  try {
+    return cuminswitch::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "store_stand_in: " << error.what() << "\n";
+    return 2;
+  }
+}
