--- a/lib/Fleet/weights_rollout.cc
+++ b/lib/Fleet/weights_rollout.cc
@@ -115,7 +115,14 @@
     return std::nullopt;
   }
   engine& item = found->second;
-  if (!report || report->is_busy) {
+  if (report && report->is_busy) {
+    // An order is in progress: the engine lets its runs finish, which takes
+    // seconds under load, and refuses all others meanwhile.
+    item.at = stage::kChanging;
+    item.since = now - kChangeTime + kBusyPause;
+    return std::nullopt;
+  }
+  if (!report) {
     item.at = stage::kIdle;
     item.next_step = now + kBusyPause;
     return std::nullopt;
--- a/unittests/Fleet/weights_rollout_test.cc
+++ b/unittests/Fleet/weights_rollout_test.cc
@@ -119,13 +119,25 @@
   EXPECT_EQ(rollout_.OnTick(now_ + milliseconds(1000), knowledge_).size(), 1U);
 }
 
-TEST_F(weights_rollout_test, ABusyEngineIsLeftAloneForAWhile) {
+TEST_F(weights_rollout_test, AnEngineThatDoesNotAnswerIsLeftAloneForAWhile) {
+  rollout_.OnTick(now_, knowledge_);
+  EXPECT_FALSE(rollout_.OnReport(now_, "e1", std::nullopt).has_value());
+  EXPECT_EQ(rollout_.ListChanging(), (std::vector<std::string>{"e0", "e2"}));
+}
+
+// Symptom: for seconds most requests are refused by one engine after another.
+// Sequence: an engine that changes its weights lets its runs finish for 2 s; it
+// is asked after 0.9 s and says that it is busy.
+// Cause: a busy engine was not taken for changing any more; being idle, it drew
+// all new requests, and refused them.
+TEST_F(weights_rollout_test, ABusyEngineIsStillChanging) {
   rollout_.OnTick(now_, knowledge_);
   engine_report busy = Report(1);
   busy.is_busy = true;
   EXPECT_FALSE(rollout_.OnReport(now_, "e0", busy).has_value());
-  EXPECT_FALSE(rollout_.OnReport(now_, "e1", std::nullopt).has_value());
-  EXPECT_EQ(rollout_.ListChanging(), std::vector<std::string>{"e2"});
+  EXPECT_EQ(rollout_.ListChanging().size(), 3U);
+  EXPECT_EQ(rollout_.OnTick(now_ + milliseconds(200), knowledge_).size(), 1U)
+      << "it is asked again";
 }
 
 TEST_F(weights_rollout_test, AnEngineThatLeavesIsNotChanged) {
