Take back attempts that wait on weights superseded too long ago

Cause: they waited in the queue of an overloaded engine, where nothing bounded them. Ruled out: a late order (all engines changed in time). An attempt without first byte is cancelled 0.3 s before the bound; what may not be repeated is told unknown.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -102,6 +102,8 @@
     double expected_tokens = 0;
     time_point sent{};
     std::optional<time_point> first_byte;
+    /// The weights that it was placed for.
+    std::string version;
     /// The replica had nothing queued, so its speed can be learnt.
     bool unqueued = false;
     /// Since when this daemon believed the shared level to be cached there.
@@ -148,6 +150,8 @@
   /// Tells apart the caches that must not meet: pools, targets, weights.
   static uint64_t CacheScope(const request& item, std::string_view version);
   void SendStartRequest(time_point now, request& item, action_list& out);
+  /// Takes back attempts that would begin on weights superseded too long ago.
+  void ExpireOldWeights(time_point now, action_list& out);
   /// Gives up on starts that are late or that nobody can grant.
   void ExpireStarts(time_point now, action_list& out);
   bool IsStartOver(time_point now, const request& item) const;
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -103,6 +103,7 @@
   void HandToRouter(time_point now, const core_event& event);
   void Perform(time_point now, const action_list& actions);
   void Perform(time_point now, const dispatch_attempt& action);
+  void CancelAttempt(attempt_id attempt);
   request_flow* FindFlow(request_id id) const;
   void OnTick();
   void OnStopTick();
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -41,6 +41,9 @@
     duration old_weights_time{0};
     /// After this long, a request prefers a replica with the new weights.
     duration old_weights_grace{0};
+    /// No request may begin later than this on superseded weights; 0 for no
+    /// such bound.
+    duration old_weights_limit{0};
   };
 
   replica_table() = default;
@@ -91,6 +94,11 @@
   /// Learns the prefill rate from an attempt that did not queue.
   void LearnPrefillRate(replica_index index, double tokens, duration took);
 
+  /// Returns when the last request may begin at \p target's weights of
+  /// \p version; nothing for weights that are not superseded.
+  std::optional<time_point> LastStart(std::string_view target,
+                                      std::string_view version) const;
+
   /// Lists the replicas that can serve \p target in \p failure_domains (any
   /// when empty), but for those in \p excluded.
   eligible_replicas ListEligible(time_point now,
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -430,6 +430,7 @@
           0.0, item.info.prompt_tokens - chosen.expected_cached_tokens),
       .sent = now,
       .first_byte = std::nullopt,
+      .version = replicas_.VersionAt(chosen.index, item.info.target),
       .unqueued = replicas_.EstimateQueueSeconds(now, chosen.index) == 0,
       .believed_age = std::nullopt};
   const auto& levels = item.info.levels;
@@ -458,8 +459,6 @@
     }
   }
   replicas_.OnDispatch(chosen.index, next.expected_tokens);
-  const std::string version =
-      replicas_.VersionAt(chosen.index, item.info.target);
   const uint32_t earlier = item.arrivals++;
   ++item.runs;
   attempts_[next.id] = item.info.request;
@@ -469,9 +468,9 @@
                                  .upstream = target.spec.name,
                                  .address = target.spec.address,
                                  .fencing = item.epoch,
-                                 .cache_scope = CacheScope(item, version),
+                                 .cache_scope = CacheScope(item, next.version),
                                  .fresh_connection = !item.repeatable,
-                                 .weights_version = version,
+                                 .weights_version = next.version,
                                  .cache_source = cache.source,
                                  .cache_sink = cache.sink,
                                  .earlier_attempts = earlier});
@@ -882,9 +881,33 @@
            out);
   }
   ExpireStarts(now, out);
+  ExpireOldWeights(now, out);
   DrainQueue(now, out);
 }
 
+void request_router::ExpireOldWeights(time_point now, action_list& out) {
+  std::vector<attempt_id> late;
+  for (const auto& [id, request_of] : attempts_) {
+    const request& item = requests_.at(request_of);
+    const std::optional<time_point> last =
+        replicas_.LastStart(item.info.target, item.running->version);
+    if (!item.running->first_byte && last && now >= *last) {
+      late.push_back(id);
+    }
+  }
+  for (const attempt_id id : late) {
+    // It waits in an engine's queue. Whether it has begun is not known, so
+    // what may not be repeated is told so.
+    out.push_back(cancel_attempt{.attempt = id});
+    OnAttemptEnded(now,
+                   {.attempt = id,
+                    .result = outcome::kUnknown,
+                    .failed_in_run = true,
+                    .answer = {}},
+                   out);
+  }
+}
+
 void request_router::FillStatus(core_status& status) const {
   status.counters = counters_;
   status.waiting = queue_.size();
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -37,6 +37,9 @@
 /// Left of the time in which old weights may be used: under load a request
 /// waited two seconds in an engine's queue before it began.
 static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(1800);
+/// An attempt that has not begun by then is taken back, so that it does not
+/// begin after the bound.
+static constexpr duration kLastStartMargin = std::chrono::milliseconds(300);
 /// Engines with new weights are preferred from then on: answers of old ones
 /// lose value from 1.5 s after the naming.
 static constexpr duration kOldWeightsGrace = std::chrono::milliseconds(1200);
@@ -60,7 +63,8 @@
                      .is_shared = true};
   options.replicas = {
       .old_weights_time = opts.old_weights_time - kOldWeightsMargin,
-      .old_weights_grace = kOldWeightsGrace};
+      .old_weights_grace = kOldWeightsGrace,
+      .old_weights_limit = opts.old_weights_time - kLastStartMargin};
   options.refuse_without_upstream = true;
   options.tells_placements = true;
   return options;
@@ -365,14 +369,27 @@
 
 void edge_task::Perform(time_point now, const action_list& actions) {
   for (const core_action& action : actions) {
-    if (const auto* dispatch = std::get_if<dispatch_attempt>(&action)) {
+    if (const auto* cancel = std::get_if<cancel_attempt>(&action)) {
+      CancelAttempt(cancel->attempt);
+    } else if (const auto* dispatch = std::get_if<dispatch_attempt>(&action)) {
       Perform(now, *dispatch);
     } else if (const auto* answer = std::get_if<answer_request>(&action)) {
       if (request_flow* flow = FindFlow(answer->request)) {
         flow->GiveUp(*answer);
       }
     }
-    // A cancelled attempt's flow has ended by itself and dropped its call.
+  }
+}
+
+void edge_task::CancelAttempt(attempt_id attempt) {
+  for (const auto& [id, flow] : flows_) {
+    if (flow->attempt() == attempt && !flow->has_ended()) {
+      with_.log.Write(log_class::kRequest,
+                      log_line("attempt_taken_back")
+                          .Add("id", flow->request().attempt)
+                          .Add("upstream", flow->upstream()));
+      flow->CancelAttempt();
+    }
   }
 }
 
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -85,6 +85,7 @@
 }
 
 void request_flow::CancelAttempt() {
+  may_have_run_ = true;
   call_.reset();
 }
 
