Leave silent upstreams, and prove one that failed by a new connection

Now what may run again goes elsewhere after a silence of 2 targets (4 for a stream, 3 pauses within it), unacknowledged bytes break a connection after 0.7 s instead of 2 s, broken upstreams lose their idle connections, and the first attempt after a failure opens a new one, which fails before anything is sent.

--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -40,6 +40,8 @@
   virtual void OnFlowLoad(const std::string& upstream,
                           const told_load& load) = 0;
   virtual void OnFlowMismatch(const std::string& upstream) = 0;
+  /// A connection to \p address broke; others to it may be dead too.
+  virtual void OnFlowBroken(const endpoint& address) = 0;
   virtual void OnFlowEnd(request_flow& flow, const flow_end& end) = 0;
 };
 
@@ -97,6 +99,9 @@
   void OnCallEnd(call_end end) override;
 
   void OnDeadline();
+  /// The upstream has been silent for long.
+  void OnStall();
+  void AwaitBytes();
   bool MayRepeat() const;
   attempt_answer Classify(call_end end) const;
   void Judge(attempt_answer answer);
@@ -124,8 +129,11 @@
   options options_;
   parts with_;
   loop_timer timer_;
+  loop_timer stall_timer_;
   attempt_id attempt_ = 0;
   std::string upstream_;
+  endpoint address_;
+  uint32_t attempts_ = 0;
   std::unique_ptr<upstream_call> call_;
   answer_state answer_;
   /// A failure that the caller gets if no other attempt succeeds.
--- a/include/cuminswitch/Fleet/route_plan.h
+++ b/include/cuminswitch/Fleet/route_plan.h
@@ -42,6 +42,8 @@
   std::chrono::milliseconds timeout{0};
   /// The time within which an answer is worth everything.
   std::chrono::milliseconds target_latency{0};
+  /// The longest pause between events of a stream that is on time.
+  std::chrono::milliseconds longest_pause{500};
   /// Upstreams that may run a request.
   uint32_t max_attempts = 1;
   /// 0 is the most urgent.
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -35,6 +35,9 @@
   /// Use no kept connection: one that the upstream has closed in the meantime
   /// would leave in doubt whether it ran the request.
   bool fresh_connection = false;
+  /// The upstream's last attempt failed: only a new connection shows whether it
+  /// lives, before anything is sent.
+  bool after_failure = false;
   /// The weights that the upstream is believed to have; empty for a service.
   std::string weights_version;
   /// Another engine that should have more of the prompt's prefixes cached; the
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -426,6 +426,10 @@
                       .Add("revision", knowledge_->revision));
 }
 
+void edge_task::OnFlowBroken(const endpoint& address) {
+  pool_.Forget(address);
+}
+
 void edge_task::LogEnd(const request_flow& flow, const flow_end& end) const {
   const time_point now = ReadBootClock();
   log_line line("request_ended");
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -26,13 +26,21 @@
 /// whether the request ran.
 static constexpr std::chrono::milliseconds kMaxIdleForOnce{1'500};
 static constexpr std::chrono::milliseconds kMaxIdle{60'000};
+/// A request that may run again elsewhere goes there when its upstream has been
+/// silent for so many times the time in which an answer is worth everything,
+/// or, within a stream, the longest pause. A plain service answers in a sixth
+/// of that time; an engine under load is late without being dead.
+static constexpr int kTargetsToStall = 2;
+static constexpr int kStreamTargetsToStall = 4;
+static constexpr int kPausesToStall = 3;
 /// When to come back after a wait that was in vain.
 static constexpr duration kQueueRetryAfter = std::chrono::milliseconds(500);
 
 request_flow::request_flow(options opts, const parts& with)
     : options_(std::move(opts)),
       with_(with),
-      timer_(with.base, [this] { OnDeadline(); }) {}
+      timer_(with.base, [this] { OnDeadline(); }),
+      stall_timer_(with.base, [this] { OnStall(); }) {}
 
 request_flow::~request_flow() {
   if (!has_ended_ && options_.exchange != nullptr) {
@@ -55,6 +63,8 @@
 void request_flow::Dispatch(time_point now, const dispatch_attempt& action) {
   attempt_ = action.attempt;
   upstream_ = action.upstream;
+  address_ = action.address;
+  ++attempts_;
   answer_ = {};
   splitter_.DropPartial();
   dispatch_attributes attributes{
@@ -80,8 +90,34 @@
        .headers = with_.protocol.WriteRequest(head, attributes),
        .body = options_.exchange->Body(),
        .connect_timeout = kConnectTimeout,
-       .max_idle = MayRepeat() ? kMaxIdle : kMaxIdleForOnce},
+       .max_idle = action.after_failure ? std::chrono::milliseconds(0)
+                   : MayRepeat()        ? kMaxIdle
+                                        : kMaxIdleForOnce},
       *this);
+  AwaitBytes();
+}
+
+void request_flow::AwaitBytes() {
+  const route_spec& route = *options_.route;
+  if (!MayRepeat() || attempts_ >= route.max_attempts) {
+    return;
+  }
+  if (first_byte_at_) {
+    stall_timer_.Start(route.longest_pause * kPausesToStall);
+  } else {
+    stall_timer_.Start(route.target_latency * (route.IsStream()
+                                                   ? kStreamTargetsToStall
+                                                   : kTargetsToStall));
+  }
+}
+
+void request_flow::OnStall() {
+  if (has_ended_ || call_ == nullptr || is_paused_) {
+    return;
+  }
+  call_.reset();
+  with_.owner.OnFlowBroken(address_);
+  Judge(attempt_answer::kBroken);
 }
 
 void request_flow::CancelAttempt() {
@@ -116,6 +152,7 @@
 }
 
 void request_flow::OnAnswerBody(std::string_view data) {
+  AwaitBytes();
   if (!IsForwarding()) {
     answer_.body.append(data);
     return;
@@ -193,6 +230,10 @@
 void request_flow::OnCallEnd(call_end end) {
   // The call is on the stack; it is destroyed with the next one or the flow.
   const std::unique_ptr<upstream_call> ended = std::move(call_);
+  stall_timer_.Cancel();
+  if (end == call_end::kBroken || end == call_end::kNotConnected) {
+    with_.owner.OnFlowBroken(address_);
+  }
   Judge(Classify(end));
 }
 
@@ -359,6 +400,7 @@
 void request_flow::End(const flow_end& end) {
   has_ended_ = true;
   timer_.Cancel();
+  stall_timer_.Cancel();
   with_.owner.OnFlowEnd(*this, end);
 }
 
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -22,9 +22,10 @@
 /// Bytes of an answer's head; more is not an answer.
 static constexpr size_t kMaxAnswerHead = 64UL << 10;
 static constexpr size_t kMaxAnswerBody = 256UL << 20;
-/// Bytes that the kernel holds for a peer that acknowledges nothing for this
-/// long are given up, and the connection breaks.
-static constexpr int kUserTimeoutMs = 2'000;
+/// Bytes that a peer does not acknowledge for this long are given up, and the
+/// connection breaks: a host without power answers nothing. Two lost packets
+/// in a row are sent again within it.
+static constexpr int kUserTimeoutMs = 700;
 
 upstream_connection::upstream_connection(upstream_pool& pool,
                                          const endpoint& to)
