--- a/include/cuminswitch/Routing/placement_query.h
+++ b/include/cuminswitch/Routing/placement_query.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "cuminswitch/Protocol/core_event.h"
@@ -29,6 +30,8 @@
   std::span<const double> penalty_seconds = {};
   const replica_table& replicas;
   prefix_index& prefixes;
+  /// Where this daemon is; a replica there is preferred among equals.
+  std::string_view failure_domain = {};
   /// Prompt tokens per second that one replica can copy from another, or from
   /// a store; 0 where caches cannot be copied.
   double copy_rate = 0;
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -48,6 +48,8 @@
   double limit = 16;
   /// When the limit was last lowered.
   time_point lowered_at{};
+  /// How long a plain request waits for its first byte, on average.
+  double first_byte_seconds = 0;
   /// How long an answer takes from its first byte to its end, on average.
   double answer_seconds = 0.3;
   /// Requests that wait in this daemon for room here.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -89,6 +89,8 @@
   void OnEnd(replica_index index);
   /// Learns how long an answer took from its first byte to its end.
   void LearnAnswerTime(replica_index index, duration took);
+  /// Learns how long a plain request waited for its first byte.
+  void LearnFirstByte(replica_index index, duration took);
   /// Learns how many tokens a request made the replica compute.
   void LearnComputed(replica_index index, double tokens);
   /// Learns the prefill rate from an attempt that did not queue.
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -402,6 +402,7 @@
                        .penalty_seconds = eligible.penalty_seconds,
                        .replicas = replicas_,
                        .prefixes = prefixes_,
+                       .failure_domain = options_.self.failure_domain,
                        .copy_rate = CopyRate(item),
                        .reuse_weight = ReuseWeight(item)});
   if (chosen.must_wait) {
@@ -574,6 +575,9 @@
   if (!running.first_byte) {
     running.first_byte = now;
     replicas_.OnFirstByte(running.index, running.expected_tokens);
+    if (requests_.at(found->second).info.prompt_tokens == 0) {
+      replicas_.LearnFirstByte(running.index, now - running.sent);
+    }
     // Of the whole prompt: that a prefix was not cached after all says nothing
     // about too many requests.
     const double computing = requests_.at(found->second).info.prompt_tokens /
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -56,6 +56,7 @@
   request_router::options options;
   options.self.host = opts.self.name;
   options.self.incarnation = opts.self.incarnation;
+  options.self.failure_domain = opts.self.failure_domain;
   options.prefix_capacity = kPrefixCapacity;
   options.random_seed = opts.self.incarnation;
   options.retries = {.share = opts.retry_share * kRetryShareUsed,
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -19,6 +19,10 @@
 /// Seconds added per request in flight: decoding slows with the batch, and
 /// among equals the least busy replica should win.
 static constexpr double kBatchSeconds = 0.002;
+/// What a request costs more in another failure domain: two ways of one to two
+/// milliseconds, and the price of bytes between them. It also spreads the
+/// daemons over equal replicas.
+static constexpr double kOtherDomainSeconds = 0.003;
 
 /// The level whose homes a request looks for: the innermost that is shared,
 /// which is the last but one, since the last is the request's own.
@@ -153,6 +157,13 @@
                   own / item.prefill_rate +
                   MissingSeconds(query, item, missing, delayed) +
                   kBatchSeconds * item.in_flight;
+    if (!query.failure_domain.empty() &&
+        item.spec.failure_domain != query.failure_domain) {
+      cost += kOtherDomainSeconds;
+    }
+    if (query.prompt_tokens == 0) {
+      cost += item.first_byte_seconds * (1 + item.in_flight);
+    }
     if (!query.penalty_seconds.empty()) {
       cost += query.penalty_seconds[i];
     }
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -15,6 +15,9 @@
 static constexpr duration kFirstEjection = std::chrono::milliseconds(500);
 static constexpr uint32_t kMaxEjectionDoublings = 4;
 static constexpr double kBusyDecrease = 0.7;
+/// How long a replica that refused gets nothing. One that changes its weights
+/// refuses for a third of a second and more, and looks idle meanwhile.
+static constexpr duration kBusyPause = std::chrono::milliseconds(50);
 /// A first byte may come this much later than computing alone would take; past
 /// it the replica's own queue is too long, and requests wait better here,
 /// where they can be ordered, refused in time, or sent elsewhere.
@@ -314,7 +317,7 @@
 void replica_table::OnBusy(time_point now, replica_index index) {
   replica& item = replicas_[index];
   item.limit = std::max(1.0, item.limit * kBusyDecrease);
-  item.ejected_until = std::max(item.ejected_until, now + kFirstEjection / 10);
+  item.ejected_until = std::max(item.ejected_until, now + kBusyPause);
 }
 
 void replica_table::OnFailure(time_point now, replica_index index) {
@@ -343,6 +346,12 @@
       kLearningRate * (ToSeconds(took) - item.answer_seconds);
 }
 
+void replica_table::LearnFirstByte(replica_index index, duration took) {
+  replica& item = replicas_[index];
+  item.first_byte_seconds +=
+      kLearningRate * (ToSeconds(took) - item.first_byte_seconds);
+}
+
 double replica_table::EstimateRoomSeconds(replica_index index) const {
   const replica& item = replicas_[index];
   // Room comes as fast as requests are computed or as answers end, whichever
