Let a few daemons of each failure domain follow the store for a large fleet

Now two daemons of a failure domain follow it in fleets over twelve and the others take items from peers, a beat names eight peers, and each prefix has its place in one of the stores.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -5,7 +5,6 @@
 #define CUMINSWITCH_CONFIG_CONFIGURATION_H_
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,8 +42,9 @@
   std::string name;
   std::string version;
   std::string adapter;
-  /// Where engines save prefixes that they computed, and copy them from.
-  std::optional<endpoint> cache_store;
+  /// Where engines save prefixes that they computed, and copy them from; each
+  /// prefix has its place in one of them.
+  std::vector<endpoint> cache_stores;
   /// Prompt tokens per second that one engine can copy from another; 0 where
   /// engines cannot copy.
   double copy_rate = 0;
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -64,6 +64,11 @@
   void Publish(const std::shared_ptr<const fleet_knowledge>& decoded);
   /// Notes whether the store that this daemon has lost serves others.
   void JudgeStore(time_point now, const daemon_record& peer);
+  /// In a large fleet a few daemons of each failure domain follow the store for
+  /// the others.
+  void ChooseFollowers(time_point now);
+  /// Until when entries that went are kept; in the past for not at all.
+  time_point AwaitsEntriesUntil(time_point now) const;
   /// Keeps upstreams whose entry went with the store's trouble.
   void KeepLapsed(time_point now, fleet_knowledge& knowledge);
   void RegisterSelf();
@@ -103,9 +108,12 @@
   time_point leader_changing_at_{};
   /// While this daemon had lost the store, the store served another one.
   bool store_served_others_ = false;
+  /// A peer said of late that entries may be missing.
+  time_point peer_awaits_until_{};
   std::vector<std::string> published_peers_;
   time_point asked_at_{};
   time_point next_registration_{};
+  uint64_t beats_sent_ = 0;
   bool is_registering_ = false;
   bool is_registered_ = false;
   bool was_leading_ = false;
--- a/include/cuminswitch/Fleet/item_feed.h
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -28,6 +28,9 @@
   ~item_feed();
 
   void Start();
+  /// Whether to follow the store. While it does not, items come from peers.
+  void SetFollowing(bool follows);
+  bool IsFollowing() const { return is_following_; }
   /// Takes in items that a peer sent.
   void OnPeerItems(const items_reply_frame& reply);
   const item_view& view() const { return view_; }
@@ -56,6 +59,9 @@
   item_view view_;
   bool must_read_all_ = true;
   bool is_lost_ = false;
+  bool is_following_ = true;
+  /// A call is under way, or the timer for the next one runs.
+  bool is_busy_ = false;
   duration pause_{0};
   time_point answered_at_{};
   time_point lost_at_{};
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -30,6 +30,9 @@
   bool is_leaving = false;
   /// The store answered it just now.
   bool has_store = false;
+  /// The store was away for all until just now, so that entries of upstreams
+  /// may be missing that are back soon.
+  bool awaits_entries = false;
   /// Everything up to this revision of the store is known to it.
   revision_number revision = 0;
 };
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -489,6 +489,18 @@
   });
 }
 
+/// Returns the store that has the place for a prefix, by rendezvous.
+static std::optional<endpoint> ChooseStore(const model_spec& model,
+                                           uint64_t prefix) {
+  const auto best =
+      std::max_element(model.cache_stores.begin(), model.cache_stores.end(),
+                       [prefix](const endpoint& a, const endpoint& b) {
+                         return RendezvousWeight(prefix, Hash64(a.ToString())) <
+                                RendezvousWeight(prefix, Hash64(b.ToString()));
+                       });
+  return best == model.cache_stores.end() ? std::nullopt : std::optional(*best);
+}
+
 request_router::cache_plan request_router::PlanCache(
     time_point now,
     const request& item,
@@ -501,12 +513,13 @@
   if (version.empty() || levels.size() < 2 || model == nullptr) {
     return {};
   }
+  const uint64_t shared = levels[levels.size() - 2].hash;
+  const std::optional<endpoint> store = ChooseStore(*model, shared);
   if (version != model->version) {
     // Levels are known by the newest weights; of older ones nothing is known
     // but that their caches go soon.
-    return {.source = model->cache_store, .sink = std::nullopt};
+    return {.source = store, .sink = std::nullopt};
   }
-  const uint64_t shared = levels[levels.size() - 2].hash;
   const bool was_saved = prefixes_.WasSaved(now, shared);
   const std::span<const prefix_holder> holders = prefixes_.Find(shared);
   const auto holds = [&](replica_index index) {
@@ -523,7 +536,7 @@
   if (was_saved) {
     // Also where the upstream held it: its cache may have dropped it since, and
     // to ask the store for what is there already costs nothing.
-    return {.source = model->cache_store, .sink = std::nullopt};
+    return {.source = store, .sink = std::nullopt};
   }
   const auto known =
       std::find_if(eligible.begin(), eligible.end(), [&](replica_index index) {
@@ -534,9 +547,9 @@
   // others out of the store, so each shared prefix is saved once in a while
   // only.
   return {.source = known == eligible.end()
-                        ? model->cache_store
+                        ? store
                         : std::optional(replicas_[*known].spec.address),
-          .sink = model->cache_store};
+          .sink = store};
 }
 
 void request_router::OnPeerPlacements(time_point now,
--- a/lib/Edge/plan_translator.cc
+++ b/lib/Edge/plan_translator.cc
@@ -47,13 +47,14 @@
   return newest;
 }
 
-static std::optional<endpoint> FindCacheStore(const route_plan& plan) {
+static std::vector<endpoint> ListCacheStores(const route_plan& plan) {
+  std::vector<endpoint> stores;
   for (const service_plan& service : plan.services) {
     if (service.cache_store) {
-      return service.cache_store;
+      stores.push_back(*service.cache_store);
     }
   }
-  return std::nullopt;
+  return stores;
 }
 
 static upstream_spec TranslateSpec(const upstream_entry& entry) {
@@ -75,19 +76,19 @@
     const fleet_knowledge& knowledge) {
   auto config = std::make_shared<configuration>();
   const std::map<std::string, uint64_t> newest = NewestVersions(knowledge);
+  const std::vector<endpoint> stores = ListCacheStores(*knowledge.plan);
   std::vector<std::string> targets;
   for (const service_plan& service : knowledge.plan->services) {
     config->services.push_back({.name = service.name, .repeatable = true});
     targets.push_back(service.name);
     for (const std::string& model : service.models) {
-      const std::optional<endpoint> store = FindCacheStore(*knowledge.plan);
       const auto version = newest.find(model);
       config->models.push_back(
           {.name = TargetName(service.name, model),
            .version = version == newest.end() ? std::string()
                                               : std::to_string(version->second),
            .adapter = {},
-           .cache_store = store,
+           .cache_stores = stores,
            .copy_rate = service.copy_rate * kCopyRateUsed});
       targets.push_back(config->models.back().name);
     }
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -19,6 +19,17 @@
 /// away; those that live are back about two seconds after its return, and one
 /// that is still missing then is gone.
 static constexpr duration kLapsedTime = std::chrono::milliseconds(2300);
+/// What a peer said of that counts until its next beats would have come.
+static constexpr duration kAwaitsRepeat = std::chrono::milliseconds(400);
+/// In a fleet of up to this size each daemon follows the store; the calls are
+/// a few hundred in a minute.
+static constexpr size_t kFleetThatFollows = 12;
+/// Two, so that the loss of one is not noticed.
+static constexpr size_t kFollowersPerDomain = 2;
+/// Peers named in a beat; with one beat in four naming each, a newcomer knows
+/// a fleet of eighty within two rounds.
+static constexpr size_t kHeardPerBeat = 8;
+static constexpr uint64_t kHeardPart = 4;
 static constexpr duration kRegistrationRetry = std::chrono::milliseconds(700);
 static constexpr duration kRolloutInterval = std::chrono::milliseconds(50);
 /// What a leader said is being changed counts for so long.
@@ -111,6 +122,9 @@
   const time_point now = ReadBootClock();
   const bool is_news = roster_.OnBeat(now, beat);
   JudgeStore(now, beat.sender);
+  if (beat.sender.awaits_entries) {
+    peer_awaits_until_ = now + kAwaitsRepeat;
+  }
   if (!beat.changing.empty()) {
     leader_changing_ = beat.changing;
     leader_changing_at_ = now;
@@ -154,14 +168,20 @@
   daemon_record self = options_.self;
   self.revision = feed_.view().revision();
   self.has_store = feed_.IsFresh(now, kStoreFresh);
+  self.awaits_entries = AwaitsEntriesUntil(now) > now;
   beat_frame beat{.sender = self,
                   .heard = {},
                   .changing = {},
                   .backlogs = own_backlogs_,
                   .prefixes = new_prefixes_};
   for (const daemon_record& item : roster_.ListLiving(now)) {
-    beat.heard.push_back(item.peer_address);
+    // A few of them, others each time.
+    if (beat.heard.size() < kHeardPerBeat &&
+        (beats_sent_ + Hash64(item.name)) % kHeardPart == 0) {
+      beat.heard.push_back(item.peer_address);
+    }
   }
+  ++beats_sent_;
   if (election_.IsLeading(now)) {
     beat.changing = rollout_.ListChanging();
   }
@@ -182,6 +202,7 @@
   }
   new_prefixes_.clear();
   PublishPeers(now);
+  ChooseFollowers(now);
   AskPeers(now);
   RegisterSelf();
   if (!lapsed_.empty()) {
@@ -253,18 +274,38 @@
   }
 }
 
+time_point fleet_task::AwaitsEntriesUntil(time_point now) const {
+  // A store that only turned this daemon away has heard the upstreams, and
+  // what went from it is gone: a request there would come too late.
+  const bool was_away = feed_.IsFollowing() && !feed_.IsLost() &&
+                        !store_served_others_ &&
+                        feed_.regained_at() != time_point();
+  const time_point own = was_away ? feed_.regained_at() + kLapsedTime : now;
+  return std::max(own, peer_awaits_until_);
+}
+
+void fleet_task::ChooseFollowers(time_point now) {
+  size_t before = 0;
+  size_t living = 1;
+  const uint64_t own = Hash64(options_.self.name);
+  for (const daemon_record& item : roster_.ListLiving(now)) {
+    ++living;
+    const bool is_first = item.failure_domain == options_.self.failure_domain &&
+                          !item.is_leaving && Hash64(item.name) < own;
+    before += is_first ? 1 : 0;
+  }
+  feed_.SetFollowing(living <= kFleetThatFollows ||
+                     before < kFollowersPerDomain);
+}
+
 void fleet_task::KeepLapsed(time_point now, fleet_knowledge& knowledge) {
   const auto is_listed = [&](const upstream_entry& entry) {
     return std::any_of(
         knowledge.upstreams.begin(), knowledge.upstreams.end(),
         [&](const upstream_entry& other) { return other.id == entry.id; });
   };
-  // A store that only turned this daemon away has heard the upstreams, and
-  // what went from it is gone: a request there would come too late.
-  const time_point until = feed_.regained_at() + kLapsedTime;
-  const bool was_away = !feed_.IsLost() && !store_served_others_ &&
-                        feed_.regained_at() != time_point();
-  if (knowledge_ != nullptr && was_away && now < until) {
+  const time_point until = AwaitsEntriesUntil(now);
+  if (knowledge_ != nullptr && now < until) {
     for (const upstream_entry& entry : knowledge_->upstreams) {
       const bool is_kept = std::any_of(
           lapsed_.begin(), lapsed_.end(),
@@ -344,7 +385,10 @@
   if (knowledge_ == nullptr || !feed_.view().HasRead()) {
     return;
   }
-  election_.OnTick(now, knowledge_->leader);
+  // Those that follow the store know first that there is no leader.
+  if (feed_.IsFollowing() || election_.IsLeading(now)) {
+    election_.OnTick(now, knowledge_->leader);
+  }
   const bool is_leading = election_.IsLeading(now);
   if (is_leading != was_leading_) {
     was_leading_ = is_leading;
--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -37,7 +37,20 @@
   Next();
 }
 
+void item_feed::SetFollowing(bool follows) {
+  is_following_ = follows;
+  if (follows && !is_busy_) {
+    Next();
+  }
+}
+
 void item_feed::Next() {
+  is_busy_ = is_following_ || must_read_all_;
+  if (!is_busy_) {
+    // Not followed any more, which says nothing about the store.
+    is_lost_ = false;
+    return;
+  }
   if (must_read_all_) {
     ReadAll();
   } else {
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -39,8 +39,8 @@
                out_.CreateString(sender.peer_address.ToString()),
                out_.CreateString(sender.caller_address.ToString()),
                out_.CreateString(sender.failure_domain), sender.is_ready,
-               sender.is_leaving, sender.has_store, sender.revision,
-               out_.CreateVectorOfStrings(heard),
+               sender.is_leaving, sender.has_store, sender.awaits_entries,
+               sender.revision, out_.CreateVectorOfStrings(heard),
                out_.CreateVectorOfStrings(frame.changing),
                out_.CreateVectorOfStructs(loads),
                out_.CreateVectorOfStructs(prefixes))
@@ -112,6 +112,7 @@
                               .is_ready = wire.is_ready(),
                               .is_leaving = wire.is_leaving(),
                               .has_store = wire.has_store(),
+                              .awaits_entries = wire.awaits_entries(),
                               .revision = wire.revision()},
                    .heard = {},
                    .changing = ReadTexts(wire.changing()),
