Let old weights serve while their queue ends in time, and distrust a first naming

Now the queue is estimated and the margin is 0.7 s; attempts that wait too long are taken back as before. Now the first version that it learns counts as superseded long ago but for the first 2.3 s.

--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -41,6 +41,9 @@
     duration old_weights_time{0};
     /// After this long, a request prefers a replica with the new weights.
     duration old_weights_grace{0};
+    /// Since when the first version that is learnt counts as configured. It may
+    /// have been named long before this daemon started.
+    time_point first_version_since{};
     /// No request may begin later than this on superseded weights; 0 for no
     /// such bound.
     duration old_weights_limit{0};
@@ -158,6 +161,9 @@
                                           const target_replicas& target,
                                           const replica& item) const;
   void AddPeerBacklogs(std::span<const upstream_backlog> backlogs, double sign);
+  replica_index IndexOf(const replica& item) const {
+    return static_cast<replica_index>(&item - replicas_.data());
+  }
   void EjectOutlier(time_point now, replica_index index);
 
   struct told_backlogs {
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -34,9 +34,14 @@
 /// Of the bound on repeats; the rest covers what other daemons cannot know.
 static constexpr double kRetryShareUsed = 0.8;
 static constexpr double kRetryBurstUsed = 0.7;
-/// Left of the time in which old weights may be used: under load a request
-/// waited two seconds in an engine's queue before it began.
-static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(1800);
+/// Left of the time in which old weights may be used, beyond the wait in an
+/// engine's queue. With 1.8 s, which covered the queue too, an idle fleet
+/// refused all for 2 s when the leader had died just before a naming.
+static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(700);
+/// How long a daemon that has just started uses older weights: when they were
+/// superseded it does not know.
+static constexpr duration kOldWeightsAfterStart =
+    std::chrono::milliseconds(2300);
 /// An attempt that has not begun by then is taken back, so that it does not
 /// begin after the bound.
 static constexpr duration kLastStartMargin = std::chrono::milliseconds(300);
@@ -65,6 +70,9 @@
   options.replicas = {
       .old_weights_time = opts.old_weights_time - kOldWeightsMargin,
       .old_weights_grace = kOldWeightsGrace,
+      .first_version_since =
+          ReadBootClock() -
+          (opts.old_weights_time - kOldWeightsMargin - kOldWeightsAfterStart),
       .old_weights_limit = opts.old_weights_time - kLastStartMargin};
   options.refuse_without_upstream = true;
   options.tells_placements = true;
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -37,6 +37,9 @@
 static constexpr duration kOutlierEjection = std::chrono::seconds(3);
 /// An answer of old weights loses value; a wait of this many seconds for a
 /// replica with the new ones is worth about as much.
+/// A queue is estimated from what this daemon and its peers told; under load
+/// it was up to twice as long.
+static constexpr double kQueueDoubt = 2;
 static constexpr double kOldWeightsPenalty = 0.2;
 /// Versions whose naming is remembered; older ones are not served any more.
 static constexpr size_t kMaxVersionHistory = 16;
@@ -61,7 +64,10 @@
     }
     if (target.history.empty() ||
         target.history.back().version != model.version) {
-      target.history.push_back({.version = model.version, .since = now});
+      const bool is_first = target.history.empty();
+      target.history.push_back(
+          {.version = model.version,
+           .since = is_first ? options_.first_version_since : now});
     }
     if (target.history.size() > kMaxVersionHistory) {
       target.history.erase(target.history.begin());
@@ -270,7 +276,11 @@
     return std::nullopt;
   }
   const duration age = now - SupersededAt(target, model->version);
-  if (!item.reported || age >= options_.old_weights_time) {
+  // What waits there already runs first; a request that would begin after the
+  // bound is better placed elsewhere, or told so.
+  const double queue = EstimateQueueSeconds(now, IndexOf(item));
+  const duration begins = age + FromSeconds(kQueueDoubt * queue);
+  if (!item.reported || begins >= options_.old_weights_time) {
     return std::nullopt;
   }
   return age < options_.old_weights_grace ? 0 : kOldWeightsPenalty;
--- a/unittests/Core/repeat_rules_test.cc
+++ b/unittests/Core/repeat_rules_test.cc
@@ -194,6 +194,21 @@
   EXPECT_FALSE(Take<dispatch_attempt>());
 }
 
+// Symptom: a daemon that has just started sends requests to engines with
+// weights that were superseded 10 s ago.
+// Sequence: version 2 is named; an engine keeps version 1; a daemon starts.
+// Cause: the daemon took the naming for as new as its own knowledge.
+TEST_F(repeat_rules_test, ANamingMayBeOlderThanTheDaemon) {
+  request_router::options options;
+  options.replicas = {.old_weights_time = milliseconds(4000)};
+  options.refuse_without_upstream = true;
+  router_.emplace(options, fleet_);
+  Configure("2");
+  Report("a", "1");
+  Arrive(1, repeat_rule::kOnce, 1, "m");
+  EXPECT_FALSE(Take<dispatch_attempt>());
+}
+
 // Symptom: a request begins on superseded weights after the bound.
 // Sequence: it waits in an engine's queue while a new version is named.
 // Cause: nothing bounded its wait there.
