--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 	@ctest --test-dir $(BUILD) --output-on-failure -j 4
 
 # The tests that own sockets and callbacks, under the address sanitizer.
-SANITIZED = daemon_test net_test once_test core_test scenario_test
+SANITIZED = daemon_test net_test once_test core_test scenario_test http1_test \
+	fleet_test edge_test log_test platformadapter_test
 sanitize: setup
 	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DCUMINSWITCH_SANITIZE=ON >/dev/null
 	@ninja -C $(BUILD)-sanitize $(SANITIZED)
--- a/include/cuminswitch/Edge/attempt_verdict.h
+++ b/include/cuminswitch/Edge/attempt_verdict.h
@@ -4,6 +4,7 @@
 #define CUMINSWITCH_EDGE_ATTEMPT_VERDICT_H_
 
 #include <cstdint>
+#include <string_view>
 
 #include "cuminswitch/Support/outcome.h"
 
@@ -51,6 +52,9 @@
   verdict_action action = verdict_action::kTellUnknown;
 };
 
+/// Returns the answer's name as it stands in logs.
+std::string_view ToString(attempt_answer value);
+
 /// Judges an attempt. \p may_repeat says that the request may run again, for a
 /// stream that it may go on elsewhere after its last event.
 attempt_verdict JudgeAttempt(attempt_answer answer,
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -76,7 +76,9 @@
   void OnRequest(caller_exchange& exchange) override;
   void OnFlowEvent(core_event event) override;
   void OnFlowLoad(const std::string& upstream, const told_load& load) override;
-  void OnFlowMismatch(const std::string& upstream) override;
+  void OnFlowAttemptFailed(const request_flow& flow,
+                           attempt_answer answer,
+                           uint32_t status) override;
   void OnFlowBroken(const endpoint& address) override;
   void OnFlowEnd(request_flow& flow, const flow_end& end) override;
   const member* FindOwner(shard_number shard) const override;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -39,7 +39,10 @@
   virtual void OnFlowEvent(core_event event) = 0;
   virtual void OnFlowLoad(const std::string& upstream,
                           const told_load& load) = 0;
-  virtual void OnFlowMismatch(const std::string& upstream) = 0;
+  /// An attempt ended otherwise than with success.
+  virtual void OnFlowAttemptFailed(const request_flow& flow,
+                                   attempt_answer answer,
+                                   uint32_t status) = 0;
   /// A connection to \p address broke; others to it may be dead too.
   virtual void OnFlowBroken(const endpoint& address) = 0;
   virtual void OnFlowEnd(request_flow& flow, const flow_end& end) = 0;
--- a/lib/Edge/attempt_verdict.cc
+++ b/lib/Edge/attempt_verdict.cc
@@ -2,6 +2,26 @@
 
 namespace cuminswitch {
 
+std::string_view ToString(attempt_answer value) {
+  switch (value) {
+    case attempt_answer::kSuccess:
+      return "success";
+    case attempt_answer::kFailure:
+      return "failure";
+    case attempt_answer::kRefused:
+      return "refused";
+    case attempt_answer::kMismatch:
+      return "mismatch";
+    case attempt_answer::kNotConnected:
+      return "not_connected";
+    case attempt_answer::kBroken:
+      return "broken";
+    case attempt_answer::kForeign:
+      return "foreign";
+  }
+  return "foreign";
+}
+
 attempt_verdict JudgeAttempt(attempt_answer answer,
                              answer_progress progress,
                              bool may_repeat) {
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -428,10 +428,15 @@
       {.upstream = upstream, .running = load.running, .waiting = load.waiting});
 }
 
-void edge_task::OnFlowMismatch(const std::string& upstream) {
-  with_.log.Write(log_class::kBelief,
-                  log_line("upstream_mismatch")
-                      .Add("upstream", upstream)
+void edge_task::OnFlowAttemptFailed(const request_flow& flow,
+                                    attempt_answer answer,
+                                    uint32_t status) {
+  with_.log.Write(log_class::kRequest,
+                  log_line("attempt_failed")
+                      .Add("id", flow.request().attempt)
+                      .Add("upstream", flow.upstream())
+                      .Add("answer", ToString(answer))
+                      .Add("status", status)
                       .Add("revision", knowledge_->revision));
 }
 
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -242,8 +242,8 @@
       is_head_sent_ ? answer_progress::kBegun : answer_progress::kNothing;
   const attempt_verdict verdict = JudgeAttempt(answer, progress, MayRepeat());
   may_have_run_ = may_have_run_ || verdict.result != outcome::kNotRun;
-  if (answer == attempt_answer::kMismatch) {
-    with_.owner.OnFlowMismatch(upstream_);
+  if (answer != attempt_answer::kSuccess) {
+    with_.owner.OnFlowAttemptFailed(*this, answer, answer_.head.status);
   }
   switch (verdict.action) {
     case verdict_action::kHandOn:
--- /dev/null
+++ b/test/process/platform_explain.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Three kinds of failed request, each from its id to its cause by the way that
+# docs/OPERATIONS.md shows.
+source "$(dirname "$0")/platform.sh"
+start_platform 2
+
+# explained ID PATTERN...: the story of the request contains each pattern.
+explained() {
+  local id=$1 pattern
+  shift
+  wait_for 5 eval 'grep -hq "request_ended.*\"$id\"" "$WORK"/entry-?.log'
+  "$BUILD/tools/cuminctl" explain "$id" "$WORK"/entry-?.log >"$WORK/story"
+  for pattern in "$@"; do
+    grep -q "$pattern" "$WORK/story" ||
+      fail "$id: no $pattern in $(cat "$WORK/story")"
+  done
+}
+
+# Refused: every upstream that was asked said that it is full.
+ask 0 refused-1 /once/refuse/x || true
+explained refused-1 "attempt_failed.*answer=refused" \
+  "request_ended.*outcome=not_run.*status=503"
+
+# Cut midway: the engine broke off, and the route allows no continuation.
+ask 0 cut-1 /stream/cut/x || true
+explained cut-1 "attempt_failed.*answer=broken" \
+  "request_ended.*outcome=unknown.*reason=answer_broken"
+
+# Unknown after an upstream's death: it had taken the order.
+DEADLINE_MS=2000 ask 0 dead-1 /once/hang/x &
+asking=$!
+wait_for 5 grep -hq "^run dead-1" "$WORK"/s?.log
+victim=$(grep -l "^run dead-1" "$WORK"/s?.log | sed 's/.*\(s.\)\.log/\1/')
+address=$(sed -n 's/^listening on //p' "$WORK/$victim.log")
+for pid in "${started_pids[@]}"; do
+  tr '\0' ' ' <"/proc/$pid/cmdline" | grep -q -- "--id $victim " &&
+    kill -9 "$pid"
+done
+wait "$asking" || true
+explained dead-1 "attempt_placed.*upstream=$victim" \
+  "attempt_failed.*answer=broken" "request_ended.*outcome=unknown.*status=502"
+grep -q "$victim@$address" "$WORK"/entry-0.log || fail "no address of $victim"
+
+! "$BUILD/tools/cuminctl" explain nobody "$WORK"/entry-?.log \
+  2>"$WORK/err" || fail "an unknown id is explained"
+grep -q "in none of the files" "$WORK/err" || fail "$(cat "$WORK/err")"
--- a/tools/cuminctl/command.h
+++ b/tools/cuminctl/command.h
@@ -28,6 +28,7 @@
 int RunStatus(const argument_list& arguments);
 int RunAddresses(const argument_list& arguments);
 int RunReport(const argument_list& arguments);
+int RunExplain(const argument_list& arguments);
 int RunHash(const argument_list& arguments);
 
 /// Reads a file; throws `usage_error` when it cannot be read.
--- a/tools/cuminctl/cuminctl.cc
+++ b/tools/cuminctl/cuminctl.cc
@@ -37,6 +37,7 @@
     {"addresses", "Ask a daemon which hosts a workspace should use",
      &RunAddresses},
     {"report", "Print how fast the error budgets burn", &RunReport},
+    {"explain", "Tell a request's story out of log files", &RunExplain},
     {"hash", "Print the digest of a credential, for a document", &RunHash},
 };
 
