--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -35,16 +35,18 @@
 static constexpr double kRetryShareUsed = 0.8;
 static constexpr double kRetryBurstUsed = 0.7;
 /// Left of the time in which old weights may be used, beyond the wait in an
-/// engine's queue. With 1.8 s, which covered the queue too, an idle fleet
-/// refused all for 2 s when the leader had died just before a naming.
-static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(700);
+/// engine's queue: a naming is learnt up to 0.8 s late where peers hand it on
+/// over slow links (84 daemons). With 1.8 s, which covered the queue too, an
+/// idle fleet refused all for 2 s when the leader had died just before a
+/// naming.
+static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(1100);
 /// How long a daemon that has just started uses older weights: when they were
 /// superseded it does not know.
 static constexpr duration kOldWeightsAfterStart =
     std::chrono::milliseconds(2300);
 /// An attempt that has not begun by then is taken back, so that it does not
-/// begin after the bound.
-static constexpr duration kLastStartMargin = std::chrono::milliseconds(300);
+/// begin after the bound, counted from a naming that was learnt late.
+static constexpr duration kLastStartMargin = std::chrono::milliseconds(900);
 /// Engines with new weights are preferred from then on: answers of old ones
 /// lose value from 1.5 s after the naming.
 static constexpr duration kOldWeightsGrace = std::chrono::milliseconds(1200);
