Say once what the platform's path said twice

Read as a newcomer, nothing in behaviour meant to change. Whether a request may run again stands at its route; Retry-After is written in one place (with two digits, where one of the two wrote six); whether a prefix can be copied is asked once a placement and not for each replica; the parser's callbacks are listed once and not for each read; an engine's pause after an order is one table; two tests share their listening socket; a constant's comment stood at its neighbour; a flag that nobody read is gone.

--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -105,7 +105,6 @@
   /// The upstream has been silent for long.
   void OnStall();
   void AwaitBytes();
-  bool MayRepeat() const;
   attempt_answer Classify(call_end end) const;
   void Judge(attempt_answer answer);
   void TellRouter(attempt_answer answer, const attempt_verdict& verdict);
@@ -126,7 +125,6 @@
     message_head head;
     answer_attributes attributes;
     std::string body;
-    bool has_head = false;
   };
 
   options options_;
--- a/include/cuminswitch/Fleet/route_plan.h
+++ b/include/cuminswitch/Fleet/route_plan.h
@@ -52,6 +52,11 @@
   bool is_public = false;
   std::vector<route_share> shares;
 
+  /// Whether a request may run again, a stream after its last event.
+  bool MayRepeat() const {
+    return kind == request_kind::kRepeatable ||
+           kind == request_kind::kResumableStream;
+  }
   bool IsStream() const {
     return kind == request_kind::kStream ||
            kind == request_kind::kResumableStream;
--- a/include/cuminswitch/Routing/prefix_cost_policy.h
+++ b/include/cuminswitch/Routing/prefix_cost_policy.h
@@ -43,11 +43,6 @@
   /// Whether some replica or store should hold the shared prefix, so that
   /// another one can copy it.
   static bool CanCopy(const placement_query& query);
-  /// Seconds that a replica loses by not holding \p missing shared tokens.
-  static double MissingSeconds(const placement_query& query,
-                               const replica& item,
-                               double missing,
-                               double delayed);
   void CollectExpectedHits(const placement_query& query);
 
   /// Expected cached tokens by position in `eligible`; kept between calls to
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cuminswitch/Edge/plan_translator.h"
+#include "cuminswitch/Edge/retry_after.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
@@ -55,10 +56,6 @@
 static constexpr size_t kPrefixCapacity = 16'384;
 static constexpr duration kDefaultPatience = std::chrono::seconds(60);
 
-static http_header RetryAfter(duration wait) {
-  return {.name = "Retry-After", .value = std::to_string(ToSeconds(wait))};
-}
-
 static request_router::options RouterOptions(const edge_task::options& opts) {
   request_router::options options;
   options.self.host = opts.self.name;
@@ -305,8 +302,6 @@
   const std::string& service = ChooseService(route, flow.request.attempt);
   const service_plan* plan = flow.plan->FindService(service);
   const bool is_engine = plan != nullptr && plan->is_engine;
-  const bool may_repeat = route.kind == request_kind::kRepeatable ||
-                          route.kind == request_kind::kResumableStream;
   request_arrived arrival{
       .request = flow.id,
       .workspace = flow.workspace,
@@ -314,7 +309,8 @@
       .levels = MakeLevels(flow.request.parts),
       .prompt_tokens = flow.request.prompt_tokens,
       .time_limit = flow.deadline - flow.arrived,
-      .repeats = may_repeat ? repeat_rule::kRepeatable : repeat_rule::kOnce,
+      .repeats =
+          route.MayRepeat() ? repeat_rule::kRepeatable : repeat_rule::kOnce,
       .max_runs = route.max_attempts,
       .cache_pool = {},
       .priority = TranslateRank(flow.rank)};
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -1,10 +1,9 @@
 #include "cuminswitch/Edge/request_flow.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
+#include "cuminswitch/Edge/retry_after.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Http1/upstream_pool.h"
 
@@ -54,12 +53,6 @@
                kDeadlineSlack);
 }
 
-bool request_flow::MayRepeat() const {
-  const request_kind kind = options_.route->kind;
-  return kind == request_kind::kRepeatable ||
-         kind == request_kind::kResumableStream;
-}
-
 void request_flow::Dispatch(time_point now, const dispatch_attempt& action) {
   attempt_ = action.attempt;
   upstream_ = action.upstream;
@@ -90,9 +83,9 @@
        .headers = with_.protocol.WriteRequest(head, attributes),
        .body = options_.exchange->Body(),
        .connect_timeout = kConnectTimeout,
-       .max_idle = action.after_failure ? std::chrono::milliseconds(0)
-                   : MayRepeat()        ? kMaxIdle
-                                        : kMaxIdleForOnce},
+       .max_idle = action.after_failure          ? std::chrono::milliseconds(0)
+                   : options_.route->MayRepeat() ? kMaxIdle
+                                                 : kMaxIdleForOnce},
       *this);
   AwaitBytes();
 }
@@ -101,7 +94,7 @@
   const route_spec& route = *options_.route;
   // A timer of the attempt before would cut this one.
   stall_timer_.Cancel();
-  if (!MayRepeat() || attempts_ >= route.max_attempts) {
+  if (!route.MayRepeat() || attempts_ >= route.max_attempts) {
     return;
   }
   if (first_byte_at_) {
@@ -131,7 +124,6 @@
 void request_flow::OnAnswerHead(const message_head& head) {
   answer_.head = head;
   answer_.attributes = with_.protocol.ReadAnswer(head);
-  answer_.has_head = true;
   if (answer_.attributes.load) {
     with_.owner.OnFlowLoad(upstream_, *answer_.attributes.load);
   }
@@ -243,7 +235,8 @@
 void request_flow::Judge(attempt_answer answer) {
   const answer_progress progress =
       is_head_sent_ ? answer_progress::kBegun : answer_progress::kNothing;
-  const attempt_verdict verdict = JudgeAttempt(answer, progress, MayRepeat());
+  const attempt_verdict verdict =
+      JudgeAttempt(answer, progress, options_.route->MayRepeat());
   may_have_run_ = may_have_run_ || verdict.result != outcome::kNotRun;
   if (answer != attempt_answer::kSuccess) {
     with_.owner.OnFlowAttemptFailed(*this, answer, answer_.head.status);
@@ -336,22 +329,13 @@
   ReplyOwn(kBadGateway, outcome::kUnknown, action.message, duration(0));
 }
 
-/// Writes seconds with a fraction.
-static std::string FormatSeconds(duration value) {
-  std::array<char, 32> text{};
-  const int size =
-      std::snprintf(text.data(), text.size(), "%.2f", ToSeconds(value));
-  return {text.data(), static_cast<size_t>(size)};
-}
-
 void request_flow::ReplyOwn(uint32_t status,
                             outcome result,
                             std::string_view reason,
                             duration retry_after) {
   http_headers headers;
   if (retry_after > duration(0)) {
-    headers.push_back(
-        {.name = "Retry-After", .value = FormatSeconds(retry_after)});
+    headers.push_back(RetryAfter(retry_after));
   }
   Reply(*options_.exchange, status, headers, {}, false);
   End({.result = result, .status = status, .reason = reason});
--- a/lib/Fleet/weights_rollout.cc
+++ b/lib/Fleet/weights_rollout.cc
@@ -147,6 +147,22 @@
           .weights = item.wanted, .accepted_orders = report->accepted_orders}};
 }
 
+/// How long an engine is left alone after an order that it did not accept.
+static duration PauseAfter(order_end end) {
+  switch (end) {
+    case order_end::kAccepted:
+    case order_end::kHolds:
+      return kChangeTime;
+    case order_end::kConflict:
+      return kBusyPause;
+    case order_end::kUnknown:
+      return kUnknownPause;
+    case order_end::kRejected:
+      return kRejectedPause;
+  }
+  return kRejectedPause;
+}
+
 void weights_rollout::OnOrderEnd(time_point now,
                                  const std::string& upstream,
                                  order_end end) {
@@ -156,27 +172,12 @@
   }
   engine& item = found->second;
   item.since = now;
-  switch (end) {
-    case order_end::kAccepted:
-      item.at = stage::kChanging;
-      return;
-    case order_end::kHolds:
-      item.at = stage::kIdle;
-      item.next_step = now + kChangeTime;
-      return;
-    case order_end::kConflict:
-      item.at = stage::kIdle;
-      item.next_step = now + kBusyPause;
-      return;
-    case order_end::kUnknown:
-      item.at = stage::kIdle;
-      item.next_step = now + kUnknownPause;
-      return;
-    case order_end::kRejected:
-      item.at = stage::kIdle;
-      item.next_step = now + kRejectedPause;
-      return;
+  if (end == order_end::kAccepted) {
+    item.at = stage::kChanging;
+    return;
   }
+  item.at = stage::kIdle;
+  item.next_step = now + PauseAfter(end);
 }
 
 std::vector<std::string> weights_rollout::ListChanging() const {
--- a/lib/Http1/message_reader.cc
+++ b/lib/Http1/message_reader.cc
@@ -81,13 +81,18 @@
     http_parser_pause(state, 1);
     return 0;
   }
-};
 
-static const http_parser_settings& ParserSettings(
-    const http_parser_settings& filled) {
-  static const http_parser_settings settings = filled;
-  return settings;
-}
+  static http_parser_settings MakeSettings() {
+    http_parser_settings settings{};
+    settings.on_url = &OnTarget;
+    settings.on_header_field = &OnFieldName;
+    settings.on_header_value = &OnFieldValue;
+    settings.on_headers_complete = &OnHeadEnd;
+    settings.on_body = &OnBody;
+    settings.on_message_complete = &OnMessageEnd;
+    return settings;
+  }
+};
 
 message_reader::message_reader(const options& opts, message_sink& sink)
     : options_(opts), sink_(sink), parser_(std::make_unique<parser>()) {
@@ -171,16 +176,9 @@
 }
 
 read_result message_reader::Execute(std::string_view data, size_t& consumed) {
-  http_parser_settings filled{};
-  filled.on_url = &callbacks::OnTarget;
-  filled.on_header_field = &callbacks::OnFieldName;
-  filled.on_header_value = &callbacks::OnFieldValue;
-  filled.on_headers_complete = &callbacks::OnHeadEnd;
-  filled.on_body = &callbacks::OnBody;
-  filled.on_message_complete = &callbacks::OnMessageEnd;
+  static const http_parser_settings settings = callbacks::MakeSettings();
   http_parser& state = parser_->state;
-  consumed = http_parser_execute(&state, &ParserSettings(filled), data.data(),
-                                 data.size());
+  consumed = http_parser_execute(&state, &settings, data.data(), data.size());
   if (is_too_large_) {
     return read_result::kBodyTooLarge;
   }
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -125,18 +125,11 @@
       });
 }
 
-double prefix_cost_policy::MissingSeconds(const placement_query& query,
-                                          const replica& item,
-                                          double missing,
-                                          double delayed) {
-  return CanCopy(query) ? missing / query.copy_rate
-                        : delayed * missing / item.prefill_rate;
-}
-
 placement prefix_cost_policy::Choose(const placement_query& query) {
   assert(!query.eligible.empty() && "nowhere to place the request");
   CollectExpectedHits(query);
   const double weight = RecomputeWeight(query);
+  const bool can_copy = CanCopy(query);
   const double shared =
       query.levels.empty() ? 0 : query.levels[SharedLevel(query.levels)].tokens;
   placement best;
@@ -155,7 +148,8 @@
         weight + query.replicas.EstimateWaiting(query.now, index);
     double cost = query.replicas.EstimateQueueSeconds(query.now, index) +
                   own / item.prefill_rate +
-                  MissingSeconds(query, item, missing, delayed) +
+                  (can_copy ? missing / query.copy_rate
+                            : delayed * missing / item.prefill_rate) +
                   kBatchSeconds * item.in_flight;
     if (!query.failure_domain.empty() &&
         item.spec.failure_domain != query.failure_domain) {
@@ -174,7 +168,7 @@
       best_cost = cost;
       best = {.index = index,
               .must_wait = !query.has_room[i],
-              .expected_cached_tokens = CanCopy(query) ? shared : expected_[i]};
+              .expected_cached_tokens = can_copy ? shared : expected_[i]};
     }
   }
   return best;
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -35,11 +35,11 @@
 static constexpr double kFirstLimitFactor = 4;
 /// How long a replica that fails far more often than the others gets nothing.
 static constexpr duration kOutlierEjection = std::chrono::seconds(3);
-/// An answer of old weights loses value; a wait of this many seconds for a
-/// replica with the new ones is worth about as much.
 /// A queue is estimated from what this daemon and its peers told; under load
 /// it was up to twice as long.
 static constexpr double kQueueDoubt = 2;
+/// An answer of old weights loses value; a wait of this many seconds for a
+/// replica with the new ones is worth about as much.
 static constexpr double kOldWeightsPenalty = 0.2;
 /// Versions whose naming is remembered; older ones are not served any more.
 static constexpr size_t kMaxVersionHistory = 16;
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -79,16 +79,6 @@
 class request_flow_test : public testing::Test {
  protected:
   request_flow_test() : base_(event_base_new()), pool_(base_) {
-    listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
-    static_cast<void>(
-        bind(listener_, reinterpret_cast<const sockaddr*>(&any), sizeof(any)));
-    listen(listener_, 8);
-    fcntl(listener_, F_SETFL, O_NONBLOCK);
-    sockaddr_in bound{};
-    socklen_t size = sizeof(bound);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&bound), &size);
-    address_ = {.address = "127.0.0.1", .port = ntohs(bound.sin_port)};
     exchange_.head.method = "POST";
     exchange_.head.target = "/";
     route_.kind = request_kind::kResumableStream;
@@ -108,23 +98,14 @@
                             .owner = owner_});
     flow_->Start();
   }
-  ~request_flow_test() override { close(listener_); }
 
   /// Sends the next attempt and returns the upstream's side of it.
   std::unique_ptr<raw_socket> Dispatch(attempt_id attempt) {
     flow_->Dispatch(ReadBootClock(), {.request = 1,
                                       .attempt = attempt,
                                       .upstream = "u",
-                                      .address = address_});
-    std::unique_ptr<raw_socket> upstream;
-    RunUntil(base_, [&] {
-      const int fd = accept(listener_, nullptr, nullptr);
-      if (fd >= 0) {
-        upstream = std::make_unique<raw_socket>(fd);
-      }
-      return fd >= 0;
-    });
-    return upstream;
+                                      .address = listener_.Address()});
+    return listener_.Accept(base_);
   }
   /// Lets the loop run until the stall time of a first attempt has passed.
   void PassStallTime() {
@@ -134,8 +115,7 @@
 
   event_base* base_;
   upstream_pool pool_;
-  int listener_ = -1;
-  endpoint address_;
+  raw_listener listener_;
   fake_exchange exchange_;
   plain_protocol protocol_;
   silent_owner owner_;
--- a/unittests/Http1/loopback.h
+++ b/unittests/Http1/loopback.h
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "cuminswitch/Net/socket_address.h"
@@ -79,6 +80,50 @@
   int fd_;
 };
 
+/// Listens on a free port and hands out the connections that come.
+class raw_listener {
+ public:
+  raw_listener() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    constexpr int kBacklog = 8;
+    const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
+    static_cast<void>(
+        bind(fd_, reinterpret_cast<const sockaddr*>(&any), sizeof(any)));
+    listen(fd_, kBacklog);
+    fcntl(fd_, F_SETFL, O_NONBLOCK);
+  }
+  raw_listener(const raw_listener&) = delete;
+  raw_listener& operator=(const raw_listener&) = delete;
+  ~raw_listener() { Close(); }
+
+  endpoint Address() const {
+    sockaddr_in bound{};
+    socklen_t size = sizeof(bound);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size);
+    return {.address = "127.0.0.1", .port = ntohs(bound.sin_port)};
+  }
+  /// Runs the loop until a connection comes; null when none does.
+  std::unique_ptr<raw_socket> Accept(event_base* base) {
+    std::unique_ptr<raw_socket> accepted;
+    RunUntil(base, [&] {
+      const int fd = accept(fd_, nullptr, nullptr);
+      if (fd >= 0) {
+        accepted = std::make_unique<raw_socket>(fd);
+      }
+      return fd >= 0;
+    });
+    return accepted;
+  }
+  void Close() {
+    if (fd_ >= 0) {
+      close(fd_);
+      fd_ = -1;
+    }
+  }
+
+ private:
+  int fd_;
+};
+
 }  // namespace cuminswitch
 
 #endif  // CUMINSWITCH_UNITTESTS_HTTP1_LOOPBACK_H_
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -25,19 +25,8 @@
 
 class upstream_pool_test : public testing::Test {
  protected:
-  upstream_pool_test() : base_(event_base_new()), pool_(base_) {
-    listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in any = ToSocketAddress({"127.0.0.1", 0});
-    static_cast<void>(
-        bind(listener_, reinterpret_cast<const sockaddr*>(&any), sizeof(any)));
-    listen(listener_, 8);
-    fcntl(listener_, F_SETFL, O_NONBLOCK);
-    sockaddr_in bound{};
-    socklen_t size = sizeof(bound);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&bound), &size);
-    address_ = {.address = "127.0.0.1", .port = ntohs(bound.sin_port)};
-  }
-  ~upstream_pool_test() override { close(listener_); }
+  upstream_pool_test()
+      : base_(event_base_new()), pool_(base_), address_(listener_.Address()) {}
 
   void Begin(std::chrono::milliseconds max_idle = std::chrono::seconds(9)) {
     handler_ = {};
@@ -51,13 +40,8 @@
   }
   /// Takes the connection that the call opens, and its request.
   void Accept() {
-    ASSERT_TRUE(RunUntil(base_, [&] {
-      const int fd = accept(listener_, nullptr, nullptr);
-      if (fd >= 0) {
-        upstream_ = std::make_unique<raw_socket>(fd);
-      }
-      return fd >= 0;
-    }));
+    upstream_ = listener_.Accept(base_);
+    ASSERT_NE(upstream_, nullptr);
     AwaitRequest();
   }
   void AwaitRequest() {
@@ -74,7 +58,7 @@
 
   event_base* base_;
   upstream_pool pool_;
-  int listener_ = -1;
+  raw_listener listener_;
   endpoint address_;
   std::unique_ptr<raw_socket> upstream_;
   recording_handler handler_;
@@ -162,7 +146,7 @@
   Accept();
   upstream_->Send("no answer at all\r\n\r\n");
   EXPECT_EQ(AwaitEnd(), call_end::kMalformed);
-  close(listener_);
+  listener_.Close();
   Begin();
   EXPECT_EQ(AwaitEnd(), call_end::kNotConnected);
 }
