End a stopping daemon only when its callers have everything

Cause: the process ended as soon as no request was under way, with the last bytes of an answer still unsent. Now it also waits until no connection is open, until the grace ends as before.

--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -505,8 +505,10 @@
   if (is_closed) {
     server_->CloseIdle();
   }
-  if ((is_closed && flows_.empty()) ||
-      elapsed >= options_.grace - kExitMargin) {
+  // An answer that has ended may still be on its way to its caller.
+  const bool is_done =
+      is_closed && flows_.empty() && server_->connection_count() == 0;
+  if (is_done || elapsed >= options_.grace - kExitMargin) {
     with_.log.Write(log_class::kLifecycle,
                     log_line("stopped").Add("requests", flows_.size()));
     with_.log.Flush();
