Take unmeasured replicas for as fast as the others of their target

Symptom: on the grown deployments load is uneven although all engines are alike. Cause: each daemon learns each engine's speed by itself, from a first guess of 8,000 tokens/s. With 63 daemons and 60 engines a pair meets once in six seconds, so the engines that answered first look five times as fast as the rest. Ruled out: that the estimate is off for all alike (it would cancel out).

--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -13,6 +13,10 @@
 
 namespace cuminswitch {
 
+/// Prompt tokens a second that a replica is taken to compute while no answer of
+/// its target has told more: a model of 70 billion weights on one accelerator.
+inline constexpr double kFirstPrefillRate = 8000;
+
 /// An upstream with this daemon's exact counts and its last load report.
 struct replica {
   upstream_spec spec;
@@ -41,7 +45,9 @@
   /// Prompt tokens that a request makes it compute, on average over answers.
   double computed_per_request = 500;
   /// Prompt tokens computed per second, estimated from answers.
-  double prefill_rate = 8000;
+  double prefill_rate = kFirstPrefillRate;
+  /// Whether an answer of its own has told the rate.
+  bool is_rate_measured = false;
   /// How long an unused prefix stays cached, estimated from answers.
   double retention_seconds = 10;
   /// Adaptive limit on this daemon's requests in flight.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -96,7 +96,8 @@
   void LearnFirstByte(replica_index index, duration took);
   /// Learns how many tokens a request made the replica compute.
   void LearnComputed(replica_index index, double tokens);
-  /// Learns the prefill rate from an attempt that did not queue.
+  /// Learns the prefill rate from an attempt that did not queue. Replicas that
+  /// have shown nothing yet are taken for as fast as the others of their target.
   void LearnPrefillRate(replica_index index, double tokens, duration took);
 
   /// Returns when the last request may begin at \p target's weights of
@@ -142,6 +143,8 @@
     /// When each version was first configured here, the oldest first.
     std::vector<version_start> history;
     std::vector<replica_index> indices;
+    /// Prompt tokens computed per second, on average over the replicas' answers.
+    double prefill_rate = kFirstPrefillRate;
   };
 
   double FirstLimit(const upstream_spec& spec) const;
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -61,6 +61,7 @@
     const auto found = earlier.find(model.name);
     if (found != earlier.end()) {
       target.history = std::move(found->second.history);
+      target.prefill_rate = found->second.prefill_rate;
     }
     if (target.history.empty() ||
         target.history.back().version != model.version) {
@@ -88,6 +89,9 @@
     configured_.push_back(found->second);
     for (const std::string& target : spec.serves) {
       by_target_[target].indices.push_back(found->second);
+      if (!item.is_rate_measured) {
+        item.prefill_rate = by_target_[target].prefill_rate;
+      }
     }
   }
   for (auto& [name, target] : by_target_) {
@@ -385,7 +389,20 @@
   const double seconds = std::max(1e-4, ToSeconds(took));
   const double sample =
       std::clamp(tokens / seconds, kSlowestPrefillRate, kFastestPrefillRate);
+  item.is_rate_measured = true;
   item.prefill_rate += kLearningRate * (sample - item.prefill_rate);
+  // In a large fleet a daemon meets each replica once in a few seconds. Were
+  // each learnt alone, those that answered first would look several times as
+  // fast as the others, and would get all the requests.
+  for (const std::string& name : item.spec.serves) {
+    target_replicas& target = by_target_[name];
+    target.prefill_rate += kLearningRate * (sample - target.prefill_rate);
+    for (const replica_index other : target.indices) {
+      if (!replicas_[other].is_rate_measured) {
+        replicas_[other].prefill_rate = target.prefill_rate;
+      }
+    }
+  }
 }
 
 bool replica_table::ServesVersion(const replica& item,
--- a/unittests/Routing/replica_table_test.cc
+++ b/unittests/Routing/replica_table_test.cc
@@ -162,5 +162,41 @@
   EXPECT_EQ(Eligible(0), (std::vector<replica_index>{0, 1}));
 }
 
+// Symptom: in a fleet of 63 daemons and 60 engines the load is uneven, and busy
+// engines get more while others rest.
+// Sequence: a daemon starts; engine a answers; a request is placed.
+// Cause: a was learnt to be five times as fast as the first guess, which still
+// stood for b, so that b looked five times as slow.
+TEST_F(replica_table_test, UnknownReplicasAreTakenForAsFastAsTheOthers) {
+  for (int i = 0; i < 20; ++i) {
+    table_.LearnPrefillRate(0, 4000, std::chrono::milliseconds(100));
+  }
+  EXPECT_NEAR(table_[0].prefill_rate, 40000, 1000);
+  EXPECT_NEAR(table_[1].prefill_rate, 40000, 1000);
+}
+
+TEST_F(replica_table_test, AMeasuredRateIsTheReplicasOwn) {
+  table_.LearnPrefillRate(1, 1000, std::chrono::milliseconds(100));
+  for (int i = 0; i < 20; ++i) {
+    table_.LearnPrefillRate(0, 4000, std::chrono::milliseconds(100));
+  }
+  EXPECT_LT(table_[1].prefill_rate, 15000);
+}
+
+// Symptom: an engine that joins later gets no requests for seconds.
+// Cause: its speed was the first guess again.
+TEST_F(replica_table_test, ANewReplicaIsTakenForAsFastAsTheOthers) {
+  for (int i = 0; i < 20; ++i) {
+    table_.LearnPrefillRate(0, 4000, std::chrono::milliseconds(100));
+  }
+  configuration larger = MakeConfiguration();
+  larger.upstreams.push_back({.name = "c",
+                              .failure_domain = "x",
+                              .serves = {"m"},
+                              .max_in_flight = 8});
+  table_.Reconfigure(At(100), larger);
+  EXPECT_NEAR(table_[2].prefill_rate, 40000, 1000);
+}
+
 }  // namespace
 }  // namespace cuminswitch
