Tell each peer all placements, also those whose turn comes later

Cause: a beat carried the placements of its own round and went to 16 peers; in a fleet of 63 the others never learnt them, so prefixes were saved again and again.

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -11,6 +11,7 @@
 #include "cuminswitch/Fleet/item_feed.h"
 #include "cuminswitch/Fleet/leader_election.h"
 #include "cuminswitch/Fleet/peer_roster.h"
+#include "cuminswitch/Fleet/placement_news.h"
 #include "cuminswitch/Fleet/weights_rollout.h"
 #include "cuminswitch/Kernel/loop_task.h"
 #include "cuminswitch/Net/peer_transport.h"
@@ -102,7 +103,7 @@
   std::shared_ptr<const fleet_knowledge> knowledge_;
   std::vector<lapsed_upstream> lapsed_;
   std::vector<upstream_backlog> own_backlogs_;
-  std::vector<placed_prefix> new_prefixes_;
+  placement_news placement_news_;
   std::vector<std::string> leader_changing_;
   std::vector<std::string> published_changing_;
   time_point leader_changing_at_{};
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -87,8 +87,7 @@
 void fleet_task::Receive(fleet_message message) {
   if (auto* own = std::get_if<own_placements>(&message)) {
     own_backlogs_ = std::move(own->backlogs);
-    new_prefixes_.insert(new_prefixes_.end(), own->prefixes.begin(),
-                         own->prefixes.end());
+    placement_news_.Add(own->prefixes);
     return;
   }
   if (const auto* readiness = std::get_if<readiness_changed>(&message)) {
@@ -173,7 +172,7 @@
                   .heard = {},
                   .changing = {},
                   .backlogs = own_backlogs_,
-                  .prefixes = new_prefixes_};
+                  .prefixes = placement_news_.TakeFor(to)};
   for (const daemon_record& item : roster_.ListLiving(now)) {
     // A few of them, others each time.
     if (beat.heard.size() < kHeardPerBeat &&
@@ -200,7 +199,6 @@
   for (const endpoint& to : roster_.ChooseTargets(now)) {
     SendBeat(to);
   }
-  new_prefixes_.clear();
   PublishPeers(now);
   ChooseFollowers(now);
   AskPeers(now);
