Log what decided a placement

An attempt_placed line now names the believed hit, the estimated queue, and whether the engine copies or saves, so that a late answer leads to its cause.

--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -47,6 +47,10 @@
   std::optional<endpoint> cache_sink;
   /// The request's earlier attempts.
   uint32_t earlier_attempts = 0;
+  /// What decided the placement, for the log: prompt tokens believed to be
+  /// cached there, and the estimated wait in its queue.
+  double expected_cached_tokens = 0;
+  duration expected_queue{0};
 };
 
 /// Stop an attempt; nothing more of it goes to the caller.
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -73,6 +73,7 @@
       prefixes_.NoteSaved(now, levels[levels.size() - 2].hash);
     }
   }
+  const double queue = replicas_.EstimateQueueSeconds(now, chosen.index);
   replicas_.OnDispatch(chosen.index, next.expected_tokens);
   const uint32_t earlier = item.arrivals++;
   ++item.runs;
@@ -89,7 +90,10 @@
                                  .weights_version = next.version,
                                  .cache_source = cache.source,
                                  .cache_sink = cache.sink,
-                                 .earlier_attempts = earlier});
+                                 .earlier_attempts = earlier,
+                                 .expected_cached_tokens =
+                                     chosen.expected_cached_tokens,
+                                 .expected_queue = FromSeconds(queue)});
   item.running = next;
 }
 
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -416,6 +416,11 @@
                       .Add("weights", action.weights_version)
                       .Add("earlier_attempts", action.earlier_attempts)
                       .Add("waited_ms", now - flow->arrived())
+                      .Add("expected_cached",
+                           static_cast<uint64_t>(action.expected_cached_tokens))
+                      .Add("expected_queue_ms", action.expected_queue)
+                      .Add("copies", action.cache_source.has_value())
+                      .Add("saves", action.cache_sink.has_value())
                       .Add("revision", knowledge_->revision));
   flow->Dispatch(now, action);
 }
