Hold repeats against the window's requests, not against a bucket of two

Cause: a daemon's bucket held its part of the fleet's slack, 1.8 repeats among 63, and forgot what its requests had earned beyond. After a crash most daemons told 502 while the fleet had repeated far less than it may. Repeats are now counted over the window, as the bound is stated.

--- a/include/cuminswitch/Admission/retry_budget.h
+++ b/include/cuminswitch/Admission/retry_budget.h
@@ -3,7 +3,10 @@
 #ifndef CUMINSWITCH_ADMISSION_RETRY_BUDGET_H_
 #define CUMINSWITCH_ADMISSION_RETRY_BUDGET_H_
 
-#include <algorithm>
+#include <array>
+#include <cstdint>
+
+#include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
 
@@ -11,48 +14,53 @@
 /// budget runs dry, so retries cannot multiply the load that broke them.
 ///
 /// In any window the retries are at most `burst` plus `share` of the first
-/// attempts, so a bound over the fleet holds when each daemon has its part of
-/// the burst.
+/// attempts in the window that ends with the last of them, so a bound over the
+/// fleet holds when each daemon has its part of the burst. What was earned in the window may be spent at once: one
+/// crash takes away the answers of some seconds, and of 63 daemons with a bucket
+/// of two retries each, most had none left for the second of them.
 class retry_budget {
  public:
   struct options {
     /// Retries earned per first attempt.
     double share = 0.1;
-    /// Retries that can be saved up by the whole fleet, or by one daemon
-    /// where `is_shared` is false.
+    /// Retries allowed in a window beyond the earned ones, for the whole fleet,
+    /// or for one daemon where `is_shared` is false.
     double burst = 20;
     /// Whether the daemons of the fleet divide the burst among them.
     bool is_shared = false;
+    /// The span in which retries are held against first attempts.
+    duration window = std::chrono::seconds(10);
   };
 
   explicit retry_budget(const options& opts)
-      : options_(opts), limit_(opts.burst), tokens_(opts.burst) {}
-
-  /// Sets how many daemons divide the burst. A greater fleet takes tokens
-  /// away; a smaller one adds none, since those that left may have spent
-  /// theirs just now.
-  void SetFleetSize(double size) {
-    if (options_.is_shared) {
-      limit_ = options_.burst / std::max(1.0, size);
-      tokens_ = std::min(tokens_, limit_);
-    }
-  }
-  void OnFirstAttempt() {
-    tokens_ = std::min(limit_, tokens_ + options_.share);
-  }
+      : options_(opts), burst_(opts.burst) {}
+
+  /// Sets how many daemons divide the burst. A smaller fleet gives none back,
+  /// since those that left may have spent theirs just now.
+  void SetFleetSize(double size);
+  void OnFirstAttempt(time_point now);
+  /// Whether a retry is left.
+  bool CanSpend(time_point now);
   /// Spends one retry; false when none is left.
-  bool TrySpend() {
-    if (tokens_ < 1) {
-      return false;
-    }
-    tokens_ -= 1;
-    return true;
-  }
+  bool TrySpend(time_point now);
 
  private:
+  struct slot {
+    uint32_t first_attempts = 0;
+    uint32_t retries = 0;
+  };
+  /// The window moves in steps of a twentieth.
+  static constexpr int64_t kSlotsPerWindow = 20;
+
+  slot& Advance(time_point now);
+
   options options_;
-  double limit_;
-  double tokens_;
+  double burst_;
+  /// One more than the window, so that retries are counted over at least a
+  /// window at any moment.
+  std::array<slot, kSlotsPerWindow + 1> slots_{};
+  /// Number of the newest slot, in steps since the clock's beginning.
+  int64_t newest_ = 0;
 };
 
 }  // namespace cuminswitch
--- /dev/null
+++ b/lib/Admission/retry_budget.cc
@@ -0,0 +1,52 @@
+#include "cuminswitch/Admission/retry_budget.h"
+
+#include <algorithm>
+
+namespace cuminswitch {
+
+void retry_budget::SetFleetSize(double size) {
+  if (options_.is_shared) {
+    burst_ = std::min(burst_, options_.burst / std::max(1.0, size));
+  }
+}
+
+retry_budget::slot& retry_budget::Advance(time_point now) {
+  const int64_t current =
+      now.time_since_epoch() / (options_.window / kSlotsPerWindow);
+  const auto count = static_cast<int64_t>(slots_.size());
+  const int64_t first_new = std::max(newest_ + 1, current - count + 1);
+  for (int64_t number = first_new; number <= current; ++number) {
+    slots_[static_cast<size_t>(number % count)] = {};
+  }
+  newest_ = std::max(newest_, current);
+  return slots_[static_cast<size_t>(newest_ % count)];
+}
+
+void retry_budget::OnFirstAttempt(time_point now) {
+  ++Advance(now).first_attempts;
+}
+
+bool retry_budget::CanSpend(time_point now) {
+  Advance(now);
+  const auto oldest = static_cast<size_t>((newest_ + 1) %
+                                          static_cast<int64_t>(slots_.size()));
+  uint32_t first_attempts = 0;
+  uint32_t retries = 0;
+  for (size_t i = 0; i < slots_.size(); ++i) {
+    // The oldest slot may reach out of the window: its retries count, what it
+    // earned does not.
+    first_attempts += i == oldest ? 0 : slots_[i].first_attempts;
+    retries += slots_[i].retries;
+  }
+  return retries + 1 <= burst_ + options_.share * first_attempts;
+}
+
+bool retry_budget::TrySpend(time_point now) {
+  if (!CanSpend(now)) {
+    return false;
+  }
+  ++Advance(now).retries;
+  return true;
+}
+
+}  // namespace cuminswitch
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -27,7 +27,7 @@
   if (!item.counted) {
     item.counted = true;
     limiter_.OnStart(item.workspace_hash);
-    BudgetOf(item.info.target).OnFirstAttempt();
+    BudgetOf(item.info.target).OnFirstAttempt(now);
   }
   attempt next{
       .id = next_attempt_++,
@@ -263,7 +263,7 @@
            out);
     return;
   }
-  if (!event.unreachable && !BudgetOf(item.info.target).TrySpend()) {
+  if (!event.unreachable && !BudgetOf(item.info.target).TrySpend(now)) {
     Refuse(id,
            {.status = kUnavailable,
             .retry_after_seconds = EstimateRetryAfter(now, item),
--- a/unittests/Admission/limits_test.cc
+++ b/unittests/Admission/limits_test.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 #include "cuminswitch/Admission/drain_meter.h"
 #include "cuminswitch/Admission/retry_budget.h"
 #include "cuminswitch/Admission/workspace_limiter.h"
@@ -40,17 +43,77 @@
 
 TEST(RetryBudgetTest, RetriesAreAShareOfTheTraffic) {
   retry_budget budget({.share = 0.1, .burst = 2});
-  EXPECT_TRUE(budget.TrySpend());
-  EXPECT_TRUE(budget.TrySpend());
-  EXPECT_FALSE(budget.TrySpend());
+  EXPECT_TRUE(budget.TrySpend(At(0)));
+  EXPECT_TRUE(budget.TrySpend(At(0)));
+  EXPECT_FALSE(budget.TrySpend(At(0)));
   int spent = 0;
   for (int i = 0; i < 1000; ++i) {
-    budget.OnFirstAttempt();
-    spent += budget.TrySpend() ? 1 : 0;
+    budget.OnFirstAttempt(At(i));
+    spent += budget.TrySpend(At(i)) ? 1 : 0;
   }
   EXPECT_NEAR(spent, 100, 2);
 }
 
+// Symptom: after a crash callers are told 502 although the fleet has repeated
+// far less than it may.
+// Sequence: 100 requests in 10 s; then five of them break at once.
+// Cause: a bucket as small as the daemon's part of the burst forgot what the
+// requests had earned.
+TEST(retry_budget_test, WhatTheWindowEarnedMayBeSpentAtOnce) {
+  retry_budget budget({.share = 0.1, .burst = 1});
+  for (int i = 0; i < 100; ++i) {
+    budget.OnFirstAttempt(At(100 * i));
+  }
+  int spent = 0;
+  while (budget.TrySpend(At(9'900))) {
+    ++spent;
+  }
+  EXPECT_GE(spent, 10);
+  EXPECT_LE(spent, 11);
+}
+
+// In every window, wherever it begins: retries within the burst and the share of
+// the first attempts in the window that ends with the last of these retries.
+TEST(retry_budget_test, EveryWindowKeepsTheBound) {
+  retry_budget budget({.share = 0.2, .burst = 5});
+  std::vector<int> first_attempts;
+  std::vector<int> retries;
+  for (int millis = 0; millis < 60'000; millis += 50) {
+    const bool is_busy = (millis / 7'000) % 2 == 0;
+    if (is_busy) {
+      budget.OnFirstAttempt(At(millis));
+      first_attempts.push_back(millis);
+    }
+    if (millis % 3'000 < 1'000 && budget.TrySpend(At(millis))) {
+      retries.push_back(millis);
+    }
+  }
+  const auto count = [](const std::vector<int>& list, int from) {
+    return std::count_if(list.begin(), list.end(), [from](int at) {
+      return at >= from && at < from + 10'000;
+    });
+  };
+  for (int from = 0; from < 50'000; from += 50) {
+    int last = from;
+    for (const int at : retries) {
+      last = at >= from && at < from + 10'000 ? at : last;
+    }
+    const auto earned = count(first_attempts, last - 9'999);
+    EXPECT_LE(count(retries, from), 5 + 0.2 * static_cast<double>(earned))
+        << from;
+  }
+}
+
+TEST(retry_budget_test, TheFleetDividesTheBurst) {
+  retry_budget budget({.share = 0, .burst = 10, .is_shared = true});
+  budget.SetFleetSize(5);
+  budget.SetFleetSize(1);
+  EXPECT_TRUE(budget.TrySpend(At(0)));
+  EXPECT_TRUE(budget.TrySpend(At(0)));
+  EXPECT_FALSE(budget.TrySpend(At(0))) << "a smaller fleet gives none back";
+  EXPECT_TRUE(budget.TrySpend(At(10'600))) << "the window has passed";
+}
+
 TEST(DrainMeterTest, MeasuresCompletionsPerSecond) {
   drain_meter meter;
   for (int millis = 0; millis < 20'000; millis += 20) {
