Leave a silent engine only for another one, and not before the usual wait

Cause: a stream without a first byte after four targets was broken off, also when all engines took that long and when the budget of repeats was spent: of 811 requests of two daemons 64 were told 502, of engines about to answer. Ruled out: dead engines alone (breaks were spread over all 60).

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -80,6 +80,8 @@
     return replicas_.ListBacklogs();
   }
   void OnUpstreamChanging(const upstream_changing& event);
+  /// Whether the running request \p id could be sent to another upstream now.
+  bool CanPlaceElsewhere(time_point now, request_id id);
   void OnStartReply(time_point now, const start_reply& reply, action_list& out);
   void OnTick(time_point now, action_list& out);
   /// Whether the platform answered the last call. While it does not, a shard
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -80,6 +80,7 @@
                            attempt_answer answer,
                            uint32_t status) override;
   void OnFlowBroken(const endpoint& address) override;
+  bool CanPlaceElsewhere(const request_flow& flow) override;
   void OnFlowEnd(request_flow& flow, const flow_end& end) override;
   const member* FindOwner(shard_number shard) const override;
   size_t CountServing() const override;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -45,6 +45,8 @@
                                    uint32_t status) = 0;
   /// A connection to \p address broke; others to it may be dead too.
   virtual void OnFlowBroken(const endpoint& address) = 0;
+  /// Whether a request whose upstream is silent could go to another one now.
+  virtual bool CanPlaceElsewhere(const request_flow& flow) = 0;
   virtual void OnFlowEnd(request_flow& flow, const flow_end& end) = 0;
 };
 
@@ -105,6 +107,8 @@
   /// The upstream has been silent for long.
   void OnStall();
   void AwaitBytes();
+  /// After how long a silent upstream is left for another.
+  duration StallTime() const;
   attempt_answer Classify(call_end end) const;
   void Judge(attempt_answer answer);
   void TellRouter(attempt_answer answer, const attempt_verdict& verdict);
@@ -135,6 +139,7 @@
   std::string upstream_;
   endpoint address_;
   uint32_t attempts_ = 0;
+  duration usual_first_byte_{0};
   std::unique_ptr<upstream_call> call_;
   answer_state answer_;
   /// A failure that the caller gets if no other attempt succeeds.
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -51,6 +51,8 @@
   /// cached there, and the estimated wait in its queue.
   double expected_cached_tokens = 0;
   duration expected_queue{0};
+  /// How long requests like this one wait for their first byte of late.
+  duration usual_first_byte{0};
 };
 
 /// Stop an attempt; nothing more of it goes to the caller.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -94,6 +94,11 @@
   void LearnAnswerTime(replica_index index, duration took);
   /// Learns how long a plain request waited for its first byte.
   void LearnFirstByte(replica_index index, duration took);
+  /// Learns how long a request to \p target waited for its first byte, whatever
+  /// the replica.
+  void LearnTargetFirstByte(std::string_view target, duration took);
+  /// How long requests to \p target wait for their first byte on average.
+  duration UsualFirstByte(std::string_view target) const;
   /// Learns how many tokens a request made the replica compute.
   void LearnComputed(replica_index index, double tokens);
   /// Learns the prefill rate from an attempt that did not queue. Replicas that
@@ -145,6 +150,8 @@
     std::vector<replica_index> indices;
     /// Prompt tokens computed per second, on average over the replicas' answers.
     double prefill_rate = kFirstPrefillRate;
+    /// How long its requests wait for their first byte, on average.
+    double first_byte_seconds = 0;
   };
 
   double FirstLimit(const upstream_spec& spec) const;
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -93,7 +93,9 @@
                                  .earlier_attempts = earlier,
                                  .expected_cached_tokens =
                                      chosen.expected_cached_tokens,
-                                 .expected_queue = FromSeconds(queue)});
+                                 .expected_queue = FromSeconds(queue),
+                                 .usual_first_byte = replicas_.UsualFirstByte(
+                                     item.info.target)});
   item.running = next;
 }
 
@@ -119,6 +121,8 @@
   attempt& running = *requests_.at(found->second).running;
   if (!running.first_byte) {
     running.first_byte = now;
+    replicas_.LearnTargetFirstByte(requests_.at(found->second).info.target,
+                                   now - running.sent);
     replicas_.OnFirstByte(running.index, running.expected_tokens);
     if (requests_.at(found->second).info.prompt_tokens == 0) {
       replicas_.LearnFirstByte(running.index, now - running.sent);
@@ -238,6 +242,23 @@
   return item.repeatable && (limit == 0 || item.runs < limit);
 }
 
+bool request_router::CanPlaceElsewhere(time_point now, request_id id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || !found->second.running) {
+    return false;
+  }
+  const request& item = found->second;
+  const uint32_t limit = item.info.max_runs;
+  std::vector<replica_index> excluded = item.excluded;
+  excluded.push_back(item.running->index);
+  const bool may_run = item.repeatable && (limit == 0 || item.runs < limit);
+  return may_run && BudgetOf(item.info.target).CanSpend(now) &&
+         !replicas_
+              .ListEligible(now, item.info.target, AllowedDomains(item),
+                            excluded)
+              .indices.empty();
+}
+
 void request_router::Retry(time_point now,
                            request& item,
                            const attempt_ended& event,
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -465,6 +465,10 @@
                   line.Add("configuration", knowledge_->plan->version));
 }
 
+bool edge_task::CanPlaceElsewhere(const request_flow& flow) {
+  return router_.CanPlaceElsewhere(ReadBootClock(), flow.id());
+}
+
 void edge_task::OnFlowEnd(request_flow& flow, const flow_end& end) {
   LogEnd(flow, end);
   const std::string& route = flow.route().name;
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -32,6 +32,10 @@
 static constexpr int kTargetsToStall = 2;
 static constexpr int kStreamTargetsToStall = 4;
 static constexpr int kPausesToStall = 3;
+/// Nor is an upstream left before this many times the wait that is usual now: in
+/// an overloaded fleet of 60 engines two seconds passed before many first bytes,
+/// and 14% of the requests were taken from engines that were about to answer.
+static constexpr int kUsualWaitsToStall = 4;
 /// When to come back after a wait that was in vain.
 static constexpr duration kQueueRetryAfter = std::chrono::milliseconds(500);
 
@@ -57,6 +61,7 @@
   attempt_ = action.attempt;
   upstream_ = action.upstream;
   address_ = action.address;
+  usual_first_byte_ = action.usual_first_byte;
   ++attempts_;
   answer_ = {};
   splitter_.DropPartial();
@@ -97,19 +102,30 @@
   if (!route.MayRepeat() || attempts_ >= route.max_attempts) {
     return;
   }
+  stall_timer_.Start(StallTime());
+}
+
+duration request_flow::StallTime() const {
+  const route_spec& route = *options_.route;
   if (first_byte_at_) {
-    stall_timer_.Start(route.longest_pause * kPausesToStall);
-  } else {
-    stall_timer_.Start(route.target_latency * (route.IsStream()
-                                                   ? kStreamTargetsToStall
-                                                   : kTargetsToStall));
+    return route.longest_pause * kPausesToStall;
   }
+  const duration target =
+      route.target_latency *
+      (route.IsStream() ? kStreamTargetsToStall : kTargetsToStall);
+  return std::max(target, usual_first_byte_ * kUsualWaitsToStall);
 }
 
 void request_flow::OnStall() {
   if (has_ended_ || call_ == nullptr || is_paused_) {
     return;
   }
+  if (!with_.owner.CanPlaceElsewhere(*this)) {
+    // With nowhere to go the request would only be given up on; its answer may
+    // yet come.
+    stall_timer_.Start(StallTime());
+    return;
+  }
   call_.reset();
   with_.owner.OnFlowBroken(address_);
   Judge(attempt_answer::kBroken);
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -44,6 +44,9 @@
 /// Versions whose naming is remembered; older ones are not served any more.
 static constexpr size_t kMaxVersionHistory = 16;
 static constexpr double kLearningRate = 0.2;
+/// Of a target's first bytes: an average over about twenty answers, two seconds
+/// of a daemon's traffic.
+static constexpr double kTargetLearningRate = 0.05;
 static constexpr double kSlowestPrefillRate = 100;
 static constexpr double kFastestPrefillRate = 1e7;
 /// A report loses half its weight in this many seconds.
@@ -62,6 +65,7 @@
     if (found != earlier.end()) {
       target.history = std::move(found->second.history);
       target.prefill_rate = found->second.prefill_rate;
+      target.first_byte_seconds = found->second.first_byte_seconds;
     }
     if (target.history.empty() ||
         target.history.back().version != model.version) {
@@ -366,6 +370,22 @@
       kLearningRate * (ToSeconds(took) - item.first_byte_seconds);
 }
 
+void replica_table::LearnTargetFirstByte(std::string_view target,
+                                         duration took) {
+  const auto found = by_target_.find(target);
+  if (found != by_target_.end()) {
+    double& average = found->second.first_byte_seconds;
+    average += kTargetLearningRate * (ToSeconds(took) - average);
+  }
+}
+
+duration replica_table::UsualFirstByte(std::string_view target) const {
+  const auto found = by_target_.find(target);
+  return found == by_target_.end()
+             ? duration(0)
+             : FromSeconds(found->second.first_byte_seconds);
+}
+
 double replica_table::EstimateRoomSeconds(replica_index index) const {
   const replica& item = replicas_[index];
   // Room comes as fast as requests are computed or as answers end, whichever
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -67,10 +67,14 @@
     ++failed;
   }
   void OnFlowBroken(const endpoint& /*address*/) override {}
+  bool CanPlaceElsewhere(const request_flow& /*flow*/) override {
+    return can_go_elsewhere;
+  }
   void OnFlowEnd(request_flow& /*flow*/, const flow_end& end) override {
     ended = true;
     last = end;
   }
+  bool can_go_elsewhere = true;
   int failed = 0;
   bool ended = false;
   flow_end last;
@@ -161,5 +165,34 @@
   EXPECT_EQ(owner_.failed, 0);
 }
 
+// Symptom: 502 for requests that engines were about to answer.
+// Sequence: all engines are busy for seconds; a request waits at one for four
+// times its target; the budget of retries is spent.
+// Cause: the attempt was broken off before it was known whether the request
+// could go anywhere else.
+TEST_F(request_flow_test, ASilentUpstreamIsWaitedForWhereNothingElseHelps) {
+  owner_.can_go_elsewhere = false;
+  const auto first = Dispatch(1);
+  PassStallTime();
+  EXPECT_EQ(owner_.failed, 0);
+  owner_.can_go_elsewhere = true;
+  PassStallTime();
+  EXPECT_EQ(owner_.failed, 1) << "it is asked again";
+}
+
+// Symptom: in an overloaded fleet requests move from engine to engine, and each
+// computes their prompts again.
+// Cause: the wait that was usual then counted as silence.
+TEST_F(request_flow_test, AnUpstreamIsNotSilentBeforeTheUsualWait) {
+  flow_->Dispatch(ReadBootClock(), {.request = 1,
+                                    .attempt = 1,
+                                    .upstream = "u",
+                                    .address = listener_.Address(),
+                                    .usual_first_byte = milliseconds(100)});
+  const auto first = listener_.Accept(base_);
+  PassStallTime();
+  EXPECT_EQ(owner_.failed, 0);
+}
+
 }  // namespace
 }  // namespace cuminswitch
