Bound what each daemon asks of the cache stores' links

A daemon now has its part of each link, copies come from engines that surely hold the prefix where there are any, a prefix is kept by the store in its home's failure domain, and how long an engine keeps a prefix is estimated from its memory and the load.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -37,6 +37,15 @@
   uint32_t answered_target_ppm = 999'000;
 };
 
+/// A store from which engines copy cached prefixes, and where they save them.
+struct cache_store_spec {
+  endpoint address;
+  /// Copies from another failure domain take its link for twice as long.
+  std::string failure_domain;
+  /// Prompt tokens per second that its link carries; 0 for not known.
+  double copy_rate = 0;
+};
+
 /// A model that engines serve. Weights of another version are another cache.
 struct model_spec {
   std::string name;
@@ -44,10 +53,12 @@
   std::string adapter;
   /// Where engines save prefixes that they computed, and copy them from; each
   /// prefix has its place in one of them.
-  std::vector<endpoint> cache_stores;
+  std::vector<cache_store_spec> cache_stores;
   /// Prompt tokens per second that one engine can copy from another; 0 where
   /// engines cannot copy.
   double copy_rate = 0;
+  /// Prompt tokens that one engine can keep; 0 for not known.
+  double cache_tokens = 0;
 };
 
 /// A plain service that requests are routed to.
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -20,6 +20,7 @@
 #include "cuminswitch/Core/core_status.h"
 #include "cuminswitch/Protocol/core_action.h"
 #include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Routing/copy_budget.h"
 #include "cuminswitch/Routing/placement_policy.h"
 #include "cuminswitch/Routing/placement_query.h"
 #include "cuminswitch/Routing/prefix_index.h"
@@ -205,6 +206,7 @@
   std::unique_ptr<placement_policy> policy_;
   replica_table replicas_;
   prefix_index prefixes_;
+  copy_budget copy_budget_;
   std::vector<placed_prefix> placed_prefixes_;
   wait_queue queue_;
   workspace_limiter limiter_;
--- a/include/cuminswitch/Fleet/route_plan.h
+++ b/include/cuminswitch/Fleet/route_plan.h
@@ -63,16 +63,28 @@
   }
 };
 
+/// A store of cached prefixes.
+struct cache_store_plan {
+  endpoint address;
+  std::string failure_domain;
+  /// Megabits per second of its link.
+  double link_rate = 0;
+};
+
 /// A service whose upstreams answer a route's requests.
 struct service_plan {
   std::string name;
   bool is_engine = false;
   /// Models that its engines serve.
   std::vector<std::string> models;
+  /// Megabits that one prompt token's cached prefix takes.
+  double token_megabits = 0;
   /// Prompt tokens per second that an engine's link carries as cached prefix.
   double copy_rate = 0;
+  /// Prompt tokens that one engine has memory for, running requests included.
+  double cache_tokens = 0;
   /// Set for a store of cached prefixes; it has no upstreams.
-  std::optional<endpoint> cache_store;
+  std::optional<cache_store_plan> cache_store;
   /// Connections that one upstream takes from all daemons together.
   uint32_t max_connections = 0;
 };
--- a/include/cuminswitch/Routing/cache_planner.h
+++ b/include/cuminswitch/Routing/cache_planner.h
@@ -15,11 +15,12 @@
 namespace cuminswitch {
 
 struct model_spec;
+class copy_budget;
 class prefix_index;
 
-/// Shorter prefixes are neither copied nor saved. To compute them takes less than
-/// 25 ms; a copy waits behind all others of the cache store's link, up to two
-/// seconds in a fleet that has just lost its caches.
+/// Shorter prefixes are neither copied nor saved. To compute them takes less
+/// than 25 ms; a copy waits behind all others of the cache store's link, up to
+/// two seconds in a fleet that has just lost its caches.
 inline constexpr uint32_t kLeastTokensToCopy = 1000;
 
 /// What an engine is told of the cache along with a request.
@@ -28,6 +29,8 @@
   std::optional<endpoint> source;
   /// Save there what it computes.
   std::optional<endpoint> sink;
+  /// How likely the engine itself still has the shared prefix.
+  double hit_chance = 0;
 };
 
 /// One placed request, for planning.
@@ -40,6 +43,7 @@
   std::span<const replica_index> eligible;
   const replica_table& replicas;
   prefix_index& prefixes;
+  copy_budget& budget;
 };
 
 /// Plans the copying of the request's shared prefix. On a calm day of the
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -102,9 +102,21 @@
   /// Learns how many tokens a request made the replica compute.
   void LearnComputed(replica_index index, double tokens);
   /// Learns the prefill rate from an attempt that did not queue. Replicas that
-  /// have shown nothing yet are taken for as fast as the others of their target.
+  /// have shown nothing yet are taken for as fast as the others of their
+  /// target.
   void LearnPrefillRate(replica_index index, double tokens, duration took);
 
+  /// Counts prompt tokens that a request to \p target adds to an engine's
+  /// cache.
+  void CountAdded(time_point now, std::string_view target, double tokens);
+  /// How likely an engine of \p target still has cached what it last used
+  /// \p age ago.
+  double HitChance(time_point now, std::string_view target, duration age) const;
+  /// Returns the replica of \p target that is \p prefix's first home, whether
+  /// or not it can serve now.
+  std::optional<replica_index> HomeOf(std::string_view target,
+                                      uint64_t prefix) const;
+
   /// Returns when the last request may begin at \p target's weights of
   /// \p version; nothing for weights that are not superseded.
   std::optional<time_point> LastStart(std::string_view target,
@@ -148,10 +160,16 @@
     /// When each version was first configured here, the oldest first.
     std::vector<version_start> history;
     std::vector<replica_index> indices;
-    /// Prompt tokens computed per second, on average over the replicas' answers.
+    /// Prompt tokens computed per second, on average over the replicas'
+    /// answers.
     double prefill_rate = kFirstPrefillRate;
     /// How long its requests wait for their first byte, on average.
     double first_byte_seconds = 0;
+    /// Prompt tokens that one engine can keep; 0 for not known.
+    double cache_tokens = 0;
+    /// Prompt tokens per second that this daemon's requests add to caches.
+    double added_rate = 0;
+    time_point added_at{};
   };
 
   double FirstLimit(const upstream_spec& spec) const;
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -57,7 +57,12 @@
                        .chosen = chosen.index,
                        .eligible = eligible,
                        .replicas = replicas_,
-                       .prefixes = prefixes_});
+                       .prefixes = prefixes_,
+                       .budget = copy_budget_});
+    const double shared =
+        levels.size() >= 2 ? levels[levels.size() - 2].tokens : 0;
+    replicas_.CountAdded(now, item.info.target,
+                         item.info.prompt_tokens - cache.hit_chance * shared);
   }
   for (const prefix_level& level : levels) {
     prefixes_.CountUse(now, level.hash);
@@ -79,23 +84,22 @@
   ++item.runs;
   attempts_[next.id] = item.info.request;
   item.at = stage::kRunning;
-  out.push_back(dispatch_attempt{.request = item.info.request,
-                                 .attempt = next.id,
-                                 .upstream = target.spec.name,
-                                 .address = target.spec.address,
-                                 .fencing = item.epoch,
-                                 .cache_scope = CacheScope(item, next.version),
-                                 .fresh_connection = !item.repeatable,
-                                 .after_failure = target.failures_in_row > 0,
-                                 .weights_version = next.version,
-                                 .cache_source = cache.source,
-                                 .cache_sink = cache.sink,
-                                 .earlier_attempts = earlier,
-                                 .expected_cached_tokens =
-                                     chosen.expected_cached_tokens,
-                                 .expected_queue = FromSeconds(queue),
-                                 .usual_first_byte = replicas_.UsualFirstByte(
-                                     item.info.target)});
+  out.push_back(dispatch_attempt{
+      .request = item.info.request,
+      .attempt = next.id,
+      .upstream = target.spec.name,
+      .address = target.spec.address,
+      .fencing = item.epoch,
+      .cache_scope = CacheScope(item, next.version),
+      .fresh_connection = !item.repeatable,
+      .after_failure = target.failures_in_row > 0,
+      .weights_version = next.version,
+      .cache_source = cache.source,
+      .cache_sink = cache.sink,
+      .earlier_attempts = earlier,
+      .expected_cached_tokens = chosen.expected_cached_tokens,
+      .expected_queue = FromSeconds(queue),
+      .usual_first_byte = replicas_.UsualFirstByte(item.info.target)});
   item.running = next;
 }
 
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -41,6 +41,7 @@
     action_list& out) {
   config_ = std::move(config);
   replicas_.SetFleetSize(members_.CountServing());
+  copy_budget_.SetFleetSize(members_.CountServing());
   replicas_.Reconfigure(now, *config_);
   DrainQueue(now, out);
 }
@@ -368,6 +369,7 @@
 
 void request_router::OnTick(time_point now, action_list& out) {
   replicas_.SetFleetSize(members_.CountServing());
+  copy_budget_.SetFleetSize(members_.CountServing());
   replicas_.ExpirePeerBacklogs(now);
   for (const waiting_request& expired : queue_.TakeExpired(now)) {
     const request& item = requests_.at(expired.request);
--- a/lib/Edge/plan_translator.cc
+++ b/lib/Edge/plan_translator.cc
@@ -47,11 +47,20 @@
   return newest;
 }
 
-static std::vector<endpoint> ListCacheStores(const route_plan& plan) {
-  std::vector<endpoint> stores;
+/// Lists the stores with the rates that they have for \p engines' prefixes.
+static std::vector<cache_store_spec> ListCacheStores(
+    const route_plan& plan,
+    const service_plan& engines) {
+  std::vector<cache_store_spec> stores;
   for (const service_plan& service : plan.services) {
     if (service.cache_store) {
-      stores.push_back(*service.cache_store);
+      const double rate =
+          engines.token_megabits > 0
+              ? service.cache_store->link_rate / engines.token_megabits
+              : 0;
+      stores.push_back({.address = service.cache_store->address,
+                        .failure_domain = service.cache_store->failure_domain,
+                        .copy_rate = rate});
     }
   }
   return stores;
@@ -76,7 +85,6 @@
     const fleet_knowledge& knowledge) {
   auto config = std::make_shared<configuration>();
   const std::map<std::string, uint64_t> newest = NewestVersions(knowledge);
-  const std::vector<endpoint> stores = ListCacheStores(*knowledge.plan);
   std::vector<std::string> targets;
   for (const service_plan& service : knowledge.plan->services) {
     config->services.push_back({.name = service.name, .repeatable = true});
@@ -88,8 +96,9 @@
            .version = version == newest.end() ? std::string()
                                               : std::to_string(version->second),
            .adapter = {},
-           .cache_stores = stores,
-           .copy_rate = service.copy_rate * kCopyRateUsed});
+           .cache_stores = ListCacheStores(*knowledge.plan, service),
+           .copy_rate = service.copy_rate * kCopyRateUsed,
+           .cache_tokens = service.cache_tokens});
       targets.push_back(config->models.back().name);
     }
   }
--- a/lib/Routing/cache_planner.cc
+++ b/lib/Routing/cache_planner.cc
@@ -1,74 +1,150 @@
 #include "cuminswitch/Routing/cache_planner.h"
 
-#include <algorithm>
+#include <utility>
 
 #include "cuminswitch/Config/configuration.h"
+#include "cuminswitch/Routing/copy_budget.h"
 #include "cuminswitch/Routing/prefix_index.h"
+#include "cuminswitch/Support/hash.h"
 #include "cuminswitch/Support/rendezvous.h"
 
 namespace cuminswitch {
 
-/// Returns the store that has the place for a prefix, by rendezvous.
-static std::optional<endpoint> ChooseStore(const model_spec& model,
-                                           uint64_t prefix) {
-  const auto best =
-      std::max_element(model.cache_stores.begin(), model.cache_stores.end(),
-                       [prefix](const endpoint& a, const endpoint& b) {
-                         return RendezvousWeight(prefix, Hash64(a.ToString())) <
-                                RendezvousWeight(prefix, Hash64(b.ToString()));
-                       });
-  return best == model.cache_stores.end() ? std::nullopt : std::optional(*best);
-}
+namespace {
 
-/// Whether \p index is among \p holders in its present incarnation.
-static bool Holds(const replica_table& replicas,
-                  std::span<const prefix_holder> holders,
-                  replica_index index) {
-  return std::any_of(holders.begin(), holders.end(),
-                     [&](const prefix_holder& holder) {
-                       return holder.index == index &&
-                              holder.incarnation == replicas[index].incarnation;
-                     });
-}
+/// A holder that used the prefix so long ago still has it for sure.
+constexpr double kSureHit = 0.99;
+/// Chance of a hit where nothing is known of the engine, but that it is the
+/// prefix's home, or that it has older weights.
+constexpr double kUnknownHit = 0.5;
 
-cache_plan PlanCache(const cache_question& question) {
-  const replica_table& replicas = question.replicas;
-  const model_spec& model = question.model;
-  const std::string version = replicas.VersionAt(question.chosen, model.name);
-  if (version.empty() || question.levels.size() < 2) {
-    return {};
+/// Plans one request.
+class planner {
+ public:
+  explicit planner(const cache_question& question)
+      : question_(question),
+        model_(question.model),
+        shared_(question.levels[question.levels.size() - 2]),
+        version_(question.replicas.VersionAt(question.chosen, model_.name)) {}
+
+  cache_plan Plan() {
+    store_ = ChooseStore();
+    if (version_ != model_.version) {
+      // Levels are known by the newest weights; of older ones nothing is known
+      // but that their caches go soon.
+      return {.source = CopyFromStore(kUnknownHit),
+              .sink = std::nullopt,
+              .hit_chance = kUnknownHit};
+    }
+    cache_plan plan{.source = std::nullopt,
+                    .sink = std::nullopt,
+                    .hit_chance = ChanceAt(question_.chosen)};
+    const std::optional<replica_index> holder = FindSureHolder();
+    if (holder && plan.hit_chance < kSureHit) {
+      plan.source = question_.replicas[*holder].spec.address;
+    } else {
+      // Also where the engine should have it: to ask for what is there already
+      // costs nothing.
+      plan.source = CopyFromStore(plan.hit_chance);
+    }
+    if (!question_.prefixes.WasSaved(question_.now, shared_.hash)) {
+      plan.sink = SaveToStore();
+    }
+    return plan;
   }
-  const prefix_level& shared = question.levels[question.levels.size() - 2];
-  if (shared.tokens < kLeastTokensToCopy) {
-    return {};
+
+ private:
+  /// A store in the failure domain of the prefix's home, where there is one:
+  /// that is where most of its copies go.
+  const cache_store_spec* ChooseStore() const {
+    const auto home = question_.replicas.HomeOf(model_.name, shared_.hash);
+    const std::string domain =
+        home ? question_.replicas[*home].spec.failure_domain : std::string();
+    const cache_store_spec* best = nullptr;
+    const auto rank = [&](const cache_store_spec& store) {
+      return std::pair(
+          store.failure_domain == domain,
+          RendezvousWeight(shared_.hash, Hash64(store.address.ToString())));
+    };
+    for (const cache_store_spec& store : model_.cache_stores) {
+      if (best == nullptr || rank(*best) < rank(store)) {
+        best = &store;
+      }
+    }
+    return best;
   }
-  const std::optional<endpoint> store = ChooseStore(model, shared.hash);
-  if (version != model.version) {
-    // Levels are known by the newest weights; of older ones nothing is known
-    // but that their caches go soon.
-    return {.source = store, .sink = std::nullopt};
+
+  bool IsStoreNear() const {
+    return store_->failure_domain ==
+           question_.replicas[question_.chosen].spec.failure_domain;
   }
-  const bool was_saved = question.prefixes.WasSaved(question.now, shared.hash);
-  const std::span<const prefix_holder> holders =
-      question.prefixes.Find(shared.hash);
-  if (was_saved) {
-    // Also where the upstream held it: its cache may have dropped it since, and
-    // to ask the store for what is there already costs nothing.
-    return {.source = store, .sink = std::nullopt};
+
+  std::optional<endpoint> CopyFromStore(double hit_chance) {
+    // What precedes the innermost shared part is shared by more requests, and
+    // nearly always there.
+    const size_t count = question_.levels.size();
+    const double outer = count >= 3 ? question_.levels[count - 3].tokens : 0;
+    const double missing = (1 - hit_chance) * (shared_.tokens - outer);
+    if (store_ == nullptr ||
+        !question_.budget.TrySpend(question_.now, *store_, IsStoreNear(),
+                                   missing)) {
+      return std::nullopt;
+    }
+    return store_->address;
+  }
+
+  std::optional<endpoint> SaveToStore() {
+    // The request's own part is saved along with the shared ones. Copies come
+    // first: what is not saved now is saved with a later request.
+    if (store_ == nullptr ||
+        !question_.budget.HasPlenty(question_.now, *store_) ||
+        !question_.budget.TrySpend(question_.now, *store_, IsStoreNear(),
+                                   question_.levels.back().tokens)) {
+      return std::nullopt;
+    }
+    return store_->address;
+  }
+
+  double ChanceAt(replica_index index) const {
+    for (const prefix_holder& holder : question_.prefixes.Find(shared_.hash)) {
+      if (holder.index == index &&
+          holder.incarnation == question_.replicas[index].incarnation) {
+        return question_.replicas.HitChance(question_.now, model_.name,
+                                            question_.now - holder.used_at);
+      }
+    }
+    return 0;
+  }
+
+  /// Another engine that still has the prefix, and whose link is free.
+  std::optional<replica_index> FindSureHolder() const {
+    for (const replica_index index : question_.eligible) {
+      if (index != question_.chosen &&
+          question_.replicas.VersionAt(index, model_.name) == version_ &&
+          ChanceAt(index) >= kSureHit) {
+        return index;
+      }
+    }
+    return std::nullopt;
+  }
+
+  const cache_question& question_;
+  const model_spec& model_;
+  const prefix_level& shared_;
+  std::string version_;
+  const cache_store_spec* store_ = nullptr;
+};
+
+}  // namespace
+
+cache_plan PlanCache(const cache_question& question) {
+  if (question.levels.size() < 2 ||
+      question.levels[question.levels.size() - 2].tokens < kLeastTokensToCopy ||
+      question.replicas.VersionAt(question.chosen, question.model.name)
+          .empty()) {
+    return {};
   }
-  const auto known = std::find_if(
-      question.eligible.begin(), question.eligible.end(),
-      [&](replica_index index) {
-        return index != question.chosen && Holds(replicas, holders, index) &&
-               replicas.VersionAt(index, model.name) == version;
-      });
-  // The request's own part is saved along with the shared ones and pushes
-  // others out of the store, so each shared prefix is saved once in a while
-  // only.
-  return {.source = known == question.eligible.end()
-                        ? store
-                        : std::optional(replicas[*known].spec.address),
-          .sink = store};
+  return planner(question).Plan();
 }
 
 }  // namespace cuminswitch
--- a/lib/Routing/prefix_index.cc
+++ b/lib/Routing/prefix_index.cc
@@ -9,11 +9,10 @@
 /// Holders kept per prefix; a hotter one is spread wide enough by then.
 static constexpr size_t kMaxHolders = 16;
 static constexpr double kUseLifetimeSeconds = 5;
-/// A saved prefix that is used is copied from the store now and then, which keeps
-/// it there; so only the loss of the store makes saving it again worth its price.
-/// Saved anew after 15 s, 800 contracts took the whole link of the store of a
-/// fleet of 60 engines, and each copy waited for two seconds.
-static constexpr duration kSavedTime = std::chrono::seconds(60);
+/// A saved prefix that is used is copied from the store now and then, which
+/// keeps it there; it is saved again only because a store may lose what it has.
+/// After 15 s, saving 800 contracts took half of the links of three stores.
+static constexpr duration kSavedTime = std::chrono::seconds(30);
 
 prefix_index::prefix_index(const options& opts) : options_(opts) {}
 
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "cuminswitch/Support/hash.h"
+#include "cuminswitch/Support/rendezvous.h"
 
 namespace cuminswitch {
 
@@ -44,6 +45,12 @@
 /// Versions whose naming is remembered; older ones are not served any more.
 static constexpr size_t kMaxVersionHistory = 16;
 static constexpr double kLearningRate = 0.2;
+/// Of an engine's memory, what running requests leave to cached prefixes.
+static constexpr double kCacheShare = 0.5;
+/// The time over which the tokens added to caches are averaged.
+static constexpr double kAddedSeconds = 3;
+/// How long an engine keeps an unused prefix where its memory is not known.
+static constexpr double kUnknownRetentionSeconds = 10;
 /// Of a target's first bytes: an average over about twenty answers, two seconds
 /// of a daemon's traffic.
 static constexpr double kTargetLearningRate = 0.05;
@@ -61,11 +68,14 @@
   for (const model_spec& model : config.models) {
     target_replicas& target = by_target_[model.name];
     target.version = model.version;
+    target.cache_tokens = model.cache_tokens;
     const auto found = earlier.find(model.name);
     if (found != earlier.end()) {
       target.history = std::move(found->second.history);
       target.prefill_rate = found->second.prefill_rate;
       target.first_byte_seconds = found->second.first_byte_seconds;
+      target.added_rate = found->second.added_rate;
+      target.added_at = found->second.added_at;
     }
     if (target.history.empty() ||
         target.history.back().version != model.version) {
@@ -386,6 +396,61 @@
              : FromSeconds(found->second.first_byte_seconds);
 }
 
+void replica_table::CountAdded(time_point now,
+                               std::string_view target,
+                               double tokens) {
+  const auto found = by_target_.find(target);
+  if (found == by_target_.end()) {
+    return;
+  }
+  target_replicas& item = found->second;
+  const double age = std::max(0.0, ToSeconds(now - item.added_at));
+  item.added_rate =
+      item.added_rate * std::exp(-age / kAddedSeconds) + tokens / kAddedSeconds;
+  item.added_at = now;
+}
+
+double replica_table::HitChance(time_point now,
+                                std::string_view target,
+                                duration age) const {
+  const auto found = by_target_.find(target);
+  if (found == by_target_.end()) {
+    return 0;
+  }
+  // The least recently used goes first, so what was used within the time in
+  // which the memory is filled anew is still there.
+  const target_replicas& item = found->second;
+  const double idle = std::max(0.0, ToSeconds(now - item.added_at));
+  const double rate = item.added_rate * std::exp(-idle / kAddedSeconds) *
+                      static_cast<double>(fleet_size_) /
+                      std::max<double>(1, item.indices.size());
+  const double retention =
+      item.cache_tokens == 0
+          ? kUnknownRetentionSeconds
+          : kCacheShare * item.cache_tokens / std::max(1.0, rate);
+  const double excess = ToSeconds(age) - retention;
+  return excess <= 0 ? 1 : std::exp(-excess / std::max(0.1, retention));
+}
+
+std::optional<replica_index> replica_table::HomeOf(std::string_view target,
+                                                   uint64_t prefix) const {
+  const auto found = by_target_.find(target);
+  if (found == by_target_.end()) {
+    return std::nullopt;
+  }
+  std::optional<replica_index> home;
+  uint64_t best = 0;
+  for (const replica_index index : found->second.indices) {
+    const uint64_t weight =
+        RendezvousWeight(prefix, replicas_[index].name_hash);
+    if (!home || weight > best) {
+      home = index;
+      best = weight;
+    }
+  }
+  return home;
+}
+
 double replica_table::EstimateRoomSeconds(replica_index index) const {
   const replica& item = replicas_[index];
   // Room comes as fast as requests are computed or as answers end, whichever
--- a/unittests/PlatformAdapter/document_decoder_test.cc
+++ b/unittests/PlatformAdapter/document_decoder_test.cc
@@ -66,7 +66,8 @@
   EXPECT_TRUE(plan.FindService("s1")->is_engine);
   EXPECT_GT(plan.FindService("s1")->copy_rate, 400'000);
   EXPECT_FALSE(plan.FindService("s2")->is_engine);
-  EXPECT_EQ(plan.FindService("s3")->cache_store,
+  ASSERT_TRUE(plan.FindService("s3")->cache_store.has_value());
+  EXPECT_EQ(plan.FindService("s3")->cache_store->address,
             (endpoint{"172.20.0.2", 8781}));
   EXPECT_TRUE(plan.FindHolder("k2")->is_isolated);
   EXPECT_EQ(plan.idle_timeout, std::chrono::seconds(15));
--- a/unittests/Routing/cache_planner_test.cc
+++ b/unittests/Routing/cache_planner_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cuminswitch/Config/configuration.h"
+#include "cuminswitch/Routing/copy_budget.h"
 #include "cuminswitch/Routing/prefix_index.h"
 
 namespace cuminswitch {
@@ -16,7 +17,7 @@
 class cache_planner_test : public testing::Test {
  protected:
   cache_planner_test() : prefixes_({}) {
-    model_ = {.name = "m", .version = "2", .cache_stores = {kStore}};
+    model_ = {.name = "m", .version = "2", .cache_stores = {{.address = kStore, .copy_rate = 1e6}}};
     configuration config;
     config.models = {model_};
     config.upstreams = {
@@ -44,7 +45,8 @@
                       .chosen = chosen,
                       .eligible = eligible,
                       .replicas = replicas_,
-                      .prefixes = prefixes_});
+                      .prefixes = prefixes_,
+                      .budget = budget_});
   }
   void PlaceAt(replica_index index) {
     prefixes_.Touch(7, {.index = index, .incarnation = 1, .used_at = now_});
@@ -54,6 +56,7 @@
   model_spec model_;
   replica_table replicas_;
   prefix_index prefixes_;
+  copy_budget budget_;
 };
 
 TEST_F(cache_planner_test, WhatNobodyHasIsComputedAndSaved) {
