Refuse at once what would be served too late

Cause: an overloaded fleet took every request, so that all waited as long as all before them; from four seconds on the callers of streams had left. Now the chance of a refusal grows with the wait, from 1.5 targets on, for urgent requests from 4, and all are refused at three quarters of the time after which their caller leaves.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -166,7 +166,15 @@
   void ReleaseStart(const request& item, action_list& out) const;
   void Admit(time_point now, request& item, action_list& out);
   void Enqueue(time_point now, request& item, action_list& out);
+  /// Returns whether the request needs no further placing: it was sent, or
+  /// refused.
   bool TryPlace(time_point now, request& item, action_list& out);
+  /// Refuses the request if its answer would come too late to be worth the
+  /// work that it takes from others.
+  bool ShedIfLate(time_point now,
+                  const request& item,
+                  const placement& chosen,
+                  action_list& out);
   void Dispatch(time_point now,
                 request& item,
                 const placement& chosen,
--- a/include/cuminswitch/Fleet/route_plan.h
+++ b/include/cuminswitch/Fleet/route_plan.h
@@ -44,6 +44,9 @@
   std::chrono::milliseconds target_latency{0};
   /// The longest pause between events of a stream that is on time.
   std::chrono::milliseconds longest_pause{500};
+  /// After this long without an event the caller of a stream leaves; 0 for not
+  /// known.
+  std::chrono::milliseconds longest_silence{0};
   /// Upstreams that may run a request.
   uint32_t max_attempts = 1;
   /// 0 is the most urgent.
--- a/lib/Admission/retry_budget.cc
+++ b/lib/Admission/retry_budget.cc
@@ -28,8 +28,8 @@
 
 bool retry_budget::CanSpend(time_point now) {
   Advance(now);
-  const auto oldest = static_cast<size_t>((newest_ + 1) %
-                                          static_cast<int64_t>(slots_.size()));
+  const auto oldest =
+      static_cast<size_t>((newest_ + 1) % static_cast<int64_t>(slots_.size()));
   uint32_t first_attempts = 0;
   uint32_t retries = 0;
   for (size_t i = 0; i < slots_.size(); ++i) {
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "cuminswitch/Admission/load_shedder.h"
 #include "cuminswitch/Protocol/shard_directory.h"
 #include "router_constants.h"
 
@@ -239,6 +240,42 @@
   queue_.Push(MakeWaiting(item));
 }
 
+bool request_router::ShedIfLate(time_point now,
+                                const request& item,
+                                const placement& chosen,
+                                action_list& out) {
+  // What has been sent once has its part of the work done, or a repeat granted.
+  if (item.arrivals > 0 || item.info.prompt_tokens == 0) {
+    return false;
+  }
+  const double room =
+      chosen.must_wait ? replicas_.EstimateRoomSeconds(chosen.index) : 0;
+  const double computing =
+      (item.info.prompt_tokens - chosen.expected_cached_tokens) /
+      replicas_[chosen.index].prefill_rate;
+  const shed_question question{
+      .waited = now - (item.deadline - item.info.time_limit),
+      .expected = FromSeconds(
+          replicas_.EstimateQueueSeconds(now, chosen.index) + room + computing),
+      .target = item.info.target_latency,
+      .longest_silence = item.info.longest_silence,
+      .priority = PriorityOf(item)};
+  // One draw a request, so that asking again does not add up.
+  const double luck =
+      static_cast<double>(Hash64(item.info.target, item.info.request)) /
+      static_cast<double>(UINT64_MAX);
+  if (luck >= RefusalChance(question)) {
+    return false;
+  }
+  ++counters_.shed;
+  Refuse(item.info.request,
+         {.status = kTooManyRequests,
+          .message = "it would be served too late",
+          .retry_after = RefusedRetryAfter(question)},
+         out);
+  return true;
+}
+
 bool request_router::TryPlace(time_point now, request& item, action_list& out) {
   if (!item.counted && !limiter_.HasRoom(now, item.workspace_hash,
                                          item.workspace->max_in_flight)) {
@@ -261,6 +298,9 @@
                        .failure_domain = options_.self.failure_domain,
                        .copy_rate = CopyRate(item),
                        .reuse_weight = ReuseWeight(item)});
+  if (ShedIfLate(now, item, chosen, out)) {
+    return true;
+  }
   if (chosen.must_wait) {
     replicas_.CountQueued(chosen.index);
     return false;
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -309,6 +309,8 @@
       .levels = MakeLevels(flow.request.parts),
       .prompt_tokens = flow.request.prompt_tokens,
       .time_limit = flow.deadline - flow.arrived,
+      .target_latency = route.target_latency,
+      .longest_silence = route.longest_silence,
       .repeats =
           route.MayRepeat() ? repeat_rule::kRepeatable : repeat_rule::kOnce,
       .max_runs = route.max_attempts,
--- a/unittests/Admission/limits_test.cc
+++ b/unittests/Admission/limits_test.cc
@@ -72,8 +72,8 @@
   EXPECT_LE(spent, 11);
 }
 
-// In every window, wherever it begins: retries within the burst and the share of
-// the first attempts in the window that ends with the last of these retries.
+// In every window, wherever it begins: retries within the burst and the share
+// of the first attempts in the window that ends with the last of these retries.
 TEST(retry_budget_test, EveryWindowKeepsTheBound) {
   retry_budget budget({.share = 0.2, .burst = 5});
   std::vector<int> first_attempts;
