--- a/include/cuminswitch/Admission/retry_budget.h
+++ b/include/cuminswitch/Admission/retry_budget.h
@@ -15,9 +15,10 @@
 ///
 /// In any window the retries are at most `burst` plus `share` of the first
 /// attempts in the window that ends with the last of them, so a bound over the
-/// fleet holds when each daemon has its part of the burst. What was earned in the window may be spent at once: one
-/// crash takes away the answers of some seconds, and of 63 daemons with a bucket
-/// of two retries each, most had none left for the second of them.
+/// fleet holds when each daemon has its part of the burst. What was earned in
+/// the window may be spent at once: one crash takes away the answers of some
+/// seconds, and of 63 daemons with a bucket of two retries each, most had none
+/// left for the second of them.
 class retry_budget {
  public:
   struct options {
--- a/lib/Routing/copy_budget.cc
+++ b/lib/Routing/copy_budget.cc
@@ -4,9 +4,10 @@
 
 namespace cuminswitch {
 
-/// Times a link's rate that may be asked for. Most of what is asked for is still
-/// at the engine after all, so that nothing is copied. Of 0.7, 1.5, 3, 5 and 8,
-/// 5 and 8 served most: a bound of 0.7 had twice the tokens computed again.
+/// Times a link's rate that may be asked for. Most of what is asked for is
+/// still at the engine after all, so that nothing is copied. Of 0.7, 1.5, 3, 5
+/// and 8, 5 and 8 served most: a bound of 0.7 had twice the tokens computed
+/// again.
 static constexpr double kLinkShareUsed = 5;
 /// What was not used is saved up for so long.
 static constexpr double kSavedSeconds = 2;
--- a/unittests/Routing/cache_planner_test.cc
+++ b/unittests/Routing/cache_planner_test.cc
@@ -17,7 +17,9 @@
 class cache_planner_test : public testing::Test {
  protected:
   cache_planner_test() : prefixes_({}) {
-    model_ = {.name = "m", .version = "2", .cache_stores = {{.address = kStore, .copy_rate = 1e6}}};
+    model_ = {.name = "m",
+              .version = "2",
+              .cache_stores = {{.address = kStore, .copy_rate = 1e6}}};
     configuration config;
     config.models = {model_};
     config.upstreams = {
@@ -80,8 +82,8 @@
 }
 
 // Symptom: short requests wait for seconds on engines that have time.
-// Sequence: 60 engines lose their caches with new weights; all long prefixes are
-// copied from the store, whose link is full; a request with a prefix of 200
+// Sequence: 60 engines lose their caches with new weights; all long prefixes
+// are copied from the store, whose link is full; a request with a prefix of 200
 // tokens is placed and its copy waits behind them.
 // Cause: a copy was asked for where computing takes 5 ms.
 TEST_F(cache_planner_test, AShortPrefixIsComputed) {
