Bring callers what was there when an answer breaks off, and a fault soak

The soak (test/soak) runs the real programs with a store and upstreams as processes, harms them by signals and loopback proxies from a seed, and holds what callers and upstreams see against the promises. Cause: events and the break were read in one turn of the loop, and the abort dropped what was not in the kernel's hands yet. Ruled out: that the engine had sent nothing (daemons logged status 200 and a first byte for each of them). Test: caller_server_test.AnAbortedAnswerBringsWhatWasThere fails without the change.

--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -195,7 +195,13 @@
 
 void caller_connection::Abort() {
   listener_ = nullptr;
-  CloseNow();
+  // Events that came along with the break still reach their caller, who can go
+  // on after them; without its last chunk the answer is visibly not whole.
+  if (is_chunked_ && PendingBytes() > 0) {
+    CloseGently();
+  } else {
+    CloseNow();
+  }
 }
 
 size_t caller_connection::PendingBytes() const {
--- /dev/null
+++ b/test/soak/deployment.cc
@@ -0,0 +1,340 @@
+#include "soak/deployment.h"
+
+#include <event2/event.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "cuminswitch/Net/socket_address.h"
+
+namespace cuminswitch::soak {
+
+using nlohmann::json;
+
+static constexpr std::chrono::milliseconds kWriteTimeout{400};
+/// Below this, ports are never given to outgoing connections, so a daemon that
+/// starts again finds its ports free.
+static constexpr uint16_t kFirstPort = 15'000;
+static constexpr int kPorts = 15'000;
+/// A disturbance's effects on a daemon last a while: it catches up, and its
+/// peers notice.
+static constexpr std::chrono::seconds kCalmAfter{3};
+
+deployment::deployment(event_base* base, options opts, promise_ledger& ledger)
+    : base_(base), options_(std::move(opts)), ledger_(ledger), caller_(base) {
+  const std::string log = options_.work_folder + "/store.log";
+  processes.Start("store", {options_.build_folder + "/utils/store_stand_in"},
+                  log);
+  store_ = AwaitListening(log);
+  PutConfiguration(true);
+  for (int i = 0; i < options_.engines + options_.services; ++i) {
+    upstream_state& item = upstreams.emplace_back();
+    item.is_engine = i < options_.engines;
+    item.name = (item.is_engine ? "e" : "s") + std::to_string(i);
+    StartUpstream(static_cast<size_t>(i));
+  }
+  const size_t count = static_cast<size_t>(options_.daemons);
+  constexpr size_t kPortsEach = 5;
+  const std::vector<uint16_t> ports = FindPorts(kPortsEach * count);
+  for (size_t i = 0; i < count; ++i) {
+    const auto at = [&](size_t place) {
+      return endpoint{.address = "127.0.0.1",
+                      .port = ports[kPortsEach * i + place]};
+    };
+    daemon_state& item = daemons.emplace_back();
+    item.name = "daemon-" + std::to_string(i);
+    item.front = at(0);
+    item.ready = at(1);
+    item.store = std::make_unique<fault_proxy>(base, store_);
+    item.settings = options_.work_folder + "/" + item.name + ".toml";
+    item.command = {options_.build_folder + "/tools/cuminswitchd", "--platform",
+                    "--metrics-port", std::to_string(at(4).port),
+                    item.settings};
+    std::ofstream(item.settings)
+        << "node-name = \"" << item.name << "\"\nzone = \"z" << i % 2
+        << "\"\nseeds = [\"127.0.0.1:" << ports[3] << "\"]\n[listen]\nfront = \""
+        << item.front.ToString() << "\"\nready = \"" << item.ready.ToString()
+        << "\"\ndirectory = \"" << at(2).ToString() << "\"\ncontrol = \""
+        << at(3).ToString()
+        << "\"\n[bounds]\nlease-ms = 1000\ngrace-s = 4\n[provider]\naddress = \""
+        << item.store->address().ToString() << "\"\n";
+    StartDaemon(i);
+  }
+}
+
+std::vector<uint16_t> deployment::FindPorts(size_t count) {
+  std::vector<uint16_t> ports;
+  std::vector<int> sockets;
+  constexpr int kStride = 97;
+  for (int i = 0; i < kPorts && ports.size() < count; ++i) {
+    const auto port = static_cast<uint16_t>(
+        kFirstPort + (getpid() * kStride + i) % kPorts);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockets.push_back(fd);
+    const sockaddr_in address =
+        ToSocketAddress({.address = "127.0.0.1", .port = port});
+    if (bind(fd, reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address)) == 0) {
+      ports.push_back(port);
+    }
+  }
+  // Held until all are chosen, so that none comes twice.
+  for (const int fd : sockets) {
+    close(fd);
+  }
+  if (ports.size() < count) {
+    throw std::runtime_error("no free ports");
+  }
+  return ports;
+}
+
+endpoint deployment::AwaitListening(const std::string& log) {
+  static constexpr std::string_view kMark = "listening on ";
+  constexpr int kRounds = 2'000;
+  for (int i = 0; i < kRounds; ++i) {
+    std::ifstream file(log);
+    std::string line;
+    if (std::getline(file, line) && line.starts_with(kMark) && !file.eof()) {
+      const std::string text = line.substr(kMark.size());
+      const size_t colon = text.find(':');
+      return {.address = text.substr(0, colon),
+              .port = static_cast<uint16_t>(std::stoi(text.substr(colon + 1)))};
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  throw std::runtime_error("no stand-in listens, see " + log);
+}
+
+void deployment::StartDaemon(size_t index) {
+  daemon_state& item = daemons[index];
+  processes.Start(item.name, item.command,
+                  options_.work_folder + "/" + item.name + ".log");
+}
+
+void deployment::StartUpstream(size_t index) {
+  upstream_state& item = upstreams[index];
+  ++item.start;
+  item.id = item.name + "." + std::to_string(item.start);
+  item.log = options_.work_folder + "/" + item.id + ".log";
+  item.version = weights_;
+  std::vector<std::string> command = {
+      options_.build_folder + "/utils/replica_stand_in", "--id", item.id,
+      "--version", std::to_string(item.version)};
+  if (item.is_engine) {
+    command.insert(command.end(), {"--model", "m"});
+  }
+  processes.Start(item.name, command, item.log);
+  const endpoint address = AwaitListening(item.log);
+  if (item.link == nullptr) {
+    item.link = std::make_unique<fault_proxy>(base_, address);
+  }
+  item.link->SetTarget(address);
+  item.lines = std::ifstream(item.log);
+  item.is_listed = true;
+  item.is_draining = false;
+  item.is_paused = false;
+  List(item);
+}
+
+void deployment::List(upstream_state& item) {
+  json entry = {{"backend", item.is_engine ? "engines" : "orders"},
+                {"address", item.link->address().ToString()},
+                {"zone", "z0"},
+                {"slots", 64},
+                {"state", item.is_draining ? "draining" : "ready"},
+                {"seq", ++item.beats},
+                {"models", json::array()}};
+  if (item.is_engine) {
+    entry["models"].push_back({{"name", "m"}, {"version", item.version}});
+  }
+  Put("servers/" + item.id, entry.dump());
+}
+
+void deployment::Unlist(size_t index) {
+  upstreams[index].is_listed = false;
+  Remove("servers/" + upstreams[index].id);
+}
+
+void deployment::ReadLog(upstream_state& item) {
+  std::string line;
+  item.lines.clear();
+  std::streampos begin = item.lines.tellg();
+  while (std::getline(item.lines, line) && !item.lines.eof()) {
+    begin = item.lines.tellg();
+    std::istringstream words(line);
+    std::string what;
+    words >> what;
+    if (what == "run") {
+      std::string id;
+      std::string workspace;
+      words >> id >> workspace;
+      ledger_.OnRun(id, workspace, item.id);
+    } else if (what == "order") {
+      std::string holder;
+      uint64_t fence = 0;
+      words >> holder >> fence >> item.version;
+      ledger_.OnOrder(item.id, holder, fence);
+    }
+  }
+  // A line that is not whole yet is read again.
+  item.lines.clear();
+  item.lines.seekg(begin);
+}
+
+void deployment::Tick() {
+  SendNextWrite();
+  for (upstream_state& item : upstreams) {
+    ReadLog(item);
+    const bool beats = item.is_listed && !item.is_paused &&
+                       processes.IsRunning(item.name) && writes_.size() < 64;
+    if (beats) {
+      List(item);
+    }
+  }
+  for (const std::string& ended : processes.Reap()) {
+    for (size_t i = 0; i < daemons.size(); ++i) {
+      if (daemons[i].name == ended) {
+        Disturb(i, true);
+        StartDaemon(i);
+        Disturb(i, false);
+      }
+    }
+  }
+}
+
+void deployment::PutConfiguration(bool has_second_credential) {
+  const auto route = [](const char* name, const char* kind, const char* service,
+                        int attempts, bool can_resume) {
+    return json{{"name", name},
+                {"host", "h"},
+                {"path-prefix", std::string("/") + name + "/"},
+                {"kind", kind},
+                {"timeout-ms", 2000},
+                {"goal-ms", 300},
+                {"priority", 1},
+                {"backend", service},
+                {"attempts", attempts},
+                {"can-resume", can_resume}};
+  };
+  json second = json::array({"key2"});
+  if (has_second_credential) {
+    second.push_back("key3");
+  }
+  const json document = {
+      {"version", ++configuration_},
+      {"routes",
+       {route("stream", "stream", "engines", 1, false),
+        route("resume", "stream", "engines", 3, true),
+        route("once", "non_idempotent", "orders", 1, false),
+        route("repeat", "idempotent", "orders", 2, false)}},
+      {"services",
+       {{{"name", "engines"},
+         {"max-conns", 500},
+         {"engine", {{"slots", 64}, {"models", {{{"name", "m"}}}}}}},
+        {{"name", "orders"}, {"max-conns", 500}}}},
+      {"limits",
+       {{"max-header-bytes", 16384},
+        {"max-body-bytes", 4194304},
+        {"header-timeout-ms", 3000},
+        {"idle-timeout-ms", 15000}}},
+      {"tenants",
+       {{{"name", "w1"}, {"api-keys", {"key1"}}, {"isolated", true}},
+        {{"name", "w2"}, {"api-keys", second}}}}};
+  Put("op/config", document.dump());
+}
+
+void deployment::NameWeights(int version) {
+  weights_ = version;
+  Put("op/version/m", json({{"model", "m"}, {"version", version}}).dump());
+}
+
+static std::string EncodeBase64(std::string_view text) {
+  static constexpr std::string_view kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string encoded;
+  for (size_t i = 0; i < text.size(); i += 3) {
+    uint32_t bits = 0;
+    for (size_t j = 0; j < 3; ++j) {
+      const auto byte =
+          i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0U;
+      bits = bits << 8 | byte;
+    }
+    for (size_t j = 0; j < 4; ++j) {
+      const bool is_padding = i + j > text.size();
+      encoded += is_padding ? '=' : kDigits[bits >> (18 - 6 * j) & 63];
+    }
+  }
+  return encoded;
+}
+
+void deployment::Put(const std::string& key, const std::string& value) {
+  Write(json({{"precondition", json::array()},
+              {"puts", {{{"key", key}, {"value", EncodeBase64(value)}}}},
+              {"remove", json::array()}})
+            .dump());
+}
+
+void deployment::Remove(const std::string& key) {
+  Write(json({{"precondition", json::array()},
+              {"puts", json::array()},
+              {"remove", {key}}})
+            .dump());
+}
+
+void deployment::Write(std::string body) {
+  writes_.push_back(std::move(body));
+  SendNextWrite();
+}
+
+void deployment::SendNextWrite() {
+  if (is_writing_ || writes_.empty()) {
+    return;
+  }
+  is_writing_ = true;
+  caller_.Call({.to = store_,
+                .method = http_method::kPost,
+                .path = "/kv-txn",
+                .headers = {},
+                .body = writes_.front(),
+                .idle_timeout = kWriteTimeout},
+               [this](const platform::json_answer& answer) {
+                 is_writing_ = false;
+                 // Without an answer it is written once more, in its place.
+                 if (answer.is_whole && answer.status == 200) {
+                   writes_.pop_front();
+                   SendNextWrite();
+                 }
+               });
+}
+
+void deployment::SetStoreFault(const std::string& mode) {
+  caller_.Call({.to = store_,
+                .method = http_method::kPost,
+                .path = "/fault?mode=" + mode,
+                .headers = {},
+                .body = {},
+                .idle_timeout = kWriteTimeout},
+               [](const platform::json_answer& /*answer*/) {});
+}
+
+void deployment::Disturb(size_t index, bool is_disturbed) {
+  daemons[index].is_disturbed = is_disturbed;
+  daemons[index].disturbed_at = std::chrono::steady_clock::now();
+}
+
+bool deployment::IsSound(const endpoint& front, wall_time since) const {
+  const auto found =
+      std::find_if(daemons.begin(), daemons.end(),
+                   [&](const daemon_state& item) { return item.front == front; });
+  return !found->is_disturbed && found->disturbed_at + kCalmAfter < since &&
+         processes.IsRunning(found->name);
+}
+
+}  // namespace cuminswitch::soak
--- /dev/null
+++ b/test/soak/deployment.h
@@ -0,0 +1,104 @@
+/// \file
+/// The system and its surroundings as processes on one machine.
+#ifndef CUMINSWITCH_TEST_SOAK_DEPLOYMENT_H_
+#define CUMINSWITCH_TEST_SOAK_DEPLOYMENT_H_
+
+#include <deque>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/json_call.h"
+#include "soak/fault_proxy.h"
+#include "soak/process_table.h"
+#include "soak/promise_ledger.h"
+
+namespace cuminswitch::soak {
+
+/// One daemon: where it serves, and since when nothing disturbs it.
+struct daemon_state {
+  std::string name;
+  endpoint front;
+  endpoint ready;
+  std::unique_ptr<fault_proxy> store;
+  std::string settings;
+  std::vector<std::string> command;
+  wall_time disturbed_at{};
+  bool is_disturbed = false;
+};
+
+/// One upstream: its present process, and what the store lists of it.
+struct upstream_state {
+  std::string name;
+  bool is_engine = false;
+  /// Of its process; the identity is the name and this.
+  int start = 0;
+  std::string id;
+  std::unique_ptr<fault_proxy> link;
+  std::string log;
+  std::ifstream lines;
+  int version = 1;
+  bool is_listed = false;
+  bool is_draining = false;
+  bool is_paused = false;
+  uint64_t beats = 0;
+};
+
+/// Starts everything, writes to the store as operators and upstreams would, and
+/// hands what upstreams print to the ledger.
+class deployment {
+ public:
+  struct options {
+    std::string build_folder;
+    std::string work_folder;
+    int daemons = 4;
+    int engines = 3;
+    int services = 2;
+  };
+
+  deployment(event_base* base, options opts, promise_ledger& ledger);
+
+  void StartDaemon(size_t index);
+  void StartUpstream(size_t index);
+  /// Removes the entry of an upstream that is gone.
+  void Unlist(size_t index);
+  /// Writes all entries that are due, reads logs, collects ended processes and
+  /// starts ended daemons again.
+  void Tick();
+  void PutConfiguration(bool has_second_credential);
+  void NameWeights(int version);
+  void SetStoreFault(const std::string& mode);
+  /// Notes that something is done to the daemon, or is over.
+  void Disturb(size_t index, bool is_disturbed);
+  bool IsSound(const endpoint& front, wall_time since) const;
+  int weights() const { return weights_; }
+
+  std::vector<daemon_state> daemons;
+  std::vector<upstream_state> upstreams;
+  process_table processes;
+
+ private:
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  void Write(std::string body);
+  void SendNextWrite();
+  void List(upstream_state& item);
+  void ReadLog(upstream_state& item);
+  endpoint AwaitListening(const std::string& log);
+  std::vector<uint16_t> FindPorts(size_t count);
+
+  event_base* base_;
+  options options_;
+  promise_ledger& ledger_;
+  platform::json_caller caller_;
+  endpoint store_;
+  std::deque<std::string> writes_;
+  bool is_writing_ = false;
+  uint64_t configuration_ = 0;
+  int weights_ = 1;
+};
+
+}  // namespace cuminswitch::soak
+
+#endif  // CUMINSWITCH_TEST_SOAK_DEPLOYMENT_H_
--- /dev/null
+++ b/test/soak/fault_proxy.cc
@@ -0,0 +1,168 @@
+#include "soak/fault_proxy.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <stdexcept>
+#include <utility>
+
+#include "cuminswitch/Net/loop_timer.h"
+#include "cuminswitch/Net/socket_address.h"
+
+namespace cuminswitch::soak {
+
+/// Longer than a round trip, shorter than any time-out of the system.
+static constexpr std::chrono::milliseconds kDelay{60};
+
+/// One connection and its counterpart to the target.
+class fault_proxy::link {
+ public:
+  link(event_base* base,
+       int fd,
+       const endpoint& target,
+       const link_fault& mode,
+       std::function<void()> on_over)
+      : mode_(mode),
+        on_over_(std::move(on_over)),
+        caller_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)),
+        target_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)),
+        timer_(base, [this] { Release(); }) {
+    for (bufferevent* side : {caller_, target_}) {
+      bufferevent_setcb(side, &link::OnRead, nullptr, &link::OnEvent, this);
+      bufferevent_enable(side, EV_READ | EV_WRITE);
+    }
+    const sockaddr_in address = ToSocketAddress(target);
+    bufferevent_socket_connect(target_,
+                               reinterpret_cast<const sockaddr*>(&address),
+                               sizeof(address));
+  }
+  link(const link&) = delete;
+  link& operator=(const link&) = delete;
+  ~link() {
+    bufferevent_free(caller_);
+    bufferevent_free(target_);
+  }
+
+  bool is_over() const { return is_over_; }
+  void Forget() { is_forgotten_ = true; }
+  void Pump() {
+    const bool is_silent = is_forgotten_ || mode_ == link_fault::kSilent;
+    if (is_silent || is_over_) {
+      return;
+    }
+    if (mode_ == link_fault::kDelay) {
+      timer_.Start(kDelay);
+      return;
+    }
+    Release();
+  }
+  void Reset() {
+    const linger abort{.l_onoff = 1, .l_linger = 0};
+    for (bufferevent* side : {caller_, target_}) {
+      setsockopt(bufferevent_getfd(side), SOL_SOCKET, SO_LINGER, &abort,
+                 sizeof(abort));
+    }
+    End();
+  }
+
+ private:
+  static void OnRead(bufferevent* /*side*/, void* self) {
+    static_cast<link*>(self)->Pump();
+  }
+  static void OnEvent(bufferevent* side, short what, void* self) {
+    auto& item = *static_cast<link*>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      return;
+    }
+    // The other side gets what is on its way, and then the end.
+    (side == item.caller_ ? item.caller_ended_ : item.target_ended_) = true;
+    item.Pump();
+  }
+  void Release() {
+    Move(caller_, target_);
+    if (mode_ == link_fault::kOneWay) {
+      evbuffer* dropped = bufferevent_get_input(target_);
+      evbuffer_drain(dropped, evbuffer_get_length(dropped));
+    } else {
+      Move(target_, caller_);
+    }
+    const bool is_flushed =
+        evbuffer_get_length(bufferevent_get_output(caller_)) == 0;
+    if (caller_ended_ || (target_ended_ && is_flushed)) {
+      End();
+    } else if (target_ended_) {
+      timer_.Start(std::chrono::milliseconds(1));
+    }
+  }
+  void End() {
+    is_over_ = true;
+    on_over_();
+  }
+  static void Move(bufferevent* from, bufferevent* to) {
+    bufferevent_write_buffer(to, bufferevent_get_input(from));
+  }
+
+  const link_fault& mode_;
+  std::function<void()> on_over_;
+  bufferevent* caller_;
+  bufferevent* target_;
+  loop_timer timer_;
+  bool caller_ended_ = false;
+  bool target_ended_ = false;
+  bool is_forgotten_ = false;
+  bool is_over_ = false;
+};
+
+fault_proxy::fault_proxy(event_base* base, const endpoint& target)
+    : base_(base), target_(target) {
+  const sockaddr_in any =
+      ToSocketAddress({.address = "127.0.0.1", .port = 0});
+  listener_ = evconnlistener_new_bind(
+      base,
+      [](evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*peer*/,
+         int /*size*/,
+         void* self) { static_cast<fault_proxy*>(self)->Accept(fd); },
+      this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<const sockaddr*>(&any),
+      sizeof(any));
+  if (listener_ == nullptr) {
+    throw std::runtime_error("a fault proxy cannot listen");
+  }
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  getsockname(evconnlistener_get_fd(listener_),
+              reinterpret_cast<sockaddr*>(&bound), &size);
+  address_ = {.address = "127.0.0.1", .port = ntohs(bound.sin_port)};
+}
+
+fault_proxy::~fault_proxy() {
+  evconnlistener_free(listener_);
+}
+
+void fault_proxy::Accept(int fd) {
+  links_.push_back(
+      std::make_unique<link>(base_, fd, target_, fault_, [this] {
+        // Not from within the link's own callback.
+        CallLater(base_, [this] {
+          links_.remove_if([](const auto& item) { return item->is_over(); });
+        });
+      }));
+}
+
+void fault_proxy::SetFault(link_fault fault) {
+  if (fault == link_fault::kReset || fault == link_fault::kForget) {
+    for (const auto& item : links_) {
+      fault == link_fault::kReset ? item->Reset() : item->Forget();
+    }
+    fault = link_fault::kNone;
+  }
+  fault_ = fault;
+  for (const auto& item : links_) {
+    item->Pump();
+  }
+}
+
+}  // namespace cuminswitch::soak
--- /dev/null
+++ b/test/soak/fault_schedule.cc
@@ -0,0 +1,206 @@
+#include "soak/fault_schedule.h"
+
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+namespace cuminswitch::soak {
+
+/// Between two things that are done.
+static constexpr int kLeastGapMs = 40;
+static constexpr int kMostGapMs = 450;
+/// The store's entries last so long without a sign of an upstream.
+static constexpr int kLapseMs = 1'200;
+
+fault_schedule::fault_schedule(event_base* base,
+                               uint64_t seed,
+                               deployment& target)
+    : base_(base),
+      random_(seed),
+      target_(target),
+      timer_(base, [this] { DoNext(); }) {}
+
+void fault_schedule::Start() {
+  DoNext();
+}
+
+void fault_schedule::Stop() {
+  is_stopped_ = true;
+  timer_.Cancel();
+  for (lasting& item : lasting_) {
+    if (!std::exchange(item.is_over, true)) {
+      item.end();
+    }
+  }
+  lasting_.clear();
+}
+
+void fault_schedule::Note(const std::string& what) const {
+  std::cout << "  fault: " << what << "\n";
+}
+
+void fault_schedule::EndLater(int least_ms, int most_ms, action end) {
+  lasting& item = lasting_.emplace_back();
+  item.end = std::move(end);
+  item.timer = std::make_unique<loop_timer>(base_, [&item] {
+    item.is_over = true;
+    item.end();
+  });
+  const auto span = static_cast<size_t>(most_ms - least_ms);
+  item.timer->Start(
+      std::chrono::milliseconds(least_ms + static_cast<int>(Pick(span + 1))));
+}
+
+void fault_schedule::DoNext() {
+  if (is_stopped_) {
+    return;
+  }
+  using step = void (fault_schedule::*)();
+  static constexpr std::array<step, 13> kSteps = {
+      &fault_schedule::KillDaemon,        &fault_schedule::StopDaemon,
+      &fault_schedule::PauseDaemon,       &fault_schedule::ReloadDaemon,
+      &fault_schedule::HarmStoreLink,     &fault_schedule::HarmUpstreamLink,
+      &fault_schedule::KillUpstream,      &fault_schedule::PauseUpstream,
+      &fault_schedule::DrainUpstream,     &fault_schedule::HarmStore,
+      &fault_schedule::PauseStore,        &fault_schedule::ChangeConfiguration,
+      &fault_schedule::NameWeights};
+  (this->*kSteps[Pick(kSteps.size())])();
+  timer_.Start(std::chrono::milliseconds(
+      kLeastGapMs + static_cast<int>(Pick(kMostGapMs - kLeastGapMs))));
+}
+
+void fault_schedule::KillDaemon() {
+  const size_t index = Pick(target_.daemons.size());
+  Note("SIGKILL to " + target_.daemons[index].name);
+  target_.Disturb(index, true);
+  target_.processes.Signal(target_.daemons[index].name, SIGKILL);
+}
+
+void fault_schedule::StopDaemon() {
+  const size_t index = Pick(target_.daemons.size());
+  const std::string name = target_.daemons[index].name;
+  Note("SIGTERM to " + name);
+  target_.Disturb(index, true);
+  target_.processes.Signal(name, SIGTERM);
+  // A process that does not end in its grace is killed.
+  EndLater(4'500, 4'500, [this, name] {
+    target_.processes.Signal(name, SIGCONT);
+    target_.processes.Signal(name, SIGKILL);
+  });
+}
+
+void fault_schedule::PauseDaemon() {
+  const size_t index = Pick(target_.daemons.size());
+  const std::string name = target_.daemons[index].name;
+  Note("SIGSTOP to " + name);
+  target_.Disturb(index, true);
+  target_.processes.Signal(name, SIGSTOP);
+  EndLater(200, 3'500, [this, name, index] {
+    target_.processes.Signal(name, SIGCONT);
+    target_.Disturb(index, false);
+  });
+}
+
+void fault_schedule::ReloadDaemon() {
+  const size_t index = Pick(target_.daemons.size());
+  Note("SIGHUP to " + target_.daemons[index].name);
+  target_.processes.Signal(target_.daemons[index].name, SIGHUP);
+}
+
+/// A fault that is not none.
+static link_fault AnyFault(size_t choice) {
+  return static_cast<link_fault>(1 + choice % (kLinkFaults - 1));
+}
+
+void fault_schedule::HarmStoreLink() {
+  const size_t index = Pick(target_.daemons.size());
+  fault_proxy& link = *target_.daemons[index].store;
+  const link_fault fault = AnyFault(Pick(kLinkFaults));
+  Note("store link of " + target_.daemons[index].name + ", kind " +
+       std::to_string(static_cast<int>(fault)));
+  link.SetFault(fault);
+  EndLater(200, 4'000, [&link] { link.SetFault(link_fault::kNone); });
+}
+
+void fault_schedule::HarmUpstreamLink() {
+  const size_t index = Pick(target_.upstreams.size());
+  fault_proxy& link = *target_.upstreams[index].link;
+  const link_fault fault = AnyFault(Pick(kLinkFaults));
+  Note("link of " + target_.upstreams[index].id + ", kind " +
+       std::to_string(static_cast<int>(fault)));
+  link.SetFault(fault);
+  EndLater(200, 2'500, [&link] { link.SetFault(link_fault::kNone); });
+}
+
+void fault_schedule::KillUpstream() {
+  const size_t index = Pick(target_.upstreams.size());
+  upstream_state& item = target_.upstreams[index];
+  if (!target_.processes.IsRunning(item.name) || !item.is_listed) {
+    return;
+  }
+  Note("SIGKILL to " + item.id);
+  target_.processes.Signal(item.name, SIGCONT);
+  target_.processes.Signal(item.name, SIGKILL);
+  EndLater(kLapseMs, 2 * kLapseMs, [this, index] {
+    target_.Unlist(index);
+    target_.StartUpstream(index);
+  });
+  item.is_listed = false;
+}
+
+void fault_schedule::PauseUpstream() {
+  upstream_state& item =
+      target_.upstreams[Pick(target_.upstreams.size())];
+  Note("SIGSTOP to " + item.id);
+  item.is_paused = true;
+  target_.processes.Signal(item.name, SIGSTOP);
+  EndLater(100, kLapseMs, [this, &item] {
+    item.is_paused = false;
+    target_.processes.Signal(item.name, SIGCONT);
+  });
+}
+
+void fault_schedule::DrainUpstream() {
+  upstream_state& item =
+      target_.upstreams[Pick(target_.upstreams.size())];
+  Note("drain " + item.id);
+  item.is_draining = true;
+  EndLater(500, 3'000, [&item] { item.is_draining = false; });
+}
+
+void fault_schedule::HarmStore() {
+  static constexpr std::array<const char*, 3> kModes = {"refuse", "silent",
+                                                        "lost"};
+  if (std::exchange(is_store_harmed_, true)) {
+    return;
+  }
+  const char* mode = kModes[Pick(kModes.size())];
+  Note(std::string("store ") + mode);
+  target_.SetStoreFault(mode);
+  EndLater(300, 3'000, [this] {
+    is_store_harmed_ = false;
+    target_.SetStoreFault("none");
+  });
+}
+
+void fault_schedule::PauseStore() {
+  Note("SIGSTOP to the store");
+  target_.processes.Signal("store", SIGSTOP);
+  EndLater(100, 1'500, [this] { target_.processes.Signal("store", SIGCONT); });
+}
+
+void fault_schedule::ChangeConfiguration() {
+  // A credential is used while it is in force for sure, long after it came.
+  may_use_second_ = false;
+  has_second_ = !has_second_;
+  Note(has_second_ ? "second credential added" : "second credential revoked");
+  target_.PutConfiguration(has_second_);
+}
+
+void fault_schedule::NameWeights() {
+  Note("weights " + std::to_string(target_.weights() + 1) + " named");
+  target_.NameWeights(target_.weights() + 1);
+}
+
+}  // namespace cuminswitch::soak
--- /dev/null
+++ b/test/soak/fault_schedule.h
@@ -0,0 +1,72 @@
+/// \file
+/// What is done to a deployment, and when, from a seed.
+#ifndef CUMINSWITCH_TEST_SOAK_FAULT_SCHEDULE_H_
+#define CUMINSWITCH_TEST_SOAK_FAULT_SCHEDULE_H_
+
+#include <functional>
+#include <list>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cuminswitch/Net/loop_timer.h"
+#include "soak/deployment.h"
+
+namespace cuminswitch::soak {
+
+/// Does one thing after another, each to a part chosen by the seed. Most of
+/// them last a while and overlap with those that follow.
+class fault_schedule {
+ public:
+  fault_schedule(event_base* base, uint64_t seed, deployment& target);
+
+  /// Begins to harm.
+  void Start();
+  /// Does nothing new, and ends all that still lasts.
+  void Stop();
+  /// Whether the second credential is in force without doubt.
+  bool MayUseSecondCredential() const { return may_use_second_; }
+
+ private:
+  using action = std::function<void()>;
+
+  void DoNext();
+  /// Runs \p end after a random time between \p least and \p most, or at `Stop`.
+  void EndLater(int least_ms, int most_ms, action end);
+  size_t Pick(size_t count) { return random_() % count; }
+  void Note(const std::string& what) const;
+
+  void KillDaemon();
+  void StopDaemon();
+  void PauseDaemon();
+  void ReloadDaemon();
+  void HarmStoreLink();
+  void HarmUpstreamLink();
+  void KillUpstream();
+  void PauseUpstream();
+  void DrainUpstream();
+  void HarmStore();
+  void PauseStore();
+  void ChangeConfiguration();
+  void NameWeights();
+
+  struct lasting {
+    std::unique_ptr<loop_timer> timer;
+    action end;
+    bool is_over = false;
+  };
+
+  event_base* base_;
+  std::mt19937_64 random_;
+  deployment& target_;
+  loop_timer timer_;
+  std::list<lasting> lasting_;
+  bool is_stopped_ = false;
+  bool has_second_ = true;
+  bool may_use_second_ = true;
+  bool is_store_harmed_ = false;
+};
+
+}  // namespace cuminswitch::soak
+
+#endif  // CUMINSWITCH_TEST_SOAK_FAULT_SCHEDULE_H_
--- /dev/null
+++ b/test/soak/promise_ledger.h
@@ -0,0 +1,87 @@
+/// \file
+/// What callers and upstreams saw, held against what is promised.
+#ifndef CUMINSWITCH_TEST_SOAK_PROMISE_LEDGER_H_
+#define CUMINSWITCH_TEST_SOAK_PROMISE_LEDGER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cuminswitch::soak {
+
+using wall_time = std::chrono::steady_clock::time_point;
+
+/// One request of a caller.
+struct sent_request {
+  std::string id;
+  std::string path;
+  std::string workspace;
+  wall_time sent_at{};
+  /// It may run at most once.
+  bool is_once = false;
+  bool is_stream = false;
+  /// Its upstream is to misbehave, so no success is owed.
+  bool is_spoilt = false;
+};
+
+/// How a request ended for its caller.
+struct seen_answer {
+  /// 0 when the connection ended without an answer's head.
+  uint32_t status = 0;
+  /// The answer says which request it is for.
+  std::string echoed_id;
+  std::string body;
+  /// The answer ended as complete.
+  bool is_whole = false;
+  bool has_retry_after = false;
+  /// The caller gave up waiting.
+  bool is_overdue = false;
+  /// The daemon lived undisturbed since a while before the request, so that
+  /// nothing excuses a missing answer.
+  bool is_daemon_sound = false;
+};
+
+/// Collects findings. Nothing here waits or guesses: each finding is a promise
+/// broken by what was seen.
+class promise_ledger {
+ public:
+  void OnSent(const sent_request& request);
+  void OnAnswer(const sent_request& request, const seen_answer& answer);
+  /// An upstream says that it ran a request.
+  void OnRun(const std::string& id,
+             const std::string& workspace,
+             const std::string& upstream);
+  /// An engine took an order.
+  void OnOrder(const std::string& upstream,
+               const std::string& holder,
+               uint64_t fence);
+  /// At the end, when nothing is on its way any more.
+  void Close();
+  void Find(const std::string& promise, const std::string& what);
+
+  const std::vector<std::string>& findings() const { return findings_; }
+  size_t served() const { return served_; }
+  size_t sent() const { return requests_.size(); }
+
+ private:
+  struct record {
+    sent_request request;
+    uint32_t runs = 0;
+    uint32_t told = 0;
+  };
+
+  void CheckSuccess(const sent_request& request, const seen_answer& answer);
+
+  std::map<std::string, record> requests_;
+  /// The last fence that each engine saw, and who held each fence.
+  std::map<std::string, uint64_t> fences_;
+  std::map<uint64_t, std::string> holders_;
+  std::vector<std::string> findings_;
+  size_t served_ = 0;
+};
+
+}  // namespace cuminswitch::soak
+
+#endif  // CUMINSWITCH_TEST_SOAK_PROMISE_LEDGER_H_
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -144,6 +144,26 @@
 }
 
 // Symptom: a caller takes half an answer for a whole one.
+// Symptom: a stream's caller gets an empty, closed connection, although the
+// daemon had read events for it.
+// Sequence: events and the break of the upstream's connection are read in one
+// turn of the loop; the events are written; the answer is aborted.
+// Cause: what was not yet in the kernel's hands was dropped with the connection.
+TEST_F(caller_server_test, AnAbortedAnswerBringsWhatWasThere) {
+  holds_ = true;
+  raw_socket caller(raw_socket::Connect(server_.Address()));
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(base_, [&] { return held_ != nullptr; }));
+  held_->SendHead(200, {}, {});
+  held_->SendBody("event");
+  held_->SetListener(nullptr);
+  held_->Abort();
+  const std::string reply = Ask(caller, "", "never");
+  EXPECT_NE(reply.find("5\r\nevent\r\n"), std::string::npos);
+  EXPECT_EQ(reply.find("0\r\n\r\n"), std::string::npos);
+  EXPECT_TRUE(caller.ended);
+}
+
 TEST_F(caller_server_test, AnAbortedAnswerHasNoEnd) {
   holds_ = true;
   raw_socket caller(raw_socket::Connect(server_.Address()));
