Let a soak's link lose a connection for good, and know which start it ends

Cause: the one-way link dropped bytes and then carried later ones of the same connection, which TCP never does; the kill after the grace met the next start.

--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -59,11 +59,12 @@
                     item.settings};
     std::ofstream(item.settings)
         << "node-name = \"" << item.name << "\"\nzone = \"z" << i % 2
-        << "\"\nseeds = [\"127.0.0.1:" << ports[3] << "\"]\n[listen]\nfront = \""
-        << item.front.ToString() << "\"\nready = \"" << item.ready.ToString()
-        << "\"\ndirectory = \"" << at(2).ToString() << "\"\ncontrol = \""
-        << at(3).ToString()
-        << "\"\n[bounds]\nlease-ms = 1000\ngrace-s = 4\n[provider]\naddress = \""
+        << "\"\nseeds = [\"127.0.0.1:" << ports[3]
+        << "\"]\n[listen]\nfront = \"" << item.front.ToString()
+        << "\"\nready = \"" << item.ready.ToString() << "\"\ndirectory = \""
+        << at(2).ToString() << "\"\ncontrol = \"" << at(3).ToString()
+        << "\"\n[bounds]\nlease-ms = 1000\ngrace-s = 4\n[provider]\naddress = "
+           "\""
         << item.store->address().ToString() << "\"\n";
     StartDaemon(i);
   }
@@ -74,8 +75,8 @@
   std::vector<int> sockets;
   constexpr int kStride = 97;
   for (int i = 0; i < kPorts && ports.size() < count; ++i) {
-    const auto port = static_cast<uint16_t>(
-        kFirstPort + (getpid() * kStride + i) % kPorts);
+    const auto port =
+        static_cast<uint16_t>(kFirstPort + (getpid() * kStride + i) % kPorts);
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     sockets.push_back(fd);
     const sockaddr_in address =
@@ -114,6 +115,10 @@
 
 void deployment::StartDaemon(size_t index) {
   daemon_state& item = daemons[index];
+  ++item.start;
+  item.is_ending = false;
+  item.pauses = 0;
+  item.disturbed_at = std::chrono::steady_clock::now();
   processes.Start(item.name, item.command,
                   options_.work_folder + "/" + item.name + ".log");
 }
@@ -201,9 +206,7 @@
   for (const std::string& ended : processes.Reap()) {
     for (size_t i = 0; i < daemons.size(); ++i) {
       if (daemons[i].name == ended) {
-        Disturb(i, true);
         StartDaemon(i);
-        Disturb(i, false);
       }
     }
   }
@@ -324,17 +327,29 @@
                [](const platform::json_answer& /*answer*/) {});
 }
 
-void deployment::Disturb(size_t index, bool is_disturbed) {
-  daemons[index].is_disturbed = is_disturbed;
-  daemons[index].disturbed_at = std::chrono::steady_clock::now();
+void deployment::EndDaemon(size_t index, int signal) {
+  daemons[index].is_ending = true;
+  processes.Signal(daemons[index].name, signal);
+}
+
+void deployment::PauseDaemon(size_t index) {
+  ++daemons[index].pauses;
+  processes.Signal(daemons[index].name, SIGSTOP);
+}
+
+void deployment::ResumeDaemon(size_t index) {
+  daemon_state& item = daemons[index];
+  item.pauses = std::max(0, item.pauses - 1);
+  item.disturbed_at = std::chrono::steady_clock::now();
+  processes.Signal(item.name, SIGCONT);
 }
 
 bool deployment::IsSound(const endpoint& front, wall_time since) const {
-  const auto found =
-      std::find_if(daemons.begin(), daemons.end(),
-                   [&](const daemon_state& item) { return item.front == front; });
-  return !found->is_disturbed && found->disturbed_at + kCalmAfter < since &&
-         processes.IsRunning(found->name);
+  const auto found = std::find_if(
+      daemons.begin(), daemons.end(),
+      [&](const daemon_state& item) { return item.front == front; });
+  return !found->is_ending && found->pauses == 0 &&
+         found->disturbed_at + kCalmAfter < since;
 }
 
 }  // namespace cuminswitch::soak
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -25,7 +25,12 @@
   std::string settings;
   std::vector<std::string> command;
   wall_time disturbed_at{};
-  bool is_disturbed = false;
+  /// It was told to end, or killed, and has not been started again.
+  bool is_ending = false;
+  /// Pauses that last.
+  int pauses = 0;
+  /// Of its process.
+  int start = 0;
 };
 
 /// One upstream: its present process, and what the store lists of it.
@@ -69,8 +74,10 @@
   void PutConfiguration(bool has_second_credential);
   void NameWeights(int version);
   void SetStoreFault(const std::string& mode);
-  /// Notes that something is done to the daemon, or is over.
-  void Disturb(size_t index, bool is_disturbed);
+  /// Sends a daemon a signal that ends it.
+  void EndDaemon(size_t index, int signal);
+  void PauseDaemon(size_t index);
+  void ResumeDaemon(size_t index);
   bool IsSound(const endpoint& front, wall_time since) const;
   int weights() const { return weights_; }
 
--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -36,9 +36,8 @@
       bufferevent_enable(side, EV_READ | EV_WRITE);
     }
     const sockaddr_in address = ToSocketAddress(target);
-    bufferevent_socket_connect(target_,
-                               reinterpret_cast<const sockaddr*>(&address),
-                               sizeof(address));
+    bufferevent_socket_connect(
+        target_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   }
   link(const link&) = delete;
   link& operator=(const link&) = delete;
@@ -84,7 +83,9 @@
   }
   void Release() {
     Move(caller_, target_);
-    if (mode_ == link_fault::kOneWay) {
+    // A connection that has lost bytes never carries later ones.
+    is_one_way_ = is_one_way_ || mode_ == link_fault::kOneWay;
+    if (is_one_way_) {
       evbuffer* dropped = bufferevent_get_input(target_);
       evbuffer_drain(dropped, evbuffer_get_length(dropped));
     } else {
@@ -114,13 +115,13 @@
   bool caller_ended_ = false;
   bool target_ended_ = false;
   bool is_forgotten_ = false;
+  bool is_one_way_ = false;
   bool is_over_ = false;
 };
 
 fault_proxy::fault_proxy(event_base* base, const endpoint& target)
     : base_(base), target_(target) {
-  const sockaddr_in any =
-      ToSocketAddress({.address = "127.0.0.1", .port = 0});
+  const sockaddr_in any = ToSocketAddress({.address = "127.0.0.1", .port = 0});
   listener_ = evconnlistener_new_bind(
       base,
       [](evconnlistener* /*listener*/, evutil_socket_t fd, sockaddr* /*peer*/,
@@ -143,13 +144,12 @@
 }
 
 void fault_proxy::Accept(int fd) {
-  links_.push_back(
-      std::make_unique<link>(base_, fd, target_, fault_, [this] {
-        // Not from within the link's own callback.
-        CallLater(base_, [this] {
-          links_.remove_if([](const auto& item) { return item->is_over(); });
-        });
-      }));
+  links_.push_back(std::make_unique<link>(base_, fd, target_, fault_, [this] {
+    // Not from within the link's own callback.
+    CallLater(base_, [this] {
+      links_.remove_if([](const auto& item) { return item->is_over(); });
+    });
+  }));
 }
 
 void fault_proxy::SetFault(link_fault fault) {
--- a/test/soak/fault_proxy.h
+++ b/test/soak/fault_proxy.h
@@ -21,7 +21,8 @@
   kDelay,
   /// Open connections are reset, new ones work: a fault of one moment.
   kReset,
-  /// What the target sends is dropped; the other direction works.
+  /// What the target sends is dropped, on these connections for good; the other
+  /// direction works.
   kOneWay,
   /// Nothing passes, and nothing is closed.
   kSilent,
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -10,6 +10,8 @@
 /// Between two things that are done.
 static constexpr int kLeastGapMs = 40;
 static constexpr int kMostGapMs = 450;
+/// From SIGTERM to SIGKILL; a little over the settings' grace.
+static constexpr int kGraceMs = 4'500;
 /// The store's entries last so long without a sign of an upstream.
 static constexpr int kLapseMs = 1'200;
 
@@ -58,12 +60,12 @@
   }
   using step = void (fault_schedule::*)();
   static constexpr std::array<step, 13> kSteps = {
-      &fault_schedule::KillDaemon,        &fault_schedule::StopDaemon,
-      &fault_schedule::PauseDaemon,       &fault_schedule::ReloadDaemon,
-      &fault_schedule::HarmStoreLink,     &fault_schedule::HarmUpstreamLink,
-      &fault_schedule::KillUpstream,      &fault_schedule::PauseUpstream,
-      &fault_schedule::DrainUpstream,     &fault_schedule::HarmStore,
-      &fault_schedule::PauseStore,        &fault_schedule::ChangeConfiguration,
+      &fault_schedule::KillDaemon,    &fault_schedule::StopDaemon,
+      &fault_schedule::PauseDaemon,   &fault_schedule::ReloadDaemon,
+      &fault_schedule::HarmStoreLink, &fault_schedule::HarmUpstreamLink,
+      &fault_schedule::KillUpstream,  &fault_schedule::PauseUpstream,
+      &fault_schedule::DrainUpstream, &fault_schedule::HarmStore,
+      &fault_schedule::PauseStore,    &fault_schedule::ChangeConfiguration,
       &fault_schedule::NameWeights};
   (this->*kSteps[Pick(kSteps.size())])();
   timer_.Start(std::chrono::milliseconds(
@@ -73,33 +75,27 @@
 void fault_schedule::KillDaemon() {
   const size_t index = Pick(target_.daemons.size());
   Note("SIGKILL to " + target_.daemons[index].name);
-  target_.Disturb(index, true);
-  target_.processes.Signal(target_.daemons[index].name, SIGKILL);
+  target_.EndDaemon(index, SIGKILL);
 }
 
 void fault_schedule::StopDaemon() {
   const size_t index = Pick(target_.daemons.size());
-  const std::string name = target_.daemons[index].name;
-  Note("SIGTERM to " + name);
-  target_.Disturb(index, true);
-  target_.processes.Signal(name, SIGTERM);
+  const int start = target_.daemons[index].start;
+  Note("SIGTERM to " + target_.daemons[index].name);
+  target_.EndDaemon(index, SIGTERM);
   // A process that does not end in its grace is killed.
-  EndLater(4'500, 4'500, [this, name] {
-    target_.processes.Signal(name, SIGCONT);
-    target_.processes.Signal(name, SIGKILL);
+  EndLater(kGraceMs, kGraceMs, [this, index, start] {
+    if (target_.daemons[index].start == start) {
+      target_.EndDaemon(index, SIGKILL);
+    }
   });
 }
 
 void fault_schedule::PauseDaemon() {
   const size_t index = Pick(target_.daemons.size());
-  const std::string name = target_.daemons[index].name;
-  Note("SIGSTOP to " + name);
-  target_.Disturb(index, true);
-  target_.processes.Signal(name, SIGSTOP);
-  EndLater(200, 3'500, [this, name, index] {
-    target_.processes.Signal(name, SIGCONT);
-    target_.Disturb(index, false);
-  });
+  Note("SIGSTOP to " + target_.daemons[index].name);
+  target_.PauseDaemon(index);
+  EndLater(200, 3'500, [this, index] { target_.ResumeDaemon(index); });
 }
 
 void fault_schedule::ReloadDaemon() {
@@ -150,8 +146,7 @@
 }
 
 void fault_schedule::PauseUpstream() {
-  upstream_state& item =
-      target_.upstreams[Pick(target_.upstreams.size())];
+  upstream_state& item = target_.upstreams[Pick(target_.upstreams.size())];
   Note("SIGSTOP to " + item.id);
   item.is_paused = true;
   target_.processes.Signal(item.name, SIGSTOP);
@@ -162,8 +157,7 @@
 }
 
 void fault_schedule::DrainUpstream() {
-  upstream_state& item =
-      target_.upstreams[Pick(target_.upstreams.size())];
+  upstream_state& item = target_.upstreams[Pick(target_.upstreams.size())];
   Note("drain " + item.id);
   item.is_draining = true;
   EndLater(500, 3'000, [&item] { item.is_draining = false; });
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -31,7 +31,8 @@
   using action = std::function<void()>;
 
   void DoNext();
-  /// Runs \p end after a random time between \p least and \p most, or at `Stop`.
+  /// Runs \p end after a random time between \p least and \p most, or at
+  /// `Stop`.
   void EndLater(int least_ms, int most_ms, action end);
   size_t Pick(size_t count) { return random_() % count; }
   void Note(const std::string& what) const;
--- a/test/soak/promise_ledger.cc
+++ b/test/soak/promise_ledger.cc
@@ -67,8 +67,8 @@
                             ? answer.body == WholeStream()
                             : answer.body.starts_with("answer of ");
   if (!is_right) {
-    Find("mixed", request.id + " got a wrong body that looks complete: " +
-                      answer.body);
+    Find("mixed",
+         request.id + " got a wrong body that looks complete: " + answer.body);
   }
 }
 
@@ -101,8 +101,8 @@
     const bool was_refused = item.told == 408 || item.told == 421 ||
                              item.told == 429 || item.told == 503;
     if (was_refused && item.request.is_once && item.runs > 0) {
-      Find("refused", id + " was told " + std::to_string(item.told) +
-                          " and ran");
+      Find("refused",
+           id + " was told " + std::to_string(item.told) + " and ran");
     }
   }
 }
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -107,8 +107,8 @@
             .seed = seed,
             .choose_daemon =
                 [this, next = seed]() mutable {
-                  return deployment_.daemons[next++ %
-                                             deployment_.daemons.size()]
+                  return deployment_
+                      .daemons[next++ % deployment_.daemons.size()]
                       .front;
                 },
             .is_sound =
@@ -169,6 +169,9 @@
                    "Where logs go; kept when a promise is broken", "FOLDER");
   parser.Parse(ArgumentsOf(argc, argv));
   std::signal(SIGPIPE, SIG_IGN);
+  if (std::filesystem::exists(options.work_folder)) {
+    throw usage_error(options.work_folder + " exists; its logs would be mixed");
+  }
   std::filesystem::create_directories(options.work_folder);
   soak_run run(options);
   const std::vector<std::string>& findings = run.Run();
--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -82,8 +82,8 @@
     Disconnect();
     return;
   }
-  static constexpr std::array<const char*, 4> kRoutes = {"/once/", "/repeat/",
-                                                         "/stream/", "/resume/"};
+  static constexpr std::array<const char*, 4> kRoutes = {
+      "/once/", "/repeat/", "/stream/", "/resume/"};
   static constexpr std::array<const char*, 3> kSpoilt = {"fail/", "cut/",
                                                          "refuse/"};
   const size_t route = random_() % kRoutes.size();
@@ -102,9 +102,11 @@
   ledger_.OnSent(request_);
   const std::string body = "order " + request_.id;
   const std::string text =
-      "POST " + request_.path + "x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " +
-      request_.id + "\r\nX-Deadline-Ms: " + std::to_string(kDeadline.count()) +
-      "\r\nX-Model: m\r\nX-Token-Usage: 100,10\r\nX-Prompt-Prefix: aa:50,bb:40," +
+      "POST " + request_.path +
+      "x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + request_.id +
+      "\r\nX-Deadline-Ms: " + std::to_string(kDeadline.count()) +
+      "\r\nX-Model: m\r\nX-Token-Usage: 100,10\r\nX-Prompt-Prefix: "
+      "aa:50,bb:40," +
       request_.id + ":10\r\nAuthorization: Token " + credential +
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   is_waiting_ = true;
@@ -160,8 +162,7 @@
   is_waiting_ = false;
   answer_.is_daemon_sound = options_.is_sound(daemon_, request_.sent_at);
   ledger_.OnAnswer(request_, answer_);
-  timer_.Start(
-      std::chrono::milliseconds(1 + random_() % kLongestPauseMs));
+  timer_.Start(std::chrono::milliseconds(1 + random_() % kLongestPauseMs));
 }
 
 void soak_caller::OnClosed() {
