Reset the connection of a cancelled call

Cause that the code shows: a cancelled call closed its connection in good order, so that what the link still held was delivered and ran. Ruled out: a request that waits in the daemon (it is refused after 3 s of waiting; the caller left after 4). Test: upstream_pool_test.ACancelledCallResetsItsConnection fails without it.

--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -96,6 +96,15 @@
              sizeof(kUserTimeoutMs));
 }
 
+void upstream_connection::Cancel() {
+  call_ = nullptr;
+  // A request that the link still holds would run although nobody waits for it;
+  // a reset drops it, an orderly close would deliver it.
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(bufferevent_getfd(stream_), SOL_SOCKET, SO_LINGER, &reset,
+             sizeof(reset));
+}
+
 void upstream_connection::SetReading(bool on) {
   if (on) {
     bufferevent_enable(stream_, EV_READ);
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -25,10 +25,10 @@
   upstream_connection& operator=(const upstream_connection&) = delete;
   ~upstream_connection() override;
 
-  /// Begins a call; its events go to \p call until the end or `Detach`.
+  /// Begins a call; its events go to \p call until the end or `Cancel`.
   void Send(const upstream_request& request, pooled_call& call);
-  /// Ends the interest of the present call.
-  void Detach() { call_ = nullptr; }
+  /// Cancels the present call. Bytes that are still on their way go no further.
+  void Cancel();
   void SetReading(bool on);
 
   const endpoint& to() const { return to_; }
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -89,7 +89,7 @@
 
 pooled_call::~pooled_call() {
   if (connection_ != nullptr) {
-    connection_->Detach();
+    connection_->Cancel();
     pool_.Release(std::move(connection_));
   }
 }
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -148,7 +148,8 @@
 // daemon had read events for it.
 // Sequence: events and the break of the upstream's connection are read in one
 // turn of the loop; the events are written; the answer is aborted.
-// Cause: what was not yet in the kernel's hands was dropped with the connection.
+// Cause: what was not yet in the kernel's hands was dropped with the
+// connection.
 TEST_F(caller_server_test, AnAbortedAnswerBringsWhatWasThere) {
   holds_ = true;
   raw_socket caller(raw_socket::Connect(server_.Address()));
--- a/unittests/Http1/loopback.h
+++ b/unittests/Http1/loopback.h
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <string>
@@ -59,6 +60,7 @@
       received.append(buffer, static_cast<size_t>(size));
     }
     ended = ended || size == 0 || (size < 0 && errno != EAGAIN);
+    was_reset = was_reset || (size < 0 && errno == ECONNRESET);
   }
   void Close() {
     if (fd_ >= 0) {
@@ -75,6 +77,7 @@
 
   std::string received;
   bool ended = false;
+  bool was_reset = false;
 
  private:
   int fd_;
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -173,5 +173,21 @@
   EXPECT_FALSE(handler_.end.has_value());
 }
 
+// Symptom: an upstream runs a request almost a second after its caller left.
+// Sequence: a request is sent; the link holds its bytes; the caller leaves and
+// the call is cancelled; the link carries the bytes after all.
+// Cause: the connection was closed in good order, so that what was not yet
+// delivered still was.
+TEST_F(upstream_pool_test, ACancelledCallResetsItsConnection) {
+  Begin();
+  Accept();
+  call_.reset();
+  RunUntil(base_, [&] {
+    upstream_->Poll();
+    return upstream_->ended;
+  });
+  EXPECT_TRUE(upstream_->was_reset);
+}
+
 }  // namespace
 }  // namespace cuminswitch
