Let the hosts with the widest links follow the store

On the grown deployments hosts have links of 10 or of 200 Mbit/s, and any of them could be one of the two of its failure domain that hand every change on to the others. A configuration of 250 KB for nine peers takes such a link for two seconds. The choice is a function of its own now, with tests.

--- /dev/null
+++ b/include/cuminswitch/Fleet/follower_choice.h
@@ -0,0 +1,25 @@
+/// \file
+/// Which daemons follow the store.
+#ifndef CUMINSWITCH_FLEET_FOLLOWER_CHOICE_H_
+#define CUMINSWITCH_FLEET_FOLLOWER_CHOICE_H_
+
+#include <span>
+
+namespace cuminswitch {
+
+struct daemon_record;
+
+/// Returns whether the daemon \p self follows the store by itself, where
+/// \p living are its peers. In a large fleet two daemons of each failure domain
+/// do, and the others learn from them: a fleet of 84 made 12,900 calls in 34 s
+/// when all did, and 2,100 with two a domain.
+///
+/// Each change goes from the followers to the others; on a link of 10 Mbit/s a
+/// configuration of 250 KB for nine peers holds up callers for two seconds. So
+/// the hosts with the widest links come first.
+bool FollowsStore(const daemon_record& self,
+                  std::span<const daemon_record> living);
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_FOLLOWER_CHOICE_H_
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -25,6 +25,8 @@
   endpoint peer_address;
   endpoint caller_address;
   std::string failure_domain;
+  /// Megabits per second of its link; 0 for not known.
+  uint32_t link_rate = 0;
   /// It has a configuration and takes callers.
   bool is_ready = false;
   bool is_leaving = false;
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -5,6 +5,7 @@
 
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Fleet/engine_control.h"
+#include "cuminswitch/Fleet/follower_choice.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
 #include "cuminswitch/Support/hash.h"
@@ -21,11 +22,6 @@
 static constexpr duration kLapsedTime = std::chrono::milliseconds(2300);
 /// What a peer said of that counts until its next beats would have come.
 static constexpr duration kAwaitsRepeat = std::chrono::milliseconds(400);
-/// In a fleet of up to this size each daemon follows the store; the calls are
-/// a few hundred in a minute.
-static constexpr size_t kFleetThatFollows = 12;
-/// Two, so that the loss of one is not noticed.
-static constexpr size_t kFollowersPerDomain = 2;
 /// Peers named in a beat; with one beat in four naming each, a newcomer knows
 /// a fleet of eighty within two rounds.
 static constexpr size_t kHeardPerBeat = 8;
@@ -283,17 +279,7 @@
 }
 
 void fleet_task::ChooseFollowers(time_point now) {
-  size_t before = 0;
-  size_t living = 1;
-  const uint64_t own = Hash64(options_.self.name);
-  for (const daemon_record& item : roster_.ListLiving(now)) {
-    ++living;
-    const bool is_first = item.failure_domain == options_.self.failure_domain &&
-                          !item.is_leaving && Hash64(item.name) < own;
-    before += is_first ? 1 : 0;
-  }
-  feed_.SetFollowing(living <= kFleetThatFollows ||
-                     before < kFollowersPerDomain);
+  feed_.SetFollowing(FollowsStore(options_.self, roster_.ListLiving(now)));
 }
 
 void fleet_task::KeepLapsed(time_point now, fleet_knowledge& knowledge) {
--- /dev/null
+++ b/lib/Fleet/follower_choice.cc
@@ -0,0 +1,33 @@
+#include "cuminswitch/Fleet/follower_choice.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cuminswitch/Fleet/peer_frame.h"
+#include "cuminswitch/Support/hash.h"
+
+namespace cuminswitch {
+
+/// In a fleet of up to this size each daemon follows the store; the calls are
+/// a few hundred in a minute.
+static constexpr size_t kFleetThatFollows = 12;
+/// Two, so that the loss of one is not noticed.
+static constexpr std::ptrdiff_t kFollowersPerDomain = 2;
+
+bool FollowsStore(const daemon_record& self,
+                  std::span<const daemon_record> living) {
+  if (living.size() + 1 <= kFleetThatFollows) {
+    return true;
+  }
+  const auto rank = [](const daemon_record& item) {
+    return std::pair(item.link_rate, Hash64(item.name));
+  };
+  const auto before = std::count_if(
+      living.begin(), living.end(), [&](const daemon_record& item) {
+        return item.failure_domain == self.failure_domain && !item.is_leaving &&
+               rank(item) > rank(self);
+      });
+  return before < kFollowersPerDomain;
+}
+
+}  // namespace cuminswitch
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -43,7 +43,7 @@
                sender.revision, out_.CreateVectorOfStrings(heard),
                out_.CreateVectorOfStrings(frame.changing),
                out_.CreateVectorOfStructs(loads),
-               out_.CreateVectorOfStructs(prefixes))
+               out_.CreateVectorOfStructs(prefixes), sender.link_rate)
         .Union();
   }
 
@@ -109,6 +109,7 @@
                               .peer_address = *peer_address,
                               .caller_address = *caller_address,
                               .failure_domain = wire.failure_domain()->str(),
+                              .link_rate = wire.link_rate(),
                               .is_ready = wire.is_ready(),
                               .is_leaving = wire.is_leaving(),
                               .has_store = wire.has_store(),
--- /dev/null
+++ b/unittests/Fleet/follower_choice_test.cc
@@ -0,0 +1,62 @@
+// Which daemons follow the store.
+#include "cuminswitch/Fleet/follower_choice.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "cuminswitch/Fleet/peer_frame.h"
+
+namespace cuminswitch {
+namespace {
+
+std::vector<daemon_record> MakeFleet(int size) {
+  std::vector<daemon_record> fleet;
+  for (int i = 0; i < size; ++i) {
+    fleet.push_back({.name = "d" + std::to_string(i),
+                     .failure_domain = "x" + std::to_string(i % 2),
+                     .link_rate = 10});
+  }
+  return fleet;
+}
+
+std::vector<std::string> Followers(const std::vector<daemon_record>& fleet) {
+  std::vector<std::string> names;
+  for (const daemon_record& self : fleet) {
+    std::vector<daemon_record> others = fleet;
+    std::erase_if(others, [&](const daemon_record& item) {
+      return item.name == self.name;
+    });
+    if (FollowsStore(self, others)) {
+      names.push_back(self.name);
+    }
+  }
+  return names;
+}
+
+TEST(follower_choice_test, AllFollowInASmallFleet) {
+  EXPECT_EQ(Followers(MakeFleet(12)).size(), 12U);
+}
+
+TEST(follower_choice_test, TwoOfEachDomainFollowInALargeFleet) {
+  EXPECT_EQ(Followers(MakeFleet(40)).size(), 4U);
+}
+
+// Symptom: callers of one host wait for seconds after each change of the
+// configuration.
+// Cause: a host with a link of 10 Mbit/s followed the store for twenty others.
+TEST(follower_choice_test, HostsWithWideLinksComeFirst) {
+  std::vector<daemon_record> fleet = MakeFleet(40);
+  for (const size_t wide : {4U, 5U, 6U, 7U}) {
+    fleet[wide].link_rate = 200;
+  }
+  EXPECT_EQ(Followers(fleet),
+            (std::vector<std::string>{"d4", "d5", "d6", "d7"}));
+  fleet[4].is_leaving = true;
+  EXPECT_EQ(Followers(fleet).size(), 5U) << "the leaving one still follows";
+}
+
+}  // namespace
+}  // namespace cuminswitch
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -19,6 +19,7 @@
                      .peer_address = {"10.0.0.1", 1},
                      .caller_address = {"10.0.0.1", 2},
                      .failure_domain = "d",
+                     .link_rate = 200,
                      .is_ready = true,
                      .has_store = true,
                      .revision = 9},
@@ -35,6 +36,7 @@
   EXPECT_EQ(beat.sender.name, "a");
   EXPECT_EQ(beat.sender.incarnation, 7U);
   EXPECT_EQ(beat.sender.caller_address, (endpoint{"10.0.0.1", 2}));
+  EXPECT_EQ(beat.sender.link_rate, 200U);
   EXPECT_TRUE(beat.sender.is_ready);
   EXPECT_FALSE(beat.sender.is_leaving);
   EXPECT_TRUE(beat.sender.has_store);
