--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -12,6 +12,7 @@
 #include "cuminswitch/Core/request_router.h"
 #include "cuminswitch/Edge/edge_metrics.h"
 #include "cuminswitch/Edge/edge_protocol.h"
+#include "cuminswitch/Edge/graceful_stop.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Http1/caller_server.h"
@@ -96,8 +97,6 @@
   uint32_t CheckRequest(const caller_request& request,
                         const route_spec*& route,
                         const workspace_plan*& workspace) const;
-  /// Whether a stopping daemon can still see the request to its end.
-  bool EndsInTime(const caller_request& request, const route_spec& route) const;
   void BeginFlow(caller_exchange& exchange,
                  caller_request request,
                  const route_spec& route,
@@ -129,8 +128,7 @@
   std::unordered_map<request_id, std::unique_ptr<request_flow>> flows_;
   request_id next_request_ = 0;
   edge_metrics metrics_;
-  bool is_stopping_ = false;
-  time_point stopping_since_{};
+  graceful_stop stop_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -9,6 +9,7 @@
 
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Fleet/item_feed.h"
+#include "cuminswitch/Fleet/lapsed_upstreams.h"
 #include "cuminswitch/Fleet/leader_election.h"
 #include "cuminswitch/Fleet/peer_roster.h"
 #include "cuminswitch/Fleet/placement_news.h"
@@ -63,15 +64,10 @@
   void OnTick();
   void OnItemsChanged();
   void Publish(const std::shared_ptr<const fleet_knowledge>& decoded);
-  /// Notes whether the store that this daemon has lost serves others.
-  void JudgeStore(time_point now, const daemon_record& peer);
+  store_contact Contact() const;
   /// In a large fleet a few daemons of each failure domain follow the store for
   /// the others.
   void ChooseFollowers(time_point now);
-  /// Until when entries that went are kept; in the past for not at all.
-  time_point AwaitsEntriesUntil(time_point now) const;
-  /// Keeps upstreams whose entry went with the store's trouble.
-  void KeepLapsed(time_point now, fleet_knowledge& knowledge);
   void RegisterSelf();
   void SendBeat(const endpoint& to);
   void Announce();
@@ -83,12 +79,6 @@
   void OnEngineReport(const rollout_step& step,
                       const std::optional<engine_report>& report);
 
-  /// An upstream that is missing from the store.
-  struct lapsed_upstream {
-    upstream_entry entry;
-    time_point until{};
-  };
-
   const kernel& services_;
   options options_;
   parts with_;
@@ -101,16 +91,12 @@
   loop_timer rollout_timer_;
   std::shared_ptr<const fleet_knowledge> decoded_;
   std::shared_ptr<const fleet_knowledge> knowledge_;
-  std::vector<lapsed_upstream> lapsed_;
+  lapsed_upstreams lapsed_;
   std::vector<upstream_backlog> own_backlogs_;
   placement_news placement_news_;
   std::vector<std::string> leader_changing_;
   std::vector<std::string> published_changing_;
   time_point leader_changing_at_{};
-  /// While this daemon had lost the store, the store served another one.
-  bool store_served_others_ = false;
-  /// A peer said of late that entries may be missing.
-  time_point peer_awaits_until_{};
   std::vector<std::string> published_peers_;
   time_point asked_at_{};
   time_point next_registration_{};
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -20,15 +20,6 @@
 static constexpr duration kIdleTickInterval = std::chrono::milliseconds(250);
 /// When to come back to a daemon that knows no configuration yet.
 static constexpr duration kStartRetryAfter = std::chrono::milliseconds(500);
-/// Callers keep an address answer for two seconds, some of them three times as
-/// long; until then they open connections here.
-static constexpr duration kLongestAddressUse = std::chrono::milliseconds(6200);
-/// Left of the grace when the process ends at the latest.
-static constexpr duration kExitMargin = std::chrono::milliseconds(400);
-/// A request that comes this late to a stopping daemon is taken only if its
-/// deadline passes before the process ends; the end would cut it in two.
-static constexpr duration kLatestUnboundedStart =
-    std::chrono::milliseconds(2700);
 /// When to come back after that, to another daemon.
 static constexpr duration kElsewhereRetryAfter = std::chrono::milliseconds(50);
 static constexpr duration kStopTickInterval = std::chrono::milliseconds(100);
@@ -89,7 +80,8 @@
       router_(RouterOptions(opts), *this),
       pool_(base),
       tick_timer_(base, [this] { OnTick(); }),
-      stop_timer_(base, [this] { OnStopTick(); }) {}
+      stop_timer_(base, [this] { OnStopTick(); }),
+      stop_(opts.grace) {}
 
 edge_task::~edge_task() {
   *alive_ = false;
@@ -117,7 +109,8 @@
 }
 
 bool edge_task::IsReady() const {
-  return knowledge_ != nullptr && knowledge_->plan != nullptr && !is_stopping_;
+  return knowledge_ != nullptr && knowledge_->plan != nullptr &&
+         !stop_.HasBegun();
 }
 
 std::vector<daemon_record> edge_task::ListServing() const {
@@ -224,22 +217,13 @@
   return workspace == nullptr ? kUnauthorized : 0;
 }
 
-bool edge_task::EndsInTime(const caller_request& request,
-                           const route_spec& route) const {
-  if (!is_stopping_) {
-    return true;
-  }
-  const duration elapsed = ReadBootClock() - stopping_since_;
-  return elapsed < kLatestUnboundedStart ||
-         elapsed + PatienceOf(request, route) < options_.grace - kExitMargin;
-}
-
 void edge_task::OnRequest(caller_exchange& exchange) {
   caller_request request = with_.protocol.ReadRequest(exchange.Head());
   const route_spec* route = nullptr;
   const workspace_plan* workspace = nullptr;
   uint32_t status = CheckRequest(request, route, workspace);
-  if (status == 0 && !EndsInTime(request, *route)) {
+  if (status == 0 &&
+      !stop_.MayTake(ReadBootClock(), PatienceOf(request, *route))) {
     status = kUnavailable;
   }
   if (status == 0) {
@@ -259,7 +243,7 @@
   http_headers headers;
   if (status == kUnavailable) {
     headers.push_back(
-        RetryAfter(is_stopping_ ? kElsewhereRetryAfter : kStartRetryAfter));
+        RetryAfter(stop_.HasBegun() ? kElsewhereRetryAfter : kStartRetryAfter));
   }
   Reply(exchange, status, headers, {}, false);
 }
@@ -498,11 +482,10 @@
 }
 
 void edge_task::BeginStop() {
-  if (is_stopping_) {
+  if (stop_.HasBegun()) {
     return;
   }
-  is_stopping_ = true;
-  stopping_since_ = ReadBootClock();
+  stop_.Begin(ReadBootClock());
   with_.log.Write(log_class::kLifecycle,
                   log_line("stopping").Add("requests", flows_.size()));
   server_->BeginDrain();
@@ -511,15 +494,11 @@
 }
 
 void edge_task::OnStopTick() {
-  const duration elapsed = ReadBootClock() - stopping_since_;
-  const bool is_closed = elapsed >= kLongestAddressUse;
-  if (is_closed) {
+  const time_point now = ReadBootClock();
+  if (stop_.IsForgotten(now)) {
     server_->CloseIdle();
   }
-  // An answer that has ended may still be on its way to its caller.
-  const bool is_done =
-      is_closed && flows_.empty() && server_->connection_count() == 0;
-  if (is_done || elapsed >= options_.grace - kExitMargin) {
+  if (stop_.IsOver(now, flows_.size(), server_->connection_count())) {
     with_.log.Write(log_class::kLifecycle,
                     log_line("stopped").Add("requests", flows_.size()));
     with_.log.Flush();
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -9,19 +9,11 @@
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
 #include "cuminswitch/Support/hash.h"
+#include "store_constants.h"
 
 namespace cuminswitch {
 
-/// A daemon whose store answered within this time learns news from the store;
-/// otherwise it asks a peer that knows more.
-static constexpr duration kStoreFresh = std::chrono::milliseconds(1400);
 static constexpr duration kAskInterval = std::chrono::milliseconds(200);
-/// The store drops the entries of upstreams that it did not hear while it was
-/// away; those that live are back about two seconds after its return, and one
-/// that is still missing then is gone.
-static constexpr duration kLapsedTime = std::chrono::milliseconds(2300);
-/// What a peer said of that counts until its next beats would have come.
-static constexpr duration kAwaitsRepeat = std::chrono::milliseconds(400);
 /// Peers named in a beat; with one beat in four naming each, a newcomer knows
 /// a fleet of eighty within two rounds.
 static constexpr size_t kHeardPerBeat = 8;
@@ -116,10 +108,7 @@
 void fleet_task::OnBeat(const beat_frame& beat) {
   const time_point now = ReadBootClock();
   const bool is_news = roster_.OnBeat(now, beat);
-  JudgeStore(now, beat.sender);
-  if (beat.sender.awaits_entries) {
-    peer_awaits_until_ = now + kAwaitsRepeat;
-  }
+  lapsed_.OnPeer(now, Contact(), beat.sender);
   if (!beat.changing.empty()) {
     leader_changing_ = beat.changing;
     leader_changing_at_ = now;
@@ -135,18 +124,6 @@
   AskPeers(now);
 }
 
-void fleet_task::JudgeStore(time_point now, const daemon_record& peer) {
-  if (!feed_.IsLost()) {
-    return;
-  }
-  // At first a peer may not have noticed yet.
-  if (now - feed_.lost_at() < kStoreFresh + 2 * peer_roster::kBeatInterval) {
-    store_served_others_ = false;
-  } else if (peer.has_store) {
-    store_served_others_ = true;
-  }
-}
-
 void fleet_task::OnItemsRequest(const items_request_frame& request) {
   const item_view& view = feed_.view();
   const bool is_complete = !view.RemembersSince(request.after);
@@ -163,7 +140,7 @@
   daemon_record self = options_.self;
   self.revision = feed_.view().revision();
   self.has_store = feed_.IsFresh(now, kStoreFresh);
-  self.awaits_entries = AwaitsEntriesUntil(now) > now;
+  self.awaits_entries = lapsed_.AwaitsUntil(now, Contact()) > now;
   beat_frame beat{.sender = self,
                   .heard = {},
                   .changing = {},
@@ -199,7 +176,7 @@
   ChooseFollowers(now);
   AskPeers(now);
   RegisterSelf();
-  if (!lapsed_.empty()) {
+  if (!lapsed_.IsEmpty()) {
     Publish(decoded_);
   }
   RunRollout(now);
@@ -268,45 +245,17 @@
   }
 }
 
-time_point fleet_task::AwaitsEntriesUntil(time_point now) const {
-  // A store that only turned this daemon away has heard the upstreams, and
-  // what went from it is gone: a request there would come too late.
-  const bool was_away = feed_.IsFollowing() && !feed_.IsLost() &&
-                        !store_served_others_ &&
-                        feed_.regained_at() != time_point();
-  const time_point own = was_away ? feed_.regained_at() + kLapsedTime : now;
-  return std::max(own, peer_awaits_until_);
+store_contact fleet_task::Contact() const {
+  return {.is_following = feed_.IsFollowing(),
+          .is_lost = feed_.IsLost(),
+          .lost_at = feed_.lost_at(),
+          .regained_at = feed_.regained_at()};
 }
 
 void fleet_task::ChooseFollowers(time_point now) {
   feed_.SetFollowing(FollowsStore(options_.self, roster_.ListLiving(now)));
 }
 
-void fleet_task::KeepLapsed(time_point now, fleet_knowledge& knowledge) {
-  const auto is_listed = [&](const upstream_entry& entry) {
-    return std::any_of(
-        knowledge.upstreams.begin(), knowledge.upstreams.end(),
-        [&](const upstream_entry& other) { return other.id == entry.id; });
-  };
-  const time_point until = AwaitsEntriesUntil(now);
-  if (knowledge_ != nullptr && now < until) {
-    for (const upstream_entry& entry : knowledge_->upstreams) {
-      const bool is_kept = std::any_of(
-          lapsed_.begin(), lapsed_.end(),
-          [&](const auto& item) { return item.entry.id == entry.id; });
-      if (!is_listed(entry) && !is_kept && !entry.is_draining) {
-        lapsed_.push_back({.entry = entry, .until = until});
-      }
-    }
-  }
-  std::erase_if(lapsed_, [&](const lapsed_upstream& item) {
-    return now >= item.until || is_listed(item.entry);
-  });
-  for (const lapsed_upstream& item : lapsed_) {
-    knowledge.upstreams.push_back(item.entry);
-  }
-}
-
 static void LogKnowledge(event_log& log, const fleet_knowledge& knowledge) {
   log_line line("knowledge_changed");
   line.Add("revision", knowledge.revision)
@@ -334,7 +283,7 @@
 void fleet_task::Publish(
     const std::shared_ptr<const fleet_knowledge>& decoded) {
   auto next = std::make_shared<fleet_knowledge>(*decoded);
-  KeepLapsed(ReadBootClock(), *next);
+  lapsed_.Keep(ReadBootClock(), Contact(), knowledge_.get(), *next);
   if (knowledge_ != nullptr && knowledge_->plan == next->plan &&
       knowledge_->upstreams == next->upstreams &&
       knowledge_->wanted_weights == next->wanted_weights &&
