Let the stand-in of a plain service lose an answer

Without it a soak did not find a daemon that repeats what may have run: services answered within the same millisecond, and no break came between run and answer.

--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -2,7 +2,8 @@
 // events and changes its weights by order, or a plain service. Each request
 // that it runs is told on standard output as `run ATTEMPT WORKSPACE SALT`.
 // Parts of a request's path make it misbehave: `/refuse/` (not run), `/fail/`
-// (runs and fails), `/cut/` (stops in the middle), `/hang/` (no answer).
+// (runs and fails), `/cut/` (an engine stops in the middle of its answer, a plain
+// service runs the request and closes without one), `/hang/` (no answer).
 #include <event2/event.h>
 
 #include <chrono>
@@ -116,6 +117,8 @@
       hanging_.push_back(exchange);
     } else if (has("/fail/")) {
       exchange->Reply(500, kJson, "{}", AnswerHeaders(*exchange));
+    } else if (options_.model.empty() && has("/cut/")) {
+      exchange->Abort();
     } else if (options_.model.empty()) {
       exchange->Reply(200, "text/plain", "answer of " + options_.id,
                       AnswerHeaders(*exchange));
