--- /dev/null
+++ b/utils/soak.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Runs the fault soak for seeds, a few at a time, and prints what each found.
+# The logs of a seed that broke a promise stay in WORK.
+#
+#   utils/soak.sh FIRST LAST [SECONDS [AT_A_TIME]]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+first=$1 last=$2 seconds=${3:-10} at_a_time=${4:-4}
+BUILD=${BUILD:-build}
+WORK=${WORK:-$(mktemp -d)}
+run_seed() {
+  "$BUILD/test/soak" --seed "$1" --seconds "$2" --build "$BUILD" \
+    --work "$WORK/seed-$1" | grep -v "^  fault:"
+}
+export BUILD WORK
+export -f run_seed
+if seq "$first" "$last" |
+  xargs -P "$at_a_time" -I{} bash -c "set -o pipefail; run_seed {} $seconds"; then
+  rmdir "$WORK"
+else
+  echo "logs are in $WORK" >&2
+  exit 1
+fi
