Count those ahead when a request is refused, and test the new parts

A request behind others was only looked at once it came near the front of the wait: it is refused on arrival now, with the wait of those ahead in the estimate. Tests for the copy budget, the homes of prefixes, the usual wait, and the router's refusals.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -166,14 +166,18 @@
   void ReleaseStart(const request& item, action_list& out) const;
   void Admit(time_point now, request& item, action_list& out);
   void Enqueue(time_point now, request& item, action_list& out);
+  /// Whether a request may be sent now, or only after others that wait.
+  enum class turn : uint8_t { kNow, kAfterOthers };
   /// Returns whether the request needs no further placing: it was sent, or
   /// refused.
-  bool TryPlace(time_point now, request& item, action_list& out);
+  bool TryPlace(time_point now, request& item, turn at, action_list& out);
   /// Refuses the request if its answer would come too late to be worth the
-  /// work that it takes from others.
+  /// work that it takes from others. It waits \p ahead seconds before it can be
+  /// sent to the replica \p chosen.
   bool ShedIfLate(time_point now,
                   const request& item,
                   const placement& chosen,
+                  double ahead,
                   action_list& out);
   void Dispatch(time_point now,
                 request& item,
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -179,7 +179,8 @@
 void request_router::Admit(time_point now, request& item, action_list& out) {
   item.at = stage::kWaiting;
   // A newcomer does not pass those that wait already and are as urgent.
-  if (queue_.CountAhead(MakeWaiting(item)) == 0 && TryPlace(now, item, out)) {
+  const bool is_first = queue_.CountAhead(MakeWaiting(item)) == 0;
+  if (TryPlace(now, item, is_first ? turn::kNow : turn::kAfterOthers, out)) {
     return;
   }
   Enqueue(now, item, out);
@@ -243,6 +244,7 @@
 bool request_router::ShedIfLate(time_point now,
                                 const request& item,
                                 const placement& chosen,
+                                double ahead,
                                 action_list& out) {
   // What has been sent once has its part of the work done, or a repeat granted.
   if (item.arrivals > 0 || item.info.prompt_tokens == 0) {
@@ -255,8 +257,9 @@
       replicas_[chosen.index].prefill_rate;
   const shed_question question{
       .waited = now - (item.deadline - item.info.time_limit),
-      .expected = FromSeconds(
-          replicas_.EstimateQueueSeconds(now, chosen.index) + room + computing),
+      .expected =
+          FromSeconds(ahead + room + computing +
+                      replicas_.EstimateQueueSeconds(now, chosen.index)),
       .target = item.info.target_latency,
       .longest_silence = item.info.longest_silence,
       .priority = PriorityOf(item)};
@@ -276,7 +279,10 @@
   return true;
 }
 
-bool request_router::TryPlace(time_point now, request& item, action_list& out) {
+bool request_router::TryPlace(time_point now,
+                              request& item,
+                              turn at,
+                              action_list& out) {
   if (!item.counted && !limiter_.HasRoom(now, item.workspace_hash,
                                          item.workspace->max_in_flight)) {
     return false;
@@ -298,9 +304,14 @@
                        .failure_domain = options_.self.failure_domain,
                        .copy_rate = CopyRate(item),
                        .reuse_weight = ReuseWeight(item)});
-  if (ShedIfLate(now, item, chosen, out)) {
+  // Those ahead of it go to the same replicas.
+  const double ahead = at == turn::kNow ? 0 : EstimateWaitSeconds(now, item);
+  if (ShedIfLate(now, item, chosen, ahead, out)) {
     return true;
   }
+  if (at == turn::kAfterOthers) {
+    return false;
+  }
   if (chosen.must_wait) {
     replicas_.CountQueued(chosen.index);
     return false;
@@ -315,7 +326,7 @@
     return;
   }
   queue_.Drain([&](const waiting_request& waiting) {
-    return TryPlace(now, requests_.at(waiting.request), out);
+    return TryPlace(now, requests_.at(waiting.request), turn::kNow, out);
   });
 }
 
--- a/unittests/Core/request_router_test.cc
+++ b/unittests/Core/request_router_test.cc
@@ -209,5 +209,58 @@
   EXPECT_TRUE(router_.IsIdle());
 }
 
+// Symptom: on a day of too much load nearly all answers are late.
+// Sequence: requests arrive faster than the replicas compute; each is taken.
+// Cause: only what waited past its deadline was refused.
+TEST_F(request_router_test, WhatWouldBeServedTooLateIsRefusedAtOnce) {
+  // Ten requests a second are served for a while.
+  for (request_id id = 1'000; id < 1'100; ++id) {
+    Arrive(id);
+    now_ += std::chrono::milliseconds(100);
+    End(Take<dispatch_attempt>()->attempt, outcome::kAnswered, true);
+  }
+  int refused = 0;
+  for (request_id id = 1; id <= 200; ++id) {
+    router_.OnRequest(now_,
+                      {.request = id,
+                       .workspace = "v",
+                       .target = "m",
+                       .levels = {{.hash = id, .tokens = 1000}},
+                       .prompt_tokens = 1000,
+                       .time_limit = std::chrono::seconds(60),
+                       .target_latency = std::chrono::milliseconds(300),
+                       .longest_silence = std::chrono::seconds(4)},
+                      out_);
+    if (const auto answer = Take<answer_request>()) {
+      ++refused;
+      EXPECT_EQ(answer->result, outcome::kNotRun);
+      EXPECT_EQ(answer->status, 429U);
+      EXPECT_GT(answer->retry_after, duration(0));
+      EXPECT_GT(id, 4U) << "there was room";
+    }
+  }
+  EXPECT_GT(refused, 100);
+  EXPECT_EQ(router_.counters().shed, static_cast<uint64_t>(refused));
+}
+
+TEST_F(request_router_test, WithoutATargetRequestsWait) {
+  for (request_id id = 1; id <= 200; ++id) {
+    Arrive(id);
+  }
+  EXPECT_FALSE(Take<answer_request>());
+}
+
+// Symptom: 502 for a request whose engine was about to answer.
+// Cause: a silent attempt was broken off with nowhere else to go.
+TEST_F(request_router_test, KnowsWhetherASilentAttemptCanGoElsewhere) {
+  Arrive(1);
+  ASSERT_TRUE(Take<dispatch_attempt>());
+  EXPECT_TRUE(router_.CanPlaceElsewhere(now_, 1));
+  EXPECT_FALSE(router_.CanPlaceElsewhere(now_, 2)) << "not known";
+  router_.OnUpstreamReport(now_, {.upstream = "a", .reachable = false}, out_);
+  router_.OnUpstreamReport(now_, {.upstream = "b", .reachable = false}, out_);
+  EXPECT_FALSE(router_.CanPlaceElsewhere(now_, 1)) << "no other replica";
+}
+
 }  // namespace
 }  // namespace cuminswitch
--- a/unittests/Routing/cache_planner_test.cc
+++ b/unittests/Routing/cache_planner_test.cc
@@ -22,9 +22,14 @@
               .cache_stores = {{.address = kStore, .copy_rate = 1e6}}};
     configuration config;
     config.models = {model_};
-    config.upstreams = {
-        {.name = "a", .address = {"10.0.0.1", 1}, .serves = {"m"}},
-        {.name = "b", .address = {"10.0.0.2", 1}, .serves = {"m"}}};
+    config.upstreams = {{.name = "a",
+                         .address = {"10.0.0.1", 1},
+                         .failure_domain = "x",
+                         .serves = {"m"}},
+                        {.name = "b",
+                         .address = {"10.0.0.2", 1},
+                         .failure_domain = "y",
+                         .serves = {"m"}}};
     replicas_.Reconfigure(now_, config);
     Report("a", "2");
     Report("b", "2");
@@ -104,5 +109,29 @@
       << "what is known is known of the newest weights only";
 }
 
+// Symptom: a store's link carries half of what it could.
+// Cause: a prefix was kept by a store in another failure domain than its home,
+// and each copy took the link for twice as long.
+TEST_F(cache_planner_test, APrefixIsKeptNearItsHome) {
+  const endpoint near_a{"10.0.0.8", 8};
+  const endpoint near_b{"10.0.0.9", 9};
+  model_.cache_stores = {{.address = near_a, .failure_domain = "x"},
+                         {.address = near_b, .failure_domain = "y"}};
+  const bool is_at_a = *replicas_.HomeOf("m", 7) == 0;
+  EXPECT_EQ(Plan(0).source, is_at_a ? near_a : near_b);
+  EXPECT_EQ(Plan(1).source, is_at_a ? near_a : near_b)
+      << "the same wherever it runs";
+}
+
+TEST_F(cache_planner_test, WithoutBudgetNothingIsAskedOfTheStore) {
+  model_.cache_stores = {{.address = kStore, .copy_rate = 100}};
+  EXPECT_TRUE(Plan(0).source.has_value());
+  EXPECT_FALSE(Plan(0).source.has_value());
+  EXPECT_FALSE(Plan(0).sink.has_value());
+  PlaceAt(1);
+  EXPECT_EQ(Plan(0).source, (endpoint{"10.0.0.2", 1}))
+      << "an engine's link is another one";
+}
+
 }  // namespace
 }  // namespace cuminswitch
--- a/unittests/Routing/replica_table_test.cc
+++ b/unittests/Routing/replica_table_test.cc
@@ -198,5 +198,38 @@
   EXPECT_NEAR(table_[2].prefill_rate, 40000, 1000);
 }
 
+TEST_F(replica_table_test, AnEngineForgetsSoonerTheMoreIsAdded) {
+  configuration config = MakeConfiguration();
+  config.models[0].cache_tokens = 100'000;
+  table_.Reconfigure(At(0), config);
+  const duration age = std::chrono::seconds(5);
+  table_.CountAdded(At(0), "m", 1'000);
+  EXPECT_EQ(table_.HitChance(At(0), "m", age), 1);
+  for (int i = 0; i < 100; ++i) {
+    table_.CountAdded(At(0), "m", 9'000);
+  }
+  EXPECT_LT(table_.HitChance(At(0), "m", age), 0.1);
+  EXPECT_EQ(table_.HitChance(At(0), "m", std::chrono::milliseconds(10)), 1);
+}
+
+// Symptom: a saved prefix is not found while engines change their weights.
+// Cause: its home, and so its store, was looked for among those that serve now.
+TEST_F(replica_table_test, AHomeStaysWhileItChanges) {
+  const auto home = table_.HomeOf("m", 7);
+  ASSERT_TRUE(home);
+  table_.SetChanging(
+      {.upstream = table_[*home].spec.name, .is_changing = true});
+  EXPECT_EQ(table_.HomeOf("m", 7), home);
+  EXPECT_FALSE(table_.HomeOf("unknown", 7));
+}
+
+TEST_F(replica_table_test, KnowsTheUsualWaitOfATarget) {
+  for (int i = 0; i < 200; ++i) {
+    table_.LearnTargetFirstByte("m", std::chrono::milliseconds(500));
+  }
+  EXPECT_NEAR(ToSeconds(table_.UsualFirstByte("m")), 0.5, 0.01);
+  EXPECT_EQ(table_.UsualFirstByte("unknown"), duration(0));
+}
+
 }  // namespace
 }  // namespace cuminswitch
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -2,8 +2,8 @@
 // events and changes its weights by order, or a plain service. Each request
 // that it runs is told on standard output as `run ATTEMPT WORKSPACE SALT`.
 // Parts of a request's path make it misbehave: `/refuse/` (not run), `/fail/`
-// (runs and fails), `/cut/` (an engine stops in the middle of its answer, a plain
-// service runs the request and closes without one), `/hang/` (no answer).
+// (runs and fails), `/cut/` (an engine stops in the middle of its answer, a
+// plain service runs the request and closes without one), `/hang/` (no answer).
 #include <event2/event.h>
 
 #include <chrono>
