--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -421,9 +421,10 @@
   // which the memory is filled anew is still there.
   const target_replicas& item = found->second;
   const double idle = std::max(0.0, ToSeconds(now - item.added_at));
-  const double rate = item.added_rate * std::exp(-idle / kAddedSeconds) *
-                      static_cast<double>(fleet_size_) /
-                      std::max<double>(1, item.indices.size());
+  const double rate =
+      item.added_rate * std::exp(-idle / kAddedSeconds) *
+      static_cast<double>(fleet_size_) /
+      static_cast<double>(std::max<size_t>(1, item.indices.size()));
   const double retention =
       item.cache_tokens == 0
           ? kUnknownRetentionSeconds
--- a/test/soak/promise_ledger.cc
+++ b/test/soak/promise_ledger.cc
@@ -49,7 +49,8 @@
   std::string text;
   for (int i = 1; i <= kEvents; ++i) {
     const std::string number = std::to_string(i);
-    text += "id: " + number + "\ndata: event " + number + "\n\n";
+    text.append("id: ").append(number).append("\ndata: event ");
+    text.append(number).append("\n\n");
   }
   return text;
 }
--- a/unittests/Fleet/follower_choice_test.cc
+++ b/unittests/Fleet/follower_choice_test.cc
@@ -14,6 +14,7 @@
 
 std::vector<daemon_record> MakeFleet(int size) {
   std::vector<daemon_record> fleet;
+  fleet.reserve(static_cast<size_t>(size));
   for (int i = 0; i < size; ++i) {
     fleet.push_back({.name = "d" + std::to_string(i),
                      .failure_domain = "x" + std::to_string(i % 2),
