--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "cuminswitch/Routing/replica.h"
+#include "cuminswitch/Routing/target_estimate.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
@@ -160,16 +161,7 @@
     /// When each version was first configured here, the oldest first.
     std::vector<version_start> history;
     std::vector<replica_index> indices;
-    /// Prompt tokens computed per second, on average over the replicas'
-    /// answers.
-    double prefill_rate = kFirstPrefillRate;
-    /// How long its requests wait for their first byte, on average.
-    double first_byte_seconds = 0;
-    /// Prompt tokens that one engine can keep; 0 for not known.
-    double cache_tokens = 0;
-    /// Prompt tokens per second that this daemon's requests add to caches.
-    double added_rate = 0;
-    time_point added_at{};
+    target_estimate estimate;
   };
 
   double FirstLimit(const upstream_spec& spec) const;
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -45,15 +45,6 @@
 /// Versions whose naming is remembered; older ones are not served any more.
 static constexpr size_t kMaxVersionHistory = 16;
 static constexpr double kLearningRate = 0.2;
-/// Of an engine's memory, what running requests leave to cached prefixes.
-static constexpr double kCacheShare = 0.5;
-/// The time over which the tokens added to caches are averaged.
-static constexpr double kAddedSeconds = 3;
-/// How long an engine keeps an unused prefix where its memory is not known.
-static constexpr double kUnknownRetentionSeconds = 10;
-/// Of a target's first bytes: an average over about twenty answers, two seconds
-/// of a daemon's traffic.
-static constexpr double kTargetLearningRate = 0.05;
 static constexpr double kSlowestPrefillRate = 100;
 static constexpr double kFastestPrefillRate = 1e7;
 /// A report loses half its weight in this many seconds.
@@ -68,15 +59,12 @@
   for (const model_spec& model : config.models) {
     target_replicas& target = by_target_[model.name];
     target.version = model.version;
-    target.cache_tokens = model.cache_tokens;
     const auto found = earlier.find(model.name);
     if (found != earlier.end()) {
       target.history = std::move(found->second.history);
-      target.prefill_rate = found->second.prefill_rate;
-      target.first_byte_seconds = found->second.first_byte_seconds;
-      target.added_rate = found->second.added_rate;
-      target.added_at = found->second.added_at;
+      target.estimate = found->second.estimate;
     }
+    target.estimate.SetCacheTokens(model.cache_tokens);
     if (target.history.empty() ||
         target.history.back().version != model.version) {
       const bool is_first = target.history.empty();
@@ -104,7 +92,7 @@
     for (const std::string& target : spec.serves) {
       by_target_[target].indices.push_back(found->second);
       if (!item.is_rate_measured) {
-        item.prefill_rate = by_target_[target].prefill_rate;
+        item.prefill_rate = by_target_[target].estimate.prefill_rate();
       }
     }
   }
@@ -382,55 +370,33 @@
 
 void replica_table::LearnTargetFirstByte(std::string_view target,
                                          duration took) {
-  const auto found = by_target_.find(target);
-  if (found != by_target_.end()) {
-    double& average = found->second.first_byte_seconds;
-    average += kTargetLearningRate * (ToSeconds(took) - average);
+  if (const auto found = by_target_.find(target); found != by_target_.end()) {
+    found->second.estimate.LearnFirstByte(took);
   }
 }
 
 duration replica_table::UsualFirstByte(std::string_view target) const {
   const auto found = by_target_.find(target);
-  return found == by_target_.end()
-             ? duration(0)
-             : FromSeconds(found->second.first_byte_seconds);
+  return found == by_target_.end() ? duration(0)
+                                   : found->second.estimate.UsualFirstByte();
 }
 
 void replica_table::CountAdded(time_point now,
                                std::string_view target,
                                double tokens) {
-  const auto found = by_target_.find(target);
-  if (found == by_target_.end()) {
-    return;
+  if (const auto found = by_target_.find(target); found != by_target_.end()) {
+    found->second.estimate.CountAdded(now, tokens);
   }
-  target_replicas& item = found->second;
-  const double age = std::max(0.0, ToSeconds(now - item.added_at));
-  item.added_rate =
-      item.added_rate * std::exp(-age / kAddedSeconds) + tokens / kAddedSeconds;
-  item.added_at = now;
 }
 
 double replica_table::HitChance(time_point now,
                                 std::string_view target,
                                 duration age) const {
   const auto found = by_target_.find(target);
-  if (found == by_target_.end()) {
-    return 0;
-  }
-  // The least recently used goes first, so what was used within the time in
-  // which the memory is filled anew is still there.
-  const target_replicas& item = found->second;
-  const double idle = std::max(0.0, ToSeconds(now - item.added_at));
-  const double rate =
-      item.added_rate * std::exp(-idle / kAddedSeconds) *
-      static_cast<double>(fleet_size_) /
-      static_cast<double>(std::max<size_t>(1, item.indices.size()));
-  const double retention =
-      item.cache_tokens == 0
-          ? kUnknownRetentionSeconds
-          : kCacheShare * item.cache_tokens / std::max(1.0, rate);
-  const double excess = ToSeconds(age) - retention;
-  return excess <= 0 ? 1 : std::exp(-excess / std::max(0.1, retention));
+  return found == by_target_.end()
+             ? 0
+             : found->second.estimate.HitChance(now, age, fleet_size_,
+                                                found->second.indices.size());
 }
 
 std::optional<replica_index> replica_table::HomeOf(std::string_view target,
@@ -482,10 +448,10 @@
   // fast as the others, and would get all the requests.
   for (const std::string& name : item.spec.serves) {
     target_replicas& target = by_target_[name];
-    target.prefill_rate += kLearningRate * (sample - target.prefill_rate);
+    target.estimate.LearnPrefillRate(sample);
     for (const replica_index other : target.indices) {
       if (!replicas_[other].is_rate_measured) {
-        replicas_[other].prefill_rate = target.prefill_rate;
+        replicas_[other].prefill_rate = target.estimate.prefill_rate();
       }
     }
   }
--- /dev/null
+++ b/lib/Routing/target_estimate.cc
@@ -0,0 +1,60 @@
+#include "cuminswitch/Routing/target_estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminswitch {
+
+static constexpr double kLearningRate = 0.2;
+/// Of first bytes: an average over about twenty answers, two seconds of a
+/// daemon's traffic.
+static constexpr double kFirstByteLearningRate = 0.05;
+/// Of an engine's memory, what running requests leave to cached prefixes.
+static constexpr double kCacheShare = 0.5;
+/// The time over which the tokens added to caches are averaged.
+static constexpr double kAddedSeconds = 3;
+/// How long an engine keeps an unused prefix where its memory is not known.
+static constexpr double kUnknownRetentionSeconds = 10;
+static constexpr double kLeastRetentionSeconds = 0.1;
+
+void target_estimate::LearnPrefillRate(double sample) {
+  prefill_rate_ += kLearningRate * (sample - prefill_rate_);
+}
+
+void target_estimate::LearnFirstByte(duration took) {
+  first_byte_seconds_ +=
+      kFirstByteLearningRate * (ToSeconds(took) - first_byte_seconds_);
+}
+
+duration target_estimate::UsualFirstByte() const {
+  return FromSeconds(first_byte_seconds_);
+}
+
+double target_estimate::AddedRate(time_point now) const {
+  const double age = std::max(0.0, ToSeconds(now - added_at_));
+  return added_rate_ * std::exp(-age / kAddedSeconds);
+}
+
+void target_estimate::CountAdded(time_point now, double tokens) {
+  added_rate_ = AddedRate(now) + tokens / kAddedSeconds;
+  added_at_ = now;
+}
+
+double target_estimate::HitChance(time_point now,
+                                  duration age,
+                                  size_t daemons,
+                                  size_t engines) const {
+  // The least recently used goes first, so what was used within the time in
+  // which the memory is filled anew is still there.
+  const double rate = AddedRate(now) * static_cast<double>(daemons) /
+                      static_cast<double>(std::max<size_t>(1, engines));
+  const double retention =
+      cache_tokens_ == 0 ? kUnknownRetentionSeconds
+                         : kCacheShare * cache_tokens_ / std::max(1.0, rate);
+  const double excess = ToSeconds(age) - retention;
+  return excess <= 0
+             ? 1
+             : std::exp(-excess / std::max(kLeastRetentionSeconds, retention));
+}
+
+}  // namespace cuminswitch
