--- a/lib/Admission/load_shedder.cc
+++ b/lib/Admission/load_shedder.cc
@@ -6,9 +6,11 @@
 
 /// A queue estimate is up to a quarter too high, so the least urgent requests
 /// are refused from a little past their target, and the urgent ones, which
-/// engines take first, much later.
-static constexpr double kTargetsBorne = 1.5;
-static constexpr double kUrgentTargetsBorne = 4;
+/// engines take first, much later. Earlier (1 and 2.5) serves a fleet of 60
+/// engines better and one of 9 to 12 worse, later (1.5 and 4) the other way
+/// round.
+static constexpr double kTargetsBorne = 1.25;
+static constexpr double kUrgentTargetsBorne = 3;
 /// Twice the wait from which some are refused, all are.
 static constexpr double kAllRefusedFactor = 2;
 /// Of the time for which a caller bears silence. Of requests with a longer
