Deliver answers that end while a daemon drains

Cause: the answer's head went out before the drain and did not announce the close, so that the connection became idle with its last bytes unsent; idle connections are closed at that very time, when no caller can hold the address any longer. Test: caller_server_test.AnAnswerThatEndsWhileDrainingIsDeliveredWhole fails without the change.

--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -185,7 +185,8 @@
     bufferevent_write(stream_, kLastChunk.data(), kLastChunk.size());
   }
   listener_ = nullptr;
-  if (close_after_) {
+  // Also where the head went out before the drain began and announced nothing.
+  if (close_after_ || server_.IsDraining()) {
     CloseGently();
     return;
   }
@@ -239,7 +240,13 @@
 }
 
 void caller_connection::CloseIfIdle() {
-  if (stage_ == stage::kIdle) {
+  if (stage_ != stage::kIdle) {
+    return;
+  }
+  // The last answer's end may still be on its way.
+  if (PendingBytes() > 0) {
+    CloseGently();
+  } else {
     CloseNow();
   }
 }
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -143,6 +143,28 @@
   EXPECT_TRUE(RunUntil(base_, [&] { return listener_.gone; }));
 }
 
+// Symptom: the last bytes of an answer are missing when a host is restarted.
+// Sequence: the head of an answer is sent; the server begins to drain; the
+// answer ends; in the same turn of the loop idle connections are closed. Cause:
+// the connection counted as idle with the answer's end still to be written,
+// since its head had not announced the close.
+TEST_F(caller_server_test, AnAnswerThatEndsWhileDrainingIsDeliveredWhole) {
+  holds_ = true;
+  raw_socket caller(raw_socket::Connect(server_.Address()));
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(base_, [&] { return held_ != nullptr; }));
+  held_->SendHead(200, {}, {});
+  server_.BeginDrain();
+  held_->SendBody("last");
+  held_->SetListener(nullptr);
+  held_->Finish();
+  server_.CloseIdle();
+  EXPECT_EQ(server_.connection_count(), 1U) << "its caller has not got it yet";
+  const std::string reply = Ask(caller, "", "never");
+  EXPECT_TRUE(reply.ends_with("4\r\nlast\r\n0\r\n\r\n"));
+  EXPECT_TRUE(caller.ended);
+}
+
 // Symptom: a caller takes half an answer for a whole one.
 // Symptom: a stream's caller gets an empty, closed connection, although the
 // daemon had read events for it.
