Name each HTTP status once

They stand in Support/status_code.h now. Ruled out: the enumeration of http_parser, which the parts that may not use the network would have to include.

--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -5,11 +5,11 @@
 
 #include "cuminswitch/Core/request_router.h"
 #include "cuminswitch/Routing/cache_planner.h"
+#include "cuminswitch/Support/status_code.h"
 #include "router_constants.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kBadGateway = 502;
 /// Upstreams beyond those that may run a request that may refuse it. Without a
 /// bound, one request that all refuse spends the whole budget of retries.
 static constexpr uint32_t kExtraArrivals = 2;
@@ -272,7 +272,7 @@
   const bool is_useful = !event.answer_begun && now < item.deadline;
   if (!is_safe || !is_useful) {
     Refuse(id,
-           {.status = kBadGateway,
+           {.status = status_code::kBadGateway,
             .retry_after_seconds = item.repeatable ? 1U : 0U,
             .message = "the upstream's answer broke off"},
            out);
@@ -281,7 +281,7 @@
   const uint32_t runs_allowed = item.info.max_runs;
   if (runs_allowed != 0 && item.arrivals >= runs_allowed + kExtraArrivals) {
     Refuse(id,
-           {.status = kUnavailable,
+           {.status = status_code::kUnavailable,
             .retry_after_seconds = 1,
             .message = "every upstream that was asked refused it",
             .retry_after = kUpstreamRetryAfter},
@@ -290,7 +290,7 @@
   }
   if (!event.unreachable && !BudgetOf(item.info.target).TrySpend(now)) {
     Refuse(id,
-           {.status = kUnavailable,
+           {.status = status_code::kUnavailable,
             .retry_after_seconds = EstimateRetryAfter(now, item),
             .message = "upstreams fail and the retry budget is spent"},
            out);
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -7,14 +7,11 @@
 
 #include "cuminswitch/Admission/load_shedder.h"
 #include "cuminswitch/Protocol/shard_directory.h"
+#include "cuminswitch/Support/status_code.h"
 #include "router_constants.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kForbidden = 403;
-static constexpr uint32_t kNotFound = 404;
-static constexpr uint32_t kTooManyRequests = 429;
-
 static constexpr size_t kMaxAbandonedStarts = 4096;
 static constexpr uint32_t kMaxRetryAfterSeconds = 120;
 /// What reuse is worth beyond its time, by objective.
@@ -50,28 +47,28 @@
 std::optional<request_router::refusal> request_router::Check(
     const request& item) const {
   if (admission_closed_) {
-    return refusal{.status = kUnavailable,
+    return refusal{.status = status_code::kUnavailable,
                    .retry_after_seconds = 1,
                    .message = "this host is leaving"};
   }
   if (config_ == nullptr) {
-    return refusal{.status = kUnavailable,
+    return refusal{.status = status_code::kUnavailable,
                    .retry_after_seconds = 1,
                    .message = "no configuration is in force yet"};
   }
   const std::string& name = item.info.target;
   if (item.workspace == nullptr) {
-    return refusal{.status = kNotFound,
+    return refusal{.status = status_code::kNotFound,
                    .message = "unknown workspace " + item.info.workspace};
   }
   if (config_->FindModel(name) == nullptr &&
       config_->FindService(name) == nullptr) {
-    return refusal{.status = kNotFound,
+    return refusal{.status = status_code::kNotFound,
                    .message = "unknown model or service " + name};
   }
   const auto& uses = item.workspace->uses;
   if (std::find(uses.begin(), uses.end(), name) == uses.end()) {
-    return refusal{.status = kForbidden,
+    return refusal{.status = status_code::kForbidden,
                    .message = "the workspace may not use " + name};
   }
   return std::nullopt;
@@ -221,7 +218,7 @@
   if (options_.refuse_without_upstream && !HasUpstream(now, item)) {
     ++counters_.shed;
     Refuse(item.info.request,
-           {.status = kUnavailable,
+           {.status = status_code::kUnavailable,
             .retry_after_seconds = 1,
             .message = "no upstream can take it now",
             .retry_after = kUpstreamRetryAfter},
@@ -232,7 +229,7 @@
   if (EstimateWaitSeconds(now, item) > patience) {
     ++counters_.shed;
     Refuse(item.info.request,
-           {.status = kTooManyRequests,
+           {.status = status_code::kTooManyRequests,
             .retry_after_seconds = EstimateRetryAfter(now, item),
             .message = "too many requests are waiting"},
            out);
@@ -272,7 +269,7 @@
   }
   ++counters_.shed;
   Refuse(item.info.request,
-         {.status = kTooManyRequests,
+         {.status = status_code::kTooManyRequests,
           .message = "it would be served too late",
           .retry_after = RefusedRetryAfter(question)},
          out);
@@ -425,7 +422,7 @@
   for (const waiting_request& expired : queue_.TakeExpired(now)) {
     const request& item = requests_.at(expired.request);
     Refuse(expired.request,
-           {.status = kUnavailable,
+           {.status = status_code::kUnavailable,
             .retry_after_seconds = EstimateRetryAfter(now, item),
             .message = "no upstream had room in time"},
            out);
--- a/lib/Core/request_starts.cc
+++ b/lib/Core/request_starts.cc
@@ -5,11 +5,11 @@
 
 #include "cuminswitch/Core/request_router.h"
 #include "cuminswitch/Protocol/shard_directory.h"
+#include "cuminswitch/Support/status_code.h"
 #include "router_constants.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kConflict = 409;
 static constexpr uint32_t kUnprocessable = 422;
 static constexpr duration kStartRequestInterval =
     std::chrono::milliseconds(300);
@@ -92,7 +92,7 @@
       return;
     case start_verdict::kRefused:
       Refuse(reply.request,
-             {.status = kUnavailable,
+             {.status = status_code::kUnavailable,
               .retry_after_seconds = reply.retry_after_seconds,
               .message = "the start could not be recorded"},
              out);
@@ -114,7 +114,7 @@
     case start_verdict::kStarted:
       item.may_have_run = true;
       Refuse(reply.request,
-             {.status = kConflict,
+             {.status = status_code::kConflict,
               .retry_after_seconds = 1,
               .message = "a request with this Idempotency-Key was started; "
                          "its end is not known here"},
@@ -169,7 +169,7 @@
 
 void request_router::RefuseLateStart(request_id id, action_list& out) {
   Refuse(id,
-         {.status = kUnavailable,
+         {.status = status_code::kUnavailable,
           .retry_after_seconds = kStartRetrySeconds,
           .message = "the start could not be recorded in time"},
          out);
--- a/lib/Core/router_constants.h
+++ b/lib/Core/router_constants.h
@@ -4,13 +4,11 @@
 #define CUMINSWITCH_LIB_CORE_ROUTER_CONSTANTS_H_
 
 #include <chrono>
-#include <cstdint>
 
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
 
-inline constexpr uint32_t kUnavailable = 503;
 /// When to come back where no upstream can take a request: crashed ones are
 /// replaced, and ejected ones tried again, within about a second.
 inline constexpr duration kUpstreamRetryAfter = std::chrono::milliseconds(500);
--- a/lib/Daemon/gateway_task.cc
+++ b/lib/Daemon/gateway_task.cc
@@ -10,15 +10,10 @@
 #include "cuminswitch/Net/http_call.h"
 #include "cuminswitch/Net/http_exchange.h"
 #include "cuminswitch/Support/digest.h"
+#include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kOk = 200;
-static constexpr uint32_t kBadRequest = 400;
-static constexpr uint32_t kUnauthorized = 401;
-static constexpr uint32_t kForbidden = 403;
-static constexpr uint32_t kNotFound = 404;
-static constexpr uint32_t kUnavailable = 503;
 static constexpr std::string_view kJson = "application/json";
 static constexpr std::string_view kPlainText = "text/plain; version=0.0.4";
 static constexpr std::string_view kServicePrefix = "/services/";
@@ -42,7 +37,7 @@
        {{"message", message}, {"outcome", ToString(outcome::kNotRun)}}}};
   http_headers headers = {{.name = "X-Cuminswitch-Outcome",
                            .value = std::string(ToString(outcome::kNotRun))}};
-  if (status == kUnavailable) {
+  if (status == status_code::kUnavailable) {
     headers.push_back({.name = "Retry-After", .value = "1"});
   }
   exchange.Reply(status, kJson, error.dump(), headers);
@@ -186,9 +181,10 @@
   }
   http_exchange& exchange = *found->second;
   if (exchange.Path() == "/metrics") {
-    exchange.Reply(kOk, kPlainText, WriteMetrics(metrics_, *answer.status));
+    exchange.Reply(status_code::kOk, kPlainText,
+                   WriteMetrics(metrics_, *answer.status));
   } else {
-    exchange.Reply(kOk, kJson, WriteStatus(*answer.status));
+    exchange.Reply(status_code::kOk, kJson, WriteStatus(*answer.status));
   }
   status_waiters_.erase(found);
 }
@@ -223,22 +219,23 @@
   } else if (path == "/v1/addresses") {
     AnswerAddresses(exchange);
   } else if (path == "/healthz") {
-    exchange->Reply(kOk, kJson, R"({"status":"ok"})");
+    exchange->Reply(status_code::kOk, kJson, R"({"status":"ok"})");
   } else if (path == "/readyz") {
     AnswerReadiness(exchange);
   } else if (path == "/status" || path == "/metrics") {
     AskStatus(exchange);
   } else {
-    ReplyError(*exchange, kNotFound, "no such path");
+    ReplyError(*exchange, status_code::kNotFound, "no such path");
   }
 }
 
 void gateway_task::AnswerReadiness(const exchange_ptr& exchange) {
   if (config_ == nullptr) {
-    ReplyError(*exchange, kUnavailable, "no configuration is in force yet");
+    ReplyError(*exchange, status_code::kUnavailable,
+               "no configuration is in force yet");
     return;
   }
-  exchange->Reply(kOk, kJson, R"({"status":"ready"})");
+  exchange->Reply(status_code::kOk, kJson, R"({"status":"ready"})");
 }
 
 bool gateway_task::IsOperator(const http_exchange& exchange) const {
@@ -249,7 +246,8 @@
 
 void gateway_task::AskStatus(const exchange_ptr& exchange) {
   if (!IsOperator(*exchange)) {
-    ReplyError(*exchange, kUnauthorized, "an operator's credential is needed");
+    ReplyError(*exchange, status_code::kUnauthorized,
+               "an operator's credential is needed");
     return;
   }
   const uint64_t ticket = next_ticket_++;
@@ -260,12 +258,14 @@
 
 const workspace_spec* gateway_task::Authenticate(const exchange_ptr& exchange) {
   if (config_ == nullptr) {
-    ReplyError(*exchange, kUnavailable, "no configuration is in force yet");
+    ReplyError(*exchange, status_code::kUnavailable,
+               "no configuration is in force yet");
     return nullptr;
   }
   const std::string token = BearerToken(*exchange);
   if (token.empty()) {
-    ReplyError(*exchange, kUnauthorized, "a workspace credential is needed");
+    ReplyError(*exchange, status_code::kUnauthorized,
+               "a workspace credential is needed");
     return nullptr;
   }
   // The lookup is by digest, so its time tells nothing of the credential; the
@@ -274,12 +274,14 @@
   const auto found = by_credential_.find(digest);
   if (found == by_credential_.end() ||
       !EqualInConstantTime(found->second->credential_sha256, digest)) {
-    ReplyError(*exchange, kUnauthorized, "the credential is not known");
+    ReplyError(*exchange, status_code::kUnauthorized,
+               "the credential is not known");
     return nullptr;
   }
   const std::string named = exchange->Header("X-Workspace");
   if (!named.empty() && named != found->second->name) {
-    ReplyError(*exchange, kForbidden, "the credential is not that workspace's");
+    ReplyError(*exchange, status_code::kForbidden,
+               "the credential is not that workspace's");
     return nullptr;
   }
   return found->second;
@@ -301,7 +303,7 @@
                                  {"address", item->caller_address.ToString()},
                                  {"failure_domain", item->failure_domain}});
   }
-  exchange->Reply(kOk, kJson, json.dump() + "\n");
+  exchange->Reply(status_code::kOk, kJson, json.dump() + "\n");
 }
 
 bool gateway_task::ReadIdempotencyKey(const exchange_ptr& exchange,
@@ -315,7 +317,7 @@
   const std::optional<int64_t> issued = ParseNumber(key.substr(0, dash));
   if (dash == std::string_view::npos || key.size() > kMaxKeyLength || !issued ||
       *issued <= 0) {
-    ReplyError(*exchange, kBadRequest,
+    ReplyError(*exchange, status_code::kBadRequest,
                "Idempotency-Key must be <unix seconds>-<text>, at most 256 "
                "characters");
     return false;
@@ -332,7 +334,7 @@
     return;
   }
   if (exchange->Method() != "POST") {
-    ReplyError(*exchange, kBadRequest, "the method must be POST");
+    ReplyError(*exchange, status_code::kBadRequest, "the method must be POST");
     return;
   }
   request_arrived event{.workspace = workspace->name};
@@ -342,7 +344,7 @@
     event.levels = std::move(chat.levels);
     event.prompt_tokens = chat.prompt_tokens;
   } catch (const chat_request_error& error) {
-    ReplyError(*exchange, kBadRequest, error.what());
+    ReplyError(*exchange, status_code::kBadRequest, error.what());
     return;
   }
   event.time_limit = ReadTimeLimit(*exchange, workspace->priority);
--- a/lib/Daemon/request_relay.cc
+++ b/lib/Daemon/request_relay.cc
@@ -5,13 +5,11 @@
 
 #include "cuminswitch/Net/http_call.h"
 #include "cuminswitch/Net/http_exchange.h"
+#include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kPreconditionFailed = 412;
-static constexpr uint32_t kTooManyRequests = 429;
 static constexpr uint32_t kServerError = 500;
-static constexpr uint32_t kUnavailable = 503;
 static constexpr std::string_view kEventStream = "text/event-stream";
 static constexpr std::string_view kJson = "application/json";
 /// Bytes that a slow caller may leave unread before the upstream is no longer
@@ -174,8 +172,9 @@
     return;
   }
   // An upstream refuses before it runs with these, and only with these.
-  if (status_ == kTooManyRequests || status_ == kUnavailable ||
-      status_ == kPreconditionFailed) {
+  if (status_ == status_code::kTooManyRequests ||
+      status_ == status_code::kUnavailable ||
+      status_ == status_code::kPreconditionFailed) {
     ReportEnd({.attempt = attempt_,
                .result = outcome::kNotRun,
                .refused_busy = true});
--- a/lib/Daemon/upstream_probe.cc
+++ b/lib/Daemon/upstream_probe.cc
@@ -4,10 +4,10 @@
 #include <utility>
 
 #include "cuminswitch/Net/http_call.h"
+#include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kOk = 200;
 static constexpr std::chrono::milliseconds kProbeTimeout{1000};
 
 upstream_probe::upstream_probe(const probe_upstream& action,
@@ -36,7 +36,7 @@
 
 void upstream_probe::OnEnd(http_end end) {
   upstream_report report{.upstream = upstream_};
-  if (end == http_end::kComplete && status_ == kOk) {
+  if (end == http_end::kComplete && status_ == status_code::kOk) {
     report = ParseUpstreamReport(upstream_, body_);
   }
   const callback on_done = std::move(on_done_);
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -9,12 +9,10 @@
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
 #include "cuminswitch/Support/hash.h"
+#include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kUnauthorized = 401;
-static constexpr uint32_t kNotFound = 404;
-static constexpr uint32_t kUnavailable = 503;
 /// The router expires waiting requests on its tick.
 static constexpr duration kTickInterval = std::chrono::milliseconds(50);
 static constexpr duration kIdleTickInterval = std::chrono::milliseconds(250);
@@ -203,18 +201,18 @@
                                  const route_spec*& route,
                                  const workspace_plan*& workspace) const {
   if (knowledge_ == nullptr || knowledge_->plan == nullptr) {
-    return kUnavailable;
+    return status_code::kUnavailable;
   }
   const route_plan& plan = *knowledge_->plan;
   route = plan.FindRoute(request.host, request.path);
   if (route == nullptr) {
-    return kNotFound;
+    return status_code::kNotFound;
   }
   if (plan.workspaces.empty() || route->is_public) {
     return 0;
   }
   workspace = plan.FindHolder(request.credential);
-  return workspace == nullptr ? kUnauthorized : 0;
+  return workspace == nullptr ? status_code::kUnauthorized : 0;
 }
 
 void edge_task::OnRequest(caller_exchange& exchange) {
@@ -224,7 +222,7 @@
   uint32_t status = CheckRequest(request, route, workspace);
   if (status == 0 &&
       !stop_.MayTake(ReadBootClock(), PatienceOf(request, *route))) {
-    status = kUnavailable;
+    status = status_code::kUnavailable;
   }
   if (status == 0) {
     BeginFlow(exchange, std::move(request), *route, workspace);
@@ -241,7 +239,7 @@
                                            .Add("status", status)
                                            .Add("configuration", version));
   http_headers headers;
-  if (status == kUnavailable) {
+  if (status == status_code::kUnavailable) {
     headers.push_back(
         RetryAfter(stop_.HasBegun() ? kElsewhereRetryAfter : kStartRetryAfter));
   }
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -6,12 +6,10 @@
 #include "cuminswitch/Edge/retry_after.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Http1/upstream_pool.h"
+#include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kBadGateway = 502;
-static constexpr uint32_t kUnavailable = 503;
-static constexpr uint32_t kGatewayTimeout = 504;
 static constexpr uint32_t kFirstFailure = 400;
 /// Unsent bytes to a caller at which the upstream is not read any further.
 static constexpr size_t kMaxCallerBacklog = 64UL << 10;
@@ -268,7 +266,8 @@
     case verdict_action::kPlaceAgain:
       break;
     case verdict_action::kTellUnknown:
-      ReplyOwn(kBadGateway, outcome::kUnknown, "answer_broken", duration(0));
+      ReplyOwn(status_code::kBadGateway, outcome::kUnknown, "answer_broken",
+               duration(0));
       break;
     case verdict_action::kCutOff:
       CutOff("answer_broken");
@@ -343,7 +342,8 @@
     ReplyOwn(action.status, outcome::kNotRun, action.message, wait);
     return;
   }
-  ReplyOwn(kBadGateway, outcome::kUnknown, action.message, duration(0));
+  ReplyOwn(status_code::kBadGateway, outcome::kUnknown, action.message,
+           duration(0));
 }
 
 void request_flow::ReplyOwn(uint32_t status,
@@ -375,9 +375,10 @@
   } else if (kept_failure_) {
     DeliverKept();
   } else if (is_sent) {
-    ReplyOwn(kGatewayTimeout, outcome::kUnknown, "deadline", duration(0));
+    ReplyOwn(status_code::kGatewayTimeout, outcome::kUnknown, "deadline",
+             duration(0));
   } else {
-    ReplyOwn(kUnavailable, outcome::kNotRun, "deadline_in_queue",
+    ReplyOwn(status_code::kUnavailable, outcome::kNotRun, "deadline_in_queue",
              kQueueRetryAfter);
   }
   if (is_running) {
--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -12,14 +12,11 @@
 #include <utility>
 
 #include "cuminswitch/Http1/caller_server.h"
+#include "cuminswitch/Support/status_code.h"
 #include "status_text.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kRequestTimeout = 408;
-static constexpr uint32_t kPayloadTooLarge = 413;
-static constexpr uint32_t kHeadTooLarge = 431;
-static constexpr uint32_t kBadRequest = 400;
 /// Unread bytes kept while an answer is under way; more stay in the kernel.
 static constexpr size_t kMaxReadAhead = 64UL << 10;
 /// How long a caller may go on sending after its request was rejected. Closing
@@ -113,13 +110,13 @@
         OnRequestRead();
         break;
       case read_result::kMalformed:
-        Reject(kBadRequest);
+        Reject(status_code::kBadRequest);
         break;
       case read_result::kHeadTooLarge:
-        Reject(kHeadTooLarge);
+        Reject(status_code::kHeadTooLarge);
         break;
       case read_result::kBodyTooLarge:
-        Reject(kPayloadTooLarge);
+        Reject(status_code::kPayloadTooLarge);
         break;
     }
   }
@@ -233,7 +230,7 @@
 
 void caller_connection::OnTimeout() {
   if (stage_ == stage::kReading) {
-    Reject(kRequestTimeout);
+    Reject(status_code::kRequestTimeout);
     return;
   }
   CloseNow();
--- a/lib/Http1/message_reader.cc
+++ b/lib/Http1/message_reader.cc
@@ -1,4 +1,5 @@
 #include "cuminswitch/Http1/message_reader.h"
+#include "cuminswitch/Support/status_code.h"
 
 #include <http_parser.h>
 
@@ -12,7 +13,6 @@
 static constexpr std::string_view kHeadEnd = "\r\n\r\n";
 static constexpr uint32_t kFirstFinalStatus = 200;
 static constexpr uint32_t kNoContent = 204;
-static constexpr uint32_t kNotModified = 304;
 
 struct message_reader::parser {
   http_parser state{};
@@ -134,7 +134,7 @@
   head_.ends_with_connection = options_.reads == kind::kResponse && !no_body_ &&
                                !head_.is_chunked && !head_.content_length &&
                                head_.status != kNoContent &&
-                               head_.status != kNotModified;
+                               head_.status != status_code::kNotModified;
 }
 
 read_result message_reader::ReadHead(std::string_view data, size_t& consumed) {
--- a/lib/Net/http_server.cc
+++ b/lib/Net/http_server.cc
@@ -13,6 +13,7 @@
 
 #include "cuminswitch/Net/bind_error.h"
 #include "cuminswitch/Net/http_exchange.h"
+#include "cuminswitch/Support/status_code.h"
 #include "timeval.h"
 
 namespace cuminswitch {
@@ -21,8 +22,6 @@
 /// A request over a limit is read on and thrown away up to this multiple, so
 /// that its sender gets an answer and not a reset; then it is cut off.
 static constexpr size_t kDiscardFactor = 8;
-static constexpr uint32_t kContentTooLarge = 413;
-static constexpr uint32_t kHeadersTooLarge = 431;
 
 /// The library's callbacks.
 struct http_server::hooks {
@@ -34,7 +33,7 @@
     exchange.header_bytes_ += header->klen + header->vlen;
     const size_t limit = self->options_.max_header_size;
     if (exchange.header_bytes_ > limit) {
-      exchange.rejected_ = kHeadersTooLarge;
+      exchange.rejected_ = status_code::kHeadTooLarge;
     }
     return exchange.header_bytes_ > limit * kDiscardFactor ? EVHTP_RES_ERROR
                                                            : EVHTP_RES_OK;
@@ -45,7 +44,7 @@
     http_exchange& exchange = *self->ExchangeOf(request);
     exchange.body_bytes_ += evbuffer_get_length(data);
     if (exchange.body_bytes_ > self->options_.max_body_size) {
-      exchange.rejected_ = kContentTooLarge;
+      exchange.rejected_ = status_code::kPayloadTooLarge;
       evbuffer_drain(data, evbuffer_get_length(data));
       evbuffer_drain(request->buffer_in,
                      evbuffer_get_length(request->buffer_in));
--- a/lib/Platform/platform_client.cc
+++ b/lib/Platform/platform_client.cc
@@ -6,14 +6,10 @@
 #include <utility>
 
 #include "cuminswitch/Net/http_call.h"
+#include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kOk = 200;
-static constexpr uint32_t kNotModified = 304;
-static constexpr uint32_t kNotFound = 404;
-static constexpr uint32_t kConflict = 409;
-
 static http_call_options MakeCallOptions(const platform_client::options& opts,
                                          const platform_call& call) {
   http_call_options result{.to = opts.address,
@@ -109,14 +105,14 @@
  private:
   platform_status ReadStatus() {
     switch (status_) {
-      case kOk:
+      case status_code::kOk:
         return platform_status::kOk;
-      case kNotModified:
+      case status_code::kNotModified:
         answer_.revision = expected_;
         return platform_status::kOk;
-      case kNotFound:
+      case status_code::kNotFound:
         return platform_status::kAbsent;
-      case kConflict:
+      case status_code::kConflict:
         return platform_status::kConflict;
       default:
         // An error of the service says nothing of the write's fate.
--- a/tools/cuminctl/daemon_commands.cc
+++ b/tools/cuminctl/daemon_commands.cc
@@ -14,12 +14,11 @@
 #include "cuminswitch/Platform/blocking_platform.h"
 #include "cuminswitch/Report/burn_report.h"
 #include "cuminswitch/Report/metric_sample.h"
+#include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
 namespace {
 
-constexpr uint32_t kOkStatus = 200;
-
 std::string Fetch(const std::string& address,
                   const std::string& path,
                   const std::string& credential) {
@@ -36,7 +35,7 @@
   if (response.end != http_end::kComplete) {
     throw std::runtime_error(address + ": does not answer");
   }
-  if (response.head.status != kOkStatus) {
+  if (response.head.status != status_code::kOk) {
     throw std::runtime_error(address + ": status " +
                              std::to_string(response.head.status) + " " +
                              response.body);
--- a/utils/load_tool/caller.cc
+++ b/utils/load_tool/caller.cc
@@ -5,11 +5,10 @@
 
 #include "cuminswitch/Net/http_call.h"
 #include "cuminswitch/Support/hash.h"
+#include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
 
-static constexpr uint32_t kOk = 200;
-
 static http_call_options MakeOptions(const caller::options& opts) {
   const trace_request& request = *opts.request;
   http_call_options call{
@@ -62,7 +61,7 @@
 }
 
 void caller::OnData(std::string_view data) {
-  if (result_.first_token < 0 && result_.status == kOk) {
+  if (result_.first_token < 0 && result_.status == status_code::kOk) {
     result_.first_token =
         std::chrono::duration<double>(clock::now() - sent_).count();
   }
@@ -85,7 +84,8 @@
 
 void caller::OnEnd(http_end end) {
   result_.whole = std::chrono::duration<double>(clock::now() - sent_).count();
-  const bool streamed = result_.status == kOk && !result_.request->once;
+  const bool streamed =
+      result_.status == status_code::kOk && !result_.request->once;
   if (streamed) {
     result_.truncated = end != http_end::kComplete || !reader_.SawEnd();
     const bool told = body_.find("event: error") != std::string::npos;
