Ask the router's questions in one place each

Cause: the same shared level was indexed in eight places and its holder searched in two; the queue of a chosen replica was estimated twice for each dispatch, and the weights' version read twice for each plan; whether a request may repeat, and whether an upstream is left, stood twice; an upstream's counts were taken in by two copies. An engine that surely holds a prefix no longer has the others searched. No change of behaviour is meant: routing, core, edge, scenario and random schedule tests ran, none failed. A comment that lost what it referred to is mended.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -204,8 +204,15 @@
   std::span<const std::string> AllowedDomains(const request& item) const;
   priority_class PriorityOf(const request& item) const;
   retry_budget& BudgetOf(const std::string& target);
-  bool MayRunAgain(const request& item, const attempt_ended& event) const;
-  bool HasUpstream(time_point now, const request& item) const;
+  /// Whether it may be run once more although it may have run.
+  static bool MayRepeat(const request& item);
+  bool HasUpstream(time_point now,
+                   const request& item,
+                   std::span<const replica_index> excluded) const;
+  static time_point ArrivedAt(const request& item) {
+    return item.deadline - item.info.time_limit;
+  }
+  void UpdateFleetSize();
   uint32_t EstimateRetryAfter(time_point now, const request& item) const;
   double EstimateWaitSeconds(time_point now, const request& item) const;
   waiting_request MakeWaiting(const request& item) const;
--- a/include/cuminswitch/Routing/prefix_index.h
+++ b/include/cuminswitch/Routing/prefix_index.h
@@ -21,6 +21,19 @@
   time_point used_at{};
 };
 
+/// Returns the level whose cached prefix other requests can use too: the last
+/// but one, since the last is the request's own; null where there is none.
+inline const prefix_level* FindSharedLevel(
+    std::span<const prefix_level> levels) {
+  return levels.size() >= 2 ? &levels[levels.size() - 2] : nullptr;
+}
+
+/// Returns the entry of replica \p index in its present \p incarnation, or
+/// null.
+const prefix_holder* FindHolder(std::span<const prefix_holder> holders,
+                                replica_index index,
+                                uint64_t incarnation);
+
 /// A bounded map from prefix hash to its holders. Hashes carry workspace,
 /// model, version and adapter, so an entry can never serve another of them.
 /// Old entries go by generations: two maps, the older dropped when the newer
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -165,6 +165,11 @@
   };
 
   double FirstLimit(const upstream_spec& spec) const;
+  /// Takes in an upstream's own counts as of \p at.
+  static void NoteLoad(time_point at,
+                       replica& item,
+                       uint32_t running,
+                       uint32_t waiting);
   static void RaiseLimit(replica& item);
   static bool HasRoom(time_point now, const replica& item);
   static bool ServesVersion(const replica& item,
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -29,6 +29,7 @@
     limiter_.OnStart(item.workspace_hash);
     BudgetOf(item.info.target).OnFirstAttempt(now);
   }
+  const double queue = replicas_.EstimateQueueSeconds(now, chosen.index);
   attempt next{
       .id = next_attempt_++,
       .index = chosen.index,
@@ -37,16 +38,14 @@
       .sent = now,
       .first_byte = std::nullopt,
       .version = replicas_.VersionAt(chosen.index, item.info.target),
-      .unqueued = replicas_.EstimateQueueSeconds(now, chosen.index) == 0,
+      .unqueued = queue == 0,
       .believed_age = std::nullopt};
   const auto& levels = item.info.levels;
-  if (levels.size() >= 2) {
-    for (const prefix_holder& holder :
-         prefixes_.Find(levels[levels.size() - 2].hash)) {
-      if (holder.index == chosen.index &&
-          holder.incarnation == target.incarnation) {
-        next.believed_age = now - holder.used_at;
-      }
+  const prefix_level* shared = FindSharedLevel(levels);
+  if (shared != nullptr) {
+    if (const prefix_holder* holder = FindHolder(
+            prefixes_.Find(shared->hash), chosen.index, target.incarnation)) {
+      next.believed_age = now - holder->used_at;
     }
   }
   cache_plan cache;
@@ -59,10 +58,10 @@
                        .replicas = replicas_,
                        .prefixes = prefixes_,
                        .budget = copy_budget_});
-    const double shared =
-        levels.size() >= 2 ? levels[levels.size() - 2].tokens : 0;
+    const double cached =
+        shared == nullptr ? 0 : cache.hit_chance * shared->tokens;
     replicas_.CountAdded(now, item.info.target,
-                         item.info.prompt_tokens - cache.hit_chance * shared);
+                         item.info.prompt_tokens - cached);
   }
   for (const prefix_level& level : levels) {
     prefixes_.CountUse(now, level.hash);
@@ -70,15 +69,14 @@
                                  .incarnation = target.incarnation,
                                  .used_at = now});
   }
-  if (levels.size() >= 2 && options_.tells_placements) {
-    placed_prefixes_.push_back({.prefix = levels[levels.size() - 2].hash,
+  if (shared != nullptr && options_.tells_placements) {
+    placed_prefixes_.push_back({.prefix = shared->hash,
                                 .upstream = target.name_hash,
                                 .is_saved = cache.sink.has_value()});
     if (cache.sink) {
-      prefixes_.NoteSaved(now, levels[levels.size() - 2].hash);
+      prefixes_.NoteSaved(now, shared->hash);
     }
   }
-  const double queue = replicas_.EstimateQueueSeconds(now, chosen.index);
   replicas_.OnDispatch(chosen.index, next.expected_tokens);
   const uint32_t earlier = item.arrivals++;
   ++item.runs;
@@ -179,7 +177,7 @@
   // least that long, a miss says less.
   const double scale =
       static_cast<double>(event.prompt_tokens) / item.info.prompt_tokens;
-  const double shared = levels[levels.size() - 2].tokens * scale;
+  const double shared = FindSharedLevel(levels)->tokens * scale;
   const double age = ToSeconds(*done.believed_age);
   if (event.cached_tokens >= kHitShare * shared) {
     target.retention_seconds = std::max(target.retention_seconds, age);
@@ -237,11 +235,7 @@
   DrainQueue(now, out);
 }
 
-bool request_router::MayRunAgain(const request& item,
-                                 const attempt_ended& event) const {
-  if (event.result == outcome::kNotRun) {
-    return true;
-  }
+bool request_router::MayRepeat(const request& item) {
   const uint32_t limit = item.info.max_runs;
   return item.repeatable && (limit == 0 || item.runs < limit);
 }
@@ -252,15 +246,10 @@
     return false;
   }
   const request& item = found->second;
-  const uint32_t limit = item.info.max_runs;
   std::vector<replica_index> excluded = item.excluded;
   excluded.push_back(item.running->index);
-  const bool may_run = item.repeatable && (limit == 0 || item.runs < limit);
-  return may_run && BudgetOf(item.info.target).CanSpend(now) &&
-         !replicas_
-              .ListEligible(now, item.info.target, AllowedDomains(item),
-                            excluded)
-              .indices.empty();
+  return MayRepeat(item) && BudgetOf(item.info.target).CanSpend(now) &&
+         HasUpstream(now, item, excluded);
 }
 
 void request_router::Retry(time_point now,
@@ -268,7 +257,7 @@
                            const attempt_ended& event,
                            action_list& out) {
   const request_id id = item.info.request;
-  const bool is_safe = MayRunAgain(item, event);
+  const bool is_safe = event.result == outcome::kNotRun || MayRepeat(item);
   const bool is_useful = !event.answer_begun && now < item.deadline;
   if (!is_safe || !is_useful) {
     Refuse(id,
@@ -298,9 +287,7 @@
   }
   ++counters_.retries;
   // With every replica tried, better any of them again than none.
-  const eligible_replicas others = replicas_.ListEligible(
-      now, item.info.target, AllowedDomains(item), item.excluded);
-  if (others.indices.empty()) {
+  if (!HasUpstream(now, item, item.excluded)) {
     item.excluded.clear();
   }
   Admit(now, item, out);
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -33,13 +33,18 @@
   next_attempt_ = opts.self.incarnation << 20;
 }
 
+void request_router::UpdateFleetSize() {
+  const size_t size = members_.CountServing();
+  replicas_.SetFleetSize(size);
+  copy_budget_.SetFleetSize(size);
+}
+
 void request_router::OnConfiguration(
     time_point now,
     std::shared_ptr<const configuration> config,
     action_list& out) {
   config_ = std::move(config);
-  replicas_.SetFleetSize(members_.CountServing());
-  copy_budget_.SetFleetSize(members_.CountServing());
+  UpdateFleetSize();
   replicas_.Reconfigure(now, *config_);
   DrainQueue(now, out);
 }
@@ -169,7 +174,7 @@
           .target = item.info.target,
           .priority = PriorityOf(item),
           .workspace_hash = item.workspace_hash,
-          .arrived = item.deadline - item.info.time_limit,
+          .arrived = ArrivedAt(item),
           .deadline = item.deadline};
 }
 
@@ -207,15 +212,19 @@
       kMaxRetryAfterSeconds);
 }
 
-bool request_router::HasUpstream(time_point now, const request& item) const {
+bool request_router::HasUpstream(
+    time_point now,
+    const request& item,
+    std::span<const replica_index> excluded) const {
   return !replicas_
               .ListEligible(now, item.info.target, AllowedDomains(item),
-                            item.excluded)
+                            excluded)
               .indices.empty();
 }
 
 void request_router::Enqueue(time_point now, request& item, action_list& out) {
-  if (options_.refuse_without_upstream && !HasUpstream(now, item)) {
+  if (options_.refuse_without_upstream &&
+      !HasUpstream(now, item, item.excluded)) {
     ++counters_.shed;
     Refuse(item.info.request,
            {.status = status_code::kUnavailable,
@@ -253,7 +262,7 @@
       (item.info.prompt_tokens - chosen.expected_cached_tokens) /
       replicas_[chosen.index].prefill_rate;
   const shed_question question{
-      .waited = now - (item.deadline - item.info.time_limit),
+      .waited = now - ArrivedAt(item),
       .expected =
           FromSeconds(ahead + room + computing +
                       replicas_.EstimateQueueSeconds(now, chosen.index)),
@@ -416,8 +425,7 @@
 }
 
 void request_router::OnTick(time_point now, action_list& out) {
-  replicas_.SetFleetSize(members_.CountServing());
-  copy_budget_.SetFleetSize(members_.CountServing());
+  UpdateFleetSize();
   replicas_.ExpirePeerBacklogs(now);
   for (const waiting_request& expired : queue_.TakeExpired(now)) {
     const request& item = requests_.at(expired.request);
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -18,7 +18,7 @@
 static constexpr duration kIdleTickInterval = std::chrono::milliseconds(250);
 /// When to come back to a daemon that knows no configuration yet.
 static constexpr duration kStartRetryAfter = std::chrono::milliseconds(500);
-/// When to come back after that, to another daemon.
+/// When to come back where this daemon stops, to another one.
 static constexpr duration kElsewhereRetryAfter = std::chrono::milliseconds(50);
 static constexpr duration kStopTickInterval = std::chrono::milliseconds(100);
 /// Of the bound on repeats; the rest covers what other daemons cannot know.
--- a/lib/Routing/cache_planner.cc
+++ b/lib/Routing/cache_planner.cc
@@ -15,20 +15,23 @@
 
 /// A holder that used the prefix so long ago still has it for sure.
 constexpr double kSureHit = 0.99;
-/// Chance of a hit where nothing is known of the engine, but that it is the
-/// prefix's home, or that it has older weights.
+/// Chance of a hit at an engine with older weights, of whose cache nothing is
+/// known.
 constexpr double kUnknownHit = 0.5;
 
 /// Plans one request.
 class planner {
  public:
-  explicit planner(const cache_question& question)
+  planner(const cache_question& question, const prefix_level& shared)
       : question_(question),
         model_(question.model),
-        shared_(question.levels[question.levels.size() - 2]),
+        shared_(shared),
         version_(question.replicas.VersionAt(question.chosen, model_.name)) {}
 
   cache_plan Plan() {
+    if (version_.empty()) {
+      return {};
+    }
     store_ = ChooseStore();
     if (version_ != model_.version) {
       // Levels are known by the newest weights; of older ones nothing is known
@@ -40,10 +43,10 @@
     cache_plan plan{.source = std::nullopt,
                     .sink = std::nullopt,
                     .hit_chance = ChanceAtChosen()};
-    const std::optional<replica_index> holder = FindSureHolder();
-    if (holder && plan.hit_chance < kSureHit) {
-      plan.source = question_.replicas[*holder].spec.address;
-    } else {
+    if (plan.hit_chance < kSureHit) {
+      plan.source = CopyFromSureHolder();
+    }
+    if (!plan.source) {
       // Also where the engine should have it: to ask for what is there already
       // costs nothing.
       plan.source = CopyFromStore(plan.hit_chance);
@@ -107,33 +110,29 @@
   }
 
   double ChanceOf(const prefix_holder& holder) const {
-    if (holder.incarnation != question_.replicas[holder.index].incarnation) {
-      return 0;
-    }
     return question_.replicas.HitChance(question_.now, model_.name,
                                         question_.now - holder.used_at);
   }
 
   double ChanceAtChosen() const {
-    for (const prefix_holder& holder : question_.prefixes.Find(shared_.hash)) {
-      if (holder.index == question_.chosen) {
-        return ChanceOf(holder);
-      }
-    }
-    return 0;
+    const prefix_holder* holder =
+        FindHolder(question_.prefixes.Find(shared_.hash), question_.chosen,
+                   question_.replicas[question_.chosen].incarnation);
+    return holder == nullptr ? 0 : ChanceOf(*holder);
   }
 
   /// Another engine that still has the prefix, and whose link is free.
-  std::optional<replica_index> FindSureHolder() const {
+  std::optional<endpoint> CopyFromSureHolder() const {
     for (const prefix_holder& holder : question_.prefixes.Find(shared_.hash)) {
       const bool is_another =
           holder.index != question_.chosen &&
+          holder.incarnation == question_.replicas[holder.index].incarnation &&
           std::binary_search(question_.eligible.begin(),
                              question_.eligible.end(), holder.index);
       if (is_another &&
           question_.replicas.VersionAt(holder.index, model_.name) == version_ &&
           ChanceOf(holder) >= kSureHit) {
-        return holder.index;
+        return question_.replicas[holder.index].spec.address;
       }
     }
     return std::nullopt;
@@ -149,13 +148,11 @@
 }  // namespace
 
 cache_plan PlanCache(const cache_question& question) {
-  if (question.levels.size() < 2 ||
-      question.levels[question.levels.size() - 2].tokens < kLeastTokensToCopy ||
-      question.replicas.VersionAt(question.chosen, question.model.name)
-          .empty()) {
+  const prefix_level* shared = FindSharedLevel(question.levels);
+  if (shared == nullptr || shared->tokens < kLeastTokensToCopy) {
     return {};
   }
-  return planner(question).Plan();
+  return planner(question, *shared).Plan();
 }
 
 }  // namespace cuminswitch
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -25,10 +25,11 @@
 /// daemons over equal replicas.
 static constexpr double kOtherDomainSeconds = 0.003;
 
-/// The level whose homes a request looks for: the innermost that is shared,
-/// which is the last but one, since the last is the request's own.
-static size_t SharedLevel(std::span<const prefix_level> levels) {
-  return levels.size() >= 2 ? levels.size() - 2 : 0;
+/// The level whose homes a request looks for: the innermost that is shared, or
+/// its only one.
+static const prefix_level& HomeLevel(std::span<const prefix_level> levels) {
+  const prefix_level* shared = FindSharedLevel(levels);
+  return shared != nullptr ? *shared : levels.front();
 }
 
 double prefix_cost_policy::EstimateHit(const placement_query& query,
@@ -73,7 +74,7 @@
   if (query.levels.empty()) {
     return;
   }
-  const prefix_level& shared = query.levels[SharedLevel(query.levels)];
+  const prefix_level& shared = HomeLevel(query.levels);
   const home_list homes = RankHomes(query, shared.hash);
   // Only homes are believed. A copy elsewhere, made in a moment of pressure,
   // would keep drawing requests and push other prefixes out of that cache.
@@ -103,11 +104,10 @@
 double prefix_cost_policy::RecomputeWeight(const placement_query& query) {
   // A copy of a prefix that is used all the time serves many requests, so its
   // cost is shared by them; but the first one still waits for it.
-  const size_t shared = SharedLevel(query.levels);
   const double uses =
       query.levels.empty()
           ? 0
-          : query.prefixes.RecentUses(query.now, query.levels[shared].hash);
+          : query.prefixes.RecentUses(query.now, HomeLevel(query.levels).hash);
   return 1 + (query.reuse_weight - 1) / (1 + uses / kHotUses);
 }
 
@@ -115,7 +115,7 @@
   if (query.copy_rate == 0 || query.levels.empty()) {
     return false;
   }
-  const prefix_level& shared = query.levels[SharedLevel(query.levels)];
+  const prefix_level& shared = HomeLevel(query.levels);
   if (shared.tokens < kLeastTokensToCopy) {
     return false;
   }
@@ -136,7 +136,7 @@
   const double weight = RecomputeWeight(query);
   const bool can_copy = CanCopy(query);
   const double shared =
-      query.levels.empty() ? 0 : query.levels[SharedLevel(query.levels)].tokens;
+      query.levels.empty() ? 0 : HomeLevel(query.levels).tokens;
   placement best;
   double best_cost = std::numeric_limits<double>::infinity();
   for (size_t i = 0; i < query.eligible.size(); ++i) {
--- a/lib/Routing/prefix_index.cc
+++ b/lib/Routing/prefix_index.cc
@@ -14,6 +14,16 @@
 /// After 15 s, saving 800 contracts took half of the links of three stores.
 static constexpr duration kSavedTime = std::chrono::seconds(30);
 
+const prefix_holder* FindHolder(std::span<const prefix_holder> holders,
+                                replica_index index,
+                                uint64_t incarnation) {
+  const auto found = std::find_if(
+      holders.begin(), holders.end(), [&](const prefix_holder& item) {
+        return item.index == index && item.incarnation == incarnation;
+      });
+  return found == holders.end() ? nullptr : &*found;
+}
+
 prefix_index::prefix_index(const options& opts) : options_(opts) {}
 
 void prefix_index::RotateIfFull() {
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -119,11 +119,17 @@
   item.incarnation = report.incarnation;
   item.leaving = report.leaving;
   item.models = report.models;
-  item.reported_at = now - report.age;
-  const uint32_t total = report.running + report.waiting;
+  NoteLoad(now - report.age, item, report.running, report.waiting);
+}
+
+void replica_table::NoteLoad(time_point at,
+                             replica& item,
+                             uint32_t running,
+                             uint32_t waiting) {
+  item.reported_at = at;
+  const uint32_t total = running + waiting;
   item.others_in_flight = total > item.in_flight ? total - item.in_flight : 0;
-  item.others_waiting =
-      report.waiting > item.waiting ? report.waiting - item.waiting : 0;
+  item.others_waiting = waiting > item.waiting ? waiting - item.waiting : 0;
 }
 
 void replica_table::OnDispatch(replica_index index, double expected_tokens) {
@@ -168,15 +174,9 @@
 
 void replica_table::OnLoad(time_point now, const upstream_load& load) {
   const auto found = by_name_.find(load.upstream);
-  if (found == by_name_.end()) {
-    return;
+  if (found != by_name_.end()) {
+    NoteLoad(now, replicas_[found->second], load.running, load.waiting);
   }
-  replica& item = replicas_[found->second];
-  item.reported_at = now;
-  const uint32_t total = load.running + load.waiting;
-  item.others_in_flight = total > item.in_flight ? total - item.in_flight : 0;
-  item.others_waiting =
-      load.waiting > item.waiting ? load.waiting - item.waiting : 0;
 }
 
 void replica_table::AddPeerBacklogs(std::span<const upstream_backlog> backlogs,
