--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -13,6 +13,7 @@
 
 #include "cuminswitch/Http1/caller_server.h"
 #include "cuminswitch/Support/status_code.h"
+#include "read_front.h"
 #include "status_text.h"
 
 namespace cuminswitch {
@@ -94,13 +95,7 @@
                         server_.limits_.max_body_size);
       timer_.Start(server_.limits_.request_timeout);
     }
-    evbuffer_iovec part{};
-    evbuffer_peek(input, -1, nullptr, &part, 1);
-    size_t consumed = 0;
-    const read_result result = reader_.Read(
-        {static_cast<const char*>(part.iov_base), part.iov_len}, consumed);
-    evbuffer_drain(input, consumed);
-    switch (result) {
+    switch (ReadFront(reader_, input)) {
       case read_result::kNeedMore:
         if (reader_.IsInBody()) {
           timer_.Start(server_.limits_.request_timeout);
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -13,6 +13,7 @@
 #include "cuminswitch/Http1/upstream_pool.h"
 #include "cuminswitch/Net/socket_address.h"
 #include "pooled_call.h"
+#include "read_front.h"
 
 namespace cuminswitch {
 
@@ -159,12 +160,7 @@
     return;
   }
   while (call_ != nullptr && evbuffer_get_length(input) > 0) {
-    evbuffer_iovec part{};
-    evbuffer_peek(input, -1, nullptr, &part, 1);
-    size_t consumed = 0;
-    const read_result result = reader_.Read(
-        {static_cast<const char*>(part.iov_base), part.iov_len}, consumed);
-    evbuffer_drain(input, consumed);
+    const read_result result = ReadFront(reader_, input);
     if (result == read_result::kMessageDone) {
       End(call_end::kComplete);
       return;
--- a/unittests/Core/repeat_rules_test.cc
+++ b/unittests/Core/repeat_rules_test.cc
@@ -7,6 +7,7 @@
 
 #include "cuminswitch/Core/request_router.h"
 #include "cuminswitch/Protocol/shard_directory.h"
+#include "take_action.h"
 
 namespace cuminswitch {
 namespace {
@@ -78,14 +79,7 @@
 
   template <class Action>
   std::optional<Action> Take() {
-    for (size_t i = 0; i < out_.size(); ++i) {
-      if (auto* action = std::get_if<Action>(&out_[i])) {
-        Action result = *action;
-        out_.erase(out_.begin() + static_cast<std::ptrdiff_t>(i));
-        return result;
-      }
-    }
-    return std::nullopt;
+    return TakeAction<Action>(out_);
   }
 
   /// Ends attempts as they come; returns how many there were.
--- a/unittests/Core/request_router_test.cc
+++ b/unittests/Core/request_router_test.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "cuminswitch/Membership/member_table.h"
+#include "take_action.h"
 
 namespace cuminswitch {
 namespace {
@@ -52,14 +53,7 @@
 
   template <class Action>
   std::optional<Action> Take() {
-    for (size_t i = 0; i < out_.size(); ++i) {
-      if (auto* action = std::get_if<Action>(&out_[i])) {
-        Action result = *action;
-        out_.erase(out_.begin() + static_cast<std::ptrdiff_t>(i));
-        return result;
-      }
-    }
-    return std::nullopt;
+    return TakeAction<Action>(out_);
   }
 
   void End(attempt_id attempt, outcome result, bool begun = false) {
