Let the soak use what the project had

Cause: the soak wrote again what stood elsewhere: base64 (platform/store_client), the search for free ports (utils/free_ports, with another range), and the reading of an address (ParseEndpoint).

--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -1,9 +1,5 @@
 #include "soak/deployment.h"
 
-#include <event2/event.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -12,17 +8,14 @@
 #include <thread>
 #include <utility>
 
-#include "cuminswitch/Net/socket_address.h"
+#include "StandIn/free_ports.h"
+#include "platform/base64.h"
 
 namespace cuminswitch::soak {
 
 using nlohmann::json;
 
 static constexpr std::chrono::milliseconds kWriteTimeout{400};
-/// Below this, ports are never given to outgoing connections, so a daemon that
-/// starts again finds its ports free.
-static constexpr uint16_t kFirstPort = 15'000;
-static constexpr int kPorts = 15'000;
 /// A disturbance's effects on a daemon last a while: it catches up, and its
 /// peers notice.
 static constexpr std::chrono::seconds kCalmAfter{3};
@@ -42,7 +35,7 @@
   }
   const size_t count = static_cast<size_t>(options_.daemons);
   constexpr size_t kPortsEach = 5;
-  const std::vector<uint16_t> ports = FindPorts(kPortsEach * count);
+  const std::vector<uint16_t> ports = FindFreePorts(kPortsEach * count);
   for (size_t i = 0; i < count; ++i) {
     const auto at = [&](size_t place) {
       return endpoint{.address = "127.0.0.1",
@@ -70,32 +63,6 @@
   }
 }
 
-std::vector<uint16_t> deployment::FindPorts(size_t count) {
-  std::vector<uint16_t> ports;
-  std::vector<int> sockets;
-  constexpr int kStride = 97;
-  for (int i = 0; i < kPorts && ports.size() < count; ++i) {
-    const auto port =
-        static_cast<uint16_t>(kFirstPort + (getpid() * kStride + i) % kPorts);
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockets.push_back(fd);
-    const sockaddr_in address =
-        ToSocketAddress({.address = "127.0.0.1", .port = port});
-    if (bind(fd, reinterpret_cast<const sockaddr*>(&address),
-             sizeof(address)) == 0) {
-      ports.push_back(port);
-    }
-  }
-  // Held until all are chosen, so that none comes twice.
-  for (const int fd : sockets) {
-    close(fd);
-  }
-  if (ports.size() < count) {
-    throw std::runtime_error("no free ports");
-  }
-  return ports;
-}
-
 endpoint deployment::AwaitListening(const std::string& log) {
   static constexpr std::string_view kMark = "listening on ";
   constexpr int kRounds = 2'000;
@@ -103,10 +70,7 @@
     std::ifstream file(log);
     std::string line;
     if (std::getline(file, line) && line.starts_with(kMark) && !file.eof()) {
-      const std::string text = line.substr(kMark.size());
-      const size_t colon = text.find(':');
-      return {.address = text.substr(0, colon),
-              .port = static_cast<uint16_t>(std::stoi(text.substr(colon + 1)))};
+      return ParseEndpoint(line.substr(kMark.size())).value();
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
@@ -258,28 +222,10 @@
   Put("op/version/m", json({{"model", "m"}, {"version", version}}).dump());
 }
 
-static std::string EncodeBase64(std::string_view text) {
-  static constexpr std::string_view kDigits =
-      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string encoded;
-  for (size_t i = 0; i < text.size(); i += 3) {
-    uint32_t bits = 0;
-    for (size_t j = 0; j < 3; ++j) {
-      const auto byte =
-          i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0U;
-      bits = bits << 8 | byte;
-    }
-    for (size_t j = 0; j < 4; ++j) {
-      const bool is_padding = i + j > text.size();
-      encoded += is_padding ? '=' : kDigits[bits >> (18 - 6 * j) & 63];
-    }
-  }
-  return encoded;
-}
-
 void deployment::Put(const std::string& key, const std::string& value) {
   Write(json({{"precondition", json::array()},
-              {"puts", {{{"key", key}, {"value", EncodeBase64(value)}}}},
+              {"puts",
+               {{{"key", key}, {"value", platform::EncodeBase64(value)}}}},
               {"remove", json::array()}})
             .dump());
 }
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -93,7 +93,6 @@
   void List(upstream_state& item);
   void ReadLog(upstream_state& item);
   endpoint AwaitListening(const std::string& log);
-  std::vector<uint16_t> FindPorts(size_t count);
 
   event_base* base_;
   options options_;
