Drop upstreams whose address another one has taken

Cause: an engine that crashes comes back within a second under a new id at its old address, while the entry of the one that crashed stays listed for three heartbeats.

Ruled out: weights learnt late (the first three 421s of that request were all of another id, none of another version).

--- a/include/cuminswitch/Fleet/fleet_knowledge.h
+++ b/include/cuminswitch/Fleet/fleet_knowledge.h
@@ -34,6 +34,8 @@
   /// When it started, in Unix milliseconds of its own clock; tells its starts
   /// apart, the greater one being the later. 0 where it does not say.
   uint64_t started = 0;
+  /// The store's revision of the entry.
+  revision_number revision = 0;
   std::vector<weights_version> weights;
   friend bool operator==(const upstream_entry&,
                          const upstream_entry&) = default;
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "cuminswitch/Fleet/address_owners.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Fleet/item_feed.h"
 #include "cuminswitch/Fleet/lapsed_upstreams.h"
@@ -92,6 +93,7 @@
   std::shared_ptr<const fleet_knowledge> decoded_;
   std::shared_ptr<const fleet_knowledge> knowledge_;
   lapsed_upstreams lapsed_;
+  address_owners owners_;
   std::vector<upstream_backlog> own_backlogs_;
   placement_news placement_news_;
   std::vector<std::string> leader_changing_;
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -284,6 +284,7 @@
     const std::shared_ptr<const fleet_knowledge>& decoded) {
   auto next = std::make_shared<fleet_knowledge>(*decoded);
   lapsed_.Keep(ReadBootClock(), Contact(), knowledge_.get(), *next);
+  owners_.DropReplaced(*next);
   if (knowledge_ != nullptr && knowledge_->plan == next->plan &&
       knowledge_->upstreams == next->upstreams &&
       knowledge_->wanted_weights == next->wanted_weights &&
