Keep prefixes at their homes when new weights are named

Cause: the hashes under which prefixes are known held the newest version of the weights. An engine's incarnation already tells its weights apart, so the version adds nothing but that. What the store holds is known by weights; peers tell them along (32 bits, in what was padding).

Ruled out: load of the batch in the cost of placing.

The new test of the router fails on the hashes of before.

--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -26,6 +26,10 @@
   uint32_t tokens = 0;
 };
 
+/// Stands for a version of a model's weights where its name is too long.
+using weights_tag = uint32_t;
+inline constexpr weights_tag kNoWeights = 0;
+
 /// Whether a request may reach more than one upstream that runs it.
 enum class repeat_rule : uint8_t {
   /// As the configuration says of its target.
@@ -91,8 +95,9 @@
   uint64_t upstream = 0;
   /// The upstream's incarnation for which it was placed.
   uint64_t incarnation = 0;
-  /// The upstream saves it to the cache store.
-  bool is_saved = false;
+  /// Tag of the weights under which the upstream saves it to the cache store;
+  /// `kNoWeights` where it does not.
+  weights_tag saved_weights = kNoWeights;
 };
 
 /// What a daemon tells the others of its placements.
--- a/include/cuminswitch/Routing/placement_query.h
+++ b/include/cuminswitch/Routing/placement_query.h
@@ -28,6 +28,8 @@
   const std::vector<bool>& has_room;
   /// For each of them, seconds that it costs beyond its work; may be empty.
   std::span<const double> penalty_seconds = {};
+  /// For each of them, the tag of its weights; may be empty.
+  std::span<const weights_tag> weights = {};
   const replica_table& replicas;
   prefix_index& prefixes;
   /// Where this daemon is; a replica there is preferred among equals.
--- a/include/cuminswitch/Routing/prefix_cost_policy.h
+++ b/include/cuminswitch/Routing/prefix_cost_policy.h
@@ -40,14 +40,22 @@
 
   static home_list RankHomes(const placement_query& query, uint64_t prefix);
   static double RecomputeWeight(const placement_query& query);
-  /// Whether some replica or store should hold the shared prefix, so that
-  /// another one can copy it.
-  static bool CanCopy(const placement_query& query);
+  /// Whether some replica or store should hold the shared prefix as computed by
+  /// \p weights.
+  static bool IsCopyable(const placement_query& query, weights_tag weights);
+  /// Whether the eligible replica at \p place can copy the shared prefix.
+  bool CanCopy(const placement_query& query, size_t place);
   void CollectExpectedHits(const placement_query& query);
 
   /// Expected cached tokens by position in `eligible`; kept between calls to
   /// spare the allocation.
   std::vector<double> expected_;
+  struct copyable_weights {
+    weights_tag weights = kNoWeights;
+    bool can_copy = false;
+  };
+  /// What is known of the present query.
+  std::vector<copyable_weights> copyable_;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Routing/prefix_index.h
+++ b/include/cuminswitch/Routing/prefix_index.h
@@ -51,10 +51,11 @@
   void Touch(uint64_t hash, const prefix_holder& holder);
   /// Returns who should hold \p hash; invalid after the next call.
   std::span<const prefix_holder> Find(uint64_t hash);
-  /// Notes that \p hash is being saved to the cache store.
-  void NoteSaved(time_point now, uint64_t hash);
+  /// Notes that \p hash, as computed by \p weights, is being saved to the
+  /// cache store.
+  void NoteSaved(time_point now, uint64_t hash, weights_tag weights);
   /// Whether it was saved so recently that the store should still hold it.
-  bool WasSaved(time_point now, uint64_t hash);
+  bool WasSaved(time_point now, uint64_t hash, weights_tag weights);
   /// Counts one use of \p hash by a request.
   void CountUse(time_point now, uint64_t hash);
   /// Returns the uses of \p hash of late; each loses its weight over seconds.
@@ -68,6 +69,8 @@
     double uses = 0;
     time_point counted_at{};
     time_point saved_at{};
+    /// The weights of what was saved last.
+    weights_tag saved_weights = kNoWeights;
   };
   using entry_map = std::unordered_map<uint64_t, entry>;
 
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -31,6 +31,8 @@
   /// For each of them, seconds that it costs beyond its work: what an answer
   /// loses in value by being made there.
   std::vector<double> penalty_seconds;
+  /// For each of them, the tag of its weights of the target.
+  std::vector<weights_tag> weights;
 };
 
 /// Keeps each replica's counts, limits and health.
@@ -85,6 +87,8 @@
   /// Returns the version of \p target's weights at the replica, or nothing
   /// for a service.
   std::string VersionAt(replica_index index, std::string_view target) const;
+  /// The tag of `VersionAt()`.
+  weights_tag WeightsAt(replica_index index, std::string_view target) const;
   /// The upstream said that it is too busy.
   void OnBusy(time_point now, replica_index index);
   /// The attempt failed, or the upstream could not be reached.
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -70,12 +70,15 @@
                                  .used_at = now});
   }
   if (shared != nullptr && options_.tells_placements) {
+    const weights_tag saved =
+        cache.sink ? replicas_.WeightsAt(chosen.index, item.info.target)
+                   : kNoWeights;
     placed_prefixes_.push_back({.prefix = shared->hash,
                                 .upstream = target.name_hash,
                                 .incarnation = target.incarnation,
-                                .is_saved = cache.sink.has_value()});
-    if (cache.sink) {
-      prefixes_.NoteSaved(now, shared->hash);
+                                .saved_weights = saved});
+    if (saved != kNoWeights) {
+      prefixes_.NoteSaved(now, shared->hash, saved);
     }
   }
   replicas_.OnDispatch(chosen.index, next.expected_tokens);
@@ -324,8 +327,8 @@
     if (const auto index = replicas_.FindByHash(item.upstream)) {
       NotePeerPlacement(now, *index, item);
     }
-    if (item.is_saved) {
-      prefixes_.NoteSaved(now, item.prefix);
+    if (item.saved_weights != kNoWeights) {
+      prefixes_.NoteSaved(now, item.prefix, item.saved_weights);
     }
   }
 }
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -80,10 +80,12 @@
 }
 
 void request_router::PrepareLevels(request& item) const {
-  // Everything that makes a cache another cache goes into the hashes, so no
-  // lookup can cross pools, models, versions or adapters.
-  const model_spec* model = config_->FindModel(item.info.target);
-  item.scope = CacheScope(item, model == nullptr ? "" : model->version);
+  // Pools, models and adapters go into the hashes, so that no lookup crosses
+  // them. Versions of weights do not: a replica's incarnation tells them apart.
+  // With them in the hashes each naming moved all prefixes to new homes and
+  // hid what the replicas with the older weights had cached, for the seconds
+  // in which these still served most requests.
+  item.scope = CacheScope(item, {});
   for (prefix_level& level : item.info.levels) {
     level.hash = CombineHash(item.scope, level.hash);
   }
@@ -305,6 +307,7 @@
                        .eligible = eligible.indices,
                        .has_room = eligible.has_room,
                        .penalty_seconds = eligible.penalty_seconds,
+                       .weights = eligible.weights,
                        .replicas = replicas_,
                        .prefixes = prefixes_,
                        .failure_domain = options_.self.failure_domain,
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -33,7 +33,7 @@
     for (const placed_prefix& item : frame.prefixes) {
       prefixes.emplace_back(item.prefix, item.upstream,
                             static_cast<uint32_t>(item.incarnation),
-                            item.is_saved);
+                            item.saved_weights);
     }
     const daemon_record& sender = frame.sender;
     return fleet_wire::Createbeat(
@@ -132,7 +132,7 @@
       frame.prefixes.push_back({.prefix = item->hash(),
                                 .upstream = item->upstream(),
                                 .incarnation = item->incarnation(),
-                                .is_saved = item->is_saved()});
+                                .saved_weights = item->saved_weights()});
     }
   }
   for (const std::string& text : ReadTexts(wire.heard())) {
--- a/lib/Routing/cache_planner.cc
+++ b/lib/Routing/cache_planner.cc
@@ -15,9 +15,6 @@
 
 /// A holder that used the prefix so long ago still has it for sure.
 constexpr double kSureHit = 0.99;
-/// Chance of a hit at an engine with older weights, of whose cache nothing is
-/// known.
-constexpr double kUnknownHit = 0.5;
 
 /// Plans one request.
 class planner {
@@ -33,13 +30,6 @@
       return {};
     }
     store_ = ChooseStore();
-    if (version_ != model_.version) {
-      // Levels are known by the newest weights; of older ones nothing is known
-      // but that their caches go soon.
-      return {.source = CopyFromStore(kUnknownHit),
-              .sink = std::nullopt,
-              .hit_chance = kUnknownHit};
-    }
     cache_plan plan{.source = std::nullopt,
                     .sink = std::nullopt,
                     .hit_chance = ChanceAtChosen()};
@@ -51,7 +41,11 @@
       // costs nothing.
       plan.source = CopyFromStore(plan.hit_chance);
     }
-    if (!question_.prefixes.WasSaved(question_.now, shared_.hash)) {
+    // What older weights compute is of use for seconds only.
+    if (version_ == model_.version &&
+        !question_.prefixes.WasSaved(
+            question_.now, shared_.hash,
+            question_.replicas.WeightsAt(question_.chosen, model_.name))) {
       plan.sink = SaveToStore();
     }
     return plan;
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -111,30 +111,58 @@
   return 1 + (query.reuse_weight - 1) / (1 + uses / kHotUses);
 }
 
-bool prefix_cost_policy::CanCopy(const placement_query& query) {
-  if (query.copy_rate == 0 || query.levels.empty()) {
-    return false;
+/// The tag of \p index's weights, if that is among the eligible.
+static std::optional<weights_tag> FindWeights(const placement_query& query,
+                                              replica_index index) {
+  const auto found =
+      std::lower_bound(query.eligible.begin(), query.eligible.end(), index);
+  if (found == query.eligible.end() || *found != index ||
+      query.weights.empty()) {
+    return std::nullopt;
   }
+  return query.weights[static_cast<size_t>(found - query.eligible.begin())];
+}
+
+bool prefix_cost_policy::IsCopyable(const placement_query& query,
+                                    weights_tag weights) {
   const prefix_level& shared = HomeLevel(query.levels);
   if (shared.tokens < kLeastTokensToCopy) {
     return false;
   }
-  if (query.prefixes.WasSaved(query.now, shared.hash)) {
+  if (query.prefixes.WasSaved(query.now, shared.hash, weights)) {
     return true;
   }
   const std::span<const prefix_holder> holders =
       query.prefixes.Find(shared.hash);
   return std::any_of(
       holders.begin(), holders.end(), [&](const prefix_holder& holder) {
-        return query.replicas[holder.index].incarnation == holder.incarnation;
+        return query.replicas[holder.index].incarnation == holder.incarnation &&
+               FindWeights(query, holder.index) == weights;
       });
 }
 
+bool prefix_cost_policy::CanCopy(const placement_query& query, size_t place) {
+  if (query.copy_rate == 0 || query.levels.empty() || query.weights.empty()) {
+    return false;
+  }
+  // Few versions are in use at a time, so each is looked up once.
+  const weights_tag weights = query.weights[place];
+  const auto known =
+      std::find_if(copyable_.begin(), copyable_.end(),
+                   [&](const auto& item) { return item.weights == weights; });
+  if (known != copyable_.end()) {
+    return known->can_copy;
+  }
+  copyable_.push_back(
+      {.weights = weights, .can_copy = IsCopyable(query, weights)});
+  return copyable_.back().can_copy;
+}
+
 placement prefix_cost_policy::Choose(const placement_query& query) {
   assert(!query.eligible.empty() && "nowhere to place the request");
   CollectExpectedHits(query);
   const double weight = RecomputeWeight(query);
-  const bool can_copy = CanCopy(query);
+  copyable_.clear();
   const double shared =
       query.levels.empty() ? 0 : HomeLevel(query.levels).tokens;
   placement best;
@@ -142,6 +170,7 @@
   for (size_t i = 0; i < query.eligible.size(); ++i) {
     const replica_index index = query.eligible[i];
     const replica& item = query.replicas[index];
+    const bool can_copy = CanCopy(query, i);
     // Computed again although some replica has it, or will have it.
     const double missing = std::max(0.0, shared - expected_[i]);
     const double own =
--- a/lib/Routing/prefix_index.cc
+++ b/lib/Routing/prefix_index.cc
@@ -91,14 +91,20 @@
   return found->uses * std::exp(-age / kUseLifetimeSeconds);
 }
 
-void prefix_index::NoteSaved(time_point now, uint64_t hash) {
-  FindOrAdd(hash).saved_at = now;
+void prefix_index::NoteSaved(time_point now,
+                             uint64_t hash,
+                             weights_tag weights) {
+  entry& found = FindOrAdd(hash);
+  found.saved_at = now;
+  found.saved_weights = weights;
 }
 
-bool prefix_index::WasSaved(time_point now, uint64_t hash) {
+bool prefix_index::WasSaved(time_point now,
+                            uint64_t hash,
+                            weights_tag weights) {
   const entry* found = Promote(hash);
   return found != nullptr && found->saved_at != time_point() &&
-         now - found->saved_at < kSavedTime;
+         found->saved_weights == weights && now - found->saved_at < kSavedTime;
 }
 
 void prefix_index::CountUse(time_point now, uint64_t hash) {
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -258,6 +258,14 @@
   return {};
 }
 
+weights_tag replica_table::WeightsAt(replica_index index,
+                                     std::string_view target) const {
+  const std::string version = VersionAt(index, target);
+  // Never the tag that stands for none.
+  return version.empty() ? kNoWeights
+                         : static_cast<weights_tag>(Hash64(version)) | 1U;
+}
+
 time_point replica_table::SupersededAt(const target_replicas& target,
                                        std::string_view version) {
   // The time in which old weights may be used runs from the naming of the
@@ -534,6 +542,7 @@
     list.indices.push_back(index);
     list.has_room.push_back(HasRoom(now, item));
     list.penalty_seconds.push_back(*penalty);
+    list.weights.push_back(WeightsAt(index, target));
   }
   // With every replica ejected, any of them is better than none.
   return result.indices.empty() ? ejected : result;
--- a/unittests/Core/request_router_test.cc
+++ b/unittests/Core/request_router_test.cc
@@ -16,7 +16,10 @@
  protected:
   request_router_test()
       : members_({.self = {.host = "h", .incarnation = 1}}),
-        router_({.self = members_.self(), .tells_placements = true}, members_) {
+        router_({.self = members_.self(),
+                 .replicas = {.old_weights_time = std::chrono::seconds(6)},
+                 .tells_placements = true},
+                members_) {
     auto config = std::make_shared<configuration>();
     config->models = {{.name = "m", .version = "1"}};
     config->upstreams = {{.name = "a", .serves = {"m"}, .max_in_flight = 2},
@@ -29,6 +32,16 @@
     now_ += std::chrono::seconds(10);
   }
 
+  /// The operators name \p version; the upstreams keep what they have.
+  void NameWeights(const std::string& version) {
+    auto config = std::make_shared<configuration>();
+    config->models = {{.name = "m", .version = version}};
+    config->upstreams = {{.name = "a", .serves = {"m"}, .max_in_flight = 2},
+                         {.name = "b", .serves = {"m"}, .max_in_flight = 2}};
+    config->workspaces = {{.name = "v", .uses = {"m"}}};
+    router_.OnConfiguration(now_, config, out_);
+  }
+
   void Report(const std::string& upstream) {
     router_.OnUpstreamReport(now_,
                              {.upstream = upstream,
@@ -149,6 +162,39 @@
   EXPECT_GT(expected_cached_, 990);
 }
 
+// Symptom: after new weights are named, all engines read all shared prompts
+// again, also those that still have the older weights and the caches.
+// Sequence: a prefix is cached at an engine; new weights are named; none of the
+// engines has them yet, and a request with the prefix comes.
+// Cause: hashes of prefixes held the newest version, so with the naming every
+// prefix moved to another home, and nothing was known of what was cached.
+TEST_F(request_router_test, ANamingDoesNotMovePrefixesFromTheirHomes) {
+  for (request_id id = 1; id <= 20; ++id) {
+    const uint64_t shared = 1000 + id;
+    const auto place = [&](request_id request) {
+      router_.OnRequest(now_,
+                        {.request = request,
+                         .workspace = "v",
+                         .target = "m",
+                         .levels = {{.hash = shared, .tokens = 1000},
+                                    {.hash = request, .tokens = 1100}},
+                         .prompt_tokens = 1100,
+                         .time_limit = std::chrono::seconds(60)},
+                        out_);
+      const auto sent = Take<dispatch_attempt>();
+      End(sent->attempt, outcome::kAnswered);
+      return *sent;
+    };
+    NameWeights("1");
+    const dispatch_attempt before = place(id);
+    NameWeights("2");
+    const dispatch_attempt after = place(100 + id);
+    EXPECT_EQ(after.upstream, before.upstream) << "prefix " << id;
+    EXPECT_GT(after.expected_cached_tokens, 990) << "prefix " << id;
+    EXPECT_EQ(after.weights_version, "1");
+  }
+}
+
 TEST_F(request_router_test, WorkspacesHaveDifferentCacheScopes) {
   Arrive(1, "v");
   const auto first = Take<dispatch_attempt>();
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -29,7 +29,7 @@
           .prefixes = {{.prefix = 5,
                         .upstream = 3,
                         .incarnation = 4'000'000'000U,
-                        .is_saved = true}}};
+                        .saved_weights = 77}}};
 }
 
 TEST(peer_frame_test, ABeatComesBack) {
@@ -49,7 +49,7 @@
   EXPECT_EQ(beat.backlogs[0].tokens, 400U);
   EXPECT_EQ(beat.prefixes[0].prefix, 5U);
   EXPECT_EQ(beat.prefixes[0].incarnation, 4'000'000'000U);
-  EXPECT_TRUE(beat.prefixes[0].is_saved);
+  EXPECT_EQ(beat.prefixes[0].saved_weights, 77U);
 }
 
 TEST(peer_frame_test, ItemsComeBack) {
--- a/unittests/Fleet/placement_news_test.cc
+++ b/unittests/Fleet/placement_news_test.cc
@@ -15,7 +15,8 @@
 std::vector<placed_prefix> Placed(uint64_t first, uint64_t count) {
   std::vector<placed_prefix> list;
   for (uint64_t hash = first; hash < first + count; ++hash) {
-    list.push_back({.prefix = hash, .upstream = 1, .is_saved = false});
+    list.push_back(
+        {.prefix = hash, .upstream = 1, .saved_weights = kNoWeights});
   }
   return list;
 }
--- a/unittests/Routing/cache_planner_test.cc
+++ b/unittests/Routing/cache_planner_test.cc
@@ -76,10 +76,21 @@
   EXPECT_EQ(Plan(0).source, (endpoint{"10.0.0.2", 1}));
 }
 
+// Symptom: requests are made to wait for copies that the store cannot have.
+// Sequence: a prefix is saved by engines with the older weights; one with the
+// newer weights is asked for it.
+TEST_F(cache_planner_test, WhatOtherWeightsSavedDoesNotCountAsSaved) {
+  prefixes_.NoteSaved(now_, 7, replicas_.WeightsAt(0, "m"));
+  EXPECT_FALSE(Plan(0).sink.has_value());
+  Report("a", "3");
+  model_.version = "3";
+  EXPECT_EQ(Plan(0).sink, kStore) << "the newer weights save it anew";
+}
+
 // Symptom: the store's link is full of prompts that are never asked for again.
 // Cause: a request's own part is saved along with the shared ones.
 TEST_F(cache_planner_test, APrefixIsSavedOnceInAWhile) {
-  prefixes_.NoteSaved(now_, 7);
+  prefixes_.NoteSaved(now_, 7, replicas_.WeightsAt(0, "m"));
   EXPECT_FALSE(Plan(0).sink.has_value());
   EXPECT_EQ(Plan(0).source, kStore);
   now_ += std::chrono::seconds(70);
