Ask a follower of the store in the own failure domain, each in turn

A trial that logged raw entries shows that an entry's revision changes only when more than its beat count does, and one that counted frames shows no items handed on in steady state. What is handed on are whole lists, after a start or a herd kill, and every daemon asked the one peer that knew most: at 300 hosts with 3,000 upstreams one follower served everybody, in every failure domain.

Change: a peer that has the store comes first, then the own failure domain, then a draw that differs by daemon and question. Beats name three peers in place of eight (the names were 40% of a beat's bytes).

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -101,6 +101,8 @@
   time_point leader_changing_at_{};
   std::vector<std::string> published_peers_;
   time_point asked_at_{};
+  /// Questions to peers so far.
+  uint64_t questions_ = 0;
   time_point next_registration_{};
   uint64_t beats_sent_ = 0;
   bool is_registering_ = false;
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -21,6 +21,7 @@
   struct options {
     std::string self_name;
     endpoint self_address;
+    std::string self_domain;
     /// Where to look for the first peers; some may be stale.
     std::vector<endpoint> seeds;
   };
@@ -40,9 +41,14 @@
   std::vector<endpoint> ListReachable(time_point now) const;
   /// The peers that live, ready or not.
   std::vector<daemon_record> ListLiving(time_point now) const;
-  /// Returns a living peer that knows most, if it knows more than \p revision.
+  /// Returns a living peer that knows more than \p revision, or null. One that
+  /// has the store comes first, then one in the own failure domain; among
+  /// equals \p turn decides, and each daemon's turns differ. When all asked the
+  /// one that knew most, it handed a fleet's whole list on to everybody: at 300
+  /// hosts and 3,000 upstreams 2.9 MB/s, most of it to other failure domains.
   const daemon_record* FindAhead(time_point now,
-                                 revision_number revision) const;
+                                 revision_number revision,
+                                 uint64_t turn) const;
   /// Daemons of the deployment as far as is known, this one included.
   size_t CountKnown() const;
 
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -14,9 +14,10 @@
 namespace cuminswitch {
 
 static constexpr duration kAskInterval = std::chrono::milliseconds(200);
-/// Peers named in a beat; with one beat in four naming each, a newcomer knows
-/// a fleet of eighty within two rounds.
-static constexpr size_t kHeardPerBeat = 8;
+/// Peers named in a beat, others each time. The store lists them all, so this
+/// is for the time without it; a daemon gets some 130 beats a second, which
+/// name 400 peers. Eight were 40% of a beat's bytes.
+static constexpr size_t kHeardPerBeat = 3;
 static constexpr uint64_t kHeardPart = 4;
 static constexpr duration kRegistrationRetry = std::chrono::milliseconds(700);
 static constexpr duration kRolloutInterval = std::chrono::milliseconds(50);
@@ -46,6 +47,7 @@
       with_(with),
       roster_({.self_name = options_.self.name,
                .self_address = options_.self.peer_address,
+               .self_domain = options_.self.failure_domain,
                .seeds = options_.seeds}),
       feed_(base, with.store, with.log, [this] { OnItemsChanged(); }),
       election_({.self_name = options_.self.name,
@@ -188,8 +190,10 @@
     return;
   }
   const revision_number revision = feed_.view().revision();
-  if (const daemon_record* ahead = roster_.FindAhead(now, revision)) {
+  if (const daemon_record* ahead =
+          roster_.FindAhead(now, revision, questions_)) {
     asked_at_ = now;
+    ++questions_;
     transport_->Send(
         ahead->peer_address,
         EncodePeerFrame(items_request_frame{
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -1,8 +1,12 @@
 #include "cuminswitch/Fleet/peer_roster.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
+#include "cuminswitch/Support/hash.h"
+#include "cuminswitch/Support/rendezvous.h"
+
 namespace cuminswitch {
 
 /// Beats sent in one round, so that a daemon's cost stays flat as the fleet
@@ -114,12 +118,20 @@
 }
 
 const daemon_record* peer_roster::FindAhead(time_point now,
-                                            revision_number revision) const {
+                                            revision_number revision,
+                                            uint64_t turn) const {
+  const uint64_t key = Hash64(options_.self_name, turn);
+  const auto rank = [&](const daemon_record& record) {
+    return std::tuple(record.has_store,
+                      record.failure_domain == options_.self_domain,
+                      RendezvousWeight(key, Hash64(record.name)));
+  };
   const daemon_record* best = nullptr;
   for (const auto& [name, item] : peers_) {
-    if (IsLiving(now, item) && item.record.revision > revision) {
+    const bool is_ahead =
+        IsLiving(now, item) && item.record.revision > revision;
+    if (is_ahead && (best == nullptr || rank(item.record) > rank(*best))) {
       best = &item.record;
-      revision = item.record.revision;
     }
   }
   return best;
