Keep one question to peers under way at a time

Cause: a daemon asked for items every 200 ms whether or not the last answer had come.

Change: the next question waits for the answer, at most a second, which is more than a megabyte takes at 10 Mbit/s. The pacing is a class of its own; its test states the sequence.

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -14,6 +14,7 @@
 #include "cuminswitch/Fleet/leader_election.h"
 #include "cuminswitch/Fleet/peer_roster.h"
 #include "cuminswitch/Fleet/placement_news.h"
+#include "cuminswitch/Fleet/question_pacer.h"
 #include "cuminswitch/Fleet/weights_rollout.h"
 #include "cuminswitch/Kernel/loop_task.h"
 #include "cuminswitch/Net/peer_transport.h"
@@ -100,9 +101,7 @@
   std::vector<std::string> published_changing_;
   time_point leader_changing_at_{};
   std::vector<std::string> published_peers_;
-  time_point asked_at_{};
-  /// Questions to peers so far.
-  uint64_t questions_ = 0;
+  question_pacer questions_;
   time_point next_registration_{};
   uint64_t beats_sent_ = 0;
   bool is_registering_ = false;
--- /dev/null
+++ b/include/cuminswitch/Fleet/question_pacer.h
@@ -0,0 +1,34 @@
+/// \file
+/// When a daemon asks its peers for items again.
+#ifndef CUMINSWITCH_FLEET_QUESTION_PACER_H_
+#define CUMINSWITCH_FLEET_QUESTION_PACER_H_
+
+#include <cstdint>
+
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+/// Keeps one question under way at a time.
+///
+/// An answer may be the fleet's whole list, a megabyte where there are
+/// thousands of upstreams, and a slow link needs longer for it than the
+/// interval between questions. Asked again meanwhile, a peer sent the same list
+/// again and again: at 300 hosts one had 121 MB of them waiting in memory.
+class question_pacer {
+ public:
+  bool MayAsk(time_point now) const;
+  void OnAsked(time_point now);
+  void OnAnswered() { is_waiting_ = false; }
+  /// Questions so far; another peer is asked each time.
+  uint64_t turn() const { return turn_; }
+
+ private:
+  time_point asked_at_{};
+  uint64_t turn_ = 0;
+  bool is_waiting_ = false;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_QUESTION_PACER_H_
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -13,7 +13,6 @@
 
 namespace cuminswitch {
 
-static constexpr duration kAskInterval = std::chrono::milliseconds(200);
 /// Peers named in a beat, others each time. The store lists them all, so this
 /// is for the time without it; a daemon gets some 130 beats a second, which
 /// name 400 peers. Eight were 40% of a beat's bytes.
@@ -102,6 +101,7 @@
   } else if (const auto* request = std::get_if<items_request_frame>(&*frame)) {
     OnItemsRequest(*request);
   } else {
+    questions_.OnAnswered();
     feed_.OnPeerItems(std::get<items_reply_frame>(*frame));
   }
   return true;
@@ -185,15 +185,13 @@
 }
 
 void fleet_task::AskPeers(time_point now) {
-  const bool is_due = now - asked_at_ >= kAskInterval;
-  if (!is_due || feed_.IsFresh(now, kStoreFresh)) {
+  if (!questions_.MayAsk(now) || feed_.IsFresh(now, kStoreFresh)) {
     return;
   }
   const revision_number revision = feed_.view().revision();
   if (const daemon_record* ahead =
-          roster_.FindAhead(now, revision, questions_)) {
-    asked_at_ = now;
-    ++questions_;
+          roster_.FindAhead(now, revision, questions_.turn())) {
+    questions_.OnAsked(now);
     transport_->Send(
         ahead->peer_address,
         EncodePeerFrame(items_request_frame{
--- /dev/null
+++ b/lib/Fleet/question_pacer.cc
@@ -0,0 +1,20 @@
+#include "cuminswitch/Fleet/question_pacer.h"
+
+namespace cuminswitch {
+
+static constexpr duration kAskInterval = std::chrono::milliseconds(200);
+/// An answer that is not there by then is taken for lost. A megabyte takes 0.8
+/// s on the slowest links that hosts have (10 Mbit/s).
+static constexpr duration kAnswerTime = std::chrono::seconds(1);
+
+bool question_pacer::MayAsk(time_point now) const {
+  return now - asked_at_ >= (is_waiting_ ? kAnswerTime : kAskInterval);
+}
+
+void question_pacer::OnAsked(time_point now) {
+  asked_at_ = now;
+  is_waiting_ = true;
+  ++turn_;
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/unittests/Fleet/question_pacer_test.cc
@@ -0,0 +1,43 @@
+// How often peers are asked for items.
+#include "cuminswitch/Fleet/question_pacer.h"
+
+#include <gtest/gtest.h>
+
+namespace cuminswitch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point kStart{std::chrono::seconds(100)};
+
+// Symptom: a daemon that hands items on runs out of memory, and its link is
+// full. Sequence: hundreds of daemons start and ask it for the whole list; the
+// link needs a second for what they asked for; each asks again every 200 ms.
+// Cause: the time of the last question counted, not whether it was answered.
+TEST(question_pacer_test, NothingIsAskedWhileAnAnswerIsOnItsWay) {
+  question_pacer pacer;
+  EXPECT_TRUE(pacer.MayAsk(kStart));
+  pacer.OnAsked(kStart);
+  for (int millis = 0; millis < 1000; millis += 50) {
+    EXPECT_FALSE(pacer.MayAsk(kStart + milliseconds(millis))) << millis;
+  }
+  EXPECT_TRUE(pacer.MayAsk(kStart + milliseconds(1000))) << "it was lost";
+}
+
+TEST(question_pacer_test, AfterAnAnswerTheNextQuestionComesSoon) {
+  question_pacer pacer;
+  pacer.OnAsked(kStart);
+  pacer.OnAnswered();
+  EXPECT_FALSE(pacer.MayAsk(kStart + milliseconds(100)));
+  EXPECT_TRUE(pacer.MayAsk(kStart + milliseconds(200)));
+}
+
+TEST(question_pacer_test, TurnsDiffer) {
+  question_pacer pacer;
+  const uint64_t first = pacer.turn();
+  pacer.OnAsked(kStart);
+  EXPECT_NE(pacer.turn(), first);
+}
+
+}  // namespace
+}  // namespace cuminswitch
