Expect waits as long as they were of late

The expectation knows prompt tokens still to be read and no slots, memory or steps; it was never held against what was seen, so that requests were taken that could only be late, and held memory of engines that others needed.

Change: each daemon averages by how much first bytes come later than expected, by urgency, over about ten answers, and adds it to what it expects when it decides about refusing. It is forgotten within seconds where nothing is learnt.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -15,6 +15,7 @@
 /// How urgent a workspace's requests are. Waiting requests age towards the
 /// more urgent classes, so that batch work waits but is never starved.
 enum class priority_class : uint8_t { kInteractive, kStandard, kBatch };
+inline constexpr size_t kPriorityClasses = 3;
 
 /// Which cost a platform weighs most when it places requests.
 enum class routing_objective : uint8_t {
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -104,6 +104,8 @@
     replica_index index = 0;
     double expected_tokens = 0;
     time_point sent{};
+    /// From then to the first byte, as far as was known.
+    duration expected_wait{0};
     std::optional<time_point> first_byte;
     /// The weights that it was placed for.
     std::string version;
--- a/include/cuminswitch/Protocol/expected_wait.h
+++ b/include/cuminswitch/Protocol/expected_wait.h
@@ -24,13 +24,15 @@
   duration queue{0};
   /// While the upstream reads the request's own prompt.
   duration reading{0};
+  /// By how much waits were longer than expected of late.
+  duration excess{0};
   /// Age of the oldest that peers told of their requests and that counts.
   duration news_age{0};
   /// By when the first byte should come, from the arrival.
   duration target{0};
 
   /// From now to the first byte.
-  duration Ahead() const { return turn + room + queue + reading; }
+  duration Ahead() const { return turn + room + queue + reading + excess; }
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -107,6 +107,15 @@
   void LearnTargetFirstByte(std::string_view target, duration took);
   /// How long requests to \p target wait for their first byte on average.
   duration UsualFirstByte(std::string_view target) const;
+  /// Learns by how much a first byte from \p target came later than expected.
+  void LearnExcess(time_point now,
+                   std::string_view target,
+                   priority_class priority,
+                   duration excess);
+  /// By how much requests to \p target wait longer than expected of late.
+  duration UsualExcess(time_point now,
+                       std::string_view target,
+                       priority_class priority) const;
   /// Learns how many tokens a request made the replica compute.
   void LearnComputed(replica_index index, double tokens);
   /// Learns the prefill rate from an attempt that did not queue. Replicas that
--- a/include/cuminswitch/Routing/target_estimate.h
+++ b/include/cuminswitch/Routing/target_estimate.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_ROUTING_TARGET_ESTIMATE_H_
 #define CUMINSWITCH_ROUTING_TARGET_ESTIMATE_H_
 
+#include <array>
 #include <cstddef>
 
 #include "cuminswitch/Routing/replica.h"
@@ -27,6 +28,17 @@
   /// How long requests wait for their first byte on average.
   duration UsualFirstByte() const;
 
+  /// Learns that a first byte came \p excess later than expected; negative for
+  /// earlier.
+  void LearnExcess(time_point now, priority_class priority, duration excess);
+  /// By how much first bytes come later than expected of late. What a daemon
+  /// and its peers know of an engine's work lags, and leaves out what the
+  /// engine does beside reading prompts; in an overloaded fleet of 80 engines
+  /// waits were expected to be 150 ms and were 820. An expectation that is not
+  /// corrected takes requests that will be late, and holds engines' memory with
+  /// them.
+  duration UsualExcess(time_point now, priority_class priority) const;
+
   /// Counts prompt tokens that a request of this daemon adds to a cache.
   void CountAdded(time_point now, double tokens);
   /// How likely an engine still has cached what it last used \p age ago, where
@@ -39,6 +51,15 @@
  private:
   double AddedRate(time_point now) const;
 
+  /// An average that loses its weight while nothing is learnt: where all are
+  /// refused, nobody would learn that the wait is over.
+  struct learnt_excess {
+    double seconds = 0;
+    time_point at{};
+  };
+  static double ExcessAt(time_point now, const learnt_excess& excess);
+
+  std::array<learnt_excess, kPriorityClasses> excesses_;
   double prefill_rate_ = kFirstPrefillRate;
   double first_byte_seconds_ = 0;
   double cache_tokens_ = 0;
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -40,6 +40,8 @@
       .version = replicas_.VersionAt(chosen.index, item.info.target),
       .unqueued = queue == 0,
       .believed_age = std::nullopt};
+  next.expected_wait =
+      FromSeconds(queue + next.expected_tokens / target.prefill_rate);
   const auto& levels = item.info.levels;
   const prefix_level* shared = FindSharedLevel(levels);
   if (shared != nullptr) {
@@ -125,21 +127,26 @@
   if (found == attempts_.end()) {
     return;
   }
+  const request& item = requests_.at(found->second);
   attempt& running = *requests_.at(found->second).running;
-  if (!running.first_byte) {
-    running.first_byte = now;
-    replicas_.LearnTargetFirstByte(requests_.at(found->second).info.target,
-                                   now - running.sent);
-    replicas_.OnFirstByte(running.index, running.expected_tokens);
-    if (requests_.at(found->second).info.prompt_tokens == 0) {
-      replicas_.LearnFirstByte(running.index, now - running.sent);
-    }
-    // Of the whole prompt: that a prefix was not cached after all says nothing
-    // about too many requests.
-    const double computing = requests_.at(found->second).info.prompt_tokens /
-                             replicas_[running.index].prefill_rate;
-    replicas_.AdaptLimit(now, running.index, now - running.sent, computing);
+  if (running.first_byte) {
+    return;
+  }
+  running.first_byte = now;
+  const duration took = now - running.sent;
+  replicas_.LearnTargetFirstByte(item.info.target, took);
+  replicas_.OnFirstByte(running.index, running.expected_tokens);
+  if (item.info.prompt_tokens == 0) {
+    replicas_.LearnFirstByte(running.index, took);
+  } else {
+    const duration excess = took - running.expected_wait;
+    replicas_.LearnExcess(now, item.info.target, PriorityOf(item), excess);
   }
+  // Of the whole prompt: that a prefix was not cached after all says nothing
+  // about too many requests.
+  const double computing =
+      item.info.prompt_tokens / replicas_[running.index].prefill_rate;
+  replicas_.AdaptLimit(now, running.index, took, computing);
 }
 
 void request_router::LearnFromAnswer(time_point now,
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -271,6 +271,7 @@
       .room = FromSeconds(room),
       .queue = FromSeconds(replicas_.EstimateQueueSeconds(now, chosen.index)),
       .reading = FromSeconds(computing),
+      .excess = replicas_.UsualExcess(now, item.info.target, PriorityOf(item)),
       .news_age = replicas_.OldestPeerBacklog(now),
       .target = item.info.target_latency};
   const shed_question question{.waited = wait.waited,
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -484,6 +484,7 @@
       .Add("expected_room_ms", wait.room)
       .Add("expected_queue_ms", wait.queue)
       .Add("expected_reading_ms", wait.reading)
+      .Add("expected_excess_ms", wait.excess)
       .Add("news_age_ms", wait.news_age)
       .Add("target_ms", wait.target);
 }
--- a/lib/Routing/replica_learning.cc
+++ b/lib/Routing/replica_learning.cc
@@ -143,6 +143,24 @@
                                    : found->second.estimate.UsualFirstByte();
 }
 
+void replica_table::LearnExcess(time_point now,
+                                std::string_view target,
+                                priority_class priority,
+                                duration excess) {
+  if (const auto found = by_target_.find(target); found != by_target_.end()) {
+    found->second.estimate.LearnExcess(now, priority, excess);
+  }
+}
+
+duration replica_table::UsualExcess(time_point now,
+                                    std::string_view target,
+                                    priority_class priority) const {
+  const auto found = by_target_.find(target);
+  return found == by_target_.end()
+             ? duration(0)
+             : found->second.estimate.UsualExcess(now, priority);
+}
+
 void replica_table::CountAdded(time_point now,
                                std::string_view target,
                                double tokens) {
--- a/lib/Routing/target_estimate.cc
+++ b/lib/Routing/target_estimate.cc
@@ -9,6 +9,12 @@
 /// Of first bytes: an average over about twenty answers, two seconds of a
 /// daemon's traffic.
 static constexpr double kFirstByteLearningRate = 0.05;
+/// Of waits beyond those expected: about ten answers, two seconds of a daemon's
+/// traffic, so that one slow engine does not count as a slow fleet.
+static constexpr double kExcessLearningRate = 0.1;
+/// Over which an excess is forgotten while nothing is learnt; engines work off
+/// a queue in about that time.
+static constexpr double kExcessSeconds = 2;
 /// Of an engine's memory, what running requests leave to cached prefixes.
 static constexpr double kCacheShare = 0.5;
 /// The time over which the tokens added to caches are averaged.
@@ -30,6 +36,28 @@
   return FromSeconds(first_byte_seconds_);
 }
 
+double target_estimate::ExcessAt(time_point now, const learnt_excess& excess) {
+  const double age = std::max(0.0, ToSeconds(now - excess.at));
+  return excess.seconds * std::exp(-age / kExcessSeconds);
+}
+
+void target_estimate::LearnExcess(time_point now,
+                                  priority_class priority,
+                                  duration excess) {
+  learnt_excess& known = excesses_[static_cast<size_t>(priority)];
+  const double before = ExcessAt(now, known);
+  known = {
+      .seconds = before + kExcessLearningRate * (ToSeconds(excess) - before),
+      .at = now};
+}
+
+duration target_estimate::UsualExcess(time_point now,
+                                      priority_class priority) const {
+  const double seconds =
+      ExcessAt(now, excesses_[static_cast<size_t>(priority)]);
+  return FromSeconds(std::max(0.0, seconds));
+}
+
 double target_estimate::AddedRate(time_point now) const {
   const double age = std::max(0.0, ToSeconds(now - added_at_));
   return added_rate_ * std::exp(-age / kAddedSeconds);
--- a/unittests/Core/request_router_test.cc
+++ b/unittests/Core/request_router_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <optional>
+#include <utility>
 #include <variant>
 
 #include "cuminswitch/Membership/member_table.h"
@@ -357,6 +359,85 @@
   EXPECT_EQ(router_.counters().shed, static_cast<uint64_t>(refused));
 }
 
+/// Ten requests a second to engines with plenty of room.
+class late_engines_test : public request_router_test {
+ protected:
+  late_engines_test() {
+    auto config = std::make_shared<configuration>();
+    config->models = {{.name = "m", .version = "1"}};
+    config->upstreams = {{.name = "a", .serves = {"m"}, .max_in_flight = 99},
+                         {.name = "b", .serves = {"m"}, .max_in_flight = 99}};
+    config->workspaces = {{.name = "v", .uses = {"m"}}};
+    router_.OnConfiguration(now_, config, out_);
+    for (const char* name : {"a", "b"}) {
+      router_.OnUpstreamReport(now_,
+                               {.upstream = name,
+                                .reachable = true,
+                                .incarnation = 2,
+                                .started = 2,
+                                .models = {{.name = "m", .version = "1"}}},
+                               out_);
+    }
+  }
+
+  /// Plays \p seconds in which first bytes come \p excess after the prompt has
+  /// been computed; returns how many requests were refused.
+  int Play(int seconds, duration excess) {
+    int refused = 0;
+    for (int i = 0; i < 10 * seconds; ++i) {
+      now_ += std::chrono::milliseconds(100);
+      while (!running_.empty() && running_.front().second <= now_) {
+        const attempt_id done = running_.front().first;
+        running_.pop_front();
+        router_.OnFirstByte(now_, {.attempt = done});
+        End(done, outcome::kAnswered, true);
+      }
+      Send();
+      refused += Take<answer_request>() ? 1 : 0;
+      // Also those that waited for room until now.
+      while (const auto sent = Take<dispatch_attempt>()) {
+        running_.emplace_back(sent->attempt, now_ + kComputing + excess);
+      }
+      out_.clear();
+    }
+    return refused;
+  }
+
+ private:
+  /// Of a prompt, at the speed that engines are first taken for.
+  static constexpr duration kComputing = std::chrono::milliseconds(25);
+
+  void Send() {
+    const request_id id = ++last_;
+    router_.OnRequest(now_,
+                      {.request = id,
+                       .workspace = "v",
+                       .target = "m",
+                       .levels = {{.hash = id, .tokens = 200}},
+                       .prompt_tokens = 200,
+                       .time_limit = std::chrono::seconds(60),
+                       .target_latency = std::chrono::milliseconds(500),
+                       .longest_silence = std::chrono::seconds(4)},
+                      out_);
+  }
+
+  request_id last_ = 0;
+  std::deque<std::pair<attempt_id, time_point>> running_;
+};
+
+// Symptom: for ten seconds half of all answers are late, in a fleet whose
+// queues seem to be empty. Sequence: a quarter of the engines crash, the others
+// run out of memory and slots; first bytes come a second later than computing
+// and the known queue take. Cause: the expected wait was never held against
+// what was seen, so that hopeless requests were taken.
+TEST_F(late_engines_test, WaitsLongerThanExpectedAreExpectedNext) {
+  EXPECT_EQ(Play(10, duration(0)), 0);
+  EXPECT_GT(Play(10, std::chrono::milliseconds(1'200)), 30);
+  // Engines that keep up again are found out within seconds.
+  Play(5, duration(0));
+  EXPECT_EQ(Play(10, duration(0)), 0);
+}
+
 TEST_F(request_router_test, WithoutATargetRequestsWait) {
   for (request_id id = 1; id <= 200; ++id) {
     Arrive(id);
