Hand lists of items on compressed, and keep the pages that were read

Cause: at 300 hosts with 2,999 upstreams the fleet served nobody for 30 s after all daemons were killed. Each read 1.4 MB of items from the store at once; on the full link a page came after the 900 ms that a call may take, and its daemon began anew with the first page, so that the link stayed full of pages that had come before. Nobody took a peer's list meanwhile, and lists went as they are: the busiest daemon sent 693 KB/s.

Change: pages that came are kept for the next try; a daemon that knows nothing yet asks peers although the store answers, and a peer's whole list ends its read; lists go compressed (zlib, under a fifth), encoded once a second for all who ask; a daemon that has just started is answered at once.

Ruled out: daemons that are no seeds wait for a peer's list before they read (two seconds at most, spread over one). A short way of telling beats (identity once a connection): not tried.

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -10,6 +10,7 @@
 #include "cuminswitch/Fleet/address_owners.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Fleet/item_feed.h"
+#include "cuminswitch/Fleet/item_list_cache.h"
 #include "cuminswitch/Fleet/lapsed_upstreams.h"
 #include "cuminswitch/Fleet/leader_election.h"
 #include "cuminswitch/Fleet/peer_roster.h"
@@ -107,6 +108,7 @@
   list_changes peer_changes_;
   list_changes upstream_changes_;
   question_pacer questions_;
+  item_list_cache complete_list_;
   time_point next_registration_{};
   uint64_t beats_sent_ = 0;
   bool is_registering_ = false;
--- a/include/cuminswitch/Fleet/item_store.h
+++ b/include/cuminswitch/Fleet/item_store.h
@@ -71,8 +71,11 @@
 class item_store {
  public:
   virtual ~item_store() = default;
-  /// Reads all items, in as many pages as it takes.
+  /// Reads all items, in as many pages as it takes. After a failure the next
+  /// read goes on behind the last page that came.
   virtual void ReadAll(std::function<void(store_items)> done) = 0;
+  /// Gives up the read that is under way, if any; its callback does not come.
+  virtual void StopReading() = 0;
   /// Waits for changes after \p after, at most for \p wait.
   virtual void Watch(revision_number after,
                      std::chrono::milliseconds wait,
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -123,18 +123,30 @@
   if (is_news) {
     PublishPeers(now);
   }
+  const bool awaits_list = beat.sender.revision == 0;
+  if (awaits_list && feed_.view().HasRead() &&
+      roster_.MayAnswer(now, beat.sender.peer_address)) {
+    // It has just started, and learns from this who has the items.
+    SendBeat(beat.sender.peer_address);
+  }
   AskPeers(now);
 }
 
 void fleet_task::OnItemsRequest(const items_request_frame& request) {
   const item_view& view = feed_.view();
-  const bool is_complete = !view.RemembersSince(request.after);
-  transport_->Send(
-      request.reply_to,
-      EncodePeerFrame(items_reply_frame{
-          .revision = view.revision(),
-          .is_complete = is_complete,
-          .items = view.ListNewerThan(is_complete ? 0 : request.after)}));
+  if (!view.HasRead()) {
+    return;
+  }
+  if (request.after == 0 || !view.RemembersSince(request.after)) {
+    transport_->Send(request.reply_to,
+                     complete_list_.Get(ReadBootClock(), view, request.after));
+    return;
+  }
+  transport_->Send(request.reply_to,
+                   EncodePeerFrame(items_reply_frame{
+                       .revision = view.revision(),
+                       .is_complete = false,
+                       .items = view.ListNewerThan(request.after)}));
 }
 
 void fleet_task::SendBeat(const endpoint& to) {
@@ -186,7 +198,11 @@
 }
 
 void fleet_task::AskPeers(time_point now) {
-  if (!questions_.MayAsk(now) || feed_.IsFresh(now, kStoreFresh)) {
+  // While the first pages come from the store a peer's packed list is there
+  // sooner: in a fleet that starts, all read at the same time.
+  const bool is_told_by_store =
+      feed_.view().HasRead() && feed_.IsFresh(now, kStoreFresh);
+  if (!questions_.MayAsk(now) || is_told_by_store) {
     return;
   }
   const revision_number revision = feed_.view().revision();
--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -125,6 +125,13 @@
   const bool has_changed =
       reply.is_complete ? view_.ApplyAll(reply.items, reply.revision)
                         : view_.ApplyChanges(reply.items, reply.revision);
+  if (reply.is_complete && must_read_all_) {
+    // All is known as of the list's revision; changes go on from there. The
+    // rest of the pages would only take the store's link from others.
+    must_read_all_ = false;
+    store_.StopReading();
+    timer_.Start(duration(0));
+  }
   if (!has_changed) {
     return;
   }
--- /dev/null
+++ b/lib/Fleet/item_list_cache.cc
@@ -0,0 +1,28 @@
+#include "cuminswitch/Fleet/item_list_cache.h"
+
+#include "cuminswitch/Fleet/item_view.h"
+#include "cuminswitch/Fleet/peer_frame.h"
+
+namespace cuminswitch {
+
+/// Within which a list is handed out again.
+static constexpr duration kListTime = std::chrono::seconds(1);
+
+const std::string& item_list_cache::Get(time_point now,
+                                        const item_view& view,
+                                        revision_number after) {
+  const bool is_usable =
+      !frame_.empty() && now - made_at_ < kListTime && revision_ > after;
+  if (is_usable) {
+    return frame_;
+  }
+  revision_ = view.revision();
+  made_at_ = now;
+  ++encoded_count_;
+  frame_ = EncodePeerFrame(items_reply_frame{.revision = revision_,
+                                             .is_complete = true,
+                                             .items = view.ListNewerThan(0)});
+  return frame_;
+}
+
+}  // namespace cuminswitch
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "cuminswitch/Fleet/packed_bytes.h"
 #include "fleet_generated.h"
 
 namespace cuminswitch {
@@ -12,6 +13,22 @@
 
 using builder = flatbuffers::FlatBufferBuilder;
 
+/// Writes items as a list of their own.
+builder WriteItems(std::span<const item_change> changes) {
+  builder out;
+  std::vector<flatbuffers::Offset<fleet_wire::item>> items;
+  for (const item_change& change : changes) {
+    const std::string value = change.value.value_or(std::string());
+    items.push_back(fleet_wire::Createitem(
+        out, out.CreateString(change.key),
+        out.CreateVector(reinterpret_cast<const uint8_t*>(value.data()),
+                         value.size()),
+        !change.value.has_value(), change.revision));
+  }
+  out.Finish(fleet_wire::Createitem_list(out, out.CreateVector(items)));
+  return out;
+}
+
 /// Writes a frame's body; returns its type and place.
 class body_writer {
  public:
@@ -58,18 +75,13 @@
 
   flatbuffers::Offset<void> operator()(const items_reply_frame& frame) {
     type_ = fleet_wire::body_items_reply;
-    std::vector<flatbuffers::Offset<fleet_wire::item>> items;
-    for (const item_change& change : frame.items) {
-      const std::string value = change.value.value_or(std::string());
-      items.push_back(fleet_wire::Createitem(
-          out_, out_.CreateString(change.key),
-          out_.CreateVector(reinterpret_cast<const uint8_t*>(value.data()),
-                            value.size()),
-          !change.value.has_value(), change.revision));
-    }
+    const builder list = WriteItems(frame.items);
+    const std::span<const uint8_t> bytes(list.GetBufferPointer(),
+                                         list.GetSize());
     return fleet_wire::Createitems_reply(out_, frame.revision,
                                          frame.is_complete,
-                                         out_.CreateVector(items))
+                                         out_.CreateVector(PackBytes(bytes)),
+                                         static_cast<uint32_t>(bytes.size()))
         .Union();
   }
 
@@ -152,25 +164,42 @@
   return items_request_frame{.reply_to = *reply_to, .after = wire.after()};
 }
 
+static item_change ReadItem(const fleet_wire::item& item) {
+  item_change change{.key = item.key()->str(),
+                     .value = std::nullopt,
+                     .revision = item.revision()};
+  if (!item.is_gone()) {
+    change.value.emplace();
+    if (item.value() != nullptr) {
+      change.value->assign(item.value()->begin(), item.value()->end());
+    }
+  }
+  return change;
+}
+
 static std::optional<peer_frame> ReadReply(
     const fleet_wire::items_reply& wire) {
   items_reply_frame frame{.revision = wire.revision(),
                           .is_complete = wire.is_complete(),
                           .items = {}};
-  if (wire.items() == nullptr) {
-    return frame;
-  }
-  for (const fleet_wire::item* item : *wire.items()) {
-    item_change change{.key = item->key()->str(),
-                       .value = std::nullopt,
-                       .revision = item->revision()};
-    if (!item->is_gone()) {
-      change.value.emplace();
-      if (item->value() != nullptr) {
-        change.value->assign(item->value()->begin(), item->value()->end());
-      }
+  if (wire.packed_list() == nullptr) {
+    return std::nullopt;
+  }
+  const auto bytes =
+      UnpackBytes({wire.packed_list()->data(), wire.packed_list()->size()},
+                  wire.list_size());
+  if (!bytes) {
+    return std::nullopt;
+  }
+  flatbuffers::Verifier verifier(bytes->data(), bytes->size());
+  if (!verifier.VerifyBuffer<fleet_wire::item_list>()) {
+    return std::nullopt;
+  }
+  const auto* list = flatbuffers::GetRoot<fleet_wire::item_list>(bytes->data());
+  if (list->items() != nullptr) {
+    for (const fleet_wire::item* item : *list->items()) {
+      frame.items.push_back(ReadItem(*item));
     }
-    frame.items.push_back(std::move(change));
   }
   return frame;
 }
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -18,6 +18,9 @@
 /// A peer that was not heard for so long is tried rarely.
 static constexpr duration kSilentAfter = std::chrono::seconds(2);
 static constexpr duration kSilentInterval = std::chrono::seconds(1);
+/// Between two beats to one peer out of turn. All of a fleet that starts at
+/// once beat the same few seeds.
+static constexpr duration kAnswerInterval = std::chrono::milliseconds(300);
 /// An address that only others named is forgotten after so long in silence.
 static constexpr duration kForgetAfter = std::chrono::seconds(10);
 
@@ -87,6 +90,15 @@
   return chosen;
 }
 
+bool peer_roster::MayAnswer(time_point now, const endpoint& address) {
+  address_state& state = addresses_[address];
+  if (now - state.tried_at < kAnswerInterval) {
+    return false;
+  }
+  state.tried_at = now;
+  return true;
+}
+
 std::vector<endpoint> peer_roster::ListReachable(time_point now) const {
   std::vector<endpoint> list;
   for (const auto& [address, state] : addresses_) {
--- /dev/null
+++ b/unittests/Fleet/item_feed_test.cc
@@ -0,0 +1,84 @@
+// How a daemon that starts comes to know all items.
+#include "cuminswitch/Fleet/item_feed.h"
+
+#include <event2/event.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "cuminswitch/Fleet/peer_frame.h"
+#include "cuminswitch/Log/event_log.h"
+
+namespace cuminswitch {
+namespace {
+
+/// A store whose reads end when the test says so.
+class waiting_store : public item_store {
+ public:
+  void ReadAll(std::function<void(store_items)> done) override {
+    reading = std::move(done);
+  }
+  void StopReading() override { reading = nullptr; }
+  void Watch(revision_number after,
+             std::chrono::milliseconds /*wait*/,
+             std::function<void(store_items)> /*done*/) override {
+    watched_after = after;
+  }
+  void Write(const conditional_write& /*write*/,
+             std::function<void(store_write)> /*done*/) override {}
+  void GrantLease(std::chrono::milliseconds /*time_to_live*/,
+                  std::function<void(store_lease)> /*done*/) override {}
+  void KeepLease(lease_number /*lease*/,
+                 std::function<void(store_lease)> /*done*/) override {}
+  void EndLease(lease_number /*lease*/) override {}
+
+  std::function<void(store_items)> reading;
+  std::optional<revision_number> watched_after;
+};
+
+struct base_deleter {
+  void operator()(event_base* base) const { event_base_free(base); }
+};
+
+class item_feed_test : public testing::Test {
+ protected:
+  item_feed_test()
+      : base_(event_base_new()),
+        log_({}),
+        feed_(base_.get(), store_, log_, [] {}) {
+    feed_.Start();
+  }
+  void RunTimers() { event_base_loop(base_.get(), EVLOOP_ONCE); }
+
+  std::unique_ptr<event_base, base_deleter> base_;
+  event_log log_;
+  waiting_store store_;
+  item_feed feed_;
+};
+
+// Symptom: 30 s after all of 300 daemons were killed the fleet serves nobody.
+// Sequence: all start at once, and each reads 1.4 MB of items from the store,
+// though some have them already. Cause: nobody took a peer's list while its own
+// read was under way, so that the store's link stayed full.
+TEST_F(item_feed_test, APeersListEndsTheReadThatIsUnderWay) {
+  ASSERT_TRUE(store_.reading);
+  feed_.OnPeerItems({.revision = 7,
+                     .is_complete = true,
+                     .items = {{.key = "k", .value = "v", .revision = 3}}});
+  EXPECT_FALSE(store_.reading);
+  EXPECT_EQ(feed_.view().revision(), 7U);
+  RunTimers();
+  EXPECT_EQ(store_.watched_after, 7U);
+}
+
+TEST_F(item_feed_test, APartOfTheItemsDoesNotEndIt) {
+  feed_.OnPeerItems({.revision = 7,
+                     .is_complete = false,
+                     .items = {{.key = "k", .value = "v", .revision = 7}}});
+  EXPECT_TRUE(store_.reading);
+}
+
+}  // namespace
+}  // namespace cuminswitch
--- a/unittests/Fleet/leader_election_test.cc
+++ b/unittests/Fleet/leader_election_test.cc
@@ -17,6 +17,7 @@
 class fake_store : public item_store {
  public:
   void ReadAll(std::function<void(store_items)> /*done*/) override {}
+  void StopReading() override {}
   void Watch(revision_number /*after*/,
              milliseconds /*wait*/,
              std::function<void(store_items)> /*done*/) override {}
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -3,8 +3,12 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <string>
 #include <variant>
+#include <vector>
+
+#include "cuminswitch/Fleet/packed_bytes.h"
 
 namespace cuminswitch {
 namespace {
@@ -68,12 +72,49 @@
   EXPECT_EQ(reply.items[2].value, std::nullopt);
 }
 
+items_reply_frame MakeList(int size) {
+  items_reply_frame frame{.revision = 9, .is_complete = true, .items = {}};
+  for (int i = 0; i < size; ++i) {
+    const std::string number = std::to_string(i);
+    frame.items.push_back(
+        {.key = "upstreams/i-" + number,
+         .value = R"({"service":"reader","address":"10.0.0.)" + number +
+                  R"(:8602","domain":"north-a","state":"ready","models":)"
+                  R"([{"name":"m0","version":3,"adapters":[]}],"slots":24})",
+         .revision = static_cast<revision_number>(i + 1)});
+  }
+  return frame;
+}
+
+// Symptom: hosts with narrow links wait for seconds for a list of upstreams.
+// Cause: 3,000 items of 200 bytes went as they are.
+TEST(peer_frame_test, AListIsMuchSmallerThanItsItems) {
+  const items_reply_frame list = MakeList(3'000);
+  size_t size = 0;
+  for (const item_change& item : list.items) {
+    size += item.key.size() + item.value->size();
+  }
+  EXPECT_LT(EncodePeerFrame(list).size() * 5, size);
+}
+
+// Symptom: a host with 88 MB ends for want of memory. Cause: a damaged frame
+// claims a list of four gigabytes.
+TEST(peer_frame_test, AClaimedSizeReservesNothing) {
+  const std::array<uint8_t, 3> bytes = {1, 2, 3};
+  EXPECT_FALSE(UnpackBytes(bytes, kMaxUnpackedSize));
+  EXPECT_FALSE(UnpackBytes(bytes, size_t{4} << 30));
+  EXPECT_EQ(UnpackBytes(PackBytes(bytes), 3),
+            std::vector<uint8_t>(bytes.begin(), bytes.end()));
+  EXPECT_FALSE(UnpackBytes(PackBytes(bytes), 4));
+}
+
 // Symptom: a damaged frame crashes a daemon. Seeded damage.
 TEST(peer_frame_test, DamageIsRefusedOrHarmless) {
-  const std::string good = EncodePeerFrame(MakeBeat());
+  const std::string beat = EncodePeerFrame(MakeBeat());
+  const std::string list = EncodePeerFrame(MakeList(20));
   uint32_t state = 3;
   for (int round = 0; round < 20'000; ++round) {
-    std::string bytes = good;
+    std::string bytes = round % 2 == 0 ? beat : list;
     for (int i = 0; i < 3; ++i) {
       state = state * 1664525 + 1013904223;
       bytes[(state >> 8) % bytes.size()] = static_cast<char>(state >> 24);
