Let one daemon of each domain follow the store where there are six or more

They are watches: renewals of upstreams' entries come all the time, so each follower asks again every 100 ms, and twelve of 95 daemons followed.

Change: one follower in each failure domain where there are six domains or more. The loss of one is made up for by those of the other domains, which know as much; what matters (configuration, weights) every follower announces to all.

Test: follower_choice_test.

--- a/lib/Fleet/follower_choice.cc
+++ b/lib/Fleet/follower_choice.cc
@@ -1,6 +1,8 @@
 #include "cuminswitch/Fleet/follower_choice.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 #include "cuminswitch/Fleet/peer_frame.h"
@@ -11,8 +13,20 @@
 /// In a fleet of up to this size each daemon follows the store; the calls are
 /// a few hundred in a minute.
 static constexpr size_t kFleetThatFollows = 12;
-/// Two, so that the loss of one is not noticed.
+/// Two, so that the loss of one is not noticed. Where there are so many
+/// domains, one: those of the other domains are asked until another one
+/// follows.
 static constexpr std::ptrdiff_t kFollowersPerDomain = 2;
+static constexpr size_t kDomainsForOneEach = 6;
+
+static size_t CountDomains(const daemon_record& self,
+                           std::span<const daemon_record> living) {
+  std::set<std::string_view> domains = {self.failure_domain};
+  for (const daemon_record& item : living) {
+    domains.insert(item.failure_domain);
+  }
+  return domains.size();
+}
 
 bool FollowsStore(const daemon_record& self,
                   std::span<const daemon_record> living) {
@@ -27,7 +41,8 @@
         return item.failure_domain == self.failure_domain && !item.is_leaving &&
                rank(item) > rank(self);
       });
-  return before < kFollowersPerDomain;
+  const bool is_one_each = CountDomains(self, living) >= kDomainsForOneEach;
+  return before < (is_one_each ? 1 : kFollowersPerDomain);
 }
 
 }  // namespace cuminswitch
--- a/unittests/Fleet/follower_choice_test.cc
+++ b/unittests/Fleet/follower_choice_test.cc
@@ -12,12 +12,12 @@
 namespace cuminswitch {
 namespace {
 
-std::vector<daemon_record> MakeFleet(int size) {
+std::vector<daemon_record> MakeFleet(int size, int domains = 2) {
   std::vector<daemon_record> fleet;
   fleet.reserve(static_cast<size_t>(size));
   for (int i = 0; i < size; ++i) {
     fleet.push_back({.name = "d" + std::to_string(i),
-                     .failure_domain = "x" + std::to_string(i % 2),
+                     .failure_domain = "x" + std::to_string(i % domains),
                      .link_rate = 10});
   }
   return fleet;
@@ -45,6 +45,13 @@
   EXPECT_EQ(Followers(MakeFleet(40)).size(), 4U);
 }
 
+// Symptom: the price of calls to the store grows with the domains of a fleet.
+// Cause: two followers of each domain, where those of five others are at hand.
+TEST(follower_choice_test, OneOfEachFollowsWhereThereAreManyDomains) {
+  EXPECT_EQ(Followers(MakeFleet(95, 6)).size(), 6U);
+  EXPECT_EQ(Followers(MakeFleet(95, 5)).size(), 10U);
+}
+
 // Symptom: callers of one host wait for seconds after each change of the
 // configuration.
 // Cause: a host with a link of 10 Mbit/s followed the store for twenty others.
