Drop includes and a count that nothing uses

replica_table.cc and replica_learning.cc use no <cmath> since they were split, edge_task.cc no hashes; no caller of DropReplaced takes its count. No behaviour changes.

--- a/include/cuminswitch/Fleet/address_owners.h
+++ b/include/cuminswitch/Fleet/address_owners.h
@@ -24,8 +24,8 @@
 /// entries only the one that came last can be true.
 class address_owners {
  public:
-  /// Drops replaced upstreams from \p next; returns how many.
-  size_t DropReplaced(fleet_knowledge& next);
+  /// Drops replaced upstreams from \p next.
+  void DropReplaced(fleet_knowledge& next);
 
  private:
   using upstream_start = std::pair<std::string, uint64_t>;
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -13,7 +13,6 @@
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
-#include "cuminswitch/Support/hash.h"
 #include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
--- a/lib/Fleet/address_owners.cc
+++ b/lib/Fleet/address_owners.cc
@@ -14,7 +14,7 @@
   return std::tie(a.revision, a.id) > std::tie(b.revision, b.id);
 }
 
-size_t address_owners::DropReplaced(fleet_knowledge& next) {
+void address_owners::DropReplaced(fleet_knowledge& next) {
   std::map<endpoint, const upstream_entry*> owners;
   std::set<upstream_start> still_replaced;
   for (const upstream_entry& entry : next.upstreams) {
@@ -34,7 +34,7 @@
     still_replaced.emplace(replaced->id, replaced->started);
   }
   replaced_ = std::move(still_replaced);
-  return std::erase_if(next.upstreams, [this](const upstream_entry& entry) {
+  std::erase_if(next.upstreams, [this](const upstream_entry& entry) {
     return replaced_.contains({entry.id, entry.started});
   });
 }
--- a/lib/Routing/replica_learning.cc
+++ b/lib/Routing/replica_learning.cc
@@ -1,6 +1,5 @@
 // What is learnt of replicas from their answers: speed, limits, who fails.
 #include <algorithm>
-#include <cmath>
 
 #include "cuminswitch/Routing/replica_table.h"
 
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 
 #include "cuminswitch/Support/hash.h"
 #include "cuminswitch/Support/rendezvous.h"
