Work out what only the log needs when the log needs it

Cause: each request that is judged for lateness copied its upstream's name and went through all peers for the age of their news, also when it was taken; each change of an upstream's entry described and sorted all upstreams for a line that is written once a second at most. At 95 hosts the first is 95 steps a request, and the second grows with upstreams times their changes.

Change: name and age are filled in for refusals only; the list of upstreams is made when a line is due (`list_changes::IsDue`). A call that counts a turn is named TakeAnswerTurn. No behaviour changes, the lines are the same.

Ruled out: leaving it to the compiler or the log's budget; neither spares the work.

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -107,6 +107,8 @@
   std::vector<std::string> published_peers_;
   list_changes peer_changes_;
   list_changes upstream_changes_;
+  /// What the log was last told of.
+  std::shared_ptr<const fleet_knowledge> logged_knowledge_;
   question_pacer questions_;
   item_list_cache complete_list_;
   time_point next_registration_{};
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -37,8 +37,9 @@
   bool OnBeat(time_point now, const beat_frame& beat);
   /// Whom to send the next round of beats; the cost of a round is bounded.
   std::vector<endpoint> ChooseTargets(time_point now);
-  /// Whether to answer a beat from \p address out of turn; counts as a turn.
-  bool MayAnswer(time_point now, const endpoint& address);
+  /// Whether to answer a beat from \p address out of turn; if so, that counts
+  /// as its turn.
+  bool TakeAnswerTurn(time_point now, const endpoint& address);
   /// Everybody who may listen, for what must be known at once.
   std::vector<endpoint> ListReachable(time_point now) const;
   /// The peers that live, ready or not.
--- a/include/cuminswitch/Log/list_changes.h
+++ b/include/cuminswitch/Log/list_changes.h
@@ -29,6 +29,9 @@
   /// of them are counted.
   static constexpr size_t kMaxNamed = 16;
 
+  /// Whether the last line is long enough ago for another one. Until then there
+  /// is no need to make the list.
+  bool IsDue(time_point now) const;
   /// Takes in the list as it is now.
   void Set(std::vector<std::string> items);
   /// Adds what changed since the last line to \p line. Returns whether a line
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -264,15 +264,14 @@
   const double computing =
       (item.info.prompt_tokens - chosen.expected_cached_tokens) /
       replicas_[chosen.index].prefill_rate;
-  const expected_wait wait{
-      .upstream = replicas_[chosen.index].spec.name,
+  expected_wait wait{
+      .upstream = {},
       .waited = now - ArrivedAt(item),
       .turn = FromSeconds(ahead),
       .room = FromSeconds(room),
       .queue = FromSeconds(replicas_.EstimateQueueSeconds(now, chosen.index)),
       .reading = FromSeconds(computing),
       .excess = replicas_.UsualExcess(now, item.info.target, PriorityOf(item)),
-      .news_age = replicas_.OldestPeerBacklog(now),
       .target = item.info.target_latency};
   const shed_question question{.waited = wait.waited,
                                .expected = wait.Ahead(),
@@ -287,6 +286,9 @@
     return false;
   }
   ++counters_.shed;
+  // For the log alone, so not worked out for requests that are taken.
+  wait.upstream = replicas_[chosen.index].spec.name;
+  wait.news_age = replicas_.OldestPeerBacklog(now);
   Refuse(item.info.request,
          {.status = status_code::kTooManyRequests,
           .message = "it would be served too late",
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -125,7 +125,7 @@
   }
   const bool awaits_list = beat.sender.revision == 0;
   if (awaits_list && feed_.view().HasRead() &&
-      roster_.MayAnswer(now, beat.sender.peer_address)) {
+      roster_.TakeAnswerTurn(now, beat.sender.peer_address)) {
     // It has just started, and learns from this who has the items.
     SendBeat(beat.sender.peer_address);
   }
@@ -304,10 +304,13 @@
   if (peer_changes_.TakeInto(now, peers)) {
     with_.log.Write(log_class::kBelief, peers);
   }
-  log_line upstreams("upstreams_changed");
-  if (knowledge_ != nullptr) {
-    upstreams.Add("revision", knowledge_->revision);
+  if (logged_knowledge_ == knowledge_ || !upstream_changes_.IsDue(now)) {
+    return;
   }
+  logged_knowledge_ = knowledge_;
+  upstream_changes_.Set(DescribeUpstreams(knowledge_->upstreams));
+  log_line upstreams("upstreams_changed");
+  upstreams.Add("revision", knowledge_->revision);
   if (upstream_changes_.TakeInto(now, upstreams)) {
     with_.log.Write(log_class::kBelief, upstreams);
   }
@@ -331,7 +334,6 @@
       knowledge_->leader != next->leader;
   knowledge_ = next;
   roster_.SetListed(next->daemons);
-  upstream_changes_.Set(DescribeUpstreams(next->upstreams));
   if (is_other_order) {
     LogKnowledge(with_.log, *next);
   }
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -90,7 +90,7 @@
   return chosen;
 }
 
-bool peer_roster::MayAnswer(time_point now, const endpoint& address) {
+bool peer_roster::TakeAnswerTurn(time_point now, const endpoint& address) {
   address_state& state = addresses_[address];
   if (now - state.tried_at < kAnswerInterval) {
     return false;
--- a/lib/Log/list_changes.cc
+++ b/lib/Log/list_changes.cc
@@ -43,9 +43,12 @@
   std::sort(present_.begin(), present_.end());
 }
 
+bool list_changes::IsDue(time_point now) const {
+  return told_at_ == time_point() || now - told_at_ >= kInterval;
+}
+
 bool list_changes::TakeInto(time_point now, log_line& line) {
-  const bool is_early = told_at_ != time_point() && now - told_at_ < kInterval;
-  if (is_early || present_ == told_) {
+  if (!IsDue(now) || present_ == told_) {
     return false;
   }
   line.Add("count", present_.size());
