--- /dev/null
+++ b/include/cuminswitch/Edge/arrival_translator.h
@@ -0,0 +1,20 @@
+/// \file
+/// A caller's request as the router is told of it.
+#ifndef CUMINSWITCH_EDGE_ARRIVAL_TRANSLATOR_H_
+#define CUMINSWITCH_EDGE_ARRIVAL_TRANSLATOR_H_
+
+#include "cuminswitch/Edge/request_flow.h"
+#include "cuminswitch/Protocol/core_event.h"
+
+namespace cuminswitch {
+
+struct workspace_plan;
+
+/// Describes the request of \p flow; \p workspace is null where its route is
+/// open to all.
+request_arrived DescribeArrival(const request_flow::options& flow,
+                                const workspace_plan* workspace);
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_EDGE_ARRIVAL_TRANSLATOR_H_
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -104,8 +104,6 @@
                  caller_request request,
                  const route_spec& route,
                  const workspace_plan* workspace);
-  request_arrived DescribeArrival(const request_flow::options& flow,
-                                  const workspace_plan* workspace) const;
   void HandToRouter(time_point now, const core_event& event);
   void Perform(time_point now, const action_list& actions);
   void Perform(time_point now, const dispatch_attempt& action);
@@ -113,10 +111,6 @@
   request_flow* FindFlow(request_id id) const;
   void OnTick();
   void OnStopTick();
-  void LogPlacement(time_point now,
-                    const request_flow& flow,
-                    const dispatch_attempt& action) const;
-  void LogEnd(const request_flow& flow, const flow_end& end) const;
 
   const kernel& services_;
   options options_;
--- /dev/null
+++ b/include/cuminswitch/Edge/request_log.h
@@ -0,0 +1,34 @@
+/// \file
+/// The log lines of one request's life.
+#ifndef CUMINSWITCH_EDGE_REQUEST_LOG_H_
+#define CUMINSWITCH_EDGE_REQUEST_LOG_H_
+
+#include <cstdint>
+
+#include "cuminswitch/Edge/attempt_verdict.h"
+#include "cuminswitch/Log/event_log.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+class request_flow;
+struct dispatch_attempt;
+struct flow_end;
+
+/// Where an attempt goes, and what decided that.
+log_line DescribePlacement(time_point now,
+                           const request_flow& flow,
+                           const dispatch_attempt& action);
+/// That an attempt ended otherwise than with success.
+log_line DescribeAttemptFailure(const request_flow& flow,
+                                attempt_answer answer,
+                                uint32_t status);
+/// How a request ended for its caller; of a refusal for lateness, from what it
+/// was decided.
+log_line DescribeEnd(time_point now,
+                     const request_flow& flow,
+                     const flow_end& end);
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_EDGE_REQUEST_LOG_H_
--- /dev/null
+++ b/lib/Edge/arrival_translator.cc
@@ -0,0 +1,68 @@
+#include "cuminswitch/Edge/arrival_translator.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cuminswitch/Edge/plan_translator.h"
+#include "cuminswitch/Support/hash.h"
+
+namespace cuminswitch {
+
+/// Chooses among a route's services by weight, the same for one attempt.
+static const std::string& ChooseService(const route_spec& route,
+                                        std::string_view attempt) {
+  uint64_t total = 0;
+  for (const route_share& share : route.shares) {
+    total += share.weight;
+  }
+  uint64_t point = total == 0 ? 0 : Hash64(attempt) % total;
+  for (const route_share& share : route.shares) {
+    if (point < share.weight) {
+      return share.service;
+    }
+    point -= share.weight;
+  }
+  return route.shares.front().service;
+}
+
+/// Each level is the prompt up to the end of one part.
+static std::vector<prefix_level> MakeLevels(
+    const std::vector<prompt_part>& parts) {
+  std::vector<prefix_level> levels;
+  uint64_t hash = 0;
+  uint32_t tokens = 0;
+  for (const prompt_part& part : parts) {
+    hash = CombineHash(hash, Hash64(part.id));
+    tokens += part.tokens;
+    levels.push_back({.hash = hash, .tokens = tokens});
+  }
+  return levels;
+}
+
+request_arrived DescribeArrival(const request_flow::options& flow,
+                                const workspace_plan* workspace) {
+  const route_spec& route = *flow.route;
+  const std::string& service = ChooseService(route, flow.request.attempt);
+  const service_plan* plan = flow.plan->FindService(service);
+  const bool is_engine = plan != nullptr && plan->is_engine;
+  request_arrived arrival{
+      .request = flow.id,
+      .workspace = flow.workspace,
+      .target = TargetName(service, is_engine ? flow.request.model : ""),
+      .levels = MakeLevels(flow.request.parts),
+      .prompt_tokens = flow.request.prompt_tokens,
+      .time_limit = flow.deadline - flow.arrived,
+      .target_latency = route.target_latency,
+      .longest_silence = route.longest_silence,
+      .repeats =
+          route.MayRepeat() ? repeat_rule::kRepeatable : repeat_rule::kOnce,
+      .max_runs = route.max_attempts,
+      .cache_pool = {},
+      .priority = TranslateRank(flow.rank)};
+  const bool is_isolated = workspace != nullptr && workspace->is_isolated;
+  arrival.cache_pool = is_isolated ? "workspace/" + workspace->name : "shared";
+  return arrival;
+}
+
+}  // namespace cuminswitch
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -5,8 +5,11 @@
 #include <unordered_map>
 #include <utility>
 
+#include "cuminswitch/Edge/arrival_translator.h"
 #include "cuminswitch/Edge/plan_translator.h"
+#include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Edge/retry_after.h"
+#include "cuminswitch/Edge/router_settings.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
@@ -23,52 +26,8 @@
 /// When to come back where this daemon stops, to another one.
 static constexpr duration kElsewhereRetryAfter = std::chrono::milliseconds(50);
 static constexpr duration kStopTickInterval = std::chrono::milliseconds(100);
-/// Of the bound on repeats; the rest covers what other daemons cannot know.
-static constexpr double kRetryShareUsed = 0.8;
-static constexpr double kRetryBurstUsed = 0.7;
-/// Left of the time in which old weights may be used, beyond the wait in an
-/// engine's queue: a naming is learnt up to 0.8 s late where peers hand it on
-/// over slow links (84 daemons). With 1.8 s, which covered the queue too, an
-/// idle fleet refused all for 2 s when the leader had died just before a
-/// naming.
-static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(1100);
-/// How long a daemon that has just started uses older weights: when they were
-/// superseded it does not know.
-static constexpr duration kOldWeightsAfterStart =
-    std::chrono::milliseconds(2300);
-/// An attempt that has not begun by then is taken back, so that it does not
-/// begin after the bound, counted from a naming that was learnt late.
-static constexpr duration kLastStartMargin = std::chrono::milliseconds(900);
-/// Engines with new weights are preferred from then on: answers of old ones
-/// lose value from 1.5 s after the naming.
-static constexpr duration kOldWeightsGrace = std::chrono::milliseconds(1200);
-/// Prefixes remembered, own parts of prompts included; about 3 MB, and half a
-/// minute of the traffic of the largest deployment.
-static constexpr size_t kPrefixCapacity = 16'384;
 static constexpr duration kDefaultPatience = std::chrono::seconds(60);
 
-static request_router::options RouterOptions(const edge_task::options& opts) {
-  request_router::options options;
-  options.self.host = opts.self.name;
-  options.self.incarnation = opts.self.incarnation;
-  options.self.failure_domain = opts.self.failure_domain;
-  options.prefix_capacity = kPrefixCapacity;
-  options.random_seed = opts.self.incarnation;
-  options.retries = {.share = opts.retry_share * kRetryShareUsed,
-                     .burst = opts.retry_burst * kRetryBurstUsed,
-                     .is_shared = true};
-  options.replicas = {
-      .old_weights_time = opts.old_weights_time - kOldWeightsMargin,
-      .old_weights_grace = kOldWeightsGrace,
-      .first_version_since =
-          ReadBootClock() -
-          (opts.old_weights_time - kOldWeightsMargin - kOldWeightsAfterStart),
-      .old_weights_limit = opts.old_weights_time - kLastStartMargin};
-  options.refuse_without_upstream = true;
-  options.tells_placements = true;
-  return options;
-}
-
 edge_task::edge_task(event_base* base,
                      const kernel& services,
                      const options& opts,
@@ -77,7 +36,12 @@
       services_(services),
       options_(opts),
       with_(with),
-      router_(RouterOptions(opts), *this),
+      router_(MakeRouterOptions({.self = opts.self,
+                                 .retry_share = opts.retry_share,
+                                 .retry_burst = opts.retry_burst,
+                                 .old_weights_time = opts.old_weights_time,
+                                 .now = ReadBootClock()}),
+              *this),
       pool_(base),
       tick_timer_(base, [this] { OnTick(); }),
       stop_timer_(base, [this] { OnStopTick(); }),
@@ -280,63 +244,6 @@
   Reply(exchange, status, headers, {}, false);
 }
 
-/// Chooses among a route's services by weight, the same for one attempt.
-static const std::string& ChooseService(const route_spec& route,
-                                        std::string_view attempt) {
-  uint64_t total = 0;
-  for (const route_share& share : route.shares) {
-    total += share.weight;
-  }
-  uint64_t point = total == 0 ? 0 : Hash64(attempt) % total;
-  for (const route_share& share : route.shares) {
-    if (point < share.weight) {
-      return share.service;
-    }
-    point -= share.weight;
-  }
-  return route.shares.front().service;
-}
-
-/// Each level is the prompt up to the end of one part.
-static std::vector<prefix_level> MakeLevels(
-    const std::vector<prompt_part>& parts) {
-  std::vector<prefix_level> levels;
-  uint64_t hash = 0;
-  uint32_t tokens = 0;
-  for (const prompt_part& part : parts) {
-    hash = CombineHash(hash, Hash64(part.id));
-    tokens += part.tokens;
-    levels.push_back({.hash = hash, .tokens = tokens});
-  }
-  return levels;
-}
-
-request_arrived edge_task::DescribeArrival(
-    const request_flow::options& flow,
-    const workspace_plan* workspace) const {
-  const route_spec& route = *flow.route;
-  const std::string& service = ChooseService(route, flow.request.attempt);
-  const service_plan* plan = flow.plan->FindService(service);
-  const bool is_engine = plan != nullptr && plan->is_engine;
-  request_arrived arrival{
-      .request = flow.id,
-      .workspace = flow.workspace,
-      .target = TargetName(service, is_engine ? flow.request.model : ""),
-      .levels = MakeLevels(flow.request.parts),
-      .prompt_tokens = flow.request.prompt_tokens,
-      .time_limit = flow.deadline - flow.arrived,
-      .target_latency = route.target_latency,
-      .longest_silence = route.longest_silence,
-      .repeats =
-          route.MayRepeat() ? repeat_rule::kRepeatable : repeat_rule::kOnce,
-      .max_runs = route.max_attempts,
-      .cache_pool = {},
-      .priority = TranslateRank(flow.rank)};
-  const bool is_isolated = workspace != nullptr && workspace->is_isolated;
-  arrival.cache_pool = is_isolated ? "workspace/" + workspace->name : "shared";
-  return arrival;
-}
-
 void edge_task::BeginFlow(caller_exchange& exchange,
                           caller_request request,
                           const route_spec& route,
@@ -418,29 +325,6 @@
   }
 }
 
-void edge_task::LogPlacement(time_point now,
-                             const request_flow& flow,
-                             const dispatch_attempt& action) const {
-  log_line line("attempt_placed");
-  line.Add("id", flow.request().attempt)
-      .Add("upstream", action.upstream)
-      .Add("weights", action.weights_version)
-      .Add("earlier_attempts", action.earlier_attempts)
-      .Add("waited_ms", now - flow.arrived())
-      .Add("prompt_tokens", action.prompt_tokens)
-      .Add("expected_cached",
-           static_cast<uint64_t>(action.expected_cached_tokens))
-      .Add("expected_queue_ms", action.expected_queue);
-  if (action.cache_source) {
-    line.Add("copies_from", action.cache_source->ToString());
-  }
-  if (action.cache_sink) {
-    line.Add("saves_to", action.cache_sink->ToString());
-  }
-  with_.log.Write(log_class::kRequest,
-                  line.Add("revision", knowledge_->revision));
-}
-
 void edge_task::Perform(time_point now, const dispatch_attempt& action) {
   request_flow* flow = FindFlow(action.request);
   if (flow == nullptr || flow->has_ended()) {
@@ -450,7 +334,9 @@
                                     .answer = {}});
     return;
   }
-  LogPlacement(now, *flow, action);
+  with_.log.Write(log_class::kRequest,
+                  DescribePlacement(now, *flow, action)
+                      .Add("revision", knowledge_->revision));
   flow->Dispatch(now, action);
 }
 
@@ -464,11 +350,7 @@
                                     attempt_answer answer,
                                     uint32_t status) {
   with_.log.Write(log_class::kRequest,
-                  log_line("attempt_failed")
-                      .Add("id", flow.request().attempt)
-                      .Add("upstream", flow.upstream())
-                      .Add("answer", ToString(answer))
-                      .Add("status", status)
+                  DescribeAttemptFailure(flow, answer, status)
                       .Add("revision", knowledge_->revision));
 }
 
@@ -476,50 +358,14 @@
   pool_.Forget(address);
 }
 
-/// Adds what a refusal for lateness was decided from.
-static void AddWait(const expected_wait& wait, log_line& line) {
-  line.Add("best_upstream", wait.upstream)
-      .Add("expected_ms", wait.Ahead())
-      .Add("expected_turn_ms", wait.turn)
-      .Add("expected_room_ms", wait.room)
-      .Add("expected_queue_ms", wait.queue)
-      .Add("expected_reading_ms", wait.reading)
-      .Add("expected_excess_ms", wait.excess)
-      .Add("news_age_ms", wait.news_age)
-      .Add("target_ms", wait.target);
-}
-
-void edge_task::LogEnd(const request_flow& flow, const flow_end& end) const {
-  const time_point now = ReadBootClock();
-  log_line line("request_ended");
-  line.Add("id", flow.request().attempt)
-      .Add("route", flow.route().name)
-      .Add("workspace", flow.workspace())
-      .Add("outcome", ToString(end.result))
-      .Add("status", end.status)
-      .Add("reason", end.reason)
-      .Add("upstream", flow.upstream())
-      .Add("took_ms", now - flow.arrived());
-  if (flow.first_byte_at()) {
-    line.Add("first_byte_ms", *flow.first_byte_at() - flow.arrived())
-        .Add("longest_pause_ms", flow.longest_pause());
-  }
-  if (end.retry_after > duration(0)) {
-    line.Add("retry_after_ms", end.retry_after);
-  }
-  if (end.wait != nullptr) {
-    AddWait(*end.wait, line);
-  }
-  with_.log.Write(log_class::kRequest,
-                  line.Add("configuration", knowledge_->plan->version));
-}
-
 bool edge_task::CanPlaceElsewhere(const request_flow& flow) {
   return router_.CanPlaceElsewhere(ReadBootClock(), flow.id());
 }
 
 void edge_task::OnFlowEnd(request_flow& flow, const flow_end& end) {
-  LogEnd(flow, end);
+  with_.log.Write(log_class::kRequest,
+                  DescribeEnd(ReadBootClock(), flow, end)
+                      .Add("configuration", knowledge_->plan->version));
   const std::string& route = flow.route().name;
   metrics_.CountEnd(route, end.result, end.reason,
                     ToSeconds(ReadBootClock() - flow.arrived()));
--- /dev/null
+++ b/lib/Edge/request_log.cc
@@ -0,0 +1,78 @@
+#include "cuminswitch/Edge/request_log.h"
+
+#include "cuminswitch/Edge/request_flow.h"
+
+namespace cuminswitch {
+
+log_line DescribePlacement(time_point now,
+                           const request_flow& flow,
+                           const dispatch_attempt& action) {
+  log_line line("attempt_placed");
+  line.Add("id", flow.request().attempt)
+      .Add("upstream", action.upstream)
+      .Add("weights", action.weights_version)
+      .Add("earlier_attempts", action.earlier_attempts)
+      .Add("waited_ms", now - flow.arrived())
+      .Add("prompt_tokens", action.prompt_tokens)
+      .Add("expected_cached",
+           static_cast<uint64_t>(action.expected_cached_tokens))
+      .Add("expected_queue_ms", action.expected_queue);
+  if (action.cache_source) {
+    line.Add("copies_from", action.cache_source->ToString());
+  }
+  if (action.cache_sink) {
+    line.Add("saves_to", action.cache_sink->ToString());
+  }
+  return line;
+}
+
+log_line DescribeAttemptFailure(const request_flow& flow,
+                                attempt_answer answer,
+                                uint32_t status) {
+  log_line line("attempt_failed");
+  line.Add("id", flow.request().attempt)
+      .Add("upstream", flow.upstream())
+      .Add("answer", ToString(answer))
+      .Add("status", status);
+  return line;
+}
+
+/// Adds what a refusal for lateness was decided from.
+static void AddWait(const expected_wait& wait, log_line& line) {
+  line.Add("best_upstream", wait.upstream)
+      .Add("expected_ms", wait.Ahead())
+      .Add("expected_turn_ms", wait.turn)
+      .Add("expected_room_ms", wait.room)
+      .Add("expected_queue_ms", wait.queue)
+      .Add("expected_reading_ms", wait.reading)
+      .Add("expected_excess_ms", wait.excess)
+      .Add("news_age_ms", wait.news_age)
+      .Add("target_ms", wait.target);
+}
+
+log_line DescribeEnd(time_point now,
+                     const request_flow& flow,
+                     const flow_end& end) {
+  log_line line("request_ended");
+  line.Add("id", flow.request().attempt)
+      .Add("route", flow.route().name)
+      .Add("workspace", flow.workspace())
+      .Add("outcome", ToString(end.result))
+      .Add("status", end.status)
+      .Add("reason", end.reason)
+      .Add("upstream", flow.upstream())
+      .Add("took_ms", now - flow.arrived());
+  if (flow.first_byte_at()) {
+    line.Add("first_byte_ms", *flow.first_byte_at() - flow.arrived())
+        .Add("longest_pause_ms", flow.longest_pause());
+  }
+  if (end.retry_after > duration(0)) {
+    line.Add("retry_after_ms", end.retry_after);
+  }
+  if (end.wait != nullptr) {
+    AddWait(*end.wait, line);
+  }
+  return line;
+}
+
+}  // namespace cuminswitch
--- /dev/null
+++ b/utils/regression.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# Plays the regression set on the users' deployments and prints, for each, the
+# worth of its days and its gate.
+#
+#   utils/regression.sh BENCH SITES [TIMES [JOBS]]
+#
+# BENCH is the users' bench, SITES the folder that holds their site files. With
+# TIMES over 1 each deployment is scored so often, and the least, the mean and the
+# greatest worth of each day are printed.
+set -euo pipefail
+if [ $# -lt 2 ]; then
+  sed -n '2,9s/^# \{0,1\}//p' "$0" >&2
+  exit 2
+fi
+bench=$1
+sites=$2
+times=${3:-1}
+jobs=${4:-4}
+cd "$(dirname "$0")/.."
+
+# The largest deployment first; it stands in the place of the two first ones.
+set_of_sites=(
+  large/skzp-objednavky-large
+  further/shelterline-kgn
+  further-grown/shelterline-kgn-grown
+  grown/skzp-objednavky-grown
+  grown/sneachta-dist-grown
+)
+
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+for site in "${set_of_sites[@]}"; do
+  out="$scratch/$(basename "$site")"
+  for ((i = 0; i < times; ++i)); do
+    "$bench" score "$sites/$site.toml" --jobs "$jobs" \
+      --why "regression run $((i + 1)) of $times" >>"$out" 2>&1 || true
+  done
+  echo "$site: $(grep -c '^GATE passed' "$out" || true) of $times gates passed"
+  awk '$1 ~ /^(quiet|trouble|scale)-[0-9]+$/ && $2 ~ /\// {
+         if (!($1 in n) || $4 < low[$1]) low[$1] = $4
+         if (!($1 in n) || $4 > high[$1]) high[$1] = $4
+         sum[$1] += $4; ++n[$1]
+       }
+       END {
+         for (day in n) {
+           printf "  %-10s %.3f  (%.3f to %.3f)\n", day, sum[day] / n[day], \
+             low[day], high[day]
+           if (day !~ /^quiet/) { all += sum[day] / n[day]; ++days }
+         }
+         if (days) printf "  %-10s %.3f\n", "with trouble", all / days
+       }' "$out" | sort
+done
