Keep workspaces to their quotas over the whole fleet

Cause: a workspace's limit (units a second, a burst, over all daemons) was decoded nowhere, and no daemon counted what a workspace used.

Change: platform/ reads the limit into the workspace's plan; a limit that cannot be read leaves the configuration in force. Admission/kept_quota_policy asks a keeper, the first of the living daemons by rendezvous hashing, about every request (a frame each way); Edge/quota_desk weighs each request once, charges each further run and gives back what did not run. Refused requests get 429 at once, with a place in the line that is kept for the share of callers that come back. Metrics by workspace, a log line for each refusal.

Kept: the keeper, with the even part where no keeper answers.

--- a/include/cuminswitch/Edge/edge_metrics.h
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "cuminswitch/Core/core_status.h"
+#include "cuminswitch/Edge/quota_desk.h"
 #include "cuminswitch/Metrics/latency_histogram.h"
 #include "cuminswitch/Support/outcome.h"
 
@@ -27,6 +28,7 @@
   /// What the page tells beside what is counted here.
   struct sources {
     const core_status& status;
+    const std::map<std::string, quota_counts>& quotas;
     uint64_t log_lines_dropped = 0;
     uint64_t upstream_connections = 0;
     size_t unreadable_upstreams = 0;
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -13,6 +13,7 @@
 #include "cuminswitch/Edge/edge_metrics.h"
 #include "cuminswitch/Edge/edge_protocol.h"
 #include "cuminswitch/Edge/graceful_stop.h"
+#include "cuminswitch/Edge/quota_desk.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Http1/caller_server.h"
@@ -93,6 +94,8 @@
   void Take(const peers_changed& news);
   void Take(const weights_changing& news);
   void Take(const peer_placements& news);
+  void Take(const quota_ask& ask);
+  void Take(const quota_verdict& verdict);
   /// Lets the peers know what this daemon's requests wait for.
   void TellPlacements();
 
@@ -104,6 +107,10 @@
                  caller_request request,
                  const route_spec& route,
                  const workspace_plan* workspace);
+  /// Sends what the quotas have to say and carries out what they decided.
+  void SettleQuotas(time_point now);
+  void TellQuotasOfFleet(time_point now);
+  void SettleQuota(time_point now, quota_desk::decided_request decided);
   void HandToRouter(time_point now, const core_event& event);
   void Perform(time_point now, const action_list& actions);
   void Perform(time_point now, const dispatch_attempt& action);
@@ -125,10 +132,15 @@
   std::vector<std::string> changing_;
   std::vector<upstream_backlog> told_backlogs_;
   size_t fleet_size_ = 1;
+  size_t maybe_at_work_ = 1;
+  duration notice_time_{0};
+  bool has_gathered_ = false;
   std::unordered_map<request_id, std::unique_ptr<request_flow>> flows_;
   request_id next_request_ = 0;
+  quota_desk quotas_;
   edge_metrics metrics_;
   graceful_stop stop_;
+  time_point started_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -92,8 +92,12 @@
 
   request_id id() const { return options_.id; }
   attempt_id attempt() const { return attempt_; }
+  /// Attempts that ran, or may have run.
+  uint32_t runs() const { return runs_; }
+  time_point deadline() const { return options_.deadline; }
   bool has_ended() const { return has_ended_; }
   const caller_request& request() const { return options_.request; }
+  const route_plan& plan() const { return *options_.plan; }
   const route_spec& route() const { return *options_.route; }
   const std::string& workspace() const { return options_.workspace; }
   const std::string& upstream() const { return upstream_; }
@@ -143,6 +147,7 @@
   std::string upstream_;
   endpoint address_;
   uint32_t attempts_ = 0;
+  uint32_t runs_ = 0;
   duration usual_first_byte_{0};
   std::unique_ptr<upstream_call> call_;
   answer_state answer_;
--- a/include/cuminswitch/Edge/request_log.h
+++ b/include/cuminswitch/Edge/request_log.h
@@ -14,6 +14,8 @@
 class request_flow;
 struct dispatch_attempt;
 struct flow_end;
+struct quota_decision;
+struct quota_request;
 
 /// Where an attempt goes, and what decided that.
 log_line DescribePlacement(time_point now,
@@ -28,6 +30,11 @@
 log_line DescribeEnd(time_point now,
                      const request_flow& flow,
                      const flow_end& end);
+/// That a request is over its workspace's quota, and what that was decided
+/// from.
+log_line DescribeQuotaRefusal(const request_flow& flow,
+                              const quota_request& item,
+                              const quota_decision& decision);
 
 }  // namespace cuminswitch
 
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -25,8 +25,15 @@
   std::vector<upstream_backlog> backlogs;
   std::vector<placed_prefix> prefixes;
 };
-using fleet_message =
-    std::variant<fleet_stop_requested, readiness_changed, own_placements>;
+/// A question about a workspace's quota, or its answer, for another daemon.
+struct quota_outbound {
+  endpoint to;
+  std::variant<quota_ask, quota_verdict> message;
+};
+using fleet_message = std::variant<fleet_stop_requested,
+                                   readiness_changed,
+                                   own_placements,
+                                   quota_outbound>;
 
 /// What is known of the deployment changed.
 struct knowledge_changed {
@@ -37,6 +44,10 @@
   std::vector<daemon_record> living;
   /// Daemons of the deployment, dead ones and this one included.
   size_t known = 1;
+  /// Those of them that may be at work, although nothing is heard of some.
+  size_t maybe_at_work = 1;
+  /// Within this time of a change all know of it.
+  duration notice_time{0};
 };
 /// The upstreams whose weights are being changed just now.
 struct weights_changing {
@@ -45,7 +56,9 @@
 using fleet_news = std::variant<knowledge_changed,
                                 peers_changed,
                                 weights_changing,
-                                peer_placements>;
+                                peer_placements,
+                                quota_ask,
+                                quota_verdict>;
 
 /// The names of the services, for the kernel's registry.
 inline constexpr std::string_view kFleetService = "fleet";
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -105,6 +105,7 @@
   std::vector<std::string> published_changing_;
   time_point leader_changing_at_{};
   std::vector<std::string> published_peers_;
+  size_t published_at_work_ = 0;
   list_changes peer_changes_;
   list_changes upstream_changes_;
   /// What the log was last told of.
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -14,6 +14,7 @@
 
 #include "cuminswitch/Fleet/item_view.h"
 #include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Protocol/quota_message.h"
 #include "cuminswitch/Support/endpoint.h"
 
 namespace cuminswitch {
@@ -66,8 +67,11 @@
   std::vector<item_change> items;
 };
 
-using peer_frame =
-    std::variant<beat_frame, items_request_frame, items_reply_frame>;
+using peer_frame = std::variant<beat_frame,
+                                items_request_frame,
+                                items_reply_frame,
+                                quota_ask,
+                                quota_verdict>;
 
 std::string EncodePeerFrame(const peer_frame& frame);
 /// Returns nothing for bytes that are no frame.
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -30,6 +30,10 @@
   /// which changes within a few hundred milliseconds.
   static constexpr duration kBeatInterval = std::chrono::milliseconds(120);
 
+  /// A peer that is silent for so long, in a fleet that one round reaches, is
+  /// taken for gone, and is out of the address answers within a second.
+  static constexpr duration kLivingTime = std::chrono::milliseconds(800);
+
   explicit peer_roster(options opts);
 
   void SetListed(std::span<const daemon_entry> daemons);
@@ -54,6 +58,12 @@
                                  uint64_t turn) const;
   /// Daemons of the deployment as far as is known, this one included.
   size_t CountKnown() const;
+  /// Daemons that may serve callers, this one included: those that live, and
+  /// those that fell silent within the last minute. A silent one may only be
+  /// cut off from here, and go on.
+  size_t CountMaybeAtWork(time_point now) const;
+  /// Within this time of a daemon's end, or return, all have noticed it.
+  duration NoticeTime() const { return Horizon() + kLivingTime; }
 
  private:
   struct peer {
@@ -65,6 +75,8 @@
     time_point tried_at{};
     /// Named by the store, a seed, or a peer.
     time_point named_at{};
+    /// When it was first known.
+    time_point known_at{};
     bool is_listed = false;
   };
 
--- a/include/cuminswitch/Fleet/route_plan.h
+++ b/include/cuminswitch/Fleet/route_plan.h
@@ -92,6 +92,24 @@
   uint32_t max_connections = 0;
 };
 
+/// What a quota counts.
+enum class quota_unit : uint8_t {
+  kRequests,
+  /// Tokens that a request reads and may write.
+  kTokens,
+};
+
+/// What a workspace may use over the whole fleet.
+struct quota_plan {
+  /// Units a second, more than 0.
+  double rate = 0;
+  /// Units that may be used at once beyond the rate.
+  double burst = 0;
+  quota_unit unit = quota_unit::kRequests;
+  /// Tokens that a request counts that does not say how many it takes.
+  double uncounted_tokens = 0;
+};
+
 struct workspace_plan {
   std::string name;
   std::vector<std::string> credentials;
@@ -99,6 +117,8 @@
   std::optional<uint32_t> rank;
   /// Shares no cached prefix with any other workspace.
   bool is_isolated = false;
+  /// Nothing for no limit.
+  std::optional<quota_plan> quota;
 };
 
 /// A configuration in full.
--- /dev/null
+++ b/include/cuminswitch/Protocol/quota_message.h
@@ -0,0 +1,76 @@
+/// \file
+/// What daemons tell one another to keep a workspace's quota over the fleet.
+/// The structs are one family and share this header.
+#ifndef CUMINSWITCH_PROTOCOL_QUOTA_MESSAGE_H_
+#define CUMINSWITCH_PROTOCOL_QUOTA_MESSAGE_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "cuminswitch/Support/endpoint.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+/// What a workspace may use over the whole fleet, in units of its quota.
+struct quota_limit {
+  /// Units a second; 0 for no limit.
+  double rate = 0;
+  /// Units that may be used at once beyond the rate.
+  double burst = 0;
+  /// Of the configuration that says so; the greatest one known counts.
+  uint64_t version = 0;
+
+  bool IsSet() const { return rate > 0; }
+};
+
+/// What a keeper had left for a workspace when it was last heard.
+struct quota_level {
+  /// Tells keepers apart, and the starts of one.
+  uint64_t keeper = 0;
+  /// Units; below 0 where more was used than is there.
+  double level = 0;
+  /// Time since it was so.
+  duration age{0};
+};
+
+/// Asks a workspace's keeper whether a request may be sent on.
+struct quota_ask {
+  /// Where the answer goes.
+  endpoint from;
+  /// Names the question at its sender; 0 where no answer is wanted, because
+  /// the use is only reported.
+  uint64_t ticket = 0;
+  /// Hash of the workspace's name.
+  uint64_t workspace = 0;
+  quota_limit limit;
+  /// Units that the request takes; below 0 where they are given back.
+  double weight = 0;
+  /// Of what the request is, so that its repeat is known for it.
+  uint64_t digest = 0;
+  /// The longest wait after which its caller would come back.
+  duration patience{0};
+  /// Whoever gets it decides; otherwise it may hand it on to whom it takes for
+  /// the keeper.
+  bool is_final = false;
+  /// What the sender last heard of the workspace.
+  std::optional<quota_level> told;
+};
+
+/// Answers a `quota_ask`.
+struct quota_verdict {
+  uint64_t ticket = 0;
+  bool is_admitted = false;
+  /// When a refused request can be taken.
+  duration retry_after{0};
+  /// Tells the keeper and its start.
+  uint64_t keeper = 0;
+  /// What is left.
+  double level = 0;
+  /// Of the limit, what the keeper gives out.
+  double share = 1;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_PROTOCOL_QUOTA_MESSAGE_H_
--- /dev/null
+++ b/lib/Admission/kept_quota_policy.cc
@@ -0,0 +1,342 @@
+#include "cuminswitch/Admission/kept_quota_policy.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+#include "cuminswitch/Support/hash.h"
+#include "cuminswitch/Support/rendezvous.h"
+
+namespace cuminswitch {
+
+/// A keeper that has not answered by then is asked no more. A round trip takes
+/// 1 to 3 ms; a host whose share of a core is used up stands for the rest of a
+/// tenth of a second.
+static constexpr duration kAnswerTime = std::chrono::milliseconds(120);
+/// Keepers asked about one request.
+static constexpr uint32_t kMaxAttempts = 2;
+/// A keeper that was silent is passed over for so long; by then its beats tell
+/// whether it lives.
+static constexpr duration kSilentTime = std::chrono::milliseconds(1'000);
+/// What a keeper told counts for so long where none answers, and only if this
+/// much of the burst was left: a cut is noticed within this time, and a
+/// workspace that is over its limit never has so much.
+static constexpr duration kBeliefTime = std::chrono::seconds(2);
+static constexpr double kBelievedPart = 0.5;
+/// After so long, what a keeper told says nothing.
+static constexpr duration kToldTime = std::chrono::seconds(10);
+
+/// A daemon that has just started takes so long to hear of most others.
+static constexpr duration kGatherTime = std::chrono::milliseconds(1'500);
+/// What a keeper that has just started gives out while some still ask the one
+/// that stood in for it. Most workspaces use about half of their limit.
+static constexpr double kFirstPart = 0.5;
+/// What one gives out that is asked in place of the keeper while it still takes
+/// that one to live: it may be cut off only from those that ask, and give out
+/// their part to others.
+static constexpr double kStandInPart = 0.25;
+
+static uint64_t HashOf(const endpoint& address) {
+  return Hash64(address.ToString());
+}
+
+kept_quota_policy::kept_quota_policy(const options& opts)
+    : self_({.address = opts.self, .hash = HashOf(opts.self)}),
+      keeper_(opts.id),
+      own_part_({.seed = opts.id}) {
+  candidates_.push_back(self_);
+}
+
+void kept_quota_policy::SetFleet(time_point now,
+                                 const quota_fleet_view& fleet) {
+  std::vector<candidate> next;
+  next.push_back(self_);
+  for (const endpoint& address : fleet.living) {
+    if (address != self_.address) {
+      next.push_back({.address = address, .hash = HashOf(address)});
+    }
+  }
+  NoteLost(now, next);
+  candidates_ = std::move(next);
+  known_ = std::max(fleet.known, candidates_.size());
+  notice_time_ = fleet.notice_time;
+  started_at_ = started_at_.value_or(now);
+  seen_.push_back({.from = now,
+                   .part = static_cast<double>(candidates_.size()) /
+                           static_cast<double>(known_)});
+  // The last one that was in force at the time from which on they count.
+  while (seen_.size() > 1 && seen_[1].from <= now - notice_time_) {
+    seen_.erase(seen_.begin());
+  }
+  own_part_.SetFleet(now, fleet);
+}
+
+void kept_quota_policy::NoteLost(time_point now,
+                                 std::span<const candidate> next) {
+  std::unordered_set<uint64_t> living;
+  for (const candidate& item : next) {
+    living.insert(item.hash);
+  }
+  std::erase_if(lost_, [&](const lost_daemon& item) {
+    return now - item.at > notice_time_ || living.contains(item.who.hash);
+  });
+  for (const candidate& item : candidates_) {
+    if (!living.contains(item.hash)) {
+      lost_.push_back({.who = item, .at = now});
+    }
+  }
+}
+
+bool kept_quota_policy::StandsIn(time_point now, uint64_t workspace) const {
+  const uint64_t own = RendezvousWeight(workspace, candidates_.front().hash);
+  return std::any_of(lost_.begin(), lost_.end(), [&](const lost_daemon& item) {
+    return now - item.at <= notice_time_ &&
+           RendezvousWeight(workspace, item.who.hash) > own;
+  });
+}
+
+const endpoint& kept_quota_policy::FindKeeper(time_point now,
+                                              uint64_t workspace) const {
+  const candidate* best = nullptr;
+  uint64_t best_weight = 0;
+  for (const candidate& item : candidates_) {
+    const uint64_t weight = RendezvousWeight(workspace, item.hash);
+    if (best != nullptr && weight <= best_weight) {
+      continue;
+    }
+    if (const auto silent = silent_until_.find(item.address);
+        silent != silent_until_.end() && now < silent->second) {
+      continue;
+    }
+    best = &item;
+    best_weight = weight;
+  }
+  return best == nullptr ? self_.address : best->address;
+}
+
+double kept_quota_policy::SeenPart(time_point now) const {
+  if (seen_.empty() || known_ == 1) {
+    return 1;
+  }
+  if (now - *started_at_ < notice_time_) {
+    return seen_.back().part;
+  }
+  // What it saw while it still gathered who there is says nothing.
+  const time_point since =
+      std::max(now - notice_time_, *started_at_ + kGatherTime);
+  double least = seen_.back().part;
+  for (size_t i = 0; i + 1 < seen_.size(); ++i) {
+    if (seen_[i + 1].from > since) {
+      least = std::min(least, seen_[i].part);
+    }
+  }
+  return least;
+}
+
+double kept_quota_policy::PartAsKeeper(time_point now,
+                                       uint64_t workspace) const {
+  if (StandsIn(now, workspace)) {
+    return kStandInPart;
+  }
+  const bool is_new = started_at_ && now - *started_at_ < notice_time_;
+  const bool has_other = keeper_.HasOther(now - notice_time_, workspace);
+  return is_new && has_other ? kFirstPart : 1;
+}
+
+double kept_quota_policy::Share(time_point now, uint64_t workspace) const {
+  if (FindKeeper(now, workspace) == self_.address) {
+    return SeenPart(now) * PartAsKeeper(now, workspace);
+  }
+  const size_t askers =
+      std::max<size_t>(1, keeper_.CountAskers(now, workspace));
+  return std::min(1.0, kStandInPart * static_cast<double>(askers) /
+                           static_cast<double>(known_));
+}
+
+quota_ask kept_quota_policy::MakeAsk(time_point now,
+                                     const quota_request& item) const {
+  quota_ask ask{.from = self_.address,
+                .ticket = item.ticket,
+                .workspace = item.workspace,
+                .limit = item.limit,
+                .weight = item.weight,
+                .digest = item.digest,
+                .patience = item.patience,
+                .told = std::nullopt};
+  if (const auto told = told_.find(item.workspace); told != told_.end()) {
+    ask.told = quota_level{.keeper = told->second.keeper,
+                           .level = told->second.level,
+                           .age = now - told->second.at};
+  }
+  return ask;
+}
+
+void kept_quota_policy::Note(time_point now,
+                             uint64_t workspace,
+                             const quota_verdict& verdict) {
+  told_[workspace] = {
+      .keeper = verdict.keeper, .level = verdict.level, .at = now};
+}
+
+void kept_quota_policy::DecideHere(time_point now, const quota_request& item) {
+  const double share = Share(now, item.workspace);
+  if (const auto taken = unreported_.extract(item.workspace)) {
+    quota_request report = item;
+    report.ticket = 0;
+    report.weight = taken.mapped();
+    keeper_.OnAsk(now, MakeAsk(now, report), share);
+  }
+  const quota_verdict verdict = keeper_.OnAsk(now, MakeAsk(now, item), share);
+  Note(now, item.workspace, verdict);
+  decisions_.push_back({.ticket = item.ticket,
+                        .is_admitted = verdict.is_admitted,
+                        .retry_after = verdict.retry_after,
+                        .source = quota_source::kSelf,
+                        .level = verdict.level,
+                        .share = verdict.share});
+}
+
+void kept_quota_policy::DecideAlone(time_point now, const quota_request& item) {
+  if (const auto found = told_.find(item.workspace); found != told_.end()) {
+    told_level& told = found->second;
+    const bool is_recent = now - told.at <= kBeliefTime;
+    if (is_recent && told.level >= item.limit.burst * kBelievedPart) {
+      // Less is left by now, so that not all that come go by it.
+      told.level -= item.weight;
+      decisions_.push_back({.ticket = item.ticket,
+                            .is_admitted = true,
+                            .source = quota_source::kBelief,
+                            .level = told.level,
+                            .age = now - told.at});
+      unreported_[item.workspace] += item.weight;
+      return;
+    }
+  }
+  own_part_.Admit(now, item);
+  for (const quota_decision& decided : own_part_.TakeDecisions()) {
+    decisions_.push_back(decided);
+    if (decided.is_admitted) {
+      unreported_[item.workspace] += item.weight;
+    }
+  }
+}
+
+void kept_quota_policy::Send(time_point now, pending asked) {
+  const endpoint& keeper = FindKeeper(now, asked.item.workspace);
+  if (keeper == self_.address) {
+    DecideHere(now, asked.item);
+    return;
+  }
+  asked.asked = keeper;
+  asked.asked_at = now;
+  ++asked.attempts;
+  quota_ask ask = MakeAsk(now, asked.item);
+  ask.is_final = asked.attempts > 1;
+  messages_.push_back({.to = keeper, .message = std::move(ask)});
+  const uint64_t ticket = asked.item.ticket;
+  pending_[ticket] = std::move(asked);
+}
+
+void kept_quota_policy::Admit(time_point now, const quota_request& item) {
+  Send(now, {.item = item, .asked = {}});
+}
+
+void kept_quota_policy::Charge(time_point now, const quota_request& item) {
+  quota_request report = item;
+  report.ticket = 0;
+  const endpoint& keeper = FindKeeper(now, report.workspace);
+  const quota_ask ask = MakeAsk(now, report);
+  if (keeper == self_.address) {
+    keeper_.OnAsk(now, ask, Share(now, report.workspace));
+    return;
+  }
+  messages_.push_back({.to = keeper, .message = ask});
+}
+
+void kept_quota_policy::ReportTaken(time_point now,
+                                    const quota_request& item,
+                                    const endpoint& keeper) {
+  const auto found = unreported_.find(item.workspace);
+  if (found == unreported_.end()) {
+    return;
+  }
+  quota_request report = item;
+  report.ticket = 0;
+  report.weight = found->second;
+  unreported_.erase(found);
+  quota_ask ask = MakeAsk(now, report);
+  ask.is_final = true;
+  messages_.push_back({.to = keeper, .message = std::move(ask)});
+}
+
+void kept_quota_policy::OnAsk(time_point now, const quota_ask& ask) {
+  if (!ask.is_final) {
+    if (const endpoint& keeper = FindKeeper(now, ask.workspace);
+        keeper != self_.address) {
+      quota_ask handed_on = ask;
+      handed_on.is_final = true;
+      messages_.push_back({.to = keeper, .message = std::move(handed_on)});
+      return;
+    }
+  }
+  const quota_verdict verdict =
+      keeper_.OnAsk(now, ask, Share(now, ask.workspace));
+  if (ask.ticket != 0) {
+    messages_.push_back({.to = ask.from, .message = verdict});
+  }
+}
+
+void kept_quota_policy::OnVerdict(time_point now,
+                                  const quota_verdict& verdict) {
+  const auto found = pending_.find(verdict.ticket);
+  if (found == pending_.end()) {
+    // Its request was decided without it.
+    return;
+  }
+  const pending asked = std::move(found->second);
+  pending_.erase(found);
+  heard_at_[asked.asked] = now;
+  Note(now, asked.item.workspace, verdict);
+  ReportTaken(now, asked.item, asked.asked);
+  decisions_.push_back({.ticket = verdict.ticket,
+                        .is_admitted = verdict.is_admitted,
+                        .retry_after = verdict.retry_after,
+                        .source = quota_source::kKeeper,
+                        .level = verdict.level,
+                        .age = now - asked.asked_at,
+                        .share = verdict.share});
+}
+
+void kept_quota_policy::OnTick(time_point now) {
+  keeper_.OnTick(now);
+  own_part_.OnTick(now);
+  std::erase_if(silent_until_,
+                [&](const auto& item) { return now >= item.second; });
+  std::erase_if(heard_at_, [&](const auto& item) {
+    return now - item.second > kToldTime;
+  });
+  std::erase_if(told_, [&](const auto& item) {
+    return now - item.second.at > kToldTime;
+  });
+  std::vector<pending> late;
+  for (const auto& [ticket, asked] : pending_) {
+    if (now - asked.asked_at >= kAnswerTime) {
+      late.push_back(asked);
+    }
+  }
+  for (pending& asked : late) {
+    pending_.erase(asked.item.ticket);
+    // Where it answered others meanwhile, one message was lost or late. To ask
+    // another for a second would have two give out the limit.
+    if (heard_at_[asked.asked] < asked.asked_at) {
+      silent_until_[asked.asked] = now + kSilentTime;
+    }
+    if (asked.attempts < kMaxAttempts) {
+      Send(now, std::move(asked));
+    } else {
+      DecideAlone(now, asked.item);
+    }
+  }
+}
+
+}  // namespace cuminswitch
--- a/lib/Edge/arrival_translator.cc
+++ b/lib/Edge/arrival_translator.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cuminswitch/Edge/plan_translator.h"
@@ -65,4 +66,22 @@
   return arrival;
 }
 
+quota_desk::question DescribeQuotaQuestion(time_point now,
+                                           const request_flow& flow,
+                                           const quota_plan& quota,
+                                           request_arrived arrival) {
+  const caller_request& request = flow.request();
+  // A caller's repeat has another name, and is the same in all the rest.
+  uint64_t digest = Hash64(request.path, Hash64(request.credential));
+  for (const prefix_level& level : arrival.levels) {
+    digest = CombineHash(digest, level.hash);
+  }
+  return {.arrival = std::move(arrival),
+          .quota = quota,
+          .version = flow.plan().version,
+          .tokens = uint64_t{request.prompt_tokens} + request.max_output_tokens,
+          .digest = digest,
+          .time_left = flow.deadline() - now};
+}
+
 }  // namespace cuminswitch
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -27,6 +27,39 @@
   }
 }
 
+/// Writes one figure of each workspace that has a quota.
+template <class Read>
+static void AddQuotas(metric_page& page,
+                      const std::map<std::string, quota_counts>& quotas,
+                      const Read& read) {
+  for (const auto& [workspace, counts] : quotas) {
+    page.Add(static_cast<double>(read(counts)),
+             "workspace=\"" + workspace + "\"");
+  }
+}
+
+static void WriteQuotas(metric_page& page,
+                        const std::map<std::string, quota_counts>& quotas) {
+  page.Begin("cuminswitch_quota_admitted_total", "counter",
+             "Requests that were within their workspace's quota.");
+  AddQuotas(page, quotas, [](const auto& item) { return item.admitted; });
+  page.Begin("cuminswitch_quota_refused_total", "counter",
+             "Requests that were over their workspace's quota.");
+  AddQuotas(page, quotas, [](const auto& item) { return item.refused; });
+  page.Begin("cuminswitch_quota_given_back_total", "counter",
+             "Units of admitted requests that did not run.");
+  AddQuotas(page, quotas, [](const auto& item) { return item.given_back; });
+  page.Begin("cuminswitch_quota_rate", "gauge",
+             "Units a second that the workspace may use over the fleet.");
+  AddQuotas(page, quotas, [](const auto& item) { return item.limit.rate; });
+  page.Begin("cuminswitch_quota_left", "gauge",
+             "Units left, as the decider last told; below 0 overdrawn.");
+  AddQuotas(page, quotas, [](const auto& item) { return item.level; });
+  page.Begin("cuminswitch_quota_left_age_seconds", "gauge",
+             "How old that was when it was decided by it.");
+  AddQuotas(page, quotas, [](const auto& item) { return ToSeconds(item.age); });
+}
+
 std::string edge_metrics::Write(const sources& from) const {
   const core_status& status = from.status;
   metric_page page;
@@ -66,6 +99,7 @@
   for (const upstream_status& item : status.upstreams) {
     page.Add(item.in_flight, "upstream=\"" + item.name + "\"");
   }
+  WriteQuotas(page, from.quotas);
   page.Begin("cuminswitch_upstream_connections_total", "counter",
              "Connections opened to upstreams.");
   page.Add(static_cast<double>(from.upstream_connections));
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "cuminswitch/Admission/kept_quota_policy.h"
 #include "cuminswitch/Edge/arrival_translator.h"
 #include "cuminswitch/Edge/plan_translator.h"
 #include "cuminswitch/Edge/request_log.h"
@@ -13,6 +14,7 @@
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
+#include "cuminswitch/Support/hash.h"
 #include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
@@ -25,6 +27,9 @@
 /// When to come back where this daemon stops, to another one.
 static constexpr duration kElsewhereRetryAfter = std::chrono::milliseconds(50);
 static constexpr duration kStopTickInterval = std::chrono::milliseconds(100);
+/// Until a daemon has heard most of the others after its start: beats reach
+/// everybody at 68 hosts within 0.6 s.
+static constexpr duration kGatherTime = std::chrono::milliseconds(1'500);
 static constexpr duration kDefaultPatience = std::chrono::seconds(60);
 
 edge_task::edge_task(event_base* base,
@@ -44,7 +49,11 @@
       pool_(base),
       tick_timer_(base, [this] { OnTick(); }),
       stop_timer_(base, [this] { OnStopTick(); }),
-      stop_(opts.grace) {}
+      quotas_(std::make_unique<kept_quota_policy>(kept_quota_policy::options{
+          .self = opts.self.peer_address,
+          .id = Hash64(opts.self.name, opts.self.incarnation)})),
+      stop_(opts.grace),
+      started_at_(ReadBootClock()) {}
 
 edge_task::~edge_task() {
   *alive_ = false;
@@ -94,6 +103,7 @@
   router_.FillStatus(status);
   return metrics_.Write(
       {.status = status,
+       .quotas = quotas_.counts(),
        .log_lines_dropped = with_.log.dropped_count(),
        .upstream_connections = pool_.opened_count(),
        .unreadable_upstreams = knowledge_ == nullptr
@@ -161,6 +171,43 @@
 void edge_task::Take(const peers_changed& news) {
   peers_ = news.living;
   fleet_size_ = news.known;
+  maybe_at_work_ = news.maybe_at_work;
+  notice_time_ = news.notice_time;
+  TellQuotasOfFleet(ReadBootClock());
+}
+
+void edge_task::TellQuotasOfFleet(time_point now) {
+  std::vector<endpoint> living;
+  for (const daemon_record& item : peers_) {
+    if (!item.is_leaving) {
+      living.push_back(item.peer_address);
+    }
+  }
+  has_gathered_ = now - started_at_ >= kGatherTime;
+  if (!has_gathered_ && knowledge_ != nullptr) {
+    // A daemon that knows itself alone would take itself for the keeper of
+    // every quota, as all do that were killed together.
+    for (const daemon_entry& item : knowledge_->daemons) {
+      living.push_back(item.peer_address);
+    }
+    std::sort(living.begin(), living.end());
+    living.erase(std::unique(living.begin(), living.end()), living.end());
+  }
+  quotas_.policy().SetFleet(
+      now,
+      {.living = living, .known = maybe_at_work_, .notice_time = notice_time_});
+}
+
+void edge_task::Take(const quota_ask& ask) {
+  const time_point now = ReadBootClock();
+  quotas_.policy().OnAsk(now, ask);
+  SettleQuotas(now);
+}
+
+void edge_task::Take(const quota_verdict& verdict) {
+  const time_point now = ReadBootClock();
+  quotas_.policy().OnVerdict(now, verdict);
+  SettleQuotas(now);
 }
 
 void edge_task::Take(const weights_changing& news) {
@@ -272,7 +319,47 @@
   request_flow& started = *flow;
   flows_[id] = std::move(flow);
   started.Start();
-  HandToRouter(now, std::move(arrival));
+  if (workspace == nullptr || !workspace->quota) {
+    HandToRouter(now, std::move(arrival));
+    return;
+  }
+  quotas_.Ask(now, DescribeQuotaQuestion(now, started, *workspace->quota,
+                                         std::move(arrival)));
+  SettleQuotas(now);
+}
+
+void edge_task::SettleQuotas(time_point now) {
+  for (quota_send& item : quotas_.policy().TakeMessages()) {
+    services_.FindPort<fleet_message>(kFleetService)
+        .Post(quota_outbound{.to = std::move(item.to),
+                             .message = std::move(item.message)});
+  }
+  for (quota_desk::decided_request& decided : quotas_.TakeDecided()) {
+    SettleQuota(now, std::move(decided));
+  }
+}
+
+void edge_task::SettleQuota(time_point now,
+                            quota_desk::decided_request decided) {
+  const request_id id = decided.arrival.request;
+  request_flow* flow = FindFlow(id);
+  if (flow == nullptr || flow->has_ended()) {
+    quotas_.OnEnd(now, id, 0);
+    return;
+  }
+  if (decided.decision.is_admitted) {
+    decided.arrival.time_limit = flow->deadline() - now;
+    HandToRouter(now, std::move(decided.arrival));
+    return;
+  }
+  with_.log.Write(log_class::kRequest,
+                  DescribeQuotaRefusal(*flow, decided.item, decided.decision));
+  flow->GiveUp({.request = id,
+                .result = outcome::kNotRun,
+                .status = status_code::kTooManyRequests,
+                .retry_after = decided.decision.retry_after,
+                .message = "over_quota",
+                .recorded = {}});
 }
 
 request_flow* edge_task::FindFlow(request_id id) const {
@@ -337,6 +424,8 @@
                   DescribePlacement(now, *flow, action)
                       .Add("revision", knowledge_->revision));
   flow->Dispatch(now, action);
+  quotas_.OnRuns(now, action.request, flow->runs());
+  SettleQuotas(now);
 }
 
 void edge_task::OnFlowLoad(const std::string& upstream, const told_load& load) {
@@ -372,8 +461,11 @@
     metrics_.CountFirstByte(route,
                             ToSeconds(*flow.first_byte_at() - flow.arrived()));
   }
-  CallLater(base(), [this, alive = alive_, id = flow.id()] {
+  CallLater(base(), [this, alive = alive_, id = flow.id(), runs = flow.runs()] {
     if (*alive) {
+      const time_point now = ReadBootClock();
+      quotas_.OnEnd(now, id, runs);
+      SettleQuotas(now);
       flows_.erase(id);
     }
   });
@@ -384,6 +476,11 @@
   action_list actions;
   router_.OnTick(now, actions);
   Perform(now, actions);
+  if (!has_gathered_) {
+    TellQuotasOfFleet(now);
+  }
+  quotas_.policy().OnTick(now);
+  SettleQuotas(now);
   TellPlacements();
   with_.log.Flush();
   tick_timer_.Start(flows_.empty() ? kIdleTickInterval : kTickInterval);
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -62,6 +62,7 @@
   address_ = action.address;
   usual_first_byte_ = action.usual_first_byte;
   ++attempts_;
+  ++runs_;
   answer_ = {};
   splitter_.DropPartial();
   dispatch_attributes attributes{
@@ -256,7 +257,11 @@
       is_head_sent_ ? answer_progress::kBegun : answer_progress::kNothing;
   const attempt_verdict verdict =
       JudgeAttempt(answer, progress, options_.route->MayRepeat());
-  may_have_run_ = may_have_run_ || verdict.result != outcome::kNotRun;
+  if (verdict.result == outcome::kNotRun) {
+    --runs_;
+  } else {
+    may_have_run_ = true;
+  }
   if (answer != attempt_answer::kSuccess) {
     with_.owner.OnFlowAttemptFailed(*this, answer, answer_.head.status);
   }
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -1,9 +1,12 @@
 #include "cuminswitch/Edge/request_log.h"
 
+#include "cuminswitch/Admission/quota_policy.h"
 #include "cuminswitch/Edge/request_flow.h"
 
 namespace cuminswitch {
 
+static constexpr double kPercent = 100;
+
 log_line DescribePlacement(time_point now,
                            const request_flow& flow,
                            const dispatch_attempt& action) {
@@ -75,4 +78,22 @@
   return line;
 }
 
+log_line DescribeQuotaRefusal(const request_flow& flow,
+                              const quota_request& item,
+                              const quota_decision& decision) {
+  log_line line("quota_refused");
+  line.Add("id", flow.request().attempt)
+      .Add("workspace", flow.workspace())
+      .Add("configuration", item.limit.version)
+      .Add("rate", static_cast<int64_t>(item.limit.rate))
+      .Add("burst", static_cast<int64_t>(item.limit.burst))
+      .Add("weight", static_cast<int64_t>(item.weight))
+      .Add("left", static_cast<int64_t>(decision.level))
+      .Add("left_age_ms", decision.age)
+      .Add("share_percent", static_cast<int64_t>(decision.share * kPercent))
+      .Add("decided_by", ToString(decision.source))
+      .Add("retry_after_ms", decision.retry_after);
+  return line;
+}
+
 }  // namespace cuminswitch
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -79,6 +79,14 @@
     placement_news_.Add(own->prefixes);
     return;
   }
+  if (const auto* quota = std::get_if<quota_outbound>(&message)) {
+    std::visit(
+        [&](const auto& item) {
+          transport_->Send(quota->to, EncodePeerFrame(item));
+        },
+        quota->message);
+    return;
+  }
   if (const auto* readiness = std::get_if<readiness_changed>(&message)) {
     options_.self.is_ready = readiness->is_ready;
   } else {
@@ -100,6 +108,10 @@
     OnBeat(*beat);
   } else if (const auto* request = std::get_if<items_request_frame>(&*frame)) {
     OnItemsRequest(*request);
+  } else if (const auto* ask = std::get_if<quota_ask>(&*frame)) {
+    services_.FindPort<fleet_news>(kEdgeService).Post(*ask);
+  } else if (const auto* verdict = std::get_if<quota_verdict>(&*frame)) {
+    services_.FindPort<fleet_news>(kEdgeService).Post(*verdict);
   } else {
     questions_.OnAnswered();
     feed_.OnPeerItems(std::get<items_reply_frame>(*frame));
@@ -219,13 +231,18 @@
 void fleet_task::PublishPeers(time_point now) {
   const std::vector<daemon_record> living = roster_.ListLiving(now);
   std::vector<std::string> names = NamesOf(living);
-  if (names == published_peers_) {
+  const size_t maybe_at_work = roster_.CountMaybeAtWork(now);
+  if (names == published_peers_ && maybe_at_work == published_at_work_) {
     return;
   }
   published_peers_ = std::move(names);
+  published_at_work_ = maybe_at_work;
   peer_changes_.Set(published_peers_);
   services_.FindPort<fleet_news>(kEdgeService)
-      .Post(peers_changed{.living = living, .known = roster_.CountKnown()});
+      .Post(peers_changed{.living = living,
+                          .known = roster_.CountKnown(),
+                          .maybe_at_work = maybe_at_work,
+                          .notice_time = roster_.NoticeTime()});
 }
 
 void fleet_task::RegisterSelf() {
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -2,6 +2,9 @@
 
 #include <flatbuffers/flatbuffers.h>
 
+#include <algorithm>
+#include <cmath>
+#include <initializer_list>
 #include <utility>
 
 #include "cuminswitch/Fleet/packed_bytes.h"
@@ -85,6 +88,28 @@
         .Union();
   }
 
+  flatbuffers::Offset<void> operator()(const quota_ask& ask) {
+    type_ = fleet_wire::body_quota_ask;
+    fleet_wire::quota_level told;
+    if (ask.told) {
+      told = {ask.told->keeper, ask.told->level, ask.told->age.count()};
+    }
+    return fleet_wire::Createquota_ask(
+               out_, out_.CreateString(ask.from.ToString()), ask.ticket,
+               ask.workspace, ask.limit.rate, ask.limit.burst,
+               ask.limit.version, ask.weight, ask.digest, ask.patience.count(),
+               ask.told ? &told : nullptr, ask.is_final)
+        .Union();
+  }
+
+  flatbuffers::Offset<void> operator()(const quota_verdict& verdict) {
+    type_ = fleet_wire::body_quota_verdict;
+    const fleet_wire::quota_verdict_body body(
+        verdict.ticket, verdict.retry_after.count(), verdict.keeper,
+        verdict.level, verdict.share, verdict.is_admitted);
+    return fleet_wire::Createquota_verdict(out_, &body).Union();
+  }
+
  private:
   builder& out_;
   fleet_wire::body type_ = fleet_wire::body_NONE;
@@ -204,6 +229,56 @@
   return frame;
 }
 
+/// Whether all are numbers that can be reckoned with.
+static bool AreFinite(std::initializer_list<double> values) {
+  return std::all_of(values.begin(), values.end(),
+                     [](double value) { return std::isfinite(value); });
+}
+
+static std::optional<peer_frame> ReadQuotaAsk(
+    const fleet_wire::quota_ask& wire) {
+  const auto from = ParseEndpoint(wire.from()->string_view());
+  const bool is_sound = AreFinite({wire.rate(), wire.burst(), wire.weight()}) &&
+                        wire.rate() > 0 && wire.burst() >= 0;
+  if (!from || !is_sound) {
+    return std::nullopt;
+  }
+  quota_ask ask{.from = *from,
+                .ticket = wire.ticket(),
+                .workspace = wire.workspace(),
+                .limit = {.rate = wire.rate(),
+                          .burst = wire.burst(),
+                          .version = wire.version()},
+                .weight = wire.weight(),
+                .digest = wire.digest(),
+                .patience = duration(wire.patience_us()),
+                .is_final = wire.is_final(),
+                .told = std::nullopt};
+  if (const fleet_wire::quota_level* told = wire.told()) {
+    if (!AreFinite({told->level()}) || told->age_us() < 0) {
+      return std::nullopt;
+    }
+    ask.told = quota_level{.keeper = told->keeper(),
+                           .level = told->level(),
+                           .age = duration(told->age_us())};
+  }
+  return ask;
+}
+
+static std::optional<peer_frame> ReadQuotaVerdict(
+    const fleet_wire::quota_verdict& wire) {
+  const fleet_wire::quota_verdict_body& body = *wire.body();
+  if (!AreFinite({body.level(), body.share()}) || body.retry_after_us() < 0) {
+    return std::nullopt;
+  }
+  return quota_verdict{.ticket = body.ticket(),
+                       .is_admitted = body.is_admitted(),
+                       .retry_after = duration(body.retry_after_us()),
+                       .keeper = body.keeper(),
+                       .level = body.level(),
+                       .share = body.share()};
+}
+
 std::optional<peer_frame> DecodePeerFrame(std::span<const uint8_t> bytes) {
   flatbuffers::Verifier verifier(bytes.data(), bytes.size());
   if (!verifier.VerifyBuffer<fleet_wire::frame>()) {
@@ -219,6 +294,12 @@
   if (const auto* reply = wire->body_as_items_reply()) {
     return ReadReply(*reply);
   }
+  if (const auto* ask = wire->body_as_quota_ask()) {
+    return ReadQuotaAsk(*ask);
+  }
+  if (const auto* verdict = wire->body_as_quota_verdict()) {
+    return ReadQuotaVerdict(*verdict);
+  }
   return std::nullopt;
 }
 
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -12,9 +12,6 @@
 /// Beats sent in one round, so that a daemon's cost stays flat as the fleet
 /// grows; a larger fleet is gone through in turn.
 static constexpr size_t kBeatsPerRound = 16;
-/// A peer that is silent for so long, in a fleet that one round reaches, is
-/// taken for gone, and is out of the address answers within a second.
-static constexpr duration kLivingTime = std::chrono::milliseconds(800);
 /// A peer that was not heard for so long is tried rarely.
 static constexpr duration kSilentAfter = std::chrono::seconds(2);
 static constexpr duration kSilentInterval = std::chrono::seconds(1);
@@ -24,6 +21,11 @@
 /// An address that only others named is forgotten after so long in silence.
 static constexpr duration kForgetAfter = std::chrono::seconds(10);
 
+/// A daemon that was silent for longer is taken for gone for good: one that is
+/// killed is back within seconds, and a cut between hosts that lasts longer is
+/// an outage that operators know of.
+static constexpr duration kMaybeAtWorkTime = std::chrono::seconds(60);
+
 peer_roster::peer_roster(options opts) : options_(std::move(opts)) {
   for (const endpoint& seed : options_.seeds) {
     if (seed != options_.self_address) {
@@ -74,7 +76,10 @@
            now - std::max(state.heard_at, state.named_at) > kForgetAfter;
   });
   std::vector<endpoint> due;
-  for (const auto& [address, state] : addresses_) {
+  for (auto& [address, state] : addresses_) {
+    if (state.known_at == time_point()) {
+      state.known_at = now;
+    }
     const bool is_silent = now - state.heard_at > kSilentAfter;
     if (!is_silent || now - state.tried_at >= kSilentInterval) {
       due.push_back(address);
@@ -149,6 +154,15 @@
   return best;
 }
 
+size_t peer_roster::CountMaybeAtWork(time_point now) const {
+  return 1 + std::count_if(
+                 addresses_.begin(), addresses_.end(), [&](const auto& item) {
+                   const address_state& state = item.second;
+                   return now - std::max(state.heard_at, state.known_at) <=
+                          kMaybeAtWorkTime;
+                 });
+}
+
 size_t peer_roster::CountKnown() const {
   return 1 + std::max(peers_.size(), addresses_.size());
 }
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <cmath>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -124,5 +126,63 @@
   }
 }
 
+quota_ask MakeAsk() {
+  return {.from = {"10.0.0.1", 1},
+          .ticket = 5,
+          .workspace = 6,
+          .limit = {.rate = 100, .burst = 200, .version = 3},
+          .weight = -9.5,
+          .digest = 8,
+          .patience = std::chrono::milliseconds(1'500),
+          .is_final = true,
+          .told = quota_level{
+              .keeper = 2, .level = -7, .age = std::chrono::milliseconds(40)}};
+}
+
+TEST(peer_frame_test, AQuotaQuestionComesBack) {
+  const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(MakeAsk())));
+  ASSERT_TRUE(frame.has_value());
+  const auto& ask = std::get<quota_ask>(*frame);
+  EXPECT_EQ(ask.from, MakeAsk().from);
+  EXPECT_EQ(ask.ticket, 5U);
+  EXPECT_EQ(ask.limit.version, 3U);
+  EXPECT_EQ(ask.weight, -9.5);
+  EXPECT_EQ(ask.patience, MakeAsk().patience);
+  EXPECT_TRUE(ask.is_final);
+  ASSERT_TRUE(ask.told.has_value());
+  EXPECT_EQ(ask.told->level, -7);
+  EXPECT_EQ(ask.told->age, MakeAsk().told->age);
+}
+
+TEST(peer_frame_test, AQuotaAnswerComesBack) {
+  const quota_verdict verdict{.ticket = 5,
+                              .is_admitted = true,
+                              .retry_after = std::chrono::milliseconds(20),
+                              .keeper = 9,
+                              .level = -3,
+                              .share = 0.5};
+  const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(verdict)));
+  ASSERT_TRUE(frame.has_value());
+  const auto& back = std::get<quota_verdict>(*frame);
+  EXPECT_EQ(back.ticket, 5U);
+  EXPECT_TRUE(back.is_admitted);
+  EXPECT_EQ(back.retry_after, verdict.retry_after);
+  EXPECT_EQ(back.level, -3);
+  EXPECT_EQ(back.share, 0.5);
+}
+
+// One number that is none would stay in a keeper's bucket for good.
+TEST(peer_frame_test, AQuotaQuestionWithoutSenseIsRefused) {
+  quota_ask ask = MakeAsk();
+  ask.weight = std::nan("");
+  EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(ask))).has_value());
+  ask = MakeAsk();
+  ask.limit.rate = -1;
+  EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(ask))).has_value());
+  ask = MakeAsk();
+  ask.told->level = -std::numeric_limits<double>::infinity();
+  EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(ask))).has_value());
+}
+
 }  // namespace
 }  // namespace cuminswitch
--- a/unittests/PlatformAdapter/document_decoder_test.cc
+++ b/unittests/PlatformAdapter/document_decoder_test.cc
@@ -245,5 +245,51 @@
   EXPECT_EQ(decoder_.Decode(view_)->leader, "");
 }
 
+/// The configuration with other fields of its workspace.
+std::string WithWorkspace(const std::string& fields) {
+  std::string text = kConfiguration;
+  const std::string from = "\"isolated\":true";
+  text.replace(text.find(from), from.size(), fields);
+  return text;
+}
+
+TEST_F(document_decoder_test, ReadsAQuota) {
+  Put("op/config", WithWorkspace("\"unit\":\"tokens\",\"rate-per-s\":500,"
+                                 "\"burst\":700,\"uncached-tokens\":200"));
+  const auto knowledge = decoder_.Decode(view_);
+  const auto& quota = knowledge->plan->workspaces.front().quota;
+  ASSERT_TRUE(quota.has_value());
+  EXPECT_EQ(quota->rate, 500);
+  EXPECT_EQ(quota->burst, 700);
+  EXPECT_EQ(quota->unit, quota_unit::kTokens);
+  EXPECT_EQ(quota->uncounted_tokens, 200);
+}
+
+TEST_F(document_decoder_test, ARateOfNothingIsNoLimit) {
+  for (const char* fields :
+       {"\"isolated\":true", "\"rate-per-s\":0,\"burst\":9",
+        "\"rate-per-s\":null"}) {
+    Put("op/config", WithWorkspace(fields));
+    const auto knowledge = decoder_.Decode(view_);
+    EXPECT_FALSE(knowledge->plan->workspaces.front().quota) << fields;
+  }
+}
+
+// Symptom: after a mistake in one workspace's quota it has none, and uses the
+// engines of all others.
+// Cause: a limit that cannot be read was taken for no limit.
+TEST_F(document_decoder_test, AnUnreadableQuotaLeavesTheConfigurationInForce) {
+  Put("op/config", WithWorkspace("\"rate-per-s\":500"));
+  const auto before = decoder_.Decode(view_);
+  for (const char* fields :
+       {"\"rate-per-s\":-1", "\"rate-per-s\":\"many\"",
+        "\"rate-per-s\":5,\"burst\":-2", "\"unit\":\"bytes\""}) {
+    Put("op/config", WithWorkspace(fields));
+    const auto knowledge = decoder_.Decode(view_);
+    ASSERT_NE(knowledge, nullptr) << fields;
+    EXPECT_EQ(knowledge->plan, before->plan) << fields;
+  }
+}
+
 }  // namespace
 }  // namespace cuminswitch::platform
