--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -20,7 +20,8 @@
   "$BUILD/utils/fetch" "$STORE" "/fault?mode=$1" - >/dev/null
 }
 
-# put_configuration VERSION [EXTRA_ROUTE]
+# put_configuration VERSION [EXTRA_ROUTE]: W2_FIELDS are further fields of the
+# workspace w2, with a comma before each.
 put_configuration() {
   put op/config "{\"version\":$1,\"routes\":[
     {\"name\":\"stream\",\"host\":\"h\",\"path-prefix\":\"/stream/\",
@@ -41,7 +42,7 @@
     \"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,
      \"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},
     \"tenants\":[{\"name\":\"w1\",\"api-keys\":[\"key1\"],\"isolated\":true},
-     {\"name\":\"w2\",\"api-keys\":[\"key2\"]}]}"
+     {\"name\":\"w2\",\"api-keys\":[\"key2\"]${W2_FIELDS:-}}]}"
 }
 
 # start_replica ID SERVICE [MODEL [VERSION]]: starts and lists it.
