Count late answers by first byte and by pause apart

Change: cuminswitch_late_total by route and cause (first_byte, pause, both). What the edge does about quotas is a file of its own, edge_quotas.cc. The regression set plays the shifted site first.

--- a/include/cuminswitch/Edge/edge_metrics.h
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -23,6 +23,8 @@
                 std::string_view reason,
                 double seconds);
   void CountFirstByte(const std::string& route, double seconds);
+  /// An answer came whole and late: by its first byte, by a pause, or both.
+  void CountLate(const std::string& route, std::string_view cause);
   /// Answers of our own to what is no request of any route.
   void CountRejected(uint32_t status) { ++rejected_[status]; }
   /// What the page tells beside what is counted here.
@@ -38,6 +40,7 @@
  private:
   struct route_metrics {
     std::map<std::string, uint64_t> ends;
+    std::map<std::string, uint64_t, std::less<>> late;
     latency_histogram duration;
     latency_histogram first_byte;
   };
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -60,6 +60,12 @@
   AddQuotas(page, quotas, [](const auto& item) { return ToSeconds(item.age); });
 }
 
+void edge_metrics::CountLate(const std::string& route, std::string_view cause) {
+  if (const auto found = routes_.find(route); found != routes_.end()) {
+    ++found->second.late[std::string(cause)];
+  }
+}
+
 std::string edge_metrics::Write(const sources& from) const {
   const core_status& status = from.status;
   metric_page page;
@@ -82,6 +88,15 @@
   for (const auto& [route, item] : routes_) {
     page.Add(item.first_byte, "route=\"" + route + "\"");
   }
+  page.Begin("cuminswitch_late_total", "counter",
+             "Whole answers that were late, by first byte, pause, or both.");
+  for (const auto& [route, item] : routes_) {
+    for (const auto& [cause, count] : item.late) {
+      std::string labels = "route=\"" + route + "\",cause=\"";
+      labels += cause + "\"";
+      page.Add(static_cast<double>(count), labels);
+    }
+  }
   page.Begin("cuminswitch_rejected_total", "counter",
              "Requests of no route, by status.");
   for (const auto& [code, count] : rejected_) {
--- /dev/null
+++ b/lib/Edge/edge_quotas.cc
@@ -0,0 +1,87 @@
+// How the edge asks about workspaces' quotas, and carries out what is decided.
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "cuminswitch/Edge/edge_task.h"
+#include "cuminswitch/Edge/request_log.h"
+#include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Kernel/kernel.h"
+#include "cuminswitch/Log/event_log.h"
+#include "cuminswitch/Support/status_code.h"
+
+namespace cuminswitch {
+
+/// Until a daemon has heard most of the others after its start: beats reach
+/// everybody at 68 hosts within 0.6 s.
+static constexpr duration kGatherTime = std::chrono::milliseconds(1'500);
+
+void edge_task::TellQuotasOfFleet(time_point now) {
+  std::vector<endpoint> living;
+  for (const daemon_record& item : peers_) {
+    if (!item.is_leaving) {
+      living.push_back(item.peer_address);
+    }
+  }
+  has_gathered_ = now - started_at_ >= kGatherTime;
+  if (!has_gathered_ && knowledge_ != nullptr) {
+    // A daemon that knows itself alone would take itself for the keeper of
+    // every quota, as all do that were killed together.
+    for (const daemon_entry& item : knowledge_->daemons) {
+      living.push_back(item.peer_address);
+    }
+    std::sort(living.begin(), living.end());
+    living.erase(std::unique(living.begin(), living.end()), living.end());
+  }
+  quotas_.policy().SetFleet(
+      now,
+      {.living = living, .known = maybe_at_work_, .notice_time = notice_time_});
+}
+
+void edge_task::Take(const quota_ask& ask) {
+  const time_point now = ReadBootClock();
+  quotas_.policy().OnAsk(now, ask);
+  SettleQuotas(now);
+}
+
+void edge_task::Take(const quota_verdict& verdict) {
+  const time_point now = ReadBootClock();
+  quotas_.policy().OnVerdict(now, verdict);
+  SettleQuotas(now);
+}
+
+void edge_task::SettleQuotas(time_point now) {
+  for (quota_send& item : quotas_.policy().TakeMessages()) {
+    services_.FindPort<fleet_message>(kFleetService)
+        .Post(quota_outbound{.to = std::move(item.to),
+                             .message = std::move(item.message)});
+  }
+  for (quota_desk::decided_request& decided : quotas_.TakeDecided()) {
+    SettleQuota(now, std::move(decided));
+  }
+}
+
+void edge_task::SettleQuota(time_point now,
+                            quota_desk::decided_request decided) {
+  const request_id id = decided.arrival.request;
+  request_flow* flow = FindFlow(id);
+  if (flow == nullptr || flow->has_ended()) {
+    quotas_.OnEnd(now, id, 0);
+    return;
+  }
+  if (decided.decision.is_admitted) {
+    decided.arrival.time_limit = flow->deadline() - now;
+    HandToRouter(now, std::move(decided.arrival));
+    return;
+  }
+  with_.log.Write(log_class::kRequest,
+                  DescribeQuotaRefusal(*flow, decided.item, decided.decision));
+  flow->GiveUp({.request = id,
+                .result = outcome::kNotRun,
+                .status = status_code::kTooManyRequests,
+                .retry_after = decided.decision.retry_after,
+                .message = "over_quota",
+                .recorded = {}});
+}
+
+}  // namespace cuminswitch
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -27,9 +27,6 @@
 /// When to come back where this daemon stops, to another one.
 static constexpr duration kElsewhereRetryAfter = std::chrono::milliseconds(50);
 static constexpr duration kStopTickInterval = std::chrono::milliseconds(100);
-/// Until a daemon has heard most of the others after its start: beats reach
-/// everybody at 68 hosts within 0.6 s.
-static constexpr duration kGatherTime = std::chrono::milliseconds(1'500);
 static constexpr duration kDefaultPatience = std::chrono::seconds(60);
 
 edge_task::edge_task(event_base* base,
@@ -176,40 +173,6 @@
   TellQuotasOfFleet(ReadBootClock());
 }
 
-void edge_task::TellQuotasOfFleet(time_point now) {
-  std::vector<endpoint> living;
-  for (const daemon_record& item : peers_) {
-    if (!item.is_leaving) {
-      living.push_back(item.peer_address);
-    }
-  }
-  has_gathered_ = now - started_at_ >= kGatherTime;
-  if (!has_gathered_ && knowledge_ != nullptr) {
-    // A daemon that knows itself alone would take itself for the keeper of
-    // every quota, as all do that were killed together.
-    for (const daemon_entry& item : knowledge_->daemons) {
-      living.push_back(item.peer_address);
-    }
-    std::sort(living.begin(), living.end());
-    living.erase(std::unique(living.begin(), living.end()), living.end());
-  }
-  quotas_.policy().SetFleet(
-      now,
-      {.living = living, .known = maybe_at_work_, .notice_time = notice_time_});
-}
-
-void edge_task::Take(const quota_ask& ask) {
-  const time_point now = ReadBootClock();
-  quotas_.policy().OnAsk(now, ask);
-  SettleQuotas(now);
-}
-
-void edge_task::Take(const quota_verdict& verdict) {
-  const time_point now = ReadBootClock();
-  quotas_.policy().OnVerdict(now, verdict);
-  SettleQuotas(now);
-}
-
 void edge_task::Take(const weights_changing& news) {
   for (const std::string& id : changing_) {
     router_.OnUpstreamChanging({.upstream = id, .is_changing = false});
@@ -328,40 +291,6 @@
   SettleQuotas(now);
 }
 
-void edge_task::SettleQuotas(time_point now) {
-  for (quota_send& item : quotas_.policy().TakeMessages()) {
-    services_.FindPort<fleet_message>(kFleetService)
-        .Post(quota_outbound{.to = std::move(item.to),
-                             .message = std::move(item.message)});
-  }
-  for (quota_desk::decided_request& decided : quotas_.TakeDecided()) {
-    SettleQuota(now, std::move(decided));
-  }
-}
-
-void edge_task::SettleQuota(time_point now,
-                            quota_desk::decided_request decided) {
-  const request_id id = decided.arrival.request;
-  request_flow* flow = FindFlow(id);
-  if (flow == nullptr || flow->has_ended()) {
-    quotas_.OnEnd(now, id, 0);
-    return;
-  }
-  if (decided.decision.is_admitted) {
-    decided.arrival.time_limit = flow->deadline() - now;
-    HandToRouter(now, std::move(decided.arrival));
-    return;
-  }
-  with_.log.Write(log_class::kRequest,
-                  DescribeQuotaRefusal(*flow, decided.item, decided.decision));
-  flow->GiveUp({.request = id,
-                .result = outcome::kNotRun,
-                .status = status_code::kTooManyRequests,
-                .retry_after = decided.decision.retry_after,
-                .message = "over_quota",
-                .recorded = {}});
-}
-
 request_flow* edge_task::FindFlow(request_id id) const {
   const auto found = flows_.find(id);
   return found == flows_.end() ? nullptr : found->second.get();
@@ -450,6 +379,19 @@
   return router_.CanPlaceElsewhere(ReadBootClock(), flow.id());
 }
 
+/// What made an answer late; empty where it was not.
+static std::string_view LateCause(const request_flow& flow) {
+  const route_spec& route = flow.route();
+  const bool is_late_begun =
+      *flow.first_byte_at() - flow.arrived() > route.target_latency;
+  const bool has_paused =
+      route.IsStream() && flow.longest_pause() > route.longest_pause;
+  if (is_late_begun) {
+    return has_paused ? "both" : "first_byte";
+  }
+  return has_paused ? "pause" : "";
+}
+
 void edge_task::OnFlowEnd(request_flow& flow, const flow_end& end) {
   with_.log.Write(log_class::kRequest,
                   DescribeEnd(ReadBootClock(), flow, end)
@@ -460,6 +402,10 @@
   if (flow.first_byte_at()) {
     metrics_.CountFirstByte(route,
                             ToSeconds(*flow.first_byte_at() - flow.arrived()));
+    if (const std::string_view cause = LateCause(flow);
+        end.result == outcome::kAnswered && !cause.empty()) {
+      metrics_.CountLate(route, cause);
+    }
   }
   CallLater(base(), [this, alive = alive_, id = flow.id(), runs = flow.runs()] {
     if (*alive) {
--- a/utils/regression.sh
+++ b/utils/regression.sh
@@ -18,8 +18,10 @@
 jobs=${4:-4}
 cd "$(dirname "$0")/.."
 
-# The largest deployment first; it stands in the place of the two first ones.
+# The latest deployments first; the large one stands in the place of the two
+# first ones.
 set_of_sites=(
+  shifted/skzp-objednavky-now-grown
   large/skzp-objednavky-large
   further/shelterline-kgn
   further-grown/shelterline-kgn-grown
