Keep engines for short prompts by even load, where they run many at once

Cause: an engine reads a prompt in pieces between the tokens of the answers that it makes; two or three long prompts on one engine within half a second make every stream there pause for longer than its bound.

Change: Routing/prompt_kinds. Homes are ranked among a kind's engines. Engines of few slots are shared as before. What is refused, and what callers are told, is a file of its own now (Core/request_refusals).

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -24,6 +24,7 @@
 #include "cuminswitch/Routing/placement_policy.h"
 #include "cuminswitch/Routing/placement_query.h"
 #include "cuminswitch/Routing/prefix_index.h"
+#include "cuminswitch/Routing/prompt_kinds.h"
 #include "cuminswitch/Routing/replica_table.h"
 
 namespace cuminswitch {
@@ -77,6 +78,8 @@
   std::vector<placed_prefix> TakePlacedPrefixes() {
     return std::exchange(placed_prefixes_, {});
   }
+  /// This daemon's traffic of late, for its peers.
+  prompt_mix OwnMix(time_point now) const;
   std::vector<upstream_backlog> ListBacklogs() const {
     return replicas_.ListBacklogs();
   }
@@ -109,6 +112,8 @@
     /// The cache store that it was to copy from, if any.
     std::optional<endpoint> copied_from_store;
     std::optional<time_point> first_byte;
+    /// Its prompt is longer than the mean.
+    bool is_long = false;
     /// The weights that it was placed for.
     std::string version;
     /// The replica had nothing queued, so its speed can be learnt.
@@ -236,6 +241,9 @@
   replica_table replicas_;
   prefix_index prefixes_;
   copy_budget copy_budget_;
+  prompt_kinds kinds_;
+  /// Engines are kept for short prompts, as of the last placement.
+  bool keeps_engines_ = false;
   std::vector<placed_prefix> placed_prefixes_;
   wait_queue queue_;
   workspace_limiter limiter_;
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -24,6 +24,7 @@
 struct own_placements {
   std::vector<upstream_backlog> backlogs;
   std::vector<placed_prefix> prefixes;
+  prompt_mix mix;
 };
 /// A question about a workspace's quota, or its answer, for another daemon.
 struct quota_outbound {
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -52,6 +52,8 @@
   std::vector<upstream_backlog> backlogs;
   /// What the sender placed since its last round of beats.
   std::vector<placed_prefix> prefixes;
+  /// The sender's traffic of late.
+  prompt_mix mix;
 };
 
 /// Asks for what changed after a revision.
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -100,9 +100,26 @@
   weights_tag saved_weights = kNoWeights;
 };
 
+/// A daemon's traffic of late, older requests counting less.
+struct prompt_mix {
+  double requests = 0;
+  /// Of all prompts.
+  double prompt_tokens = 0;
+  /// Tokens that engines were to read for short and for long prompts.
+  double short_read = 0;
+  double long_read = 0;
+  /// Seconds for which short prompts' answers held a slot of an engine.
+  double short_held = 0;
+  /// Over how many seconds all of this was counted.
+  double seconds = 0;
+  /// Whether engines are kept for short prompts, as this daemon sees it.
+  bool keeps_engines = false;
+};
+
 /// What a daemon tells the others of its placements.
 struct peer_placements {
   std::string peer;
+  prompt_mix mix;
   std::vector<upstream_backlog> backlogs;
   /// Placed since it last told.
   std::vector<placed_prefix> prefixes;
--- a/include/cuminswitch/Routing/placement_query.h
+++ b/include/cuminswitch/Routing/placement_query.h
@@ -40,6 +40,10 @@
   /// What recomputing a prefix costs, as a multiple of the time it takes, when
   /// the prefix is rarely used.
   double reuse_weight = 1;
+  /// Of the replicas, the part that is kept for short prompts; 0 for none.
+  double short_part = 0;
+  /// Whether the request is one of the long ones.
+  bool is_long = false;
 };
 
 /// Where a request goes.
--- a/include/cuminswitch/Routing/prefix_cost_policy.h
+++ b/include/cuminswitch/Routing/prefix_cost_policy.h
@@ -39,6 +39,8 @@
   };
 
   static home_list RankHomes(const placement_query& query, uint64_t prefix);
+  /// Whether a replica is of those that the request's kind is kept to.
+  static bool IsOfKind(const placement_query& query, replica_index index);
   static double RecomputeWeight(const placement_query& query);
   /// Whether some replica or store should hold the shared prefix as computed by
   /// \p weights.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cuminswitch/Routing/prompt_kinds.h"
 #include "cuminswitch/Routing/replica.h"
 #include "cuminswitch/Routing/target_estimate.h"
 #include "cuminswitch/Support/time.h"
@@ -134,6 +135,8 @@
   std::optional<replica_index> HomeOf(std::string_view target,
                                       uint64_t prefix) const;
 
+  /// Counts the replicas of \p target and what they run at once.
+  engine_slots CountSlots(std::string_view target) const;
   /// Returns when the last request may begin at \p target's weights of
   /// \p version; nothing for weights that are not superseded.
   std::optional<time_point> LastStart(std::string_view target,
@@ -180,6 +183,8 @@
     target_estimate estimate;
   };
 
+  /// Ranks the replicas of one target.
+  void RankReplicas(std::vector<replica_index> indices);
   double FirstLimit(const upstream_spec& spec) const;
   /// Forgets what was learnt of the start before this one.
   static void ForgetStart(replica& item);
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -86,6 +86,10 @@
       prefixes_.NoteSaved(now, shared->hash, saved);
     }
   }
+  if (item.info.prompt_tokens > 0) {
+    next.is_long = kinds_.IsLong(now, item.info.prompt_tokens);
+    kinds_.CountRead(now, next.is_long, next.expected_tokens);
+  }
   replicas_.OnDispatch(chosen.index, next.expected_tokens);
   const uint32_t earlier = item.arrivals++;
   ++item.runs;
@@ -219,6 +223,9 @@
     replicas_.OnFirstByte(done.index, done.expected_tokens);
   }
   replicas_.OnEnd(done.index);
+  if (item.info.prompt_tokens > 0 && !done.is_long) {
+    kinds_.CountShortHeld(now, now - done.sent);
+  }
   meters_[item.info.target].OnCompletion(now);
   if (event.unreachable) {
     --item.arrivals;
@@ -335,6 +342,7 @@
 void request_router::OnPeerPlacements(time_point now,
                                       const peer_placements& told) {
   replicas_.OnPeerPlacements(now, told);
+  kinds_.OnPeer(now, told.peer, told.mix);
   for (const placed_prefix& item : told.prefixes) {
     if (const auto index = replicas_.FindByHash(item.upstream)) {
       NotePeerPlacement(now, *index, item);
--- /dev/null
+++ b/lib/Core/request_refusals.cc
@@ -0,0 +1,134 @@
+// Which requests end without an upstream's answer, and what their callers are
+// told.
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "cuminswitch/Admission/load_shedder.h"
+#include "cuminswitch/Core/request_router.h"
+#include "cuminswitch/Support/hash.h"
+#include "cuminswitch/Support/status_code.h"
+
+namespace cuminswitch {
+
+static constexpr size_t kMaxAbandonedStarts = 4096;
+static constexpr uint32_t kMaxRetryAfterSeconds = 120;
+
+double request_router::EstimateWaitSeconds(time_point now,
+                                           const request& item) const {
+  const auto meter = meters_.find(item.info.target);
+  // A daemon that has just started knows no rate. Taking it for slow would
+  // refuse requests that only wait for the first load reports.
+  if (meter == meters_.end() || !meter->second.HasMeasured()) {
+    return 0;
+  }
+  const double rate = meter->second.RatePerSecond(now);
+  const auto ahead = static_cast<double>(queue_.CountAhead(MakeWaiting(item)));
+  return ahead / rate;
+}
+
+uint32_t request_router::EstimateRetryAfter(time_point now,
+                                            const request& item) const {
+  // The earliest time at which a request like this one would be taken: when
+  // enough of those ahead have been served.
+  const double wait = EstimateWaitSeconds(now, item);
+  const double excess = wait - ToSeconds(item.info.time_limit) / 2;
+  return std::clamp<uint32_t>(
+      static_cast<uint32_t>(std::ceil(std::max(0.0, excess))), 1,
+      kMaxRetryAfterSeconds);
+}
+
+bool request_router::ShedIfLate(time_point now,
+                                const request& item,
+                                const placement& chosen,
+                                double ahead,
+                                action_list& out) {
+  // What has been sent once has its part of the work done, or a repeat granted.
+  if (item.arrivals > 0 || item.info.prompt_tokens == 0) {
+    return false;
+  }
+  const double room =
+      chosen.must_wait ? replicas_.EstimateRoomSeconds(chosen.index) : 0;
+  const double computing =
+      (item.info.prompt_tokens - chosen.expected_cached_tokens) /
+      replicas_[chosen.index].prefill_rate;
+  expected_wait wait{
+      .upstream = {},
+      .waited = now - ArrivedAt(item),
+      .turn = FromSeconds(ahead),
+      .room = FromSeconds(room),
+      .queue = FromSeconds(replicas_.EstimateQueueSeconds(now, chosen.index)),
+      .reading = FromSeconds(computing),
+      .excess = replicas_.UsualExcess(now, item.info.target, PriorityOf(item)),
+      .target = item.info.target_latency};
+  const shed_question question{.waited = wait.waited,
+                               .expected = wait.Ahead(),
+                               .target = item.info.target_latency,
+                               .longest_silence = item.info.longest_silence,
+                               .priority = PriorityOf(item)};
+  // One draw a request, so that asking again does not add up.
+  const double luck =
+      static_cast<double>(Hash64(item.info.target, item.info.request)) /
+      static_cast<double>(UINT64_MAX);
+  if (luck >= RefusalChance(question)) {
+    return false;
+  }
+  ++counters_.shed;
+  // For the log alone, so not worked out for requests that are taken.
+  wait.upstream = replicas_[chosen.index].spec.name;
+  wait.news_age = replicas_.OldestPeerBacklog(now);
+  Refuse(item.info.request,
+         {.status = status_code::kTooManyRequests,
+          .message = "it would be served too late",
+          .retry_after = RefusedRetryAfter(question),
+          .wait = wait},
+         out);
+  return true;
+}
+
+outcome request_router::JudgeRefused(const request& item) {
+  if (item.may_have_run) {
+    return outcome::kUnknown;
+  }
+  // "Not run" is about the order, which is the key. Unless the start was
+  // granted, or the caller has never sent the key, an earlier request with it
+  // may have run without this daemon's knowledge.
+  const bool key_is_new = item.epoch != 0 || item.info.is_first_attempt;
+  return item.once && !key_is_new ? outcome::kUnknown : outcome::kNotRun;
+}
+
+void request_router::Refuse(request_id id,
+                            const refusal& why,
+                            action_list& out) {
+  request& item = requests_.at(id);
+  const outcome result = JudgeRefused(item);
+  const bool asked_for_start =
+      item.once && item.config != nullptr && item.workspace != nullptr;
+  if (asked_for_start && !item.may_have_run) {
+    // Nothing ran under the key and, with the request gone, nothing will.
+    ReleaseStart(item, out);
+    abandoned_starts_[id] = {.shard = static_cast<shard_number>(
+                                 item.key.high % options_.shard_count),
+                             .key = item.key,
+                             .host = options_.self.host,
+                             .incarnation = options_.self.incarnation,
+                             .request = id};
+    if (abandoned_starts_.size() > kMaxAbandonedStarts) {
+      abandoned_starts_.erase(abandoned_starts_.begin());
+    }
+  } else if (item.epoch != 0) {
+    ReportFinish(item, outcome::kUnknown, {}, out);
+  }
+  ++(result == outcome::kNotRun ? counters_.not_run : counters_.unknown);
+  out.push_back(answer_request{.request = id,
+                               .result = result,
+                               .status = why.status,
+                               .retry_after_seconds = why.retry_after_seconds,
+                               .retry_after = why.retry_after,
+                               .message = why.message,
+                               .recorded = {},
+                               .wait = why.wait});
+  Erase(id);
+}
+
+}  // namespace cuminswitch
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -5,15 +5,12 @@
 #include <cmath>
 #include <utility>
 
-#include "cuminswitch/Admission/load_shedder.h"
 #include "cuminswitch/Protocol/shard_directory.h"
 #include "cuminswitch/Support/status_code.h"
 #include "router_constants.h"
 
 namespace cuminswitch {
 
-static constexpr size_t kMaxAbandonedStarts = 4096;
-static constexpr uint32_t kMaxRetryAfterSeconds = 120;
 /// What reuse is worth beyond its time, by objective.
 static constexpr double kFirstTokenReuseWeight = 3.0;
 static constexpr double kReuseReuseWeight = 6.0;
@@ -123,6 +120,9 @@
     return;
   }
   PrepareLevels(item);
+  if (event.prompt_tokens > 0) {
+    kinds_.CountPrompt(now, event.prompt_tokens);
+  }
   if (!item.once) {
     Admit(now, item, out);
     return;
@@ -191,30 +191,6 @@
   Enqueue(now, item, out);
 }
 
-double request_router::EstimateWaitSeconds(time_point now,
-                                           const request& item) const {
-  const auto meter = meters_.find(item.info.target);
-  // A daemon that has just started knows no rate. Taking it for slow would
-  // refuse requests that only wait for the first load reports.
-  if (meter == meters_.end() || !meter->second.HasMeasured()) {
-    return 0;
-  }
-  const double rate = meter->second.RatePerSecond(now);
-  const auto ahead = static_cast<double>(queue_.CountAhead(MakeWaiting(item)));
-  return ahead / rate;
-}
-
-uint32_t request_router::EstimateRetryAfter(time_point now,
-                                            const request& item) const {
-  // The earliest time at which a request like this one would be taken: when
-  // enough of those ahead have been served.
-  const double wait = EstimateWaitSeconds(now, item);
-  const double excess = wait - ToSeconds(item.info.time_limit) / 2;
-  return std::clamp<uint32_t>(
-      static_cast<uint32_t>(std::ceil(std::max(0.0, excess))), 1,
-      kMaxRetryAfterSeconds);
-}
-
 bool request_router::HasUpstream(
     time_point now,
     const request& item,
@@ -250,54 +226,6 @@
   queue_.Push(MakeWaiting(item));
 }
 
-bool request_router::ShedIfLate(time_point now,
-                                const request& item,
-                                const placement& chosen,
-                                double ahead,
-                                action_list& out) {
-  // What has been sent once has its part of the work done, or a repeat granted.
-  if (item.arrivals > 0 || item.info.prompt_tokens == 0) {
-    return false;
-  }
-  const double room =
-      chosen.must_wait ? replicas_.EstimateRoomSeconds(chosen.index) : 0;
-  const double computing =
-      (item.info.prompt_tokens - chosen.expected_cached_tokens) /
-      replicas_[chosen.index].prefill_rate;
-  expected_wait wait{
-      .upstream = {},
-      .waited = now - ArrivedAt(item),
-      .turn = FromSeconds(ahead),
-      .room = FromSeconds(room),
-      .queue = FromSeconds(replicas_.EstimateQueueSeconds(now, chosen.index)),
-      .reading = FromSeconds(computing),
-      .excess = replicas_.UsualExcess(now, item.info.target, PriorityOf(item)),
-      .target = item.info.target_latency};
-  const shed_question question{.waited = wait.waited,
-                               .expected = wait.Ahead(),
-                               .target = item.info.target_latency,
-                               .longest_silence = item.info.longest_silence,
-                               .priority = PriorityOf(item)};
-  // One draw a request, so that asking again does not add up.
-  const double luck =
-      static_cast<double>(Hash64(item.info.target, item.info.request)) /
-      static_cast<double>(UINT64_MAX);
-  if (luck >= RefusalChance(question)) {
-    return false;
-  }
-  ++counters_.shed;
-  // For the log alone, so not worked out for requests that are taken.
-  wait.upstream = replicas_[chosen.index].spec.name;
-  wait.news_age = replicas_.OldestPeerBacklog(now);
-  Refuse(item.info.request,
-         {.status = status_code::kTooManyRequests,
-          .message = "it would be served too late",
-          .retry_after = RefusedRetryAfter(question),
-          .wait = wait},
-         out);
-  return true;
-}
-
 bool request_router::TryPlace(time_point now,
                               request& item,
                               turn at,
@@ -311,6 +239,11 @@
   if (eligible.indices.empty()) {
     return false;
   }
+  const double short_part =
+      kinds_.ShortPart(now, replicas_.CountSlots(item.info.target));
+  if (item.info.prompt_tokens > 0) {
+    keeps_engines_ = short_part > 0;
+  }
   const placement chosen =
       policy_->Choose({.now = now,
                        .levels = item.info.levels,
@@ -323,7 +256,9 @@
                        .prefixes = prefixes_,
                        .failure_domain = options_.self.failure_domain,
                        .copy_rate = CopyRate(item),
-                       .reuse_weight = ReuseWeight(item)});
+                       .reuse_weight = ReuseWeight(item),
+                       .short_part = short_part,
+                       .is_long = kinds_.IsLong(now, item.info.prompt_tokens)});
   // Those ahead of it go to the same replicas.
   const double ahead = at == turn::kNow ? 0 : EstimateWaitSeconds(now, item);
   if (ShedIfLate(now, item, chosen, ahead, out)) {
@@ -340,6 +275,12 @@
   return true;
 }
 
+prompt_mix request_router::OwnMix(time_point now) const {
+  prompt_mix mix = kinds_.Own(now);
+  mix.keeps_engines = keeps_engines_;
+  return mix;
+}
+
 void request_router::DrainQueue(time_point now, action_list& out) {
   replicas_.ClearQueued();
   if (queue_.size() == 0) {
@@ -379,51 +320,6 @@
   DrainQueue(now, out);
 }
 
-outcome request_router::JudgeRefused(const request& item) {
-  if (item.may_have_run) {
-    return outcome::kUnknown;
-  }
-  // "Not run" is about the order, which is the key. Unless the start was
-  // granted, or the caller has never sent the key, an earlier request with it
-  // may have run without this daemon's knowledge.
-  const bool key_is_new = item.epoch != 0 || item.info.is_first_attempt;
-  return item.once && !key_is_new ? outcome::kUnknown : outcome::kNotRun;
-}
-
-void request_router::Refuse(request_id id,
-                            const refusal& why,
-                            action_list& out) {
-  request& item = requests_.at(id);
-  const outcome result = JudgeRefused(item);
-  const bool asked_for_start =
-      item.once && item.config != nullptr && item.workspace != nullptr;
-  if (asked_for_start && !item.may_have_run) {
-    // Nothing ran under the key and, with the request gone, nothing will.
-    ReleaseStart(item, out);
-    abandoned_starts_[id] = {.shard = static_cast<shard_number>(
-                                 item.key.high % options_.shard_count),
-                             .key = item.key,
-                             .host = options_.self.host,
-                             .incarnation = options_.self.incarnation,
-                             .request = id};
-    if (abandoned_starts_.size() > kMaxAbandonedStarts) {
-      abandoned_starts_.erase(abandoned_starts_.begin());
-    }
-  } else if (item.epoch != 0) {
-    ReportFinish(item, outcome::kUnknown, {}, out);
-  }
-  ++(result == outcome::kNotRun ? counters_.not_run : counters_.unknown);
-  out.push_back(answer_request{.request = id,
-                               .result = result,
-                               .status = why.status,
-                               .retry_after_seconds = why.retry_after_seconds,
-                               .retry_after = why.retry_after,
-                               .message = why.message,
-                               .recorded = {},
-                               .wait = why.wait});
-  Erase(id);
-}
-
 void request_router::Erase(request_id id) {
   const auto found = requests_.find(id);
   if (found->second.counted) {
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -200,7 +200,8 @@
     told_backlogs_ = backlogs;
     services_.FindPort<fleet_message>(kFleetService)
         .Post(own_placements{.backlogs = std::move(backlogs),
-                             .prefixes = std::move(prefixes)});
+                             .prefixes = std::move(prefixes),
+                             .mix = router_.OwnMix(ReadBootClock())});
   }
 }
 
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -76,6 +76,7 @@
 void fleet_task::Receive(fleet_message message) {
   if (auto* own = std::get_if<own_placements>(&message)) {
     own_backlogs_ = std::move(own->backlogs);
+    own_mix_ = own->mix;
     placement_news_.Add(own->prefixes);
     return;
   }
@@ -130,6 +131,7 @@
   }
   services_.FindPort<fleet_news>(kEdgeService)
       .Post(peer_placements{.peer = beat.sender.name,
+                            .mix = beat.mix,
                             .backlogs = beat.backlogs,
                             .prefixes = beat.prefixes});
   if (is_news) {
@@ -171,7 +173,8 @@
                   .heard = {},
                   .changing = {},
                   .backlogs = own_backlogs_,
-                  .prefixes = placement_news_.TakeFor(to)};
+                  .prefixes = placement_news_.TakeFor(to),
+                  .mix = own_mix_};
   for (const daemon_record& item : roster_.ListLiving(now)) {
     // A few of them, others each time.
     if (beat.heard.size() < kHeardPerBeat &&
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -55,6 +55,13 @@
                             static_cast<uint32_t>(item.incarnation),
                             item.saved_weights);
     }
+    const fleet_wire::prompt_mix mix(
+        static_cast<float>(frame.mix.requests),
+        static_cast<float>(frame.mix.prompt_tokens),
+        static_cast<float>(frame.mix.short_read),
+        static_cast<float>(frame.mix.long_read),
+        static_cast<float>(frame.mix.short_held),
+        static_cast<float>(frame.mix.seconds), frame.mix.keeps_engines);
     const daemon_record& sender = frame.sender;
     return fleet_wire::Createbeat(
                out_, out_.CreateString(sender.name), sender.incarnation,
@@ -65,7 +72,7 @@
                sender.revision, out_.CreateVectorOfStrings(heard),
                out_.CreateVectorOfStrings(frame.changing),
                out_.CreateVectorOfStructs(loads),
-               out_.CreateVectorOfStructs(prefixes), sender.link_rate)
+               out_.CreateVectorOfStructs(prefixes), sender.link_rate, &mix)
         .Union();
   }
 
@@ -136,6 +143,12 @@
   return texts;
 }
 
+/// Whether all are numbers that can be reckoned with.
+static bool AreFinite(std::initializer_list<double> values) {
+  return std::all_of(values.begin(), values.end(),
+                     [](double value) { return std::isfinite(value); });
+}
+
 static std::optional<peer_frame> ReadBeat(const fleet_wire::beat& wire) {
   const auto peer_address = ParseEndpoint(wire.peer_address()->string_view());
   const auto caller_address =
@@ -172,6 +185,19 @@
                                 .saved_weights = item->saved_weights()});
     }
   }
+  if (const fleet_wire::prompt_mix* mix = wire.mix()) {
+    if (!AreFinite({mix->requests(), mix->prompt_tokens(), mix->short_read(),
+                    mix->long_read(), mix->short_held(), mix->seconds()})) {
+      return std::nullopt;
+    }
+    frame.mix = {.requests = mix->requests(),
+                 .prompt_tokens = mix->prompt_tokens(),
+                 .short_read = mix->short_read(),
+                 .long_read = mix->long_read(),
+                 .short_held = mix->short_held(),
+                 .seconds = mix->seconds(),
+                 .keeps_engines = mix->keeps_engines()};
+  }
   for (const std::string& text : ReadTexts(wire.heard())) {
     if (const auto address = ParseEndpoint(text)) {
       frame.heard.push_back(*address);
@@ -229,12 +255,6 @@
   return frame;
 }
 
-/// Whether all are numbers that can be reckoned with.
-static bool AreFinite(std::initializer_list<double> values) {
-  return std::all_of(values.begin(), values.end(),
-                     [](double value) { return std::isfinite(value); });
-}
-
 static std::optional<peer_frame> ReadQuotaAsk(
     const fleet_wire::quota_ask& wire) {
   const auto from = ParseEndpoint(wire.from()->string_view());
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -25,6 +25,14 @@
 /// daemons over equal replicas.
 static constexpr double kOtherDomainSeconds = 0.003;
 
+/// What a request costs more at a replica that is kept for the other kind. A
+/// long prompt makes all answers there pause, so it comes only where its own
+/// have a queue of so long; a short one is itself late there, and stays away
+/// longer. While replicas are missing the queues at the others pass these, and
+/// both go everywhere.
+static constexpr double kLongAwaySeconds = 0.25;
+static constexpr double kShortAwaySeconds = 0.4;
+
 /// The level whose homes a request looks for: the innermost that is shared, or
 /// its only one.
 static const prefix_level& HomeLevel(std::span<const prefix_level> levels) {
@@ -46,12 +54,27 @@
   return kFreshHit * std::exp(-(age - retention) / retention);
 }
 
+bool prefix_cost_policy::IsOfKind(const placement_query& query,
+                                  replica_index index) {
+  if (query.short_part == 0 || query.prompt_tokens == 0) {
+    return true;
+  }
+  const bool is_for_short = query.replicas[index].rank < query.short_part;
+  return is_for_short != query.is_long;
+}
+
 prefix_cost_policy::home_list prefix_cost_policy::RankHomes(
     const placement_query& query,
     uint64_t prefix) {
   home_list homes;
   std::array<uint64_t, kHomes> weights{};
+  const bool has_kind =
+      std::any_of(query.eligible.begin(), query.eligible.end(),
+                  [&](replica_index index) { return IsOfKind(query, index); });
   for (const replica_index index : query.eligible) {
+    if (has_kind && !IsOfKind(query, index)) {
+      continue;
+    }
     uint64_t weight = RendezvousWeight(prefix, query.replicas[index].name_hash);
     replica_index candidate = index;
     for (size_t rank = 0; rank < kHomes; ++rank) {
@@ -188,6 +211,9 @@
         item.spec.failure_domain != query.failure_domain) {
       cost += kOtherDomainSeconds;
     }
+    if (!IsOfKind(query, index)) {
+      cost += query.is_long ? kLongAwaySeconds : kShortAwaySeconds;
+    }
     if (query.prompt_tokens == 0) {
       cost += item.first_byte_seconds * (1 + item.in_flight);
     }
--- /dev/null
+++ b/lib/Routing/prompt_kinds.cc
@@ -0,0 +1,133 @@
+#include "cuminswitch/Routing/prompt_kinds.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminswitch {
+
+/// Traffic counts for about so long: the mix of kinds changes over the hours of
+/// a day, and a moved boundary makes engines read prefixes again.
+static constexpr double kMixSeconds = 10;
+/// What a peer told counts until it has had several turns to tell again.
+static constexpr duration kPeerTime = std::chrono::seconds(10);
+/// Requests that must be known, so that one large prompt does not decide.
+static constexpr double kLeastRequests = 100;
+/// With less for one kind, its engines would be too few to lose one.
+static constexpr double kLeastPart = 0.1;
+/// Requests that one engine runs at once. Engines of few slots are full by
+/// chance long before all of their kind are: at 24 slots, on light days, 19 in
+/// 100 short requests were late with engines kept for them, and 1 with all
+/// shared (140 engines), 15 and 9 (80 engines); at 64 slots 17, not 27.
+static constexpr double kLeastSlots = 32;
+/// Slots that answers to short prompts may hold for engines to be kept for
+/// them, as a share of the slots of these engines. On light days it is 0.15 to
+/// 0.35.
+static constexpr double kMostHeldToBegin = 0.4;
+/// And for engines to stay kept: a fleet that falls behind holds more slots by
+/// that alone, and to move the boundary then makes it read prefixes again.
+static constexpr double kMostHeldToStay = 1.5;
+/// Traffic that must be seen before engines are kept. Slots are counted when
+/// answers end, so the first second's share is too low.
+static constexpr double kLeastSeconds = 3;
+
+/// What is left of a sum after \p age.
+static double RemainingShare(duration age) {
+  return std::exp(-std::max(0.0, ToSeconds(age)) / kMixSeconds);
+}
+
+void prompt_kinds::Decay(time_point now) {
+  own_ = Own(now);
+  if (first_at_ == time_point()) {
+    first_at_ = now;
+  }
+  own_at_ = now;
+}
+
+prompt_mix prompt_kinds::Own(time_point now) const {
+  if (first_at_ == time_point()) {
+    return {};
+  }
+  const double share = RemainingShare(now - own_at_);
+  return {.requests = own_.requests * share,
+          .prompt_tokens = own_.prompt_tokens * share,
+          .short_read = own_.short_read * share,
+          .long_read = own_.long_read * share,
+          .short_held = own_.short_held * share,
+          .seconds = kMixSeconds * (1 - RemainingShare(now - first_at_))};
+}
+
+void prompt_kinds::CountPrompt(time_point now, double prompt_tokens) {
+  Decay(now);
+  own_.requests += 1;
+  own_.prompt_tokens += prompt_tokens;
+}
+
+void prompt_kinds::CountRead(time_point now, bool is_long, double tokens) {
+  Decay(now);
+  (is_long ? own_.long_read : own_.short_read) += tokens;
+}
+
+void prompt_kinds::CountShortHeld(time_point now, duration held) {
+  Decay(now);
+  own_.short_held += ToSeconds(held);
+}
+
+void prompt_kinds::OnPeer(time_point now,
+                          const std::string& peer,
+                          const prompt_mix& told) {
+  peers_[peer] = {.mix = told, .at = now};
+  std::erase_if(peers_, [&](const auto& item) {
+    return now - item.second.at > kPeerTime;
+  });
+  peers_sum_ = {};
+  peers_keeping_ = 0;
+  for (const auto& [name, item] : peers_) {
+    Add(item.mix, peers_sum_);
+    peers_keeping_ += item.mix.keeps_engines ? 1 : 0;
+  }
+}
+
+void prompt_kinds::Add(const prompt_mix& mix, prompt_mix& sum) {
+  sum.requests += mix.requests;
+  sum.prompt_tokens += mix.prompt_tokens;
+  sum.short_read += mix.short_read;
+  sum.long_read += mix.long_read;
+  sum.short_held += mix.short_held;
+  sum.seconds += mix.seconds;
+}
+
+prompt_mix prompt_kinds::Sum(time_point now) const {
+  prompt_mix sum = peers_sum_;
+  Add(Own(now), sum);
+  return sum;
+}
+
+bool prompt_kinds::IsLong(time_point now, double prompt_tokens) const {
+  const prompt_mix sum = Sum(now);
+  return prompt_tokens * sum.requests > sum.prompt_tokens;
+}
+
+double prompt_kinds::ShortPart(time_point now,
+                               const engine_slots& engines) const {
+  if (engines.count == 0 || engines.slots < kLeastSlots * engines.count) {
+    return 0;
+  }
+  const prompt_mix sum = Sum(now);
+  const double read = sum.short_read + sum.long_read;
+  if (sum.requests < kLeastRequests || read <= 0 || sum.seconds <= 0) {
+    return 0;
+  }
+  const double part = sum.short_read / read;
+  if (part < kLeastPart || part > 1 - kLeastPart) {
+    return 0;
+  }
+  const double daemons = static_cast<double>(peers_.size()) + 1;
+  const double seconds = sum.seconds / daemons;
+  const double held = sum.short_held / seconds;
+  const bool are_kept = 2 * peers_keeping_ > peers_.size();
+  const double most = are_kept ? kMostHeldToStay : kMostHeldToBegin;
+  const bool is_known = are_kept || seconds >= kLeastSeconds;
+  return is_known && held <= most * part * engines.slots ? part : 0;
+}
+
+}  // namespace cuminswitch
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -59,6 +59,18 @@
   }
   for (auto& [name, target] : by_target_) {
     std::sort(target.indices.begin(), target.indices.end());
+    RankReplicas(target.indices);
+  }
+}
+
+void replica_table::RankReplicas(std::vector<replica_index> indices) {
+  std::sort(indices.begin(), indices.end(),
+            [this](replica_index a, replica_index b) {
+              return replicas_[a].name_hash < replicas_[b].name_hash;
+            });
+  for (size_t i = 0; i < indices.size(); ++i) {
+    replicas_[indices[i]].rank =
+        (static_cast<double>(i) + 0.5) / static_cast<double>(indices.size());
   }
 }
 
@@ -219,6 +231,18 @@
   return home;
 }
 
+engine_slots replica_table::CountSlots(std::string_view target) const {
+  const auto found = by_target_.find(target);
+  engine_slots engines;
+  if (found != by_target_.end()) {
+    for (const replica_index index : found->second.indices) {
+      ++engines.count;
+      engines.slots += replicas_[index].spec.max_in_flight;
+    }
+  }
+  return engines;
+}
+
 void replica_table::ClearQueued() {
   for (replica& item : replicas_) {
     item.queued_here = 0;
