--- a/include/cuminswitch/Admission/kept_quota_policy.h
+++ b/include/cuminswitch/Admission/kept_quota_policy.h
@@ -32,8 +32,7 @@
 ///   deployment has, and takes in the part of those that come back only when
 ///   they too have noticed.
 /// - A keeper is cut off and does not know it yet. Who takes its place gives
-/// out
-///   a quarter until it must have noticed.
+///   out a quarter until it must have noticed.
 /// - A keeper comes back while some still ask the one that stood in for it. It
 ///   gives out half until all have noticed.
 /// - Nobody answers. A request is taken if the workspace had half of its burst
@@ -49,6 +48,10 @@
     uint64_t id = 0;
   };
 
+  /// A daemon that has just started takes so long to hear of most others: beats
+  /// reach everybody at 68 hosts within 0.6 s.
+  static constexpr duration kGatherTime = std::chrono::milliseconds(1'500);
+
   explicit kept_quota_policy(const options& opts);
 
   void SetFleet(time_point now, const quota_fleet_view& fleet) override;
@@ -74,6 +77,14 @@
     endpoint address;
     uint64_t hash = 0;
   };
+  struct lost_daemon {
+    candidate who;
+    time_point at{};
+  };
+  struct seen_part {
+    time_point from{};
+    double part = 0;
+  };
 
   /// The first daemon in the order that is not known to be silent.
   const endpoint& FindKeeper(time_point now, uint64_t workspace) const;
@@ -103,18 +114,10 @@
   quota_keeper keeper_;
   even_quota_policy own_part_;
   std::vector<candidate> candidates_;
-  struct lost_daemon {
-    candidate who;
-    time_point at{};
-  };
   /// Those that lived until just now.
   std::vector<lost_daemon> lost_;
   size_t known_ = 1;
   duration notice_time_{0};
-  struct seen_part {
-    time_point from{};
-    double part = 0;
-  };
   /// Parts of the fleet that lived, as far as was known; the latest one last.
   std::vector<seen_part> seen_;
   std::optional<time_point> started_at_;
--- a/include/cuminswitch/Core/core_status.h
+++ b/include/cuminswitch/Core/core_status.h
@@ -51,6 +51,8 @@
   size_t waiting = 0;
   size_t running = 0;
   size_t known_prefixes = 0;
+  /// Of the engines, the part that is kept for short prompts.
+  double short_part = 0;
   bool stopping = false;
 };
 
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -78,6 +78,8 @@
   std::vector<placed_prefix> TakePlacedPrefixes() {
     return std::exchange(placed_prefixes_, {});
   }
+  /// Of the engines, the part that is kept for short prompts.
+  double short_part() const { return short_part_; }
   /// This daemon's traffic of late, for its peers.
   prompt_mix OwnMix(time_point now) const;
   std::vector<upstream_backlog> ListBacklogs() const {
@@ -242,8 +244,9 @@
   prefix_index prefixes_;
   copy_budget copy_budget_;
   prompt_kinds kinds_;
-  /// Engines are kept for short prompts, as of the last placement.
-  bool keeps_engines_ = false;
+  /// The part of the engines that was kept for short prompts when the last one
+  /// was placed.
+  double short_part_ = 0;
   std::vector<placed_prefix> placed_prefixes_;
   wait_queue queue_;
   workspace_limiter limiter_;
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -117,6 +117,8 @@
   void CancelAttempt(attempt_id attempt);
   request_flow* FindFlow(request_id id) const;
   void OnTick();
+  /// Tells the log when engines begin to be kept for short prompts, or cease.
+  void LogKeptEngines();
   void OnStopTick();
 
   const kernel& services_;
@@ -135,6 +137,8 @@
   size_t maybe_at_work_ = 1;
   duration notice_time_{0};
   bool has_gathered_ = false;
+  /// What the log was last told.
+  bool kept_engines_ = false;
   std::unordered_map<request_id, std::unique_ptr<request_flow>> flows_;
   request_id next_request_ = 0;
   quota_desk quotas_;
--- a/lib/Admission/kept_quota_policy.cc
+++ b/lib/Admission/kept_quota_policy.cc
@@ -26,8 +26,6 @@
 /// After so long, what a keeper told says nothing.
 static constexpr duration kToldTime = std::chrono::seconds(10);
 
-/// A daemon that has just started takes so long to hear of most others.
-static constexpr duration kGatherTime = std::chrono::milliseconds(1'500);
 /// What a keeper that has just started gives out while some still ask the one
 /// that stood in for it. Most workspaces use about half of their limit.
 static constexpr double kFirstPart = 0.5;
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -242,7 +242,7 @@
   const double short_part =
       kinds_.ShortPart(now, replicas_.CountSlots(item.info.target));
   if (item.info.prompt_tokens > 0) {
-    keeps_engines_ = short_part > 0;
+    short_part_ = short_part;
   }
   const placement chosen =
       policy_->Choose({.now = now,
@@ -277,7 +277,7 @@
 
 prompt_mix request_router::OwnMix(time_point now) const {
   prompt_mix mix = kinds_.Own(now);
-  mix.keeps_engines = keeps_engines_;
+  mix.keeps_engines = short_part_ > 0;
   return mix;
 }
 
@@ -356,6 +356,7 @@
   status.waiting = queue_.size();
   status.running = attempts_.size();
   status.known_prefixes = prefixes_.size();
+  status.short_part = short_part_;
   for (const replica_index index : replicas_.configured()) {
     const replica& item = replicas_[index];
     status.upstreams.push_back({.name = item.spec.name,
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -115,6 +115,9 @@
     page.Add(item.in_flight, "upstream=\"" + item.name + "\"");
   }
   WriteQuotas(page, from.quotas);
+  page.Begin("cuminswitch_engines_kept_share", "gauge",
+             "Part of the engines that is kept for short prompts.");
+  page.Add(status.short_part);
   page.Begin("cuminswitch_upstream_connections_total", "counter",
              "Connections opened to upstreams.");
   page.Add(static_cast<double>(from.upstream_connections));
--- a/lib/Edge/edge_quotas.cc
+++ b/lib/Edge/edge_quotas.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "cuminswitch/Admission/kept_quota_policy.h"
 #include "cuminswitch/Edge/edge_task.h"
 #include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Fleet/boot_clock.h"
@@ -12,10 +13,6 @@
 
 namespace cuminswitch {
 
-/// Until a daemon has heard most of the others after its start: beats reach
-/// everybody at 68 hosts within 0.6 s.
-static constexpr duration kGatherTime = std::chrono::milliseconds(1'500);
-
 void edge_task::TellQuotasOfFleet(time_point now) {
   std::vector<endpoint> living;
   for (const daemon_record& item : peers_) {
@@ -23,7 +20,7 @@
       living.push_back(item.peer_address);
     }
   }
-  has_gathered_ = now - started_at_ >= kGatherTime;
+  has_gathered_ = now - started_at_ >= kept_quota_policy::kGatherTime;
   if (!has_gathered_ && knowledge_ != nullptr) {
     // A daemon that knows itself alone would take itself for the keeper of
     // every quota, as all do that were killed together.
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -6,28 +6,21 @@
 #include <utility>
 
 #include "cuminswitch/Admission/kept_quota_policy.h"
-#include "cuminswitch/Edge/arrival_translator.h"
 #include "cuminswitch/Edge/plan_translator.h"
 #include "cuminswitch/Edge/request_log.h"
-#include "cuminswitch/Edge/retry_after.h"
 #include "cuminswitch/Edge/router_settings.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
 #include "cuminswitch/Support/hash.h"
-#include "cuminswitch/Support/status_code.h"
 
 namespace cuminswitch {
 
 /// The router expires waiting requests on its tick.
 static constexpr duration kTickInterval = std::chrono::milliseconds(50);
 static constexpr duration kIdleTickInterval = std::chrono::milliseconds(250);
-/// When to come back to a daemon that knows no configuration yet.
-static constexpr duration kStartRetryAfter = std::chrono::milliseconds(500);
-/// When to come back where this daemon stops, to another one.
-static constexpr duration kElsewhereRetryAfter = std::chrono::milliseconds(50);
 static constexpr duration kStopTickInterval = std::chrono::milliseconds(100);
-static constexpr duration kDefaultPatience = std::chrono::seconds(60);
+static constexpr double kPercent = 100;
 
 edge_task::edge_task(event_base* base,
                      const kernel& services,
@@ -183,12 +176,6 @@
   }
 }
 
-static duration PatienceOf(const caller_request& request,
-                           const route_spec& route) {
-  return std::min<duration>(request.patience.value_or(kDefaultPatience),
-                            route.timeout);
-}
-
 void edge_task::Take(const peer_placements& news) {
   router_.OnPeerPlacements(ReadBootClock(), news);
 }
@@ -205,93 +192,6 @@
   }
 }
 
-uint32_t edge_task::CheckRequest(const caller_request& request,
-                                 const route_spec*& route,
-                                 const workspace_plan*& workspace) const {
-  if (knowledge_ == nullptr || knowledge_->plan == nullptr) {
-    return status_code::kUnavailable;
-  }
-  const route_plan& plan = *knowledge_->plan;
-  route = plan.FindRoute(request.host, request.path);
-  if (route == nullptr) {
-    return status_code::kNotFound;
-  }
-  if (plan.workspaces.empty() || route->is_public) {
-    return 0;
-  }
-  workspace = plan.FindHolder(request.credential);
-  return workspace == nullptr ? status_code::kUnauthorized : 0;
-}
-
-void edge_task::OnRequest(caller_exchange& exchange) {
-  caller_request request = with_.protocol.ReadRequest(exchange.Head());
-  const route_spec* route = nullptr;
-  const workspace_plan* workspace = nullptr;
-  uint32_t status = CheckRequest(request, route, workspace);
-  if (status == 0 &&
-      !stop_.MayTake(ReadBootClock(), PatienceOf(request, *route))) {
-    status = status_code::kUnavailable;
-  }
-  if (status == 0) {
-    BeginFlow(exchange, std::move(request), *route, workspace);
-    return;
-  }
-  metrics_.CountRejected(status);
-  const uint64_t version = knowledge_ == nullptr || knowledge_->plan == nullptr
-                               ? 0
-                               : knowledge_->plan->version;
-  with_.log.Write(log_class::kRequest, log_line("request_rejected")
-                                           .Add("id", request.attempt)
-                                           .Add("host", request.host)
-                                           .Add("path", request.path)
-                                           .Add("status", status)
-                                           .Add("configuration", version));
-  http_headers headers;
-  if (status == status_code::kUnavailable) {
-    headers.push_back(
-        RetryAfter(stop_.HasBegun() ? kElsewhereRetryAfter : kStartRetryAfter));
-  }
-  Reply(exchange, status, headers, {}, false);
-}
-
-void edge_task::BeginFlow(caller_exchange& exchange,
-                          caller_request request,
-                          const route_spec& route,
-                          const workspace_plan* workspace) {
-  const time_point now = ReadBootClock();
-  const duration patience = PatienceOf(request, route);
-  request_flow::options options{
-      .id = ++next_request_,
-      .exchange = &exchange,
-      .request = std::move(request),
-      .plan = knowledge_->plan,
-      .route = &route,
-      .workspace = workspace == nullptr ? std::string() : workspace->name,
-      .rank = workspace == nullptr ? route.rank
-                                   : workspace->rank.value_or(route.rank),
-      .uses_cache = false,
-      .arrived = now,
-      .deadline = now + patience};
-  options.uses_cache = !options.request.parts.empty();
-  request_arrived arrival = DescribeArrival(options, workspace);
-  const request_id id = options.id;
-  auto flow = std::make_unique<request_flow>(
-      std::move(options), request_flow::parts{.base = base(),
-                                              .pool = pool_,
-                                              .protocol = with_.protocol,
-                                              .owner = *this});
-  request_flow& started = *flow;
-  flows_[id] = std::move(flow);
-  started.Start();
-  if (workspace == nullptr || !workspace->quota) {
-    HandToRouter(now, std::move(arrival));
-    return;
-  }
-  quotas_.Ask(now, DescribeQuotaQuestion(now, started, *workspace->quota,
-                                         std::move(arrival)));
-  SettleQuotas(now);
-}
-
 request_flow* edge_task::FindFlow(request_id id) const {
   const auto found = flows_.find(id);
   return found == flows_.end() ? nullptr : found->second.get();
@@ -429,10 +329,29 @@
   quotas_.policy().OnTick(now);
   SettleQuotas(now);
   TellPlacements();
+  LogKeptEngines();
   with_.log.Flush();
   tick_timer_.Start(flows_.empty() ? kIdleTickInterval : kTickInterval);
 }
 
+void edge_task::LogKeptEngines() {
+  const bool keeps_engines = router_.short_part() > 0;
+  if (keeps_engines == kept_engines_) {
+    return;
+  }
+  kept_engines_ = keeps_engines;
+  const prompt_mix own = router_.OwnMix(ReadBootClock());
+  with_.log.Write(
+      log_class::kBelief,
+      log_line(keeps_engines ? "engines_kept" : "engines_shared")
+          .Add("short_percent",
+               static_cast<int64_t>(router_.short_part() * kPercent))
+          .Add("own_short_tokens", static_cast<int64_t>(own.short_read))
+          .Add("own_long_tokens", static_cast<int64_t>(own.long_read))
+          .Add("own_short_held_ms", FromSeconds(own.short_held))
+          .Add("counted_ms", FromSeconds(own.seconds)));
+}
+
 void edge_task::BeginStop() {
   if (stop_.HasBegun()) {
     return;
