Say once what a quota's message and report are

Change: one quota_send in Protocol; kept_quota_policy::MakeReport; the part is worked out for prompts only. Left: a keeper's question repeats the fields of a quota_request, and kPercent stands in two files.

--- a/include/cuminswitch/Admission/kept_quota_policy.h
+++ b/include/cuminswitch/Admission/kept_quota_policy.h
@@ -100,6 +100,10 @@
   /// The least part of the fleet that was seen of late.
   double SeenPart(time_point now) const;
   quota_ask MakeAsk(time_point now, const quota_request& item) const;
+  /// Reports \p weight units of \p item's workspace, and asks nothing.
+  quota_ask MakeReport(time_point now,
+                       const quota_request& item,
+                       double weight) const;
   void Send(time_point now, pending asked);
   void DecideHere(time_point now, const quota_request& item);
   /// Nobody answers.
--- a/include/cuminswitch/Admission/quota_policy.h
+++ b/include/cuminswitch/Admission/quota_policy.h
@@ -7,7 +7,6 @@
 #include <span>
 #include <string_view>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include "cuminswitch/Protocol/quota_message.h"
@@ -58,12 +57,6 @@
   double share = 1;
 };
 
-/// A message for another daemon.
-struct quota_send {
-  endpoint to;
-  std::variant<quota_ask, quota_verdict> message;
-};
-
 /// What a daemon knows of the others.
 struct quota_fleet_view {
   /// The others that live.
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -26,15 +26,10 @@
   std::vector<placed_prefix> prefixes;
   prompt_mix mix;
 };
-/// A question about a workspace's quota, or its answer, for another daemon.
-struct quota_outbound {
-  endpoint to;
-  std::variant<quota_ask, quota_verdict> message;
-};
 using fleet_message = std::variant<fleet_stop_requested,
                                    readiness_changed,
                                    own_placements,
-                                   quota_outbound>;
+                                   quota_send>;
 
 /// What is known of the deployment changed.
 struct knowledge_changed {
--- a/include/cuminswitch/Protocol/quota_message.h
+++ b/include/cuminswitch/Protocol/quota_message.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <variant>
 
 #include "cuminswitch/Support/endpoint.h"
 #include "cuminswitch/Support/time.h"
@@ -71,6 +72,12 @@
   double share = 1;
 };
 
+/// A question, or an answer, for another daemon.
+struct quota_send {
+  endpoint to;
+  std::variant<quota_ask, quota_verdict> message;
+};
+
 }  // namespace cuminswitch
 
 #endif  // CUMINSWITCH_PROTOCOL_QUOTA_MESSAGE_H_
--- a/lib/Admission/kept_quota_policy.cc
+++ b/lib/Admission/kept_quota_policy.cc
@@ -86,7 +86,7 @@
 }
 
 bool kept_quota_policy::StandsIn(time_point now, uint64_t workspace) const {
-  const uint64_t own = RendezvousWeight(workspace, candidates_.front().hash);
+  const uint64_t own = RendezvousWeight(workspace, self_.hash);
   return std::any_of(lost_.begin(), lost_.end(), [&](const lost_daemon& item) {
     return now - item.at <= notice_time_ &&
            RendezvousWeight(workspace, item.who.hash) > own;
@@ -169,6 +169,15 @@
   return ask;
 }
 
+quota_ask kept_quota_policy::MakeReport(time_point now,
+                                        const quota_request& item,
+                                        double weight) const {
+  quota_ask report = MakeAsk(now, item);
+  report.ticket = 0;
+  report.weight = weight;
+  return report;
+}
+
 void kept_quota_policy::Note(time_point now,
                              uint64_t workspace,
                              const quota_verdict& verdict) {
@@ -179,10 +188,7 @@
 void kept_quota_policy::DecideHere(time_point now, const quota_request& item) {
   const double share = Share(now, item.workspace);
   if (const auto taken = unreported_.extract(item.workspace)) {
-    quota_request report = item;
-    report.ticket = 0;
-    report.weight = taken.mapped();
-    keeper_.OnAsk(now, MakeAsk(now, report), share);
+    keeper_.OnAsk(now, MakeReport(now, item, taken.mapped()), share);
   }
   const quota_verdict verdict = keeper_.OnAsk(now, MakeAsk(now, item), share);
   Note(now, item.workspace, verdict);
@@ -240,12 +246,10 @@
 }
 
 void kept_quota_policy::Charge(time_point now, const quota_request& item) {
-  quota_request report = item;
-  report.ticket = 0;
-  const endpoint& keeper = FindKeeper(now, report.workspace);
-  const quota_ask ask = MakeAsk(now, report);
+  const endpoint& keeper = FindKeeper(now, item.workspace);
+  const quota_ask ask = MakeReport(now, item, item.weight);
   if (keeper == self_.address) {
-    keeper_.OnAsk(now, ask, Share(now, report.workspace));
+    keeper_.OnAsk(now, ask, Share(now, item.workspace));
     return;
   }
   messages_.push_back({.to = keeper, .message = ask});
@@ -258,11 +262,8 @@
   if (found == unreported_.end()) {
     return;
   }
-  quota_request report = item;
-  report.ticket = 0;
-  report.weight = found->second;
+  quota_ask ask = MakeReport(now, item, found->second);
   unreported_.erase(found);
-  quota_ask ask = MakeAsk(now, report);
   ask.is_final = true;
   messages_.push_back({.to = keeper, .message = std::move(ask)});
 }
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -239,10 +239,9 @@
   if (eligible.indices.empty()) {
     return false;
   }
-  const double short_part =
-      kinds_.ShortPart(now, replicas_.CountSlots(item.info.target));
+  // Requests without a prompt go to services, which are of no kind.
   if (item.info.prompt_tokens > 0) {
-    short_part_ = short_part;
+    short_part_ = kinds_.ShortPart(now, replicas_.CountSlots(item.info.target));
   }
   const placement chosen =
       policy_->Choose({.now = now,
@@ -257,7 +256,7 @@
                        .failure_domain = options_.self.failure_domain,
                        .copy_rate = CopyRate(item),
                        .reuse_weight = ReuseWeight(item),
-                       .short_part = short_part,
+                       .short_part = short_part_,
                        .is_long = kinds_.IsLong(now, item.info.prompt_tokens)});
   // Those ahead of it go to the same replicas.
   const double ahead = at == turn::kNow ? 0 : EstimateWaitSeconds(now, item);
--- a/lib/Edge/edge_quotas.cc
+++ b/lib/Edge/edge_quotas.cc
@@ -49,9 +49,7 @@
 
 void edge_task::SettleQuotas(time_point now) {
   for (quota_send& item : quotas_.policy().TakeMessages()) {
-    services_.FindPort<fleet_message>(kFleetService)
-        .Post(quota_outbound{.to = std::move(item.to),
-                             .message = std::move(item.message)});
+    services_.FindPort<fleet_message>(kFleetService).Post(std::move(item));
   }
   for (quota_desk::decided_request& decided : quotas_.TakeDecided()) {
     SettleQuota(now, std::move(decided));
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -80,7 +80,7 @@
     placement_news_.Add(own->prefixes);
     return;
   }
-  if (const auto* quota = std::get_if<quota_outbound>(&message)) {
+  if (const auto* quota = std::get_if<quota_send>(&message)) {
     std::visit(
         [&](const auto& item) {
           transport_->Send(quota->to, EncodePeerFrame(item));
