Show the limits that upstreams name, in the log and on the metrics page

Cause: nobody reads the rate that an upstream in need names in its answers, so neither log nor metrics told which daemon had heard a limit when. Decisions stay as they are.

An answer's limit is decoded in platform/; one that can't be read changes nothing and is logged. Only an answer to a request that was sent after the latest naming ends a limit, since answers overtake one another. The stand-in for upstreams names limits and counts by itself what comes beyond.

Measured: unit tests of the decoder and of what is believed.

--- a/include/cuminswitch/Core/core_status.h
+++ b/include/cuminswitch/Core/core_status.h
@@ -4,6 +4,7 @@
 #define CUMINSWITCH_CORE_CORE_STATUS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
   double limit = 0;
   double prefill_rate = 0;
   double retention_seconds = 0;
+  /// Requests a second that it takes from all daemons, where it names that.
+  std::optional<double> rate_limit;
 };
 
 struct core_status {
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -8,12 +8,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "cuminswitch/Admission/drain_meter.h"
 #include "cuminswitch/Admission/retry_budget.h"
+#include "cuminswitch/Admission/upstream_limits.h"
 #include "cuminswitch/Admission/wait_queue.h"
 #include "cuminswitch/Admission/workspace_limiter.h"
 #include "cuminswitch/Config/configuration.h"
@@ -98,6 +100,10 @@
 
   bool IsIdle() const { return requests_.empty(); }
   workspace_limiter& limiter() { return limiter_; }
+  /// The upstream whose name has \p hash; empty where none is known.
+  std::string_view FindUpstreamName(uint64_t hash) const;
+  /// What upstreams say of the rate that they take.
+  upstream_limits& limits() { return limits_; }
   core_counters& counters() { return counters_; }
   void FillStatus(core_status& status) const;
 
@@ -250,6 +256,7 @@
   std::vector<placed_prefix> placed_prefixes_;
   wait_queue queue_;
   workspace_limiter limiter_;
+  upstream_limits limits_;
   std::map<std::string, retry_budget, std::less<>> retries_;
   /// The largest fleet seen; the part of a daemon that is away may be spent.
   size_t largest_fleet_ = 1;
--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cuminswitch/Http1/message_head.h"
+#include "cuminswitch/Protocol/limit_notice.h"
 #include "cuminswitch/Support/endpoint.h"
 #include "cuminswitch/Support/time.h"
 
@@ -75,6 +76,8 @@
   /// An upstream made this answer.
   bool is_signed = false;
   std::optional<told_load> load;
+  /// The rate that the upstream takes, where it is in need.
+  limit_notice limit;
 };
 
 /// Translates heads. One object serves all requests.
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cuminswitch/Admission/upstream_limits.h"
 #include "cuminswitch/Core/request_router.h"
 #include "cuminswitch/Edge/edge_metrics.h"
 #include "cuminswitch/Edge/edge_protocol.h"
@@ -78,6 +79,8 @@
   void OnRequest(caller_exchange& exchange) override;
   void OnFlowEvent(core_event event) override;
   void OnFlowLoad(const std::string& upstream, const told_load& load) override;
+  void OnFlowLimit(const request_flow& flow,
+                   const limit_notice& notice) override;
   void OnFlowAttemptFailed(const request_flow& flow,
                            attempt_answer answer,
                            uint32_t status) override;
@@ -117,6 +120,13 @@
   void CancelAttempt(attempt_id attempt);
   request_flow* FindFlow(request_id id) const;
   void OnTick();
+  /// Tells the log that an upstream's limit is known, or has changed or ended.
+  void LogLimit(upstream_limits::change what,
+                uint64_t upstream,
+                std::string_view source);
+  void ForgetLimit(const std::string& upstream);
+  /// Ends the limits that no answer has renewed for long.
+  void ExpireLimits(time_point now);
   /// Tells the log when engines begin to be kept for short prompts, or cease.
   void LogKeptEngines();
   void OnStopTick();
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -43,6 +43,9 @@
   virtual void OnFlowEvent(core_event event) = 0;
   virtual void OnFlowLoad(const std::string& upstream,
                           const told_load& load) = 0;
+  /// The upstream of the present attempt told which rate it takes.
+  virtual void OnFlowLimit(const request_flow& flow,
+                           const limit_notice& notice) = 0;
   /// An attempt ended otherwise than with success.
   virtual void OnFlowAttemptFailed(const request_flow& flow,
                                    attempt_answer answer,
@@ -102,6 +105,8 @@
   const std::string& workspace() const { return options_.workspace; }
   const std::string& upstream() const { return upstream_; }
   time_point arrived() const { return options_.arrived; }
+  /// When the present attempt was sent.
+  time_point sent_at() const { return sent_at_; }
   std::optional<time_point> first_byte_at() const { return first_byte_at_; }
   /// Between two pieces that went to the caller.
   duration longest_pause() const { return longest_pause_; }
@@ -145,6 +150,7 @@
   loop_timer stall_timer_;
   attempt_id attempt_ = 0;
   std::string upstream_;
+  time_point sent_at_{};
   endpoint address_;
   uint32_t attempts_ = 0;
   uint32_t runs_ = 0;
--- a/include/cuminswitch/Log/event_log.h
+++ b/include/cuminswitch/Log/event_log.h
@@ -43,6 +43,8 @@
     return Add(name, int64_t{value});
   }
   log_line& Add(std::string_view name, bool value);
+  /// Adds up to three significant digits.
+  log_line& Add(std::string_view name, double value);
   /// Adds milliseconds.
   log_line& Add(std::string_view name, std::chrono::microseconds value);
 
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -350,6 +350,12 @@
   DrainQueue(now, out);
 }
 
+std::string_view request_router::FindUpstreamName(uint64_t hash) const {
+  const std::optional<replica_index> index = replicas_.FindByHash(hash);
+  return index ? std::string_view(replicas_[*index].spec.name)
+               : std::string_view();
+}
+
 void request_router::FillStatus(core_status& status) const {
   status.counters = counters_;
   status.waiting = queue_.size();
@@ -366,7 +372,8 @@
                                 .in_flight = item.in_flight,
                                 .limit = item.limit,
                                 .prefill_rate = item.prefill_rate,
-                                .retention_seconds = item.retention_seconds});
+                                .retention_seconds = item.retention_seconds,
+                                .rate_limit = limits_.Find(item.name_hash)});
   }
 }
 
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -114,6 +114,13 @@
   for (const upstream_status& item : status.upstreams) {
     page.Add(item.in_flight, "upstream=\"" + item.name + "\"");
   }
+  page.Begin("cuminswitch_upstream_rate_limit", "gauge",
+             "Requests a second that an upstream in need takes from all.");
+  for (const upstream_status& item : status.upstreams) {
+    if (item.rate_limit) {
+      page.Add(*item.rate_limit, "upstream=\"" + item.name + "\"");
+    }
+  }
   WriteQuotas(page, from.quotas);
   page.Begin("cuminswitch_engines_kept_share", "gauge",
              "Part of the engines that is kept for short prompts.");
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -120,6 +120,7 @@
       continue;
     }
     pool_.Forget(found->second->address);
+    ForgetLimit(entry.id);
     with_.log.Write(log_class::kBelief,
                     log_line("upstream_restarted")
                         .Add("upstream", entry.id)
@@ -330,6 +331,7 @@
   SettleQuotas(now);
   TellPlacements();
   LogKeptEngines();
+  ExpireLimits(now);
   with_.log.Flush();
   tick_timer_.Start(flows_.empty() ? kIdleTickInterval : kTickInterval);
 }
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -61,6 +61,7 @@
   upstream_ = action.upstream;
   address_ = action.address;
   usual_first_byte_ = action.usual_first_byte;
+  sent_at_ = now;
   ++attempts_;
   ++runs_;
   answer_ = {};
@@ -143,6 +144,11 @@
   if (answer_.attributes.load) {
     with_.owner.OnFlowLoad(upstream_, *answer_.attributes.load);
   }
+  // A late answer to another attempt, or one that no upstream made, says
+  // nothing of this upstream.
+  if (answer_.attributes.attempt == options_.request.attempt) {
+    with_.owner.OnFlowLimit(*this, answer_.attributes.limit);
+  }
 }
 
 /// Whether the head is of a success that can be this attempt's.
--- a/lib/Log/event_log.cc
+++ b/lib/Log/event_log.cc
@@ -4,6 +4,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -56,6 +58,14 @@
   return *this;
 }
 
+log_line& log_line::Add(std::string_view name, double value) {
+  AddName(name);
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3g", value);
+  text_ += text.data();
+  return *this;
+}
+
 log_line& log_line::Add(std::string_view name,
                         std::chrono::microseconds value) {
   constexpr int64_t kMicrosPerMilli = 1000;
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -59,6 +59,8 @@
 class silent_owner : public flow_owner {
  public:
   void OnFlowEvent(core_event /*event*/) override {}
+  void OnFlowLimit(const request_flow& /*flow*/,
+                   const limit_notice& /*notice*/) override {}
   void OnFlowLoad(const std::string& /*upstream*/,
                   const told_load& /*load*/) override {}
   void OnFlowAttemptFailed(const request_flow& /*flow*/,
--- a/unittests/PlatformAdapter/http_protocol_test.cc
+++ b/unittests/PlatformAdapter/http_protocol_test.cc
@@ -116,5 +116,28 @@
   EXPECT_FALSE(http_protocol().ReadAnswer(head).was_not_run);
 }
 
+TEST(http_protocol_test, ReadsTheLimitThatAnUpstreamNames) {
+  const auto read = [](std::vector<std::string> values) {
+    message_head head;
+    head.status = 200;
+    for (const std::string& value : values) {
+      head.headers.push_back({"server-limit", value});
+    }
+    return http_protocol().ReadAnswer(head).limit;
+  };
+  EXPECT_EQ(read({}).kind, limit_notice_kind::kNone);
+  for (const auto& [text, rate] :
+       {std::pair("1.3", 1.3), {"0", 0}, {"200", 200}, {"1e9", 1e9}}) {
+    EXPECT_EQ(read({text}).kind, limit_notice_kind::kNamed) << text;
+    EXPECT_EQ(read({text}).rate, rate);
+  }
+  EXPECT_EQ(read({"3", "2", "5"}).rate, 2);
+  for (const char* text :
+       {"", "-1", "nan", "inf", "1e999", "1.3 ", "1,5", "many", "2x"}) {
+    EXPECT_EQ(read({text}).kind, limit_notice_kind::kUnreadable) << text;
+  }
+  EXPECT_EQ(read({"3", "x"}).kind, limit_notice_kind::kUnreadable);
+}
+
 }  // namespace
 }  // namespace cuminswitch::platform
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -4,13 +4,17 @@
 // Parts of a request's path make it misbehave: `/refuse/` (not run), `/fail/`
 // (runs and fails), `/cut/` (an engine stops in the middle of its answer, a
 // plain service runs the request and closes without one), `/hang/` (no answer).
+// `GET /control/limit/RATE` makes it name a limit from then on, `none` takes it
+// away; what comes beyond the limit is told as `over_limit GOT ALLOWED`.
 #include <event2/event.h>
 
 #include <chrono>
+#include <deque>
 #include <iostream>
 #include <list>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "StandIn/stand_in_main.h"
@@ -27,6 +31,50 @@
 constexpr char kJson[] = "application/json";
 constexpr int kEvents = 5;
 
+constexpr std::string_view kControlLimit = "/control/limit/";
+
+/// Counts what comes while a limit is named, and tells what is beyond it: in
+/// any 4 s one and a half times the limit and five requests more.
+class limit_meter {
+ public:
+  using clock = std::chrono::steady_clock;
+
+  /// Names \p rate requests a second; nothing for no limit.
+  void Name(std::optional<double> rate) {
+    rate_ = rate;
+    named_at_ = clock::now();
+    arrivals_.clear();
+  }
+  const std::optional<double>& rate() const { return rate_; }
+  void OnArrival() {
+    const auto now = clock::now();
+    if (!rate_ || now - named_at_ < kTellTime) {
+      return;
+    }
+    arrivals_.push_back(now);
+    while (now - arrivals_.front() > kWindow) {
+      arrivals_.pop_front();
+    }
+    const double allowed =
+        kShare * *rate_ * static_cast<double>(kWindow.count()) + kSlack;
+    if (static_cast<double>(arrivals_.size()) > allowed) {
+      std::cout << "over_limit " << arrivals_.size() << " " << allowed
+                << std::endl;
+    }
+  }
+
+ private:
+  static constexpr std::chrono::seconds kWindow{4};
+  static constexpr double kShare = 1.5;
+  static constexpr double kSlack = 5;
+  /// Daemons may take so long to hear of the limit and to keep to it.
+  static constexpr std::chrono::seconds kTellTime{1};
+
+  std::optional<double> rate_;
+  clock::time_point named_at_{};
+  std::deque<clock::time_point> arrivals_;
+};
+
 struct replica_options {
   std::string id = "i-1";
   std::string model;
@@ -43,8 +91,14 @@
     const std::string path(exchange->Path());
     const std::string expected = exchange->Header("X-Expect-Replica");
     const std::string version = exchange->Header("X-Expect-Version");
-    if ((!expected.empty() && expected != options_.id) ||
-        (!version.empty() && version != std::to_string(options_.version))) {
+    if (path.starts_with(kControlLimit)) {
+      const std::string rate = path.substr(kControlLimit.size());
+      meter_.Name(rate == "none" ? std::nullopt
+                                 : std::optional(std::stod(rate)));
+      exchange->Reply(200, kJson, "{}");
+    } else if ((!expected.empty() && expected != options_.id) ||
+               (!version.empty() &&
+                version != std::to_string(options_.version))) {
       exchange->Reply(421, kJson, "{}", {{"X-Replica-Id", options_.id}});
     } else if (path == "/report") {
       Report(*exchange);
@@ -93,14 +147,20 @@
   }
 
   http_headers AnswerHeaders(const http_exchange& exchange) const {
-    return {{"X-Attempt-Id", exchange.Header("X-Attempt-Id")},
-            {"X-Replica-Stamp", options_.id},
-            {"X-Replica-Load", "1,0,8"},
-            {"X-Weight-Versions", std::to_string(options_.version)},
-            {"Keep-Alive", "timeout=5"}};
+    http_headers headers = {
+        {"X-Attempt-Id", exchange.Header("X-Attempt-Id")},
+        {"X-Replica-Stamp", options_.id},
+        {"X-Replica-Load", "1,0,8"},
+        {"X-Weight-Versions", std::to_string(options_.version)},
+        {"Keep-Alive", "timeout=5"}};
+    if (meter_.rate()) {
+      headers.push_back({"Server-Limit", std::to_string(*meter_.rate())});
+    }
+    return headers;
   }
 
   void Run(const exchange_ptr& exchange, const std::string& path) {
+    meter_.OnArrival();
     const auto has = [&path](const char* part) {
       return path.find(part) != std::string::npos;
     };
@@ -168,6 +228,7 @@
   }
 
   replica_options options_;
+  limit_meter meter_;
   loop_timer timer_;
   std::list<stream> streams_;
   std::list<exchange_ptr> hanging_;
