Call a quota's keeper its owner, and what it is about its subject

The field's word for who decides alone is owner; quota_desk becomes quota_gate. A quota's subject needn't be a workspace: the limits that upstreams name will go the same way.

--- a/benchmarks/quota_ways.cc
+++ b/benchmarks/quota_ways.cc
@@ -53,7 +53,7 @@
                        return (first + random() % hosts) % size;
                      }});
   std::printf("%-5s %4zu  %-30s %6.2f %8.1f%% %10.2f %12zu\n",
-              way == quota_way::kKept ? "kept" : "even", size, item.name,
+              way == quota_way::kOwner ? "owner" : "even", size, item.name,
               fleet.MostWithin(kWindow) / kRate, fleet.RefusedShare() * 100,
               fleet.admitted() / kRate / 25, fleet.messages());
 }
@@ -69,7 +69,7 @@
       "refused of all sent)\n");
   for (const size_t size : {8, 68, 300}) {
     for (const cuminswitch::played_case& item : cuminswitch::kCases) {
-      cuminswitch::Play(cuminswitch::quota_way::kKept, size, item);
+      cuminswitch::Play(cuminswitch::quota_way::kOwner, size, item);
       cuminswitch::Play(cuminswitch::quota_way::kEven, size, item);
     }
   }
--- a/include/cuminswitch/Admission/even_quota_policy.h
+++ b/include/cuminswitch/Admission/even_quota_policy.h
@@ -12,7 +12,7 @@
 
 /// Each daemon gives out its even part of each limit and asks nobody. What a
 /// cut does to it is nothing; it is what a daemon falls back to that reaches no
-/// keeper. The price: where a workspace's requests gather on few daemons, or
+/// owner. The price: where a subject's requests gather on few daemons, or
 /// one weighs as much as a daemon's part of some seconds, most are refused that
 /// are below the limit (47% at 68 daemons, 77% at 300, at 0.9 of a limit of
 /// 16 requests a second, in virtual time).
--- a/include/cuminswitch/Admission/kept_quota_policy.h
+++ b/include/cuminswitch/Admission/owner_quota_policy.h
@@ -1,7 +1,7 @@
 /// \file
-/// Quotas with one keeper for each workspace.
-#ifndef CUMINSWITCH_ADMISSION_KEPT_QUOTA_POLICY_H_
-#define CUMINSWITCH_ADMISSION_KEPT_QUOTA_POLICY_H_
+/// Quotas with one owner for each subject.
+#ifndef CUMINSWITCH_ADMISSION_OWNER_QUOTA_POLICY_H_
+#define CUMINSWITCH_ADMISSION_OWNER_QUOTA_POLICY_H_
 
 #include <map>
 #include <optional>
@@ -9,38 +9,38 @@
 #include <vector>
 
 #include "cuminswitch/Admission/even_quota_policy.h"
-#include "cuminswitch/Admission/quota_keeper.h"
+#include "cuminswitch/Admission/quota_owner.h"
 #include "cuminswitch/Admission/quota_policy.h"
 
 namespace cuminswitch {
 
-/// Each workspace has a keeper, the first of the living daemons by rendezvous
+/// Each subject has an owner, the first of the living daemons by rendezvous
 /// hashing, which all work out alike. It is asked about every request, which
 /// takes one round trip within the region, 1 to 3 ms. News that ride on beats
-/// are half a second old: a workspace that begins to send ten times its limit
+/// are half a second old: a subject that begins to send ten times its limit
 /// uses five seconds' worth of it by then, and a part for each daemon is less
 /// than one long prompt.
 ///
 /// What goes wrong, and what is done:
-/// - The keeper dies or cannot be reached. One notices by its silence. The next
+/// - The owner dies or cannot be reached. One notices by its silence. The next
 ///   in the order is asked, and is told what the last one had left.
-/// - Daemons take different ones for the keeper, for as long as they have
-///   different news of who lives. One that does not take itself for the keeper
+/// - Daemons take different ones for the owner, for as long as they have
+///   different news of who lives. One that does not take itself for the owner
 ///   hands the question on.
-/// - Daemons are cut off from one another and each side has a keeper. A keeper
+/// - Daemons are cut off from one another and each side has an owner. An owner
 ///   gives out only what falls to the daemons that it sees, out of all that the
 ///   deployment has, and takes in the part of those that come back only when
 ///   they too have noticed.
-/// - A keeper is cut off and does not know it yet. Who takes its place gives
+/// - An owner is cut off and does not know it yet. Who takes its place gives
 ///   out a quarter until it must have noticed.
-/// - A keeper comes back while some still ask the one that stood in for it. It
+/// - An owner comes back while some still ask the one that stood in for it. It
 ///   gives out half until all have noticed.
-/// - Nobody answers. A request is taken if the workspace had half of its burst
+/// - Nobody answers. A request is taken if the subject had half of its burst
 ///   left within the last two seconds, else out of this daemon's even part; the
-///   keeper that is reached next is told how much that was.
-/// - All daemons were killed and know nothing. A keeper begins with half a
+///   owner that is reached next is told how much that was.
+/// - All daemons were killed and know nothing. An owner begins with half a
 ///   second's worth.
-class kept_quota_policy : public quota_policy {
+class owner_quota_policy : public quota_policy {
  public:
   struct options {
     endpoint self;
@@ -52,7 +52,7 @@
   /// reach everybody at 68 hosts within 0.6 s.
   static constexpr duration kGatherTime = std::chrono::milliseconds(1'500);
 
-  explicit kept_quota_policy(const options& opts);
+  explicit owner_quota_policy(const options& opts);
 
   void SetFleet(time_point now, const quota_fleet_view& fleet) override;
   void Admit(time_point now, const quota_request& item) override;
@@ -69,7 +69,7 @@
     uint32_t attempts = 0;
   };
   struct told_level {
-    uint64_t keeper = 0;
+    uint64_t owner = 0;
     double level = 0;
     time_point at{};
   };
@@ -87,20 +87,20 @@
   };
 
   /// The first daemon in the order that is not known to be silent.
-  const endpoint& FindKeeper(time_point now, uint64_t workspace) const;
-  /// The part of the limit that this daemon gives out as a keeper.
-  double Share(time_point now, uint64_t workspace) const;
+  const endpoint& FindOwner(time_point now, uint64_t subject) const;
+  /// The part of the limit that this daemon gives out as an owner.
+  double Share(time_point now, uint64_t subject) const;
   /// Whether a daemon that fell silent just now, and may not know it, is before
   /// this one in the order.
-  bool StandsIn(time_point now, uint64_t workspace) const;
+  bool StandsIn(time_point now, uint64_t subject) const;
   /// Keeps those that are here and not among \p next.
   void NoteLost(time_point now, std::span<const candidate> next);
   /// Of that, what it gives out while another may give out too.
-  double PartAsKeeper(time_point now, uint64_t workspace) const;
+  double PartAsOwner(time_point now, uint64_t subject) const;
   /// The least part of the fleet that was seen of late.
   double SeenPart(time_point now) const;
   quota_ask MakeAsk(time_point now, const quota_request& item) const;
-  /// Reports \p weight units of \p item's workspace, and asks nothing.
+  /// Reports \p weight units of \p item's subject, and asks nothing.
   quota_ask MakeReport(time_point now,
                        const quota_request& item,
                        double weight) const;
@@ -108,14 +108,14 @@
   void DecideHere(time_point now, const quota_request& item);
   /// Nobody answers.
   void DecideAlone(time_point now, const quota_request& item);
-  void Note(time_point now, uint64_t workspace, const quota_verdict& verdict);
-  /// Tells a keeper that answers what was taken without one.
+  void Note(time_point now, uint64_t subject, const quota_verdict& verdict);
+  /// Tells an owner that answers what was taken without one.
   void ReportTaken(time_point now,
                    const quota_request& item,
-                   const endpoint& keeper);
+                   const endpoint& owner);
 
   candidate self_;
-  quota_keeper keeper_;
+  quota_owner owner_;
   even_quota_policy own_part_;
   std::vector<candidate> candidates_;
   /// Those that lived until just now.
@@ -126,15 +126,15 @@
   std::vector<seen_part> seen_;
   std::optional<time_point> started_at_;
   std::map<endpoint, time_point> silent_until_;
-  /// When each keeper last answered.
+  /// When each owner last answered.
   std::map<endpoint, time_point> heard_at_;
   std::unordered_map<uint64_t, pending> pending_;
   std::unordered_map<uint64_t, told_level> told_;
-  /// By workspace, units that were taken without a keeper and that none was
+  /// By subject, units that were taken without an owner and that none was
   /// told of.
   std::unordered_map<uint64_t, double> unreported_;
 };
 
 }  // namespace cuminswitch
 
-#endif  // CUMINSWITCH_ADMISSION_KEPT_QUOTA_POLICY_H_
+#endif  // CUMINSWITCH_ADMISSION_OWNER_QUOTA_POLICY_H_
--- a/include/cuminswitch/Admission/quota_policy.h
+++ b/include/cuminswitch/Admission/quota_policy.h
@@ -1,5 +1,5 @@
 /// \file
-/// How a fleet without a coordinator keeps to the quotas of its workspaces.
+/// How a fleet without a coordinator keeps to the quotas of its subjects.
 #ifndef CUMINSWITCH_ADMISSION_QUOTA_POLICY_H_
 #define CUMINSWITCH_ADMISSION_QUOTA_POLICY_H_
 
@@ -19,8 +19,8 @@
 struct quota_request {
   /// The asker's name for it; not 0.
   uint64_t ticket = 0;
-  /// Hash of the workspace's name.
-  uint64_t workspace = 0;
+  /// Hash of the subject's name.
+  uint64_t subject = 0;
   quota_limit limit;
   /// Units that it takes.
   double weight = 0;
@@ -32,13 +32,13 @@
 
 /// Who decided about a request.
 enum class quota_source : uint8_t {
-  /// The workspace's keeper, another daemon.
-  kKeeper,
-  /// This daemon, as the keeper.
+  /// The subject's owner, another daemon.
+  kOwner,
+  /// This daemon, as the owner.
   kSelf,
-  /// This daemon by what a keeper told it just before.
+  /// This daemon by what an owner told it just before.
   kBelief,
-  /// This daemon by its own part of the limit; no keeper was reached.
+  /// This daemon by its own part of the limit; no owner was reached.
   kOwnPart,
 };
 
@@ -49,7 +49,7 @@
   uint64_t ticket = 0;
   bool is_admitted = false;
   duration retry_after{0};
-  quota_source source = quota_source::kKeeper;
+  quota_source source = quota_source::kOwner;
   /// Units left as the decider knew it, and how old that is.
   double level = 0;
   duration age{0};
@@ -68,7 +68,7 @@
   duration notice_time = std::chrono::seconds(3);
 };
 
-/// Decides which requests are within their workspaces' quotas. Has no clock and
+/// Decides which requests are within their subjects' quotas. Has no clock and
 /// does no I/O: what it decides and what it has to say is taken from it.
 class quota_policy {
  public:
--- a/include/cuminswitch/Edge/arrival_translator.h
+++ b/include/cuminswitch/Edge/arrival_translator.h
@@ -3,7 +3,7 @@
 #ifndef CUMINSWITCH_EDGE_ARRIVAL_TRANSLATOR_H_
 #define CUMINSWITCH_EDGE_ARRIVAL_TRANSLATOR_H_
 
-#include "cuminswitch/Edge/quota_desk.h"
+#include "cuminswitch/Edge/quota_gate.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Protocol/core_event.h"
 
@@ -16,7 +16,7 @@
 request_arrived DescribeArrival(const request_flow::options& flow,
                                 const workspace_plan* workspace);
 /// Describes the request of \p flow, whose workspace has \p quota.
-quota_desk::question DescribeQuotaQuestion(time_point now,
+quota_gate::question DescribeQuotaQuestion(time_point now,
                                            const request_flow& flow,
                                            const quota_plan& quota,
                                            request_arrived arrival);
--- a/include/cuminswitch/Edge/edge_metrics.h
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -9,7 +9,7 @@
 #include <string_view>
 
 #include "cuminswitch/Core/core_status.h"
-#include "cuminswitch/Edge/quota_desk.h"
+#include "cuminswitch/Edge/quota_gate.h"
 #include "cuminswitch/Metrics/latency_histogram.h"
 #include "cuminswitch/Support/outcome.h"
 
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -14,7 +14,7 @@
 #include "cuminswitch/Edge/edge_metrics.h"
 #include "cuminswitch/Edge/edge_protocol.h"
 #include "cuminswitch/Edge/graceful_stop.h"
-#include "cuminswitch/Edge/quota_desk.h"
+#include "cuminswitch/Edge/quota_gate.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Http1/caller_server.h"
@@ -113,7 +113,7 @@
   /// Sends what the quotas have to say and carries out what they decided.
   void SettleQuotas(time_point now);
   void TellQuotasOfFleet(time_point now);
-  void SettleQuota(time_point now, quota_desk::decided_request decided);
+  void SettleQuota(time_point now, quota_gate::decided_request decided);
   void HandToRouter(time_point now, const core_event& event);
   void Perform(time_point now, const action_list& actions);
   void Perform(time_point now, const dispatch_attempt& action);
@@ -151,7 +151,7 @@
   bool kept_engines_ = false;
   std::unordered_map<request_id, std::unique_ptr<request_flow>> flows_;
   request_id next_request_ = 0;
-  quota_desk quotas_;
+  quota_gate quotas_;
   edge_metrics metrics_;
   graceful_stop stop_;
   time_point started_at_;
--- a/include/cuminswitch/Edge/quota_desk.h
+++ b/include/cuminswitch/Edge/quota_gate.h
@@ -1,7 +1,7 @@
 /// \file
 /// Where requests wait to hear whether they are within their quota.
-#ifndef CUMINSWITCH_EDGE_QUOTA_DESK_H_
-#define CUMINSWITCH_EDGE_QUOTA_DESK_H_
+#ifndef CUMINSWITCH_EDGE_QUOTA_GATE_H_
+#define CUMINSWITCH_EDGE_QUOTA_GATE_H_
 
 #include <cstdint>
 #include <map>
@@ -30,7 +30,7 @@
 
 /// Weighs each request once, asks the policy about it, charges each of its runs
 /// at an upstream, and gives back what is known not to have run.
-class quota_desk {
+class quota_gate {
  public:
   /// A request about which it was decided.
   struct decided_request {
@@ -51,7 +51,7 @@
     duration time_left{0};
   };
 
-  explicit quota_desk(std::unique_ptr<quota_policy> policy)
+  explicit quota_gate(std::unique_ptr<quota_policy> policy)
       : policy_(std::move(policy)) {}
 
   quota_policy& policy() { return *policy_; }
@@ -86,4 +86,4 @@
 
 }  // namespace cuminswitch
 
-#endif  // CUMINSWITCH_EDGE_QUOTA_DESK_H_
+#endif  // CUMINSWITCH_EDGE_QUOTA_GATE_H_
--- a/include/cuminswitch/Protocol/quota_message.h
+++ b/include/cuminswitch/Protocol/quota_message.h
@@ -1,6 +1,7 @@
 /// \file
-/// What daemons tell one another to keep a workspace's quota over the fleet.
-/// The structs are one family and share this header.
+/// What daemons tell one another to keep to a quota over the fleet. Its subject
+/// is whatever it is about: a workspace that may use so much. The structs are
+/// one family and share this header.
 #ifndef CUMINSWITCH_PROTOCOL_QUOTA_MESSAGE_H_
 #define CUMINSWITCH_PROTOCOL_QUOTA_MESSAGE_H_
 
@@ -13,7 +14,7 @@
 
 namespace cuminswitch {
 
-/// What a workspace may use over the whole fleet, in units of its quota.
+/// What a subject may use over the whole fleet, in units of its quota.
 struct quota_limit {
   /// Units a second; 0 for no limit.
   double rate = 0;
@@ -25,25 +26,25 @@
   bool IsSet() const { return rate > 0; }
 };
 
-/// What a keeper had left for a workspace when it was last heard.
+/// What an owner had left for a subject when it was last heard.
 struct quota_level {
-  /// Tells keepers apart, and the starts of one.
-  uint64_t keeper = 0;
+  /// Tells owners apart, and the starts of one.
+  uint64_t owner = 0;
   /// Units; below 0 where more was used than is there.
   double level = 0;
   /// Time since it was so.
   duration age{0};
 };
 
-/// Asks a workspace's keeper whether a request may be sent on.
+/// Asks a subject's owner whether a request may be sent on.
 struct quota_ask {
   /// Where the answer goes.
   endpoint from;
   /// Names the question at its sender; 0 where no answer is wanted, because
   /// the use is only reported.
   uint64_t ticket = 0;
-  /// Hash of the workspace's name.
-  uint64_t workspace = 0;
+  /// Hash of the subject's name.
+  uint64_t subject = 0;
   quota_limit limit;
   /// Units that the request takes; below 0 where they are given back.
   double weight = 0;
@@ -52,9 +53,9 @@
   /// The longest wait after which its caller would come back.
   duration patience{0};
   /// Whoever gets it decides; otherwise it may hand it on to whom it takes for
-  /// the keeper.
+  /// the owner.
   bool is_final = false;
-  /// What the sender last heard of the workspace.
+  /// What the sender last heard of the subject.
   std::optional<quota_level> told;
 };
 
@@ -64,11 +65,11 @@
   bool is_admitted = false;
   /// When a refused request can be taken.
   duration retry_after{0};
-  /// Tells the keeper and its start.
-  uint64_t keeper = 0;
+  /// Tells the owner and its start.
+  uint64_t owner = 0;
   /// What is left.
   double level = 0;
-  /// Of the limit, what the keeper gives out.
+  /// Of the limit, what the owner gives out.
   double share = 1;
 };
 
--- a/lib/Admission/even_quota_policy.cc
+++ b/lib/Admission/even_quota_policy.cc
@@ -15,22 +15,21 @@
   known_ = std::max(fleet.known, fleet.living.size() + 1);
 }
 
-/// A number from 0 to 1 that differs between daemons and workspaces.
-static double Fraction(uint64_t seed, uint64_t workspace) {
-  return static_cast<double>(CombineHash(seed, workspace) >> 11) * 0x1p-53;
+/// A number from 0 to 1 that differs between daemons and subjects.
+static double Fraction(uint64_t seed, uint64_t subject) {
+  return static_cast<double>(CombineHash(seed, subject) >> 11) * 0x1p-53;
 }
 
 even_quota_policy::part& even_quota_policy::Find(time_point now,
                                                  const quota_request& item) {
-  auto found = parts_.find(item.workspace);
+  auto found = parts_.find(item.subject);
   if (found == parts_.end()) {
     const double debt =
-        known_ == 1 ? 0 : Fraction(options_.seed, item.workspace) * item.weight;
-    found =
-        parts_
-            .emplace(item.workspace, part{.bucket = quota_bucket(now, -debt),
-                                          .limit = item.limit})
-            .first;
+        known_ == 1 ? 0 : Fraction(options_.seed, item.subject) * item.weight;
+    found = parts_
+                .emplace(item.subject, part{.bucket = quota_bucket(now, -debt),
+                                            .limit = item.limit})
+                .first;
   }
   part& own = found->second;
   own.used_at = now;
--- a/lib/Admission/kept_quota_policy.cc
+++ b/lib/Admission/owner_quota_policy.cc
@@ -1,4 +1,4 @@
-#include "cuminswitch/Admission/kept_quota_policy.h"
+#include "cuminswitch/Admission/owner_quota_policy.h"
 
 #include <algorithm>
 #include <unordered_set>
@@ -9,27 +9,27 @@
 
 namespace cuminswitch {
 
-/// A keeper that has not answered by then is asked no more. A round trip takes
+/// An owner that has not answered by then is asked no more. A round trip takes
 /// 1 to 3 ms; a host whose share of a core is used up stands for the rest of a
 /// tenth of a second.
 static constexpr duration kAnswerTime = std::chrono::milliseconds(120);
-/// Keepers asked about one request.
+/// Owners asked about one request.
 static constexpr uint32_t kMaxAttempts = 2;
-/// A keeper that was silent is passed over for so long; by then its beats tell
+/// An owner that was silent is passed over for so long; by then its beats tell
 /// whether it lives.
 static constexpr duration kSilentTime = std::chrono::milliseconds(1'000);
-/// What a keeper told counts for so long where none answers, and only if this
+/// What an owner told counts for so long where none answers, and only if this
 /// much of the burst was left: a cut is noticed within this time, and a
-/// workspace that is over its limit never has so much.
+/// subject that is over its limit never has so much.
 static constexpr duration kBeliefTime = std::chrono::seconds(2);
 static constexpr double kBelievedPart = 0.5;
-/// After so long, what a keeper told says nothing.
+/// After so long, what an owner told says nothing.
 static constexpr duration kToldTime = std::chrono::seconds(10);
 
-/// What a keeper that has just started gives out while some still ask the one
-/// that stood in for it. Most workspaces use about half of their limit.
+/// What an owner that has just started gives out while some still ask the one
+/// that stood in for it. Most subjects use about half of their limit.
 static constexpr double kFirstPart = 0.5;
-/// What one gives out that is asked in place of the keeper while it still takes
+/// What one gives out that is asked in place of the owner while it still takes
 /// that one to live: it may be cut off only from those that ask, and give out
 /// their part to others.
 static constexpr double kStandInPart = 0.25;
@@ -38,15 +38,15 @@
   return Hash64(address.ToString());
 }
 
-kept_quota_policy::kept_quota_policy(const options& opts)
+owner_quota_policy::owner_quota_policy(const options& opts)
     : self_({.address = opts.self, .hash = HashOf(opts.self)}),
-      keeper_(opts.id),
+      owner_(opts.id),
       own_part_({.seed = opts.id}) {
   candidates_.push_back(self_);
 }
 
-void kept_quota_policy::SetFleet(time_point now,
-                                 const quota_fleet_view& fleet) {
+void owner_quota_policy::SetFleet(time_point now,
+                                  const quota_fleet_view& fleet) {
   std::vector<candidate> next;
   next.push_back(self_);
   for (const endpoint& address : fleet.living) {
@@ -69,8 +69,8 @@
   own_part_.SetFleet(now, fleet);
 }
 
-void kept_quota_policy::NoteLost(time_point now,
-                                 std::span<const candidate> next) {
+void owner_quota_policy::NoteLost(time_point now,
+                                  std::span<const candidate> next) {
   std::unordered_set<uint64_t> living;
   for (const candidate& item : next) {
     living.insert(item.hash);
@@ -85,20 +85,20 @@
   }
 }
 
-bool kept_quota_policy::StandsIn(time_point now, uint64_t workspace) const {
-  const uint64_t own = RendezvousWeight(workspace, self_.hash);
+bool owner_quota_policy::StandsIn(time_point now, uint64_t subject) const {
+  const uint64_t own = RendezvousWeight(subject, self_.hash);
   return std::any_of(lost_.begin(), lost_.end(), [&](const lost_daemon& item) {
     return now - item.at <= notice_time_ &&
-           RendezvousWeight(workspace, item.who.hash) > own;
+           RendezvousWeight(subject, item.who.hash) > own;
   });
 }
 
-const endpoint& kept_quota_policy::FindKeeper(time_point now,
-                                              uint64_t workspace) const {
+const endpoint& owner_quota_policy::FindOwner(time_point now,
+                                              uint64_t subject) const {
   const candidate* best = nullptr;
   uint64_t best_weight = 0;
   for (const candidate& item : candidates_) {
-    const uint64_t weight = RendezvousWeight(workspace, item.hash);
+    const uint64_t weight = RendezvousWeight(subject, item.hash);
     if (best != nullptr && weight <= best_weight) {
       continue;
     }
@@ -112,7 +112,7 @@
   return best == nullptr ? self_.address : best->address;
 }
 
-double kept_quota_policy::SeenPart(time_point now) const {
+double owner_quota_policy::SeenPart(time_point now) const {
   if (seen_.empty() || known_ == 1) {
     return 1;
   }
@@ -131,67 +131,64 @@
   return least;
 }
 
-double kept_quota_policy::PartAsKeeper(time_point now,
-                                       uint64_t workspace) const {
-  if (StandsIn(now, workspace)) {
+double owner_quota_policy::PartAsOwner(time_point now, uint64_t subject) const {
+  if (StandsIn(now, subject)) {
     return kStandInPart;
   }
   const bool is_new = started_at_ && now - *started_at_ < notice_time_;
-  const bool has_other = keeper_.HasOther(now - notice_time_, workspace);
+  const bool has_other = owner_.HasOther(now - notice_time_, subject);
   return is_new && has_other ? kFirstPart : 1;
 }
 
-double kept_quota_policy::Share(time_point now, uint64_t workspace) const {
-  if (FindKeeper(now, workspace) == self_.address) {
-    return SeenPart(now) * PartAsKeeper(now, workspace);
+double owner_quota_policy::Share(time_point now, uint64_t subject) const {
+  if (FindOwner(now, subject) == self_.address) {
+    return SeenPart(now) * PartAsOwner(now, subject);
   }
-  const size_t askers =
-      std::max<size_t>(1, keeper_.CountAskers(now, workspace));
+  const size_t askers = std::max<size_t>(1, owner_.CountAskers(now, subject));
   return std::min(1.0, kStandInPart * static_cast<double>(askers) /
                            static_cast<double>(known_));
 }
 
-quota_ask kept_quota_policy::MakeAsk(time_point now,
-                                     const quota_request& item) const {
+quota_ask owner_quota_policy::MakeAsk(time_point now,
+                                      const quota_request& item) const {
   quota_ask ask{.from = self_.address,
                 .ticket = item.ticket,
-                .workspace = item.workspace,
+                .subject = item.subject,
                 .limit = item.limit,
                 .weight = item.weight,
                 .digest = item.digest,
                 .patience = item.patience,
                 .told = std::nullopt};
-  if (const auto told = told_.find(item.workspace); told != told_.end()) {
-    ask.told = quota_level{.keeper = told->second.keeper,
+  if (const auto told = told_.find(item.subject); told != told_.end()) {
+    ask.told = quota_level{.owner = told->second.owner,
                            .level = told->second.level,
                            .age = now - told->second.at};
   }
   return ask;
 }
 
-quota_ask kept_quota_policy::MakeReport(time_point now,
-                                        const quota_request& item,
-                                        double weight) const {
+quota_ask owner_quota_policy::MakeReport(time_point now,
+                                         const quota_request& item,
+                                         double weight) const {
   quota_ask report = MakeAsk(now, item);
   report.ticket = 0;
   report.weight = weight;
   return report;
 }
 
-void kept_quota_policy::Note(time_point now,
-                             uint64_t workspace,
-                             const quota_verdict& verdict) {
-  told_[workspace] = {
-      .keeper = verdict.keeper, .level = verdict.level, .at = now};
+void owner_quota_policy::Note(time_point now,
+                              uint64_t subject,
+                              const quota_verdict& verdict) {
+  told_[subject] = {.owner = verdict.owner, .level = verdict.level, .at = now};
 }
 
-void kept_quota_policy::DecideHere(time_point now, const quota_request& item) {
-  const double share = Share(now, item.workspace);
-  if (const auto taken = unreported_.extract(item.workspace)) {
-    keeper_.OnAsk(now, MakeReport(now, item, taken.mapped()), share);
+void owner_quota_policy::DecideHere(time_point now, const quota_request& item) {
+  const double share = Share(now, item.subject);
+  if (const auto taken = unreported_.extract(item.subject)) {
+    owner_.OnAsk(now, MakeReport(now, item, taken.mapped()), share);
   }
-  const quota_verdict verdict = keeper_.OnAsk(now, MakeAsk(now, item), share);
-  Note(now, item.workspace, verdict);
+  const quota_verdict verdict = owner_.OnAsk(now, MakeAsk(now, item), share);
+  Note(now, item.subject, verdict);
   decisions_.push_back({.ticket = item.ticket,
                         .is_admitted = verdict.is_admitted,
                         .retry_after = verdict.retry_after,
@@ -200,8 +197,9 @@
                         .share = verdict.share});
 }
 
-void kept_quota_policy::DecideAlone(time_point now, const quota_request& item) {
-  if (const auto found = told_.find(item.workspace); found != told_.end()) {
+void owner_quota_policy::DecideAlone(time_point now,
+                                     const quota_request& item) {
+  if (const auto found = told_.find(item.subject); found != told_.end()) {
     told_level& told = found->second;
     const bool is_recent = now - told.at <= kBeliefTime;
     if (is_recent && told.level >= item.limit.burst * kBelievedPart) {
@@ -212,7 +210,7 @@
                             .source = quota_source::kBelief,
                             .level = told.level,
                             .age = now - told.at});
-      unreported_[item.workspace] += item.weight;
+      unreported_[item.subject] += item.weight;
       return;
     }
   }
@@ -220,73 +218,72 @@
   for (const quota_decision& decided : own_part_.TakeDecisions()) {
     decisions_.push_back(decided);
     if (decided.is_admitted) {
-      unreported_[item.workspace] += item.weight;
+      unreported_[item.subject] += item.weight;
     }
   }
 }
 
-void kept_quota_policy::Send(time_point now, pending asked) {
-  const endpoint& keeper = FindKeeper(now, asked.item.workspace);
-  if (keeper == self_.address) {
+void owner_quota_policy::Send(time_point now, pending asked) {
+  const endpoint& owner = FindOwner(now, asked.item.subject);
+  if (owner == self_.address) {
     DecideHere(now, asked.item);
     return;
   }
-  asked.asked = keeper;
+  asked.asked = owner;
   asked.asked_at = now;
   ++asked.attempts;
   quota_ask ask = MakeAsk(now, asked.item);
   ask.is_final = asked.attempts > 1;
-  messages_.push_back({.to = keeper, .message = std::move(ask)});
+  messages_.push_back({.to = owner, .message = std::move(ask)});
   const uint64_t ticket = asked.item.ticket;
   pending_[ticket] = std::move(asked);
 }
 
-void kept_quota_policy::Admit(time_point now, const quota_request& item) {
+void owner_quota_policy::Admit(time_point now, const quota_request& item) {
   Send(now, {.item = item, .asked = {}});
 }
 
-void kept_quota_policy::Charge(time_point now, const quota_request& item) {
-  const endpoint& keeper = FindKeeper(now, item.workspace);
+void owner_quota_policy::Charge(time_point now, const quota_request& item) {
+  const endpoint& owner = FindOwner(now, item.subject);
   const quota_ask ask = MakeReport(now, item, item.weight);
-  if (keeper == self_.address) {
-    keeper_.OnAsk(now, ask, Share(now, item.workspace));
+  if (owner == self_.address) {
+    owner_.OnAsk(now, ask, Share(now, item.subject));
     return;
   }
-  messages_.push_back({.to = keeper, .message = ask});
+  messages_.push_back({.to = owner, .message = ask});
 }
 
-void kept_quota_policy::ReportTaken(time_point now,
-                                    const quota_request& item,
-                                    const endpoint& keeper) {
-  const auto found = unreported_.find(item.workspace);
+void owner_quota_policy::ReportTaken(time_point now,
+                                     const quota_request& item,
+                                     const endpoint& owner) {
+  const auto found = unreported_.find(item.subject);
   if (found == unreported_.end()) {
     return;
   }
   quota_ask ask = MakeReport(now, item, found->second);
   unreported_.erase(found);
   ask.is_final = true;
-  messages_.push_back({.to = keeper, .message = std::move(ask)});
+  messages_.push_back({.to = owner, .message = std::move(ask)});
 }
 
-void kept_quota_policy::OnAsk(time_point now, const quota_ask& ask) {
+void owner_quota_policy::OnAsk(time_point now, const quota_ask& ask) {
   if (!ask.is_final) {
-    if (const endpoint& keeper = FindKeeper(now, ask.workspace);
-        keeper != self_.address) {
+    if (const endpoint& owner = FindOwner(now, ask.subject);
+        owner != self_.address) {
       quota_ask handed_on = ask;
       handed_on.is_final = true;
-      messages_.push_back({.to = keeper, .message = std::move(handed_on)});
+      messages_.push_back({.to = owner, .message = std::move(handed_on)});
       return;
     }
   }
-  const quota_verdict verdict =
-      keeper_.OnAsk(now, ask, Share(now, ask.workspace));
+  const quota_verdict verdict = owner_.OnAsk(now, ask, Share(now, ask.subject));
   if (ask.ticket != 0) {
     messages_.push_back({.to = ask.from, .message = verdict});
   }
 }
 
-void kept_quota_policy::OnVerdict(time_point now,
-                                  const quota_verdict& verdict) {
+void owner_quota_policy::OnVerdict(time_point now,
+                                   const quota_verdict& verdict) {
   const auto found = pending_.find(verdict.ticket);
   if (found == pending_.end()) {
     // Its request was decided without it.
@@ -295,19 +292,19 @@
   const pending asked = std::move(found->second);
   pending_.erase(found);
   heard_at_[asked.asked] = now;
-  Note(now, asked.item.workspace, verdict);
+  Note(now, asked.item.subject, verdict);
   ReportTaken(now, asked.item, asked.asked);
   decisions_.push_back({.ticket = verdict.ticket,
                         .is_admitted = verdict.is_admitted,
                         .retry_after = verdict.retry_after,
-                        .source = quota_source::kKeeper,
+                        .source = quota_source::kOwner,
                         .level = verdict.level,
                         .age = now - asked.asked_at,
                         .share = verdict.share});
 }
 
-void kept_quota_policy::OnTick(time_point now) {
-  keeper_.OnTick(now);
+void owner_quota_policy::OnTick(time_point now) {
+  owner_.OnTick(now);
   own_part_.OnTick(now);
   std::erase_if(silent_until_,
                 [&](const auto& item) { return now >= item.second; });
--- a/lib/Admission/quota_policy.cc
+++ b/lib/Admission/quota_policy.cc
@@ -4,8 +4,8 @@
 
 std::string_view ToString(quota_source source) {
   switch (source) {
-    case quota_source::kKeeper:
-      return "keeper";
+    case quota_source::kOwner:
+      return "owner";
     case quota_source::kSelf:
       return "self";
     case quota_source::kBelief:
--- a/lib/Edge/arrival_translator.cc
+++ b/lib/Edge/arrival_translator.cc
@@ -66,7 +66,7 @@
   return arrival;
 }
 
-quota_desk::question DescribeQuotaQuestion(time_point now,
+quota_gate::question DescribeQuotaQuestion(time_point now,
                                            const request_flow& flow,
                                            const quota_plan& quota,
                                            request_arrived arrival) {
--- a/lib/Edge/edge_quotas.cc
+++ b/lib/Edge/edge_quotas.cc
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "cuminswitch/Admission/kept_quota_policy.h"
+#include "cuminswitch/Admission/owner_quota_policy.h"
 #include "cuminswitch/Edge/edge_task.h"
 #include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Fleet/boot_clock.h"
@@ -20,9 +20,9 @@
       living.push_back(item.peer_address);
     }
   }
-  has_gathered_ = now - started_at_ >= kept_quota_policy::kGatherTime;
+  has_gathered_ = now - started_at_ >= owner_quota_policy::kGatherTime;
   if (!has_gathered_ && knowledge_ != nullptr) {
-    // A daemon that knows itself alone would take itself for the keeper of
+    // A daemon that knows itself alone would take itself for the owner of
     // every quota, as all do that were killed together.
     for (const daemon_entry& item : knowledge_->daemons) {
       living.push_back(item.peer_address);
@@ -51,13 +51,13 @@
   for (quota_send& item : quotas_.policy().TakeMessages()) {
     services_.FindPort<fleet_message>(kFleetService).Post(std::move(item));
   }
-  for (quota_desk::decided_request& decided : quotas_.TakeDecided()) {
+  for (quota_gate::decided_request& decided : quotas_.TakeDecided()) {
     SettleQuota(now, std::move(decided));
   }
 }
 
 void edge_task::SettleQuota(time_point now,
-                            quota_desk::decided_request decided) {
+                            quota_gate::decided_request decided) {
   const request_id id = decided.arrival.request;
   request_flow* flow = FindFlow(id);
   if (flow == nullptr || flow->has_ended()) {
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -5,7 +5,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "cuminswitch/Admission/kept_quota_policy.h"
+#include "cuminswitch/Admission/owner_quota_policy.h"
 #include "cuminswitch/Edge/plan_translator.h"
 #include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Edge/router_settings.h"
@@ -39,7 +39,7 @@
       pool_(base),
       tick_timer_(base, [this] { OnTick(); }),
       stop_timer_(base, [this] { OnStopTick(); }),
-      quotas_(std::make_unique<kept_quota_policy>(kept_quota_policy::options{
+      quotas_(std::make_unique<owner_quota_policy>(owner_quota_policy::options{
           .self = opts.self.peer_address,
           .id = Hash64(opts.self.name, opts.self.incarnation)})),
       stop_(opts.grace),
--- a/lib/Edge/quota_desk.cc
+++ b/lib/Edge/quota_gate.cc
@@ -1,4 +1,4 @@
-#include "cuminswitch/Edge/quota_desk.h"
+#include "cuminswitch/Edge/quota_gate.h"
 
 #include <utility>
 
@@ -20,10 +20,10 @@
   return tokens == 0 ? quota.uncounted_tokens : static_cast<double>(tokens);
 }
 
-void quota_desk::Ask(time_point now, const question& asked) {
+void quota_gate::Ask(time_point now, const question& asked) {
   const request_arrived& arrival = asked.arrival;
   const quota_request item{.ticket = arrival.request,
-                           .workspace = Hash64(arrival.workspace),
+                           .subject = Hash64(arrival.workspace),
                            .limit = {.rate = asked.quota.rate,
                                      .burst = asked.quota.burst,
                                      .version = asked.version},
@@ -34,13 +34,13 @@
   policy_->Admit(now, item);
 }
 
-quota_counts& quota_desk::CountsOf(const std::string& workspace) {
+quota_counts& quota_gate::CountsOf(const std::string& workspace) {
   const bool has_place =
       counts_.contains(workspace) || counts_.size() < kMaxCounted;
   return counts_[has_place ? workspace : kOtherWorkspaces];
 }
 
-std::vector<quota_desk::decided_request> quota_desk::TakeDecided() {
+std::vector<quota_gate::decided_request> quota_gate::TakeDecided() {
   std::vector<decided_request> list;
   for (const quota_decision& decision : policy_->TakeDecisions()) {
     const auto found = waiting_.find(decision.ticket);
@@ -68,7 +68,7 @@
   return list;
 }
 
-void quota_desk::OnRuns(time_point now, request_id id, uint32_t runs) {
+void quota_gate::OnRuns(time_point now, request_id id, uint32_t runs) {
   const auto found = charged_.find(id);
   if (found == charged_.end()) {
     return;
@@ -80,7 +80,7 @@
   }
 }
 
-void quota_desk::OnEnd(time_point now, request_id id, uint32_t runs) {
+void quota_gate::OnEnd(time_point now, request_id id, uint32_t runs) {
   const auto found = charged_.find(id);
   if (found == charged_.end()) {
     return;
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -99,12 +99,12 @@
     type_ = fleet_wire::body_quota_ask;
     fleet_wire::quota_level told;
     if (ask.told) {
-      told = {ask.told->keeper, ask.told->level, ask.told->age.count()};
+      told = {ask.told->owner, ask.told->level, ask.told->age.count()};
     }
     return fleet_wire::Createquota_ask(
                out_, out_.CreateString(ask.from.ToString()), ask.ticket,
-               ask.workspace, ask.limit.rate, ask.limit.burst,
-               ask.limit.version, ask.weight, ask.digest, ask.patience.count(),
+               ask.subject, ask.limit.rate, ask.limit.burst, ask.limit.version,
+               ask.weight, ask.digest, ask.patience.count(),
                ask.told ? &told : nullptr, ask.is_final)
         .Union();
   }
@@ -112,7 +112,7 @@
   flatbuffers::Offset<void> operator()(const quota_verdict& verdict) {
     type_ = fleet_wire::body_quota_verdict;
     const fleet_wire::quota_verdict_body body(
-        verdict.ticket, verdict.retry_after.count(), verdict.keeper,
+        verdict.ticket, verdict.retry_after.count(), verdict.owner,
         verdict.level, verdict.share, verdict.is_admitted);
     return fleet_wire::Createquota_verdict(out_, &body).Union();
   }
@@ -265,7 +265,7 @@
   }
   quota_ask ask{.from = *from,
                 .ticket = wire.ticket(),
-                .workspace = wire.workspace(),
+                .subject = wire.subject(),
                 .limit = {.rate = wire.rate(),
                           .burst = wire.burst(),
                           .version = wire.version()},
@@ -278,7 +278,7 @@
     if (!AreFinite({told->level()}) || told->age_us() < 0) {
       return std::nullopt;
     }
-    ask.told = quota_level{.keeper = told->keeper(),
+    ask.told = quota_level{.owner = told->owner(),
                            .level = told->level(),
                            .age = duration(told->age_us())};
   }
@@ -294,7 +294,7 @@
   return quota_verdict{.ticket = body.ticket(),
                        .is_admitted = body.is_admitted(),
                        .retry_after = duration(body.retry_after_us()),
-                       .keeper = body.keeper(),
+                       .owner = body.owner(),
                        .level = body.level(),
                        .share = body.share()};
 }
--- a/unittests/Admission/quota_fleet.cc
+++ b/unittests/Admission/quota_fleet.cc
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "cuminswitch/Admission/even_quota_policy.h"
-#include "cuminswitch/Admission/kept_quota_policy.h"
+#include "cuminswitch/Admission/owner_quota_policy.h"
 
 namespace cuminswitch {
 
@@ -52,8 +52,8 @@
     item.policy =
         std::make_unique<even_quota_policy>(even_quota_policy::options{id});
   } else {
-    item.policy = std::make_unique<kept_quota_policy>(
-        kept_quota_policy::options{.self = item.address, .id = id});
+    item.policy = std::make_unique<owner_quota_policy>(
+        owner_quota_policy::options{.self = item.address, .id = id});
   }
   if (now_ == 0) {
     TellFleet(index);
@@ -159,7 +159,7 @@
   item.policy->Admit(
       ClockOf(item),
       {.ticket = ticket,
-       .workspace = 77,
+       .subject = 77,
        .limit = item.limit,
        .weight = request.weight,
        .digest = request.digest,
--- a/unittests/Admission/quota_fleet.h
+++ b/unittests/Admission/quota_fleet.h
@@ -16,7 +16,7 @@
 namespace cuminswitch {
 
 /// Which policy a fleet runs.
-enum class quota_way { kKept, kEven };
+enum class quota_way { kOwner, kEven };
 
 /// A fleet's daemons, the network between them, and the callers of one
 /// workspace. Daemons learn who lives late, messages take time and get lost,
@@ -25,7 +25,7 @@
  public:
   struct options {
     size_t daemons = 68;
-    quota_way way = quota_way::kKept;
+    quota_way way = quota_way::kOwner;
     uint64_t seed = 1;
     /// How long after a change a daemon knows it; spread over the fleet.
     double detection_seconds = 2.2;
--- a/unittests/Admission/quota_fleet_test.cc
+++ b/unittests/Admission/quota_fleet_test.cc
@@ -88,7 +88,7 @@
   }
 }
 
-// A keeper that dies must neither let its workspace go unserved nor let it
+// An owner that dies must neither let its workspace go unserved nor let it
 // begin anew with a whole burst.
 TEST_P(quota_fleet_sizes, DaemonsThatAreKilledCostLittle) {
   quota_fleet fleet({.daemons = GetParam()});
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -129,14 +129,14 @@
 quota_ask MakeAsk() {
   return {.from = {"10.0.0.1", 1},
           .ticket = 5,
-          .workspace = 6,
+          .subject = 6,
           .limit = {.rate = 100, .burst = 200, .version = 3},
           .weight = -9.5,
           .digest = 8,
           .patience = std::chrono::milliseconds(1'500),
           .is_final = true,
           .told = quota_level{
-              .keeper = 2, .level = -7, .age = std::chrono::milliseconds(40)}};
+              .owner = 2, .level = -7, .age = std::chrono::milliseconds(40)}};
 }
 
 TEST(peer_frame_test, AQuotaQuestionComesBack) {
@@ -158,7 +158,7 @@
   const quota_verdict verdict{.ticket = 5,
                               .is_admitted = true,
                               .retry_after = std::chrono::milliseconds(20),
-                              .keeper = 9,
+                              .owner = 9,
                               .level = -3,
                               .share = 0.5};
   const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(verdict)));
@@ -171,7 +171,7 @@
   EXPECT_EQ(back.share, 0.5);
 }
 
-// One number that is none would stay in a keeper's bucket for good.
+// One number that is none would stay in an owner's bucket for good.
 TEST(peer_frame_test, AQuotaQuestionWithoutSenseIsRefused) {
   quota_ask ask = MakeAsk();
   ask.weight = std::nan("");
