Keep to the limits that upstreams name, over the whole fleet

Callers saw nothing; an engine in need got 13 to 15 requests in 4 s where it takes 1.2 a second from all hosts (12 allowed), and 53 of 11 in the test.

Cause: the other side says what it can bear, and nobody read it.

Change: a request that is placed at an upstream with a limit is asked about first, at the daemon that owns the limit by rendezvous (1 to 3 ms, the same machinery as quotas). Turned away, it goes elsewhere at once and costs no repeat; with nowhere else to go it waits for the daemon's turn, or is refused at once, with the time, if that comes too late. Nothing is sent while no owner answers. Daemons tell one another on beats what upstreams told them, first hand only. Why it holds: one place decides for all, it starts with little, and who stands in for it gives out a quarter.

Ruled out: each daemon by itself (a multiple of the limit); an even part for each daemon, played in virtual time at 1 to 600 daemons and limits of 0.2 to 200 a second (benchmarks/limit_ways): it stays within, but at 68 daemons and one a second 0.45 of the limit is used, at 600 0.05, the owner's 1.02 and 1.02; one sender by rendezvous: a daemon that is no sender could serve nothing where all upstreams are limited (weighed, not built). Turns kept for daemons whose requests go elsewhere: 0.62 to 0.72 of a small limit used, so turns are kept only for those that wait.

Not mended by this: a daemon that has just started sends what it likes until it has heard of the limit from an upstream or a peer.

--- /dev/null
+++ b/benchmarks/limit_ways.cc
@@ -0,0 +1,92 @@
+// What the ways to keep within the limit that an upstream names let through, in
+// virtual time: the most in any 4 s against one and a half times the limit and
+// five requests, and how much of the limit is used. Prints a row for each way,
+// size, limit and load.
+#include <algorithm>
+#include <cstdio>
+#include <numeric>
+#include <vector>
+
+#include "cuminswitch/Admission/upstream_limits.h"
+#include "quota_fleet.h"
+
+namespace cuminswitch {
+namespace {
+
+constexpr double kWindow = 4;
+constexpr double kAllowedShare = 1.5;
+constexpr double kAllowedSlack = 5;
+constexpr double kSeconds = 40;
+
+struct played_case {
+  const char* name;
+  /// Requests that would go there, as a multiple of the limit.
+  double load = 5;
+  bool is_wave = false;
+  /// Requests have nowhere else to go.
+  bool waits = false;
+  double killed = 0;
+  double cut = 0;
+  double loss = 0;
+};
+
+constexpr played_case kCases[] = {
+    {.name = "5 times the limit"},
+    {.name = "nothing, then 50 times", .load = 50, .is_wave = true},
+    {.name = "0.9 of the limit, waiting", .load = 0.9, .waits = true},
+    {.name = "5 times, waiting", .waits = true},
+    {.name = "5 times, a fifth killed", .killed = 0.2},
+    {.name = "5 times, two fifths cut off", .cut = 0.4},
+    {.name = "5 times, 3 in 100 lost", .loss = 0.03},
+};
+
+void Play(quota_way way, size_t size, double rate, const played_case& item) {
+  quota_fleet fleet({.daemons = size,
+                     .way = way,
+                     .fallback = quota_fallback::kNothing,
+                     .loss = item.loss});
+  const quota_limit quota = QuotaOfLimit(rate);
+  fleet.SetLimit(quota.rate, quota.burst, 0);
+  fleet.At(12, [&] {
+    std::vector<size_t> herd(
+        static_cast<size_t>(item.killed * static_cast<double>(size)));
+    std::iota(herd.begin(), herd.end(), 0);
+    fleet.Kill(herd, 1);
+    fleet.Cut(static_cast<size_t>(item.cut * static_cast<double>(size)));
+  });
+  fleet.Run(kSeconds,
+            {.rate =
+                 [&](double now) {
+                   const bool is_quiet = item.is_wave && now < kSeconds / 2;
+                   return is_quiet ? 0 : item.load * rate;
+                 },
+             .choose = [&](double,
+                           std::mt19937_64& random) { return random() % size; },
+             .by_turns = true,
+             .waits = item.waits});
+  const double busy = item.is_wave ? kSeconds / 2 : kSeconds;
+  const double allowed = kAllowedShare * kWindow * rate + kAllowedSlack;
+  const double most = fleet.MostWithin(kWindow);
+  std::printf("%-5s %4zu %6.1f  %-28s %8.0f of %6.0f%s %8.2f %10zu\n",
+              way == quota_way::kOwner ? "owner" : "even", size, rate,
+              item.name, most, allowed, most > allowed ? "!" : " ",
+              fleet.admitted() / rate / busy, fleet.messages());
+}
+
+}  // namespace
+}  // namespace cuminswitch
+
+int main() {
+  std::printf(
+      "way  hosts  limit  load                         most in 4 s       used"
+      "   messages\n");
+  for (const size_t size : {1, 8, 68, 300, 600}) {
+    for (const double rate : {0.2, 1.0, 5.0, 200.0}) {
+      for (const cuminswitch::played_case& item : cuminswitch::kCases) {
+        cuminswitch::Play(cuminswitch::quota_way::kOwner, size, rate, item);
+        cuminswitch::Play(cuminswitch::quota_way::kEven, size, rate, item);
+      }
+    }
+  }
+  return 0;
+}
--- a/include/cuminswitch/Admission/owner_quota_policy.h
+++ b/include/cuminswitch/Admission/owner_quota_policy.h
@@ -14,6 +14,15 @@
 
 namespace cuminswitch {
 
+/// What is done where nobody can be asked.
+enum class quota_fallback : uint8_t {
+  /// The daemon gives out an even part of the limit.
+  kEvenPart,
+  /// Nothing is taken: where a limit is a few requests a second, the parts of
+  /// many daemons, of one request each at least, add up to many times of it.
+  kNothing,
+};
+
 /// Each subject has an owner, the first of the living daemons by rendezvous
 /// hashing, which all work out alike. It is asked about every request, which
 /// takes one round trip within the region, 1 to 3 ms. News that ride on beats
@@ -46,6 +55,9 @@
     endpoint self;
     /// Tells this start of the daemon from all others.
     uint64_t id = 0;
+    quota_kind kind = quota_kind::kWorkspace;
+    /// What becomes of a request while no owner answers.
+    quota_fallback fallback = quota_fallback::kEvenPart;
   };
 
   /// A daemon that has just started takes so long to hear of most others: beats
@@ -116,6 +128,8 @@
 
   candidate self_;
   quota_owner owner_;
+  quota_kind kind_;
+  quota_fallback fallback_;
   even_quota_policy own_part_;
   std::vector<candidate> candidates_;
   /// Those that lived until just now.
--- a/include/cuminswitch/Admission/quota_policy.h
+++ b/include/cuminswitch/Admission/quota_policy.h
@@ -22,6 +22,8 @@
   /// Hash of the subject's name.
   uint64_t subject = 0;
   quota_limit limit;
+  /// Since the limit was heard of, where that tells which one is newer.
+  duration limit_age{0};
   /// Units that it takes.
   double weight = 0;
   /// Of what it is; a repeat has the same one.
@@ -40,6 +42,8 @@
   kBelief,
   /// This daemon by its own part of the limit; no owner was reached.
   kOwnPart,
+  /// Nobody: no owner was reached.
+  kNobody,
 };
 
 std::string_view ToString(quota_source source);
--- a/include/cuminswitch/Admission/upstream_limits.h
+++ b/include/cuminswitch/Admission/upstream_limits.h
@@ -10,10 +10,15 @@
 #include <vector>
 
 #include "cuminswitch/Protocol/limit_notice.h"
+#include "cuminswitch/Protocol/quota_message.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
 
+/// The quota of all daemons at an upstream that takes \p rate requests a
+/// second.
+quota_limit QuotaOfLimit(double rate);
+
 /// Keeps which upstreams are in need and name, in their answers, the requests a
 /// second that they take from all daemons together.
 ///
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -22,6 +22,7 @@
 #include "cuminswitch/Core/core_status.h"
 #include "cuminswitch/Protocol/core_action.h"
 #include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Protocol/send_permit.h"
 #include "cuminswitch/Routing/copy_budget.h"
 #include "cuminswitch/Routing/placement_policy.h"
 #include "cuminswitch/Routing/placement_query.h"
@@ -100,15 +101,37 @@
 
   bool IsIdle() const { return requests_.empty(); }
   workspace_limiter& limiter() { return limiter_; }
+  /// Returns the requests that wait for leave to be sent to an upstream with a
+  /// limit, since the last call. Each gets an answer by `OnPermit`.
+  std::vector<permit_question> TakePermitQuestions() {
+    return std::exchange(permit_questions_, {});
+  }
+  /// Returns the permits that were granted and not used since the last call.
+  std::vector<permit_return> TakeUnusedPermits() {
+    return std::exchange(unused_permits_, {});
+  }
+  void OnPermit(time_point now, const permit_answer& answer, action_list& out);
+  /// Learns what an upstream's answer says of its limit.
+  upstream_limits::change OnLimit(time_point now,
+                                  uint64_t upstream,
+                                  time_point sent,
+                                  const limit_notice& notice);
+  /// Learns what a peer knows of an upstream's limit.
+  upstream_limits::change OnPeerLimit(time_point now, const limit_news& news);
+  /// Ends the limits that no answer has renewed for long; returns their
+  /// upstreams.
+  std::vector<uint64_t> ExpireLimits(time_point now);
+  /// An upstream has started again, and has no limit so far.
+  upstream_limits::change ForgetLimit(uint64_t upstream);
   /// The upstream whose name has \p hash; empty where none is known.
   std::string_view FindUpstreamName(uint64_t hash) const;
   /// What upstreams say of the rate that they take.
-  upstream_limits& limits() { return limits_; }
+  const upstream_limits& limits() const { return limits_; }
   core_counters& counters() { return counters_; }
   void FillStatus(core_status& status) const;
 
  private:
-  enum class stage : uint8_t { kStarting, kWaiting, kRunning };
+  enum class stage : uint8_t { kStarting, kWaiting, kAsking, kRunning };
 
   struct attempt {
     attempt_id id = 0;
@@ -155,6 +178,8 @@
     uint32_t arrivals = 0;
     uint32_t runs = 0;
     std::optional<attempt> running;
+    /// Where it goes if that is granted, while it is asked for.
+    placement asked;
   };
 
   /// Why a request ends without an upstream's answer.
@@ -198,6 +223,21 @@
                   const placement& chosen,
                   double ahead,
                   action_list& out);
+  /// Sends the request to the replica \p chosen, or asks first whether that
+  /// takes it now.
+  void SendOrAsk(time_point now,
+                 request& item,
+                 const placement& chosen,
+                 const eligible_replicas& eligible,
+                 action_list& out);
+  /// Refuses the request if limits of upstreams keep it waiting beyond its
+  /// time.
+  bool RefuseIfLimited(time_point now,
+                       const request& item,
+                       const placement& chosen,
+                       action_list& out);
+  /// What is known of an upstream's limit changed.
+  void NoteLimitChange(uint64_t upstream, upstream_limits::change what);
   void Dispatch(time_point now,
                 request& item,
                 const placement& chosen,
@@ -257,6 +297,8 @@
   wait_queue queue_;
   workspace_limiter limiter_;
   upstream_limits limits_;
+  std::vector<permit_question> permit_questions_;
+  std::vector<permit_return> unused_permits_;
   std::map<std::string, retry_budget, std::less<>> retries_;
   /// The largest fleet seen; the part of a daemon that is away may be spent.
   size_t largest_fleet_ = 1;
--- a/include/cuminswitch/Edge/edge_metrics.h
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "cuminswitch/Core/core_status.h"
+#include "cuminswitch/Edge/limit_gate.h"
 #include "cuminswitch/Edge/quota_gate.h"
 #include "cuminswitch/Metrics/latency_histogram.h"
 #include "cuminswitch/Support/outcome.h"
@@ -31,6 +32,7 @@
   struct sources {
     const core_status& status;
     const std::map<std::string, quota_counts>& quotas;
+    const limit_gate::counts& limits;
     uint64_t log_lines_dropped = 0;
     uint64_t upstream_connections = 0;
     size_t unreadable_upstreams = 0;
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -14,6 +14,7 @@
 #include "cuminswitch/Edge/edge_metrics.h"
 #include "cuminswitch/Edge/edge_protocol.h"
 #include "cuminswitch/Edge/graceful_stop.h"
+#include "cuminswitch/Edge/limit_gate.h"
 #include "cuminswitch/Edge/quota_gate.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Fleet/fleet_message.h"
@@ -97,6 +98,7 @@
   void Take(const peers_changed& news);
   void Take(const weights_changing& news);
   void Take(const peer_placements& news);
+  void Take(const peer_limits& news);
   void Take(const quota_ask& ask);
   void Take(const quota_verdict& verdict);
   /// Lets the peers know what this daemon's requests wait for.
@@ -125,6 +127,13 @@
                 uint64_t upstream,
                 std::string_view source);
   void ForgetLimit(const std::string& upstream);
+  /// Asks about the requests that wait for an upstream with a limit, and
+  /// carries out what is decided.
+  void SettleLimits(time_point now);
+  void TakeLimitAsk(time_point now, quota_ask ask);
+  void SettleLimit(time_point now, const limit_gate::decided_question& decided);
+  /// Lets the peers know what upstreams told this daemon.
+  void TellLimits(time_point now);
   /// Ends the limits that no answer has renewed for long.
   void ExpireLimits(time_point now);
   /// Tells the log when engines begin to be kept for short prompts, or cease.
@@ -152,6 +161,8 @@
   std::unordered_map<request_id, std::unique_ptr<request_flow>> flows_;
   request_id next_request_ = 0;
   quota_gate quotas_;
+  limit_gate limits_;
+  bool told_limits_ = false;
   edge_metrics metrics_;
   graceful_stop stop_;
   time_point started_at_;
--- /dev/null
+++ b/include/cuminswitch/Edge/limit_gate.h
@@ -0,0 +1,63 @@
+/// \file
+/// Where requests wait to hear whether an upstream with a limit takes them.
+#ifndef CUMINSWITCH_EDGE_LIMIT_GATE_H_
+#define CUMINSWITCH_EDGE_LIMIT_GATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "cuminswitch/Admission/quota_policy.h"
+#include "cuminswitch/Protocol/send_permit.h"
+
+namespace cuminswitch {
+
+/// Asks the owners of upstreams' limits about requests. A limit is a quota of
+/// all daemons together at one upstream, counted in requests.
+///
+/// Owners keep turns for daemons, not for requests: one that was turned away
+/// and has requests that can go nowhere else is told when it may come again,
+/// with whatever request is then first.
+class limit_gate {
+ public:
+  /// An answer, and what decided it.
+  struct decided_question {
+    permit_question question;
+    quota_decision decision;
+
+    permit_answer Answer() const;
+  };
+  /// Since the daemon's start.
+  struct counts {
+    uint64_t granted = 0;
+    /// Sent elsewhere, or told to wait.
+    uint64_t turned_away = 0;
+    uint64_t unused = 0;
+  };
+
+  /// \p turn names this daemon at the owners.
+  limit_gate(std::unique_ptr<quota_policy> policy, uint64_t turn)
+      : policy_(std::move(policy)), turn_(turn) {}
+
+  quota_policy& policy() { return *policy_; }
+  void Ask(time_point now, const permit_question& question);
+  /// A granted request was not sent.
+  void Return(time_point now, const permit_return& unused);
+  /// Returns what was decided since the last call.
+  std::vector<decided_question> TakeDecided();
+  const counts& totals() const { return totals_; }
+
+ private:
+  quota_request MakeRequest(uint64_t upstream, double rate) const;
+
+  std::unique_ptr<quota_policy> policy_;
+  uint64_t turn_;
+  uint64_t next_ticket_ = 0;
+  std::unordered_map<uint64_t, permit_question> waiting_;
+  counts totals_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_EDGE_LIMIT_GATE_H_
--- a/include/cuminswitch/Edge/request_log.h
+++ b/include/cuminswitch/Edge/request_log.h
@@ -4,8 +4,10 @@
 #define CUMINSWITCH_EDGE_REQUEST_LOG_H_
 
 #include <cstdint>
+#include <string_view>
 
 #include "cuminswitch/Edge/attempt_verdict.h"
+#include "cuminswitch/Edge/limit_gate.h"
 #include "cuminswitch/Log/event_log.h"
 #include "cuminswitch/Support/time.h"
 
@@ -36,6 +38,12 @@
                               const quota_request& item,
                               const quota_decision& decision);
 
+/// Whether an upstream that names a limit takes a request now, and what that
+/// was decided from.
+log_line DescribePermit(const request_flow& flow,
+                        std::string_view upstream,
+                        const limit_gate::decided_question& decided);
+
 }  // namespace cuminswitch
 
 #endif  // CUMINSWITCH_EDGE_REQUEST_LOG_H_
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -10,6 +10,8 @@
 
 #include "cuminswitch/Fleet/fleet_knowledge.h"
 #include "cuminswitch/Fleet/peer_frame.h"
+#include "cuminswitch/Protocol/limit_notice.h"
+#include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
 
@@ -26,9 +28,16 @@
   std::vector<placed_prefix> prefixes;
   prompt_mix mix;
 };
+/// What upstreams told this daemon of the rate that they take.
+struct own_limits {
+  std::vector<limit_news> limits;
+  /// As of when their ages are.
+  time_point at{};
+};
 using fleet_message = std::variant<fleet_stop_requested,
                                    readiness_changed,
                                    own_placements,
+                                   own_limits,
                                    quota_send>;
 
 /// What is known of the deployment changed.
@@ -45,6 +54,11 @@
   /// Within this time of a change all know of it.
   duration notice_time{0};
 };
+/// What upstreams told a peer of the rate that they take.
+struct peer_limits {
+  std::string peer;
+  std::vector<limit_news> limits;
+};
 /// The upstreams whose weights are being changed just now.
 struct weights_changing {
   std::vector<std::string> upstreams;
@@ -53,6 +67,7 @@
                                 peers_changed,
                                 weights_changing,
                                 peer_placements,
+                                peer_limits,
                                 quota_ask,
                                 quota_verdict>;
 
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -14,6 +14,7 @@
 
 #include "cuminswitch/Fleet/item_view.h"
 #include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Protocol/limit_notice.h"
 #include "cuminswitch/Protocol/quota_message.h"
 #include "cuminswitch/Support/endpoint.h"
 
@@ -54,6 +55,8 @@
   std::vector<placed_prefix> prefixes;
   /// The sender's traffic of late.
   prompt_mix mix;
+  /// What upstreams told the sender of the rate that they take.
+  std::vector<limit_news> limits;
 };
 
 /// Asks for what changed after a revision.
--- a/include/cuminswitch/Protocol/quota_message.h
+++ b/include/cuminswitch/Protocol/quota_message.h
@@ -14,6 +14,14 @@
 
 namespace cuminswitch {
 
+/// What a quota is about.
+enum class quota_kind : uint8_t {
+  /// What a workspace may use.
+  kWorkspace,
+  /// What an upstream in need takes.
+  kUpstream,
+};
+
 /// What a subject may use over the whole fleet, in units of its quota.
 struct quota_limit {
   /// Units a second; 0 for no limit.
@@ -43,9 +51,12 @@
   /// Names the question at its sender; 0 where no answer is wanted, because
   /// the use is only reported.
   uint64_t ticket = 0;
+  quota_kind kind = quota_kind::kWorkspace;
   /// Hash of the subject's name.
   uint64_t subject = 0;
   quota_limit limit;
+  /// Since the limit was heard of, where that tells which one is newer.
+  duration limit_age{0};
   /// Units that the request takes; below 0 where they are given back.
   double weight = 0;
   /// Of what the request is, so that its repeat is known for it.
@@ -61,6 +72,7 @@
 
 /// Answers a `quota_ask`.
 struct quota_verdict {
+  quota_kind kind = quota_kind::kWorkspace;
   uint64_t ticket = 0;
   bool is_admitted = false;
   /// When a refused request can be taken.
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -64,6 +64,10 @@
   double answer_seconds = 0.3;
   /// Requests that wait in this daemon for room here.
   uint32_t queued_here = 0;
+  /// It names a limit, and this daemon's next turn comes no earlier.
+  time_point limited_until{};
+  /// Between two of this daemon's turns there.
+  duration limit_turn{0};
   /// No attempt goes there before this.
   time_point ejected_until{};
   uint32_t failures_in_row = 0;
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -88,6 +88,11 @@
   /// Lists what this daemon's requests wait for.
   std::vector<upstream_backlog> ListBacklogs() const;
   void SetChanging(const upstream_changing& event);
+  /// The replica takes this daemon's next request in \p wait, because of its
+  /// limit.
+  void SetLimited(time_point now, replica_index index, duration wait);
+  /// The replica's limit is another one or has ended.
+  void ClearLimited(replica_index index);
   /// Returns the version of \p target's weights at the replica, or nothing
   /// for a service.
   std::string VersionAt(replica_index index, std::string_view target) const;
@@ -164,7 +169,7 @@
   double EstimateWaiting(time_point now, replica_index index) const;
   /// Seconds until a replica without room has some for one more request,
   /// behind those that wait for it already.
-  double EstimateRoomSeconds(replica_index index) const;
+  double EstimateRoomSeconds(time_point now, replica_index index) const;
   /// Counts the requests that wait for each replica anew.
   void ClearQueued();
   void CountQueued(replica_index index) { ++replicas_[index].queued_here; }
--- a/lib/Admission/owner_quota_policy.cc
+++ b/lib/Admission/owner_quota_policy.cc
@@ -41,6 +41,8 @@
 owner_quota_policy::owner_quota_policy(const options& opts)
     : self_({.address = opts.self, .hash = HashOf(opts.self)}),
       owner_(opts.id),
+      kind_(opts.kind),
+      fallback_(opts.fallback),
       own_part_({.seed = opts.id}) {
   candidates_.push_back(self_);
 }
@@ -153,8 +155,10 @@
                                       const quota_request& item) const {
   quota_ask ask{.from = self_.address,
                 .ticket = item.ticket,
+                .kind = kind_,
                 .subject = item.subject,
                 .limit = item.limit,
+                .limit_age = item.limit_age,
                 .weight = item.weight,
                 .digest = item.digest,
                 .patience = item.patience,
@@ -199,6 +203,13 @@
 
 void owner_quota_policy::DecideAlone(time_point now,
                                      const quota_request& item) {
+  if (fallback_ == quota_fallback::kNothing) {
+    decisions_.push_back({.ticket = item.ticket,
+                          .is_admitted = false,
+                          .retry_after = kSilentTime,
+                          .source = quota_source::kNobody});
+    return;
+  }
   if (const auto found = told_.find(item.subject); found != told_.end()) {
     told_level& told = found->second;
     const bool is_recent = now - told.at <= kBeliefTime;
--- a/lib/Admission/quota_owner.cc
+++ b/lib/Admission/quota_owner.cc
@@ -52,7 +52,8 @@
     bucket.LowerTo(now, ask.told->level + quota.limit.rate * share *
                                               ToSeconds(ask.told->age));
   }
-  quota_verdict verdict{.ticket = ask.ticket, .owner = id_, .share = share};
+  quota_verdict verdict{
+      .kind = ask.kind, .ticket = ask.ticket, .owner = id_, .share = share};
   if (ask.ticket == 0) {
     bucket.Charge(now, ask.weight);
     verdict.is_admitted = true;
--- a/lib/Admission/quota_policy.cc
+++ b/lib/Admission/quota_policy.cc
@@ -12,6 +12,8 @@
       return "belief";
     case quota_source::kOwnPart:
       return "own_part";
+    case quota_source::kNobody:
+      return "nobody";
   }
   return "unknown";
 }
--- a/lib/Admission/upstream_limits.cc
+++ b/lib/Admission/upstream_limits.cc
@@ -18,6 +18,16 @@
 /// Bounds what is told in one message; the rest follows as it changes.
 static constexpr size_t kMaxNews = 64;
 
+/// Of the rate, what may be taken at once beyond it: a request, and a quarter
+/// of a second's worth, so that what is not asked for in one moment can be used
+/// in the next. More would come at once after a pause, to an upstream in need.
+static constexpr double kBurstRequests = 1;
+static constexpr double kBurstSeconds = 0.25;
+
+quota_limit QuotaOfLimit(double rate) {
+  return {.rate = rate, .burst = kBurstRequests + kBurstSeconds * rate};
+}
+
 upstream_limits::change upstream_limits::Name(time_point now,
                                               const statement& told,
                                               double rate) {
--- a/lib/Core/request_refusals.cc
+++ b/lib/Core/request_refusals.cc
@@ -48,7 +48,7 @@
     return false;
   }
   const double room =
-      chosen.must_wait ? replicas_.EstimateRoomSeconds(chosen.index) : 0;
+      chosen.must_wait ? replicas_.EstimateRoomSeconds(now, chosen.index) : 0;
   const double computing =
       (item.info.prompt_tokens - chosen.expected_cached_tokens) /
       replicas_[chosen.index].prefill_rate;
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -267,10 +267,13 @@
     return false;
   }
   if (chosen.must_wait) {
+    if (RefuseIfLimited(now, item, chosen, out)) {
+      return true;
+    }
     replicas_.CountQueued(chosen.index);
     return false;
   }
-  Dispatch(now, item, chosen, eligible.indices, out);
+  SendOrAsk(now, item, chosen, eligible, out);
   return true;
 }
 
--- a/lib/Edge/edge_limits.cc
+++ b/lib/Edge/edge_limits.cc
@@ -1,6 +1,11 @@
 // How the edge learns of the limits that upstreams name.
+#include <utility>
+#include <vector>
+
 #include "cuminswitch/Edge/edge_task.h"
+#include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
 #include "cuminswitch/Support/hash.h"
 
@@ -34,8 +39,8 @@
     return;
   }
   const uint64_t upstream = Hash64(flow.upstream());
-  LogLimit(router_.limits().OnAnswer(now, upstream, flow.sent_at(), notice),
-           upstream, kFromAnswer);
+  LogLimit(router_.OnLimit(now, upstream, flow.sent_at(), notice), upstream,
+           kFromAnswer);
 }
 
 void edge_task::LogLimit(upstream_limits::change what,
@@ -56,13 +61,74 @@
   with_.log.Write(log_class::kBelief, line);
 }
 
+void edge_task::Take(const peer_limits& news) {
+  const time_point now = ReadBootClock();
+  for (const limit_news& item : news.limits) {
+    LogLimit(router_.OnPeerLimit(now, item), item.upstream, news.peer);
+  }
+}
+
+void edge_task::TellLimits(time_point now) {
+  std::vector<limit_news> news = router_.limits().ListNews(now);
+  // Once more when there are none left, so that no old ones are told.
+  if (!news.empty() || told_limits_) {
+    told_limits_ = !news.empty();
+    services_.FindPort<fleet_message>(kFleetService)
+        .Post(own_limits{.limits = std::move(news), .at = now});
+  }
+}
+
+void edge_task::TakeLimitAsk(time_point now, quota_ask ask) {
+  // Of the two, the younger news counts: a daemon that has not heard yet that a
+  // limit was lowered would raise it for all.
+  LogLimit(router_.OnPeerLimit(now, {.upstream = ask.subject,
+                                     .rate = ask.limit.rate,
+                                     .age = ask.limit_age}),
+           ask.subject, ask.from.ToString());
+  if (const auto rate = router_.limits().Find(ask.subject)) {
+    ask.limit = QuotaOfLimit(*rate);
+  }
+  limits_.policy().OnAsk(now, ask);
+  SettleLimits(now);
+}
+
+void edge_task::SettleLimits(time_point now) {
+  for (const permit_return& unused : router_.TakeUnusedPermits()) {
+    limits_.Return(now, unused);
+  }
+  for (const permit_question& question : router_.TakePermitQuestions()) {
+    limits_.Ask(now, question);
+  }
+  for (quota_send& item : limits_.policy().TakeMessages()) {
+    services_.FindPort<fleet_message>(kFleetService).Post(std::move(item));
+  }
+  for (const limit_gate::decided_question& decided : limits_.TakeDecided()) {
+    SettleLimit(now, decided);
+  }
+}
+
+void edge_task::SettleLimit(time_point now,
+                            const limit_gate::decided_question& decided) {
+  const request_flow* flow = FindFlow(decided.question.request);
+  if (flow != nullptr) {
+    with_.log.Write(
+        log_class::kRequest,
+        DescribePermit(*flow,
+                       router_.FindUpstreamName(decided.question.upstream),
+                       decided));
+  }
+  action_list actions;
+  router_.OnPermit(now, decided.Answer(), actions);
+  Perform(now, actions);
+}
+
 void edge_task::ForgetLimit(const std::string& upstream) {
   const uint64_t hash = Hash64(upstream);
-  LogLimit(router_.limits().Forget(hash), hash, kFromRestart);
+  LogLimit(router_.ForgetLimit(hash), hash, kFromRestart);
 }
 
 void edge_task::ExpireLimits(time_point now) {
-  for (const uint64_t upstream : router_.limits().TakeExpired(now)) {
+  for (const uint64_t upstream : router_.ExpireLimits(now)) {
     LogLimit(upstream_limits::change::kEnded, upstream, kFromAge);
   }
 }
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -121,6 +121,12 @@
       page.Add(*item.rate_limit, "upstream=\"" + item.name + "\"");
     }
   }
+  page.Begin("cuminswitch_limit_decisions_total", "counter",
+             "Requests for upstreams that name a limit, by what was decided.");
+  page.Add(static_cast<double>(from.limits.granted), "decision=\"granted\"");
+  page.Add(static_cast<double>(from.limits.turned_away),
+           "decision=\"turned_away\"");
+  page.Add(static_cast<double>(from.limits.unused), "decision=\"unused\"");
   WriteQuotas(page, from.quotas);
   page.Begin("cuminswitch_engines_kept_share", "gauge",
              "Part of the engines that is kept for short prompts.");
--- a/lib/Edge/edge_quotas.cc
+++ b/lib/Edge/edge_quotas.cc
@@ -30,19 +30,29 @@
     std::sort(living.begin(), living.end());
     living.erase(std::unique(living.begin(), living.end()), living.end());
   }
-  quotas_.policy().SetFleet(
-      now,
-      {.living = living, .known = maybe_at_work_, .notice_time = notice_time_});
+  const quota_fleet_view fleet{
+      .living = living, .known = maybe_at_work_, .notice_time = notice_time_};
+  quotas_.policy().SetFleet(now, fleet);
+  limits_.policy().SetFleet(now, fleet);
 }
 
 void edge_task::Take(const quota_ask& ask) {
   const time_point now = ReadBootClock();
+  if (ask.kind == quota_kind::kUpstream) {
+    TakeLimitAsk(now, ask);
+    return;
+  }
   quotas_.policy().OnAsk(now, ask);
   SettleQuotas(now);
 }
 
 void edge_task::Take(const quota_verdict& verdict) {
   const time_point now = ReadBootClock();
+  if (verdict.kind == quota_kind::kUpstream) {
+    limits_.policy().OnVerdict(now, verdict);
+    SettleLimits(now);
+    return;
+  }
   quotas_.policy().OnVerdict(now, verdict);
   SettleQuotas(now);
 }
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -42,6 +42,12 @@
       quotas_(std::make_unique<owner_quota_policy>(owner_quota_policy::options{
           .self = opts.self.peer_address,
           .id = Hash64(opts.self.name, opts.self.incarnation)})),
+      limits_(std::make_unique<owner_quota_policy>(owner_quota_policy::options{
+                  .self = opts.self.peer_address,
+                  .id = Hash64(opts.self.name, opts.self.incarnation),
+                  .kind = quota_kind::kUpstream,
+                  .fallback = quota_fallback::kNothing}),
+              Hash64(opts.self.name)),
       stop_(opts.grace),
       started_at_(ReadBootClock()) {}
 
@@ -94,6 +100,7 @@
   return metrics_.Write(
       {.status = status,
        .quotas = quotas_.counts(),
+       .limits = limits_.totals(),
        .log_lines_dropped = with_.log.dropped_count(),
        .upstream_connections = pool_.opened_count(),
        .unreadable_upstreams = knowledge_ == nullptr
@@ -228,6 +235,7 @@
       }
     }
   }
+  SettleLimits(now);
 }
 
 void edge_task::CancelAttempt(attempt_id attempt) {
@@ -329,6 +337,9 @@
   }
   quotas_.policy().OnTick(now);
   SettleQuotas(now);
+  limits_.policy().OnTick(now);
+  SettleLimits(now);
+  TellLimits(now);
   TellPlacements();
   LogKeptEngines();
   ExpireLimits(now);
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -80,6 +80,10 @@
     placement_news_.Add(own->prefixes);
     return;
   }
+  if (auto* limits = std::get_if<own_limits>(&message)) {
+    own_limits_ = std::move(*limits);
+    return;
+  }
   if (const auto* quota = std::get_if<quota_send>(&message)) {
     std::visit(
         [&](const auto& item) {
@@ -134,6 +138,10 @@
                             .mix = beat.mix,
                             .backlogs = beat.backlogs,
                             .prefixes = beat.prefixes});
+  if (!beat.limits.empty()) {
+    services_.FindPort<fleet_news>(kEdgeService)
+        .Post(peer_limits{.peer = beat.sender.name, .limits = beat.limits});
+  }
   if (is_news) {
     PublishPeers(now);
   }
@@ -174,7 +182,11 @@
                   .changing = {},
                   .backlogs = own_backlogs_,
                   .prefixes = placement_news_.TakeFor(to),
-                  .mix = own_mix_};
+                  .mix = own_mix_,
+                  .limits = own_limits_.limits};
+  for (limit_news& item : beat.limits) {
+    item.age += now - own_limits_.at;
+  }
   for (const daemon_record& item : roster_.ListLiving(now)) {
     // A few of them, others each time.
     if (beat.heard.size() < kHeardPerBeat &&
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -55,6 +55,11 @@
                             static_cast<uint32_t>(item.incarnation),
                             item.saved_weights);
     }
+    std::vector<fleet_wire::limit> limits;
+    for (const limit_news& item : frame.limits) {
+      limits.emplace_back(item.upstream, item.rate, item.age.count(),
+                          item.has_ended);
+    }
     const fleet_wire::prompt_mix mix(
         static_cast<float>(frame.mix.requests),
         static_cast<float>(frame.mix.prompt_tokens),
@@ -72,7 +77,8 @@
                sender.revision, out_.CreateVectorOfStrings(heard),
                out_.CreateVectorOfStrings(frame.changing),
                out_.CreateVectorOfStructs(loads),
-               out_.CreateVectorOfStructs(prefixes), sender.link_rate, &mix)
+               out_.CreateVectorOfStructs(prefixes), sender.link_rate, &mix,
+               out_.CreateVectorOfStructs(limits))
         .Union();
   }
 
@@ -105,7 +111,8 @@
                out_, out_.CreateString(ask.from.ToString()), ask.ticket,
                ask.subject, ask.limit.rate, ask.limit.burst, ask.limit.version,
                ask.weight, ask.digest, ask.patience.count(),
-               ask.told ? &told : nullptr, ask.is_final)
+               ask.told ? &told : nullptr, ask.is_final,
+               ask.kind == quota_kind::kUpstream, ask.limit_age.count())
         .Union();
   }
 
@@ -114,7 +121,9 @@
     const fleet_wire::quota_verdict_body body(
         verdict.ticket, verdict.retry_after.count(), verdict.owner,
         verdict.level, verdict.share, verdict.is_admitted);
-    return fleet_wire::Createquota_verdict(out_, &body).Union();
+    return fleet_wire::Createquota_verdict(
+               out_, &body, verdict.kind == quota_kind::kUpstream)
+        .Union();
   }
 
  private:
@@ -198,6 +207,18 @@
                  .seconds = mix->seconds(),
                  .keeps_engines = mix->keeps_engines()};
   }
+  if (wire.limits() != nullptr) {
+    for (const fleet_wire::limit* item : *wire.limits()) {
+      if (!AreFinite({item->rate()}) || item->rate() < 0 ||
+          item->age_us() < 0) {
+        return std::nullopt;
+      }
+      frame.limits.push_back({.upstream = item->upstream(),
+                              .rate = item->rate(),
+                              .has_ended = item->has_ended(),
+                              .age = duration(item->age_us())});
+    }
+  }
   for (const std::string& text : ReadTexts(wire.heard())) {
     if (const auto address = ParseEndpoint(text)) {
       frame.heard.push_back(*address);
@@ -259,16 +280,20 @@
     const fleet_wire::quota_ask& wire) {
   const auto from = ParseEndpoint(wire.from()->string_view());
   const bool is_sound = AreFinite({wire.rate(), wire.burst(), wire.weight()}) &&
-                        wire.rate() > 0 && wire.burst() >= 0;
+                        wire.rate() > 0 && wire.burst() >= 0 &&
+                        wire.limit_age_us() >= 0;
   if (!from || !is_sound) {
     return std::nullopt;
   }
   quota_ask ask{.from = *from,
                 .ticket = wire.ticket(),
+                .kind = wire.is_upstream() ? quota_kind::kUpstream
+                                           : quota_kind::kWorkspace,
                 .subject = wire.subject(),
                 .limit = {.rate = wire.rate(),
                           .burst = wire.burst(),
                           .version = wire.version()},
+                .limit_age = duration(wire.limit_age_us()),
                 .weight = wire.weight(),
                 .digest = wire.digest(),
                 .patience = duration(wire.patience_us()),
@@ -291,7 +316,9 @@
   if (!AreFinite({body.level(), body.share()}) || body.retry_after_us() < 0) {
     return std::nullopt;
   }
-  return quota_verdict{.ticket = body.ticket(),
+  return quota_verdict{.kind = wire.is_upstream() ? quota_kind::kUpstream
+                                                  : quota_kind::kWorkspace,
+                       .ticket = body.ticket(),
                        .is_admitted = body.is_admitted(),
                        .retry_after = duration(body.retry_after_us()),
                        .owner = body.owner(),
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -221,7 +221,7 @@
       cost += query.penalty_seconds[i];
     }
     if (!query.has_room[i]) {
-      cost += query.replicas.EstimateRoomSeconds(index);
+      cost += query.replicas.EstimateRoomSeconds(query.now, index);
     }
     if (cost < best_cost) {
       best_cost = cost;
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -106,6 +106,9 @@
 }
 
 bool replica_table::HasRoom(time_point now, const replica& item) {
+  if (now < item.limited_until) {
+    return false;
+  }
   const double age = ToSeconds(now - item.warm_since);
   const double ramp = std::min(
       1.0, kSlowStartShare + (1 - kSlowStartShare) * age / kSlowStartSeconds);
@@ -173,14 +176,22 @@
   return (item.pending_tokens + others) / item.prefill_rate;
 }
 
-double replica_table::EstimateRoomSeconds(replica_index index) const {
+double replica_table::EstimateRoomSeconds(time_point now,
+                                          replica_index index) const {
   const replica& item = replicas_[index];
   // Room comes as fast as requests are computed or as answers end, whichever
   // is slower. Time that requests wait in the engine is not part of it: with
   // it a busy home looked worse the busier all were, and was passed over.
   const double computing = item.computed_per_request / item.prefill_rate;
   const double answering = item.answer_seconds / std::max(1.0, item.limit);
-  return (item.queued_here + 1) * std::max(computing, answering);
+  const double room = (item.queued_here + 1) * std::max(computing, answering);
+  if (now >= item.limited_until) {
+    return room;
+  }
+  // At an upstream that names a limit, room comes with this daemon's turns.
+  const double turns = ToSeconds(item.limited_until - now) +
+                       item.queued_here * ToSeconds(item.limit_turn);
+  return std::max(room, turns);
 }
 
 }  // namespace cuminswitch
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -206,6 +206,18 @@
   }
 }
 
+void replica_table::SetLimited(time_point now,
+                               replica_index index,
+                               duration wait) {
+  replicas_[index].limited_until = now + wait;
+  replicas_[index].limit_turn = wait;
+}
+
+void replica_table::ClearLimited(replica_index index) {
+  replicas_[index].limited_until = {};
+  replicas_[index].limit_turn = duration(0);
+}
+
 void replica_table::OnEnd(replica_index index) {
   replica& item = replicas_[index];
   assert(item.in_flight > 0 && "an attempt ended twice");
--- a/test/process/platform_limit.sh
+++ b/test/process/platform_limit.sh
@@ -5,6 +5,10 @@
 # Sequence: three daemons share two engines; the one that has the prompts' shared
 # prefix, and so gets nearly all of them, names one request a second; callers go on
 # as before.
+# Cause: no daemon read the limit, and each placed by its own view; arrivals at such
+# engines were the same before and after they named a limit, over all daemons, and
+# grew where a daemon's callers moved to others. Even with the limit read, daemons
+# that keep to it each by itself send it as many times as there are daemons.
 source "$(dirname "$0")/platform.sh"
 start_platform 3
 
@@ -35,20 +39,37 @@
 home=e1
 (($(runs_at e2) > $(runs_at e1))) && home=e2
 name_limit $home 1
-before=$(runs_at $home)
 ask_many 10 limited
 grep -q "^over_limit" "$WORK/$home.log" &&
   fail "more than it takes: $(grep "^over_limit" "$WORK/$home.log" | tail -1)"
-# What it takes, it gets; the other engine gets the rest.
-(($(runs_at $home) - before >= 6)) ||
-  fail "$(($(runs_at $home) - before)) requests in 10 s at a limit of 1"
-
-# Without the limit the requests come back to their prefix.
+# The limit ends, by an answer without it or because none renews it; then the other
+# engine names one, and nothing is left of the first.
 name_limit $home none
-before=$(runs_at $home)
-ask_many 4 after
+ask_many 4 between
 for index in 0 1 2; do
-  wait_for 5 ends_limit "$index"
+  wait_for 15 ends_limit "$index"
 done
+other=e1
+[[ $home == e1 ]] && other=e2
+name_limit $other 1
+before=$(runs_at $home)
+ask_many 6 moved
+grep -q "^over_limit" "$WORK/$other.log" &&
+  fail "more than it takes: $(grep "^over_limit" "$WORK/$other.log" | tail -1)"
 (($(runs_at $home) - before >= 20)) ||
-  fail "$(($(runs_at $home) - before)) requests in the 4 s after the limit ended"
+  fail "$(($(runs_at $home) - before)) requests in 6 s after the limit ended"
+
+# With both engines in need, what they take is used, and no more.
+name_limit e1 2
+name_limit e2 2
+until=$((SECONDS + 10)) served=0
+for ((i = 0; SECONDS < until; ++i)); do
+  if ask $((i % 3)) "scarce-$i" /stream/x; then
+    served=$((served + 1))
+  else
+    grep -q "status 429" "$WORK/err" || fail "scarce-$i: $(cat "$WORK/err")"
+  fi
+done
+grep -h "^over_limit" "$WORK"/e[12].log &&
+  fail "more than the engines take"
+((served >= 25)) || fail "$served of about 40 requests that engines would take"
--- a/unittests/Admission/quota_fleet.cc
+++ b/unittests/Admission/quota_fleet.cc
@@ -6,7 +6,6 @@
 #include <variant>
 
 #include "cuminswitch/Admission/even_quota_policy.h"
-#include "cuminswitch/Admission/owner_quota_policy.h"
 
 namespace cuminswitch {
 
@@ -20,6 +19,10 @@
 /// A caller that was refused waits for a third of its time at most.
 static constexpr double kCallerSeconds = 5;
 static constexpr double kReturnPart = 3;
+/// A daemon that asks by turns comes for a turn within this time.
+static constexpr double kTurnSeconds = 10;
+/// More are refused by a daemon.
+static constexpr size_t kMostWaiting = 20;
 
 quota_fleet::quota_fleet(const options& opts)
     : options_(opts), random_(opts.seed), daemons_(opts.daemons) {
@@ -52,8 +55,9 @@
     item.policy =
         std::make_unique<even_quota_policy>(even_quota_policy::options{id});
   } else {
-    item.policy = std::make_unique<owner_quota_policy>(
-        owner_quota_policy::options{.self = item.address, .id = id});
+    item.policy =
+        std::make_unique<owner_quota_policy>(owner_quota_policy::options{
+            .self = item.address, .id = id, .fallback = options_.fallback});
   }
   if (now_ == 0) {
     TellFleet(index);
@@ -150,6 +154,11 @@
 void quota_fleet::Submit(const sent_request& request) {
   daemon& item = daemons_[request.daemon];
   ++sent_;
+  if (request.by_turns && now_ < item.turn_at) {
+    item.waiting += request.waits && item.waiting < kMostWaiting ? 1 : 0;
+    --sent_;
+    return;
+  }
   if (!item.is_alive || !item.limit.IsSet()) {
     --sent_;
     return;
@@ -199,15 +208,40 @@
   });
 }
 
+void quota_fleet::AwaitTurn(const sent_request& request, double wait) {
+  daemon& item = daemons_[request.daemon];
+  item.turn_at = now_ + wait;
+  item.waiting += request.waits ? 1 : 0;
+  if (item.waiting == 0) {
+    return;
+  }
+  At(item.turn_at, [this, request] {
+    daemon& waiting = daemons_[request.daemon];
+    if (waiting.waiting > 0 && now_ >= waiting.turn_at) {
+      --waiting.waiting;
+      Submit(request);
+    }
+  });
+}
+
 void quota_fleet::OnDecision(const quota_decision& decision) {
   const auto found = requests_.find(decision.ticket);
   const sent_request request = found->second;
   requests_.erase(found);
   if (decision.is_admitted) {
     admissions_.push_back({.at = now_, .weight = request.weight});
+    daemon& item = daemons_[request.daemon];
+    if (item.waiting > 0) {
+      --item.waiting;
+      Submit(request);
+    }
     return;
   }
   const double wait = ToSeconds(decision.retry_after);
+  if (request.by_turns) {
+    AwaitTurn(request, wait);
+    return;
+  }
   if (request.is_repeat || wait > (request.deadline - now_) / kReturnPart) {
     refused_again_ += request.is_repeat ? 1 : 0;
     ++refused_;
@@ -224,17 +258,35 @@
 
 void quota_fleet::ScheduleArrivals(const load& callers, double until) {
   const double rate = std::max(1.0, callers.rate(now_));
+  if (callers.by_turns && callers.rate(now_) == 0) {
+    At(now_ + kTickSeconds,
+       [this, callers, until] { ScheduleArrivals(callers, until); });
+    return;
+  }
   const double gap = std::exponential_distribution<double>(
-      rate / callers.mean_weight)(random_);
+      callers.by_turns ? callers.rate(now_)
+                       : rate / callers.mean_weight)(random_);
   if (now_ + gap > until) {
     return;
   }
   At(now_ + gap, [this, callers, until] {
+    const size_t daemon = callers.choose(now_, random_);
+    if (callers.by_turns) {
+      Submit(
+          {.daemon = daemon,
+           .weight = 1,
+           .digest = daemon + 1,
+           .deadline = now_ + (callers.waits ? kReturnPart * kTurnSeconds : 0),
+           .by_turns = true,
+           .waits = callers.waits});
+      ScheduleArrivals(callers, until);
+      return;
+    }
     // As prompts are: most are near the middle, a few five times as long.
     std::lognormal_distribution<double> weights(-0.32, 0.8);
     const double weight = std::min(callers.mean_weight * 5,
                                    callers.mean_weight * weights(random_));
-    Submit({.daemon = callers.choose(now_, random_),
+    Submit({.daemon = daemon,
             .weight = weight,
             .digest = random_() | 1,
             .deadline = now_ + kCallerSeconds});
--- a/unittests/Admission/quota_fleet.h
+++ b/unittests/Admission/quota_fleet.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "cuminswitch/Admission/owner_quota_policy.h"
 #include "cuminswitch/Admission/quota_policy.h"
 
 namespace cuminswitch {
@@ -26,6 +27,7 @@
   struct options {
     size_t daemons = 68;
     quota_way way = quota_way::kOwner;
+    quota_fallback fallback = quota_fallback::kEvenPart;
     uint64_t seed = 1;
     /// How long after a change a daemon knows it; spread over the fleet.
     double detection_seconds = 2.2;
@@ -39,6 +41,12 @@
     /// The daemons that callers use at a time, of so many in all.
     std::function<size_t(double, std::mt19937_64&)> choose;
     double mean_weight = 9'000;
+    /// Requests weigh one each. A daemon that was turned away asks no more
+    /// before its turn.
+    bool by_turns = false;
+    /// By turns, what comes meanwhile waits for the turn and does not go
+    /// elsewhere.
+    bool waits = false;
   };
 
   explicit quota_fleet(const options& opts);
@@ -77,6 +85,10 @@
     /// It will hear of the latest changes.
     bool will_be_told = false;
     uint64_t starts = 0;
+    /// Before this it asks nothing, where it asks by turns.
+    double turn_at = 0;
+    /// Requests that wait for the turn.
+    size_t waiting = 0;
   };
   struct sent_request {
     size_t daemon = 0;
@@ -84,6 +96,8 @@
     uint64_t digest = 0;
     double deadline = 0;
     bool is_repeat = false;
+    bool by_turns = false;
+    bool waits = false;
   };
   struct admission {
     double at = 0;
@@ -97,6 +111,8 @@
   /// All learn of a change, each at its own time.
   void Announce();
   void Submit(const sent_request& request);
+  /// A daemon was turned away, and its turn comes \p wait seconds from now.
+  void AwaitTurn(const sent_request& request, double wait);
   void Settle(size_t index);
   void OnDecision(const quota_decision& decision);
   void Deliver(size_t from, const quota_send& sent);
--- a/unittests/Routing/prefix_cost_policy_test.cc
+++ b/unittests/Routing/prefix_cost_policy_test.cc
@@ -171,8 +171,9 @@
       }
     }
     const replica& item = query.replicas[index];
-    const double room =
-        query.has_room[i] ? 0 : query.replicas.EstimateRoomSeconds(index);
+    const double room = query.has_room[i] ? 0
+                                          : query.replicas.EstimateRoomSeconds(
+                                                query.now, index);
     const double missing = std::max(0.0, shared.tokens - cached);
     const double own =
         query.prompt_tokens - std::max<double>(shared.tokens, cached);
