Share idle connections to upstreams over the fleet

That was read and used by nobody; each daemon kept up to 16 idle ones to each upstream, so 300 daemons might hold 4,800 where 110 or 370 are taken, and the upstream resets new ones.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -92,6 +92,8 @@
   size_t CountServing() const override;
 
   void Take(const knowledge_changed& news);
+  /// Keeps this daemon's part of the connections that upstreams take from all.
+  void ShareConnections();
   /// Drops the connections to upstreams that have started again.
   void ForgetRestarted(const fleet_knowledge& before,
                        const fleet_knowledge& next);
--- a/include/cuminswitch/Http1/upstream_pool.h
+++ b/include/cuminswitch/Http1/upstream_pool.h
@@ -29,6 +29,9 @@
                                        upstream_handler& handler);
   /// Closes the idle connections to \p to, whose upstream is gone.
   void Forget(const endpoint& to);
+  /// Sets how many idle connections are kept to each upstream; to those not
+  /// named, a few. What is kept beyond is closed.
+  void SetIdleLimits(std::map<endpoint, size_t> limits);
   uint64_t opened_count() const { return opened_; }
 
  private:
@@ -37,12 +40,14 @@
 
   std::unique_ptr<upstream_connection> Acquire(const upstream_request& request);
   void GiveBack(std::unique_ptr<upstream_connection> connection);
+  size_t IdleLimit(const endpoint& to) const;
   void DropIdle(upstream_connection* connection);
   /// Destroys a connection that may be on the stack, from the loop.
   void Release(std::unique_ptr<upstream_connection> connection);
 
   event_base* base_;
   std::map<endpoint, std::vector<std::unique_ptr<upstream_connection>>> idle_;
+  std::map<endpoint, size_t> idle_limits_;
   uint64_t opened_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -9,7 +9,8 @@
 
 namespace cuminswitch {
 
-/// Idle connections kept per upstream; descriptors are few on small hosts.
+/// Idle connections kept to an upstream that names no limit; descriptors are
+/// few on small hosts.
 static constexpr size_t kMaxIdlePerUpstream = 16;
 
 upstream_pool::upstream_pool(event_base* base) : base_(base) {}
@@ -47,9 +48,26 @@
   idle_.erase(to);
 }
 
+size_t upstream_pool::IdleLimit(const endpoint& to) const {
+  const auto found = idle_limits_.find(to);
+  return found == idle_limits_.end() ? kMaxIdlePerUpstream : found->second;
+}
+
+void upstream_pool::SetIdleLimits(std::map<endpoint, size_t> limits) {
+  idle_limits_ = std::move(limits);
+  for (auto& [to, kept] : idle_) {
+    while (kept.size() > IdleLimit(to)) {
+      // The one that was used longest ago.
+      std::unique_ptr<upstream_connection> oldest = std::move(kept.front());
+      kept.erase(kept.begin());
+      Release(std::move(oldest));
+    }
+  }
+}
+
 void upstream_pool::GiveBack(std::unique_ptr<upstream_connection> connection) {
   auto& kept = idle_[connection->to()];
-  if (connection->IsReusable() && kept.size() < kMaxIdlePerUpstream) {
+  if (connection->IsReusable() && kept.size() < IdleLimit(connection->to())) {
     kept.push_back(std::move(connection));
     return;
   }
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -91,6 +91,28 @@
   EXPECT_FALSE(call_->IsOnKeptConnection());
 }
 
+TEST_F(upstream_pool_test, KeepsNoMoreIdleConnectionsThanItMay) {
+  pool_.SetIdleLimits({{address_, 0}});
+  Begin();
+  Accept();
+  upstream_->Send(kAnswer);
+  AwaitEnd();
+  Begin();
+  EXPECT_FALSE(call_->IsOnKeptConnection());
+}
+
+TEST_F(upstream_pool_test, ALowerLimitClosesIdleConnections) {
+  Begin();
+  Accept();
+  upstream_->Send(kAnswer);
+  AwaitEnd();
+  pool_.SetIdleLimits({{address_, 0}});
+  EXPECT_TRUE(RunUntil(base_, [&] {
+    upstream_->Poll();
+    return upstream_->ended;
+  }));
+}
+
 // Symptom: a caller gets another request's answer.
 // Sequence: a faulty upstream sends a second answer behind the first; the next
 // request goes over the same connection.
