Hold the soak's daemons to limits that upstreams name

A request isn't taken from a silent upstream for one that its limit keeps from taking it. From a request's id to its limit: a process test.

--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -271,8 +271,16 @@
   const request& item = found->second;
   std::vector<replica_index> excluded = item.excluded;
   excluded.push_back(item.running->index);
-  return MayRepeat(item) && BudgetOf(item.info.target).CanSpend(now) &&
-         HasUpstream(now, item, excluded);
+  if (!MayRepeat(item) || !BudgetOf(item.info.target).CanSpend(now)) {
+    return false;
+  }
+  const eligible_replicas eligible = replicas_.ListEligible(
+      now, item.info.target, AllowedDomains(item), excluded);
+  // One that takes nothing before its limit lets it is no better than waiting.
+  return std::any_of(eligible.indices.begin(), eligible.indices.end(),
+                     [&](replica_index index) {
+                       return now >= replicas_[index].limited_until;
+                     });
 }
 
 void request_router::Retry(time_point now,
--- a/test/process/platform_limit.sh
+++ b/test/process/platform_limit.sh
@@ -39,9 +39,26 @@
 home=e1
 (($(runs_at e2) > $(runs_at e1))) && home=e2
 name_limit $home 1
+# One daemon hears it from the upstream, and the others from that one.
+ask 0 first /stream/x
+named="\"event\":\"limit_named\",\"upstream\":\"$home\",\"from\""
+wait_for 5 grep -q "$named:\"answer\"" "$WORK/entry-0.log"
+for index in 1 2; do
+  wait_for 5 grep -q "$named:\"entry-0\"" "$WORK/entry-$index.log"
+done
 ask_many 10 limited
 grep -q "^over_limit" "$WORK/$home.log" &&
   fail "more than it takes: $(grep "^over_limit" "$WORK/$home.log" | tail -1)"
+# From a request's id to its cause: its upstream had named a limit.
+id=$(grep -ho '"event":"limit_turned_away","id":"[^"]*"' "$WORK"/entry-?.log |
+  head -1 | sed 's/.*"id":"\(.*\)"/\1/')
+"$BUILD/tools/cuminctl" explain "$id" "$WORK"/entry-?.log >"$WORK/story"
+grep -q "limit_turned_away.*requests_per_s=1 .*turn_ms=.*upstream=$home" \
+  "$WORK/story" || fail "no cause in $(cat "$WORK/story")"
+"$BUILD/utils/fetch" "127.0.0.1:${PORTS[4]}" /metrics >"$WORK/page"
+grep -q "^cuminswitch_upstream_rate_limit{upstream=\"$home\"} 1$" "$WORK/page" ||
+  fail "no limit on the metrics page: $(grep limit "$WORK/page")"
+
 # The limit ends, by an answer without it or because none renews it; then the other
 # engine names one, and nothing is left of the first.
 name_limit $home none
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -100,11 +100,11 @@
     command.insert(command.end(), {"--model", "m"});
   }
   processes.Start(item.name, command, item.log);
-  const endpoint address = AwaitListening(item.log);
+  item.address = AwaitListening(item.log);
   if (item.link == nullptr) {
-    item.link = std::make_unique<fault_proxy>(base_, address);
+    item.link = std::make_unique<fault_proxy>(base_, item.address);
   }
-  item.link->SetTarget(address);
+  item.link->SetTarget(item.address);
   item.lines = std::ifstream(item.log);
   item.is_listed = true;
   item.is_draining = false;
@@ -152,6 +152,8 @@
       uint64_t fence = 0;
       words >> holder >> fence >> item.version;
       ledger_.OnOrder(item.id, holder, fence);
+    } else if (what == "limited") {
+      ReadLimited(item, words);
     }
   }
   // A line that is not whole yet is read again.
@@ -159,6 +161,19 @@
   item.lines.seekg(begin);
 }
 
+void deployment::ReadLimited(const upstream_state& item, std::istream& words) {
+  std::string id;
+  int64_t time_ms = 0;
+  double rate = 0;
+  words >> id >> time_ms >> rate;
+  const wall_time at{std::chrono::milliseconds(time_ms)};
+  const endpoint* daemon = ledger_.DaemonOf(id);
+  if (daemon != nullptr && IsSound(*daemon, at)) {
+    ledger_.OnLimited(
+        {.upstream = item.id, .daemon = *daemon, .at = at, .rate = rate});
+  }
+}
+
 void deployment::Tick() {
   SendNextWrite();
   for (upstream_state& item : upstreams) {
@@ -275,6 +290,16 @@
                [](const platform::json_answer& /*answer*/) {});
 }
 
+void deployment::NameLimit(size_t index, const std::string& rate) {
+  caller_.Call({.to = upstreams[index].address,
+                .method = http_method::kGet,
+                .path = "/control/limit/" + rate,
+                .headers = {},
+                .body = {},
+                .idle_timeout = kWriteTimeout},
+               [](const platform::json_answer& /*answer*/) {});
+}
+
 void deployment::EndDaemon(size_t index, int signal) {
   daemons[index].is_ending = true;
   processes.Signal(daemons[index].name, signal);
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <fstream>
+#include <istream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -41,6 +42,8 @@
   int start = 0;
   std::string id;
   std::unique_ptr<fault_proxy> link;
+  /// Its own address, past the link.
+  endpoint address;
   std::string log;
   std::ifstream lines;
   int version = 1;
@@ -74,6 +77,8 @@
   void PutConfiguration(bool has_second_credential);
   void NameWeights(int version);
   void SetStoreFault(const std::string& mode);
+  /// Makes an upstream name \p rate requests a second, or none.
+  void NameLimit(size_t index, const std::string& rate);
   /// Sends a daemon a signal that ends it.
   void EndDaemon(size_t index, int signal);
   void PauseDaemon(size_t index);
@@ -92,6 +97,8 @@
   void SendNextWrite();
   void List(upstream_state& item);
   void ReadLog(upstream_state& item);
+  /// Reads that a request came while the upstream names a limit.
+  void ReadLimited(const upstream_state& item, std::istream& words);
   endpoint AwaitListening(const std::string& log);
 
   event_base* base_;
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -17,9 +17,11 @@
 
 fault_schedule::fault_schedule(event_base* base,
                                uint64_t seed,
+                               soak_subject subject,
                                deployment& target)
     : base_(base),
       random_(seed),
+      subject_(subject),
       target_(target),
       timer_(base, [this] { DoNext(); }) {}
 
@@ -67,7 +69,17 @@
       &fault_schedule::DrainUpstream, &fault_schedule::HarmStore,
       &fault_schedule::PauseStore,    &fault_schedule::ChangeConfiguration,
       &fault_schedule::NameWeights};
-  (this->*kSteps[Pick(kSteps.size())])();
+  static constexpr std::array<step, 12> kLimitSteps = {
+      &fault_schedule::KillDaemon,    &fault_schedule::StopDaemon,
+      &fault_schedule::PauseDaemon,   &fault_schedule::ReloadDaemon,
+      &fault_schedule::HarmStoreLink, &fault_schedule::HarmStore,
+      &fault_schedule::PauseStore,    &fault_schedule::ChangeConfiguration,
+      &fault_schedule::NameLimit,     &fault_schedule::NameLimit,
+      &fault_schedule::NameLimit,     &fault_schedule::NameLimit};
+  const step next = subject_ == soak_subject::kLimits
+                        ? kLimitSteps[Pick(kLimitSteps.size())]
+                        : kSteps[Pick(kSteps.size())];
+  (this->*next)();
   timer_.Start(std::chrono::milliseconds(
       kLeastGapMs + static_cast<int>(Pick(kMostGapMs - kLeastGapMs))));
 }
@@ -192,6 +204,16 @@
   target_.PutConfiguration(has_second_);
 }
 
+void fault_schedule::NameLimit() {
+  static constexpr std::array<const char*, 5> kRates = {"0.5", "1", "1.3", "3",
+                                                        "10"};
+  const size_t index = Pick(target_.upstreams.size());
+  const char* rate = kRates[Pick(kRates.size())];
+  Note(target_.upstreams[index].id + " takes " + rate + " requests a second");
+  target_.NameLimit(index, rate);
+  EndLater(2'000, 9'000, [this, index] { target_.NameLimit(index, "none"); });
+}
+
 void fault_schedule::NameWeights() {
   Note("weights " + std::to_string(target_.weights() + 1) + " named");
   target_.NameWeights(target_.weights() + 1);
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_TEST_SOAK_FAULT_SCHEDULE_H_
 #define CUMINSWITCH_TEST_SOAK_FAULT_SCHEDULE_H_
 
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <random>
@@ -14,11 +15,24 @@
 
 namespace cuminswitch::soak {
 
+/// What a schedule is about.
+enum class soak_subject : uint8_t {
+  /// Everything.
+  kAll,
+  /// Limits that upstreams name, while daemons and the store are harmed. Links
+  /// and upstreams are left alone: they would hold requests up and let them go
+  /// at once.
+  kLimits,
+};
+
 /// Does one thing after another, each to a part chosen by the seed. Most of
 /// them last a while and overlap with those that follow.
 class fault_schedule {
  public:
-  fault_schedule(event_base* base, uint64_t seed, deployment& target);
+  fault_schedule(event_base* base,
+                 uint64_t seed,
+                 soak_subject subject,
+                 deployment& target);
 
   /// Begins to harm.
   void Start();
@@ -50,6 +64,7 @@
   void PauseStore();
   void ChangeConfiguration();
   void NameWeights();
+  void NameLimit();
 
   struct lasting {
     std::unique_ptr<loop_timer> timer;
@@ -59,6 +74,7 @@
 
   event_base* base_;
   std::mt19937_64 random_;
+  soak_subject subject_;
   deployment& target_;
   loop_timer timer_;
   std::list<lasting> lasting_;
--- /dev/null
+++ b/test/soak/limit_check.cc
@@ -0,0 +1,42 @@
+#include "soak/limit_check.h"
+
+namespace cuminswitch::soak {
+
+static constexpr std::chrono::seconds kWindow{4};
+static constexpr double kShare = 1.5;
+static constexpr double kSlack = 5;
+/// A daemon is bound so long after it has passed on an answer with the limit.
+static constexpr std::chrono::milliseconds kHeed{500};
+
+void limit_check::OnTold(const endpoint& daemon,
+                         const std::string& upstream,
+                         wall_time at) {
+  told_.try_emplace({daemon, upstream}, at);
+}
+
+std::optional<std::string> limit_check::OnArrival(const arrival& item) {
+  const auto told = told_.find({item.daemon, item.upstream});
+  if (told == told_.end() || item.at < told->second + kHeed) {
+    return std::nullopt;
+  }
+  ++counted_;
+  counted_arrivals& under = arrivals_[item.upstream];
+  if (under.rate != item.rate) {
+    // What came under another limit was held to that one.
+    under = {.rate = item.rate};
+  }
+  std::deque<wall_time>& counted = under.at;
+  counted.push_back(item.at);
+  while (item.at - counted.front() > kWindow) {
+    counted.pop_front();
+  }
+  const double allowed =
+      kShare * item.rate * static_cast<double>(kWindow.count()) + kSlack;
+  if (static_cast<double>(counted.size()) <= allowed) {
+    return std::nullopt;
+  }
+  return item.upstream + " got " + std::to_string(counted.size()) +
+         " requests in 4 s at a limit of " + std::to_string(item.rate);
+}
+
+}  // namespace cuminswitch::soak
--- a/test/soak/promise_ledger.cc
+++ b/test/soak/promise_ledger.cc
@@ -30,6 +30,17 @@
   }
 }
 
+void promise_ledger::OnLimited(const limit_check::arrival& item) {
+  if (const auto broken = limits_.OnArrival(item)) {
+    Find("limit", *broken);
+  }
+}
+
+const endpoint* promise_ledger::DaemonOf(const std::string& id) const {
+  const auto found = requests_.find(id);
+  return found == requests_.end() ? nullptr : &found->second.request.daemon;
+}
+
 void promise_ledger::OnOrder(const std::string& upstream,
                              const std::string& holder,
                              uint64_t fence) {
@@ -76,6 +87,10 @@
 void promise_ledger::OnAnswer(const sent_request& request,
                               const seen_answer& answer) {
   requests_[request.id].told = answer.status;
+  if (answer.names_limit) {
+    limits_.OnTold(request.daemon, answer.upstream,
+                   std::chrono::steady_clock::now());
+  }
   if (answer.is_overdue && answer.is_daemon_sound) {
     Find("overdue", request.id + " " + request.path + " had no end in time");
   }
--- a/test/soak/promise_ledger.h
+++ b/test/soak/promise_ledger.h
@@ -3,21 +3,24 @@
 #ifndef CUMINSWITCH_TEST_SOAK_PROMISE_LEDGER_H_
 #define CUMINSWITCH_TEST_SOAK_PROMISE_LEDGER_H_
 
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
-namespace cuminswitch::soak {
+#include "cuminswitch/Support/endpoint.h"
+#include "soak/limit_check.h"
+#include "soak/wall_time.h"
 
-using wall_time = std::chrono::steady_clock::time_point;
+namespace cuminswitch::soak {
 
 /// One request of a caller.
 struct sent_request {
   std::string id;
   std::string path;
   std::string workspace;
+  /// Where the daemon takes callers that it was sent to.
+  endpoint daemon;
   wall_time sent_at{};
   /// It may run at most once.
   bool is_once = false;
@@ -32,6 +35,9 @@
   uint32_t status = 0;
   /// The answer says which request it is for.
   std::string echoed_id;
+  /// The upstream that made it, and whether that names a limit.
+  std::string upstream;
+  bool names_limit = false;
   std::string body;
   /// The answer ended as complete.
   bool is_whole = false;
@@ -53,6 +59,10 @@
   void OnRun(const std::string& id,
              const std::string& workspace,
              const std::string& upstream);
+  /// A request of a sound daemon reached an upstream that names a limit.
+  void OnLimited(const limit_check::arrival& item);
+  /// The daemon that the request was sent to; null where nobody sent it.
+  const endpoint* DaemonOf(const std::string& id) const;
   /// An engine took an order.
   void OnOrder(const std::string& upstream,
                const std::string& holder,
@@ -64,6 +74,8 @@
   const std::vector<std::string>& findings() const { return findings_; }
   size_t served() const { return served_; }
   size_t sent() const { return requests_.size(); }
+  /// Requests that limits were checked with.
+  size_t limited() const { return limits_.counted(); }
 
  private:
   struct record {
@@ -78,6 +90,7 @@
   /// The last fence that each engine saw, and who held each fence.
   std::map<std::string, uint64_t> fences_;
   std::map<uint64_t, std::string> holders_;
+  limit_check limits_;
   std::vector<std::string> findings_;
   size_t served_ = 0;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -26,6 +26,7 @@
   int engines = 3;
   int services = 2;
   int callers = 12;
+  bool limits = false;
   std::string build_folder = "build";
   std::string work_folder = "soak-work";
 };
@@ -54,7 +55,10 @@
                      .engines = opts.engines,
                      .services = opts.services},
                     ledger_),
-        schedule_(base_, static_cast<uint64_t>(opts.seed), deployment_),
+        schedule_(base_,
+                  static_cast<uint64_t>(opts.seed),
+                  opts.limits ? soak_subject::kLimits : soak_subject::kAll,
+                  deployment_),
         tick_(base_, [this] {
           tick_.Start(kTick);
           deployment_.Tick();
@@ -85,6 +89,7 @@
     std::cout << "seed " << options_.seed << ": " << ledger_.sent()
               << " requests, " << ledger_.served() << " served, "
               << deployment_.processes.size() << " processes, "
+              << ledger_.limited() << " of them held to limits, "
               << ledger_.findings().size() << " findings\n";
     return ledger_.findings();
   }
@@ -164,6 +169,8 @@
   parser.AddInteger("engines", options.engines, "Engines to start");
   parser.AddInteger("services", options.services, "Plain services to start");
   parser.AddInteger("callers", options.callers, "Callers at a time");
+  parser.AddFlag("limits", options.limits,
+                 "Upstreams name limits, and are left alone otherwise");
   parser.AddString("build", options.build_folder, "The build folder", "FOLDER");
   parser.AddString("work", options.work_folder,
                    "Where logs go; kept when a promise is broken", "FOLDER");
--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -91,6 +91,7 @@
   request_ = {.id = options_.name + "-" + std::to_string(++count_),
               .path = kRoutes[route],
               .workspace = workspace,
+              .daemon = daemon_,
               .sent_at = std::chrono::steady_clock::now(),
               .is_once = route == 0 || route == 2,
               .is_stream = route >= 2,
@@ -117,6 +118,8 @@
 void soak_caller::OnHead(message_head head) {
   answer_.status = head.status;
   answer_.echoed_id = head.Find("X-Attempt-Id");
+  answer_.upstream = head.Find("X-Replica-Stamp");
+  answer_.names_limit = head.Has("Server-Limit");
   answer_.has_retry_after = head.Has("Retry-After");
   is_kept_ = head.keep_alive;
 }
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -5,7 +5,9 @@
 // (runs and fails), `/cut/` (an engine stops in the middle of its answer, a
 // plain service runs the request and closes without one), `/hang/` (no answer).
 // `GET /control/limit/RATE` makes it name a limit from then on, `none` takes it
-// away; what comes beyond the limit is told as `over_limit GOT ALLOWED`.
+// away; meanwhile each request is told as `limited ATTEMPT TIME RATE` (of the
+// monotonic clock, in milliseconds), and what comes beyond the limit as
+// `over_limit GOT ALLOWED`.
 #include <event2/event.h>
 
 #include <chrono>
@@ -46,11 +48,16 @@
     arrivals_.clear();
   }
   const std::optional<double>& rate() const { return rate_; }
-  void OnArrival() {
+  void OnArrival(const std::string& attempt) {
     const auto now = clock::now();
     if (!rate_ || now - named_at_ < kTellTime) {
       return;
     }
+    std::cout << "limited " << attempt << " "
+              << std::chrono::duration_cast<std::chrono::milliseconds>(
+                     now.time_since_epoch())
+                     .count()
+              << " " << *rate_ << std::endl;
     arrivals_.push_back(now);
     while (now - arrivals_.front() > kWindow) {
       arrivals_.pop_front();
@@ -160,7 +167,7 @@
   }
 
   void Run(const exchange_ptr& exchange, const std::string& path) {
-    meter_.OnArrival();
+    meter_.OnArrival(exchange->Header("X-Attempt-Id"));
     const auto has = [&path](const char* part) {
       return path.find(part) != std::string::npos;
     };
