Pass over a stopping daemon as an owner also in its own eyes

A daemon that stops serves on for seconds. The others ask the next owner at once, but it went on to give out each limit that it owned, to itself: two owners of one limit, for workspaces' quotas as well.

Test first: fleets whose daemons stop one after the other, at twenty times the limit.

Ruled out: a smaller burst (both owners' rates add up, not their bursts).

--- a/include/cuminswitch/Admission/quota_policy.h
+++ b/include/cuminswitch/Admission/quota_policy.h
@@ -70,6 +70,8 @@
   size_t known = 1;
   /// Within this time of a change all know of it.
   duration notice_time = std::chrono::seconds(3);
+  /// This daemon stops, and the others pass it over.
+  bool is_leaving = false;
 };
 
 /// Decides which requests are within their subjects' quotas. Has no clock and
--- a/lib/Admission/owner_quota_policy.cc
+++ b/lib/Admission/owner_quota_policy.cc
@@ -50,7 +50,12 @@
 void owner_quota_policy::SetFleet(time_point now,
                                   const quota_fleet_view& fleet) {
   std::vector<candidate> next;
-  next.push_back(self_);
+  // A daemon that stops serves on for seconds. As an owner in its own eyes it
+  // would give out each limit beside the one whom all others ask.
+  const bool is_candidate = !fleet.is_leaving || fleet.living.empty();
+  if (is_candidate) {
+    next.push_back(self_);
+  }
   for (const endpoint& address : fleet.living) {
     if (address != self_.address) {
       next.push_back({.address = address, .hash = HashOf(address)});
@@ -58,12 +63,13 @@
   }
   NoteLost(now, next);
   candidates_ = std::move(next);
-  known_ = std::max(fleet.known, candidates_.size());
+  const size_t living = candidates_.size() + (is_candidate ? 0 : 1);
+  known_ = std::max(fleet.known, living);
   notice_time_ = fleet.notice_time;
   started_at_ = started_at_.value_or(now);
-  seen_.push_back({.from = now,
-                   .part = static_cast<double>(candidates_.size()) /
-                           static_cast<double>(known_)});
+  seen_.push_back(
+      {.from = now,
+       .part = static_cast<double>(living) / static_cast<double>(known_)});
   // The last one that was in force at the time from which on they count.
   while (seen_.size() > 1 && seen_[1].from <= now - notice_time_) {
     seen_.erase(seen_.begin());
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -395,6 +395,7 @@
   stop_.Begin(ReadBootClock());
   with_.log.Write(log_class::kLifecycle,
                   log_line("stopping").Add("requests", flows_.size()));
+  TellQuotasOfFleet(ReadBootClock());
   server_->BeginDrain();
   services_.FindPort<fleet_message>(kFleetService).Post(fleet_stop_requested{});
   OnStopTick();
--- a/unittests/Admission/limit_fleet_test.cc
+++ b/unittests/Admission/limit_fleet_test.cc
@@ -59,7 +59,7 @@
 INSTANTIATE_TEST_SUITE_P(
     DaemonsAndLimits,
     limit_fleet,
-    testing::Combine(testing::Values(1, 8, 68, 300, 600),
+    testing::Combine(testing::Values(1, 2, 3, 8, 68, 300, 600),
                      testing::Values(0.2, 1.0, 5.0, 200.0)));
 
 TEST_P(limit_fleet, WhatGoesElsewhereLeavesTheLimitUsed) {
@@ -104,6 +104,21 @@
   EXPECT_GE(Used(fleet, kSeconds), size() == 1 ? 0.4 : 0.8);
 }
 
+// Symptom: while daemons are stopped one after the other, an upstream gets up
+// to twice what it takes. Sequence: the owner of its limit is told to stop; all
+// others ask the next one; it serves on for seconds. Cause: it went on to
+// decide for itself, as the owner in its own eyes.
+TEST_P(limit_fleet, StoppingOneAfterTheOtherKeepsIt) {
+  quota_fleet fleet(Options());
+  Name(fleet);
+  for (size_t i = 0; i < 16; ++i) {
+    fleet.At(2 + 2 * static_cast<double>(i),
+             [&fleet, i] { fleet.Stop(i * fleet.size() / 16, 6); });
+  }
+  fleet.Run(kSeconds, Steady(20));
+  ExpectKept(fleet);
+}
+
 TEST_P(limit_fleet, AllKilledAtOnceBeginWithLittle) {
   quota_fleet fleet(Options());
   Name(fleet);
--- a/unittests/Admission/quota_fleet.cc
+++ b/unittests/Admission/quota_fleet.cc
@@ -13,6 +13,8 @@
 /// was asked without it.
 static constexpr double kNoticeSlack = 0.5;
 static constexpr double kTickSeconds = 0.05;
+/// A daemon that stops tells the others at once.
+static constexpr double kLeaveSeconds = 0.3;
 static constexpr double kLeastDelay = 0.0008;
 static constexpr double kMostDelay = 0.003;
 static constexpr double kFirstTime = 1'000;
@@ -50,6 +52,7 @@
 void quota_fleet::Start(size_t index) {
   daemon& item = daemons_[index];
   item.is_alive = true;
+  item.is_leaving = false;
   const uint64_t id = index + 1 + daemons_.size() * ++item.starts;
   if (options_.way == quota_way::kEven) {
     item.policy =
@@ -90,13 +93,14 @@
   }
   std::vector<endpoint> living;
   for (size_t i = 0; i < daemons_.size(); ++i) {
-    if (i != index && Reaches(index, i)) {
+    if (i != index && Reaches(index, i) && !daemons_[i].is_leaving) {
       living.push_back(daemons_[i].address);
     }
   }
   item.policy->SetFleet(ClockOf(item), {.living = living,
                                         .known = daemons_.size(),
-                                        .notice_time = NoticeTime()});
+                                        .notice_time = NoticeTime(),
+                                        .is_leaving = item.is_leaving});
 }
 
 void quota_fleet::Announce() {
@@ -147,6 +151,15 @@
   Announce();
 }
 
+void quota_fleet::Stop(size_t index, double grace) {
+  daemons_[index].is_leaving = true;
+  TellFleet(index);
+  for (size_t i = 0; i < daemons_.size(); ++i) {
+    At(now_ + Uniform(kLeastDelay, kLeaveSeconds), [this, i] { TellFleet(i); });
+  }
+  At(now_ + grace, [this, index] { Kill(std::vector<size_t>{index}, 1); });
+}
+
 void quota_fleet::At(double when, std::function<void()> action) {
   events_.emplace(when, std::move(action));
 }
--- a/unittests/Admission/quota_fleet.h
+++ b/unittests/Admission/quota_fleet.h
@@ -59,6 +59,9 @@
   void Heal();
   /// Kills daemons; they are back, knowing nothing, \p down seconds later.
   void Kill(std::span<const size_t> daemons, double down);
+  /// Stops a daemon gracefully: it takes requests for \p grace seconds more,
+  /// and is back, knowing nothing, a second after that.
+  void Stop(size_t index, double grace);
   /// Runs \p action at a time.
   void At(double when, std::function<void()> action);
   void Run(double seconds, const load& callers);
@@ -82,6 +85,7 @@
     double clock_rate = 1;
     size_t side = 0;
     bool is_alive = true;
+    bool is_leaving = false;
     /// It will hear of the latest changes.
     bool will_be_told = false;
     uint64_t starts = 0;
