Refuse news of limits without sense, and prove that limits come back whole

An age beyond an hour from a damaged frame would give a time that passes for one far ahead. Tests of the new fields of beats, questions and answers.

--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -158,6 +158,13 @@
                      [](double value) { return std::isfinite(value); });
 }
 
+/// Whether something may be so old. A time before the clock's beginning would
+/// pass for one far ahead.
+static bool IsAge(int64_t age_us) {
+  static constexpr int64_t kMostAgeUs = 3'600'000'000;
+  return age_us >= 0 && age_us <= kMostAgeUs;
+}
+
 static std::optional<peer_frame> ReadBeat(const fleet_wire::beat& wire) {
   const auto peer_address = ParseEndpoint(wire.peer_address()->string_view());
   const auto caller_address =
@@ -210,7 +217,7 @@
   if (wire.limits() != nullptr) {
     for (const fleet_wire::limit* item : *wire.limits()) {
       if (!AreFinite({item->rate()}) || item->rate() < 0 ||
-          item->age_us() < 0) {
+          !IsAge(item->age_us())) {
         return std::nullopt;
       }
       frame.limits.push_back({.upstream = item->upstream(),
@@ -281,7 +288,7 @@
   const auto from = ParseEndpoint(wire.from()->string_view());
   const bool is_sound = AreFinite({wire.rate(), wire.burst(), wire.weight()}) &&
                         wire.rate() > 0 && wire.burst() >= 0 &&
-                        wire.limit_age_us() >= 0;
+                        IsAge(wire.limit_age_us());
   if (!from || !is_sound) {
     return std::nullopt;
   }
--- a/unittests/Admission/limit_fleet_test.cc
+++ b/unittests/Admission/limit_fleet_test.cc
@@ -104,10 +104,11 @@
   EXPECT_GE(Used(fleet, kSeconds), size() == 1 ? 0.4 : 0.8);
 }
 
-// Symptom: while daemons are stopped one after the other, an upstream gets up
-// to twice what it takes. Sequence: the owner of its limit is told to stop; all
-// others ask the next one; it serves on for seconds. Cause: it went on to
-// decide for itself, as the owner in its own eyes.
+// Symptom: an upstream gets up to twice what it takes while daemons are stopped
+// one after the other.
+// Sequence: the owner of its limit is told to stop; all others ask the next
+// one; it serves on for seconds.
+// Cause: it went on to decide for itself, as the owner in its own eyes.
 TEST_P(limit_fleet, StoppingOneAfterTheOtherKeepsIt) {
   quota_fleet fleet(Options());
   Name(fleet);
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -171,6 +171,45 @@
   EXPECT_EQ(back.share, 0.5);
 }
 
+TEST(peer_frame_test, LimitsOfUpstreamsComeBack) {
+  beat_frame beat = MakeBeat();
+  beat.limits = {{.upstream = 7, .rate = 1.3, .age = std::chrono::seconds(2)},
+                 {.upstream = 8, .has_ended = true}};
+  const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(beat)));
+  ASSERT_TRUE(frame.has_value());
+  const auto& limits = std::get<beat_frame>(*frame).limits;
+  ASSERT_EQ(limits.size(), 2U);
+  EXPECT_EQ(limits[0].upstream, 7U);
+  EXPECT_EQ(limits[0].rate, 1.3);
+  EXPECT_EQ(limits[0].age, std::chrono::seconds(2));
+  EXPECT_FALSE(limits[0].has_ended);
+  EXPECT_TRUE(limits[1].has_ended);
+
+  quota_ask ask = MakeAsk();
+  ask.kind = quota_kind::kUpstream;
+  ask.limit_age = std::chrono::milliseconds(90);
+  const auto asked = DecodePeerFrame(BytesOf(EncodePeerFrame(ask)));
+  EXPECT_EQ(std::get<quota_ask>(*asked).kind, quota_kind::kUpstream);
+  EXPECT_EQ(std::get<quota_ask>(*asked).limit_age, ask.limit_age);
+  const auto answered = DecodePeerFrame(BytesOf(EncodePeerFrame(
+      quota_verdict{.kind = quota_kind::kUpstream, .ticket = 5})));
+  EXPECT_EQ(std::get<quota_verdict>(*answered).kind, quota_kind::kUpstream);
+}
+
+TEST(peer_frame_test, ALimitWithoutSenseIsRefused) {
+  for (const limit_news& item :
+       {limit_news{.rate = std::nan("")}, limit_news{.rate = -1},
+        limit_news{.rate = 1, .age = duration(-1)},
+        limit_news{.rate = 1, .age = duration::max()}}) {
+    beat_frame beat = MakeBeat();
+    beat.limits = {item};
+    EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(beat))).has_value());
+  }
+  quota_ask ask = MakeAsk();
+  ask.limit_age = duration::max();
+  EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(ask))).has_value());
+}
+
 // One number that is none would stay in an owner's bucket for good.
 TEST(peer_frame_test, AQuotaQuestionWithoutSenseIsRefused) {
   quota_ask ask = MakeAsk();
