Let only the answer of a run end an upstream's limit

Requests went there unasked right after a refusal that named no limit, at all daemons; the log shows no limit_granted before them, and a limit_ended from the refusal's answer.

Cause: every answer without a limit was taken for its end. A refusal may be made where nothing of the limit is known. It may name a limit, and ends none.

--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -118,6 +118,8 @@
   void OnAnswerBody(std::string_view data) override;
   void OnCallEnd(call_end end) override;
 
+  /// Tells the owner what the answer says of its upstream's limit.
+  void TellLimit();
   void OnDeadline();
   /// The upstream has been silent for long.
   void OnStall();
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -144,10 +144,21 @@
   if (answer_.attributes.load) {
     with_.owner.OnFlowLoad(upstream_, *answer_.attributes.load);
   }
-  // A late answer to another attempt, or one that no upstream made, says
-  // nothing of this upstream.
-  if (answer_.attributes.attempt == options_.request.attempt) {
-    with_.owner.OnFlowLimit(*this, answer_.attributes.limit);
+  TellLimit();
+}
+
+void request_flow::TellLimit() {
+  const answer_attributes& attributes = answer_.attributes;
+  // A late answer to another attempt says nothing of this upstream.
+  if (attributes.attempt != options_.request.attempt) {
+    return;
+  }
+  // A refusal may come from where nothing of the limit is known, so one that
+  // names none does not end it: the upstream would get a burst after each.
+  const bool is_statement =
+      attributes.is_signed || attributes.limit.kind != limit_notice_kind::kNone;
+  if (is_statement) {
+    with_.owner.OnFlowLimit(*this, attributes.limit);
   }
 }
 
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -52,15 +52,18 @@
     return {{.name = "Host", .value = "h"}};
   }
   answer_attributes ReadAnswer(const message_head& /*head*/) const override {
-    return {.is_signed = true};
+    return answer;
   }
+  answer_attributes answer{.is_signed = true};
 };
 
 class silent_owner : public flow_owner {
  public:
   void OnFlowEvent(core_event /*event*/) override {}
   void OnFlowLimit(const request_flow& /*flow*/,
-                   const limit_notice& /*notice*/) override {}
+                   const limit_notice& notice) override {
+    limits.push_back(notice);
+  }
   void OnFlowLoad(const std::string& /*upstream*/,
                   const told_load& /*load*/) override {}
   void OnFlowAttemptFailed(const request_flow& /*flow*/,
@@ -78,6 +81,7 @@
   }
   bool can_go_elsewhere = true;
   int failed = 0;
+  std::vector<limit_notice> limits;
   bool ended = false;
   flow_end last;
 };
@@ -196,5 +200,35 @@
   EXPECT_EQ(owner_.failed, 0);
 }
 
+// Symptom: an upstream that names a limit gets bursts beyond it.
+// Sequence: it refuses a request, without a limit in the refusal; the next
+// requests go there unasked, until an answer names the limit again.
+// Cause: every answer without a limit was taken for the end of it. In a run of
+// the soak each burst followed a refusal, and no other daemon's news came
+// between.
+TEST_F(request_flow_test, ARefusalWithoutALimitEndsNone) {
+  protocol_.answer = {.was_not_run = true};
+  const auto refused = Dispatch(1);
+  refused->Send(
+      "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  RunUntil(base_, [&] { return owner_.failed > 0; });
+  EXPECT_TRUE(owner_.limits.empty());
+  // One that names a limit counts.
+  protocol_.answer.limit = {.kind = limit_notice_kind::kNamed, .rate = 2};
+  const auto again = Dispatch(2);
+  again->Send(
+      "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  RunUntil(base_, [&] { return owner_.failed > 1; });
+  ASSERT_EQ(owner_.limits.size(), 1U);
+  EXPECT_EQ(owner_.limits.front().rate, 2);
+}
+
+TEST_F(request_flow_test, AnAnswerOfARunWithoutALimitIsTold) {
+  const auto first = Dispatch(1);
+  first->Send(kStreamHead);
+  EXPECT_TRUE(RunUntil(base_, [&] { return !owner_.limits.empty(); }));
+  EXPECT_EQ(owner_.limits.front().kind, limit_notice_kind::kNone);
+}
+
 }  // namespace
 }  // namespace cuminswitch
