Count where shared prefixes come from, or why they are read again

Each placed request's shared prefix is told as kept, copied from an engine or a store, asked of a store that may have it, or read again: too short, over the links' budget, unknown, gone, other weights, forgotten. In attempt_placed ("prefix") and in cuminswitch_shared_prefix_tokens_total by origin.

--- a/include/cuminswitch/Core/core_status.h
+++ b/include/cuminswitch/Core/core_status.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_CORE_CORE_STATUS_H_
 #define CUMINSWITCH_CORE_CORE_STATUS_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include "cuminswitch/Protocol/ids.h"
 #include "cuminswitch/Protocol/member.h"
+#include "cuminswitch/Routing/cache_planner.h"
 
 namespace cuminswitch {
 
@@ -28,6 +30,9 @@
   uint64_t peer_messages = 0;
   uint64_t prompt_tokens = 0;
   uint64_t cached_tokens = 0;
+  /// Tokens of shared prefixes that requests were placed with, by where they
+  /// were to come from.
+  std::array<uint64_t, kPrefixOrigins> prefix_tokens{};
 };
 
 /// One upstream as the daemon sees it.
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -52,6 +53,8 @@
   /// are believed to be cached there, and the estimated wait in its queue.
   uint32_t prompt_tokens = 0;
   double expected_cached_tokens = 0;
+  /// Where the shared prefix is to come from, or why it is read again.
+  std::string_view prefix_origin;
   duration expected_queue{0};
   /// How long requests like this one wait for their first byte of late.
   duration usual_first_byte{0};
--- a/include/cuminswitch/Routing/cache_planner.h
+++ b/include/cuminswitch/Routing/cache_planner.h
@@ -3,9 +3,12 @@
 #ifndef CUMINSWITCH_ROUTING_CACHE_PLANNER_H_
 #define CUMINSWITCH_ROUTING_CACHE_PLANNER_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "cuminswitch/Protocol/core_event.h"
 #include "cuminswitch/Routing/replica_table.h"
@@ -27,6 +30,35 @@
 /// tokens.
 bool IsWorthCopying(uint32_t tokens, double prefill_rate);
 
+/// Where a request's shared prefix is to come from, or why it is read again.
+enum class prefix_origin : uint8_t {
+  /// The request shares none.
+  kNone,
+  /// The engine has it.
+  kKept,
+  /// Another engine has it.
+  kEngine,
+  /// A store has it; or may have it, though this daemon was not told.
+  kStore,
+  kStoreUntold,
+  /// It is read sooner than copied.
+  kTooShort,
+  /// The store's links carry all that they can.
+  kOverBudget,
+  /// Nobody is known to have it.
+  kUnknown,
+  /// Who had it has started again, or takes no requests.
+  kGone,
+  /// Engines have it for other weights.
+  kOtherWeights,
+  /// An engine had it and will have forgotten it.
+  kForgotten,
+};
+inline constexpr size_t kPrefixOrigins = 11;
+
+/// Returns the name as it stands in logs and on the metrics page.
+std::string_view ToString(prefix_origin origin);
+
 /// What an engine is told of the cache along with a request.
 struct cache_plan {
   /// Copy from there what it lacks of the shared prefixes.
@@ -37,6 +69,7 @@
   std::optional<endpoint> sink;
   /// How likely the engine itself still has the shared prefix.
   double hit_chance = 0;
+  prefix_origin origin = prefix_origin::kNone;
 };
 
 /// One placed request, for planning.
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -63,6 +63,10 @@
     if (cache.is_from_store) {
       next.copied_from_store = cache.source;
     }
+    if (shared != nullptr) {
+      counters_.prefix_tokens[static_cast<size_t>(cache.origin)] +=
+          shared->tokens;
+    }
     const double cached =
         shared == nullptr ? 0 : cache.hit_chance * shared->tokens;
     replicas_.CountAdded(now, item.info.target,
@@ -110,6 +114,7 @@
       .earlier_attempts = earlier,
       .prompt_tokens = item.info.prompt_tokens,
       .expected_cached_tokens = chosen.expected_cached_tokens,
+      .prefix_origin = ToString(cache.origin),
       .expected_queue = FromSeconds(queue),
       .usual_first_byte = replicas_.UsualFirstByte(item.info.target)});
   item.running = next;
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -128,6 +128,14 @@
            "decision=\"turned_away\"");
   page.Add(static_cast<double>(from.limits.unused), "decision=\"unused\"");
   WriteQuotas(page, from.quotas);
+  page.Begin("cuminswitch_shared_prefix_tokens_total", "counter",
+             "Tokens of shared prefixes, by where they were to come from.");
+  for (size_t i = 0; i < kPrefixOrigins; ++i) {
+    std::string label = "origin=\"";
+    label += ToString(static_cast<prefix_origin>(i));
+    page.Add(static_cast<double>(status.counters.prefix_tokens[i]),
+             label + "\"");
+  }
   page.Begin("cuminswitch_engines_kept_share", "gauge",
              "Part of the engines that is kept for short prompts.");
   page.Add(status.short_part);
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -19,6 +19,7 @@
       .Add("prompt_tokens", action.prompt_tokens)
       .Add("expected_cached",
            static_cast<uint64_t>(action.expected_cached_tokens))
+      .Add("prefix", action.prefix_origin)
       .Add("expected_queue_ms", action.expected_queue);
   if (action.cache_source) {
     line.Add("copies_from", action.cache_source->ToString());
--- a/lib/Routing/cache_planner.cc
+++ b/lib/Routing/cache_planner.cc
@@ -1,6 +1,7 @@
 #include "cuminswitch/Routing/cache_planner.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "cuminswitch/Config/configuration.h"
@@ -59,6 +60,7 @@
     plan.source = ChooseSource(plan.hit_chance, was_saved);
     plan.is_from_store =
         plan.source && store_ != nullptr && *plan.source == store_->address;
+    plan.origin = OriginOf(plan, was_saved);
     // What older weights compute is of use for seconds only.
     if (version_ == model_.version && !was_saved) {
       plan.sink = SaveToStore();
@@ -84,6 +86,44 @@
     return source ? source : CopyFromStore(hit_chance, kUntoldChance);
   }
 
+  prefix_origin OriginOf(const cache_plan& plan, bool was_saved) const {
+    if (plan.hit_chance >= kSureHit) {
+      return prefix_origin::kKept;
+    }
+    if (plan.source) {
+      return !plan.is_from_store ? prefix_origin::kEngine
+             : was_saved         ? prefix_origin::kStore
+                                 : prefix_origin::kStoreUntold;
+    }
+    if (plan.hit_chance >= kLeastChanceToAsk) {
+      return prefix_origin::kKept;
+    }
+    return was_saved ? prefix_origin::kOverBudget : WhyNoEngine();
+  }
+
+  /// Why no engine can give the prefix: the reason of the one that is nearest
+  /// to it.
+  prefix_origin WhyNoEngine() const {
+    prefix_origin why = prefix_origin::kUnknown;
+    for (const prefix_holder& holder : question_.prefixes.Find(shared_.hash)) {
+      const replica& item = question_.replicas[holder.index];
+      const bool serves =
+          holder.incarnation == item.incarnation &&
+          (holder.index == question_.chosen ||
+           std::binary_search(question_.eligible.begin(),
+                              question_.eligible.end(), holder.index));
+      prefix_origin reason = prefix_origin::kForgotten;
+      if (!serves) {
+        reason = prefix_origin::kGone;
+      } else if (question_.replicas.VersionAt(holder.index, model_.name) !=
+                 version_) {
+        reason = prefix_origin::kOtherWeights;
+      }
+      why = std::max(why, reason);
+    }
+    return why;
+  }
+
   /// A store in the failure domain of the prefix's home, where there is one:
   /// that is where most of its copies go.
   const cache_store_spec* ChooseStore() const {
@@ -195,17 +235,27 @@
 
 }  // namespace
 
+std::string_view ToString(prefix_origin origin) {
+  static constexpr std::array<std::string_view, kPrefixOrigins> kNames = {
+      "none",         "kept",          "engine",      "store",
+      "store_untold", "too_short",     "over_budget", "unknown",
+      "gone",         "other_weights", "forgotten"};
+  return kNames[static_cast<size_t>(origin)];
+}
+
 bool IsWorthCopying(uint32_t tokens, double prefill_rate) {
   return tokens > kLeastSecondsToCopy * prefill_rate;
 }
 
 cache_plan PlanCache(const cache_question& question) {
   const prefix_level* shared = FindSharedLevel(question.levels);
-  if (shared == nullptr ||
-      !IsWorthCopying(shared->tokens,
-                      question.replicas[question.chosen].prefill_rate)) {
+  if (shared == nullptr) {
     return {};
   }
+  if (!IsWorthCopying(shared->tokens,
+                      question.replicas[question.chosen].prefill_rate)) {
+    return {.origin = prefix_origin::kTooShort};
+  }
   return planner(question, *shared).Plan();
 }
 
--- a/unittests/Routing/cache_planner_test.cc
+++ b/unittests/Routing/cache_planner_test.cc
@@ -199,5 +199,18 @@
       << "an engine's link is another one";
 }
 
+TEST_F(cache_planner_test, TellsWhereAPrefixComesFromOrWhyItIsReadAgain) {
+  EXPECT_EQ(Plan(0).origin, prefix_origin::kStoreUntold);
+  EXPECT_EQ(Plan(0, 10).origin, prefix_origin::kTooShort);
+  PlaceAt(1);
+  EXPECT_EQ(Plan(0).origin, prefix_origin::kEngine);
+  EXPECT_EQ(Plan(1).origin, prefix_origin::kKept);
+  model_.cache_stores.clear();
+  Report("b", "1");
+  EXPECT_EQ(Plan(0).origin, prefix_origin::kOtherWeights);
+  prefixes_.Touch(7, {.index = 1, .incarnation = 5, .used_at = now_});
+  EXPECT_EQ(Plan(0).origin, prefix_origin::kGone);
+}
+
 }  // namespace
 }  // namespace cuminswitch
