--- a/include/cuminswitch/Admission/even_quota_policy.h
+++ b/include/cuminswitch/Admission/even_quota_policy.h
@@ -14,12 +14,11 @@
 /// cut does to it is nothing; it is what a daemon falls back to that reaches no
 /// owner. The price: where a subject's requests gather on few daemons, or
 /// one weighs as much as a daemon's part of some seconds, most are refused that
-/// are below the limit (47% at 68 daemons, 77% at 300, at 0.9 of a limit of
-/// 16 requests a second, in virtual time).
+/// are below the limit.
 ///
 /// All daemons that begin at once would each let one request overdraw its part,
 /// so each begins in debt by another part of the first request that it sees.
-/// The sum then holds on average; at 300 daemons it was 4% over the bound.
+/// The sum then holds on average.
 class even_quota_policy : public quota_policy {
  public:
   struct options {
--- a/include/cuminswitch/Fleet/address_owners.h
+++ b/include/cuminswitch/Fleet/address_owners.h
@@ -18,9 +18,8 @@
 /// An upstream that crashes comes back under a new id at its old address, or
 /// another service gets that address, seconds before the store drops the entry
 /// of the one that crashed. Requests for the old id are all turned away there:
-/// with three of nine engines crashed, a request could meet three such entries
-/// in turn and be refused (298 of 65,000 requests refused, 209 without the
-/// replaced entries). One process listens at an address, so of several
+/// with some engines crashed, a request could meet several such entries in turn
+/// and be refused. One process listens at an address, so of several
 /// entries only the one that came last can be true.
 class address_owners {
  public:
--- a/include/cuminswitch/Fleet/question_pacer.h
+++ b/include/cuminswitch/Fleet/question_pacer.h
@@ -13,8 +13,8 @@
 ///
 /// An answer may be the fleet's whole list, a megabyte where there are
 /// thousands of upstreams, and a slow link needs longer for it than the
-/// interval between questions. Asked again meanwhile, a peer sent the same list
-/// again and again: at 300 hosts one had 121 MB of them waiting in memory.
+/// interval between questions. Asked again meanwhile, a peer would send the
+/// same list again and again, and hold all of them in memory.
 class question_pacer {
  public:
   bool MayAsk(time_point now) const;
--- a/include/cuminswitch/Log/list_changes.h
+++ b/include/cuminswitch/Log/list_changes.h
@@ -17,9 +17,8 @@
 /// Collects changes of a list between two lines of a log.
 ///
 /// A line that holds the whole list at each of its changes grows with the
-/// square of the fleet: at 95 hosts and 80 engines 69 MB in 48 s, four fifths
-/// of all that the daemons wrote. Here lines are bounded in size and in number,
-/// so that what a daemon writes stays flat as the fleet grows.
+/// square of the fleet. Here lines are bounded in size and in number, so that
+/// what a daemon writes stays flat as the fleet grows.
 class list_changes {
  public:
   /// Least time between two lines. Starts and stops come in waves, of which one
--- a/include/cuminswitch/Routing/cache_planner.h
+++ b/include/cuminswitch/Routing/cache_planner.h
@@ -25,9 +25,7 @@
 /// computes \p prefill_rate tokens a second. A question for a prefix that is
 /// not there costs about a millisecond, so one that is computed in two is not
 /// asked for. How much the links carry is bounded by the budget of copies
-/// alone: with a least length of 1,000 tokens (28 ms) 12 to 29% more was read
-/// again, in fleets of 9 to 12 engines with shared prompts of 200 and 6,300
-/// tokens.
+/// alone.
 bool IsWorthCopying(uint32_t tokens, double prefill_rate);
 
 /// Where a request's shared prefix is to come from, or why it is read again.
@@ -85,9 +83,8 @@
   copy_budget& budget;
 };
 
-/// Plans the copying of the request's shared prefix. On a calm day of the
-/// supply-contract workload 21% of the shared tokens were computed again
-/// without a plan like this one, 7% with it.
+/// Plans the copying of the request's shared prefix, so that fewer engines read
+/// what others have read.
 cache_plan PlanCache(const cache_question& question);
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Routing/copy_budget.h
+++ b/include/cuminswitch/Routing/copy_budget.h
@@ -18,9 +18,8 @@
 /// Each daemon may use its even part of each store's link. A store carries its
 /// copies one after the other; once it is asked for more than its link carries,
 /// each request waits two seconds for its copy, holds the engine's memory all
-/// the while, and so pushes out what the engine itself had cached. In a fleet
-/// of 60 engines this lasted for the rest of the day: p50 of the first byte 2.0
-/// s, where computing everything took 0.7 s.
+/// the while, and so pushes out what the engine itself had cached. A fleet that
+/// is in this state stays in it: more has to be copied again.
 class copy_budget {
  public:
   /// Sets how many daemons share the stores.
@@ -43,10 +42,8 @@
  private:
   /// Most of what is asked for is still at the engine after all, so that the
   /// link carries a part of it only. How large a part is not known, and changes
-  /// with the load: a share of 5 served most while engines kept their prefixes,
-  /// and held a fleet of 80 engines in two-second waits for good after a
-  /// quarter of them had crashed; a share of 2 let it recover, and had 15 to
-  /// 20% more read again on days without a crash. So it is learnt.
+  /// with the load: much while engines keep their prefixes, little after many
+  /// have crashed. So it is learnt.
   static constexpr double kFirstLinkShare = 2;
 
   struct account {
--- a/include/cuminswitch/Routing/target_estimate.h
+++ b/include/cuminswitch/Routing/target_estimate.h
@@ -33,10 +33,8 @@
   void LearnExcess(time_point now, priority_class priority, duration excess);
   /// By how much first bytes come later than expected of late. What a daemon
   /// and its peers know of an engine's work lags, and leaves out what the
-  /// engine does beside reading prompts; in an overloaded fleet of 80 engines
-  /// waits were expected to be 150 ms and were 820. An expectation that is not
-  /// corrected takes requests that will be late, and holds engines' memory with
-  /// them.
+  /// engine does beside reading prompts. An expectation that is not corrected
+  /// takes requests that will be late, and holds engines' memory with them.
   duration UsualExcess(time_point now, priority_class priority) const;
 
   /// Counts prompt tokens that a request of this daemon adds to a cache.
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -81,8 +81,7 @@
   // them. Versions of weights do not: a replica's incarnation tells them apart.
   // With them in the hashes each naming moved all prefixes to new homes and
   // hid what the replicas with the older weights had cached, for the seconds
-  // in which these still served most requests: of the worth of a light and a
-  // heavy day at 140 engines 0.55 and 0.31 were earned, without 0.66 and 0.36.
+  // in which these still served most requests.
   item.scope = CacheScope(item, {});
   for (prefix_level& level : item.info.levels) {
     level.hash = CombineHash(item.scope, level.hash);
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -31,9 +31,8 @@
 static constexpr int kStreamTargetsToStall = 4;
 static constexpr int kPausesToStall = 3;
 /// Nor is an upstream left before this many times the wait that is usual now:
-/// in an overloaded fleet of 60 engines two seconds passed before many first
-/// bytes, and 14% of the requests were taken from engines that were about to
-/// answer.
+/// in an overloaded fleet requests would be taken from engines that are about
+/// to answer.
 static constexpr int kUsualWaitsToStall = 4;
 /// When to come back after a wait that was in vain.
 static constexpr duration kQueueRetryAfter = std::chrono::milliseconds(500);
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -14,8 +14,7 @@
 namespace cuminswitch {
 
 /// Peers named in a beat, others each time. The store lists them all, so this
-/// is for the time without it; a daemon gets some 130 beats a second, which
-/// name 400 peers. Eight were 40% of a beat's bytes.
+/// is for the time without it; many beats a second name all peers soon.
 static constexpr size_t kHeardPerBeat = 3;
 static constexpr uint64_t kHeardPart = 4;
 static constexpr duration kRegistrationRetry = std::chrono::milliseconds(700);
--- a/lib/Routing/cache_planner.cc
+++ b/lib/Routing/cache_planner.cc
@@ -19,9 +19,7 @@
 /// A holder that used the prefix so long ago still has it for sure.
 constexpr double kSureHit = 0.99;
 /// An engine that has the prefix with this chance is asked for it. A miss costs
-/// a millisecond, what is not copied is read again in a hundred. Without it
-/// 0.36 of a heavy day's worth was earned at 140 engines, with it 0.39 (one
-/// day).
+/// a millisecond, what is not copied is read again in a hundred.
 constexpr double kLeastChanceToAsk = 0.3;
 
 /// A prefix that is computed in less is copied from a store only while its link
--- a/lib/Routing/outlier_detector.cc
+++ b/lib/Routing/outlier_detector.cc
@@ -6,11 +6,11 @@
 namespace cuminswitch {
 
 /// An answer loses half of its weight in so many seconds: long enough to
-/// gather the answers that tell 40% from 14%, short enough to find an upstream
-/// that turned bad.
+/// gather the answers that tell a bad upstream from a usual one, short enough
+/// to find one that turned bad.
 static constexpr double kHalfLifeSeconds = 4;
-/// Failures below this say nothing: at a natural share of 14% three in a row
-/// come once in 364 answers.
+/// Failures below this say nothing: two in a row come often at a sound
+/// upstream.
 static constexpr double kLeastFailures = 2.5;
 /// An outlier fails at least this much more often than the others.
 static constexpr double kLeastExcess = 0.15;
--- a/lib/Routing/prompt_kinds.cc
+++ b/lib/Routing/prompt_kinds.cc
@@ -15,17 +15,13 @@
 /// With less for one kind, its engines would be too few to lose one.
 static constexpr double kLeastPart = 0.1;
 /// Engines that a kind must have, so that one that is gone leaves it most of
-/// its own: with two or three of 13, a fleet on its heaviest day earned 0.58 of
-/// what was owed, and 0.63 with all shared.
+/// its own.
 static constexpr double kLeastEngines = 4;
 /// Requests that one engine runs at once. Engines of few slots are full by
-/// chance long before all of their kind are: at 24 slots, on light days, 19 in
-/// 100 short requests were late with engines kept for them, and 1 with all
-/// shared (140 engines), 15 and 9 (80 engines); at 64 slots 17, not 27.
+/// chance long before all of their kind are.
 static constexpr double kLeastSlots = 32;
 /// Slots that answers to short prompts may hold for engines to be kept for
-/// them, as a share of the slots of these engines. On light days it is 0.15 to
-/// 0.35.
+/// them, as a share of the slots of these engines.
 static constexpr double kMostHeldToBegin = 0.4;
 /// And for engines to stay kept: a fleet that falls behind holds more slots by
 /// that alone, and to move the boundary then makes it read prefixes again.
