Keep the questions about limits apart from those about quotas

While daemons are replaced by newer ones, an older owner answers a question about an upstream's limit as one about a workspace; with tickets from the same row that would have decided another request. What upstreams take from all daemons stands in one file, edge_limits.cc.

--- a/include/cuminswitch/Edge/limit_gate.h
+++ b/include/cuminswitch/Edge/limit_gate.h
@@ -53,7 +53,10 @@
 
   std::unique_ptr<quota_policy> policy_;
   uint64_t turn_;
-  uint64_t next_ticket_ = 0;
+  /// Apart from those of workspaces' quotas: an answer of a daemon that knows
+  /// only these must not be taken for one to such a question.
+  static constexpr uint64_t kFirstTicket = uint64_t{1} << 62;
+  uint64_t next_ticket_ = kFirstTicket;
   std::unordered_map<uint64_t, permit_question> waiting_;
   counts totals_;
 };
--- a/lib/Edge/edge_limits.cc
+++ b/lib/Edge/edge_limits.cc
@@ -1,7 +1,10 @@
-// How the edge learns of the limits that upstreams name.
+// What upstreams take from all daemons together: the rates that some name, and
+// connections.
+#include <map>
 #include <utility>
 #include <vector>
 
+#include "cuminswitch/Edge/connection_share.h"
 #include "cuminswitch/Edge/edge_task.h"
 #include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Fleet/boot_clock.h"
@@ -133,4 +136,23 @@
   }
 }
 
+void edge_task::ShareConnections() {
+  if (knowledge_ == nullptr || knowledge_->plan == nullptr) {
+    return;
+  }
+  std::map<endpoint, size_t> limits;
+  for (const upstream_entry& entry : knowledge_->upstreams) {
+    const service_plan* service = knowledge_->plan->FindService(entry.service);
+    if (service != nullptr) {
+      limits[entry.address] =
+          IdleShare({.max_connections = service->max_connections,
+                     .slots = entry.slots,
+                     .daemons = maybe_at_work_,
+                     .self = Hash64(options_.self.name),
+                     .upstream = Hash64(entry.id)});
+    }
+  }
+  pool_.SetIdleLimits(std::move(limits));
+}
+
 }  // namespace cuminswitch
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -1,13 +1,11 @@
 #include "cuminswitch/Edge/edge_task.h"
 
 #include <algorithm>
-#include <map>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 
 #include "cuminswitch/Admission/owner_quota_policy.h"
-#include "cuminswitch/Edge/connection_share.h"
 #include "cuminswitch/Edge/plan_translator.h"
 #include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Edge/router_settings.h"
@@ -178,25 +176,6 @@
   ShareConnections();
 }
 
-void edge_task::ShareConnections() {
-  if (knowledge_ == nullptr || knowledge_->plan == nullptr) {
-    return;
-  }
-  std::map<endpoint, size_t> limits;
-  for (const upstream_entry& entry : knowledge_->upstreams) {
-    const service_plan* service = knowledge_->plan->FindService(entry.service);
-    if (service != nullptr) {
-      limits[entry.address] =
-          IdleShare({.max_connections = service->max_connections,
-                     .slots = entry.slots,
-                     .daemons = maybe_at_work_,
-                     .self = Hash64(options_.self.name),
-                     .upstream = Hash64(entry.id)});
-    }
-  }
-  pool_.SetIdleLimits(std::move(limits));
-}
-
 void edge_task::Take(const weights_changing& news) {
   for (const std::string& id : changing_) {
     router_.OnUpstreamChanging({.upstream = id, .is_changing = false});
--- a/unittests/PlatformAdapter/http_protocol_test.cc
+++ b/unittests/PlatformAdapter/http_protocol_test.cc
@@ -117,7 +117,7 @@
 }
 
 TEST(http_protocol_test, ReadsTheLimitThatAnUpstreamNames) {
-  const auto read = [](std::vector<std::string> values) {
+  const auto read = [](const std::vector<std::string>& values) {
     message_head head;
     head.status = 200;
     for (const std::string& value : values) {
