--- a/benchmarks/limit_ways.cc
+++ b/benchmarks/limit_ways.cc
@@ -7,15 +7,13 @@
 #include <numeric>
 #include <vector>
 
+#include "StandIn/limit_bound.h"
 #include "cuminswitch/Admission/upstream_limits.h"
 #include "quota_fleet.h"
 
 namespace cuminswitch {
 namespace {
 
-constexpr double kWindow = 4;
-constexpr double kAllowedShare = 1.5;
-constexpr double kAllowedSlack = 5;
 constexpr double kSeconds = 40;
 
 struct played_case {
@@ -65,8 +63,8 @@
              .by_turns = true,
              .waits = item.waits});
   const double busy = item.is_wave ? kSeconds / 2 : kSeconds;
-  const double allowed = kAllowedShare * kWindow * rate + kAllowedSlack;
-  const double most = fleet.MostWithin(kWindow);
+  const double allowed = AllowedByLimit(rate);
+  const double most = fleet.MostWithin(kLimitWindow.count());
   std::printf("%-5s %4zu %6.1f  %-28s %8.0f of %6.0f%s %8.2f %10zu\n",
               way == quota_way::kOwner ? "owner" : "even", size, rate,
               item.name, most, allowed, most > allowed ? "!" : " ",
--- a/test/soak/limit_check.cc
+++ b/test/soak/limit_check.cc
@@ -1,10 +1,9 @@
 #include "soak/limit_check.h"
 
+#include "StandIn/limit_bound.h"
+
 namespace cuminswitch::soak {
 
-static constexpr std::chrono::seconds kWindow{4};
-static constexpr double kShare = 1.5;
-static constexpr double kSlack = 5;
 /// A daemon is bound so long after it has passed on an answer with the limit.
 static constexpr std::chrono::milliseconds kHeed{500};
 
@@ -27,12 +26,10 @@
   }
   std::deque<wall_time>& counted = under.at;
   counted.push_back(item.at);
-  while (item.at - counted.front() > kWindow) {
+  while (item.at - counted.front() > kLimitWindow) {
     counted.pop_front();
   }
-  const double allowed =
-      kShare * item.rate * static_cast<double>(kWindow.count()) + kSlack;
-  if (static_cast<double>(counted.size()) <= allowed) {
+  if (static_cast<double>(counted.size()) <= AllowedByLimit(item.rate)) {
     return std::nullopt;
   }
   return item.upstream + " got " + std::to_string(counted.size()) +
--- a/unittests/Admission/limit_fleet_test.cc
+++ b/unittests/Admission/limit_fleet_test.cc
@@ -10,22 +10,16 @@
 #include <numeric>
 #include <tuple>
 
+#include "StandIn/limit_bound.h"
 #include "cuminswitch/Admission/upstream_limits.h"
 #include "quota_fleet.h"
 
 namespace cuminswitch {
 namespace {
 
-// The aim: in any 4 s no more than one and a half times the limit, and five.
-constexpr double kWindow = 4;
-constexpr double kShare = 1.5;
-constexpr double kSlack = 5;
+constexpr double kWindow = kLimitWindow.count();
 constexpr double kSeconds = 40;
 
-double Allowed(double rate) {
-  return kShare * kWindow * rate + kSlack;
-}
-
 quota_fleet::load Callers(size_t daemons, std::function<double(double)> rate) {
   return {.rate = std::move(rate),
           .choose =
@@ -50,7 +44,7 @@
     return Callers(size(), [=, this](double) { return share * rate(); });
   }
   void ExpectKept(const quota_fleet& fleet) const {
-    EXPECT_LE(fleet.MostWithin(kWindow), Allowed(rate()));
+    EXPECT_LE(fleet.MostWithin(kWindow), AllowedByLimit(rate()));
   }
   double Used(const quota_fleet& fleet, double seconds) const {
     return fleet.admitted() / rate() / seconds;
@@ -196,7 +190,7 @@
       Callers(size, [&](double) { return draw(0, 12) * rate + 0.01; });
   callers.waits = GetParam() % 2 == 0;
   fleet.Run(kSeconds, callers);
-  EXPECT_LE(fleet.MostWithin(kWindow), Allowed(rate))
+  EXPECT_LE(fleet.MostWithin(kWindow), AllowedByLimit(rate))
       << size << " daemons, limit " << rate;
 }
 
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 
+#include "StandIn/limit_bound.h"
 #include "StandIn/stand_in_main.h"
 #include "cuminswitch/CommandLine/option_parser.h"
 #include "cuminswitch/Net/http_exchange.h"
@@ -59,11 +60,10 @@
                      .count()
               << " " << *rate_ << std::endl;
     arrivals_.push_back(now);
-    while (now - arrivals_.front() > kWindow) {
+    while (now - arrivals_.front() > kLimitWindow) {
       arrivals_.pop_front();
     }
-    const double allowed =
-        kShare * *rate_ * static_cast<double>(kWindow.count()) + kSlack;
+    const double allowed = AllowedByLimit(*rate_);
     if (static_cast<double>(arrivals_.size()) > allowed) {
       std::cout << "over_limit " << arrivals_.size() << " " << allowed
                 << std::endl;
@@ -71,9 +71,6 @@
   }
 
  private:
-  static constexpr std::chrono::seconds kWindow{4};
-  static constexpr double kShare = 1.5;
-  static constexpr double kSlack = 5;
   /// Daemons may take so long to hear of the limit and to keep to it.
   static constexpr std::chrono::seconds kTellTime{1};
 
