--- a/include/cuminswitch/Admission/owner_quota_policy.h
+++ b/include/cuminswitch/Admission/owner_quota_policy.h
@@ -23,12 +23,12 @@
   kNothing,
 };
 
-/// Each subject has an owner, the first of the living daemons by rendezvous
-/// hashing, which all work out alike. It is asked about every request, which
-/// takes one round trip within the region, 1 to 3 ms. News that ride on beats
-/// are half a second old: a subject that begins to send ten times its limit
-/// uses five seconds' worth of it by then, and a part for each daemon is less
-/// than one long prompt.
+/// Each subject (a workspace, or an upstream that names a limit) has an owner,
+/// the first of the living daemons by rendezvous hashing, which all work out
+/// alike. It is asked about every request, which takes one round trip within
+/// the region, 1 to 3 ms. News that ride on beats are half a second old: a
+/// subject that begins to send ten times its limit uses five seconds' worth of
+/// it by then, and a part for each daemon is less than one long prompt.
 ///
 /// What goes wrong, and what is done:
 /// - The owner dies or cannot be reached. One notices by its silence. The next
@@ -44,9 +44,12 @@
 ///   out a quarter until it must have noticed.
 /// - An owner comes back while some still ask the one that stood in for it. It
 ///   gives out half until all have noticed.
-/// - Nobody answers. A request is taken if the subject had half of its burst
-///   left within the last two seconds, else out of this daemon's even part; the
-///   owner that is reached next is told how much that was.
+/// - The owner stops, and serves on for seconds. It passes itself over at
+///   once, as the others do.
+/// - Nobody answers. Without a fallback nothing is taken. Else a request is
+///   taken if the subject had half of its burst left within the last two
+///   seconds, or out of this daemon's even part; the owner that is reached next
+///   is told how much that was.
 /// - All daemons were killed and know nothing. An owner begins with half a
 ///   second's worth.
 class owner_quota_policy : public quota_policy {
