Send quota messages, and give unused permits back, in one place each

Found on reading the whole change once more: the loop that posts what a policy has to say stood in the settling of quotas and of limits, and the return of a permit stood twice in OnPermit, each with its own check that the limit is still in force. One function each now; nothing else changes.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -236,6 +236,8 @@
                        const request& item,
                        const placement& chosen,
                        action_list& out);
+  /// The permit is not used; it is given back where there still is a limit.
+  void ReturnPermit(const permit_answer& answer);
   /// What is known of an upstream's limit changed.
   void NoteLimitChange(uint64_t upstream, upstream_limits::change what);
   void Dispatch(time_point now,
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -117,6 +117,8 @@
   /// Sends what the quotas have to say and carries out what they decided.
   void SettleQuotas(time_point now);
   void TellQuotasOfFleet(time_point now);
+  /// Sends what \p policy has to say to other daemons.
+  void SendQuotaMessages(quota_policy& policy);
   void SettleQuota(time_point now, quota_gate::decided_request decided);
   void HandToRouter(time_point now, const core_event& event);
   void Perform(time_point now, const action_list& actions);
--- a/lib/Core/request_permits.cc
+++ b/lib/Core/request_permits.cc
@@ -51,20 +51,17 @@
                               action_list& out) {
   const std::optional<replica_index> index =
       replicas_.FindByHash(answer.upstream);
-  const std::optional<double> rate = limits_.Find(answer.upstream);
   const auto found = requests_.find(answer.request);
   const bool is_asking = found != requests_.end() &&
                          found->second.at == stage::kAsking && index &&
                          found->second.asked.index == *index;
-  if (!answer.is_granted && rate && index) {
+  if (!answer.is_granted && index && limits_.Find(answer.upstream)) {
     replicas_.SetLimited(
         now, *index,
         std::clamp(answer.retry_after, kShortestTurn, kLongestTurn));
   }
   if (!is_asking) {
-    if (answer.is_granted && rate) {
-      unused_permits_.push_back({.upstream = answer.upstream, .rate = *rate});
-    }
+    ReturnPermit(answer);
     return;
   }
   request& item = found->second;
@@ -80,10 +77,15 @@
     Dispatch(now, item, item.asked, eligible.indices, out);
     return;
   }
-  if (rate) {
+  ReturnPermit(answer);
+  Admit(now, item, out);
+}
+
+void request_router::ReturnPermit(const permit_answer& answer) {
+  const std::optional<double> rate = limits_.Find(answer.upstream);
+  if (answer.is_granted && rate) {
     unused_permits_.push_back({.upstream = answer.upstream, .rate = *rate});
   }
-  Admit(now, item, out);
 }
 
 bool request_router::RefuseIfLimited(time_point now,
--- a/lib/Edge/edge_limits.cc
+++ b/lib/Edge/edge_limits.cc
@@ -102,9 +102,7 @@
   for (const permit_question& question : router_.TakePermitQuestions()) {
     limits_.Ask(now, question);
   }
-  for (quota_send& item : limits_.policy().TakeMessages()) {
-    services_.FindPort<fleet_message>(kFleetService).Post(std::move(item));
-  }
+  SendQuotaMessages(limits_.policy());
   for (const limit_gate::decided_question& decided : limits_.TakeDecided()) {
     SettleLimit(now, decided);
   }
--- a/lib/Edge/edge_quotas.cc
+++ b/lib/Edge/edge_quotas.cc
@@ -59,10 +59,14 @@
   SettleQuotas(now);
 }
 
-void edge_task::SettleQuotas(time_point now) {
-  for (quota_send& item : quotas_.policy().TakeMessages()) {
+void edge_task::SendQuotaMessages(quota_policy& policy) {
+  for (quota_send& item : policy.TakeMessages()) {
     services_.FindPort<fleet_message>(kFleetService).Post(std::move(item));
   }
+}
+
+void edge_task::SettleQuotas(time_point now) {
+  SendQuotaMessages(quotas_.policy());
   for (quota_gate::decided_request& decided : quotas_.TakeDecided()) {
     SettleQuota(now, std::move(decided));
   }
