Show in the log which attempts are the same request, and which were given up

An attempt's id is new each time its caller comes back, so no log line told that two attempts carry the same request, which the hypotheses about crashing requests turn on. attempt_failed now has the digest of what is the same each time: workspace, method, host, path, body. An attempt that this daemon gave up on after a silence is 'stalled', no longer 'broken': only the latter is a sign that the upstream ended.

The digest is worked out for every request: one xxHash over the body.

--- a/include/cuminswitch/Edge/arrival_translator.h
+++ b/include/cuminswitch/Edge/arrival_translator.h
@@ -3,14 +3,22 @@
 #ifndef CUMINSWITCH_EDGE_ARRIVAL_TRANSLATOR_H_
 #define CUMINSWITCH_EDGE_ARRIVAL_TRANSLATOR_H_
 
+#include <string_view>
+
 #include "cuminswitch/Edge/quota_gate.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Protocol/core_event.h"
 
 namespace cuminswitch {
 
+class caller_exchange;
 struct workspace_plan;
 
+/// Returns a digest of what a caller of \p workspace sends again, and what is
+/// the same however often it does. The workspace is part of it, so that no
+/// workspace can have anything to do with another's requests.
+hash128 DigestRequest(const caller_exchange& exchange,
+                      std::string_view workspace);
 /// Describes the request of \p flow; \p workspace is null where its route is
 /// open to all.
 request_arrived DescribeArrival(const request_flow::options& flow,
--- a/include/cuminswitch/Edge/attempt_verdict.h
+++ b/include/cuminswitch/Edge/attempt_verdict.h
@@ -24,6 +24,8 @@
   kNotConnected,
   /// The connection broke before the answer was whole.
   kBroken,
+  /// Nothing came for so long that this daemon gave the attempt up.
+  kStalled,
   /// Something that is no answer to this attempt.
   kForeign,
 };
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -16,6 +16,7 @@
 #include "cuminswitch/Net/loop_timer.h"
 #include "cuminswitch/Protocol/core_action.h"
 #include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Support/hash.h"
 
 struct event_base;
 
@@ -71,6 +72,8 @@
     std::string workspace;
     uint32_t rank = 0;
     bool uses_cache = false;
+    /// Of what its caller sends again with each attempt.
+    hash128 digest;
     time_point arrived{};
     /// When the request is given up on.
     time_point deadline{};
@@ -103,6 +106,7 @@
   const route_plan& plan() const { return *options_.plan; }
   const route_spec& route() const { return *options_.route; }
   const std::string& workspace() const { return options_.workspace; }
+  const hash128& digest() const { return options_.digest; }
   const std::string& upstream() const { return upstream_; }
   time_point arrived() const { return options_.arrived; }
   /// When the present attempt was sent.
--- a/lib/Edge/arrival_translator.cc
+++ b/lib/Edge/arrival_translator.cc
@@ -41,6 +41,18 @@
   return levels;
 }
 
+hash128 DigestRequest(const caller_exchange& exchange,
+                      std::string_view workspace) {
+  const message_head& head = exchange.Head();
+  uint64_t seed = Hash64(workspace);
+  for (const std::string_view part :
+       {std::string_view(head.method), head.Find("Host"),
+        std::string_view(head.target)}) {
+    seed = Hash64(part, seed);
+  }
+  return Hash128(exchange.Body(), seed);
+}
+
 request_arrived DescribeArrival(const request_flow::options& flow,
                                 const workspace_plan* workspace) {
   const route_spec& route = *flow.route;
@@ -53,6 +65,7 @@
       .target = TargetName(service, is_engine ? flow.request.model : ""),
       .levels = MakeLevels(flow.request.parts),
       .prompt_tokens = flow.request.prompt_tokens,
+      .request_digest = flow.digest,
       .time_limit = flow.deadline - flow.arrived,
       .target_latency = route.target_latency,
       .longest_silence = route.longest_silence,
--- a/lib/Edge/attempt_verdict.cc
+++ b/lib/Edge/attempt_verdict.cc
@@ -16,6 +16,8 @@
       return "not_connected";
     case attempt_answer::kBroken:
       return "broken";
+    case attempt_answer::kStalled:
+      return "stalled";
     case attempt_answer::kForeign:
       return "foreign";
   }
@@ -45,6 +47,7 @@
       return {.result = outcome::kNotRun,
               .action = verdict_action::kPlaceAgain};
     case attempt_answer::kBroken:
+    case attempt_answer::kStalled:
     case attempt_answer::kForeign:
       if (may_repeat) {
         return {.result = outcome::kUnknown,
--- a/lib/Edge/edge_arrivals.cc
+++ b/lib/Edge/edge_arrivals.cc
@@ -90,9 +90,11 @@
       .rank = workspace == nullptr ? route.rank
                                    : workspace->rank.value_or(route.rank),
       .uses_cache = false,
+      .digest = {},
       .arrived = now,
       .deadline = now + patience};
   options.uses_cache = !options.request.parts.empty();
+  options.digest = DigestRequest(exchange, options.workspace);
   request_arrived arrival = DescribeArrival(options, workspace);
   const request_id id = options.id;
   auto flow = std::make_unique<request_flow>(
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -128,7 +128,7 @@
   }
   call_.reset();
   with_.owner.OnFlowBroken(address_);
-  Judge(attempt_answer::kBroken);
+  Judge(attempt_answer::kStalled);
 }
 
 void request_flow::CancelAttempt() {
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -38,6 +38,10 @@
       .Add("upstream", flow.upstream())
       .Add("answer", ToString(answer))
       .Add("status", status);
+  if (answer == attempt_answer::kBroken || answer == attempt_answer::kStalled) {
+    // The id is new with each attempt of the caller; this stays the same.
+    line.Add("digest", ToHex(flow.digest()));
+  }
   return line;
 }
 
--- a/lib/Support/hash.cc
+++ b/lib/Support/hash.cc
@@ -2,6 +2,10 @@
 
 #include <xxhash.h>
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
 namespace cuminswitch {
 
 uint64_t Hash64(std::string_view data, uint64_t seed) {
@@ -14,4 +18,11 @@
   return {.high = value.high64, .low = value.low64};
 }
 
+std::string ToHex(const hash128& value) {
+  std::array<char, 33> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64,
+                value.high, value.low);
+  return text.data();
+}
+
 }  // namespace cuminswitch
--- a/unittests/Edge/attempt_verdict_test.cc
+++ b/unittests/Edge/attempt_verdict_test.cc
@@ -47,12 +47,16 @@
       {kBroken, kNone, true, outcome::kUnknown, kPlaceAgain},
       {kBroken, kSome, false, outcome::kUnknown, kCutOff},
       {kBroken, kSome, true, outcome::kUnknown, kPlaceAgain},
+      {kStalled, kNone, false, outcome::kUnknown, kTellUnknown},
+      {kStalled, kNone, true, outcome::kUnknown, kPlaceAgain},
+      {kStalled, kSome, false, outcome::kUnknown, kCutOff},
+      {kStalled, kSome, true, outcome::kUnknown, kPlaceAgain},
       {kForeign, kNone, false, outcome::kUnknown, kTellUnknown},
       {kForeign, kNone, true, outcome::kUnknown, kPlaceAgain},
       {kForeign, kSome, false, outcome::kUnknown, kCutOff},
       {kForeign, kSome, true, outcome::kUnknown, kPlaceAgain},
   };
-  EXPECT_EQ(table.size(), 7U * 2 * 2);
+  EXPECT_EQ(table.size(), 8U * 2 * 2);
   for (const cell& item : table) {
     const attempt_verdict verdict =
         JudgeAttempt(item.answer, item.progress, item.may_repeat);
@@ -69,7 +73,8 @@
 // Cause: a broken answer was told as "not run".
 TEST(attempt_verdict_test, NothingThatMayHaveRunIsToldAsNotRun) {
   using enum attempt_answer;
-  for (const attempt_answer answer : {kSuccess, kFailure, kBroken, kForeign}) {
+  for (const attempt_answer answer :
+       {kSuccess, kFailure, kBroken, kStalled, kForeign}) {
     for (const bool may_repeat : {false, true}) {
       EXPECT_NE(
           JudgeAttempt(answer, answer_progress::kNothing, may_repeat).result,
