--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -3,7 +3,8 @@
 // that it runs is told on standard output as `run ATTEMPT WORKSPACE SALT`.
 // Parts of a request's path make it misbehave: `/refuse/` (not run), `/fail/`
 // (runs and fails), `/cut/` (an engine stops in the middle of its answer, a
-// plain service runs the request and closes without one), `/hang/` (no answer).
+// plain service runs the request and closes without one), `/hang/` (no answer),
+// `/crash/` (the upstream runs the request and ends).
 // `GET /control/limit/RATE` makes it name a limit from then on, `none` takes it
 // away; meanwhile each request is told as `limited ATTEMPT TIME RATE` (of the
 // monotonic clock, in milliseconds), and what comes beyond the limit as
@@ -11,6 +12,7 @@
 #include <event2/event.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <deque>
 #include <iostream>
 #include <list>
@@ -177,7 +179,9 @@
     std::cout << "run " << exchange->Header("X-Attempt-Id") << " "
               << exchange->Header("X-Tenant") << " "
               << exchange->Header("X-Cache-Salt") << std::endl;
-    if (has("/hang/")) {
+    if (has("/crash/")) {
+      std::_Exit(EXIT_FAILURE);
+    } else if (has("/hang/")) {
       hanging_.push_back(exchange);
     } else if (has("/fail/")) {
       exchange->Reply(500, kJson, "{}", AnswerHeaders(*exchange));
