Keep requests that crash upstreams away from them, over the whole fleet

Cause: no daemon remembered a request beyond its attempt. An attempt's id is new each time its caller comes back, so every daemon took the next one for another request, and sent it to the next engine.

Change: an attempt that breaks off is remembered with the digest of its request and the start of its upstream. Three upstreams quarantine the request: it is refused at once, at arrival, while it waits, before a repeat. Daemons tell one another in beats; a quarantine is also written to the platform's store, so that daemons that are all killed at once still know it. A broken connection counts at once and is cleared by the next answer of the same start; what ran to its end of late is never quarantined.

Ruled out: counting each daemon by itself (8 daemons x 3); waiting for proof of the crash (the entry goes up to 3.6 s after it, and stays while the store is down); a status that says 'never' (4xx): it is not known that it will never do, and not run is true.

--- a/include/cuminswitch/Core/core_status.h
+++ b/include/cuminswitch/Core/core_status.h
@@ -61,6 +61,10 @@
   size_t known_prefixes = 0;
   /// Of the engines, the part that is kept for short prompts.
   double short_part = 0;
+  /// Requests under which an upstream crashed, and those of them that are kept
+  /// away from upstreams.
+  size_t suspected_requests = 0;
+  size_t quarantined_requests = 0;
   bool stopping = false;
 };
 
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "cuminswitch/Admission/drain_meter.h"
+#include "cuminswitch/Admission/request_quarantine.h"
 #include "cuminswitch/Admission/retry_budget.h"
 #include "cuminswitch/Admission/upstream_limits.h"
 #include "cuminswitch/Admission/wait_queue.h"
@@ -56,6 +57,7 @@
     bool refuse_without_upstream = false;
     /// Keep placements for `TakePlacedPrefixes`.
     bool tells_placements = false;
+    request_quarantine::options quarantine;
   };
 
   request_router(const options& opts, const shard_directory& members);
@@ -123,6 +125,12 @@
   std::vector<uint64_t> ExpireLimits(time_point now);
   /// An upstream has started again, and has no limit so far.
   upstream_limits::change ForgetLimit(uint64_t upstream);
+  /// The upstream of \p attempt has begun to answer it.
+  void OnAttemptAnswered(attempt_id attempt);
+  /// Which requests crash upstreams. What peers and the store know of them goes
+  /// in here.
+  request_quarantine& quarantine() { return quarantine_; }
+  const request_quarantine& quarantine() const { return quarantine_; }
   /// The upstream whose name has \p hash; empty where none is known.
   std::string_view FindUpstreamName(uint64_t hash) const;
   /// What upstreams say of the rate that they take.
@@ -136,6 +144,8 @@
   struct attempt {
     attempt_id id = 0;
     replica_index index = 0;
+    /// Stands for the upstream's present start.
+    uint64_t upstream_start = 0;
     double expected_tokens = 0;
     time_point sent{};
     /// From then to the first byte, as far as was known.
@@ -230,6 +240,15 @@
                  const placement& chosen,
                  const eligible_replicas& eligible,
                  action_list& out);
+  /// Refuses the request if it crashes upstreams.
+  bool RefuseIfQuarantined(time_point now,
+                           const request& item,
+                           action_list& out);
+  /// Learns from an attempt's end whether its request crashes upstreams.
+  void LearnCrash(time_point now,
+                  const request& item,
+                  const attempt& done,
+                  const attempt_ended& event);
   /// Refuses the request if limits of upstreams keep it waiting beyond its
   /// time.
   bool RefuseIfLimited(time_point now,
@@ -299,6 +318,8 @@
   wait_queue queue_;
   workspace_limiter limiter_;
   upstream_limits limits_;
+  request_quarantine quarantine_;
+  time_point next_quarantine_expiry_{};
   std::vector<permit_question> permit_questions_;
   std::vector<permit_return> unused_permits_;
   std::map<std::string, retry_budget, std::less<>> retries_;
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -80,6 +80,7 @@
   void OnRequest(caller_exchange& exchange) override;
   void OnFlowEvent(core_event event) override;
   void OnFlowLoad(const std::string& upstream, const told_load& load) override;
+  void OnFlowAnswered(const request_flow& flow) override;
   void OnFlowLimit(const request_flow& flow,
                    const limit_notice& notice) override;
   void OnFlowAttemptFailed(const request_flow& flow,
@@ -101,6 +102,7 @@
   void Take(const weights_changing& news);
   void Take(const peer_placements& news);
   void Take(const peer_limits& news);
+  void Take(const peer_crashes& news);
   void Take(const quota_ask& ask);
   void Take(const quota_verdict& verdict);
   /// Lets the peers know what this daemon's requests wait for.
@@ -138,6 +140,10 @@
   void SettleLimit(time_point now, const limit_gate::decided_question& decided);
   /// Lets the peers know what upstreams told this daemon.
   void TellLimits(time_point now);
+  /// Lets the peers and the store know which requests crash upstreams.
+  void TellCrashes(time_point now);
+  /// Tells the log what changed about requests that crash upstreams.
+  void LogQuarantines();
   /// Ends the limits that no answer has renewed for long.
   void ExpireLimits(time_point now);
   /// Tells the log when engines begin to be kept for short prompts, or cease.
@@ -167,6 +173,7 @@
   quota_gate quotas_;
   limit_gate limits_;
   bool told_limits_ = false;
+  bool told_crashes_ = false;
   edge_metrics metrics_;
   graceful_stop stop_;
   time_point started_at_;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -44,6 +44,8 @@
   virtual void OnFlowEvent(core_event event) = 0;
   virtual void OnFlowLoad(const std::string& upstream,
                           const told_load& load) = 0;
+  /// The upstream of the present attempt signed an answer to it.
+  virtual void OnFlowAnswered(const request_flow& flow) = 0;
   /// The upstream of the present attempt told which rate it takes.
   virtual void OnFlowLimit(const request_flow& flow,
                            const limit_notice& notice) = 0;
--- a/include/cuminswitch/Fleet/fleet_knowledge.h
+++ b/include/cuminswitch/Fleet/fleet_knowledge.h
@@ -11,6 +11,7 @@
 #include "cuminswitch/Fleet/item_view.h"
 #include "cuminswitch/Fleet/route_plan.h"
 #include "cuminswitch/Support/endpoint.h"
+#include "cuminswitch/Support/hash.h"
 
 namespace cuminswitch {
 
@@ -57,6 +58,8 @@
   std::vector<std::string> unreadable_upstreams;
   std::vector<weights_version> wanted_weights;
   std::vector<daemon_entry> daemons;
+  /// Digests of requests that are kept away from upstreams.
+  std::vector<hash128> quarantined;
   /// Who may order engines; empty when nobody does.
   std::string leader;
   revision_number revision = 0;
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -10,6 +10,7 @@
 
 #include "cuminswitch/Fleet/fleet_knowledge.h"
 #include "cuminswitch/Fleet/peer_frame.h"
+#include "cuminswitch/Protocol/crash_news.h"
 #include "cuminswitch/Protocol/limit_notice.h"
 #include "cuminswitch/Support/time.h"
 
@@ -34,10 +35,24 @@
   /// As of when their ages are.
   time_point at{};
 };
+/// A request that is kept away from upstreams, and for how long still.
+struct quarantine_record {
+  hash128 request;
+  duration time_left{0};
+};
+/// Which requests crashed upstreams at this daemon.
+struct own_crashes {
+  std::vector<crash_news> crashes;
+  /// What has to be known also when no daemon of now is left.
+  std::vector<quarantine_record> quarantined;
+  /// As of when the ages are.
+  time_point at{};
+};
 using fleet_message = std::variant<fleet_stop_requested,
                                    readiness_changed,
                                    own_placements,
                                    own_limits,
+                                   own_crashes,
                                    quota_send>;
 
 /// What is known of the deployment changed.
@@ -59,6 +74,10 @@
   std::string peer;
   std::vector<limit_news> limits;
 };
+/// Which requests crashed upstreams at a peer.
+struct peer_crashes {
+  std::vector<crash_news> crashes;
+};
 /// The upstreams whose weights are being changed just now.
 struct weights_changing {
   std::vector<std::string> upstreams;
@@ -68,6 +87,7 @@
                                 weights_changing,
                                 peer_placements,
                                 peer_limits,
+                                peer_crashes,
                                 quota_ask,
                                 quota_verdict>;
 
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -15,6 +15,7 @@
 #include "cuminswitch/Fleet/leader_election.h"
 #include "cuminswitch/Fleet/peer_roster.h"
 #include "cuminswitch/Fleet/placement_news.h"
+#include "cuminswitch/Fleet/quarantine_records.h"
 #include "cuminswitch/Fleet/question_pacer.h"
 #include "cuminswitch/Fleet/weights_rollout.h"
 #include "cuminswitch/Kernel/loop_task.h"
@@ -37,6 +38,8 @@
     /// Where this daemon lists itself, and where leaders hold their lease.
     std::string daemons_prefix;
     std::string leader_key;
+    /// Where requests are listed that are kept away from upstreams.
+    std::string quarantine_prefix;
     /// No two leaders may send orders within this time of each other.
     duration leader_gap = std::chrono::seconds(3);
   };
@@ -73,6 +76,8 @@
   /// the others.
   void ChooseFollowers(time_point now);
   void RegisterSelf();
+  /// Writes down which requests crash upstreams.
+  void RecordQuarantines(time_point now);
   void SendBeat(const endpoint& to);
   void Announce();
   void AskPeers(time_point now);
@@ -92,6 +97,7 @@
   item_feed feed_;
   leader_election election_;
   weights_rollout rollout_;
+  quarantine_records quarantine_records_;
   std::unique_ptr<peer_transport> transport_;
   loop_timer beat_timer_;
   loop_timer rollout_timer_;
@@ -102,6 +108,7 @@
   std::vector<upstream_backlog> own_backlogs_;
   prompt_mix own_mix_;
   own_limits own_limits_;
+  own_crashes own_crashes_;
   placement_news placement_news_;
   std::vector<std::string> leader_changing_;
   std::vector<std::string> published_changing_;
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -14,6 +14,7 @@
 
 #include "cuminswitch/Fleet/item_view.h"
 #include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Protocol/crash_news.h"
 #include "cuminswitch/Protocol/limit_notice.h"
 #include "cuminswitch/Protocol/quota_message.h"
 #include "cuminswitch/Support/endpoint.h"
@@ -57,6 +58,8 @@
   prompt_mix mix;
   /// What upstreams told the sender of the rate that they take.
   std::vector<limit_news> limits;
+  /// Which requests crashed upstreams at the sender.
+  std::vector<crash_news> crashes;
 };
 
 /// Asks for what changed after a revision.
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -56,6 +56,7 @@
   uint64_t key_issued = 0;
   /// The caller says that it has never sent this key before.
   bool is_first_attempt = false;
+  /// Of what is the same when its caller sends it again; zero for not known.
   hash128 request_digest;
   /// How long the caller will wait for the first byte.
   duration time_limit{0};
@@ -152,6 +153,9 @@
   /// The upstream ran it and answered with a failure of its own. That happens
   /// at sound upstreams too, so only their share counts against it.
   bool failed_in_run = false;
+  /// The connection ended before the answer was whole, as it does where the
+  /// upstream crashes.
+  bool broke_off = false;
   /// Whether the caller has been sent any of this attempt's answer.
   bool answer_begun = false;
   /// Exact counts from the answer; 0 when it carried none.
--- a/include/cuminswitch/Support/hash.h
+++ b/include/cuminswitch/Support/hash.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,9 @@
 /// Returns \p value as 32 hexadecimal digits.
 std::string ToHex(const hash128& value);
 
+/// Reads what `ToHex` wrote; nothing for other text.
+std::optional<hash128> ParseHash128(std::string_view text);
+
 /// Mixes two hashes; order matters.
 constexpr uint64_t CombineHash(uint64_t a, uint64_t b) {
   uint64_t x = (a ^ (b + 0x9e3779b97f4a7c15ULL + (a << 6) + (a >> 2)));
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -33,6 +33,7 @@
   attempt next{
       .id = next_attempt_++,
       .index = chosen.index,
+      .upstream_start = CombineHash(target.name_hash, target.started),
       .expected_tokens = std::max(
           0.0, item.info.prompt_tokens - chosen.expected_cached_tokens),
       .sent = now,
@@ -232,6 +233,7 @@
     kinds_.CountShortHeld(now, now - done.sent);
   }
   meters_[item.info.target].OnCompletion(now);
+  LearnCrash(now, item, done, event);
   if (event.unreachable) {
     --item.arrivals;
   }
@@ -263,6 +265,29 @@
   DrainQueue(now, out);
 }
 
+void request_router::LearnCrash(time_point now,
+                                const request& item,
+                                const attempt& done,
+                                const attempt_ended& event) {
+  const hash128& digest = item.info.request_digest;
+  if (digest == hash128()) {
+    return;
+  }
+  if (event.broke_off) {
+    quarantine_.OnCrash(now, digest, done.upstream_start);
+  } else if (event.result == outcome::kAnswered) {
+    quarantine_.OnCompleted(now, digest);
+  }
+}
+
+void request_router::OnAttemptAnswered(attempt_id attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end()) {
+    const auto& running = *requests_.at(found->second).running;
+    quarantine_.OnAnswered(running.upstream_start, running.sent);
+  }
+}
+
 bool request_router::MayRepeat(const request& item) {
   const uint32_t limit = item.info.max_runs;
   return item.repeatable && (limit == 0 || item.runs < limit);
--- a/lib/Core/request_permits.cc
+++ b/lib/Core/request_permits.cc
@@ -65,6 +65,10 @@
     return;
   }
   request& item = found->second;
+  if (RefuseIfQuarantined(now, item, out)) {
+    ReturnPermit(answer);
+    return;
+  }
   if (!answer.is_granted) {
     Admit(now, item, out);
     return;
--- a/lib/Core/request_refusals.cc
+++ b/lib/Core/request_refusals.cc
@@ -86,6 +86,24 @@
   return true;
 }
 
+bool request_router::RefuseIfQuarantined(time_point now,
+                                         const request& item,
+                                         action_list& out) {
+  const std::optional<duration> left =
+      quarantine_.TimeLeft(now, item.info.request_digest);
+  if (!left) {
+    return false;
+  }
+  Refuse(item.info.request,
+         {.status = item.may_have_run ? status_code::kBadGateway
+                                      : status_code::kUnavailable,
+          .retry_after_seconds = static_cast<uint32_t>(ToSeconds(*left)) + 1,
+          .message = "upstreams crash under this request",
+          .retry_after = *left},
+         out);
+  return true;
+}
+
 outcome request_router::JudgeRefused(const request& item) {
   if (item.may_have_run) {
     return outcome::kUnknown;
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -16,6 +16,7 @@
 static constexpr double kReuseReuseWeight = 6.0;
 /// Batch work has time, so it always goes where its prefix is.
 static constexpr double kBatchReuseWeight = 12.0;
+static constexpr duration kQuarantineExpiryInterval = std::chrono::seconds(1);
 
 request_router::request_router(const options& opts,
                                const shard_directory& members)
@@ -23,7 +24,8 @@
       members_(members),
       policy_(MakePlacementPolicy(opts.policy, opts.random_seed)),
       replicas_(opts.replicas),
-      prefixes_({.capacity = opts.prefix_capacity}) {
+      prefixes_({.capacity = opts.prefix_capacity}),
+      quarantine_(opts.quarantine) {
   assert(policy_ != nullptr && "settings name an unknown routing policy");
   // Attempt numbers of an earlier start of this daemon must never be met
   // again: an upstream's late answer to one would count for a new request.
@@ -229,6 +231,9 @@
                               request& item,
                               turn at,
                               action_list& out) {
+  if (RefuseIfQuarantined(now, item, out)) {
+    return true;
+  }
   if (!item.counted && !limiter_.HasRoom(now, item.workspace_hash,
                                          item.workspace->max_in_flight)) {
     return false;
@@ -339,6 +344,10 @@
 void request_router::OnTick(time_point now, action_list& out) {
   UpdateFleetSize();
   replicas_.ExpirePeerBacklogs(now);
+  if (now >= next_quarantine_expiry_) {
+    next_quarantine_expiry_ = now + kQuarantineExpiryInterval;
+    quarantine_.Expire(now);
+  }
   for (const waiting_request& expired : queue_.TakeExpired(now)) {
     const request& item = requests_.at(expired.request);
     Refuse(expired.request,
@@ -364,6 +373,8 @@
   status.running = attempts_.size();
   status.known_prefixes = prefixes_.size();
   status.short_part = short_part_;
+  status.suspected_requests = quarantine_.size();
+  status.quarantined_requests = quarantine_.CountQuarantined();
   for (const replica_index index : replicas_.configured()) {
     const replica& item = replicas_[index];
     status.upstreams.push_back({.name = item.spec.name,
--- a/lib/Daemon/gateway_task.cc
+++ b/lib/Daemon/gateway_task.cc
@@ -324,7 +324,6 @@
   }
   event.key_issued = static_cast<uint64_t>(*issued);
   event.is_first_attempt = exchange->Header("Idempotency-Attempt") == "1";
-  event.request_digest = Hash128(exchange->Body(), Hash64(exchange->Path()));
   return true;
 }
 
@@ -391,6 +390,8 @@
   }
   const request_id id = ++next_request_;
   event.request = id;
+  event.request_digest = Hash128(
+      exchange->Body(), Hash64(exchange->Path(), Hash64(event.workspace)));
   relay.request = id;
   relay.workspace = event.workspace;
   relay.caller = exchange;
--- a/lib/Daemon/request_relay.cc
+++ b/lib/Daemon/request_relay.cc
@@ -158,6 +158,7 @@
   // what it has for the whole, so the core will answer with an error event.
   ReportEnd({.attempt = attempt_,
              .result = outcome::kUnknown,
+             .broke_off = end == http_end::kBroken,
              .answer_begun = options_.caller->HasBegun()});
 }
 
@@ -168,7 +169,9 @@
     return;
   }
   if (end == http_end::kBroken || body_too_long_) {
-    ReportEnd({.attempt = attempt_, .result = outcome::kUnknown});
+    ReportEnd({.attempt = attempt_,
+               .result = outcome::kUnknown,
+               .broke_off = end == http_end::kBroken});
     return;
   }
   // An upstream refuses before it runs with these, and only with these.
--- /dev/null
+++ b/lib/Edge/edge_crashes.cc
@@ -0,0 +1,73 @@
+// Requests that crash upstreams: what peers and the store are told, and what is
+// written to the log.
+#include <utility>
+
+#include "cuminswitch/Edge/edge_task.h"
+#include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Kernel/kernel.h"
+#include "cuminswitch/Log/event_log.h"
+
+namespace cuminswitch {
+
+static std::string_view EventName(quarantine_event::kind what) {
+  switch (what) {
+    case quarantine_event::kind::kSuspected:
+      return "crash_suspected";
+    case quarantine_event::kind::kQuarantined:
+      return "request_quarantined";
+    case quarantine_event::kind::kCleared:
+      return "crash_cleared";
+  }
+  return {};
+}
+
+static std::string_view ToString(crash_source source) {
+  switch (source) {
+    case crash_source::kOwn:
+      return "own";
+    case crash_source::kPeer:
+      return "peer";
+    case crash_source::kStore:
+      return "store";
+  }
+  return {};
+}
+
+void edge_task::OnFlowAnswered(const request_flow& flow) {
+  router_.OnAttemptAnswered(flow.attempt());
+}
+
+void edge_task::Take(const peer_crashes& news) {
+  const time_point now = ReadBootClock();
+  for (const crash_news& item : news.crashes) {
+    router_.quarantine().OnNews(now, item);
+  }
+  LogQuarantines();
+}
+
+void edge_task::TellCrashes(time_point now) {
+  LogQuarantines();
+  own_crashes own{.crashes = router_.quarantine().ListNews(now),
+                  .quarantined = {},
+                  .at = now};
+  for (const auto& [request, left] : router_.quarantine().ListOwn(now)) {
+    own.quarantined.push_back({.request = request, .time_left = left});
+  }
+  // Once more when there are none left, so that no old ones are told.
+  if (!own.crashes.empty() || told_crashes_) {
+    told_crashes_ = !own.crashes.empty();
+    services_.FindPort<fleet_message>(kFleetService).Post(std::move(own));
+  }
+}
+
+void edge_task::LogQuarantines() {
+  for (const quarantine_event& item : router_.quarantine().TakeEvents()) {
+    with_.log.Write(log_class::kBelief,
+                    log_line(EventName(item.what))
+                        .Add("digest", ToHex(item.request))
+                        .Add("crashes", item.crashes)
+                        .Add("from", ToString(item.source)));
+  }
+}
+
+}  // namespace cuminswitch
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -121,6 +121,13 @@
       page.Add(*item.rate_limit, "upstream=\"" + item.name + "\"");
     }
   }
+  page.Begin("cuminswitch_suspected_requests", "gauge",
+             "Requests under which an upstream crashed.");
+  page.Add(static_cast<double>(status.suspected_requests));
+  page.Begin("cuminswitch_quarantined_requests", "gauge",
+             "Requests that are kept away from upstreams, which crash under "
+             "them.");
+  page.Add(static_cast<double>(status.quarantined_requests));
   page.Begin("cuminswitch_limit_decisions_total", "counter",
              "Requests for upstreams that name a limit, by what was decided.");
   page.Add(static_cast<double>(from.limits.granted), "decision=\"granted\"");
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -143,6 +143,8 @@
     ForgetRestarted(*knowledge_, *news.knowledge);
   }
   knowledge_ = news.knowledge;
+  router_.quarantine().OnStored(ReadBootClock(), knowledge_->quarantined);
+  LogQuarantines();
   if (knowledge_->plan == nullptr) {
     return;
   }
@@ -219,6 +221,7 @@
     router_.OnFirstByte(now, *first);
   } else if (const auto* ended = std::get_if<attempt_ended>(&event)) {
     router_.OnAttemptEnded(now, *ended, actions);
+    LogQuarantines();
   } else if (const auto* gone = std::get_if<caller_gone>(&event)) {
     router_.OnCallerGone(now, *gone, actions);
   }
@@ -342,6 +345,7 @@
   limits_.policy().OnTick(now);
   SettleLimits(now);
   TellLimits(now);
+  TellCrashes(now);
   TellPlacements();
   LogKeptEngines();
   ExpireLimits(now);
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -144,6 +144,10 @@
     with_.owner.OnFlowLoad(upstream_, *answer_.attributes.load);
   }
   TellLimit();
+  if (answer_.attributes.is_signed &&
+      answer_.attributes.attempt == options_.request.attempt) {
+    with_.owner.OnFlowAnswered(*this);
+  }
 }
 
 void request_flow::TellLimit() {
@@ -313,6 +317,7 @@
                                     answer == attempt_answer::kMismatch,
                     .unreachable = answer == attempt_answer::kNotConnected,
                     .failed_in_run = answer == attempt_answer::kFailure,
+                    .broke_off = answer == attempt_answer::kBroken,
                     .answer_begun = is_final,
                     .answer = {}});
 }
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -74,6 +74,9 @@
     line.Add("first_byte_ms", *flow.first_byte_at() - flow.arrived())
         .Add("longest_pause_ms", flow.longest_pause());
   }
+  if (end.result != outcome::kAnswered) {
+    line.Add("digest", ToHex(flow.digest()));
+  }
   if (end.retry_after > duration(0)) {
     line.Add("retry_after_ms", end.retry_after);
   }
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -55,6 +55,9 @@
                      Hash64(options_.self.name, options_.self.incarnation) %
                      kClaimSpreadMs)},
                 with.store),
+      quarantine_records_(
+          {.prefix = options_.quarantine_prefix, .author = options_.self.name},
+          with.store),
       beat_timer_(base, [this] { OnTick(); }),
       rollout_timer_(base, [this] { RunRollout(ReadBootClock()); }) {}
 
@@ -83,6 +86,11 @@
     own_limits_ = std::move(*limits);
     return;
   }
+  if (auto* crashes = std::get_if<own_crashes>(&message)) {
+    own_crashes_ = std::move(*crashes);
+    RecordQuarantines(ReadBootClock());
+    return;
+  }
   if (const auto* quota = std::get_if<quota_send>(&message)) {
     std::visit(
         [&](const auto& item) {
@@ -141,6 +149,10 @@
     services_.FindPort<fleet_news>(kEdgeService)
         .Post(peer_limits{.peer = beat.sender.name, .limits = beat.limits});
   }
+  if (!beat.crashes.empty()) {
+    services_.FindPort<fleet_news>(kEdgeService)
+        .Post(peer_crashes{.crashes = beat.crashes});
+  }
   if (is_news) {
     PublishPeers(now);
   }
@@ -182,7 +194,11 @@
                   .backlogs = own_backlogs_,
                   .prefixes = placement_news_.TakeFor(to),
                   .mix = own_mix_,
-                  .limits = own_limits_.limits};
+                  .limits = own_limits_.limits,
+                  .crashes = own_crashes_.crashes};
+  for (crash_news& item : beat.crashes) {
+    item.age += now - own_crashes_.at;
+  }
   for (limit_news& item : beat.limits) {
     item.age += now - own_limits_.at;
   }
@@ -216,6 +232,7 @@
   ChooseFollowers(now);
   AskPeers(now);
   RegisterSelf();
+  RecordQuarantines(now);
   if (!lapsed_.IsEmpty()) {
     Publish(decoded_);
   }
@@ -276,6 +293,13 @@
                     });
 }
 
+void fleet_task::RecordQuarantines(time_point now) {
+  if (knowledge_ != nullptr) {
+    quarantine_records_.OnTick(now, own_crashes_.quarantined,
+                               knowledge_->quarantined);
+  }
+}
+
 void fleet_task::OnItemsChanged() {
   if (const auto decoded = with_.decoder.Decode(feed_.view())) {
     const bool is_new_plan =
@@ -356,6 +380,7 @@
       knowledge_->upstreams == next->upstreams &&
       knowledge_->wanted_weights == next->wanted_weights &&
       knowledge_->daemons == next->daemons &&
+      knowledge_->quarantined == next->quarantined &&
       knowledge_->leader == next->leader) {
     return;
   }
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -60,6 +60,11 @@
       limits.emplace_back(item.upstream, item.rate, item.age.count(),
                           item.has_ended);
     }
+    std::vector<fleet_wire::crash> crashes;
+    for (const crash_news& item : frame.crashes) {
+      crashes.emplace_back(item.request.high, item.request.low, item.upstream,
+                           item.age.count());
+    }
     const fleet_wire::prompt_mix mix(
         static_cast<float>(frame.mix.requests),
         static_cast<float>(frame.mix.prompt_tokens),
@@ -78,7 +83,8 @@
                out_.CreateVectorOfStrings(frame.changing),
                out_.CreateVectorOfStructs(loads),
                out_.CreateVectorOfStructs(prefixes), sender.link_rate, &mix,
-               out_.CreateVectorOfStructs(limits))
+               out_.CreateVectorOfStructs(limits),
+               out_.CreateVectorOfStructs(crashes))
         .Union();
   }
 
@@ -226,6 +232,17 @@
                               .age = duration(item->age_us())});
     }
   }
+  if (wire.crashes() != nullptr) {
+    for (const fleet_wire::crash* item : *wire.crashes()) {
+      if (!IsAge(item->age_us())) {
+        return std::nullopt;
+      }
+      frame.crashes.push_back({.request = {.high = item->request_high(),
+                                           .low = item->request_low()},
+                               .upstream = item->upstream(),
+                               .age = duration(item->age_us())});
+    }
+  }
   for (const std::string& text : ReadTexts(wire.heard())) {
     if (const auto address = ParseEndpoint(text)) {
       frame.heard.push_back(*address);
--- /dev/null
+++ b/lib/Fleet/quarantine_records.cc
@@ -0,0 +1,72 @@
+#include "cuminswitch/Fleet/quarantine_records.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminswitch {
+
+/// A write that failed, or that is not listed yet, is made again after this.
+static constexpr duration kRewriteTime = std::chrono::seconds(2);
+
+quarantine_records::quarantine_records(options opts, item_store& store)
+    : options_(std::move(opts)), store_(store) {}
+
+quarantine_records::~quarantine_records() {
+  *alive_ = false;
+}
+
+void quarantine_records::OnTick(time_point now,
+                                std::span<const quarantine_record> wanted,
+                                std::span<const hash128> stored) {
+  std::erase_if(next_write_,
+                [now](const auto& item) { return now >= item.second; });
+  if (is_calling_) {
+    return;
+  }
+  const auto missing =
+      std::find_if(wanted.begin(), wanted.end(), [&](const auto& item) {
+        return !next_write_.contains(item.request) &&
+               std::find(stored.begin(), stored.end(), item.request) ==
+                   stored.end();
+      });
+  if (missing != wanted.end()) {
+    next_write_[missing->request] = now + kRewriteTime;
+    Write(missing->request, missing->time_left);
+  }
+}
+
+void quarantine_records::Write(const hash128& request, duration time_left) {
+  is_calling_ = true;
+  store_.GrantLease(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time_left),
+      [this, alive = alive_, request](const store_lease& answer) {
+        if (*alive) {
+          OnLease(request, answer);
+        }
+      });
+}
+
+void quarantine_records::OnLease(const hash128& request,
+                                 const store_lease& answer) {
+  if (answer.end != store_end::kDone) {
+    is_calling_ = false;
+    return;
+  }
+  store_.Write(
+      {.key = options_.prefix + ToHex(request),
+       .value = options_.author,
+       .expected = 0,
+       .lease = answer.lease},
+      [this, alive = alive_, lease = answer.lease](const store_write& written) {
+        if (!*alive) {
+          return;
+        }
+        is_calling_ = false;
+        if (written.end == store_end::kConflict) {
+          // Another daemon has written it.
+          store_.EndLease(lease);
+        }
+      });
+}
+
+}  // namespace cuminswitch
--- a/lib/Support/hash.cc
+++ b/lib/Support/hash.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <charconv>
 #include <cinttypes>
 #include <cstdio>
 
@@ -25,4 +26,20 @@
   return text.data();
 }
 
+std::optional<hash128> ParseHash128(std::string_view text) {
+  static constexpr size_t kDigits = 16;
+  static constexpr int kBase = 16;
+  hash128 value;
+  if (text.size() != 2 * kDigits) {
+    return std::nullopt;
+  }
+  const char* const middle = text.data() + kDigits;
+  const auto high = std::from_chars(text.data(), middle, value.high, kBase);
+  const auto low = std::from_chars(middle, middle + kDigits, value.low, kBase);
+  if (high.ptr != middle || low.ptr != middle + kDigits) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 }  // namespace cuminswitch
--- a/test/process/platform_crash.sh
+++ b/test/process/platform_crash.sh
@@ -53,6 +53,13 @@
 (($(ended once) == 3)) || fail "$(ended once) services ended, not 3"
 wait_for 3 is_known_everywhere once || true
 expect_held_back once /once/crash/
+# From the id of a request that was held back to its cause.
+"$BUILD/tools/cuminctl" explain stream-last "$WORK"/entry-0.log >"$WORK/story"
+digest=$(sed -n 's/.*digest=\([0-9a-f]*\).*/\1/p' "$WORK/story" | head -1)
+grep -q "request_ended.*reason=upstreams crash under this request" "$WORK/story" ||
+  fail "no cause in $(cat "$WORK/story")"
+grep -q "attempt_failed.*\"digest\":\"$digest\"" "$WORK/entry-0.log" ||
+  fail "no attempt of $digest"
 # Other requests are served.
 for index in 0 1 2; do
   ask $index "other-$index" /resume/x || fail "other: $(cat "$WORK/err")"
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -60,6 +60,7 @@
 class silent_owner : public flow_owner {
  public:
   void OnFlowEvent(core_event /*event*/) override {}
+  void OnFlowAnswered(const request_flow& /*flow*/) override {}
   void OnFlowLimit(const request_flow& /*flow*/,
                    const limit_notice& notice) override {
     limits.push_back(notice);
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -210,6 +210,22 @@
   EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(ask))).has_value());
 }
 
+TEST(peer_frame_test, CrashesComeBack) {
+  beat_frame beat = MakeBeat();
+  beat.crashes = {{.request = {.high = 1, .low = 2},
+                   .upstream = 3,
+                   .age = std::chrono::seconds(4)}};
+  const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(beat)));
+  ASSERT_TRUE(frame.has_value());
+  const auto& crashes = std::get<beat_frame>(*frame).crashes;
+  ASSERT_EQ(crashes.size(), 1U);
+  EXPECT_EQ(crashes[0].request, beat.crashes[0].request);
+  EXPECT_EQ(crashes[0].upstream, 3U);
+  EXPECT_EQ(crashes[0].age, std::chrono::seconds(4));
+  beat.crashes[0].age = duration(-1);
+  EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(beat))).has_value());
+}
+
 // One number that is none would stay in an owner's bucket for good.
 TEST(peer_frame_test, AQuotaQuestionWithoutSenseIsRefused) {
   quota_ask ask = MakeAsk();
--- /dev/null
+++ b/unittests/Fleet/quarantine_records_test.cc
@@ -0,0 +1,93 @@
+// The store's list of requests that are kept away from upstreams.
+#include "cuminswitch/Fleet/quarantine_records.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cuminswitch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Grants leases and takes writes, unless told to refuse them.
+class writable_store : public item_store {
+ public:
+  void ReadAll(std::function<void(store_items)> /*done*/) override {}
+  void StopReading() override {}
+  void Watch(revision_number /*after*/,
+             milliseconds /*wait*/,
+             std::function<void(store_items)> /*done*/) override {}
+  void Write(const conditional_write& write,
+             std::function<void(store_write)> done) override {
+    writes.push_back(write);
+    done({.end = write_end});
+  }
+  void GrantLease(milliseconds time_to_live,
+                  std::function<void(store_lease)> done) override {
+    lease_times.push_back(time_to_live);
+    done({.end = lease_end, .lease = lease_times.size()});
+  }
+  void KeepLease(lease_number /*lease*/,
+                 std::function<void(store_lease)> /*done*/) override {}
+  void EndLease(lease_number lease) override { ended.push_back(lease); }
+
+  store_end lease_end = store_end::kDone;
+  store_end write_end = store_end::kDone;
+  std::vector<milliseconds> lease_times;
+  std::vector<conditional_write> writes;
+  std::vector<lease_number> ended;
+};
+
+constexpr hash128 kRequest{.high = 0xab, .low = 0xcd};
+
+class quarantine_records_test : public testing::Test {
+ protected:
+  void Tick(const std::vector<hash128>& stored = {}) {
+    records_.OnTick(now_, wanted_, stored);
+  }
+
+  time_point now_{seconds(100)};
+  writable_store store_;
+  quarantine_records records_{{.prefix = "q/", .author = "d1"}, store_};
+  std::vector<quarantine_record> wanted_ = {
+      {.request = kRequest, .time_left = seconds(600)}};
+};
+
+TEST_F(quarantine_records_test, IsWrittenOnceUnderALeaseOfItsTime) {
+  Tick();
+  Tick();
+  ASSERT_EQ(store_.writes.size(), 1U);
+  EXPECT_EQ(store_.writes[0].key, "q/00000000000000ab00000000000000cd");
+  EXPECT_EQ(store_.writes[0].value, "d1");
+  EXPECT_EQ(store_.writes[0].lease, 1U);
+  EXPECT_EQ(store_.lease_times[0], seconds(600));
+  now_ += seconds(10);
+  Tick({kRequest});
+  EXPECT_EQ(store_.writes.size(), 1U);
+}
+
+TEST_F(quarantine_records_test, IsWrittenAgainWhileTheStoreDoesNotListIt) {
+  store_.lease_end = store_end::kRefused;
+  Tick();
+  EXPECT_TRUE(store_.writes.empty());
+  store_.lease_end = store_end::kDone;
+  store_.write_end = store_end::kUnknown;
+  now_ += seconds(2);
+  Tick();
+  now_ += seconds(2);
+  Tick();
+  EXPECT_EQ(store_.writes.size(), 2U);
+}
+
+TEST_F(quarantine_records_test, OneThatAnotherDaemonWroteLeavesNoLease) {
+  store_.write_end = store_end::kConflict;
+  Tick();
+  EXPECT_EQ(store_.ended, std::vector<lease_number>{1});
+}
+
+}  // namespace
+}  // namespace cuminswitch
--- a/unittests/PlatformAdapter/document_decoder_test.cc
+++ b/unittests/PlatformAdapter/document_decoder_test.cc
@@ -253,6 +253,15 @@
   return text;
 }
 
+TEST_F(document_decoder_test, FollowsQuarantinedRequests) {
+  const hash128 request{.high = 0xab, .low = 0xcd};
+  Put(kQuarantinePrefix + ToHex(request), "d1");
+  Put(std::string(kQuarantinePrefix) + "nonsense", "d1");
+  EXPECT_EQ(decoder_.Decode(view_)->quarantined, std::vector{request});
+  Remove(kQuarantinePrefix + ToHex(request));
+  EXPECT_TRUE(decoder_.Decode(view_)->quarantined.empty());
+}
+
 TEST_F(document_decoder_test, ReadsAQuota) {
   Put("op/config", WithWorkspace("\"unit\":\"tokens\",\"rate-per-s\":500,"
                                  "\"burst\":700,\"uncached-tokens\":200"));
