Quarantine only requests that crash one upstream after the other

Found by a fleet in virtual time: where all upstreams of a service crash together, five times in 20 s, 276 of 2,250 requests were refused, nearly all of them among those that many callers send alike. They ran at three upstreams at the moment of one crash, which is no sign against them.

Change: runs count only as far as they do not overlap (three in sequence, or two with five crashes in all, for callers that send several copies at once); a run that was sent later and came to its end clears those before it, over the fleet; and a quarantine clears those that ran beside the request of its crashes. What daemons know is a set that only grows, so they now pass it on, with ages that do not grow younger: the only witness of a crash may be killed next. News are bounded to 16 of each kind a beat, those with most crashes first.

Ruled out: counting good runs of before the crash, each daemon by itself (a daemon sees one of them in four seconds where eight share 100 requests a second); taking crashes of the same moment for no request's doing (a plain service crashes within a few ms, so a crashing request looks the same).

--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_ADMISSION_REQUEST_QUARANTINE_H_
 #define CUMINSWITCH_ADMISSION_REQUEST_QUARANTINE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -19,19 +20,23 @@
 namespace cuminswitch {
 
 /// Remembers which requests were being run at upstreams that crashed, and
-/// quarantines a request under which three have. It answers the load of one
-/// request that comes again and again, at any daemon, and crashes each upstream
-/// that begins to run it; all others that run there break off with it.
+/// quarantines a request that crashes one after the other. It answers the load
+/// of one request that comes again and again, at any daemon, and crashes each
+/// upstream that begins to run it; all others that run there break off with it.
 ///
-/// A broken attempt counts as a crash at once. An upstream that only lost a
-/// connection shows so by its next answer, and the crash is cleared; one that
-/// did crash never answers again under the same start. Waiting for proof of the
-/// crash would let a fast caller through meanwhile. Nor does a crash count
-/// against a request that ran to its end of late: many callers may send the
-/// same, and several upstreams may crash at once for another reason.
+/// What daemons know are pairs of a request and the start of an upstream. Such
+/// a set only grows, so that news may come late, twice and in any order, and
+/// daemons pass them on: a witness may be gone the next moment.
 ///
-/// Peers are told only what this daemon saw itself, so that no news outlives
-/// its age by going round among daemons.
+/// A broken run counts as a crash at once, since proof would come after the
+/// next attempt of a fast caller. Four things speak for a request:
+/// - Its runs overlapped: several upstreams may crash at once for another
+///   reason, and many callers may send the same.
+/// - The upstream answers later under the same start: it only lost a
+///   connection.
+/// - Another request that was running there is quarantined, which explains the
+///   crash.
+/// - A run that was sent later came to its end.
 class request_quarantine {
  public:
   struct options {
@@ -45,25 +50,29 @@
   request_quarantine() = default;
   explicit request_quarantine(const options& opts) : options_(opts) {}
 
-  /// An attempt of this daemon at \p request broke off at \p upstream.
-  void OnCrash(time_point now, const hash128& request, uint64_t upstream);
-  /// Takes in what a peer saw.
-  void OnNews(time_point now, const crash_news& news);
+  /// A run of this daemon, of \p request at \p upstream, that was sent at
+  /// \p sent, broke off.
+  void OnCrash(time_point now,
+               const hash128& request,
+               uint64_t upstream,
+               time_point sent);
+  /// A run of \p request that was sent at \p sent came to its end.
+  void OnCompleted(time_point now, const hash128& request, time_point sent);
+  /// Takes in what a peer knows.
+  void OnNews(time_point now, const quarantine_news& news);
   /// Takes in which requests the store lists as quarantined.
   void OnStored(time_point now, std::span<const hash128> requests);
   /// \p upstream answered an attempt that was sent at \p sent, so it had not
   /// crashed before.
   void OnAnswered(uint64_t upstream, time_point sent);
-  /// \p request ran to its end, so it does not crash upstreams.
-  void OnCompleted(time_point now, const hash128& request);
   /// Forgets what does not count any more.
   void Expire(time_point now);
 
   /// How long \p request is still quarantined; nothing where it is not.
   std::optional<duration> TimeLeft(time_point now,
                                    const hash128& request) const;
-  /// What this daemon saw itself and peers should know; bounded.
-  std::vector<crash_news> ListNews(time_point now) const;
+  /// What peers should know, what matters most first; bounded.
+  quarantine_news ListNews(time_point now) const;
   /// Quarantined requests under which this daemon saw a crash itself, with the
   /// time that is left.
   std::vector<std::pair<hash128, duration>> ListOwn(time_point now) const;
@@ -78,18 +87,30 @@
  private:
   struct crash {
     uint64_t upstream = 0;
+    time_point sent{};
     time_point at{};
     bool is_first_hand = false;
-    /// It was none, or not the request's doing. Kept, so that a peer's news of
-    /// it do not count either.
+    /// It was none, or not the request's doing. Kept, so that news of it do not
+    /// count either.
     bool is_cleared = false;
   };
   struct suspect {
+    /// By the time at which they broke off.
     std::vector<crash> crashes;
+    /// When the last run that came to its end was sent.
+    time_point completed_sent{};
+    /// When that became known.
+    time_point completed_at{};
     /// Until when the store's word holds.
     time_point stored_until{};
 
+    bool Counts(const crash& item) const {
+      return !item.is_cleared && item.at >= completed_sent;
+    }
     size_t CountCrashes() const;
+    /// The most of them that follow one another without overlapping.
+    size_t CountInSequence() const;
+    bool HasCrashedEnough() const;
     time_point QuarantinedUntil() const;
   };
 
@@ -98,9 +119,12 @@
   suspect& Touch(time_point now, const hash128& request);
   /// Forgets the oldest that is not quarantined if there are too many.
   void MakeRoom(time_point now);
-  bool HasCompleted(const hash128& request) const {
-    return completed_.contains(request) || completed_before_.contains(request);
-  }
+  void Complete(time_point now,
+                const hash128& request,
+                time_point sent,
+                crash_source source);
+  /// Clears other requests of the crashes of \p request, which is quarantined.
+  void ExplainCrashes(const hash128& request);
   void Note(quarantine_event::kind what,
             const hash128& request,
             const suspect& item,
@@ -112,10 +136,8 @@
   std::deque<hash128> order_;
   /// The upstreams that crashes that count were seen at, and some others.
   std::unordered_set<uint64_t> crashed_;
-  /// Requests that ran to their end lately, and in the period before.
-  std::unordered_set<hash128, hash128_hasher> completed_;
-  std::unordered_set<hash128, hash128_hasher> completed_before_;
-  time_point period_began_{};
+  /// Upstreams that crashed under requests that are quarantined.
+  std::unordered_set<uint64_t> explained_;
   time_point expired_at_{};
   std::vector<quarantine_event> events_;
 };
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -102,7 +102,7 @@
   void Take(const weights_changing& news);
   void Take(const peer_placements& news);
   void Take(const peer_limits& news);
-  void Take(const peer_crashes& news);
+  void Take(const peer_quarantine& news);
   void Take(const quota_ask& ask);
   void Take(const quota_verdict& verdict);
   /// Lets the peers know what this daemon's requests wait for.
@@ -141,7 +141,7 @@
   /// Lets the peers know what upstreams told this daemon.
   void TellLimits(time_point now);
   /// Lets the peers and the store know which requests crash upstreams.
-  void TellCrashes(time_point now);
+  void TellQuarantine(time_point now);
   /// Tells the log what changed about requests that crash upstreams.
   void LogQuarantines();
   /// Ends the limits that no answer has renewed for long.
@@ -173,7 +173,7 @@
   quota_gate quotas_;
   limit_gate limits_;
   bool told_limits_ = false;
-  bool told_crashes_ = false;
+  bool told_quarantine_ = false;
   edge_metrics metrics_;
   graceful_stop stop_;
   time_point started_at_;
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -40,9 +40,9 @@
   hash128 request;
   duration time_left{0};
 };
-/// Which requests crashed upstreams at this daemon.
-struct own_crashes {
-  std::vector<crash_news> crashes;
+/// What this daemon knows of requests that may crash upstreams.
+struct own_quarantine {
+  quarantine_news news;
   /// What has to be known also when no daemon of now is left.
   std::vector<quarantine_record> quarantined;
   /// As of when the ages are.
@@ -52,7 +52,7 @@
                                    readiness_changed,
                                    own_placements,
                                    own_limits,
-                                   own_crashes,
+                                   own_quarantine,
                                    quota_send>;
 
 /// What is known of the deployment changed.
@@ -74,9 +74,9 @@
   std::string peer;
   std::vector<limit_news> limits;
 };
-/// Which requests crashed upstreams at a peer.
-struct peer_crashes {
-  std::vector<crash_news> crashes;
+/// What a peer knows of requests that may crash upstreams.
+struct peer_quarantine {
+  quarantine_news news;
 };
 /// The upstreams whose weights are being changed just now.
 struct weights_changing {
@@ -87,7 +87,7 @@
                                 weights_changing,
                                 peer_placements,
                                 peer_limits,
-                                peer_crashes,
+                                peer_quarantine,
                                 quota_ask,
                                 quota_verdict>;
 
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -108,7 +108,7 @@
   std::vector<upstream_backlog> own_backlogs_;
   prompt_mix own_mix_;
   own_limits own_limits_;
-  own_crashes own_crashes_;
+  own_quarantine own_quarantine_;
   placement_news placement_news_;
   std::vector<std::string> leader_changing_;
   std::vector<std::string> published_changing_;
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -58,8 +58,8 @@
   prompt_mix mix;
   /// What upstreams told the sender of the rate that they take.
   std::vector<limit_news> limits;
-  /// Which requests crashed upstreams at the sender.
-  std::vector<crash_news> crashes;
+  /// What the sender knows of requests that may crash upstreams.
+  quarantine_news quarantine;
 };
 
 /// Asks for what changed after a revision.
--- a/include/cuminswitch/Protocol/crash_news.h
+++ b/include/cuminswitch/Protocol/crash_news.h
@@ -6,13 +6,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "cuminswitch/Support/hash.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
 
-/// A request broke off at an upstream, as it does where the upstream crashes.
+/// A run broke off at an upstream, as it does where the upstream crashes.
 struct crash_news {
   /// Digest of the request.
   hash128 request;
@@ -20,6 +21,22 @@
   uint64_t upstream = 0;
   /// Since it broke off.
   duration age{0};
+  /// From when it was sent until then.
+  duration took{0};
+};
+
+/// A run of a request came to its end.
+struct completion_news {
+  hash128 request;
+  /// Since it was sent.
+  duration age{0};
+};
+
+/// What daemons tell one another of requests that may crash upstreams.
+struct quarantine_news {
+  std::vector<crash_news> crashes;
+  std::vector<completion_news> completions;
+  bool IsEmpty() const { return crashes.empty() && completions.empty(); }
 };
 
 /// Where a daemon knows a crash from.
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -2,47 +2,60 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 
 namespace cuminswitch {
 
 /// A request that runs where another crashes the upstream breaks off with it,
 /// and may be sent along to the next one. Three times over is rare.
-static constexpr size_t kCrashesToQuarantine = 3;
+static constexpr size_t kSequenceToQuarantine = 3;
+/// A caller that sends several copies at once crashes as many each time.
+static constexpr size_t kCrashesToQuarantine = 5;
+static constexpr size_t kShortSequence = 2;
 /// For so long peers are told of a crash; beats reach all within it. Those of a
-/// quarantined request are told as long as it is.
+/// quarantined request are told for almost as long as it is: passed on later,
+/// they would come back younger to who has just forgotten them.
 static constexpr duration kTellTime = std::chrono::seconds(10);
-/// Bounds what is told in one message.
-static constexpr size_t kMaxNews = 64;
+static constexpr duration kTellQuarantinedTime =
+    request_quarantine::kQuarantineTime - std::chrono::seconds(10);
+/// Bounds what is told in one message: it goes to every peer with each beat.
+static constexpr size_t kMaxNews = 16;
 /// More are broken off only where a great part of a large fleet crashes at
 /// once, which is no request's doing.
 static constexpr size_t kMaxSuspects = 4096;
-/// Requests that ran to their end are remembered for one to two periods.
-static constexpr duration kCompletedPeriod = std::chrono::seconds(30);
-static constexpr size_t kMaxCompleted = 8192;
 
 size_t request_quarantine::suspect::CountCrashes() const {
   return static_cast<size_t>(
       std::count_if(crashes.begin(), crashes.end(),
-                    [](const crash& item) { return !item.is_cleared; }));
+                    [this](const crash& item) { return Counts(item); }));
 }
 
-time_point request_quarantine::suspect::QuarantinedUntil() const {
-  if (crashes.size() < kCrashesToQuarantine) {
-    return stored_until;
-  }
-  std::vector<time_point> counted;
+size_t request_quarantine::suspect::CountInSequence() const {
+  size_t count = 0;
+  time_point last{};
   for (const crash& item : crashes) {
-    if (!item.is_cleared) {
-      counted.push_back(item.at);
+    if (Counts(item) && item.sent >= last) {
+      ++count;
+      last = item.at;
     }
   }
-  if (counted.size() < kCrashesToQuarantine) {
-    return stored_until;
+  return count;
+}
+
+bool request_quarantine::suspect::HasCrashedEnough() const {
+  if (crashes.size() < kSequenceToQuarantine) {
+    return false;
   }
-  const auto last_needed = counted.begin() + (kCrashesToQuarantine - 1);
-  std::nth_element(counted.begin(), last_needed, counted.end(),
-                   std::greater<>());
-  return std::max(stored_until, *last_needed + kQuarantineTime);
+  const size_t in_sequence = CountInSequence();
+  return in_sequence >= kSequenceToQuarantine ||
+         (in_sequence >= kShortSequence &&
+          CountCrashes() >= kCrashesToQuarantine);
+}
+
+time_point request_quarantine::suspect::QuarantinedUntil() const {
+  return HasCrashedEnough()
+             ? std::max(stored_until, crashes.back().at + kQuarantineTime)
+             : stored_until;
 }
 
 void request_quarantine::Note(quarantine_event::kind what,
@@ -93,9 +106,12 @@
     return;
   }
   const bool was_quarantined = item.QuarantinedUntil() > now;
-  item.crashes.push_back(seen);
-  if (HasCompleted(request)) {
-    item.crashes.back().is_cleared = true;
+  const auto place = std::upper_bound(
+      item.crashes.begin(), item.crashes.end(), seen,
+      [](const crash& a, const crash& b) { return a.at < b.at; });
+  const auto added = item.crashes.insert(place, seen);
+  if (explained_.contains(seen.upstream)) {
+    added->is_cleared = true;
     return;
   }
   crashed_.insert(seen.upstream);
@@ -104,18 +120,68 @@
   Note(quarantine_event::kind::kSuspected, request, item, source);
   if (!was_quarantined && item.QuarantinedUntil() > now) {
     Note(quarantine_event::kind::kQuarantined, request, item, source);
+    ExplainCrashes(request);
+  }
+}
+
+void request_quarantine::ExplainCrashes(const hash128& request) {
+  for (const crash& seen : suspects_.at(request).crashes) {
+    if (!seen.is_cleared) {
+      explained_.insert(seen.upstream);
+    }
+  }
+  for (auto& [other, item] : suspects_) {
+    if (other == request || item.HasCrashedEnough()) {
+      continue;
+    }
+    for (crash& seen : item.crashes) {
+      seen.is_cleared = seen.is_cleared || explained_.contains(seen.upstream);
+    }
   }
 }
 
 void request_quarantine::OnCrash(time_point now,
                                  const hash128& request,
-                                 uint64_t upstream) {
-  Add(now, request, {.upstream = upstream, .at = now, .is_first_hand = true});
+                                 uint64_t upstream,
+                                 time_point sent) {
+  Add(now, request,
+      {.upstream = upstream, .sent = sent, .at = now, .is_first_hand = true});
+}
+
+void request_quarantine::Complete(time_point now,
+                                  const hash128& request,
+                                  time_point sent,
+                                  crash_source source) {
+  const auto found = suspects_.find(request);
+  if (found == suspects_.end() || sent <= found->second.completed_sent) {
+    return;
+  }
+  suspect& item = found->second;
+  const size_t before = item.CountCrashes();
+  item.completed_sent = sent;
+  item.completed_at = now;
+  if (item.CountCrashes() != before) {
+    Note(quarantine_event::kind::kCleared, request, item, source);
+  }
+}
+
+void request_quarantine::OnCompleted(time_point now,
+                                     const hash128& request,
+                                     time_point sent) {
+  Complete(now, request, sent, crash_source::kOwn);
 }
 
-void request_quarantine::OnNews(time_point now, const crash_news& news) {
-  if (news.age < kQuarantineTime) {
-    Add(now, news.request, {.upstream = news.upstream, .at = now - news.age});
+void request_quarantine::OnNews(time_point now, const quarantine_news& news) {
+  for (const crash_news& item : news.crashes) {
+    if (item.age < kTellQuarantinedTime) {
+      Add(now, item.request,
+          {.upstream = item.upstream,
+           .sent = now - item.age - item.took,
+           .at = now - item.age});
+    }
+  }
+  for (const completion_news& item : news.completions) {
+    Complete(now, item.request, now - item.age, crash_source::kPeer);
   }
 }
 
@@ -151,34 +217,22 @@
   }
 }
 
-void request_quarantine::OnCompleted(time_point now, const hash128& request) {
-  if (now - period_began_ >= kCompletedPeriod ||
-      completed_.size() >= kMaxCompleted) {
-    period_began_ = now;
-    completed_before_ = std::exchange(completed_, {});
-  }
-  completed_.insert(request);
-  const auto found = suspects_.find(request);
-  if (found == suspects_.end() || found->second.CountCrashes() == 0) {
-    return;
-  }
-  for (crash& seen : found->second.crashes) {
-    seen.is_cleared = true;
-  }
-  Note(quarantine_event::kind::kCleared, request, found->second,
-       crash_source::kOwn);
-}
-
 void request_quarantine::Expire(time_point now) {
   expired_at_ = now;
   crashed_.clear();
+  explained_.clear();
   for (auto& [request, item] : suspects_) {
-    std::erase_if(item.crashes, [now](const crash& seen) {
-      return now - seen.at >= kQuarantineTime;
-    });
+    if (item.QuarantinedUntil() <= now) {
+      std::erase_if(item.crashes, [now](const crash& seen) {
+        return now - seen.at >= kQuarantineTime;
+      });
+    }
     for (const crash& seen : item.crashes) {
       if (!seen.is_cleared) {
         crashed_.insert(seen.upstream);
+        if (item.QuarantinedUntil() > now) {
+          explained_.insert(seen.upstream);
+        }
       }
     }
   }
@@ -201,39 +255,52 @@
   return left > duration(0) ? std::optional(left) : std::nullopt;
 }
 
-std::vector<crash_news> request_quarantine::ListNews(time_point now) const {
-  std::vector<crash_news> news;
+quarantine_news request_quarantine::ListNews(time_point now) const {
+  quarantine_news news;
+  std::vector<std::pair<size_t, crash_news>> all;
   for (const auto& [request, item] : suspects_) {
-    const bool is_quarantined = item.QuarantinedUntil() > now;
+    if (item.completed_sent != time_point() &&
+        now - item.completed_at < kTellTime &&
+        news.completions.size() < kMaxNews) {
+      news.completions.push_back(
+          {.request = request, .age = now - item.completed_sent});
+    }
+    const duration tell_time =
+        item.QuarantinedUntil() > now ? kTellQuarantinedTime : kTellTime;
+    const size_t crashes = item.CountCrashes();
     for (const crash& seen : item.crashes) {
       const duration age = now - seen.at;
-      if (seen.is_first_hand && !seen.is_cleared &&
-          (is_quarantined || age < kTellTime)) {
-        news.push_back(
-            {.request = request, .upstream = seen.upstream, .age = age});
+      if (item.Counts(seen) && age < tell_time) {
+        all.emplace_back(crashes, crash_news{.request = request,
+                                             .upstream = seen.upstream,
+                                             .age = age,
+                                             .took = seen.at - seen.sent});
       }
     }
   }
-  std::sort(news.begin(), news.end(), [](const auto& a, const auto& b) {
-    return a.age != b.age ? a.age < b.age : a.request < b.request;
-  });
-  if (news.size() > kMaxNews) {
-    news.resize(kMaxNews);
-  }
+  const auto comes_first = [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second.age < b.second.age;
+  };
+  const auto last =
+      all.begin() + static_cast<std::ptrdiff_t>(std::min(kMaxNews, all.size()));
+  std::partial_sort(all.begin(), last, all.end(), comes_first);
+  std::transform(all.begin(), last, std::back_inserter(news.crashes),
+                 [](const auto& item) { return item.second; });
   return news;
 }
 
 std::vector<std::pair<hash128, duration>> request_quarantine::ListOwn(
     time_point now) const {
   std::vector<std::pair<hash128, duration>> own;
-  for (const auto& [request, item] : suspects_) {
+  for (const auto& entry : suspects_) {
+    const suspect& item = entry.second;
     const bool saw_one = std::any_of(
-        item.crashes.begin(), item.crashes.end(), [](const crash& seen) {
-          return seen.is_first_hand && !seen.is_cleared;
+        item.crashes.begin(), item.crashes.end(), [&item](const crash& seen) {
+          return seen.is_first_hand && item.Counts(seen);
         });
     const duration left = item.QuarantinedUntil() - now;
     if (saw_one && left > duration(0)) {
-      own.emplace_back(request, left);
+      own.emplace_back(entry.first, left);
     }
   }
   return own;
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -274,9 +274,9 @@
     return;
   }
   if (event.broke_off) {
-    quarantine_.OnCrash(now, digest, done.upstream_start);
+    quarantine_.OnCrash(now, digest, done.upstream_start, done.sent);
   } else if (event.result == outcome::kAnswered) {
-    quarantine_.OnCompleted(now, digest);
+    quarantine_.OnCompleted(now, digest, done.sent);
   }
 }
 
--- a/lib/Edge/edge_crashes.cc
+++ b/lib/Edge/edge_quarantine.cc
@@ -37,25 +37,21 @@
   router_.OnAttemptAnswered(flow.attempt());
 }
 
-void edge_task::Take(const peer_crashes& news) {
-  const time_point now = ReadBootClock();
-  for (const crash_news& item : news.crashes) {
-    router_.quarantine().OnNews(now, item);
-  }
+void edge_task::Take(const peer_quarantine& item) {
+  router_.quarantine().OnNews(ReadBootClock(), item.news);
   LogQuarantines();
 }
 
-void edge_task::TellCrashes(time_point now) {
+void edge_task::TellQuarantine(time_point now) {
   LogQuarantines();
-  own_crashes own{.crashes = router_.quarantine().ListNews(now),
-                  .quarantined = {},
-                  .at = now};
+  own_quarantine own{
+      .news = router_.quarantine().ListNews(now), .quarantined = {}, .at = now};
   for (const auto& [request, left] : router_.quarantine().ListOwn(now)) {
     own.quarantined.push_back({.request = request, .time_left = left});
   }
   // Once more when there are none left, so that no old ones are told.
-  if (!own.crashes.empty() || told_crashes_) {
-    told_crashes_ = !own.crashes.empty();
+  if (!own.news.IsEmpty() || told_quarantine_) {
+    told_quarantine_ = !own.news.IsEmpty();
     services_.FindPort<fleet_message>(kFleetService).Post(std::move(own));
   }
 }
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -345,7 +345,7 @@
   limits_.policy().OnTick(now);
   SettleLimits(now);
   TellLimits(now);
-  TellCrashes(now);
+  TellQuarantine(now);
   TellPlacements();
   LogKeptEngines();
   ExpireLimits(now);
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -86,8 +86,8 @@
     own_limits_ = std::move(*limits);
     return;
   }
-  if (auto* crashes = std::get_if<own_crashes>(&message)) {
-    own_crashes_ = std::move(*crashes);
+  if (auto* quarantine = std::get_if<own_quarantine>(&message)) {
+    own_quarantine_ = std::move(*quarantine);
     RecordQuarantines(ReadBootClock());
     return;
   }
@@ -149,9 +149,9 @@
     services_.FindPort<fleet_news>(kEdgeService)
         .Post(peer_limits{.peer = beat.sender.name, .limits = beat.limits});
   }
-  if (!beat.crashes.empty()) {
+  if (!beat.quarantine.IsEmpty()) {
     services_.FindPort<fleet_news>(kEdgeService)
-        .Post(peer_crashes{.crashes = beat.crashes});
+        .Post(peer_quarantine{.news = beat.quarantine});
   }
   if (is_news) {
     PublishPeers(now);
@@ -195,9 +195,12 @@
                   .prefixes = placement_news_.TakeFor(to),
                   .mix = own_mix_,
                   .limits = own_limits_.limits,
-                  .crashes = own_crashes_.crashes};
-  for (crash_news& item : beat.crashes) {
-    item.age += now - own_crashes_.at;
+                  .quarantine = own_quarantine_.news};
+  for (crash_news& item : beat.quarantine.crashes) {
+    item.age += now - own_quarantine_.at;
+  }
+  for (completion_news& item : beat.quarantine.completions) {
+    item.age += now - own_quarantine_.at;
   }
   for (limit_news& item : beat.limits) {
     item.age += now - own_limits_.at;
@@ -295,7 +298,7 @@
 
 void fleet_task::RecordQuarantines(time_point now) {
   if (knowledge_ != nullptr) {
-    quarantine_records_.OnTick(now, own_crashes_.quarantined,
+    quarantine_records_.OnTick(now, own_quarantine_.quarantined,
                                knowledge_->quarantined);
   }
 }
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -61,9 +61,14 @@
                           item.has_ended);
     }
     std::vector<fleet_wire::crash> crashes;
-    for (const crash_news& item : frame.crashes) {
+    for (const crash_news& item : frame.quarantine.crashes) {
       crashes.emplace_back(item.request.high, item.request.low, item.upstream,
-                           item.age.count());
+                           item.age.count(), item.took.count());
+    }
+    std::vector<fleet_wire::completion> completions;
+    for (const completion_news& item : frame.quarantine.completions) {
+      completions.emplace_back(item.request.high, item.request.low,
+                               item.age.count());
     }
     const fleet_wire::prompt_mix mix(
         static_cast<float>(frame.mix.requests),
@@ -84,7 +89,8 @@
                out_.CreateVectorOfStructs(loads),
                out_.CreateVectorOfStructs(prefixes), sender.link_rate, &mix,
                out_.CreateVectorOfStructs(limits),
-               out_.CreateVectorOfStructs(crashes))
+               out_.CreateVectorOfStructs(crashes),
+               out_.CreateVectorOfStructs(completions))
         .Union();
   }
 
@@ -171,6 +177,34 @@
   return age_us >= 0 && age_us <= kMostAgeUs;
 }
 
+/// Returns whether the news make sense.
+static bool ReadQuarantineNews(const fleet_wire::beat& wire,
+                               quarantine_news& news) {
+  if (wire.crashes() != nullptr) {
+    for (const fleet_wire::crash* item : *wire.crashes()) {
+      if (!IsAge(item->age_us()) || !IsAge(item->took_us())) {
+        return false;
+      }
+      news.crashes.push_back({.request = {.high = item->request_high(),
+                                          .low = item->request_low()},
+                              .upstream = item->upstream(),
+                              .age = duration(item->age_us()),
+                              .took = duration(item->took_us())});
+    }
+  }
+  if (wire.completions() != nullptr) {
+    for (const fleet_wire::completion* item : *wire.completions()) {
+      if (!IsAge(item->age_us())) {
+        return false;
+      }
+      news.completions.push_back({.request = {.high = item->request_high(),
+                                              .low = item->request_low()},
+                                  .age = duration(item->age_us())});
+    }
+  }
+  return true;
+}
+
 static std::optional<peer_frame> ReadBeat(const fleet_wire::beat& wire) {
   const auto peer_address = ParseEndpoint(wire.peer_address()->string_view());
   const auto caller_address =
@@ -232,16 +266,8 @@
                               .age = duration(item->age_us())});
     }
   }
-  if (wire.crashes() != nullptr) {
-    for (const fleet_wire::crash* item : *wire.crashes()) {
-      if (!IsAge(item->age_us())) {
-        return std::nullopt;
-      }
-      frame.crashes.push_back({.request = {.high = item->request_high(),
-                                           .low = item->request_low()},
-                               .upstream = item->upstream(),
-                               .age = duration(item->age_us())});
-    }
+  if (!ReadQuarantineNews(wire, frame.quarantine)) {
+    return std::nullopt;
   }
   for (const std::string& text : ReadTexts(wire.heard())) {
     if (const auto address = ParseEndpoint(text)) {
