Read from answers how long an upstream wants rest, and that it leaves

The log could not tell whether a daemon might have known: neither field was read. Which notice of which answer counts is decided in one place, ChooseNotices, instead of in the flow; the flow's tests of limits hold as they were. Nothing is placed differently yet.

A time that cannot be read (a date, a negative number, text) is told and changes nothing; of several the longest counts; five minutes at most.

--- a/include/cuminswitch/Admission/upstream_limits.h
+++ b/include/cuminswitch/Admission/upstream_limits.h
@@ -9,8 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "cuminswitch/Protocol/limit_notice.h"
 #include "cuminswitch/Protocol/quota_message.h"
+#include "cuminswitch/Protocol/upstream_notice.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
--- /dev/null
+++ b/include/cuminswitch/Edge/answer_notices.h
@@ -0,0 +1,32 @@
+/// \file
+/// Which notices of an upstream's answer count.
+#ifndef CUMINSWITCH_EDGE_ANSWER_NOTICES_H_
+#define CUMINSWITCH_EDGE_ANSWER_NOTICES_H_
+
+#include <optional>
+#include <string_view>
+
+#include "cuminswitch/Edge/edge_protocol.h"
+
+namespace cuminswitch {
+
+/// What is to be believed of what an answer says of its upstream.
+struct answer_notices {
+  std::optional<told_load> load;
+  /// The upstream's limit, or that it has none.
+  std::optional<limit_notice> limit;
+  /// For how long the upstream wants nothing more.
+  std::optional<rest_notice> rest;
+  bool is_leaving = false;
+  /// The upstream runs the request, so it lives.
+  bool has_run = false;
+};
+
+/// Chooses what counts of \p said, the head of an answer on the connection of
+/// the attempt \p attempt.
+answer_notices ChooseNotices(const answer_attributes& said,
+                             std::string_view attempt);
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_EDGE_ANSWER_NOTICES_H_
--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "cuminswitch/Http1/message_head.h"
-#include "cuminswitch/Protocol/limit_notice.h"
+#include "cuminswitch/Protocol/upstream_notice.h"
 #include "cuminswitch/Support/endpoint.h"
 #include "cuminswitch/Support/time.h"
 
@@ -78,6 +78,9 @@
   std::optional<told_load> load;
   /// The rate that the upstream takes, where it is in need.
   limit_notice limit;
+  rest_notice rest;
+  /// The upstream leaves: it is to get nothing new.
+  bool is_leaving = false;
 };
 
 /// Translates heads. One object serves all requests.
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -79,10 +79,8 @@
  private:
   void OnRequest(caller_exchange& exchange) override;
   void OnFlowEvent(core_event event) override;
-  void OnFlowLoad(const std::string& upstream, const told_load& load) override;
-  void OnFlowAnswered(const request_flow& flow) override;
-  void OnFlowLimit(const request_flow& flow,
-                   const limit_notice& notice) override;
+  void OnFlowNotices(const request_flow& flow,
+                     const answer_notices& notices) override;
   void OnFlowAttemptFailed(const request_flow& flow,
                            attempt_answer answer,
                            uint32_t status) override;
@@ -92,6 +90,12 @@
   const member* FindOwner(shard_number shard) const override;
   size_t CountServing() const override;
 
+  /// Takes in what an answer says of its upstream's limit.
+  void TakeLimit(const request_flow& flow, const limit_notice& notice);
+  /// Takes in for how long an upstream that refused wants nothing more.
+  void TakeRest(const request_flow& flow, const rest_notice& notice);
+  /// Takes in that an upstream leaves.
+  void TakeLeaving(const request_flow& flow);
   void Take(const knowledge_changed& news);
   /// Keeps this daemon's part of the connections that upstreams take from all.
   void ShareConnections();
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "cuminswitch/Edge/answer_notices.h"
 #include "cuminswitch/Edge/attempt_verdict.h"
 #include "cuminswitch/Edge/edge_protocol.h"
 #include "cuminswitch/Edge/event_splitter.h"
@@ -42,13 +43,9 @@
  public:
   virtual ~flow_owner() = default;
   virtual void OnFlowEvent(core_event event) = 0;
-  virtual void OnFlowLoad(const std::string& upstream,
-                          const told_load& load) = 0;
-  /// The upstream of the present attempt signed an answer to it.
-  virtual void OnFlowAnswered(const request_flow& flow) = 0;
-  /// The upstream of the present attempt told which rate it takes.
-  virtual void OnFlowLimit(const request_flow& flow,
-                           const limit_notice& notice) = 0;
+  /// The upstream of the present attempt said something of itself.
+  virtual void OnFlowNotices(const request_flow& flow,
+                             const answer_notices& notices) = 0;
   /// An attempt ended otherwise than with success.
   virtual void OnFlowAttemptFailed(const request_flow& flow,
                                    attempt_answer answer,
@@ -124,8 +121,6 @@
   void OnAnswerBody(std::string_view data) override;
   void OnCallEnd(call_end end) override;
 
-  /// Tells the owner what the answer says of its upstream's limit.
-  void TellLimit();
   void OnDeadline();
   /// The upstream has been silent for long.
   void OnStall();
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -11,7 +11,7 @@
 #include "cuminswitch/Fleet/fleet_knowledge.h"
 #include "cuminswitch/Fleet/peer_frame.h"
 #include "cuminswitch/Protocol/crash_news.h"
-#include "cuminswitch/Protocol/limit_notice.h"
+#include "cuminswitch/Protocol/upstream_notice.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -15,8 +15,8 @@
 #include "cuminswitch/Fleet/item_view.h"
 #include "cuminswitch/Protocol/core_event.h"
 #include "cuminswitch/Protocol/crash_news.h"
-#include "cuminswitch/Protocol/limit_notice.h"
 #include "cuminswitch/Protocol/quota_message.h"
+#include "cuminswitch/Protocol/upstream_notice.h"
 #include "cuminswitch/Support/endpoint.h"
 
 namespace cuminswitch {
--- a/include/cuminswitch/Protocol/limit_notice.h
+++ b/include/cuminswitch/Protocol/upstream_notice.h
@@ -1,7 +1,8 @@
 /// \file
-/// The rate that an upstream names as the most it takes.
-#ifndef CUMINSWITCH_PROTOCOL_LIMIT_NOTICE_H_
-#define CUMINSWITCH_PROTOCOL_LIMIT_NOTICE_H_
+/// What an upstream says of itself along with an answer. The structs are one
+/// family and share this header.
+#ifndef CUMINSWITCH_PROTOCOL_UPSTREAM_NOTICE_H_
+#define CUMINSWITCH_PROTOCOL_UPSTREAM_NOTICE_H_
 
 #include <cstdint>
 
@@ -9,21 +10,28 @@
 
 namespace cuminswitch {
 
-/// What one answer says of its upstream's limit.
-enum class limit_notice_kind : uint8_t {
-  /// It names no limit.
+/// Whether an answer names a figure.
+enum class notice_kind : uint8_t {
   kNone,
   kNamed,
   /// It names one that cannot be read.
   kUnreadable,
 };
 
+/// The rate that an upstream takes; for all hosts together.
 struct limit_notice {
-  limit_notice_kind kind = limit_notice_kind::kNone;
+  notice_kind kind = notice_kind::kNone;
   /// Requests a second that the upstream takes from all hosts together.
   double rate = 0;
 };
 
+/// How long an upstream that refused a request wants nothing more; between it
+/// and this daemon alone.
+struct rest_notice {
+  notice_kind kind = notice_kind::kNone;
+  duration time{0};
+};
+
 /// What a daemon knows of an upstream's limit, for its peers.
 struct limit_news {
   /// Hash of the upstream's name.
@@ -37,4 +45,4 @@
 
 }  // namespace cuminswitch
 
-#endif  // CUMINSWITCH_PROTOCOL_LIMIT_NOTICE_H_
+#endif  // CUMINSWITCH_PROTOCOL_UPSTREAM_NOTICE_H_
--- a/lib/Admission/upstream_limits.cc
+++ b/lib/Admission/upstream_limits.cc
@@ -69,13 +69,13 @@
                                                   time_point sent,
                                                   const limit_notice& notice) {
   switch (notice.kind) {
-    case limit_notice_kind::kNamed:
+    case notice_kind::kNamed:
       return Name(now, {.upstream = upstream, .at = now, .is_first_hand = true},
                   notice.rate);
-    case limit_notice_kind::kNone:
+    case notice_kind::kNone:
       return End(now,
                  {.upstream = upstream, .at = sent, .is_first_hand = true});
-    case limit_notice_kind::kUnreadable:
+    case notice_kind::kUnreadable:
       break;
   }
   return change::kNothing;
--- a/lib/Edge/edge_limits.cc
+++ b/lib/Edge/edge_limits.cc
@@ -14,7 +14,6 @@
 
 namespace cuminswitch {
 
-static constexpr std::string_view kFromAnswer = "answer";
 static constexpr std::string_view kFromAge = "not_renewed";
 static constexpr std::string_view kFromRestart = "restart";
 
@@ -32,20 +31,6 @@
   return {};
 }
 
-void edge_task::OnFlowLimit(const request_flow& flow,
-                            const limit_notice& notice) {
-  const time_point now = ReadBootClock();
-  if (notice.kind == limit_notice_kind::kUnreadable) {
-    with_.log.Write(log_class::kBelief, log_line("limit_unreadable")
-                                            .Add("upstream", flow.upstream())
-                                            .Add("id", flow.request().attempt));
-    return;
-  }
-  const uint64_t upstream = Hash64(flow.upstream());
-  LogLimit(router_.OnLimit(now, upstream, flow.sent_at(), notice), upstream,
-           kFromAnswer);
-}
-
 void edge_task::LogLimit(upstream_limits::change what,
                          uint64_t upstream,
                          std::string_view source) {
--- a/lib/Edge/edge_quarantine.cc
+++ b/lib/Edge/edge_quarantine.cc
@@ -33,10 +33,6 @@
   return {};
 }
 
-void edge_task::OnFlowAnswered(const request_flow& flow) {
-  router_.OnAttemptAnswered(flow.attempt());
-}
-
 void edge_task::Take(const peer_quarantine& item) {
   router_.quarantine().OnNews(ReadBootClock(), item.news);
   LogQuarantines();
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -272,12 +272,6 @@
   SettleQuotas(now);
 }
 
-void edge_task::OnFlowLoad(const std::string& upstream, const told_load& load) {
-  router_.OnUpstreamLoad(
-      ReadBootClock(),
-      {.upstream = upstream, .running = load.running, .waiting = load.waiting});
-}
-
 void edge_task::OnFlowAttemptFailed(const request_flow& flow,
                                     attempt_answer answer,
                                     uint32_t status) {
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -140,29 +140,8 @@
 void request_flow::OnAnswerHead(const message_head& head) {
   answer_.head = head;
   answer_.attributes = with_.protocol.ReadAnswer(head);
-  if (answer_.attributes.load) {
-    with_.owner.OnFlowLoad(upstream_, *answer_.attributes.load);
-  }
-  TellLimit();
-  if (answer_.attributes.is_signed &&
-      answer_.attributes.attempt == options_.request.attempt) {
-    with_.owner.OnFlowAnswered(*this);
-  }
-}
-
-void request_flow::TellLimit() {
-  const answer_attributes& attributes = answer_.attributes;
-  // A late answer to another attempt says nothing of this upstream.
-  if (attributes.attempt != options_.request.attempt) {
-    return;
-  }
-  // A refusal may come from where nothing of the limit is known, so one that
-  // names none does not end it: the upstream would get a burst after each.
-  const bool is_statement =
-      attributes.is_signed || attributes.limit.kind != limit_notice_kind::kNone;
-  if (is_statement) {
-    with_.owner.OnFlowLimit(*this, attributes.limit);
-  }
+  with_.owner.OnFlowNotices(
+      *this, ChooseNotices(answer_.attributes, options_.request.attempt));
 }
 
 /// Whether the head is of a success that can be this attempt's.
--- a/unittests/Admission/upstream_limits_test.cc
+++ b/unittests/Admission/upstream_limits_test.cc
@@ -14,7 +14,7 @@
   return time_point(FromSeconds(1'000 + seconds));
 }
 limit_notice Named(double rate) {
-  return {.kind = limit_notice_kind::kNamed, .rate = rate};
+  return {.kind = notice_kind::kNamed, .rate = rate};
 }
 
 TEST(upstream_limits_test, ALimitBeginsChangesAndEnds) {
@@ -45,7 +45,7 @@
 
 TEST(upstream_limits_test, WhatCannotBeReadChangesNothing) {
   upstream_limits limits;
-  const limit_notice unreadable{.kind = limit_notice_kind::kUnreadable};
+  const limit_notice unreadable{.kind = notice_kind::kUnreadable};
   EXPECT_EQ(limits.OnAnswer(At(0), kUpstream, At(0), unreadable),
             change::kNothing);
   limits.OnAnswer(At(1), kUpstream, At(0), Named(3));
--- a/unittests/Core/upstream_limit_test.cc
+++ b/unittests/Core/upstream_limit_test.cc
@@ -48,7 +48,7 @@
   }
   void NameLimit(const std::string& upstream, double rate) {
     router_.OnLimit(now_, Hash64(upstream), now_,
-                    {.kind = limit_notice_kind::kNamed, .rate = rate});
+                    {.kind = notice_kind::kNamed, .rate = rate});
   }
   void Arrive(request_id id) {
     router_.OnRequest(now_,
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -60,13 +60,12 @@
 class silent_owner : public flow_owner {
  public:
   void OnFlowEvent(core_event /*event*/) override {}
-  void OnFlowAnswered(const request_flow& /*flow*/) override {}
-  void OnFlowLimit(const request_flow& /*flow*/,
-                   const limit_notice& notice) override {
-    limits.push_back(notice);
+  void OnFlowNotices(const request_flow& /*flow*/,
+                     const answer_notices& notices) override {
+    if (notices.limit) {
+      limits.push_back(*notices.limit);
+    }
   }
-  void OnFlowLoad(const std::string& /*upstream*/,
-                  const told_load& /*load*/) override {}
   void OnFlowAttemptFailed(const request_flow& /*flow*/,
                            attempt_answer /*answer*/,
                            uint32_t /*status*/) override {
@@ -215,7 +214,7 @@
   RunUntil(base_, [&] { return owner_.failed > 0; });
   EXPECT_TRUE(owner_.limits.empty());
   // One that names a limit counts.
-  protocol_.answer.limit = {.kind = limit_notice_kind::kNamed, .rate = 2};
+  protocol_.answer.limit = {.kind = notice_kind::kNamed, .rate = 2};
   const auto again = Dispatch(2);
   again->Send(
       "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
@@ -228,7 +227,7 @@
   const auto first = Dispatch(1);
   first->Send(kStreamHead);
   EXPECT_TRUE(RunUntil(base_, [&] { return !owner_.limits.empty(); }));
-  EXPECT_EQ(owner_.limits.front().kind, limit_notice_kind::kNone);
+  EXPECT_EQ(owner_.limits.front().kind, notice_kind::kNone);
 }
 
 }  // namespace
--- a/unittests/PlatformAdapter/http_protocol_test.cc
+++ b/unittests/PlatformAdapter/http_protocol_test.cc
@@ -116,6 +116,43 @@
   EXPECT_FALSE(http_protocol().ReadAnswer(head).was_not_run);
 }
 
+TEST(http_protocol_test, ReadsTheRestThatARefusalAsksFor) {
+  const auto read = [](const std::vector<std::string>& values) {
+    message_head head;
+    head.status = 503;
+    head.headers = {{"X-Not-Executed", "1"}};
+    for (const std::string& value : values) {
+      head.headers.push_back({"retry-after", value});
+    }
+    return http_protocol().ReadAnswer(head).rest;
+  };
+  EXPECT_EQ(read({}).kind, notice_kind::kNone);
+  for (const auto& [text, seconds] :
+       {std::pair("3", 3.0), {"0", 0}, {"0.25", 0.25}, {"86400", 300}}) {
+    EXPECT_EQ(read({text}).kind, notice_kind::kNamed) << text;
+    EXPECT_EQ(read({text}).time, FromSeconds(seconds)) << text;
+  }
+  EXPECT_EQ(read({"1", "4", "2"}).time, std::chrono::seconds(4));
+  for (const char* text : {"", "-1", "nan", "inf", "1e999", "3 s",
+                           "Thu, 03 Dec 2026 09:00:00 GMT"}) {
+    EXPECT_EQ(read({text}).kind, notice_kind::kUnreadable) << text;
+  }
+  EXPECT_EQ(read({"3", "soon"}).kind, notice_kind::kUnreadable);
+}
+
+TEST(http_protocol_test, ReadsThatAnUpstreamLeaves) {
+  message_head head;
+  head.status = 200;
+  EXPECT_FALSE(http_protocol().ReadAnswer(head).is_leaving);
+  head.headers = {{"server-leaving", "1"}};
+  EXPECT_TRUE(http_protocol().ReadAnswer(head).is_leaving);
+  head.status = 421;
+  EXPECT_FALSE(http_protocol().ReadAnswer(head).is_leaving);
+  head.status = 200;
+  head.headers = {{"server-leaving", "0"}};
+  EXPECT_FALSE(http_protocol().ReadAnswer(head).is_leaving);
+}
+
 TEST(http_protocol_test, ReadsTheLimitThatAnUpstreamNames) {
   const auto read = [](const std::vector<std::string>& values) {
     message_head head;
@@ -125,18 +162,18 @@
     }
     return http_protocol().ReadAnswer(head).limit;
   };
-  EXPECT_EQ(read({}).kind, limit_notice_kind::kNone);
+  EXPECT_EQ(read({}).kind, notice_kind::kNone);
   for (const auto& [text, rate] :
        {std::pair("1.3", 1.3), {"0", 0}, {"200", 200}, {"1e9", 1e9}}) {
-    EXPECT_EQ(read({text}).kind, limit_notice_kind::kNamed) << text;
+    EXPECT_EQ(read({text}).kind, notice_kind::kNamed) << text;
     EXPECT_EQ(read({text}).rate, rate);
   }
   EXPECT_EQ(read({"3", "2", "5"}).rate, 2);
   for (const char* text :
        {"", "-1", "nan", "inf", "1e999", "1.3 ", "1,5", "many", "2x"}) {
-    EXPECT_EQ(read({text}).kind, limit_notice_kind::kUnreadable) << text;
+    EXPECT_EQ(read({text}).kind, notice_kind::kUnreadable) << text;
   }
-  EXPECT_EQ(read({"3", "x"}).kind, limit_notice_kind::kUnreadable);
+  EXPECT_EQ(read({"3", "x"}).kind, notice_kind::kUnreadable);
 }
 
 }  // namespace
