Add a test that fails: upstreams that asked for rest or leave get requests

One daemon, three engines and three services. On this code: 'rest-45 was not served: fetch: status 503' (one engine of three asked for 3 s of rest, and the budget of repeats is spent on it).

--- /dev/null
+++ b/test/process/platform_notices.sh
@@ -0,0 +1,82 @@
+#!/usr/bin/env bash
+# Guards against requests to upstreams that asked for rest or said that they leave.
+source "$(dirname "$0")/platform.sh"
+start_platform 1
+start_replica e3 engines m
+start_replica s3 orders
+
+# control UPSTREAM WHAT
+control() {
+  local address
+  address=$(sed -n 's/^listening on //p' "$WORK/$1.log")
+  "$BUILD/utils/fetch" "$address" "/control/$2" >/dev/null
+}
+# ask_for SECONDS NAME PATH: without a pause; each request has to be answered.
+ask_for() {
+  local until=$((SECONDS + $1)) i
+  for ((i = 0; SECONDS < until; ++i)); do
+    ask 0 "$2-$i" "$3" || fail "$2-$i was not served: $(cat "$WORK/err")"
+  done
+}
+# expect_none EVENT UPSTREAM
+expect_none() {
+  local count
+  count=$(grep -c "^$1" "$WORK/$2.log" || true)
+  ((count == 0)) || fail "$2 got $count requests $1"
+}
+
+# most_used NAME...: the one of them that has run most requests.
+most_used() {
+  local name
+  for name in "$@"; do
+    echo "$(grep -c "^run" "$WORK/$name.log") $name"
+  done | sort -n | tail -1 | cut -d' ' -f2
+}
+
+# One of three asks for rest: the others serve all that comes.
+ask_for 2 before /stream/x
+ask_for 2 before /repeat/x
+engine=$(most_used e1 e2 e3)
+service=$(most_used s1 s2 s3)
+control "$engine" rest/3
+control "$service" rest/2
+ask_for 4 rest /stream/x
+ask_for 3 rest /repeat/x
+grep -q "\"event\":\"rest_asked\",\"upstream\":\"$engine\".*\"rest_ms\":3000" \
+  "$WORK/entry-0.log" || fail "no rest of $engine in the log"
+expect_none in_rest "$engine"
+expect_none in_rest "$service"
+# The rest is over, and it serves again.
+control "$engine" rest/none
+control "$service" rest/none
+before=$(grep -c "^run" "$WORK/$engine.log")
+ask_for 6 after /stream/x
+(($(grep -c "^run" "$WORK/$engine.log") > before)) ||
+  fail "$engine got nothing after its rest"
+
+# All ask for it: a request is refused at once, and told when the first is back.
+for index in 1 2 3; do
+  control "s$index" rest/4
+done
+ask 0 all-first /repeat/x && fail "all-first was served"
+grep -q "status 503" "$WORK/err" || fail "all-first: $(cat "$WORK/err")"
+for ((i = 0; i < 20; ++i)); do
+  ask 0 "all-$i" /repeat/x && fail "all-$i was served"
+  grep -qE "status (429|503)" "$WORK/err" || fail "all-$i: $(cat "$WORK/err")"
+  read -rt 0.1 <> <(:) || true
+done
+for index in 1 2 3; do
+  expect_none in_rest "s$index"
+done
+"$BUILD/tools/cuminctl" explain all-19 "$WORK/entry-0.log" >"$WORK/story"
+grep -q "request_ended.*reason=upstreams asked for rest.*retry_after_ms=[1-4]" \
+  "$WORK/story" || fail "no cause in $(cat "$WORK/story")"
+
+# One leaves, and the store lists it as ready.
+ask_for 1 before /resume/x
+engine=$(most_used e1 e2 e3)
+control "$engine" leaving/1
+ask_for 3 leaving /resume/x
+expect_none while_leaving "$engine"
+grep -q "\"event\":\"leaving_said\",\"upstream\":\"$engine\"" \
+  "$WORK/entry-0.log" || fail "no word of $engine in the log"
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -9,6 +9,10 @@
 // away; meanwhile each request is told as `limited ATTEMPT TIME RATE` (of the
 // monotonic clock, in milliseconds), and what comes beyond the limit as
 // `over_limit GOT ALLOWED`.
+// `GET /control/rest/SECONDS` makes it refuse every request and ask for so much
+// rest, `none` ends that; `GET /control/leaving/1` makes all its answers say
+// that it leaves. What comes later than half a second after it has said so is
+// told as `in_rest ATTEMPT` and `while_leaving ATTEMPT`.
 #include <event2/event.h>
 
 #include <chrono>
@@ -37,6 +41,10 @@
 constexpr int kEvents = 5;
 
 constexpr std::string_view kControlLimit = "/control/limit/";
+constexpr std::string_view kControlRest = "/control/rest/";
+constexpr std::string_view kControlLeaving = "/control/leaving/";
+/// What was under way may come so long after a notice.
+constexpr std::chrono::milliseconds kUnderWayTime{500};
 
 /// Counts what comes while a limit is named, and tells what is beyond it: in
 /// any 4 s one and a half times the limit and five requests more.
@@ -102,6 +110,12 @@
       meter_.Name(rate == "none" ? std::nullopt
                                  : std::optional(std::stod(rate)));
       exchange->Reply(200, kJson, "{}");
+    } else if (path.starts_with(kControlRest)) {
+      rest_ = path.substr(kControlRest.size());
+      exchange->Reply(200, kJson, "{}");
+    } else if (path.starts_with(kControlLeaving)) {
+      is_leaving_ = true;
+      exchange->Reply(200, kJson, "{}");
     } else if ((!expected.empty() && expected != options_.id) ||
                (!version.empty() &&
                 version != std::to_string(options_.version))) {
@@ -159,17 +173,56 @@
         {"X-Replica-Load", "1,0,8"},
         {"X-Weight-Versions", std::to_string(options_.version)},
         {"Keep-Alive", "timeout=5"}};
+    if (is_leaving_) {
+      headers.push_back({"Server-Leaving", "1"});
+    }
     if (meter_.rate()) {
       headers.push_back({"Server-Limit", std::to_string(*meter_.rate())});
     }
     return headers;
   }
 
+  /// Tells of a request that comes although this upstream asked for rest, or
+  /// said that it leaves.
+  void TellLateArrival(const std::string& attempt) {
+    const auto now = clock::now();
+    if (now < rest_until_ && now - rest_asked_at_ > kUnderWayTime) {
+      std::cout << "in_rest " << attempt << std::endl;
+    }
+    if (is_leaving_ && left_at_ != clock::time_point() &&
+        now - left_at_ > kUnderWayTime) {
+      std::cout << "while_leaving " << attempt << std::endl;
+    }
+    if (is_leaving_ && left_at_ == clock::time_point()) {
+      left_at_ = now;
+    }
+  }
+
+  void AskForRest(http_exchange& exchange) {
+    const auto now = clock::now();
+    // Counted from the first time: a later one must not excuse what came
+    // before it.
+    if (now >= rest_until_) {
+      rest_asked_at_ = now;
+    }
+    rest_until_ = now + std::chrono::duration_cast<clock::duration>(
+                            std::chrono::duration<double>(std::stod(rest_)));
+    exchange.Reply(503, kJson, "{}",
+                   {{"X-Attempt-Id", exchange.Header("X-Attempt-Id")},
+                    {"X-Not-Executed", "1"},
+                    {"Retry-After", rest_}});
+  }
+
   void Run(const exchange_ptr& exchange, const std::string& path) {
     meter_.OnArrival(exchange->Header("X-Attempt-Id"));
     const auto has = [&path](const char* part) {
       return path.find(part) != std::string::npos;
     };
+    TellLateArrival(exchange->Header("X-Attempt-Id"));
+    if (rest_ != "none") {
+      AskForRest(*exchange);
+      return;
+    }
     if (has("/refuse/")) {
       exchange->Reply(503, kJson, "{}",
                       {{"X-Attempt-Id", exchange->Header("X-Attempt-Id")},
@@ -235,7 +288,15 @@
     return false;
   }
 
+  using clock = std::chrono::steady_clock;
+
   replica_options options_;
+  /// The seconds of rest that it asks for, or none.
+  std::string rest_ = "none";
+  clock::time_point rest_asked_at_{};
+  clock::time_point rest_until_{};
+  bool is_leaving_ = false;
+  clock::time_point left_at_{};
   limit_meter meter_;
   loop_timer timer_;
   std::list<stream> streams_;
