Heed upstreams that ask for rest or say that they leave

What callers saw: of 824 requests 78 were refused although eight of twelve engines took all that came: repeats went round the four that refused, and the budget of repeats, which crashes need, was spent on them.

Cause: no daemon read how long a refusing upstream wants nothing, so it was asked again 50 ms later; and that an upstream leaves was known from the store's list alone.

Change: by its own word an upstream takes nothing of this daemon before the rest is over: it has no room, as one whose limit gives no turn yet, so that placing, waiting, refusing and leaving a silent upstream go by one time. Permits and limits neither clear nor shorten it, a later notice only lengthens it, a new start ends it. Where all upstreams are at rest beyond a request's time it is refused at once with the time until the first is back, spread over a quarter. One that says that it leaves gets nothing from then on.

Ruled out: ejecting it for that time. An ejected upstream is taken where all are ejected, which breaks the rest; and no estimate of a wait knows of ejections. Telling peers: the rest is between the upstream and one daemon, and others would keep away requests that it wants.

Evidence: process_platform_notices failed before ('rest-45 was not served: status 503'; alone, its parts: 21 requests in a rest, 32 while leaving) and passes.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -127,6 +127,10 @@
   upstream_limits::change ForgetLimit(uint64_t upstream);
   /// The upstream of \p attempt has begun to answer it.
   void OnAttemptAnswered(attempt_id attempt);
+  /// The upstream of \p attempt refused it and wants no request for \p time.
+  void OnRestAsked(time_point now, attempt_id attempt, duration time);
+  /// The upstream of \p attempt leaves. Returns whether that is news.
+  bool OnLeavingSaid(attempt_id attempt);
   /// Which requests crash upstreams. What peers and the store know of them goes
   /// in here.
   request_quarantine& quarantine() { return quarantine_; }
@@ -225,6 +229,10 @@
   /// Returns whether the request needs no further placing: it was sent, or
   /// refused.
   bool TryPlace(time_point now, request& item, turn at, action_list& out);
+  /// From 0 to 1, the same each time, so that asking again does not add up.
+  static double LuckOf(const request& item);
+  /// Stands for the present start of an upstream.
+  static uint64_t StartOf(const replica& item);
   /// Refuses the request if its answer would come too late to be worth the
   /// work that it takes from others. It waits \p ahead seconds before it can be
   /// sent to the replica \p chosen.
@@ -249,12 +257,12 @@
                   const request& item,
                   const attempt& done,
                   const attempt_ended& event);
-  /// Refuses the request if limits of upstreams keep it waiting beyond its
-  /// time.
-  bool RefuseIfLimited(time_point now,
-                       const request& item,
-                       const placement& chosen,
-                       action_list& out);
+  /// Refuses the request if upstreams keep it waiting beyond its time, by
+  /// limits that they name or by rest that they asked for.
+  bool RefuseIfClosed(time_point now,
+                      const request& item,
+                      const placement& chosen,
+                      action_list& out);
   /// The permit is not used; it is given back where there still is a limit.
   void ReturnPermit(const permit_answer& answer);
   /// What is known of an upstream's limit changed.
@@ -288,6 +296,9 @@
   std::span<const std::string> AllowedDomains(const request& item) const;
   priority_class PriorityOf(const request& item) const;
   retry_budget& BudgetOf(const std::string& target);
+  /// The replica of \p attempt; null where the attempt is over or the replica
+  /// has started again since.
+  replica* FindReplica(attempt_id attempt);
   /// Whether it may be run once more although it may have run.
   static bool MayRepeat(const request& item);
   bool HasUpstream(time_point now,
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_ROUTING_REPLICA_H_
 #define CUMINSWITCH_ROUTING_REPLICA_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -66,6 +67,10 @@
   uint32_t queued_here = 0;
   /// It names a limit, and this daemon's next turn comes no earlier.
   time_point limited_until{};
+  /// It refused a request of this daemon and wants none before this.
+  time_point rest_until{};
+  /// One of its answers said that it leaves. The list may say so later, or not.
+  bool says_leaving = false;
   /// Between two of this daemon's turns there.
   duration limit_turn{0};
   /// No attempt goes there before this.
@@ -76,6 +81,9 @@
   bool changing = false;
   /// When it was first seen in its present incarnation, for slow start.
   time_point warm_since{};
+
+  /// By its own word it takes no request of this daemon before this.
+  time_point ClosedUntil() const { return std::max(limited_until, rest_until); }
 };
 
 }  // namespace cuminswitch
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -33,7 +33,7 @@
   attempt next{
       .id = next_attempt_++,
       .index = chosen.index,
-      .upstream_start = CombineHash(target.name_hash, target.started),
+      .upstream_start = StartOf(target),
       .expected_tokens = std::max(
           0.0, item.info.prompt_tokens - chosen.expected_cached_tokens),
       .sent = now,
@@ -288,6 +288,10 @@
   }
 }
 
+uint64_t request_router::StartOf(const replica& item) {
+  return CombineHash(item.name_hash, item.started);
+}
+
 bool request_router::MayRepeat(const request& item) {
   const uint32_t limit = item.info.max_runs;
   return item.repeatable && (limit == 0 || item.runs < limit);
@@ -306,10 +310,10 @@
   }
   const eligible_replicas eligible = replicas_.ListEligible(
       now, item.info.target, AllowedDomains(item), excluded);
-  // One that takes nothing before its limit lets it is no better than waiting.
+  // One that takes nothing now by its own word is no better than waiting.
   return std::any_of(eligible.indices.begin(), eligible.indices.end(),
                      [&](replica_index index) {
-                       return now >= replicas_[index].limited_until;
+                       return now >= replicas_[index].ClosedUntil();
                      });
 }
 
--- /dev/null
+++ b/lib/Core/request_notices.cc
@@ -0,0 +1,69 @@
+// What upstreams say of themselves to this daemon alone, and which requests are
+// refused for it.
+#include <algorithm>
+#include <utility>
+
+#include "cuminswitch/Core/request_router.h"
+#include "cuminswitch/Support/status_code.h"
+
+namespace cuminswitch {
+
+/// Callers that are told to come back when upstreams take requests again are
+/// spread over this part of their wait.
+static constexpr double kReturnSpread = 0.25;
+
+replica* request_router::FindReplica(attempt_id attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return nullptr;
+  }
+  const auto& running = *requests_.at(found->second).running;
+  replica& item = replicas_.at(running.index);
+  return running.upstream_start == StartOf(item) ? &item : nullptr;
+}
+
+void request_router::OnRestAsked(time_point now,
+                                 attempt_id attempt,
+                                 duration time) {
+  if (replica* item = FindReplica(attempt)) {
+    item->rest_until = std::max(item->rest_until, now + time);
+  }
+}
+
+bool request_router::OnLeavingSaid(attempt_id attempt) {
+  replica* item = FindReplica(attempt);
+  return item != nullptr && !std::exchange(item->says_leaving, true);
+}
+
+bool request_router::RefuseIfClosed(time_point now,
+                                    const request& item,
+                                    const placement& chosen,
+                                    action_list& out) {
+  const replica& best = replicas_[chosen.index];
+  if (now >= best.ClosedUntil()) {
+    return false;
+  }
+  const duration wait =
+      FromSeconds(replicas_.EstimateRoomSeconds(now, chosen.index));
+  if (now + wait < item.deadline) {
+    return false;
+  }
+  ++counters_.shed;
+  if (best.rest_until < best.limited_until) {
+    Refuse(item.info.request,
+           {.status = status_code::kTooManyRequests,
+            .message = "upstreams name limits",
+            .retry_after = wait},
+           out);
+    return true;
+  }
+  const double spread = kReturnSpread * LuckOf(item);
+  Refuse(item.info.request,
+         {.status = status_code::kUnavailable,
+          .message = "upstreams asked for rest",
+          .retry_after = wait + FromSeconds(spread * ToSeconds(wait))},
+         out);
+  return true;
+}
+
+}  // namespace cuminswitch
--- a/lib/Core/request_permits.cc
+++ b/lib/Core/request_permits.cc
@@ -73,10 +73,11 @@
     Admit(now, item, out);
     return;
   }
-  // The upstream may have begun to leave meanwhile.
+  // The upstream may have begun to leave meanwhile, or asked for rest.
   const eligible_replicas eligible = replicas_.ListEligible(
       now, item.info.target, AllowedDomains(item), item.excluded);
-  if (std::binary_search(eligible.indices.begin(), eligible.indices.end(),
+  if (now >= replicas_[*index].rest_until &&
+      std::binary_search(eligible.indices.begin(), eligible.indices.end(),
                          *index)) {
     Dispatch(now, item, item.asked, eligible.indices, out);
     return;
@@ -92,27 +93,6 @@
   }
 }
 
-bool request_router::RefuseIfLimited(time_point now,
-                                     const request& item,
-                                     const placement& chosen,
-                                     action_list& out) {
-  if (now >= replicas_[chosen.index].limited_until) {
-    return false;
-  }
-  const duration wait =
-      FromSeconds(replicas_.EstimateRoomSeconds(now, chosen.index));
-  if (now + wait < item.deadline) {
-    return false;
-  }
-  ++counters_.shed;
-  Refuse(item.info.request,
-         {.status = status_code::kTooManyRequests,
-          .message = "upstreams name limits",
-          .retry_after = wait},
-         out);
-  return true;
-}
-
 void request_router::NoteLimitChange(uint64_t upstream,
                                      upstream_limits::change what) {
   const std::optional<replica_index> index = replicas_.FindByHash(upstream);
--- a/lib/Core/request_refusals.cc
+++ b/lib/Core/request_refusals.cc
@@ -38,6 +38,11 @@
       kMaxRetryAfterSeconds);
 }
 
+double request_router::LuckOf(const request& item) {
+  return static_cast<double>(Hash64(item.info.target, item.info.request)) /
+         static_cast<double>(UINT64_MAX);
+}
+
 bool request_router::ShedIfLate(time_point now,
                                 const request& item,
                                 const placement& chosen,
@@ -66,11 +71,7 @@
                                .target = item.info.target_latency,
                                .longest_silence = item.info.longest_silence,
                                .priority = PriorityOf(item)};
-  // One draw a request, so that asking again does not add up.
-  const double luck =
-      static_cast<double>(Hash64(item.info.target, item.info.request)) /
-      static_cast<double>(UINT64_MAX);
-  if (luck >= RefusalChance(question)) {
+  if (LuckOf(item) >= RefusalChance(question)) {
     return false;
   }
   ++counters_.shed;
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -271,7 +271,7 @@
     return false;
   }
   if (chosen.must_wait) {
-    if (RefuseIfLimited(now, item, chosen, out)) {
+    if (RefuseIfClosed(now, item, chosen, out)) {
       return true;
     }
     replicas_.CountQueued(chosen.index);
@@ -377,16 +377,17 @@
   status.quarantined_requests = quarantine_.CountQuarantined();
   for (const replica_index index : replicas_.configured()) {
     const replica& item = replicas_[index];
-    status.upstreams.push_back({.name = item.spec.name,
-                                .reachable = item.reachable,
-                                .leaving = item.leaving || item.spec.leaving,
-                                .reported = item.reported,
-                                .incarnation = item.incarnation,
-                                .in_flight = item.in_flight,
-                                .limit = item.limit,
-                                .prefill_rate = item.prefill_rate,
-                                .retention_seconds = item.retention_seconds,
-                                .rate_limit = limits_.Find(item.name_hash)});
+    status.upstreams.push_back(
+        {.name = item.spec.name,
+         .reachable = item.reachable,
+         .leaving = item.leaving || item.spec.leaving || item.says_leaving,
+         .reported = item.reported,
+         .incarnation = item.incarnation,
+         .in_flight = item.in_flight,
+         .limit = item.limit,
+         .prefill_rate = item.prefill_rate,
+         .retention_seconds = item.retention_seconds,
+         .rate_limit = limits_.Find(item.name_hash)});
   }
 }
 
--- a/lib/Edge/edge_notices.cc
+++ b/lib/Edge/edge_notices.cc
@@ -52,13 +52,16 @@
                     DescribeNotice("rest_unreadable", flow));
     return;
   }
+  router_.OnRestAsked(ReadBootClock(), flow.attempt(), notice.time);
   with_.log.Write(
       log_class::kBelief,
       DescribeNotice("rest_asked", flow).Add("rest_ms", notice.time));
 }
 
 void edge_task::TakeLeaving(const request_flow& flow) {
-  with_.log.Write(log_class::kRequest, DescribeNotice("leaving_said", flow));
+  if (router_.OnLeavingSaid(flow.attempt())) {
+    with_.log.Write(log_class::kBelief, DescribeNotice("leaving_said", flow));
+  }
 }
 
 }  // namespace cuminswitch
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -106,7 +106,7 @@
 }
 
 bool replica_table::HasRoom(time_point now, const replica& item) {
-  if (now < item.limited_until) {
+  if (now < item.ClosedUntil()) {
     return false;
   }
   const double age = ToSeconds(now - item.warm_since);
@@ -133,7 +133,7 @@
         failure_domains.empty() ||
         std::find(failure_domains.begin(), failure_domains.end(),
                   item.spec.failure_domain) != failure_domains.end();
-    if (!allowed || item.spec.leaving || item.leaving) {
+    if (!allowed || item.spec.leaving || item.leaving || item.says_leaving) {
       continue;
     }
     // Until an engine has reported the configured version it gets nothing:
@@ -185,13 +185,13 @@
   const double computing = item.computed_per_request / item.prefill_rate;
   const double answering = item.answer_seconds / std::max(1.0, item.limit);
   const double room = (item.queued_here + 1) * std::max(computing, answering);
-  if (now >= item.limited_until) {
-    return room;
+  double opens = std::max(0.0, ToSeconds(item.rest_until - now));
+  if (now < item.limited_until) {
+    // At an upstream that names a limit, room comes with this daemon's turns.
+    opens = std::max(opens, ToSeconds(item.limited_until - now) +
+                                item.queued_here * ToSeconds(item.limit_turn));
   }
-  // At an upstream that names a limit, room comes with this daemon's turns.
-  const double turns = ToSeconds(item.limited_until - now) +
-                       item.queued_here * ToSeconds(item.limit_turn);
-  return std::max(room, turns);
+  return std::max(room, opens);
 }
 
 }  // namespace cuminswitch
