Soak requests that crash the upstreams that run them

An upstream that ended by itself comes back under a new id. Held against it: more than three crashes later than 3 s after the third, sent by daemons that were not disturbed in that time.

--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -19,6 +19,8 @@
 /// A disturbance's effects on a daemon last a while: it catches up, and its
 /// peers notice.
 static constexpr std::chrono::seconds kCalmAfter{3};
+/// An upstream that crashed is back after so long.
+static constexpr std::chrono::milliseconds kCrashTime{1'500};
 
 deployment::deployment(event_base* base, options opts, promise_ledger& ledger)
     : base_(base), options_(std::move(opts)), ledger_(ledger), caller_(base) {
@@ -147,6 +149,10 @@
       std::string workspace;
       words >> id >> workspace;
       ledger_.OnRun(id, workspace, item.id);
+      const endpoint* daemon = ledger_.DaemonOf(id);
+      ledger_.OnMaybeCrash(
+          id, daemon != nullptr &&
+                  IsSound(*daemon, std::chrono::steady_clock::now()));
     } else if (what == "order") {
       std::string holder;
       uint64_t fence = 0;
@@ -174,6 +180,15 @@
   }
 }
 
+void deployment::RestartCrashed(size_t index) {
+  upstream_state& item = upstreams[index];
+  if (item.restart_at && std::chrono::steady_clock::now() >= *item.restart_at) {
+    item.restart_at.reset();
+    Unlist(index);
+    StartUpstream(index);
+  }
+}
+
 void deployment::Tick() {
   SendNextWrite();
   for (upstream_state& item : upstreams) {
@@ -184,7 +199,16 @@
       List(item);
     }
   }
+  for (size_t i = 0; i < upstreams.size(); ++i) {
+    RestartCrashed(i);
+  }
   for (const std::string& ended : processes.Reap()) {
+    for (upstream_state& item : upstreams) {
+      if (item.name == ended && item.is_listed) {
+        item.is_listed = false;
+        item.restart_at = std::chrono::steady_clock::now() + kCrashTime;
+      }
+    }
     for (size_t i = 0; i < daemons.size(); ++i) {
       if (daemons[i].name == ended) {
         StartDaemon(i);
@@ -290,10 +314,10 @@
                [](const platform::json_answer& /*answer*/) {});
 }
 
-void deployment::NameLimit(size_t index, const std::string& rate) {
+void deployment::Control(size_t index, const std::string& what) {
   caller_.Call({.to = upstreams[index].address,
                 .method = http_method::kGet,
-                .path = "/control/limit/" + rate,
+                .path = "/control/" + what,
                 .headers = {},
                 .body = {},
                 .idle_timeout = kWriteTimeout},
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <istream>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
   bool is_listed = false;
   bool is_draining = false;
   bool is_paused = false;
+  /// When it is started again after it ended by itself.
+  std::optional<wall_time> restart_at;
   uint64_t beats = 0;
 };
 
@@ -77,8 +80,8 @@
   void PutConfiguration(bool has_second_credential);
   void NameWeights(int version);
   void SetStoreFault(const std::string& mode);
-  /// Makes an upstream name \p rate requests a second, or none.
-  void NameLimit(size_t index, const std::string& rate);
+  /// Makes an upstream behave otherwise; \p what is a path of its controls.
+  void Control(size_t index, const std::string& what);
   /// Sends a daemon a signal that ends it.
   void EndDaemon(size_t index, int signal);
   void PauseDaemon(size_t index);
@@ -99,6 +102,8 @@
   void ReadLog(upstream_state& item);
   /// Reads that a request came while the upstream names a limit.
   void ReadLimited(const upstream_state& item, std::istream& words);
+  /// Starts the upstream again some time after it ended by itself.
+  void RestartCrashed(size_t index);
   endpoint AwaitListening(const std::string& log);
 
   event_base* base_;
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <csignal>
 #include <iostream>
+#include <span>
 #include <utility>
 
 namespace cuminswitch::soak {
@@ -76,9 +77,18 @@
       &fault_schedule::PauseStore,    &fault_schedule::ChangeConfiguration,
       &fault_schedule::NameLimit,     &fault_schedule::NameLimit,
       &fault_schedule::NameLimit,     &fault_schedule::NameLimit};
-  const step next = subject_ == soak_subject::kLimits
-                        ? kLimitSteps[Pick(kLimitSteps.size())]
-                        : kSteps[Pick(kSteps.size())];
+  static constexpr std::array<step, 8> kCrashSteps = {
+      &fault_schedule::KillDaemon,    &fault_schedule::StopDaemon,
+      &fault_schedule::PauseDaemon,   &fault_schedule::ReloadDaemon,
+      &fault_schedule::HarmStoreLink, &fault_schedule::HarmStore,
+      &fault_schedule::PauseStore,    &fault_schedule::ChangeConfiguration};
+  std::span<const step> steps = kSteps;
+  if (subject_ == soak_subject::kLimits) {
+    steps = kLimitSteps;
+  } else if (subject_ == soak_subject::kCrashes) {
+    steps = kCrashSteps;
+  }
+  const step next = steps[Pick(steps.size())];
   (this->*next)();
   timer_.Start(std::chrono::milliseconds(
       kLeastGapMs + static_cast<int>(Pick(kMostGapMs - kLeastGapMs))));
@@ -210,8 +220,9 @@
   const size_t index = Pick(target_.upstreams.size());
   const char* rate = kRates[Pick(kRates.size())];
   Note(target_.upstreams[index].id + " takes " + rate + " requests a second");
-  target_.NameLimit(index, rate);
-  EndLater(2'000, 9'000, [this, index] { target_.NameLimit(index, "none"); });
+  target_.Control(index, std::string("limit/") + rate);
+  EndLater(2'000, 9'000,
+           [this, index] { target_.Control(index, "limit/none"); });
 }
 
 void fault_schedule::NameWeights() {
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -23,6 +23,8 @@
   /// and upstreams are left alone: they would hold requests up and let them go
   /// at once.
   kLimits,
+  /// Requests that crash upstreams; harmed as with limits.
+  kCrashes,
 };
 
 /// Does one thing after another, each to a part chosen by the seed. Most of
--- a/test/soak/promise_ledger.cc
+++ b/test/soak/promise_ledger.cc
@@ -36,6 +36,18 @@
   }
 }
 
+void promise_ledger::OnMaybeCrash(const std::string& id, bool is_daemon_sound) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || found->second.request.crashing_as.empty()) {
+    return;
+  }
+  if (const auto broken =
+          crashes_.OnCrash(found->second.request.crashing_as, is_daemon_sound,
+                           std::chrono::steady_clock::now())) {
+    Find("budget", *broken);
+  }
+}
+
 const endpoint* promise_ledger::DaemonOf(const std::string& id) const {
   const auto found = requests_.find(id);
   return found == requests_.end() ? nullptr : &found->second.request.daemon;
--- a/test/soak/promise_ledger.h
+++ b/test/soak/promise_ledger.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cuminswitch/Support/endpoint.h"
+#include "soak/crash_check.h"
 #include "soak/limit_check.h"
 #include "soak/wall_time.h"
 
@@ -27,6 +28,9 @@
   bool is_stream = false;
   /// Its upstream is to misbehave, so no success is owed.
   bool is_spoilt = false;
+  /// It crashes each upstream that runs it; the same for those that are one
+  /// request, and empty for all others.
+  std::string crashing_as;
 };
 
 /// How a request ended for its caller.
@@ -61,6 +65,8 @@
              const std::string& upstream);
   /// A request of a sound daemon reached an upstream that names a limit.
   void OnLimited(const limit_check::arrival& item);
+  /// An upstream ran the request \p id, and has crashed if it is one of those.
+  void OnMaybeCrash(const std::string& id, bool is_daemon_sound);
   /// The daemon that the request was sent to; null where nobody sent it.
   const endpoint* DaemonOf(const std::string& id) const;
   /// An engine took an order.
@@ -76,6 +82,7 @@
   size_t sent() const { return requests_.size(); }
   /// Requests that limits were checked with.
   size_t limited() const { return limits_.counted(); }
+  size_t crashes() const { return crashes_.counted(); }
 
  private:
   struct record {
@@ -91,6 +98,7 @@
   std::map<std::string, uint64_t> fences_;
   std::map<uint64_t, std::string> holders_;
   limit_check limits_;
+  crash_check crashes_;
   std::vector<std::string> findings_;
   size_t served_ = 0;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -27,6 +27,7 @@
   int services = 2;
   int callers = 12;
   bool limits = false;
+  bool crashes = false;
   std::string build_folder = "build";
   std::string work_folder = "soak-work";
 };
@@ -43,6 +44,13 @@
 /// Answers that are on their way come in this time.
 constexpr std::chrono::seconds kEnd{5};
 
+soak_subject SubjectOf(const soak_options& opts) {
+  if (opts.limits) {
+    return soak_subject::kLimits;
+  }
+  return opts.crashes ? soak_subject::kCrashes : soak_subject::kAll;
+}
+
 class soak_run {
  public:
   explicit soak_run(const soak_options& opts)
@@ -57,7 +65,7 @@
                     ledger_),
         schedule_(base_,
                   static_cast<uint64_t>(opts.seed),
-                  opts.limits ? soak_subject::kLimits : soak_subject::kAll,
+                  SubjectOf(opts),
                   deployment_),
         tick_(base_, [this] {
           tick_.Start(kTick);
@@ -90,7 +98,8 @@
               << " requests, " << ledger_.served() << " served, "
               << deployment_.processes.size() << " processes, "
               << ledger_.limited() << " of them held to limits, "
-              << ledger_.findings().size() << " findings\n";
+              << ledger_.crashes() << " crashes, " << ledger_.findings().size()
+              << " findings\n";
     return ledger_.findings();
   }
 
@@ -132,7 +141,8 @@
                       return std::pair<std::string, std::string>(
                           may_use_third ? "key3" : "key2", "w2");
                   }
-                }},
+                },
+            .sends_crashing = options_.crashes},
         ledger_);
   }
 
@@ -171,6 +181,8 @@
   parser.AddInteger("callers", options.callers, "Callers at a time");
   parser.AddFlag("limits", options.limits,
                  "Upstreams name limits, and are left alone otherwise");
+  parser.AddFlag("crashes", options.crashes,
+                 "Some requests crash the upstreams that run them");
   parser.AddString("build", options.build_folder, "The build folder", "FOLDER");
   parser.AddString("work", options.work_folder,
                    "Where logs go; kept when a promise is broken", "FOLDER");
--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -20,6 +20,10 @@
 static constexpr int kLongestPauseMs = 40;
 /// One request in so many goes to an upstream that misbehaves on purpose.
 static constexpr uint64_t kSpoiltPart = 8;
+/// One in so many crashes its upstream, where any does.
+static constexpr uint64_t kCrashingPart = 40;
+/// For so long all callers' requests of this kind are one request.
+static constexpr std::chrono::seconds kCrashingTime{8};
 
 soak_caller::soak_caller(event_base* base, options opts, promise_ledger& ledger)
     : base_(base),
@@ -100,21 +104,38 @@
     request_.path += kSpoilt[random_() % kSpoilt.size()];
   }
   answer_ = {};
+  std::string body = "order " + request_.id;
+  std::string key = credential;
+  if (options_.sends_crashing && random_() % kCrashingPart == 0) {
+    MakeCrashing(body);
+    key = "key1";
+  }
   ledger_.OnSent(request_);
-  const std::string body = "order " + request_.id;
   const std::string text =
       "POST " + request_.path +
       "x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + request_.id +
       "\r\nX-Deadline-Ms: " + std::to_string(kDeadline.count()) +
       "\r\nX-Model: m\r\nX-Token-Usage: 100,10\r\nX-Prompt-Prefix: "
       "aa:50,bb:40," +
-      request_.id + ":10\r\nAuthorization: Token " + credential +
+      request_.id + ":10\r\nAuthorization: Token " + key +
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   is_waiting_ = true;
   bufferevent_write(connection_, text.data(), text.size());
   timer_.Start(kDeadline + kOverdue);
 }
 
+void soak_caller::MakeCrashing(std::string& body) {
+  const auto since = request_.sent_at.time_since_epoch() / kCrashingTime;
+  const bool is_once = since % 2 == 0;
+  body = "crashing order " + std::to_string(since);
+  request_.path = is_once ? "/once/crash/" : "/resume/crash/";
+  request_.workspace = "w1";
+  request_.is_once = is_once;
+  request_.is_stream = !is_once;
+  request_.is_spoilt = true;
+  request_.crashing_as = body;
+}
+
 void soak_caller::OnHead(message_head head) {
   answer_.status = head.status;
   answer_.echoed_id = head.Find("X-Attempt-Id");
--- a/test/soak/soak_caller.h
+++ b/test/soak/soak_caller.h
@@ -32,6 +32,8 @@
     /// The credential and workspace to use now.
     std::function<std::pair<std::string, std::string>(std::mt19937_64&)>
         choose_workspace;
+    /// Sends requests that crash upstreams, too.
+    bool sends_crashing = false;
   };
 
   soak_caller(event_base* base, options opts, promise_ledger& ledger);
@@ -48,6 +50,9 @@
   void Connect();
   void Disconnect();
   void SendNext();
+  /// Makes the next request one that crashes upstreams, the same for all
+  /// callers for some seconds.
+  void MakeCrashing(std::string& body);
   void OnReadable();
   void OnClosed();
   void EndRequest();
