Soak upstreams that ask for rest or say that they leave

Held against it, for daemons that were not disturbed: more than two requests in a rest, and any request later than 2 s after the daemon passed on that its upstream leaves.

--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -158,8 +158,8 @@
       uint64_t fence = 0;
       words >> holder >> fence >> item.version;
       ledger_.OnOrder(item.id, holder, fence);
-    } else if (what == "limited") {
-      ReadLimited(item, words);
+    } else if (what == "limited" || what == "rested" || what == "left") {
+      ReadNoticed(item, what, words);
     }
   }
   // A line that is not whole yet is read again.
@@ -167,16 +167,26 @@
   item.lines.seekg(begin);
 }
 
-void deployment::ReadLimited(const upstream_state& item, std::istream& words) {
+void deployment::ReadNoticed(const upstream_state& item,
+                             const std::string& what,
+                             std::istream& words) {
   std::string id;
   int64_t time_ms = 0;
-  double rate = 0;
-  words >> id >> time_ms >> rate;
+  double figure = 0;
+  words >> id >> time_ms >> figure;
   const wall_time at{std::chrono::milliseconds(time_ms)};
   const endpoint* daemon = ledger_.DaemonOf(id);
-  if (daemon != nullptr && IsSound(*daemon, at)) {
+  if (daemon == nullptr || !IsSound(*daemon, at)) {
+    return;
+  }
+  if (what == "limited") {
     ledger_.OnLimited(
-        {.upstream = item.id, .daemon = *daemon, .at = at, .rate = rate});
+        {.upstream = item.id, .daemon = *daemon, .at = at, .rate = figure});
+  } else if (what == "rested") {
+    ledger_.OnRested({.upstream = item.id, .daemon = *daemon, .at = at},
+                     std::chrono::milliseconds(static_cast<int64_t>(figure)));
+  } else {
+    ledger_.OnLeft({.upstream = item.id, .daemon = *daemon, .at = at});
   }
 }
 
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -100,8 +100,11 @@
   void SendNextWrite();
   void List(upstream_state& item);
   void ReadLog(upstream_state& item);
-  /// Reads that a request came while the upstream names a limit.
-  void ReadLimited(const upstream_state& item, std::istream& words);
+  /// Reads that a request came while the upstream names a limit, is at rest or
+  /// leaves, as \p what says.
+  void ReadNoticed(const upstream_state& item,
+                   const std::string& what,
+                   std::istream& words);
   /// Starts the upstream again some time after it ended by itself.
   void RestartCrashed(size_t index);
   endpoint AwaitListening(const std::string& log);
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -82,11 +82,20 @@
       &fault_schedule::PauseDaemon,   &fault_schedule::ReloadDaemon,
       &fault_schedule::HarmStoreLink, &fault_schedule::HarmStore,
       &fault_schedule::PauseStore,    &fault_schedule::ChangeConfiguration};
+  static constexpr std::array<step, 12> kNoticeSteps = {
+      &fault_schedule::KillDaemon,    &fault_schedule::StopDaemon,
+      &fault_schedule::PauseDaemon,   &fault_schedule::ReloadDaemon,
+      &fault_schedule::HarmStoreLink, &fault_schedule::HarmStore,
+      &fault_schedule::PauseStore,    &fault_schedule::ChangeConfiguration,
+      &fault_schedule::AskForRest,    &fault_schedule::AskForRest,
+      &fault_schedule::AskForRest,    &fault_schedule::SayLeaving};
   std::span<const step> steps = kSteps;
   if (subject_ == soak_subject::kLimits) {
     steps = kLimitSteps;
   } else if (subject_ == soak_subject::kCrashes) {
     steps = kCrashSteps;
+  } else if (subject_ == soak_subject::kNotices) {
+    steps = kNoticeSteps;
   }
   const step next = steps[Pick(steps.size())];
   (this->*next)();
@@ -225,6 +234,28 @@
            [this, index] { target_.Control(index, "limit/none"); });
 }
 
+void fault_schedule::AskForRest() {
+  static constexpr std::array<const char*, 4> kTimes = {"0.3", "1", "2.5", "4"};
+  const size_t index = Pick(target_.upstreams.size());
+  const char* time = kTimes[Pick(kTimes.size())];
+  Note(target_.upstreams[index].id + " asks for " + time + " s of rest");
+  target_.Control(index, std::string("rest/") + time);
+  EndLater(1'000, 6'000,
+           [this, index] { target_.Control(index, "rest/none"); });
+}
+
+void fault_schedule::SayLeaving() {
+  const size_t index = Pick(target_.upstreams.size());
+  Note(target_.upstreams[index].id + " says that it leaves");
+  target_.Control(index, "leaving/1");
+  EndLater(3'000, 7'000, [this, id = target_.upstreams[index].id, index] {
+    // Gone without a word in the store, and back under another id.
+    if (target_.upstreams[index].id == id) {
+      target_.processes.Signal(target_.upstreams[index].name, SIGKILL);
+    }
+  });
+}
+
 void fault_schedule::NameWeights() {
   Note("weights " + std::to_string(target_.weights() + 1) + " named");
   target_.NameWeights(target_.weights() + 1);
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -25,6 +25,8 @@
   kLimits,
   /// Requests that crash upstreams; harmed as with limits.
   kCrashes,
+  /// Rest that upstreams ask for, and that they leave; harmed as with limits.
+  kNotices,
 };
 
 /// Does one thing after another, each to a part chosen by the seed. Most of
@@ -67,6 +69,8 @@
   void ChangeConfiguration();
   void NameWeights();
   void NameLimit();
+  void AskForRest();
+  void SayLeaving();
 
   struct lasting {
     std::unique_ptr<loop_timer> timer;
--- a/test/soak/promise_ledger.cc
+++ b/test/soak/promise_ledger.cc
@@ -36,6 +36,19 @@
   }
 }
 
+void promise_ledger::OnRested(const notice_arrival& item,
+                              std::chrono::milliseconds rest) {
+  if (const auto broken = notices_.OnRestAsked(item, rest)) {
+    Find("rest", *broken);
+  }
+}
+
+void promise_ledger::OnLeft(const notice_arrival& item) {
+  if (const auto broken = notices_.OnLeavingArrival(item)) {
+    Find("drain", *broken);
+  }
+}
+
 void promise_ledger::OnMaybeCrash(const std::string& id, bool is_daemon_sound) {
   const auto found = requests_.find(id);
   if (found == requests_.end() || found->second.request.crashing_as.empty()) {
@@ -103,6 +116,10 @@
     limits_.OnTold(request.daemon, answer.upstream,
                    std::chrono::steady_clock::now());
   }
+  if (answer.says_leaving) {
+    notices_.OnLeavingTold(request.daemon, answer.upstream,
+                           std::chrono::steady_clock::now());
+  }
   if (answer.is_overdue && answer.is_daemon_sound) {
     Find("overdue", request.id + " " + request.path + " had no end in time");
   }
--- a/test/soak/promise_ledger.h
+++ b/test/soak/promise_ledger.h
@@ -11,6 +11,7 @@
 #include "cuminswitch/Support/endpoint.h"
 #include "soak/crash_check.h"
 #include "soak/limit_check.h"
+#include "soak/notice_check.h"
 #include "soak/wall_time.h"
 
 namespace cuminswitch::soak {
@@ -42,6 +43,7 @@
   /// The upstream that made it, and whether that names a limit.
   std::string upstream;
   bool names_limit = false;
+  bool says_leaving = false;
   std::string body;
   /// The answer ended as complete.
   bool is_whole = false;
@@ -65,6 +67,10 @@
              const std::string& upstream);
   /// A request of a sound daemon reached an upstream that names a limit.
   void OnLimited(const limit_check::arrival& item);
+  /// A request of a sound daemon was refused by an upstream that asks for rest.
+  void OnRested(const notice_arrival& item, std::chrono::milliseconds rest);
+  /// A request of a sound daemon reached an upstream that leaves.
+  void OnLeft(const notice_arrival& item);
   /// An upstream ran the request \p id, and has crashed if it is one of those.
   void OnMaybeCrash(const std::string& id, bool is_daemon_sound);
   /// The daemon that the request was sent to; null where nobody sent it.
@@ -82,6 +88,8 @@
   size_t sent() const { return requests_.size(); }
   /// Requests that limits were checked with.
   size_t limited() const { return limits_.counted(); }
+  /// Requests that notices of upstreams were checked with.
+  size_t noticed() const { return notices_.counted(); }
   size_t crashes() const { return crashes_.counted(); }
 
  private:
@@ -98,6 +106,7 @@
   std::map<std::string, uint64_t> fences_;
   std::map<uint64_t, std::string> holders_;
   limit_check limits_;
+  notice_check notices_;
   crash_check crashes_;
   std::vector<std::string> findings_;
   size_t served_ = 0;
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -28,6 +28,7 @@
   int callers = 12;
   bool limits = false;
   bool crashes = false;
+  bool notices = false;
   std::string build_folder = "build";
   std::string work_folder = "soak-work";
 };
@@ -48,6 +49,9 @@
   if (opts.limits) {
     return soak_subject::kLimits;
   }
+  if (opts.notices) {
+    return soak_subject::kNotices;
+  }
   return opts.crashes ? soak_subject::kCrashes : soak_subject::kAll;
 }
 
@@ -98,8 +102,8 @@
               << " requests, " << ledger_.served() << " served, "
               << deployment_.processes.size() << " processes, "
               << ledger_.limited() << " of them held to limits, "
-              << ledger_.crashes() << " crashes, " << ledger_.findings().size()
-              << " findings\n";
+              << ledger_.noticed() << " to notices, " << ledger_.crashes()
+              << " crashes, " << ledger_.findings().size() << " findings\n";
     return ledger_.findings();
   }
 
@@ -183,6 +187,8 @@
                  "Upstreams name limits, and are left alone otherwise");
   parser.AddFlag("crashes", options.crashes,
                  "Some requests crash the upstreams that run them");
+  parser.AddFlag("notices", options.notices,
+                 "Upstreams ask for rest, and say that they leave");
   parser.AddString("build", options.build_folder, "The build folder", "FOLDER");
   parser.AddString("work", options.work_folder,
                    "Where logs go; kept when a promise is broken", "FOLDER");
--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -141,6 +141,7 @@
   answer_.echoed_id = head.Find("X-Attempt-Id");
   answer_.upstream = head.Find("X-Replica-Stamp");
   answer_.names_limit = head.Has("Server-Limit");
+  answer_.says_leaving = head.Has("Server-Leaving");
   answer_.has_retry_after = head.Has("Retry-After");
   is_kept_ = head.keep_alive;
 }
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -11,8 +11,9 @@
 // `over_limit GOT ALLOWED`.
 // `GET /control/rest/SECONDS` makes it refuse every request and ask for so much
 // rest, `none` ends that; `GET /control/leaving/1` makes all its answers say
-// that it leaves. What comes later than half a second after it has said so is
-// told as `in_rest ATTEMPT` and `while_leaving ATTEMPT`.
+// that it leaves. What comes then is told as `rested ATTEMPT TIME REST` and
+// `left ATTEMPT TIME` (milliseconds), and, later than half a second after it
+// has said so, as `in_rest ATTEMPT` and `while_leaving ATTEMPT`.
 #include <event2/event.h>
 
 #include <chrono>
@@ -46,6 +47,12 @@
 /// What was under way may come so long after a notice.
 constexpr std::chrono::milliseconds kUnderWayTime{500};
 
+int64_t ToMillis(std::chrono::steady_clock::time_point at) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             at.time_since_epoch())
+      .count();
+}
+
 /// Counts what comes while a limit is named, and tells what is beyond it: in
 /// any 4 s one and a half times the limit and five requests more.
 class limit_meter {
@@ -64,11 +71,8 @@
     if (!rate_ || now - named_at_ < kTellTime) {
       return;
     }
-    std::cout << "limited " << attempt << " "
-              << std::chrono::duration_cast<std::chrono::milliseconds>(
-                     now.time_since_epoch())
-                     .count()
-              << " " << *rate_ << std::endl;
+    std::cout << "limited " << attempt << " " << ToMillis(now) << " " << *rate_
+              << std::endl;
     arrivals_.push_back(now);
     while (now - arrivals_.front() > kLimitWindow) {
       arrivals_.pop_front();
@@ -186,6 +190,9 @@
   /// said that it leaves.
   void TellLateArrival(const std::string& attempt) {
     const auto now = clock::now();
+    if (is_leaving_) {
+      std::cout << "left " << attempt << " " << ToMillis(now) << std::endl;
+    }
     if (now < rest_until_ && now - rest_asked_at_ > kUnderWayTime) {
       std::cout << "in_rest " << attempt << std::endl;
     }
@@ -200,13 +207,16 @@
 
   void AskForRest(http_exchange& exchange) {
     const auto now = clock::now();
+    const auto rest = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(std::stod(rest_)));
+    std::cout << "rested " << exchange.Header("X-Attempt-Id") << " "
+              << ToMillis(now) << " " << rest.count() << std::endl;
     // Counted from the first time: a later one must not excuse what came
     // before it.
     if (now >= rest_until_) {
       rest_asked_at_ = now;
     }
-    rest_until_ = now + std::chrono::duration_cast<clock::duration>(
-                            std::chrono::duration<double>(std::stod(rest_)));
+    rest_until_ = now + rest;
     exchange.Reply(503, kJson, "{}",
                    {{"X-Attempt-Id", exchange.Header("X-Attempt-Id")},
                     {"X-Not-Executed", "1"},
