Hold the soak's daemons to notices they passed on since they were last disturbed

The trace: daemon-1 passed on that e0.1 leaves at 195.406 s (leaving_said), was killed and started again at 197.304 s, and sent e0.1 a request at 200.503 s, the first of its new process, whose answer it then heeded.

Now a notice binds a daemon that nothing has disturbed since it passed it on, and each later notice binds it anew.

--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -87,6 +87,8 @@
   void PauseDaemon(size_t index);
   void ResumeDaemon(size_t index);
   bool IsSound(const endpoint& front, wall_time since) const;
+  /// Since when nothing has disturbed a daemon that is sound.
+  wall_time CalmSince(const endpoint& front) const;
   int weights() const { return weights_; }
 
   std::vector<daemon_state> daemons;
@@ -107,6 +109,7 @@
                    std::istream& words);
   /// Starts the upstream again some time after it ended by itself.
   void RestartCrashed(size_t index);
+  const daemon_state& DaemonAt(const endpoint& front) const;
   endpoint AwaitListening(const std::string& log);
 
   event_base* base_;
