--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -20,9 +20,10 @@
 namespace cuminswitch {
 
 /// Remembers which requests were being run at upstreams that crashed, and
-/// quarantines a request that crashes one after the other. It answers the load
-/// of one request that comes again and again, at any daemon, and crashes each
-/// upstream that begins to run it; all others that run there break off with it.
+/// quarantines a request under which one crashes after the other. It answers
+/// the load of one request that comes again and again, at any daemon, and
+/// crashes each upstream that begins to run it; all others that run there break
+/// off with it.
 ///
 /// What daemons know are pairs of a request and the start of an upstream. Such
 /// a set only grows, so that news may come late, twice and in any order, and
@@ -117,11 +118,21 @@
     time_point QuarantinedUntil() const;
   };
 
+  struct pending_crash {
+    hash128 request;
+    crash seen;
+  };
+  struct pending_completion {
+    hash128 request;
+    time_point sent{};
+  };
+
   void Add(time_point now, const hash128& request, const crash& seen);
   /// Returns what is known of \p request, which may be nothing yet.
   suspect& Touch(time_point now, const hash128& request);
   /// Forgets the oldest that is not quarantined if there are too many.
   void MakeRoom(time_point now);
+  /// Notes that a run that was sent at \p sent came to its end.
   void Complete(time_point now,
                 const hash128& request,
                 time_point sent,
@@ -139,22 +150,16 @@
   std::unordered_map<hash128, suspect, hash128_hasher> suspects_;
   /// The suspects, the oldest first; some may be forgotten already.
   std::deque<hash128> order_;
-  /// The upstreams that crashes that count were seen at, and some others.
+  /// Upstreams at which a crash was seen that counts; some that do not any more
+  /// may be among them until the next `Expire`.
   std::unordered_set<uint64_t> crashed_;
   /// Upstreams that crashed under requests that are quarantined.
   std::unordered_set<uint64_t> explained_;
   time_point expired_at_{};
   std::vector<quarantine_event> events_;
-  struct told_crash {
-    hash128 request;
-    crash seen;
-  };
-  struct told_completion {
-    hash128 request;
-    time_point sent{};
-  };
-  std::vector<told_crash> untold_crashes_;
-  std::vector<told_completion> untold_completions_;
+  /// What `TakeNews` returns next.
+  std::vector<pending_crash> pending_crashes_;
+  std::vector<pending_completion> pending_completions_;
 };
 
 }  // namespace cuminswitch
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -131,8 +131,8 @@
 }
 
 void request_quarantine::Tell(const hash128& request, const crash& seen) {
-  if (untold_crashes_.size() < kMaxNews) {
-    untold_crashes_.push_back({.request = request, .seen = seen});
+  if (pending_crashes_.size() < kMaxNews) {
+    pending_crashes_.push_back({.request = request, .seen = seen});
   }
 }
 
@@ -175,8 +175,8 @@
   if (item.CountCrashes() == before) {
     return;
   }
-  if (before >= kCrashesToPassOn && untold_completions_.size() < kMaxNews) {
-    untold_completions_.push_back({.request = request, .sent = sent});
+  if (before >= kCrashesToPassOn && pending_completions_.size() < kMaxNews) {
+    pending_completions_.push_back({.request = request, .sent = sent});
   }
   if (source == crash_source::kOwn || was_quarantined) {
     Note(quarantine_event::kind::kCleared, request, item, source);
@@ -275,13 +275,14 @@
 
 quarantine_news request_quarantine::TakeNews(time_point now) {
   quarantine_news news;
-  for (const told_crash& item : std::exchange(untold_crashes_, {})) {
+  for (const pending_crash& item : std::exchange(pending_crashes_, {})) {
     news.crashes.push_back({.request = item.request,
                             .upstream = item.seen.upstream,
                             .age = now - item.seen.at,
                             .took = item.seen.at - item.seen.sent});
   }
-  for (const told_completion& item : std::exchange(untold_completions_, {})) {
+  for (const pending_completion& item :
+       std::exchange(pending_completions_, {})) {
     news.completions.push_back(
         {.request = item.request, .age = now - item.sent});
   }
