--- a/include/cuminswitch/Fleet/crash_bulletin.h
+++ b/include/cuminswitch/Fleet/crash_bulletin.h
@@ -3,14 +3,18 @@
 #ifndef CUMINSWITCH_FLEET_CRASH_BULLETIN_H_
 #define CUMINSWITCH_FLEET_CRASH_BULLETIN_H_
 
+#include <cstddef>
+#include <map>
+#include <vector>
+
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Fleet/peer_news.h"
 
 namespace cuminswitch {
 
-/// Tells each peer every news once, and what stands now and then: to a peer
-/// that missed news, or has started since. Told with each beat, the news of a
-/// great crash took a tenth of a small link.
+/// Tells each peer every news once, and what stands now and then: a peer may
+/// have missed news, or have started since. Each beat would otherwise carry the
+/// news of a great crash to all peers, over links that requests need.
 class crash_bulletin {
  public:
   void Add(const own_quarantine& own);
