Wait in a test for the line of the log that it reads

process_platform_notices failed once, in a whole run of the tests beside a lint: the trace ends with the request before the one that is explained, since a daemon writes its log up to a quarter of a second after it answers. The test now waits for that line; what it checks is the same.

--- a/test/process/platform_notices.sh
+++ b/test/process/platform_notices.sh
@@ -68,6 +68,9 @@
 for index in 1 2 3; do
   expect_none in_rest "s$index"
 done
+# The daemon writes its log a little later than it answers.
+wait_for 5 grep -q '"request_ended","id":"all-19"' "$WORK/entry-0.log" ||
+  fail "no end of all-19 in the log"
 "$BUILD/tools/cuminctl" explain all-19 "$WORK/entry-0.log" >"$WORK/story"
 grep -q "request_ended.*reason=upstreams asked for rest.*retry_after_ms=[1-4]" \
   "$WORK/story" || fail "no cause in $(cat "$WORK/story")"
