--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -296,6 +296,8 @@
   std::span<const std::string> AllowedDomains(const request& item) const;
   priority_class PriorityOf(const request& item) const;
   retry_budget& BudgetOf(const std::string& target);
+  /// The attempt \p id; null where it is over.
+  const attempt* FindAttempt(attempt_id id) const;
   /// The replica of \p attempt; null where the attempt is over or the replica
   /// has started again since.
   replica* FindReplica(attempt_id attempt);
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -281,10 +281,8 @@
 }
 
 void request_router::OnAttemptAnswered(attempt_id attempt) {
-  const auto found = attempts_.find(attempt);
-  if (found != attempts_.end()) {
-    const auto& running = *requests_.at(found->second).running;
-    quarantine_.OnAnswered(running.upstream_start, running.sent);
+  if (const auto* running = FindAttempt(attempt)) {
+    quarantine_.OnAnswered(running->upstream_start, running->sent);
   }
 }
 
--- a/lib/Core/request_notices.cc
+++ b/lib/Core/request_notices.cc
@@ -12,14 +12,20 @@
 /// spread over this part of their wait.
 static constexpr double kReturnSpread = 0.25;
 
+const request_router::attempt* request_router::FindAttempt(
+    attempt_id id) const {
+  const auto found = attempts_.find(id);
+  return found == attempts_.end() ? nullptr
+                                  : &*requests_.at(found->second).running;
+}
+
 replica* request_router::FindReplica(attempt_id attempt) {
-  const auto found = attempts_.find(attempt);
-  if (found == attempts_.end()) {
+  const auto* running = FindAttempt(attempt);
+  if (running == nullptr) {
     return nullptr;
   }
-  const auto& running = *requests_.at(found->second).running;
-  replica& item = replicas_.at(running.index);
-  return running.upstream_start == StartOf(item) ? &item : nullptr;
+  replica& item = replicas_.at(running->index);
+  return running->upstream_start == StartOf(item) ? &item : nullptr;
 }
 
 void request_router::OnRestAsked(time_point now,
