--- /dev/null
+++ b/unittests/Fleet/idle_item_store.h
@@ -0,0 +1,31 @@
+/// \file
+/// A store that answers nothing.
+#ifndef CUMINSWITCH_UNITTESTS_FLEET_IDLE_ITEM_STORE_H_
+#define CUMINSWITCH_UNITTESTS_FLEET_IDLE_ITEM_STORE_H_
+
+#include <functional>
+
+#include "cuminswitch/Fleet/item_store.h"
+
+namespace cuminswitch {
+
+/// Takes all calls and ends none; a test overrides those that it is about.
+class idle_item_store : public item_store {
+ public:
+  void ReadAll(std::function<void(store_items)> /*done*/) override {}
+  void StopReading() override {}
+  void Watch(revision_number /*after*/,
+             std::chrono::milliseconds /*wait*/,
+             std::function<void(store_items)> /*done*/) override {}
+  void Write(const conditional_write& /*write*/,
+             std::function<void(store_write)> /*done*/) override {}
+  void GrantLease(std::chrono::milliseconds /*time_to_live*/,
+                  std::function<void(store_lease)> /*done*/) override {}
+  void KeepLease(lease_number /*lease*/,
+                 std::function<void(store_lease)> /*done*/) override {}
+  void EndLease(lease_number /*lease*/) override {}
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_UNITTESTS_FLEET_IDLE_ITEM_STORE_H_
--- a/unittests/Fleet/item_feed_test.cc
+++ b/unittests/Fleet/item_feed_test.cc
@@ -10,12 +10,13 @@
 
 #include "cuminswitch/Fleet/peer_frame.h"
 #include "cuminswitch/Log/event_log.h"
+#include "idle_item_store.h"
 
 namespace cuminswitch {
 namespace {
 
 /// A store whose reads end when the test says so.
-class waiting_store : public item_store {
+class waiting_store : public idle_item_store {
  public:
   void ReadAll(std::function<void(store_items)> done) override {
     reading = std::move(done);
@@ -26,13 +27,6 @@
              std::function<void(store_items)> /*done*/) override {
     watched_after = after;
   }
-  void Write(const conditional_write& /*write*/,
-             std::function<void(store_write)> /*done*/) override {}
-  void GrantLease(std::chrono::milliseconds /*time_to_live*/,
-                  std::function<void(store_lease)> /*done*/) override {}
-  void KeepLease(lease_number /*lease*/,
-                 std::function<void(store_lease)> /*done*/) override {}
-  void EndLease(lease_number /*lease*/) override {}
 
   std::function<void(store_items)> reading;
   std::optional<revision_number> watched_after;
--- a/unittests/Fleet/leader_election_test.cc
+++ b/unittests/Fleet/leader_election_test.cc
@@ -7,6 +7,8 @@
 #include <functional>
 #include <string>
 
+#include "idle_item_store.h"
+
 namespace cuminswitch {
 namespace {
 
@@ -14,13 +16,8 @@
 
 /// A store with one key and its lease, on a clock that the test moves. Calls
 /// wait until the test answers them.
-class fake_store : public item_store {
+class fake_store : public idle_item_store {
  public:
-  void ReadAll(std::function<void(store_items)> /*done*/) override {}
-  void StopReading() override {}
-  void Watch(revision_number /*after*/,
-             milliseconds /*wait*/,
-             std::function<void(store_items)> /*done*/) override {}
   void Write(const conditional_write& write,
              std::function<void(store_write)> done) override {
     calls.push_back([this, write, done](bool is_lost) {
--- a/unittests/Fleet/quarantine_records_test.cc
+++ b/unittests/Fleet/quarantine_records_test.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "idle_item_store.h"
+
 namespace cuminswitch {
 namespace {
 
@@ -14,13 +16,8 @@
 using std::chrono::seconds;
 
 /// Grants leases and takes writes, unless told to refuse them.
-class writable_store : public item_store {
+class writable_store : public idle_item_store {
  public:
-  void ReadAll(std::function<void(store_items)> /*done*/) override {}
-  void StopReading() override {}
-  void Watch(revision_number /*after*/,
-             milliseconds /*wait*/,
-             std::function<void(store_items)> /*done*/) override {}
   void Write(const conditional_write& write,
              std::function<void(store_write)> done) override {
     writes.push_back(write);
@@ -31,8 +28,6 @@
     lease_times.push_back(time_to_live);
     done({.end = lease_end, .lease = lease_times.size()});
   }
-  void KeepLease(lease_number /*lease*/,
-                 std::function<void(store_lease)> /*done*/) override {}
   void EndLease(lease_number lease) override { ended.push_back(lease); }
 
   store_end lease_end = store_end::kDone;
