--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -35,6 +36,14 @@
 
 class shard_directory;
 
+/// An upstream as it is now.
+struct upstream_update {
+  upstream_spec spec;
+  upstream_report report;
+  /// It is not to be used any more; only its name matters.
+  bool is_gone = false;
+};
+
 /// Admits requests, asks for the start of those that may run only once,
 /// places them, retries them where that is safe, and ends each with the
 /// outcome that is true.
@@ -65,6 +74,15 @@
   void OnConfiguration(time_point now,
                        std::shared_ptr<const configuration> config,
                        action_list& out);
+  /// Brings \p config into force but for its upstreams, which are told by
+  /// `OnUpstreams`.
+  void OnPlan(time_point now,
+              std::shared_ptr<const configuration> config,
+              action_list& out);
+  /// Takes in upstreams that came, changed or went.
+  void OnUpstreams(time_point now,
+                   std::span<const upstream_update> updates,
+                   action_list& out);
   void OnRequest(time_point now,
                  const request_arrived& event,
                  action_list& out);
@@ -87,7 +105,7 @@
   double short_part() const { return short_part_; }
   /// This daemon's traffic of late, for its peers.
   prompt_mix OwnMix(time_point now) const;
-  std::vector<upstream_backlog> ListBacklogs() const {
+  std::vector<upstream_backlog> ListBacklogs() {
     return replicas_.ListBacklogs();
   }
   void OnUpstreamChanging(const upstream_changing& event);
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -4,7 +4,9 @@
 #define CUMINSWITCH_EDGE_EDGE_TASK_H_
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -17,6 +19,7 @@
 #include "cuminswitch/Edge/limit_gate.h"
 #include "cuminswitch/Edge/quota_gate.h"
 #include "cuminswitch/Edge/request_flow.h"
+#include "cuminswitch/Edge/weights_census.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Http1/caller_server.h"
 #include "cuminswitch/Http1/upstream_pool.h"
@@ -97,11 +100,16 @@
   /// Takes in that an upstream leaves.
   void TakeLeaving(const request_flow& flow);
   void Take(const knowledge_changed& news);
-  /// Keeps this daemon's part of the connections that upstreams take from all.
-  void ShareConnections();
-  /// Drops the connections to upstreams that have started again.
-  void ForgetRestarted(const fleet_knowledge& before,
-                       const fleet_knowledge& next);
+  void Take(const upstreams_changed& news);
+  /// Brings the plan and the newest weights into force.
+  void ApplyPlan(time_point now, action_list& actions);
+  /// How many idle connections to \p to are this daemon's part of those that
+  /// the upstream takes from all; nothing for one that is not known.
+  std::optional<size_t> IdleLimit(const endpoint& to) const;
+  /// Keeps the index of upstreams by address.
+  void IndexAddress(const upstream_change& change);
+  /// Drops the connections to an upstream that has started again.
+  void ForgetRestarted(const upstream_change& change, revision_number revision);
   void Take(const peers_changed& news);
   void Take(const weights_changing& news);
   void Take(const peer_placements& news);
@@ -163,6 +171,9 @@
   loop_timer tick_timer_;
   loop_timer stop_timer_;
   std::shared_ptr<const fleet_knowledge> knowledge_;
+  std::map<endpoint, upstream_ref> upstreams_by_address_;
+  weights_census held_weights_;
+  size_t unreadable_upstreams_ = 0;
   std::vector<daemon_record> peers_;
   std::vector<std::string> changing_;
   std::vector<upstream_backlog> told_backlogs_;
--- a/include/cuminswitch/Edge/plan_translator.h
+++ b/include/cuminswitch/Edge/plan_translator.h
@@ -9,22 +9,29 @@
 #include <vector>
 
 #include "cuminswitch/Config/configuration.h"
+#include "cuminswitch/Core/request_router.h"
 #include "cuminswitch/Fleet/fleet_knowledge.h"
-#include "cuminswitch/Protocol/core_event.h"
 
 namespace cuminswitch {
 
+class weights_census;
+
 /// The router's name for a model at a service, or for the service itself where
 /// \p model is empty. Two services may serve one model, each with its own
 /// upstreams.
 std::string TargetName(std::string_view service, std::string_view model);
 
-/// Builds the router's configuration. The plan must be known.
+/// Builds the router's configuration but for its upstreams. The plan must be
+/// known. A model's version is the newest of those named and of those that
+/// \p held says upstreams have: that an upstream has one only shows that its
+/// naming is known there and not yet here.
 std::shared_ptr<const configuration> TranslatePlan(
-    const fleet_knowledge& knowledge);
+    const fleet_knowledge& knowledge,
+    const weights_census& held);
 
-/// What the router would have learnt by asking the upstream.
-upstream_report TranslateUpstream(const upstream_entry& entry);
+/// The upstream as the router knows it; its report is what the router would
+/// have learnt by asking.
+upstream_update TranslateUpstream(const upstream_entry& entry);
 
 /// How urgent requests of \p rank are.
 priority_class TranslateRank(uint32_t rank);
--- /dev/null
+++ b/include/cuminswitch/Edge/weights_census.h
@@ -0,0 +1,31 @@
+/// \file
+/// Which versions of which models upstreams hold.
+#ifndef CUMINSWITCH_EDGE_WEIGHTS_CENSUS_H_
+#define CUMINSWITCH_EDGE_WEIGHTS_CENSUS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "cuminswitch/Fleet/fleet_knowledge.h"
+
+namespace cuminswitch {
+
+/// Counts the upstreams with each version, one change at a time.
+class weights_census {
+ public:
+  void Add(std::span<const weights_version> held);
+  void Remove(std::span<const weights_version> held);
+  /// The newest version of \p model that any upstream has; 0 for none.
+  uint64_t Newest(std::string_view model) const;
+
+ private:
+  std::map<std::string, std::map<uint64_t, size_t>, std::less<>> counts_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_EDGE_WEIGHTS_CENSUS_H_
--- a/include/cuminswitch/Fleet/fleet_knowledge.h
+++ b/include/cuminswitch/Fleet/fleet_knowledge.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,18 @@
                          const upstream_entry&) = default;
 };
 
+/// Entries never change; all who need one share it.
+using upstream_ref = std::shared_ptr<const upstream_entry>;
+
+/// What the store says of one upstream now.
+struct upstream_news {
+  std::string id;
+  /// Null where it has no entry that can be read.
+  upstream_ref entry;
+  /// It has one that cannot be read: it is listed, but not to be used.
+  bool is_unreadable = false;
+};
+
 /// Another daemon, as the store lists it.
 struct daemon_entry {
   std::string name;
@@ -49,13 +62,10 @@
   friend bool operator==(const daemon_entry&, const daemon_entry&) = default;
 };
 
-/// Immutable once published.
+/// What is known besides the upstreams. Immutable once published.
 struct fleet_knowledge {
   /// Null until a configuration is known.
   std::shared_ptr<const route_plan> plan;
-  std::vector<upstream_entry> upstreams;
-  /// Ids of upstreams whose entries cannot be read: listed, but not to be used.
-  std::vector<std::string> unreadable_upstreams;
   std::vector<weights_version> wanted_weights;
   std::vector<daemon_entry> daemons;
   /// Digests of requests that are kept away from upstreams.
@@ -65,14 +75,24 @@
   revision_number revision = 0;
 };
 
-/// Turns stored items into knowledge. It keeps what it decoded last, so that
-/// an unchanged item is not decoded again.
+/// What changed items say that was not known before.
+struct decoded_items {
+  /// Null where all of it is as it was.
+  std::shared_ptr<const fleet_knowledge> knowledge;
+  std::vector<upstream_news> upstreams;
+  /// The keys that said so.
+  std::vector<std::string> news;
+};
+
+/// Turns stored items into knowledge. It keeps what it decoded, and visits only
+/// what changed.
 class knowledge_decoder {
  public:
   virtual ~knowledge_decoder() = default;
-  /// Returns null when nothing that matters differs from the last call.
-  virtual std::shared_ptr<const fleet_knowledge> Decode(
-      const item_view& view) = 0;
+  /// Takes in the items under \p keys as \p view has them; those that it lacks
+  /// are forgotten.
+  virtual decoded_items Decode(const item_view& view,
+                               std::span<const std::string> keys) = 0;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -10,6 +10,7 @@
 
 #include "cuminswitch/Fleet/fleet_knowledge.h"
 #include "cuminswitch/Fleet/peer_frame.h"
+#include "cuminswitch/Fleet/upstream_directory.h"
 #include "cuminswitch/Protocol/crash_news.h"
 #include "cuminswitch/Protocol/upstream_notice.h"
 #include "cuminswitch/Support/time.h"
@@ -57,6 +58,14 @@
 struct knowledge_changed {
   std::shared_ptr<const fleet_knowledge> knowledge;
 };
+/// Some of the upstreams in use changed.
+struct upstreams_changed {
+  std::vector<upstream_change> changes;
+  /// Listed ones whose entries cannot be read.
+  size_t unreadable = 0;
+  /// As of this revision of the store.
+  revision_number revision = 0;
+};
 /// The living peers, or what they say of themselves, changed.
 struct peers_changed {
   std::vector<daemon_record> living;
@@ -81,6 +90,7 @@
   std::vector<std::string> upstreams;
 };
 using fleet_news = std::variant<knowledge_changed,
+                                upstreams_changed,
                                 peers_changed,
                                 weights_changing,
                                 peer_placements,
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -4,10 +4,10 @@
 #define CUMINSWITCH_FLEET_FLEET_TASK_H_
 
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
-#include "cuminswitch/Fleet/address_owners.h"
 #include "cuminswitch/Fleet/crash_bulletin.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Fleet/item_feed.h"
@@ -18,6 +18,7 @@
 #include "cuminswitch/Fleet/peer_roster.h"
 #include "cuminswitch/Fleet/quarantine_records.h"
 #include "cuminswitch/Fleet/question_pacer.h"
+#include "cuminswitch/Fleet/upstream_directory.h"
 #include "cuminswitch/Fleet/weights_rollout.h"
 #include "cuminswitch/Kernel/loop_task.h"
 #include "cuminswitch/Log/list_changes.h"
@@ -70,19 +71,25 @@
   void OnItemsRequest(const items_request_frame& request);
 
   void OnTick();
-  void OnItemsChanged();
-  void Publish(const std::shared_ptr<const fleet_knowledge>& decoded);
+  void OnItemsChanged(std::span<const std::string> keys);
+  void Publish(std::shared_ptr<const fleet_knowledge> next);
+  void PublishUpstreams();
   store_contact Contact() const;
   /// In a large fleet a few daemons of each failure domain follow the store for
   /// the others.
-  void ChooseFollowers(time_point now);
+  void ChooseFollowers(std::span<const daemon_record> living);
   void RegisterSelf();
   /// Writes down which requests crash upstreams.
   void RecordQuarantines(time_point now);
   void SendBeat(const endpoint& to);
   void Announce();
   void AskPeers(time_point now);
+  /// Tells the edge of peers that came, went or say something else of
+  /// themselves, but not more often than a daemon can work through it: in a
+  /// fleet that starts each beat is news.
   void PublishPeers(time_point now);
+  /// Notes for the log how \p living differs from what was published.
+  void NotePeerChanges(std::span<const daemon_record> living);
   /// Tells the log what changed in the lists of peers and upstreams.
   void LogListChanges(time_point now);
   void PublishChanging();
@@ -102,10 +109,9 @@
   std::unique_ptr<peer_transport> transport_;
   loop_timer beat_timer_;
   loop_timer rollout_timer_;
-  std::shared_ptr<const fleet_knowledge> decoded_;
   std::shared_ptr<const fleet_knowledge> knowledge_;
+  upstream_directory upstreams_;
   lapsed_upstreams lapsed_;
-  address_owners owners_;
   std::vector<upstream_backlog> own_backlogs_;
   prompt_mix own_mix_;
   own_limits own_limits_;
@@ -117,16 +123,16 @@
   std::vector<std::string> leader_changing_;
   std::vector<std::string> published_changing_;
   time_point leader_changing_at_{};
-  std::vector<std::string> published_peers_;
+  /// The living peers as the edge knows them, in the order of their names.
+  std::vector<daemon_record> published_peers_;
+  time_point published_peers_at_{};
   size_t published_at_work_ = 0;
+  size_t published_unreadable_ = 0;
   list_changes peer_changes_;
   list_changes upstream_changes_;
-  /// What the log was last told of.
-  std::shared_ptr<const fleet_knowledge> logged_knowledge_;
   question_pacer questions_;
   item_list_cache complete_list_;
   time_point next_registration_{};
-  uint64_t beats_sent_ = 0;
   bool is_registering_ = false;
   bool is_registered_ = false;
   bool was_leading_ = false;
--- a/include/cuminswitch/Fleet/item_feed.h
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -5,6 +5,9 @@
 
 #include <functional>
 #include <memory>
+#include <span>
+#include <string>
+#include <vector>
 
 #include "cuminswitch/Fleet/item_store.h"
 #include "cuminswitch/Net/loop_timer.h"
@@ -21,10 +24,13 @@
 /// has dropped the history in between.
 class item_feed {
  public:
+  /// Called with the keys of items that changed or are forgotten.
+  using change_handler = std::function<void(std::span<const std::string> keys)>;
+
   item_feed(event_base* base,
             item_store& store,
             event_log& log,
-            std::function<void()> on_change);
+            change_handler on_change);
   ~item_feed();
 
   void Start();
@@ -34,6 +40,8 @@
   /// Takes in items that a peer sent.
   void OnPeerItems(const items_reply_frame& reply);
   const item_view& view() const { return view_; }
+  /// The changes of the items under \p keys are news to peers.
+  void MarkNews(std::span<const std::string> keys);
   /// Whether the store answered this daemon within \p span.
   bool IsFresh(time_point now, duration span) const {
     return now - answered_at_ <= span;
@@ -54,7 +62,7 @@
 
   item_store& store_;
   event_log& log_;
-  std::function<void()> on_change_;
+  change_handler on_change_;
   loop_timer timer_;
   item_view view_;
   bool must_read_all_ = true;
--- a/include/cuminswitch/Fleet/item_view.h
+++ b/include/cuminswitch/Fleet/item_view.h
@@ -3,10 +3,14 @@
 #ifndef CUMINSWITCH_FLEET_ITEM_VIEW_H_
 #define CUMINSWITCH_FLEET_ITEM_VIEW_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cuminswitch/Protocol/ids.h"
@@ -30,33 +34,55 @@
     /// Nothing where the item is known to be gone.
     std::optional<std::string> value;
     revision_number revision = 0;
+    /// The last change that peers are told of.
+    revision_number told_revision = 0;
   };
   using entry_map = std::map<std::string, entry, std::less<>>;
 
   /// Takes in all items as of revision \p at. What is not among them and is
-  /// not newer than \p at is gone. Returns whether anything changed.
-  bool ApplyAll(std::span<const item_change> items, revision_number at);
-  /// Takes in changes up to revision \p at.
-  bool ApplyChanges(std::span<const item_change> changes, revision_number at);
+  /// not newer than \p at is gone. Returns the keys of items that changed, or
+  /// that are forgotten.
+  std::vector<std::string> ApplyAll(std::span<const item_change> items,
+                                    revision_number at);
+  /// Takes in changes up to revision \p at; returns keys like `ApplyAll`.
+  std::vector<std::string> ApplyChanges(std::span<const item_change> changes,
+                                        revision_number at);
+  /// The last change of the item under \p key is worth telling. Upstreams renew
+  /// their items all the time, and say nothing new by most of it.
+  void MarkNews(std::string_view key);
 
   /// Everything up to this revision is in the view.
   revision_number revision() const { return revision_; }
   bool HasRead() const { return revision_ != 0; }
   const entry_map& entries() const { return entries_; }
-  /// Lists the items that exist, and those that went, newer than \p revision.
-  std::vector<item_change> ListNewerThan(revision_number revision) const;
-  /// Whether `ListNewerThan(revision)` also tells of all items that went.
+  /// The revision of the last news; 0 before the first read, and never
+  /// afterwards.
+  revision_number news_revision() const { return news_revision_; }
+  /// Lists the items with news after \p revision, gone ones included. Visits
+  /// only these while \p revision is among the last news.
+  std::vector<item_change> ListNewsSince(revision_number revision) const;
+  /// Lists all items, and those that are known to be gone.
+  std::vector<item_change> ListAll() const;
+  /// Whether `ListNewsSince(revision)` also tells of all items that went.
   bool RemembersSince(revision_number revision) const {
     return revision >= forgotten_;
   }
 
  private:
   bool Apply(const item_change& change);
-  /// Drops the oldest memories of items that went.
-  void Forget();
+  /// Drops the oldest memories of items that went, and adds their keys to
+  /// \p changed.
+  void Forget(std::vector<std::string>& changed);
 
   entry_map entries_;
+  size_t gone_count_ = 0;
   revision_number revision_ = 0;
+  revision_number news_revision_ = 0;
+  /// The last news, each with its item's key. Those whose item has changed
+  /// since are stale.
+  std::set<std::pair<revision_number, std::string>> recent_;
+  /// All news after this are in `recent_`.
+  revision_number recent_since_ = 0;
   /// Items that went at or before this revision may be forgotten.
   revision_number forgotten_ = 0;
 };
--- a/include/cuminswitch/Fleet/lapsed_upstreams.h
+++ b/include/cuminswitch/Fleet/lapsed_upstreams.h
@@ -3,9 +3,6 @@
 #ifndef CUMINSWITCH_FLEET_LAPSED_UPSTREAMS_H_
 #define CUMINSWITCH_FLEET_LAPSED_UPSTREAMS_H_
 
-#include <vector>
-
-#include "cuminswitch/Fleet/fleet_knowledge.h"
 #include "cuminswitch/Fleet/peer_frame.h"
 #include "cuminswitch/Support/time.h"
 
@@ -20,7 +17,7 @@
   time_point regained_at{};
 };
 
-/// Keeps upstreams that are missing from the store for a moment.
+/// Tells whether upstreams that are missing from the store may live.
 ///
 /// A store that was away has not heard its upstreams, and drops their entries;
 /// those that live are back about two seconds after its return. Without them a
@@ -35,20 +32,8 @@
               const daemon_record& peer);
   /// Until when entries that go missing are kept; \p now for not at all.
   time_point AwaitsUntil(time_point now, const store_contact& contact) const;
-  /// Adds what is missing in \p next and was in \p before.
-  void Keep(time_point now,
-            const store_contact& contact,
-            const fleet_knowledge* before,
-            fleet_knowledge& next);
-  bool IsEmpty() const { return kept_.empty(); }
 
  private:
-  struct lapsed_upstream {
-    upstream_entry entry;
-    time_point until{};
-  };
-
-  std::vector<lapsed_upstream> kept_;
   /// While this daemon had lost the store, the store served another one.
   bool store_served_others_ = false;
   /// A peer said of late that entries may be missing.
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -46,8 +46,13 @@
   bool TakeAnswerTurn(time_point now, const endpoint& address);
   /// Everybody who may listen, for what must be known at once.
   std::vector<endpoint> ListReachable(time_point now) const;
-  /// The peers that live, ready or not.
+  /// The peers that live, ready or not, in the order of their names.
   std::vector<daemon_record> ListLiving(time_point now) const;
+  /// Whether, since the last call, a peer came, went, or said something else of
+  /// itself.
+  bool TakeNews(time_point now);
+  /// Returns the addresses of up to \p count living peers, others each time.
+  std::vector<endpoint> NameLiving(time_point now, size_t count);
   /// Returns a living peer that knows more than \p revision, or null. One that
   /// has the store comes first, then one in the own failure domain; among
   /// equals \p turn decides, and each daemon's turns differ. When all asked the
@@ -69,6 +74,8 @@
   struct peer {
     daemon_record record;
     time_point heard_at{};
+    /// Whether it lived at the last `TakeNews`.
+    bool was_living = false;
   };
   struct address_state {
     time_point heard_at{};
@@ -87,6 +94,9 @@
   std::map<std::string, peer> peers_;
   std::map<endpoint, address_state> addresses_;
   size_t next_target_ = 0;
+  /// The peer that was named last.
+  std::string last_named_;
+  bool has_news_ = false;
 };
 
 }  // namespace cuminswitch
--- /dev/null
+++ b/include/cuminswitch/Fleet/upstream_directory.h
@@ -0,0 +1,98 @@
+/// \file
+/// The upstreams that may be used.
+#ifndef CUMINSWITCH_FLEET_UPSTREAM_DIRECTORY_H_
+#define CUMINSWITCH_FLEET_UPSTREAM_DIRECTORY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cuminswitch/Fleet/fleet_knowledge.h"
+#include "cuminswitch/Support/time.h"
+
+namespace cuminswitch {
+
+/// What changed of one upstream in use.
+struct upstream_change {
+  std::string id;
+  /// Null where it was not in use, or is not any more.
+  upstream_ref before;
+  upstream_ref after;
+};
+
+/// Decides which of the listed upstreams are used. Each call costs what it
+/// changes, whatever the number of upstreams.
+///
+/// An entry that goes missing may be kept for a moment, where the store has
+/// been away and has not heard its upstreams. An upstream whose address another
+/// one has taken is left out: one that crashes comes back under a new id at its
+/// old address, or another service gets that address, seconds before the store
+/// drops the entry of the one that crashed. Requests for the old id are all
+/// turned away there. One process listens at an address, so of several entries
+/// only the one that came last can be true.
+class upstream_directory {
+ public:
+  /// Takes in what the store says of an upstream. An entry that goes missing
+  /// before \p awaits_until is kept until then.
+  void Take(time_point now, const upstream_news& news, time_point awaits_until);
+  /// Drops entries that were kept, once nothing is awaited any more.
+  void Expire(time_point now, time_point awaits_until);
+  bool HasKept() const { return !kept_.empty(); }
+
+  /// Returns what changed since the last call.
+  std::vector<upstream_change> TakeChanges();
+  /// Grows with each change.
+  uint64_t version() const { return version_; }
+
+  /// The upstream \p id; null where it is not in use.
+  upstream_ref Find(std::string_view id) const;
+  /// All upstreams in use, in the order of their ids.
+  std::vector<upstream_ref> List() const;
+  /// Upstreams of \p service in use.
+  size_t CountOf(std::string_view service) const;
+  size_t size() const { return in_use_count_; }
+  /// Listed upstreams whose entries cannot be read.
+  size_t unreadable_count() const { return unreadable_.size(); }
+
+ private:
+  struct state {
+    upstream_ref entry;
+    /// Another one has taken its address. It stays so for this start, whatever
+    /// a late write says, until the entry is gone.
+    bool is_replaced = false;
+    /// Where it is kept though the store does not list it.
+    std::optional<time_point> kept_until;
+  };
+  struct address_hash {
+    size_t operator()(const endpoint& address) const;
+  };
+
+  void Put(const upstream_ref& entry);
+  void Remove(const std::string& id);
+  /// Notes that \p id was \p before until now.
+  void NoteChange(const std::string& id, const upstream_ref& before);
+  /// \p item begins to be in use, or ceases.
+  void Use(const upstream_ref& item);
+  void Disuse(const upstream_ref& item);
+
+  std::map<std::string, state, std::less<>> states_;
+  /// Who listens at each address, among those in use.
+  std::unordered_map<endpoint, upstream_ref, address_hash> owners_;
+  std::map<std::string, size_t, std::less<>> service_sizes_;
+  std::set<std::string, std::less<>> unreadable_;
+  std::set<std::string, std::less<>> kept_;
+  /// What upstreams with changes were at the last `TakeChanges`.
+  std::map<std::string, upstream_ref> changed_;
+  size_t in_use_count_ = 0;
+  uint64_t version_ = 0;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_UPSTREAM_DIRECTORY_H_
--- a/include/cuminswitch/Fleet/weights_rollout.h
+++ b/include/cuminswitch/Fleet/weights_rollout.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,8 @@
 
 namespace cuminswitch {
 
+class upstream_directory;
+
 /// What an engine says of itself.
 struct engine_report {
   bool is_busy = false;
@@ -65,7 +68,8 @@
 
   /// Returns what to do now; only the leader may call it.
   std::vector<rollout_step> OnTick(time_point now,
-                                   const fleet_knowledge& knowledge);
+                                   std::span<const weights_version> wanted,
+                                   const upstream_directory& upstreams);
   /// Takes in an answer, or its absence, and returns the next step.
   std::optional<rollout_step> OnReport(
       time_point now,
@@ -75,7 +79,7 @@
   /// Upstreams that should get no requests for the moment.
   std::vector<std::string> ListChanging() const;
   /// The lead is lost; nothing is under way any more.
-  void Clear() { engines_.clear(); }
+  void Clear();
 
  private:
   enum class stage : uint8_t { kIdle, kAsked, kOrdered, kChanging };
@@ -92,21 +96,23 @@
 
   /// An engine with older weights than are wanted.
   struct outdated {
-    const upstream_entry* entry = nullptr;
+    upstream_ref entry;
     weights_version wanted;
     uint64_t version = 0;
   };
 
-  static std::optional<outdated> FindOutdated(const fleet_knowledge& knowledge,
-                                              const upstream_entry& entry);
+  std::optional<outdated> FindOutdated(const upstream_ref& entry) const;
   /// Lists engines that live, those with the oldest weights first: versions
   /// may be named faster than all engines change, and the time in which a
   /// version may still be used runs from the naming of the next.
-  static std::vector<outdated> ListOutdated(const fleet_knowledge& knowledge);
+  std::vector<outdated> ListOutdated(const upstream_directory& upstreams) const;
   /// Forgets engines that are as wanted, gone, or started anew.
-  void DropSettled(const fleet_knowledge& knowledge);
+  void DropSettled(const upstream_directory& upstreams);
 
   std::map<std::string, engine> engines_;
+  std::vector<weights_version> wanted_;
+  /// The directory's version when all engines were last seen to be as wanted.
+  std::optional<uint64_t> settled_version_;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Http1/upstream_pool.h
+++ b/include/cuminswitch/Http1/upstream_pool.h
@@ -4,8 +4,11 @@
 #define CUMINSWITCH_HTTP1_UPSTREAM_POOL_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "cuminswitch/Http1/upstream_call.h"
@@ -29,9 +32,15 @@
                                        upstream_handler& handler);
   /// Closes the idle connections to \p to, whose upstream is gone.
   void Forget(const endpoint& to);
-  /// Sets how many idle connections are kept to each upstream; to those not
-  /// named, a few. What is kept beyond is closed.
-  void SetIdleLimits(std::map<endpoint, size_t> limits);
+  /// How many idle connections may be kept to an upstream; nothing where that
+  /// is not known.
+  using idle_limit = std::function<std::optional<size_t>(const endpoint& to)>;
+
+  /// Sets what is asked when a connection could be kept. Where \p limit knows
+  /// nothing a few are kept.
+  void SetIdleLimit(idle_limit limit) { idle_limit_ = std::move(limit); }
+  /// Closes what is kept beyond the limits, which have changed.
+  void TrimIdle();
   uint64_t opened_count() const { return opened_; }
 
  private:
@@ -47,7 +56,7 @@
 
   event_base* base_;
   std::map<endpoint, std::vector<std::unique_ptr<upstream_connection>>> idle_;
-  std::map<endpoint, size_t> idle_limits_;
+  idle_limit idle_limit_;
   uint64_t opened_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/cuminswitch/Log/list_changes.h
+++ b/include/cuminswitch/Log/list_changes.h
@@ -5,8 +5,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <set>
 #include <string>
-#include <vector>
 
 #include "cuminswitch/Support/time.h"
 
@@ -28,19 +28,19 @@
   /// of them are counted.
   static constexpr size_t kMaxNamed = 16;
 
-  /// Whether the last line is long enough ago for another one. Until then there
-  /// is no need to make the list.
-  bool IsDue(time_point now) const;
-  /// Takes in the list as it is now.
-  void Set(std::vector<std::string> items);
+  /// \p item is in the list from now on.
+  void Add(std::string item);
+  /// \p item is in the list no longer.
+  void Remove(std::string item);
   /// Adds what changed since the last line to \p line. Returns whether a line
   /// is due: something changed, and the last one is long enough ago.
   bool TakeInto(time_point now, log_line& line);
 
  private:
-  /// Both sorted.
-  std::vector<std::string> told_;
-  std::vector<std::string> present_;
+  size_t count_ = 0;
+  /// Since the last line; nothing is in both.
+  std::set<std::string> added_;
+  std::set<std::string> removed_;
   time_point told_at_{};
 };
 
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -22,9 +22,6 @@
 struct replica {
   upstream_spec spec;
   uint64_t name_hash = 0;
-  /// Its place among the replicas of its target in an order that all daemons
-  /// share, from 0 to 1.
-  double rank = 0;
 
   /// From the last report.
   bool reported = false;
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -61,6 +62,12 @@
   void SetFleetSize(size_t size) { fleet_size_ = std::max<size_t>(1, size); }
   /// Brings \p config into force; known upstreams keep their state.
   void Reconfigure(time_point now, const configuration& config);
+  /// Brings \p models into force and leaves the upstreams as they are.
+  void SetModels(time_point now, std::span<const model_spec> models);
+  /// Adds an upstream, or takes in what its configuration is now.
+  void SetUpstream(time_point now, const upstream_spec& spec);
+  /// The upstream is not in the configuration any more. Its state is kept.
+  void RemoveUpstream(std::string_view name);
 
   void OnReport(time_point now, const upstream_report& report);
   void OnDispatch(replica_index index, double expected_tokens);
@@ -86,7 +93,7 @@
   /// Returns the replica whose name has \p hash.
   std::optional<replica_index> FindByHash(uint64_t hash) const;
   /// Lists what this daemon's requests wait for.
-  std::vector<upstream_backlog> ListBacklogs() const;
+  std::vector<upstream_backlog> ListBacklogs();
   void SetChanging(const upstream_changing& event);
   /// The replica takes this daemon's next request in \p wait, because of its
   /// limit.
@@ -159,7 +166,10 @@
   }
   replica& at(replica_index index) { return replicas_[index]; }
   std::span<const replica> all() const { return replicas_; }
-  /// Indices of the upstreams in the configuration.
+  /// Its place among the replicas of its target in an order that all daemons
+  /// share, from 0 to 1.
+  double RankOf(replica_index index) const;
+  /// Indices of the upstreams in the configuration, in ascending order.
   std::span<const replica_index> configured() const { return configured_; }
 
   /// Seconds until \p index would begin to compute a new prompt, once it has
@@ -172,7 +182,7 @@
   double EstimateRoomSeconds(time_point now, replica_index index) const;
   /// Counts the requests that wait for each replica anew.
   void ClearQueued();
-  void CountQueued(replica_index index) { ++replicas_[index].queued_here; }
+  void CountQueued(replica_index index);
 
  private:
   struct version_start {
@@ -184,12 +194,17 @@
     std::string version;
     /// When each version was first configured here, the oldest first.
     std::vector<version_start> history;
+    /// In ascending order.
     std::vector<replica_index> indices;
+    /// In the order of their names' hashes, which all daemons share.
+    std::vector<replica_index> ranked;
     target_estimate estimate;
   };
 
-  /// Ranks the replicas of one target.
-  void RankReplicas(std::vector<replica_index> indices);
+  /// Adds \p index to the targets that its upstream serves, or takes it out.
+  void JoinTargets(replica_index index);
+  void LeaveTargets(replica_index index);
+  bool IsConfigured(replica_index index) const;
   double FirstLimit(const upstream_spec& spec) const;
   /// Forgets what was learnt of the start before this one.
   static void ForgetStart(replica& item);
@@ -231,6 +246,10 @@
   std::vector<replica> replicas_;
   std::map<std::string, replica_index, std::less<>> by_name_;
   std::vector<replica_index> configured_;
+  /// Replicas that requests of this daemon wait for; some may repeat.
+  std::vector<replica_index> queued_;
+  /// All with requests without a first byte, and some that had.
+  std::set<replica_index> pending_;
   std::map<std::string, target_replicas, std::less<>> by_target_;
 };
 
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -48,6 +48,29 @@
   DrainQueue(now, out);
 }
 
+void request_router::OnPlan(time_point now,
+                            std::shared_ptr<const configuration> config,
+                            action_list& out) {
+  config_ = std::move(config);
+  UpdateFleetSize();
+  replicas_.SetModels(now, config_->models);
+  DrainQueue(now, out);
+}
+
+void request_router::OnUpstreams(time_point now,
+                                 std::span<const upstream_update> updates,
+                                 action_list& out) {
+  for (const upstream_update& update : updates) {
+    if (update.is_gone) {
+      replicas_.RemoveUpstream(update.spec.name);
+      continue;
+    }
+    replicas_.SetUpstream(now, update.spec);
+    replicas_.OnReport(now, update.report);
+  }
+  DrainQueue(now, out);
+}
+
 std::optional<request_router::refusal> request_router::Check(
     const request& item) const {
   if (admission_closed_) {
--- a/lib/Edge/edge_limits.cc
+++ b/lib/Edge/edge_limits.cc
@@ -1,6 +1,6 @@
 // What upstreams take from all daemons together: the rates that some name, and
 // connections.
-#include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -119,23 +119,22 @@
   }
 }
 
-void edge_task::ShareConnections() {
-  if (knowledge_ == nullptr || knowledge_->plan == nullptr) {
-    return;
+std::optional<size_t> edge_task::IdleLimit(const endpoint& to) const {
+  const auto found = upstreams_by_address_.find(to);
+  if (found == upstreams_by_address_.end() || knowledge_ == nullptr ||
+      knowledge_->plan == nullptr) {
+    return std::nullopt;
   }
-  std::map<endpoint, size_t> limits;
-  for (const upstream_entry& entry : knowledge_->upstreams) {
-    const service_plan* service = knowledge_->plan->FindService(entry.service);
-    if (service != nullptr) {
-      limits[entry.address] =
-          IdleShare({.max_connections = service->max_connections,
-                     .slots = entry.slots,
-                     .daemons = maybe_at_work_,
-                     .self = Hash64(options_.self.name),
-                     .upstream = Hash64(entry.id)});
-    }
+  const upstream_entry& entry = *found->second;
+  const service_plan* service = knowledge_->plan->FindService(entry.service);
+  if (service == nullptr) {
+    return std::nullopt;
   }
-  pool_.SetIdleLimits(std::move(limits));
+  return IdleShare({.max_connections = service->max_connections,
+                    .slots = entry.slots,
+                    .daemons = maybe_at_work_,
+                    .self = Hash64(options_.self.name),
+                    .upstream = Hash64(entry.id)});
 }
 
 }  // namespace cuminswitch
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -1,8 +1,9 @@
 #include "cuminswitch/Edge/edge_task.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 
 #include "cuminswitch/Admission/owner_quota_policy.h"
@@ -56,6 +57,7 @@
 }
 
 void edge_task::Start() {
+  pool_.SetIdleLimit([this](const endpoint& to) { return IdleLimit(to); });
   server_ = std::make_unique<caller_server>(
       base(), options_.self.caller_address, *this);
   OnTick();
@@ -97,55 +99,107 @@
 std::string edge_task::WriteMetrics() const {
   core_status status;
   router_.FillStatus(status);
-  return metrics_.Write(
-      {.status = status,
-       .quotas = quotas_.counts(),
-       .limits = limits_.totals(),
-       .log_lines_dropped = with_.log.dropped_count(),
-       .upstream_connections = pool_.opened_count(),
-       .unreadable_upstreams = knowledge_ == nullptr
-                                   ? 0
-                                   : knowledge_->unreadable_upstreams.size()});
+  return metrics_.Write({.status = status,
+                         .quotas = quotas_.counts(),
+                         .limits = limits_.totals(),
+                         .log_lines_dropped = with_.log.dropped_count(),
+                         .upstream_connections = pool_.opened_count(),
+                         .unreadable_upstreams = unreadable_upstreams_});
 }
 
 void edge_task::Receive(edge_message message) {
   std::visit([this](const auto& news) { Take(news); }, message);
 }
 
-void edge_task::ForgetRestarted(const fleet_knowledge& before,
-                                const fleet_knowledge& next) {
+void edge_task::ForgetRestarted(const upstream_change& change,
+                                revision_number revision) {
+  if (change.before == nullptr || change.after == nullptr ||
+      change.before->started == change.after->started) {
+    return;
+  }
   // Kept connections to an earlier start are dead. Whoever sends on one learns
   // that only after it has sent, and must then tell its caller that the request
   // may have run.
-  std::unordered_map<std::string_view, const upstream_entry*> earlier;
-  for (const upstream_entry& entry : before.upstreams) {
-    earlier[entry.id] = &entry;
+  pool_.Forget(change.before->address);
+  ForgetLimit(change.id);
+  with_.log.Write(log_class::kBelief, log_line("upstream_restarted")
+                                          .Add("upstream", change.id)
+                                          .Add("started", change.after->started)
+                                          .Add("before", change.before->started)
+                                          .Add("revision", revision));
+}
+
+void edge_task::IndexAddress(const upstream_change& change) {
+  if (change.before != nullptr) {
+    const auto found = upstreams_by_address_.find(change.before->address);
+    // Another upstream may have taken the address.
+    if (found != upstreams_by_address_.end() &&
+        found->second->id == change.id) {
+      upstreams_by_address_.erase(found);
+    }
+  }
+  if (change.after != nullptr) {
+    upstreams_by_address_[change.after->address] = change.after;
+  }
+}
+
+void edge_task::Take(const upstreams_changed& news) {
+  const time_point now = ReadBootClock();
+  unreadable_upstreams_ = news.unreadable;
+  std::vector<upstream_update> updates;
+  std::set<std::string, std::less<>> models;
+  for (const upstream_change& change : news.changes) {
+    ForgetRestarted(change, news.revision);
+    IndexAddress(change);
+    for (const upstream_ref& item : {change.before, change.after}) {
+      for (const weights_version& held :
+           item == nullptr ? std::vector<weights_version>() : item->weights) {
+        models.insert(held.model);
+      }
+    }
+  }
+  std::map<std::string_view, uint64_t> newest;
+  for (const std::string& model : models) {
+    newest[model] = held_weights_.Newest(model);
   }
-  for (const upstream_entry& entry : next.upstreams) {
-    const auto found = earlier.find(entry.id);
-    if (found == earlier.end() || found->second->started == entry.started) {
+  for (const upstream_change& change : news.changes) {
+    if (change.before != nullptr) {
+      held_weights_.Remove(change.before->weights);
+    }
+    if (change.after == nullptr) {
+      updates.push_back({.spec = {.name = change.id}, .is_gone = true});
       continue;
     }
-    pool_.Forget(found->second->address);
-    ForgetLimit(entry.id);
-    with_.log.Write(log_class::kBelief,
-                    log_line("upstream_restarted")
-                        .Add("upstream", entry.id)
-                        .Add("started", entry.started)
-                        .Add("before", found->second->started)
-                        .Add("revision", next.revision));
+    held_weights_.Add(change.after->weights);
+    updates.push_back(TranslateUpstream(*change.after));
+  }
+  action_list actions;
+  const bool has_newer =
+      std::any_of(newest.begin(), newest.end(), [&](const auto& item) {
+        return held_weights_.Newest(item.first) != item.second;
+      });
+  if (has_newer) {
+    ApplyPlan(now, actions);
+  }
+  router_.OnUpstreams(now, updates, actions);
+  Perform(now, actions);
+}
+
+void edge_task::ApplyPlan(time_point now, action_list& actions) {
+  if (knowledge_ != nullptr && knowledge_->plan != nullptr) {
+    router_.OnPlan(now, TranslatePlan(*knowledge_, held_weights_), actions);
   }
 }
 
 void edge_task::Take(const knowledge_changed& news) {
   const bool was_ready = IsReady();
-  if (knowledge_ != nullptr) {
-    ForgetRestarted(*knowledge_, *news.knowledge);
-  }
+  const bool has_same_plan =
+      knowledge_ != nullptr && knowledge_->plan == news.knowledge->plan &&
+      knowledge_->wanted_weights == news.knowledge->wanted_weights;
   knowledge_ = news.knowledge;
   router_.quarantine().OnStored(ReadBootClock(), knowledge_->quarantined);
   LogQuarantines();
-  if (knowledge_->plan == nullptr) {
+  if (knowledge_->plan == nullptr || has_same_plan) {
     return;
   }
   const route_plan& plan = *knowledge_->plan;
@@ -155,12 +209,9 @@
                       .idle_timeout = plan.idle_timeout});
   const time_point now = ReadBootClock();
   action_list actions;
-  router_.OnConfiguration(now, TranslatePlan(*knowledge_), actions);
-  for (const upstream_entry& entry : knowledge_->upstreams) {
-    router_.OnUpstreamReport(now, TranslateUpstream(entry), actions);
-  }
+  ApplyPlan(now, actions);
   Perform(now, actions);
-  ShareConnections();
+  pool_.TrimIdle();
   if (IsReady() && !was_ready) {
     with_.log.Write(log_class::kLifecycle,
                     log_line("ready").Add("configuration", plan.version));
@@ -172,10 +223,13 @@
 void edge_task::Take(const peers_changed& news) {
   peers_ = news.living;
   fleet_size_ = news.known;
-  maybe_at_work_ = news.maybe_at_work;
   notice_time_ = news.notice_time;
+  const bool has_other_share = maybe_at_work_ != news.maybe_at_work;
+  maybe_at_work_ = news.maybe_at_work;
   TellQuotasOfFleet(ReadBootClock());
-  ShareConnections();
+  if (has_other_share) {
+    pool_.TrimIdle();
+  }
 }
 
 void edge_task::Take(const weights_changing& news) {
--- a/lib/Edge/plan_translator.cc
+++ b/lib/Edge/plan_translator.cc
@@ -1,9 +1,9 @@
 #include "cuminswitch/Edge/plan_translator.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
+#include "cuminswitch/Edge/weights_census.h"
 #include "cuminswitch/Support/hash.h"
 
 namespace cuminswitch {
@@ -30,23 +30,17 @@
   return rank == 0 ? priority_class::kInteractive : priority_class::kStandard;
 }
 
-/// The newest version of each model: as the operators named it, or as an
-/// upstream has it already, which only shows that the naming is known there
-/// and not yet here.
-static std::map<std::string, uint64_t> NewestVersions(
-    const fleet_knowledge& knowledge) {
-  std::map<std::string, uint64_t> newest;
+/// The newest version of \p model, as text; empty where none is known.
+static std::string NewestVersion(const fleet_knowledge& knowledge,
+                                 const weights_census& held,
+                                 std::string_view model) {
+  uint64_t newest = held.Newest(model);
   for (const weights_version& item : knowledge.wanted_weights) {
-    uint64_t& version = newest[item.model];
-    version = std::max(version, item.version);
-  }
-  for (const upstream_entry& entry : knowledge.upstreams) {
-    for (const weights_version& item : entry.weights) {
-      uint64_t& version = newest[item.model];
-      version = std::max(version, item.version);
+    if (item.model == model) {
+      newest = std::max(newest, item.version);
     }
   }
-  return newest;
+  return newest == 0 ? std::string() : std::to_string(newest);
 }
 
 /// Lists the stores with the rates that they have for \p engines' prefixes.
@@ -84,19 +78,17 @@
 }
 
 std::shared_ptr<const configuration> TranslatePlan(
-    const fleet_knowledge& knowledge) {
+    const fleet_knowledge& knowledge,
+    const weights_census& held) {
   auto config = std::make_shared<configuration>();
-  const std::map<std::string, uint64_t> newest = NewestVersions(knowledge);
   std::vector<std::string> targets;
   for (const service_plan& service : knowledge.plan->services) {
     config->services.push_back({.name = service.name, .repeatable = true});
     targets.push_back(service.name);
     for (const std::string& model : service.models) {
-      const auto version = newest.find(model);
       config->models.push_back(
           {.name = TargetName(service.name, model),
-           .version = version == newest.end() ? std::string()
-                                              : std::to_string(version->second),
+           .version = NewestVersion(knowledge, held, model),
            .adapter = {},
            .cache_stores = ListCacheStores(*knowledge.plan, service),
            .copy_rate = service.copy_rate * kCopyRateUsed,
@@ -104,9 +96,6 @@
       targets.push_back(config->models.back().name);
     }
   }
-  for (const upstream_entry& entry : knowledge.upstreams) {
-    config->upstreams.push_back(TranslateSpec(entry));
-  }
   config->workspaces.push_back({.name = std::string(kPublicWorkspace),
                                 .uses = targets,
                                 .max_in_flight = kNoWorkspaceLimit});
@@ -120,12 +109,11 @@
   };
   std::sort(config->services.begin(), config->services.end(), by_name);
   std::sort(config->models.begin(), config->models.end(), by_name);
-  std::sort(config->upstreams.begin(), config->upstreams.end(), by_name);
   std::sort(config->workspaces.begin(), config->workspaces.end(), by_name);
   return config;
 }
 
-upstream_report TranslateUpstream(const upstream_entry& entry) {
+static upstream_report TranslateReport(const upstream_entry& entry) {
   upstream_report report{.upstream = entry.id,
                          .reachable = true,
                          .incarnation = Hash64("start", entry.started),
@@ -143,4 +131,8 @@
   return report;
 }
 
+upstream_update TranslateUpstream(const upstream_entry& entry) {
+  return {.spec = TranslateSpec(entry), .report = TranslateReport(entry)};
+}
+
 }  // namespace cuminswitch
--- /dev/null
+++ b/lib/Edge/weights_census.cc
@@ -0,0 +1,28 @@
+#include "cuminswitch/Edge/weights_census.h"
+
+namespace cuminswitch {
+
+void weights_census::Add(std::span<const weights_version> held) {
+  for (const weights_version& item : held) {
+    ++counts_[item.model][item.version];
+  }
+}
+
+void weights_census::Remove(std::span<const weights_version> held) {
+  for (const weights_version& item : held) {
+    std::map<uint64_t, size_t>& versions = counts_[item.model];
+    const auto found = versions.find(item.version);
+    if (found != versions.end() && --found->second == 0) {
+      versions.erase(found);
+    }
+  }
+}
+
+uint64_t weights_census::Newest(std::string_view model) const {
+  const auto found = counts_.find(model);
+  return found == counts_.end() || found->second.empty()
+             ? 0
+             : found->second.rbegin()->first;
+}
+
+}  // namespace cuminswitch
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -16,7 +16,6 @@
 /// Peers named in a beat, others each time. The store lists them all, so this
 /// is for the time without it; many beats a second name all peers soon.
 static constexpr size_t kHeardPerBeat = 3;
-static constexpr uint64_t kHeardPart = 4;
 static constexpr duration kRegistrationRetry = std::chrono::milliseconds(700);
 static constexpr duration kRolloutInterval = std::chrono::milliseconds(50);
 /// What a leader said is being changed counts for so long.
@@ -24,15 +23,32 @@
 /// Claims to the lead are spread over this.
 static constexpr uint64_t kClaimSpreadMs = 400;
 
-static std::vector<std::string> NamesOf(
-    std::span<const daemon_record> records) {
-  std::vector<std::string> names;
-  for (const daemon_record& item : records) {
-    names.push_back(item.name + "/" + item.caller_address.ToString() +
-                    (item.is_ready ? "/ready" : "/not_ready") +
-                    (item.is_leaving ? "/leaving" : ""));
+/// Between two messages on the peers to the edge.
+static constexpr duration kPeersInterval = peer_roster::kBeatInterval / 2;
+
+/// A peer with what decides whether it is used.
+static std::string Describe(const daemon_record& item) {
+  return item.name + "/" + item.caller_address.ToString() +
+         (item.is_ready ? "/ready" : "/not_ready") +
+         (item.is_leaving ? "/leaving" : "");
+}
+
+/// An upstream with what decides whether it is used.
+static std::string Describe(const upstream_entry& item) {
+  std::string text = item.id + "@" + item.address.ToString();
+  for (const weights_version& has : item.weights) {
+    text += "/v" + std::to_string(has.version);
   }
-  return names;
+  return text + (item.is_draining ? "/draining" : "");
+}
+
+/// Whether \p a and \p b are the same for everybody but those that ask them
+/// for items.
+static bool IsSamePeer(const daemon_record& a, const daemon_record& b) {
+  return a.name == b.name && a.incarnation == b.incarnation &&
+         a.is_ready == b.is_ready && a.is_leaving == b.is_leaving &&
+         a.caller_address == b.caller_address &&
+         a.peer_address == b.peer_address;
 }
 
 fleet_task::fleet_task(event_base* base,
@@ -47,7 +63,11 @@
                .self_address = options_.self.peer_address,
                .self_domain = options_.self.failure_domain,
                .seeds = options_.seeds}),
-      feed_(base, with.store, with.log, [this] { OnItemsChanged(); }),
+      feed_(
+          base,
+          with.store,
+          with.log,
+          [this](std::span<const std::string> keys) { OnItemsChanged(keys); }),
       election_({.self_name = options_.self.name,
                  .key = options_.leader_key,
                  .turn_gap = options_.leader_gap,
@@ -180,17 +200,17 @@
                    EncodePeerFrame(items_reply_frame{
                        .revision = view.revision(),
                        .is_complete = false,
-                       .items = view.ListNewerThan(request.after)}));
+                       .items = view.ListNewsSince(request.after)}));
 }
 
 void fleet_task::SendBeat(const endpoint& to) {
   const time_point now = ReadBootClock();
   daemon_record self = options_.self;
-  self.revision = feed_.view().revision();
+  self.revision = feed_.view().news_revision();
   self.has_store = feed_.IsFresh(now, kStoreFresh);
   self.awaits_entries = lapsed_.AwaitsUntil(now, Contact()) > now;
   beat_frame beat{.sender = self,
-                  .heard = {},
+                  .heard = roster_.NameLiving(now, kHeardPerBeat),
                   .changing = {},
                   .backlogs = own_backlogs_,
                   .prefixes = placement_news_.TakeFor(to),
@@ -200,14 +220,6 @@
   for (limit_news& item : beat.limits) {
     item.age += now - own_limits_.at;
   }
-  for (const daemon_record& item : roster_.ListLiving(now)) {
-    // A few of them, others each time.
-    if (beat.heard.size() < kHeardPerBeat &&
-        (beats_sent_ + Hash64(item.name)) % kHeardPart == 0) {
-      beat.heard.push_back(item.peer_address);
-    }
-  }
-  ++beats_sent_;
   if (election_.IsLeading(now)) {
     beat.changing = rollout_.ListChanging();
   }
@@ -227,12 +239,12 @@
     SendBeat(to);
   }
   PublishPeers(now);
-  ChooseFollowers(now);
   AskPeers(now);
   RegisterSelf();
   RecordQuarantines(now);
-  if (!lapsed_.IsEmpty()) {
-    Publish(decoded_);
+  if (upstreams_.HasKept()) {
+    upstreams_.Expire(now, lapsed_.AwaitsUntil(now, Contact()));
+    PublishUpstreams();
   }
   RunRollout(now);
   LogListChanges(now);
@@ -258,20 +270,47 @@
 }
 
 void fleet_task::PublishPeers(time_point now) {
-  const std::vector<daemon_record> living = roster_.ListLiving(now);
-  std::vector<std::string> names = NamesOf(living);
+  if (now - published_peers_at_ < kPeersInterval) {
+    return;
+  }
   const size_t maybe_at_work = roster_.CountMaybeAtWork(now);
-  if (names == published_peers_ && maybe_at_work == published_at_work_) {
+  if (!roster_.TakeNews(now) && maybe_at_work == published_at_work_) {
     return;
   }
-  published_peers_ = std::move(names);
+  std::vector<daemon_record> living = roster_.ListLiving(now);
+  published_peers_at_ = now;
   published_at_work_ = maybe_at_work;
-  peer_changes_.Set(published_peers_);
+  NotePeerChanges(living);
+  ChooseFollowers(living);
   services_.FindPort<fleet_news>(kEdgeService)
       .Post(peers_changed{.living = living,
                           .known = roster_.CountKnown(),
                           .maybe_at_work = maybe_at_work,
                           .notice_time = roster_.NoticeTime()});
+  published_peers_ = std::move(living);
+}
+
+void fleet_task::NotePeerChanges(std::span<const daemon_record> living) {
+  auto before = published_peers_.begin();
+  auto after = living.begin();
+  while (before != published_peers_.end() || after != living.end()) {
+    const bool is_gone =
+        after == living.end() ||
+        (before != published_peers_.end() && before->name < after->name);
+    const bool is_new = !is_gone && (before == published_peers_.end() ||
+                                     after->name < before->name);
+    if (!is_gone && !is_new && IsSamePeer(*before, *after)) {
+      ++before;
+      ++after;
+      continue;
+    }
+    if (!is_new) {
+      peer_changes_.Remove(Describe(*before++));
+    }
+    if (!is_gone) {
+      peer_changes_.Add(Describe(*after++));
+    }
+  }
 }
 
 void fleet_task::RegisterSelf() {
@@ -297,17 +336,20 @@
   }
 }
 
-void fleet_task::OnItemsChanged() {
-  if (const auto decoded = with_.decoder.Decode(feed_.view())) {
-    const bool is_new_plan =
-        decoded_ == nullptr || decoded->plan != decoded_->plan ||
-        decoded->wanted_weights != decoded_->wanted_weights;
-    decoded_ = decoded;
-    Publish(decoded);
-    if (is_new_plan) {
-      // Peers that the store turns away learn it from here.
-      Announce();
-    }
+void fleet_task::OnItemsChanged(std::span<const std::string> keys) {
+  decoded_items decoded = with_.decoder.Decode(feed_.view(), keys);
+  feed_.MarkNews(decoded.news);
+  const time_point now = ReadBootClock();
+  const time_point awaits_until = lapsed_.AwaitsUntil(now, Contact());
+  for (const upstream_news& news : decoded.upstreams) {
+    upstreams_.Take(now, news, awaits_until);
+  }
+  // Before a first configuration, with which the daemon begins to serve.
+  PublishUpstreams();
+  if (decoded.knowledge != nullptr) {
+    Publish(std::move(decoded.knowledge));
+  } else {
+    RunRollout(now);
   }
 }
 
@@ -318,8 +360,8 @@
           .regained_at = feed_.regained_at()};
 }
 
-void fleet_task::ChooseFollowers(time_point now) {
-  feed_.SetFollowing(FollowsStore(options_.self, roster_.ListLiving(now)));
+void fleet_task::ChooseFollowers(std::span<const daemon_record> living) {
+  feed_.SetFollowing(FollowsStore(options_.self, living));
 }
 
 static void LogKnowledge(event_log& log, const fleet_knowledge& knowledge) {
@@ -337,62 +379,64 @@
                 .Add("leader", knowledge.leader));
 }
 
-/// Each upstream with what decides whether it is used.
-static std::vector<std::string> DescribeUpstreams(
-    std::span<const upstream_entry> upstreams) {
-  std::vector<std::string> list;
-  for (const upstream_entry& item : upstreams) {
-    std::string text = item.id + "@" + item.address.ToString();
-    for (const weights_version& has : item.weights) {
-      text += "/v" + std::to_string(has.version);
-    }
-    list.push_back(text + (item.is_draining ? "/draining" : ""));
-  }
-  return list;
-}
-
 void fleet_task::LogListChanges(time_point now) {
   log_line peers("peers_changed");
   if (peer_changes_.TakeInto(now, peers)) {
     with_.log.Write(log_class::kBelief, peers);
   }
-  if (logged_knowledge_ == knowledge_ || !upstream_changes_.IsDue(now)) {
-    return;
-  }
-  logged_knowledge_ = knowledge_;
-  upstream_changes_.Set(DescribeUpstreams(knowledge_->upstreams));
   log_line upstreams("upstreams_changed");
-  upstreams.Add("revision", knowledge_->revision);
+  upstreams.Add("revision", feed_.view().revision());
   if (upstream_changes_.TakeInto(now, upstreams)) {
     with_.log.Write(log_class::kBelief, upstreams);
   }
 }
 
-void fleet_task::Publish(
-    const std::shared_ptr<const fleet_knowledge>& decoded) {
-  auto next = std::make_shared<fleet_knowledge>(*decoded);
-  lapsed_.Keep(ReadBootClock(), Contact(), knowledge_.get(), *next);
-  owners_.DropReplaced(*next);
-  if (knowledge_ != nullptr && knowledge_->plan == next->plan &&
-      knowledge_->upstreams == next->upstreams &&
-      knowledge_->wanted_weights == next->wanted_weights &&
-      knowledge_->daemons == next->daemons &&
-      knowledge_->quarantined == next->quarantined &&
-      knowledge_->leader == next->leader) {
+void fleet_task::PublishUpstreams() {
+  std::vector<upstream_change> changes = upstreams_.TakeChanges();
+  const size_t unreadable = upstreams_.unreadable_count();
+  if (changes.empty() && unreadable == published_unreadable_) {
+    return;
+  }
+  published_unreadable_ = unreadable;
+  for (const upstream_change& item : changes) {
+    if (item.before != nullptr) {
+      upstream_changes_.Remove(Describe(*item.before));
+    }
+    if (item.after != nullptr) {
+      upstream_changes_.Add(Describe(*item.after));
+    }
+  }
+  services_.FindPort<fleet_news>(kEdgeService)
+      .Post(upstreams_changed{.changes = std::move(changes),
+                              .unreadable = unreadable,
+                              .revision = feed_.view().revision()});
+}
+
+void fleet_task::Publish(std::shared_ptr<const fleet_knowledge> next) {
+  const bool is_new_plan = knowledge_ == nullptr ||
+                           knowledge_->plan != next->plan ||
+                           knowledge_->wanted_weights != next->wanted_weights;
+  const bool is_other_order = is_new_plan || knowledge_->leader != next->leader;
+  const bool has_other_daemons =
+      knowledge_ == nullptr || knowledge_->daemons != next->daemons;
+  if (!is_other_order && !has_other_daemons &&
+      knowledge_->quarantined == next->quarantined) {
     return;
   }
-  const bool is_other_order =
-      knowledge_ == nullptr || knowledge_->plan != next->plan ||
-      knowledge_->wanted_weights != next->wanted_weights ||
-      knowledge_->leader != next->leader;
   knowledge_ = next;
-  roster_.SetListed(next->daemons);
+  if (has_other_daemons) {
+    roster_.SetListed(next->daemons);
+  }
   if (is_other_order) {
     LogKnowledge(with_.log, *next);
   }
   services_.FindPort<fleet_news>(kEdgeService)
-      .Post(knowledge_changed{.knowledge = next});
+      .Post(knowledge_changed{.knowledge = std::move(next)});
   RunRollout(ReadBootClock());
+  if (is_new_plan) {
+    // Peers that the store turns away learn it from here.
+    Announce();
+  }
 }
 
 void fleet_task::PublishChanging() {
@@ -430,7 +474,8 @@
     PublishChanging();
     return;
   }
-  const std::vector<rollout_step> steps = rollout_.OnTick(now, *knowledge_);
+  const std::vector<rollout_step> steps =
+      rollout_.OnTick(now, knowledge_->wanted_weights, upstreams_);
   PublishChanging();
   if (!steps.empty()) {
     // Before the orders, so that no peer sends a request into a change.
--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -23,7 +23,7 @@
 item_feed::item_feed(event_base* base,
                      item_store& store,
                      event_log& log,
-                     std::function<void()> on_change)
+                     change_handler on_change)
     : store_(store),
       log_(log),
       on_change_(std::move(on_change)),
@@ -89,12 +89,18 @@
   }
   OnSuccess();
   must_read_all_ = false;
-  const bool has_changed =
+  const std::vector<std::string> changed =
       is_complete ? view_.ApplyAll(answer.items, answer.revision)
                   : view_.ApplyChanges(answer.items, answer.revision);
   timer_.Start(answer.items.empty() ? duration(0) : kWatchPause);
-  if (has_changed) {
-    on_change_();
+  if (!changed.empty()) {
+    on_change_(changed);
+  }
+}
+
+void item_feed::MarkNews(std::span<const std::string> keys) {
+  for (const std::string& key : keys) {
+    view_.MarkNews(key);
   }
 }
 
@@ -122,7 +128,7 @@
 
 void item_feed::OnPeerItems(const items_reply_frame& reply) {
   const revision_number before = view_.revision();
-  const bool has_changed =
+  const std::vector<std::string> changed =
       reply.is_complete ? view_.ApplyAll(reply.items, reply.revision)
                         : view_.ApplyChanges(reply.items, reply.revision);
   if (reply.is_complete && must_read_all_) {
@@ -132,14 +138,14 @@
     store_.StopReading();
     timer_.Start(duration(0));
   }
-  if (!has_changed) {
+  if (changed.empty()) {
     return;
   }
   log_.Write(log_class::kBelief, log_line("items_from_peer")
                                      .Add("before", before)
                                      .Add("revision", reply.revision)
                                      .Add("items", reply.items.size()));
-  on_change_();
+  on_change_(changed);
 }
 
 }  // namespace cuminswitch
--- a/lib/Fleet/item_list_cache.cc
+++ b/lib/Fleet/item_list_cache.cc
@@ -19,9 +19,8 @@
   revision_ = view.revision();
   made_at_ = now;
   ++encoded_count_;
-  frame_ = EncodePeerFrame(items_reply_frame{.revision = revision_,
-                                             .is_complete = true,
-                                             .items = view.ListNewerThan(0)});
+  frame_ = EncodePeerFrame(items_reply_frame{
+      .revision = revision_, .is_complete = true, .items = view.ListAll()});
   return frame_;
 }
 
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -65,7 +65,9 @@
                        known.record.incarnation != sender.incarnation ||
                        known.record.is_ready != sender.is_ready ||
                        known.record.is_leaving != sender.is_leaving;
-  known = {.record = sender, .heard_at = now};
+  known.record = sender;
+  known.heard_at = now;
+  has_news_ = has_news_ || is_news;
   return is_news;
 }
 
@@ -134,6 +136,31 @@
   return list;
 }
 
+bool peer_roster::TakeNews(time_point now) {
+  for (auto& [name, item] : peers_) {
+    const bool is_living = IsLiving(now, item);
+    has_news_ = has_news_ || is_living != item.was_living;
+    item.was_living = is_living;
+  }
+  return std::exchange(has_news_, false);
+}
+
+std::vector<endpoint> peer_roster::NameLiving(time_point now, size_t count) {
+  std::vector<endpoint> named;
+  auto next = peers_.upper_bound(last_named_);
+  for (size_t i = 0; i < peers_.size() && named.size() < count; ++i) {
+    if (next == peers_.end()) {
+      next = peers_.begin();
+    }
+    if (IsLiving(now, next->second)) {
+      named.push_back(next->second.record.peer_address);
+      last_named_ = next->first;
+    }
+    ++next;
+  }
+  return named;
+}
+
 const daemon_record* peer_roster::FindAhead(time_point now,
                                             revision_number revision,
                                             uint64_t turn) const {
--- /dev/null
+++ b/lib/Fleet/upstream_directory.cc
@@ -0,0 +1,157 @@
+#include "cuminswitch/Fleet/upstream_directory.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "cuminswitch/Support/hash.h"
+
+namespace cuminswitch {
+
+/// Whether \p a began after \p b. Their own times come first: an entry's
+/// revision also grows when its upstream only says that it leaves.
+static bool IsLater(const upstream_entry& a, const upstream_entry& b) {
+  if (a.started != 0 && b.started != 0 && a.started != b.started) {
+    return a.started > b.started;
+  }
+  return std::tie(a.revision, a.id) > std::tie(b.revision, b.id);
+}
+
+size_t upstream_directory::address_hash::operator()(
+    const endpoint& address) const {
+  return Hash64(address.address, address.port);
+}
+
+void upstream_directory::Take(time_point now,
+                              const upstream_news& news,
+                              time_point awaits_until) {
+  unreadable_.erase(news.id);
+  if (news.entry != nullptr) {
+    Put(news.entry);
+    return;
+  }
+  const auto found = states_.find(news.id);
+  if (news.is_unreadable) {
+    // It did not lapse: it says that the upstream is not to be used.
+    unreadable_.insert(news.id);
+  } else if (found != states_.end() && !found->second.is_replaced &&
+             !found->second.entry->is_draining && now < awaits_until) {
+    found->second.kept_until = awaits_until;
+    kept_.insert(news.id);
+    return;
+  }
+  Remove(news.id);
+}
+
+void upstream_directory::Expire(time_point now, time_point awaits_until) {
+  std::vector<std::string> over;
+  for (const std::string& id : kept_) {
+    std::optional<time_point>& until = states_.find(id)->second.kept_until;
+    until = std::max(*until, awaits_until);
+    if (now >= *until) {
+      over.push_back(id);
+    }
+  }
+  for (const std::string& id : over) {
+    Remove(id);
+  }
+}
+
+void upstream_directory::Put(const upstream_ref& entry) {
+  state& known = states_[entry->id];
+  kept_.erase(entry->id);
+  known.kept_until.reset();
+  const upstream_ref before = std::exchange(known.entry, entry);
+  if (known.is_replaced && before->started == entry->started) {
+    return;
+  }
+  if (before != nullptr && !known.is_replaced) {
+    Disuse(before);
+  }
+  known.is_replaced = false;
+  if (const auto owner = owners_.find(entry->address); owner != owners_.end()) {
+    const upstream_ref other = owner->second;
+    if (!IsLater(*entry, *other)) {
+      known.is_replaced = true;
+      return;
+    }
+    state& replaced = states_.find(other->id)->second;
+    replaced.is_replaced = true;
+    replaced.kept_until.reset();
+    kept_.erase(other->id);
+    Disuse(other);
+  }
+  Use(entry);
+}
+
+void upstream_directory::Remove(const std::string& id) {
+  const auto found = states_.find(id);
+  if (found == states_.end()) {
+    return;
+  }
+  if (!found->second.is_replaced) {
+    Disuse(found->second.entry);
+  }
+  kept_.erase(id);
+  states_.erase(found);
+}
+
+void upstream_directory::Use(const upstream_ref& item) {
+  NoteChange(item->id, nullptr);
+  owners_[item->address] = item;
+  ++service_sizes_[item->service];
+  ++in_use_count_;
+}
+
+void upstream_directory::Disuse(const upstream_ref& item) {
+  NoteChange(item->id, item);
+  owners_.erase(item->address);
+  const auto size = service_sizes_.find(item->service);
+  if (--size->second == 0) {
+    service_sizes_.erase(size);
+  }
+  --in_use_count_;
+}
+
+void upstream_directory::NoteChange(const std::string& id,
+                                    const upstream_ref& before) {
+  changed_.try_emplace(id, before);
+  ++version_;
+}
+
+std::vector<upstream_change> upstream_directory::TakeChanges() {
+  std::vector<upstream_change> changes;
+  for (auto& [id, before] : std::exchange(changed_, {})) {
+    upstream_ref after = Find(id);
+    if (after != before) {
+      changes.push_back(
+          {.id = id, .before = before, .after = std::move(after)});
+    }
+  }
+  return changes;
+}
+
+upstream_ref upstream_directory::Find(std::string_view id) const {
+  const auto found = states_.find(id);
+  return found == states_.end() || found->second.is_replaced
+             ? nullptr
+             : found->second.entry;
+}
+
+std::vector<upstream_ref> upstream_directory::List() const {
+  std::vector<upstream_ref> list;
+  list.reserve(in_use_count_);
+  for (const auto& [id, known] : states_) {
+    if (!known.is_replaced) {
+      list.push_back(known.entry);
+    }
+  }
+  return list;
+}
+
+size_t upstream_directory::CountOf(std::string_view service) const {
+  const auto found = service_sizes_.find(service);
+  return found == service_sizes_.end() ? 0 : found->second;
+}
+
+}  // namespace cuminswitch
--- a/lib/Fleet/weights_rollout.cc
+++ b/lib/Fleet/weights_rollout.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cuminswitch/Fleet/upstream_directory.h"
+
 namespace cuminswitch {
 
 /// A change takes about a third of a second; an engine that does not show it
@@ -29,13 +31,12 @@
 }
 
 std::optional<weights_rollout::outdated> weights_rollout::FindOutdated(
-    const fleet_knowledge& knowledge,
-    const upstream_entry& entry) {
-  for (const weights_version& has : entry.weights) {
-    for (const weights_version& wanted : knowledge.wanted_weights) {
+    const upstream_ref& entry) const {
+  for (const weights_version& has : entry->weights) {
+    for (const weights_version& wanted : wanted_) {
       if (wanted.model == has.model && wanted.version > has.version) {
         return outdated{
-            .entry = &entry, .wanted = wanted, .version = has.version};
+            .entry = entry, .wanted = wanted, .version = has.version};
       }
     }
   }
@@ -43,11 +44,11 @@
 }
 
 std::vector<weights_rollout::outdated> weights_rollout::ListOutdated(
-    const fleet_knowledge& knowledge) {
+    const upstream_directory& upstreams) const {
   std::vector<outdated> list;
-  for (const upstream_entry& entry : knowledge.upstreams) {
-    const std::optional<outdated> item = FindOutdated(knowledge, entry);
-    if (item && !entry.is_draining) {
+  for (const upstream_ref& entry : upstreams.List()) {
+    const std::optional<outdated> item = FindOutdated(entry);
+    if (item && !entry->is_draining) {
       list.push_back(*item);
     }
   }
@@ -58,33 +59,44 @@
   return list;
 }
 
-void weights_rollout::DropSettled(const fleet_knowledge& knowledge) {
+void weights_rollout::DropSettled(const upstream_directory& upstreams) {
   std::erase_if(engines_, [&](const auto& item) {
-    const auto entry = std::find_if(
-        knowledge.upstreams.begin(), knowledge.upstreams.end(),
-        [&](const upstream_entry& other) { return other.id == item.first; });
+    const upstream_ref entry = upstreams.Find(item.first);
     // Of an order to an earlier start nothing will come: the start that is
     // there now counts its orders anew, and has the weights of before.
-    return entry == knowledge.upstreams.end() ||
-           entry->started != item.second.started ||
-           !FindOutdated(knowledge, *entry);
+    return entry == nullptr || entry->started != item.second.started ||
+           !FindOutdated(entry);
   });
 }
 
+void weights_rollout::Clear() {
+  engines_.clear();
+  settled_version_.reset();
+}
+
 std::vector<rollout_step> weights_rollout::OnTick(
     time_point now,
-    const fleet_knowledge& knowledge) {
-  DropSettled(knowledge);
-  std::map<std::string, size_t> size;
-  for (const upstream_entry& entry : knowledge.upstreams) {
-    ++size[entry.service];
+    std::span<const weights_version> wanted,
+    const upstream_directory& upstreams) {
+  const bool is_same =
+      std::equal(wanted.begin(), wanted.end(), wanted_.begin(), wanted_.end());
+  if (is_same && settled_version_ == upstreams.version()) {
+    return {};
+  }
+  wanted_.assign(wanted.begin(), wanted.end());
+  DropSettled(upstreams);
+  const std::vector<outdated> candidates = ListOutdated(upstreams);
+  settled_version_.reset();
+  if (candidates.empty() && engines_.empty()) {
+    settled_version_ = upstreams.version();
+    return {};
   }
   std::map<std::string, size_t> under_way;
   for (const auto& [id, item] : engines_) {
     under_way[item.service] += item.at == stage::kIdle ? 0 : 1;
   }
   std::vector<rollout_step> steps;
-  for (const outdated& candidate : ListOutdated(knowledge)) {
+  for (const outdated& candidate : candidates) {
     const upstream_entry& entry = *candidate.entry;
     engine& item = engines_[entry.id];
     item.started = entry.started;
@@ -96,7 +108,8 @@
     const bool is_new =
         item.at == stage::kIdle && now >= item.next_step &&
         under_way[entry.service] <
-            std::max(kLeastChangesAtOnce, size[entry.service] / kServicePart);
+            std::max(kLeastChangesAtOnce,
+                     upstreams.CountOf(entry.service) / kServicePart);
     if (!is_overdue && !is_new) {
       continue;
     }
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -49,20 +49,22 @@
 }
 
 size_t upstream_pool::IdleLimit(const endpoint& to) const {
-  const auto found = idle_limits_.find(to);
-  return found == idle_limits_.end() ? kMaxIdlePerUpstream : found->second;
+  const std::optional<size_t> limit =
+      idle_limit_ ? idle_limit_(to) : std::nullopt;
+  return limit.value_or(kMaxIdlePerUpstream);
 }
 
-void upstream_pool::SetIdleLimits(std::map<endpoint, size_t> limits) {
-  idle_limits_ = std::move(limits);
+void upstream_pool::TrimIdle() {
   for (auto& [to, kept] : idle_) {
-    while (kept.size() > IdleLimit(to)) {
+    const size_t limit = IdleLimit(to);
+    while (kept.size() > limit) {
       // The one that was used longest ago.
       std::unique_ptr<upstream_connection> oldest = std::move(kept.front());
       kept.erase(kept.begin());
       Release(std::move(oldest));
     }
   }
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
 }
 
 void upstream_pool::GiveBack(std::unique_ptr<upstream_connection> connection) {
--- a/lib/Log/list_changes.cc
+++ b/lib/Log/list_changes.cc
@@ -1,8 +1,5 @@
 #include "cuminswitch/Log/list_changes.h"
 
-#include <algorithm>
-#include <iterator>
-#include <span>
 #include <string_view>
 #include <utility>
 
@@ -10,27 +7,20 @@
 
 namespace cuminswitch {
 
-/// What sorted \p items has and sorted \p others lacks.
-static std::vector<std::string> ListMissing(
-    std::span<const std::string> items,
-    std::span<const std::string> others) {
-  std::vector<std::string> missing;
-  std::set_difference(items.begin(), items.end(), others.begin(), others.end(),
-                      std::back_inserter(missing));
-  return missing;
-}
-
-static std::string JoinFirst(std::span<const std::string> items) {
+static std::string JoinFirst(const std::set<std::string>& items) {
   std::string text;
-  const size_t count = std::min(items.size(), list_changes::kMaxNamed);
-  for (const std::string& item : items.first(count)) {
+  size_t count = 0;
+  for (const std::string& item : items) {
+    if (++count > list_changes::kMaxNamed) {
+      break;
+    }
     text += (text.empty() ? "" : " ") + item;
   }
   return text;
 }
 
 static void AddChanges(std::string_view name,
-                       std::span<const std::string> items,
+                       const std::set<std::string>& items,
                        log_line& line) {
   line.Add(name, items.size());
   if (!items.empty()) {
@@ -38,23 +28,30 @@
   }
 }
 
-void list_changes::Set(std::vector<std::string> items) {
-  present_ = std::move(items);
-  std::sort(present_.begin(), present_.end());
+void list_changes::Add(std::string item) {
+  ++count_;
+  if (removed_.erase(item) == 0) {
+    added_.insert(std::move(item));
+  }
 }
 
-bool list_changes::IsDue(time_point now) const {
-  return told_at_ == time_point() || now - told_at_ >= kInterval;
+void list_changes::Remove(std::string item) {
+  --count_;
+  if (added_.erase(item) == 0) {
+    removed_.insert(std::move(item));
+  }
 }
 
 bool list_changes::TakeInto(time_point now, log_line& line) {
-  if (!IsDue(now) || present_ == told_) {
+  const bool is_due = told_at_ == time_point() || now - told_at_ >= kInterval;
+  if (!is_due || (added_.empty() && removed_.empty())) {
     return false;
   }
-  line.Add("count", present_.size());
-  AddChanges("added", ListMissing(present_, told_), line);
-  AddChanges("removed", ListMissing(told_, present_), line);
-  told_ = present_;
+  line.Add("count", count_);
+  AddChanges("added", added_, line);
+  AddChanges("removed", removed_, line);
+  added_.clear();
+  removed_.clear();
   told_at_ = now;
   return true;
 }
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -59,7 +59,7 @@
   if (query.short_part == 0 || query.prompt_tokens == 0) {
     return true;
   }
-  const bool is_for_short = query.replicas[index].rank < query.short_part;
+  const bool is_for_short = query.replicas.RankOf(index) < query.short_part;
   return is_for_short != query.is_long;
 }
 
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -13,18 +13,40 @@
 /// What a peer told is forgotten when nothing follows for so long.
 static constexpr duration kPeerBacklogTime = std::chrono::seconds(1);
 
+static void InsertSorted(std::vector<replica_index>& list,
+                         replica_index index) {
+  const auto place = std::lower_bound(list.begin(), list.end(), index);
+  if (place == list.end() || *place != index) {
+    list.insert(place, index);
+  }
+}
+
+static void EraseSorted(std::vector<replica_index>& list, replica_index index) {
+  const auto place = std::lower_bound(list.begin(), list.end(), index);
+  if (place != list.end() && *place == index) {
+    list.erase(place);
+  }
+}
+
 void replica_table::Reconfigure(time_point now, const configuration& config) {
-  configured_.clear();
-  std::map<std::string, target_replicas, std::less<>> earlier;
-  earlier.swap(by_target_);
-  for (const model_spec& model : config.models) {
+  SetModels(now, config.models);
+  std::vector<replica_index> listed;
+  for (const upstream_spec& spec : config.upstreams) {
+    SetUpstream(now, spec);
+    InsertSorted(listed, by_name_.find(spec.name)->second);
+  }
+  for (const replica_index index : std::vector<replica_index>(configured_)) {
+    if (!std::binary_search(listed.begin(), listed.end(), index)) {
+      RemoveUpstream(replicas_[index].spec.name);
+    }
+  }
+}
+
+void replica_table::SetModels(time_point now,
+                              std::span<const model_spec> models) {
+  for (const model_spec& model : models) {
     target_replicas& target = by_target_[model.name];
     target.version = model.version;
-    const auto found = earlier.find(model.name);
-    if (found != earlier.end()) {
-      target.history = std::move(found->second.history);
-      target.estimate = found->second.estimate;
-    }
     target.estimate.SetCacheTokens(model.cache_tokens);
     if (target.history.empty() ||
         target.history.back().version != model.version) {
@@ -37,41 +59,98 @@
       target.history.erase(target.history.begin());
     }
   }
-  for (const upstream_spec& spec : config.upstreams) {
-    const auto [found, is_new] = by_name_.try_emplace(
-        spec.name, static_cast<replica_index>(replicas_.size()));
-    if (is_new) {
-      replicas_.push_back(
-          {.spec = spec, .name_hash = Hash64(spec.name), .warm_since = now});
-      replicas_.back().limit = FirstLimit(spec);
-      by_hash_[replicas_.back().name_hash] = found->second;
+  for (auto& [name, target] : by_target_) {
+    const bool is_listed = std::any_of(
+        models.begin(), models.end(),
+        [&](const model_spec& model) { return model.name == name; });
+    if (!is_listed && !target.history.empty()) {
+      target.version.clear();
+      target.history.clear();
+      target.estimate = {};
     }
-    replica& item = replicas_[found->second];
-    item.limit = std::min<double>(item.limit, spec.max_in_flight);
-    item.spec = spec;
-    configured_.push_back(found->second);
-    for (const std::string& target : spec.serves) {
-      by_target_[target].indices.push_back(found->second);
-      if (!item.is_rate_measured) {
-        item.prefill_rate = by_target_[target].estimate.prefill_rate();
-      }
+  }
+}
+
+bool replica_table::IsConfigured(replica_index index) const {
+  return std::binary_search(configured_.begin(), configured_.end(), index);
+}
+
+void replica_table::SetUpstream(time_point now, const upstream_spec& spec) {
+  const auto [found, is_new] = by_name_.try_emplace(
+      spec.name, static_cast<replica_index>(replicas_.size()));
+  const replica_index index = found->second;
+  if (is_new) {
+    replicas_.push_back(
+        {.spec = spec, .name_hash = Hash64(spec.name), .warm_since = now});
+    replicas_.back().limit = FirstLimit(spec);
+    by_hash_[replicas_.back().name_hash] = index;
+  }
+  replica& item = replicas_[index];
+  item.limit = std::min<double>(item.limit, spec.max_in_flight);
+  const bool has_joined = IsConfigured(index);
+  if (has_joined && item.spec.serves != spec.serves) {
+    LeaveTargets(index);
+  }
+  const bool must_join = !has_joined || item.spec.serves != spec.serves;
+  item.spec = spec;
+  if (must_join) {
+    JoinTargets(index);
+  }
+  InsertSorted(configured_, index);
+}
+
+void replica_table::RemoveUpstream(std::string_view name) {
+  const auto found = by_name_.find(name);
+  if (found != by_name_.end() && IsConfigured(found->second)) {
+    LeaveTargets(found->second);
+    EraseSorted(configured_, found->second);
+  }
+}
+
+void replica_table::JoinTargets(replica_index index) {
+  replica& item = replicas_[index];
+  for (const std::string& name : item.spec.serves) {
+    target_replicas& target = by_target_[name];
+    InsertSorted(target.indices, index);
+    target.ranked.insert(
+        std::lower_bound(target.ranked.begin(), target.ranked.end(), index,
+                         [this](replica_index a, replica_index b) {
+                           return replicas_[a].name_hash <
+                                  replicas_[b].name_hash;
+                         }),
+        index);
+    if (!item.is_rate_measured) {
+      item.prefill_rate = target.estimate.prefill_rate();
     }
   }
-  for (auto& [name, target] : by_target_) {
-    std::sort(target.indices.begin(), target.indices.end());
-    RankReplicas(target.indices);
+}
+
+void replica_table::LeaveTargets(replica_index index) {
+  for (const std::string& name : replicas_[index].spec.serves) {
+    target_replicas& target = by_target_.find(name)->second;
+    EraseSorted(target.indices, index);
+    std::erase(target.ranked, index);
   }
 }
 
-void replica_table::RankReplicas(std::vector<replica_index> indices) {
-  std::sort(indices.begin(), indices.end(),
-            [this](replica_index a, replica_index b) {
-              return replicas_[a].name_hash < replicas_[b].name_hash;
-            });
-  for (size_t i = 0; i < indices.size(); ++i) {
-    replicas_[indices[i]].rank =
-        (static_cast<double>(i) + 0.5) / static_cast<double>(indices.size());
+double replica_table::RankOf(replica_index index) const {
+  const replica& item = replicas_[index];
+  if (item.spec.serves.empty()) {
+    return 0;
+  }
+  // An engine's last target is the model.
+  const auto found = by_target_.find(item.spec.serves.back());
+  if (found == by_target_.end() || found->second.ranked.empty()) {
+    return 0;
   }
+  const std::vector<replica_index>& ranked = found->second.ranked;
+  const auto place =
+      std::lower_bound(ranked.begin(), ranked.end(), index,
+                       [this](replica_index a, replica_index b) {
+                         return replicas_[a].name_hash < replicas_[b].name_hash;
+                       });
+  return (static_cast<double>(place - ranked.begin()) + 0.5) /
+         static_cast<double>(ranked.size());
 }
 
 void replica_table::OnReport(time_point now, const upstream_report& report) {
@@ -130,6 +209,7 @@
   ++item.in_flight;
   ++item.waiting;
   item.pending_tokens += expected_tokens;
+  pending_.insert(index);
 }
 
 void replica_table::OnFirstByte(replica_index index, double expected_tokens) {
@@ -190,14 +270,17 @@
   return found->second;
 }
 
-std::vector<upstream_backlog> replica_table::ListBacklogs() const {
+std::vector<upstream_backlog> replica_table::ListBacklogs() {
   std::vector<upstream_backlog> list;
-  for (const replica& item : replicas_) {
-    if (item.pending_tokens >= 1) {
-      list.push_back({.upstream = item.name_hash,
-                      .tokens = static_cast<uint32_t>(item.pending_tokens)});
+  std::erase_if(pending_, [&](replica_index index) {
+    const replica& item = replicas_[index];
+    if (item.pending_tokens < 1) {
+      return item.waiting == 0;
     }
-  }
+    list.push_back({.upstream = item.name_hash,
+                    .tokens = static_cast<uint32_t>(item.pending_tokens)});
+    return false;
+  });
   return list;
 }
 
@@ -258,9 +341,15 @@
 }
 
 void replica_table::ClearQueued() {
-  for (replica& item : replicas_) {
-    item.queued_here = 0;
+  for (const replica_index index : queued_) {
+    replicas_[index].queued_here = 0;
   }
+  queued_.clear();
+}
+
+void replica_table::CountQueued(replica_index index) {
+  ++replicas_[index].queued_here;
+  queued_.push_back(index);
 }
 
 }  // namespace cuminswitch
