Watch each daemon by a few peers, and pass its death on as news

Cause: a peer was heard in its turn, one round of 16 beats after the other, and held for living for three turns: 2.6 s at 95 hosts, 22.8 s at 986. Dead hosts stayed in address answers, as followers, and as owners of quotas for so long.

Change: above one round's reach each daemon is also watched by the next four living peers on a ring of names' hashes, which it beats in every round. One that misses five beats tells that it suspects it; what a daemon learns of a member it tells 12 times (24 for a suspicion), 16 news a beat at most. The suspected daemon hears it and says so with a new version of its record, or is taken for gone 0.4 s after the news came. Orphans, all of whose watchers died, are adopted by the next ones. A daemon that was away itself suspects nobody. Turns go in an order of each daemon's own, not the same one for all.

Two ways compared: (a) freshness counters of members on all beats (gossip of heartbeats): by count 1,000 entries of 12 bytes have to be renewed everywhere within 1.5 s, 50 to 100 KB/s a daemon, growing with the fleet; not built. (b) this one: flat. Announcements go to 96 who listen at most.

--- /dev/null
+++ b/include/cuminswitch/Fleet/member_bulletin.h
@@ -0,0 +1,50 @@
+/// \file
+/// News of members that go from daemon to daemon.
+#ifndef CUMINSWITCH_FLEET_MEMBER_BULLETIN_H_
+#define CUMINSWITCH_FLEET_MEMBER_BULLETIN_H_
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cuminswitch/Fleet/peer_frame.h"
+
+namespace cuminswitch {
+
+/// Keeps what this daemon has just learnt of members until it was told a few
+/// times. Each daemon that learns something tells others of it, so that news
+/// reach a fleet of any size within a few rounds of beats, at a cost that does
+/// not depend on the size.
+class member_bulletin {
+ public:
+  /// Times that one daemon tells of a member that lives. With twelve, one
+  /// daemon in 160,000 hears nothing of it, and hears the member itself in its
+  /// turn.
+  static constexpr size_t kTellings = 12;
+  /// Times that one daemon tells of a member that is suspected. Half of those
+  /// that are told may have died with it, and its own beats do not come.
+  static constexpr size_t kSuspicionTellings = 24;
+
+  /// Takes in \p news in place of what is kept of that member.
+  void Add(const member_news& news);
+  /// Returns up to \p count for one beat, those told least first.
+  std::vector<member_news> Take(size_t count);
+  bool IsEmpty() const { return kept_.empty(); }
+
+ private:
+  struct kept_news {
+    member_news news;
+    size_t tellings = 0;
+  };
+
+  std::map<std::string, kept_news> kept_;
+  /// The names in `kept_` by how often each was told.
+  std::set<std::pair<size_t, std::string>> order_;
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_FLEET_MEMBER_BULLETIN_H_
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -25,6 +25,8 @@
 struct daemon_record {
   std::string name;
   uint64_t incarnation = 0;
+  /// Grows, within one incarnation, whenever it says something else of itself.
+  uint32_t version = 0;
   endpoint peer_address;
   endpoint caller_address;
   std::string failure_domain;
@@ -42,6 +44,15 @@
   revision_number revision = 0;
 };
 
+/// What one daemon tells another of a third one.
+struct member_news {
+  /// As the third one described itself; of one that is suspected only the name,
+  /// the incarnation and the version count.
+  daemon_record record;
+  /// Its beats did not come.
+  bool is_suspected = false;
+};
+
 /// Sent to peers all the time; the lack of beats shows that a daemon is gone.
 struct beat_frame {
   daemon_record sender;
@@ -60,6 +71,9 @@
   std::vector<limit_news> limits;
   /// What the sender knows of requests that may crash upstreams.
   quarantine_news quarantine;
+  /// The receiver is to watch the sender, which beats it in every round.
+  bool is_watched = false;
+  std::vector<member_news> members;
 };
 
 /// Asks for what changed after a revision.
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -3,23 +3,38 @@
 #ifndef CUMINSWITCH_FLEET_PEER_ROSTER_H_
 #define CUMINSWITCH_FLEET_PEER_ROSTER_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cuminswitch/Fleet/fleet_knowledge.h"
+#include "cuminswitch/Fleet/member_bulletin.h"
 #include "cuminswitch/Fleet/peer_frame.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
 
 /// Keeps the peers that the store lists, those that were heard, and those that
-/// others have heard. A peer lives while its beats come.
+/// others tell of.
+///
+/// In a fleet that one round of beats reaches, a peer lives while its beats
+/// come. A larger one is gone through in turn, which takes seconds. There each
+/// daemon is watched by a few peers that it beats in every round; one that
+/// misses its beats tells others that it suspects the daemon, and they tell
+/// others. A daemon that hears itself suspected says so with a new version of
+/// its record, which goes the same way; one that does not is taken for gone.
 class peer_roster {
  public:
   struct options {
     std::string self_name;
+    /// Of this daemon's process.
+    uint64_t self_incarnation = 0;
     endpoint self_address;
     std::string self_domain;
     /// Where to look for the first peers; some may be stale.
@@ -44,15 +59,35 @@
   /// Whether to answer a beat from \p address out of turn; if so, that counts
   /// as its turn.
   bool TakeAnswerTurn(time_point now, const endpoint& address);
-  /// Everybody who may listen, for what must be known at once.
+  /// Some who may listen, for what should be known at once. In a large fleet
+  /// they pass it on.
   std::vector<endpoint> ListReachable(time_point now) const;
   /// The peers that live, ready or not, in the order of their names.
   std::vector<daemon_record> ListLiving(time_point now) const;
+  /// What the peer \p name says of itself; null where nothing is known.
+  const daemon_record* Find(const std::string& name) const;
+  bool IsLiving(time_point now, const std::string& name) const;
   /// Whether, since the last call, a peer came, went, or said something else of
   /// itself.
   bool TakeNews(time_point now);
   /// Returns the addresses of up to \p count living peers, others each time.
   std::vector<endpoint> NameLiving(time_point now, size_t count);
+
+  /// This daemon says something else of itself from now on.
+  void RenewSelf() { ++self_version_; }
+  uint32_t self_version() const { return self_version_; }
+  /// Whether the peer at \p address watches this daemon.
+  bool IsWatcher(const endpoint& address) const {
+    return watchers_.contains(address);
+  }
+  /// Returns the news of members for a beat to \p address.
+  std::vector<member_news> TakeMemberNews(const endpoint& address);
+  /// Whether the peer at \p address has just been heard though others hold it
+  /// for gone, and is to be told.
+  bool MustHearSuspicion(const endpoint& address) const {
+    return to_hear_suspicion_.contains(address);
+  }
+
   /// Returns a living peer that knows more than \p revision, or null. One that
   /// has the store comes first, then one in the own failure domain; among
   /// equals \p turn decides, and each daemon's turns differ. When all asked the
@@ -68,12 +103,22 @@
   /// cut off from here, and go on.
   size_t CountMaybeAtWork(time_point now) const;
   /// Within this time of a daemon's end, or return, all have noticed it.
-  duration NoticeTime() const { return Horizon() + kLivingTime; }
+  duration NoticeTime() const;
 
  private:
   struct peer {
     daemon_record record;
+    uint64_t name_hash = 0;
+    /// When it was last known to live, by its own beat or from others.
+    time_point known_at{};
+    /// When it was last heard itself.
     time_point heard_at{};
+    /// It counts on this daemon to watch it.
+    bool is_watched = false;
+    /// Since when it is suspected, unless it has shown that it lives.
+    std::optional<time_point> suspected_at;
+    /// It was heard after the present version of it had been suspected.
+    bool has_contradicted = false;
     /// Whether it lived at the last `TakeNews`.
     bool was_living = false;
   };
@@ -88,15 +133,53 @@
   };
 
   bool IsLiving(time_point now, const peer& item) const;
+  /// Whether one round of beats does not reach all.
+  bool IsLarge() const;
   duration Horizon() const;
+  /// Takes in what another daemon tells of a third one.
+  void OnMemberNews(time_point now, const member_news& news);
+  void OnSelfNews(const member_news& news);
+  /// Suspects the peers that this daemon watches and does not hear.
+  void SuspectSilent(time_point now);
+  /// Watches those whose watchers have all died together with them, and who
+  /// cannot ask for it.
+  void AdoptOrphans(time_point now);
+  /// The peers that live and are not suspected, with their distance from this
+  /// daemon on a ring that all daemons agree on, in the direction of those that
+  /// watch it or of those that it is to watch.
+  std::vector<std::pair<uint64_t, peer*>> ListOnRing(time_point now,
+                                                     bool is_backward);
+  void Suspect(time_point now, peer& item);
+  /// Chooses anew who watches this daemon; adds those that cease to \p targets,
+  /// so that they learn it.
+  void ChooseWatchers(time_point now, std::vector<endpoint>& targets);
+  /// Begins a new turn through all addresses.
+  void BeginTurn(time_point now);
 
   options options_;
   std::map<std::string, peer> peers_;
   std::map<endpoint, address_state> addresses_;
-  size_t next_target_ = 0;
+  member_bulletin bulletin_;
+  uint32_t self_version_ = 0;
+  /// Those that may not know that they are suspected, by their addresses.
+  std::map<endpoint, std::string> to_hear_suspicion_;
+  std::set<endpoint> watchers_;
+  /// Names of the peers that this daemon watches, with when it began to.
+  std::map<std::string, time_point> watched_;
+  /// Since when this daemon has run without a pause, and so would have heard
+  /// those that it watches.
+  time_point awake_since_{};
+  time_point last_round_{};
+  /// The addresses still to be beaten in this turn, the next one last.
+  std::vector<endpoint> turn_;
+  uint64_t turn_number_ = 0;
   /// The peer that was named last.
   std::string last_named_;
   bool has_news_ = false;
+  /// Peers came or went since the watchers were chosen.
+  bool must_choose_watchers_ = false;
+  /// Peers were taken for gone since orphans were looked for.
+  bool must_adopt_ = false;
 };
 
 }  // namespace cuminswitch
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -60,6 +60,7 @@
       options_(std::move(opts)),
       with_(with),
       roster_({.self_name = options_.self.name,
+               .self_incarnation = options_.self.incarnation,
                .self_address = options_.self.peer_address,
                .self_domain = options_.self.failure_domain,
                .seeds = options_.seeds}),
@@ -127,6 +128,7 @@
     options_.self.is_ready = false;
     election_.Resign();
   }
+  roster_.RenewSelf();
   Announce();
 }
 
@@ -178,9 +180,11 @@
     PublishPeers(now);
   }
   const bool awaits_list = beat.sender.revision == 0;
-  if (awaits_list && feed_.view().HasRead() &&
-      roster_.TakeAnswerTurn(now, beat.sender.peer_address)) {
-    // It has just started, and learns from this who has the items.
+  // It has just started, and learns from this who has the items; or it learns
+  // that others take it for gone.
+  const bool wants_answer = (awaits_list && feed_.view().HasRead()) ||
+                            roster_.MustHearSuspicion(beat.sender.peer_address);
+  if (wants_answer && roster_.TakeAnswerTurn(now, beat.sender.peer_address)) {
     SendBeat(beat.sender.peer_address);
   }
   AskPeers(now);
@@ -206,6 +210,7 @@
 void fleet_task::SendBeat(const endpoint& to) {
   const time_point now = ReadBootClock();
   daemon_record self = options_.self;
+  self.version = roster_.self_version();
   self.revision = feed_.view().news_revision();
   self.has_store = feed_.IsFresh(now, kStoreFresh);
   self.awaits_entries = lapsed_.AwaitsUntil(now, Contact()) > now;
@@ -216,7 +221,9 @@
                   .prefixes = placement_news_.TakeFor(to),
                   .mix = own_mix_,
                   .limits = own_limits_.limits,
-                  .quarantine = crash_bulletin_.TakeFor(now, to)};
+                  .quarantine = crash_bulletin_.TakeFor(now, to),
+                  .is_watched = roster_.IsWatcher(to),
+                  .members = roster_.TakeMemberNews(to)};
   for (limit_news& item : beat.limits) {
     item.age += now - own_limits_.at;
   }
--- /dev/null
+++ b/lib/Fleet/member_bulletin.cc
@@ -0,0 +1,37 @@
+#include "cuminswitch/Fleet/member_bulletin.h"
+
+namespace cuminswitch {
+
+void member_bulletin::Add(const member_news& news) {
+  const std::string& name = news.record.name;
+  kept_news& kept = kept_[name];
+  order_.erase({kept.tellings, name});
+  kept = {.news = news};
+  order_.emplace(0, name);
+}
+
+std::vector<member_news> member_bulletin::Take(size_t count) {
+  std::vector<std::pair<size_t, std::string>> chosen;
+  for (const auto& item : order_) {
+    if (chosen.size() >= count) {
+      break;
+    }
+    chosen.push_back(item);
+  }
+  std::vector<member_news> news;
+  for (const auto& item : chosen) {
+    const auto found = kept_.find(item.second);
+    news.push_back(found->second.news);
+    order_.erase(item);
+    const size_t most =
+        found->second.news.is_suspected ? kSuspicionTellings : kTellings;
+    if (++found->second.tellings < most) {
+      order_.emplace(found->second.tellings, item.second);
+    } else {
+      kept_.erase(found);
+    }
+  }
+  return news;
+}
+
+}  // namespace cuminswitch
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -12,6 +12,9 @@
 
 namespace cuminswitch {
 
+/// Members that one beat may tell of; no daemon tells of so many.
+static constexpr size_t kMostMembers = 64;
+
 namespace {
 
 using builder = flatbuffers::FlatBufferBuilder;
@@ -70,6 +73,10 @@
       completions.emplace_back(item.request.high, item.request.low,
                                item.age.count());
     }
+    std::vector<flatbuffers::Offset<fleet_wire::member>> members;
+    for (const member_news& item : frame.members) {
+      members.push_back(WriteMember(item));
+    }
     const fleet_wire::prompt_mix mix(
         static_cast<float>(frame.mix.requests),
         static_cast<float>(frame.mix.prompt_tokens),
@@ -90,7 +97,8 @@
                out_.CreateVectorOfStructs(prefixes), sender.link_rate, &mix,
                out_.CreateVectorOfStructs(limits),
                out_.CreateVectorOfStructs(crashes),
-               out_.CreateVectorOfStructs(completions))
+               out_.CreateVectorOfStructs(completions), sender.version,
+               frame.is_watched, out_.CreateVector(members))
         .Union();
   }
 
@@ -139,6 +147,21 @@
   }
 
  private:
+  flatbuffers::Offset<fleet_wire::member> WriteMember(const member_news& news) {
+    const daemon_record& record = news.record;
+    const auto name = out_.CreateString(record.name);
+    if (news.is_suspected) {
+      return fleet_wire::Createmember(out_, name, record.incarnation,
+                                      record.version, true);
+    }
+    return fleet_wire::Createmember(
+        out_, name, record.incarnation, record.version, false,
+        out_.CreateString(record.peer_address.ToString()),
+        out_.CreateString(record.caller_address.ToString()),
+        out_.CreateString(record.failure_domain), record.link_rate,
+        record.is_ready, record.is_leaving);
+  }
+
   builder& out_;
   fleet_wire::body type_ = fleet_wire::body_NONE;
 };
@@ -205,6 +228,53 @@
   return true;
 }
 
+/// Returns nothing for a member that is not described whole.
+static std::optional<member_news> ReadMember(const fleet_wire::member& wire) {
+  member_news news{.record = {.name = wire.daemon()->str(),
+                              .incarnation = wire.incarnation(),
+                              .version = wire.version()},
+                   .is_suspected = wire.is_suspected()};
+  if (news.is_suspected) {
+    return news;
+  }
+  if (wire.peer_address() == nullptr || wire.caller_address() == nullptr ||
+      wire.failure_domain() == nullptr) {
+    return std::nullopt;
+  }
+  const auto peer_address = ParseEndpoint(wire.peer_address()->string_view());
+  const auto caller_address =
+      ParseEndpoint(wire.caller_address()->string_view());
+  if (!peer_address || !caller_address) {
+    return std::nullopt;
+  }
+  daemon_record& record = news.record;
+  record.peer_address = *peer_address;
+  record.caller_address = *caller_address;
+  record.failure_domain = wire.failure_domain()->str();
+  record.link_rate = wire.link_rate();
+  record.is_ready = wire.is_ready();
+  record.is_leaving = wire.is_leaving();
+  return news;
+}
+
+/// Returns whether the news make sense.
+static bool ReadMembers(const fleet_wire::beat& wire, beat_frame& frame) {
+  if (wire.members() == nullptr) {
+    return true;
+  }
+  if (wire.members()->size() > kMostMembers) {
+    return false;
+  }
+  for (const fleet_wire::member* item : *wire.members()) {
+    std::optional<member_news> news = ReadMember(*item);
+    if (!news) {
+      return false;
+    }
+    frame.members.push_back(std::move(*news));
+  }
+  return true;
+}
+
 static std::optional<peer_frame> ReadBeat(const fleet_wire::beat& wire) {
   const auto peer_address = ParseEndpoint(wire.peer_address()->string_view());
   const auto caller_address =
@@ -214,6 +284,7 @@
   }
   beat_frame frame{.sender = {.name = wire.daemon()->str(),
                               .incarnation = wire.incarnation(),
+                              .version = wire.version(),
                               .peer_address = *peer_address,
                               .caller_address = *caller_address,
                               .failure_domain = wire.failure_domain()->str(),
@@ -266,7 +337,9 @@
                               .age = duration(item->age_us())});
     }
   }
-  if (!ReadQuarantineNews(wire, frame.quarantine)) {
+  frame.is_watched = wire.is_watched();
+  if (!ReadQuarantineNews(wire, frame.quarantine) ||
+      !ReadMembers(wire, frame)) {
     return std::nullopt;
   }
   for (const std::string& text : ReadTexts(wire.heard())) {
--- /dev/null
+++ b/unittests/Fleet/roster_fleet.cc
@@ -0,0 +1,196 @@
+#include "roster_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminswitch {
+
+using std::chrono::milliseconds;
+
+roster_fleet::roster_fleet(const options& opts)
+    : options_(opts), random_(opts.seed), hosts_(opts.hosts) {
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    by_address_[AddressOf(i)] = i;
+    Start(i, 1);
+  }
+  if (!opts.is_acquainted) {
+    return;
+  }
+  for (host& to : hosts_) {
+    for (const host& from : hosts_) {
+      to.roster->OnBeat(now_, {.sender = from.record});
+    }
+    while (!to.roster->TakeMemberNews({}).empty()) {
+    }
+  }
+}
+
+std::string roster_fleet::NameOf(size_t number) {
+  return "host-" + std::to_string(number);
+}
+
+endpoint roster_fleet::AddressOf(size_t number) {
+  return {.address = "10.0." + std::to_string(number / 250) + "." +
+                     std::to_string(number % 250),
+          .port = 7};
+}
+
+void roster_fleet::Start(size_t number, uint64_t incarnation) {
+  host& item = hosts_[number];
+  item.record = {.name = NameOf(number),
+                 .incarnation = incarnation,
+                 .peer_address = AddressOf(number),
+                 .caller_address = AddressOf(number),
+                 .failure_domain = "domain-" + std::to_string(DomainOf(number)),
+                 .is_ready = true};
+  item.roster = std::make_unique<peer_roster>(peer_roster::options{
+      .self_name = item.record.name,
+      .self_incarnation = incarnation,
+      .self_address = item.record.peer_address,
+      .self_domain = item.record.failure_domain,
+      .seeds = {AddressOf(0), AddressOf(1), AddressOf(2)}});
+  std::vector<daemon_entry> listed;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    listed.push_back({.name = NameOf(i), .peer_address = AddressOf(i)});
+  }
+  item.roster->SetListed(listed);
+  item.is_up = true;
+  const duration interval = peer_roster::kBeatInterval;
+  rounds_.emplace(now_ + interval * (random_() % 1000) / 1000, number);
+}
+
+void roster_fleet::Restart(size_t host) {
+  Start(host, hosts_[host].record.incarnation + 1);
+}
+
+void roster_fleet::RenewSelf(size_t host, bool is_leaving) {
+  hosts_[host].record.is_leaving = is_leaving;
+  hosts_[host].roster->RenewSelf();
+}
+
+duration roster_fleet::Delay() {
+  std::uniform_real_distribution<double> chance(0, 1);
+  duration delay =
+      milliseconds(1) + std::chrono::microseconds(random_() % 3000);
+  // Lost packets are sent again after a time that doubles.
+  duration again = milliseconds(200);
+  while (options_.loss > 0 && chance(random_) < options_.loss) {
+    delay += again;
+    again *= 2;
+  }
+  return delay;
+}
+
+void roster_fleet::Send(size_t from, const endpoint& address) {
+  const auto found = by_address_.find(address);
+  if (found == by_address_.end()) {
+    return;
+  }
+  const size_t to = found->second;
+  host& sender = hosts_[from];
+  beat_frame beat{.sender = sender.record,
+                  .heard = sender.roster->NameLiving(now_, 3),
+                  .is_watched = sender.roster->IsWatcher(address),
+                  .members = sender.roster->TakeMemberNews(address)};
+  beat.sender.version = sender.roster->self_version();
+  ++beats_;
+  member_news_ += beat.members.size();
+  most_news_ = std::max(most_news_, beat.members.size());
+  if (is_cut_ && is_cut_(from, to)) {
+    return;
+  }
+  time_point& busy = busy_until_[{from, to}];
+  busy = std::max(busy, now_ + Delay());
+  deliveries_.emplace(busy,
+                      delivery{.from = from,
+                               .to = to,
+                               .incarnation = hosts_[to].record.incarnation,
+                               .beat = std::move(beat)});
+}
+
+void roster_fleet::BeginRound(size_t number) {
+  host& item = hosts_[number];
+  if (!item.is_up) {
+    return;
+  }
+  rounds_.emplace(now_ + peer_roster::kBeatInterval, number);
+  if (item.is_frozen) {
+    return;
+  }
+  for (const endpoint& to : item.roster->ChooseTargets(now_)) {
+    Send(number, to);
+  }
+  // A daemon looks at all peers that often, too, while some come or go.
+  if (++item.rounds % 4 == 0) {
+    item.roster->TakeNews(now_);
+  }
+}
+
+void roster_fleet::Run(duration span) {
+  const time_point end = now_ + span;
+  while (true) {
+    const auto round = rounds_.begin();
+    const auto beat = deliveries_.begin();
+    const bool has_round = round != rounds_.end() && round->first <= end;
+    const bool has_beat = beat != deliveries_.end() && beat->first <= end;
+    if (!has_round && !has_beat) {
+      break;
+    }
+    if (!has_beat || (has_round && round->first <= beat->first)) {
+      now_ = round->first;
+      const size_t number = round->second;
+      rounds_.erase(round);
+      BeginRound(number);
+      continue;
+    }
+    now_ = beat->first;
+    const delivery item = std::move(beat->second);
+    deliveries_.erase(beat);
+    host& to = hosts_[item.to];
+    if (!to.is_up || to.record.incarnation != item.incarnation) {
+      continue;
+    }
+    if (to.is_frozen) {
+      deliveries_.emplace(now_ + milliseconds(20), item);
+      continue;
+    }
+    to.roster->OnBeat(now_, item.beat);
+    if (to.roster->MustHearSuspicion(item.beat.sender.peer_address) &&
+        to.roster->TakeAnswerTurn(now_, item.beat.sender.peer_address)) {
+      Send(item.to, item.beat.sender.peer_address);
+    }
+  }
+  now_ = end;
+}
+
+bool roster_fleet::Sees(size_t number, size_t other) const {
+  return hosts_[number].roster->IsLiving(now_, hosts_[other].record.name);
+}
+
+size_t roster_fleet::CountMissing(size_t other) const {
+  size_t count = 0;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    count += i != other && hosts_[i].is_up && !Sees(i, other) ? 1 : 0;
+  }
+  return count;
+}
+
+size_t roster_fleet::CountUnseen() const {
+  size_t count = 0;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    count += hosts_[i].is_up ? CountMissing(i) : 0;
+  }
+  return count;
+}
+
+size_t roster_fleet::CountLeavingKnown(size_t other) const {
+  size_t count = 0;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    const daemon_record* known =
+        hosts_[i].roster->Find(hosts_[other].record.name);
+    count += known != nullptr && known->is_leaving ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace cuminswitch
