Beat partners instead of everybody where a turn takes too long

Cause: a large fleet was gone through in turn, so that each daemon opened a connection to every other: 133 new ones a second, each used for one beat, since they are closed after 5 s in silence and a turn takes 7.4 s at 986 hosts.

Change: beyond 192 addresses (a turn of 1.5 s; what beats tell of waits is forgotten after 1 s) a daemon beats 16 partners, 12 of its failure domain, each kept for 20 s, and the four that watch it. Crash news and limits are passed on; one member's record stands in each beat, so that whoever missed news is told. Connections: some 40 both ways, whatever the size.

Cost: what a daemon's requests wait for and what it placed is told to partners only; the list of engines being changed reaches the leader's partners only.

--- a/include/cuminswitch/Admission/upstream_limits.h
+++ b/include/cuminswitch/Admission/upstream_limits.h
@@ -53,8 +53,10 @@
   std::optional<double> Find(uint64_t upstream) const;
   /// Since the answer that named \p upstream's limit last.
   duration Age(time_point now, uint64_t upstream) const;
-  /// What this daemon heard itself, the latest change first; bounded.
-  std::vector<limit_news> ListNews(time_point now) const;
+  /// What this daemon heard itself and, where \p passes_on, what peers told it,
+  /// the latest change first; bounded.
+  std::vector<limit_news> ListNews(time_point now,
+                                   bool passes_on = false) const;
   /// Limits in force.
   size_t size() const;
 
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -180,6 +180,8 @@
   size_t fleet_size_ = 1;
   size_t maybe_at_work_ = 1;
   duration notice_time_{0};
+  /// Peers do not hear all others, so each passes on what it is told.
+  bool passes_on_ = false;
   bool has_gathered_ = false;
   /// What the log was last told.
   bool kept_engines_ = false;
--- a/include/cuminswitch/Fleet/crash_bulletin.h
+++ b/include/cuminswitch/Fleet/crash_bulletin.h
@@ -4,7 +4,9 @@
 #define CUMINSWITCH_FLEET_CRASH_BULLETIN_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "cuminswitch/Fleet/fleet_message.h"
@@ -18,6 +20,8 @@
 class crash_bulletin {
  public:
   void Add(const own_quarantine& own);
+  /// Tells on what a peer told, unless it was told on before.
+  void Relay(time_point now, const quarantine_news& told);
   /// What the next beat to \p peer tells.
   quarantine_news TakeFor(time_point now, const endpoint& peer);
 
@@ -30,8 +34,14 @@
   };
   static constexpr size_t kCapacity = 64;
 
+  /// Notes that something of \p request at \p upstream (0 for none), of \p at,
+  /// is told on; returns whether that is new.
+  bool NoteRelayed(const hash128& request, uint64_t upstream, time_point at);
+
   peer_news<dated<crash_news>, kCapacity> crashes_;
   peer_news<dated<completion_news>, kCapacity> completions_;
+  /// When what was told on last happened, by request and upstream.
+  std::map<std::pair<hash128, uint64_t>, time_point> relayed_;
   std::vector<crash_news> standing_;
   time_point standing_at_{};
   /// When each peer was last told what stands.
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -75,6 +75,8 @@
   size_t maybe_at_work = 1;
   /// Within this time of a change all know of it.
   duration notice_time{0};
+  /// This daemon beats only some of its peers, and they pass on what it tells.
+  bool is_partial = false;
 };
 /// What upstreams told a peer of the rate that they take.
 struct peer_limits {
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -24,11 +24,15 @@
 /// others tell of.
 ///
 /// In a fleet that one round of beats reaches, a peer lives while its beats
-/// come. A larger one is gone through in turn, which takes seconds. There each
-/// daemon is watched by a few peers that it beats in every round; one that
-/// misses its beats tells others that it suspects the daemon, and they tell
-/// others. A daemon that hears itself suspected says so with a new version of
-/// its record, which goes the same way; one that does not is taken for gone.
+/// come. A larger one is gone through in turn. There each daemon is watched by
+/// a few peers that it beats in every round; one that misses its beats tells
+/// others that it suspects the daemon, and they tell others. A daemon that
+/// hears itself suspected says so with a new version of its record, which goes
+/// the same way; one that does not is taken for gone.
+///
+/// Where a turn would take so long that most of what beats carry is out of date
+/// before it comes, a daemon beats partners that it keeps for a while, most of
+/// them of its failure domain, and what has to reach all is passed on.
 class peer_roster {
  public:
   struct options {
@@ -54,6 +58,9 @@
   void SetListed(std::span<const daemon_entry> daemons);
   /// Returns whether what the peer says of itself changed.
   bool OnBeat(time_point now, const beat_frame& beat);
+  /// Whether this daemon beats only some of its peers, so that they pass on
+  /// what it tells.
+  bool IsPartial() const;
   /// Whom to send the next round of beats; the cost of a round is bounded.
   std::vector<endpoint> ChooseTargets(time_point now);
   /// Whether to answer a beat from \p address out of turn; if so, that counts
@@ -70,8 +77,8 @@
   /// Whether, since the last call, a peer came, went, or said something else of
   /// itself.
   bool TakeNews(time_point now);
-  /// Returns the addresses of up to \p count living peers, others each time.
-  std::vector<endpoint> NameLiving(time_point now, size_t count);
+  /// Returns the addresses of some living peers for a beat, others each time.
+  std::vector<endpoint> NameLiving(time_point now);
 
   /// This daemon says something else of itself from now on.
   void RenewSelf() { ++self_version_; }
@@ -81,7 +88,8 @@
     return watchers_.contains(address);
   }
   /// Returns the news of members for a beat to \p address.
-  std::vector<member_news> TakeMemberNews(const endpoint& address);
+  std::vector<member_news> TakeMemberNews(time_point now,
+                                          const endpoint& address);
   /// Whether the peer at \p address has just been heard though others hold it
   /// for gone, and is to be told.
   bool MustHearSuspicion(const endpoint& address) const {
@@ -130,9 +138,26 @@
     /// When it was first known.
     time_point known_at{};
     bool is_listed = false;
+    /// Who said that this is its address; null where nobody did.
+    const peer* owner = nullptr;
+  };
+  struct partner {
+    endpoint address;
+    time_point since{};
+    bool is_of_own_domain = false;
   };
 
   bool IsLiving(time_point now, const peer& item) const;
+  /// Drops partners that are gone and the one that was kept longest, once its
+  /// time is over, and finds others.
+  void RenewPartners(time_point now);
+  /// Whether \p address may become, or stay, a partner.
+  bool MayBePartner(time_point now,
+                    const address_state& state,
+                    time_point since) const;
+  void FindPartners(time_point now);
+  /// Returns up to \p count living peers, others each time.
+  std::vector<const peer*> NextLiving(time_point now, size_t count);
   /// Whether one round of beats does not reach all.
   bool IsLarge() const;
   duration Horizon() const;
@@ -170,6 +195,13 @@
   /// those that it watches.
   time_point awake_since_{};
   time_point last_round_{};
+  std::vector<partner> partners_;
+  time_point next_renewal_{};
+  time_point next_adoption_{};
+  /// When any peer was last heard.
+  time_point heard_any_at_{};
+  /// Peers of the own failure domain that lived at the last `TakeNews`.
+  size_t own_domain_living_ = 0;
   /// The addresses still to be beaten in this turn, the next one last.
   std::vector<endpoint> turn_;
   uint64_t turn_number_ = 0;
--- a/lib/Admission/upstream_limits.cc
+++ b/lib/Admission/upstream_limits.cc
@@ -129,10 +129,11 @@
   return found == known_.end() ? duration(0) : now - found->second.told_at;
 }
 
-std::vector<limit_news> upstream_limits::ListNews(time_point now) const {
+std::vector<limit_news> upstream_limits::ListNews(time_point now,
+                                                  bool passes_on) const {
   std::vector<std::pair<time_point, limit_news>> all;
   for (const auto& [upstream, known] : known_) {
-    if (known.is_first_hand) {
+    if (known.is_first_hand || passes_on) {
       all.emplace_back(known.changed_at,
                        limit_news{.upstream = upstream,
                                   .rate = known.rate,
--- a/lib/Edge/edge_limits.cc
+++ b/lib/Edge/edge_limits.cc
@@ -57,7 +57,7 @@
 }
 
 void edge_task::TellLimits(time_point now) {
-  std::vector<limit_news> news = router_.limits().ListNews(now);
+  std::vector<limit_news> news = router_.limits().ListNews(now, passes_on_);
   // Once more when there are none left, so that no old ones are told.
   if (!news.empty() || told_limits_) {
     told_limits_ = !news.empty();
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -224,6 +224,7 @@
   peers_ = news.living;
   fleet_size_ = news.known;
   notice_time_ = news.notice_time;
+  passes_on_ = news.is_partial;
   const bool has_other_share = maybe_at_work_ != news.maybe_at_work;
   maybe_at_work_ = news.maybe_at_work;
   TellQuotasOfFleet(ReadBootClock());
--- a/lib/Fleet/crash_bulletin.cc
+++ b/lib/Fleet/crash_bulletin.cc
@@ -1,9 +1,16 @@
 #include "cuminswitch/Fleet/crash_bulletin.h"
 
+#include <algorithm>
+
 namespace cuminswitch {
 
 /// Between two times at which a peer is told what stands.
 static constexpr duration kStandingInterval = std::chrono::milliseconds(1500);
+/// What is remembered of news that were told on: for so long, and so many.
+static constexpr duration kRelayedTime = std::chrono::seconds(10);
+static constexpr size_t kMostRelayed = 512;
+/// Two news of one request and upstream that are closer are one.
+static constexpr duration kSameTime = std::chrono::seconds(1);
 
 void crash_bulletin::Add(const own_quarantine& own) {
   std::vector<dated<crash_news>> crashes;
@@ -20,6 +27,48 @@
   standing_at_ = own.at;
 }
 
+bool crash_bulletin::NoteRelayed(const hash128& request,
+                                 uint64_t upstream,
+                                 time_point at) {
+  if (relayed_.size() >= kMostRelayed) {
+    const time_point newest =
+        std::max_element(
+            relayed_.begin(), relayed_.end(),
+            [](const auto& a, const auto& b) { return a.second < b.second; })
+            ->second;
+    std::erase_if(relayed_, [&](const auto& item) {
+      return newest - item.second > kRelayedTime;
+    });
+    if (relayed_.size() >= kMostRelayed) {
+      return false;
+    }
+  }
+  const auto [known, is_new] = relayed_.try_emplace({request, upstream}, at);
+  // The same one is of much the same time, wherever it comes from.
+  if (!is_new && at - known->second < kSameTime) {
+    return false;
+  }
+  known->second = at;
+  return true;
+}
+
+void crash_bulletin::Relay(time_point now, const quarantine_news& told) {
+  std::vector<dated<crash_news>> crashes;
+  for (const crash_news& item : told.crashes) {
+    if (NoteRelayed(item.request, item.upstream, now - item.age)) {
+      crashes.push_back({.news = item, .at = now});
+    }
+  }
+  crashes_.Add(crashes);
+  std::vector<dated<completion_news>> completions;
+  for (const completion_news& item : told.completions) {
+    if (NoteRelayed(item.request, 0, now - item.age)) {
+      completions.push_back({.news = item, .at = now});
+    }
+  }
+  completions_.Add(completions);
+}
+
 quarantine_news crash_bulletin::TakeFor(time_point now, const endpoint& peer) {
   quarantine_news news;
   for (dated<crash_news>& item : crashes_.TakeFor(peer)) {
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -13,9 +13,6 @@
 
 namespace cuminswitch {
 
-/// Peers named in a beat, others each time. The store lists them all, so this
-/// is for the time without it; many beats a second name all peers soon.
-static constexpr size_t kHeardPerBeat = 3;
 static constexpr duration kRegistrationRetry = std::chrono::milliseconds(700);
 static constexpr duration kRolloutInterval = std::chrono::milliseconds(50);
 /// What a leader said is being changed counts for so long.
@@ -173,6 +170,9 @@
         .Post(peer_limits{.peer = beat.sender.name, .limits = beat.limits});
   }
   if (!beat.quarantine.IsEmpty()) {
+    if (roster_.IsPartial()) {
+      crash_bulletin_.Relay(now, beat.quarantine);
+    }
     services_.FindPort<fleet_news>(kEdgeService)
         .Post(peer_quarantine{.news = beat.quarantine});
   }
@@ -215,7 +215,7 @@
   self.has_store = feed_.IsFresh(now, kStoreFresh);
   self.awaits_entries = lapsed_.AwaitsUntil(now, Contact()) > now;
   beat_frame beat{.sender = self,
-                  .heard = roster_.NameLiving(now, kHeardPerBeat),
+                  .heard = roster_.NameLiving(now),
                   .changing = {},
                   .backlogs = own_backlogs_,
                   .prefixes = placement_news_.TakeFor(to),
@@ -223,7 +223,7 @@
                   .limits = own_limits_.limits,
                   .quarantine = crash_bulletin_.TakeFor(now, to),
                   .is_watched = roster_.IsWatcher(to),
-                  .members = roster_.TakeMemberNews(to)};
+                  .members = roster_.TakeMemberNews(now, to)};
   for (limit_news& item : beat.limits) {
     item.age += now - own_limits_.at;
   }
@@ -293,7 +293,8 @@
       .Post(peers_changed{.living = living,
                           .known = roster_.CountKnown(),
                           .maybe_at_work = maybe_at_work,
-                          .notice_time = roster_.NoticeTime()});
+                          .notice_time = roster_.NoticeTime(),
+                          .is_partial = roster_.IsPartial()});
   published_peers_ = std::move(living);
 }
 
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -12,6 +12,21 @@
 /// Beats sent in one round, so that a daemon's cost stays flat as the fleet
 /// grows; a larger fleet is gone through in turn.
 static constexpr size_t kBeatsPerRound = 16;
+/// A turn that takes more rounds is not gone through: it would last 1.5 s, and
+/// what a peer's requests wait for is forgotten after a second.
+static constexpr size_t kMostRoundsInATurn = 12;
+/// Partners of other failure domains. Beats between domains are the dearer
+/// ones; a few links a daemon join the domains as well as many.
+static constexpr size_t kOtherDomainPartners = 4;
+/// How long a partner is kept. A connection is opened for it, and pays for
+/// itself over this.
+static constexpr duration kPartnerTime = std::chrono::seconds(20);
+/// A partner of which nothing is heard by then is not there.
+static constexpr duration kUnknownPartnerTime = std::chrono::seconds(2);
+/// How often a daemon looks whether those next to it on the ring are watched.
+static constexpr duration kAdoptionInterval = std::chrono::seconds(5);
+/// Where no peer at all was heard for so long this daemon is cut off.
+static constexpr duration kIsolatedAfter = std::chrono::seconds(3);
 /// Beats of a round beside these, to the peers that watch this daemon. Of four
 /// drawn from a fleet of which half is lost at once, one in sixteen times none
 /// is left, and the horizon decides.
@@ -24,6 +39,9 @@
 /// A daemon that was away for longer between two rounds has not read what its
 /// peers sent.
 static constexpr duration kLongestRound = 3 * peer_roster::kBeatInterval;
+/// Peers named in a beat, others each time. The store lists them all, so this
+/// is for the time without it; many beats a second name all peers soon.
+static constexpr size_t kNamedPerBeat = 3;
 /// News of members in one beat.
 static constexpr size_t kMemberNewsPerBeat = 16;
 /// Peers that are told something out of turn.
@@ -75,6 +93,10 @@
   return addresses_.size() > kBeatsPerRound;
 }
 
+bool peer_roster::IsPartial() const {
+  return addresses_.size() > kBeatsPerRound * kMostRoundsInATurn;
+}
+
 bool peer_roster::OnBeat(time_point now, const beat_frame& beat) {
   const daemon_record& sender = beat.sender;
   if (sender.name == options_.self_name) {
@@ -85,8 +107,11 @@
       addresses_[address].named_at = now;
     }
   }
-  addresses_[sender.peer_address].heard_at = now;
+  heard_any_at_ = now;
   peer& known = peers_[sender.name];
+  address_state& address = addresses_[sender.peer_address];
+  address.heard_at = now;
+  address.owner = &known;
   if (sender.incarnation < known.record.incarnation) {
     return false;
   }
@@ -166,7 +191,9 @@
   item.suspected_at.reset();
   item.has_contradicted = false;
   item.known_at = now;
-  addresses_[record.peer_address].named_at = now;
+  address_state& address = addresses_[record.peer_address];
+  address.named_at = now;
+  address.owner = &item;
   bulletin_.Add(news);
   has_news_ = true;
   must_choose_watchers_ = true;
@@ -228,16 +255,28 @@
 }
 
 void peer_roster::AdoptOrphans(time_point now) {
-  if (!IsLarge() || !std::exchange(must_adopt_, false)) {
+  const bool is_due = IsPartial() && now >= next_adoption_;
+  if (!IsLarge() || (!must_adopt_ && !is_due)) {
     return;
   }
+  must_adopt_ = false;
+  next_adoption_ = now + kAdoptionInterval;
   for (const auto& [distance, item] : ListOnRing(now, true)) {
     watched_.try_emplace(item->record.name, now);
   }
 }
 
-std::vector<member_news> peer_roster::TakeMemberNews(const endpoint& address) {
+std::vector<member_news> peer_roster::TakeMemberNews(time_point now,
+                                                     const endpoint& address) {
   std::vector<member_news> news = bulletin_.Take(kMemberNewsPerBeat);
+  if (IsPartial() && news.size() < kMemberNewsPerBeat) {
+    // Whoever missed a piece of news learns it so, sooner or later.
+    for (const peer* item : NextLiving(now, 1)) {
+      if (!item->suspected_at) {
+        news.push_back({.record = item->record});
+      }
+    }
+  }
   if (const auto found = to_hear_suspicion_.find(address);
       found != to_hear_suspicion_.end()) {
     news.push_back({.record = peers_.find(found->second)->second.record,
@@ -269,7 +308,8 @@
 void peer_roster::BeginTurn(time_point now) {
   std::erase_if(addresses_, [&](const auto& item) {
     const address_state& state = item.second;
-    return !state.is_listed &&
+    const bool lives = state.owner != nullptr && IsLiving(now, *state.owner);
+    return !state.is_listed && !lives &&
            now - std::max(state.heard_at, state.named_at) > kForgetAfter;
   });
   const uint64_t key =
@@ -294,6 +334,15 @@
   std::vector<endpoint> chosen;
   ChooseWatchers(now, chosen);
   chosen.insert(chosen.end(), watchers_.begin(), watchers_.end());
+  if (IsPartial()) {
+    RenewPartners(now);
+    for (const partner& item : partners_) {
+      if (!watchers_.contains(item.address)) {
+        chosen.push_back(item.address);
+      }
+    }
+    return chosen;
+  }
   const size_t others = chosen.size() + kBeatsPerRound;
   if (!IsLarge() || turn_.empty()) {
     BeginTurn(now);
@@ -318,6 +367,71 @@
   return chosen;
 }
 
+bool peer_roster::MayBePartner(time_point now,
+                               const address_state& state,
+                               time_point since) const {
+  if (state.owner != nullptr) {
+    return IsLiving(now, *state.owner);
+  }
+  return now - since < kUnknownPartnerTime;
+}
+
+void peer_roster::RenewPartners(time_point now) {
+  std::erase_if(partners_, [&](const partner& item) {
+    const auto found = addresses_.find(item.address);
+    return found == addresses_.end() ||
+           !MayBePartner(now, found->second, item.since);
+  });
+  if (now >= next_renewal_ && partners_.size() == kBeatsPerRound) {
+    next_renewal_ = now + kPartnerTime / kBeatsPerRound;
+    partners_.erase(partners_.begin());
+  }
+  if (partners_.size() < kBeatsPerRound) {
+    FindPartners(now);
+  }
+}
+
+void peer_roster::FindPartners(time_point now) {
+  if (turn_.empty()) {
+    BeginTurn(now);
+  }
+  const size_t most_others = own_domain_living_ >= kBeatsPerRound
+                                 ? kOtherDomainPartners
+                                 : kBeatsPerRound;
+  auto others = static_cast<size_t>(std::count_if(
+      partners_.begin(), partners_.end(),
+      [](const partner& item) { return !item.is_of_own_domain; }));
+  while (!turn_.empty() && partners_.size() < kBeatsPerRound) {
+    const endpoint next = std::move(turn_.back());
+    turn_.pop_back();
+    const auto found = addresses_.find(next);
+    if (found == addresses_.end()) {
+      continue;
+    }
+    address_state& state = found->second;
+    if (state.known_at == time_point()) {
+      state.known_at = now;
+    }
+    const bool is_known =
+        std::any_of(partners_.begin(), partners_.end(),
+                    [&](const partner& item) { return item.address == next; });
+    const bool is_own =
+        state.owner != nullptr &&
+        state.owner->record.failure_domain == options_.self_domain;
+    // One that was tried in vain has its time again in the next turn.
+    const bool was_tried =
+        state.owner == nullptr && now - state.tried_at < kForgetAfter;
+    if (is_known || was_tried || (!is_own && others >= most_others) ||
+        !MayBePartner(now, state, now)) {
+      continue;
+    }
+    state.tried_at = now;
+    others += is_own ? 0 : 1;
+    partners_.push_back(
+        {.address = next, .since = now, .is_of_own_domain = is_own});
+  }
+}
+
 bool peer_roster::TakeAnswerTurn(time_point now, const endpoint& address) {
   address_state& state = addresses_[address];
   if (now - state.tried_at < kAnswerInterval) {
@@ -328,6 +442,13 @@
 }
 
 std::vector<endpoint> peer_roster::ListReachable(time_point now) const {
+  if (IsPartial()) {
+    std::vector<endpoint> reachable(watchers_.begin(), watchers_.end());
+    for (const partner& item : partners_) {
+      reachable.push_back(item.address);
+    }
+    return reachable;
+  }
   std::vector<std::pair<uint64_t, endpoint>> list;
   const uint64_t key = Hash64(options_.self_address.ToString(), turn_number_);
   for (const auto& [address, state] : addresses_) {
@@ -358,8 +479,11 @@
 bool peer_roster::IsLiving(time_point now, const peer& item) const {
   const bool is_gone =
       item.suspected_at && now - *item.suspected_at > kSuspicionTime;
-  return item.known_at != time_point() && !is_gone &&
-         now - item.known_at <= Horizon();
+  if (item.known_at == time_point() || is_gone) {
+    return false;
+  }
+  return IsPartial() ? now - heard_any_at_ <= kIsolatedAfter
+                     : now - item.known_at <= Horizon();
 }
 
 const daemon_record* peer_roster::Find(const std::string& name) const {
@@ -383,8 +507,12 @@
 }
 
 bool peer_roster::TakeNews(time_point now) {
+  own_domain_living_ = 0;
   for (auto& [name, item] : peers_) {
     const bool is_living = IsLiving(now, item);
+    if (is_living && item.record.failure_domain == options_.self_domain) {
+      ++own_domain_living_;
+    }
     if (is_living != item.was_living) {
       item.was_living = is_living;
       has_news_ = true;
@@ -395,15 +523,28 @@
   return std::exchange(has_news_, false);
 }
 
-std::vector<endpoint> peer_roster::NameLiving(time_point now, size_t count) {
+std::vector<endpoint> peer_roster::NameLiving(time_point now) {
   std::vector<endpoint> named;
+  if (IsPartial()) {
+    // There a whole record stands among the news of members.
+    return named;
+  }
+  for (const peer* item : NextLiving(now, kNamedPerBeat)) {
+    named.push_back(item->record.peer_address);
+  }
+  return named;
+}
+
+std::vector<const peer_roster::peer*> peer_roster::NextLiving(time_point now,
+                                                              size_t count) {
+  std::vector<const peer*> named;
   auto next = peers_.upper_bound(last_named_);
   for (size_t i = 0; i < peers_.size() && named.size() < count; ++i) {
     if (next == peers_.end()) {
       next = peers_.begin();
     }
     if (IsLiving(now, next->second)) {
-      named.push_back(next->second.record.peer_address);
+      named.push_back(&next->second);
       last_named_ = next->first;
     }
     ++next;
@@ -432,12 +573,15 @@
 }
 
 size_t peer_roster::CountMaybeAtWork(time_point now) const {
-  return 1 + std::count_if(
-                 addresses_.begin(), addresses_.end(), [&](const auto& item) {
-                   const address_state& state = item.second;
-                   return now - std::max(state.heard_at, state.known_at) <=
+  return 1 +
+         std::count_if(
+             addresses_.begin(), addresses_.end(), [&](const auto& item) {
+               const address_state& state = item.second;
+               return (state.owner != nullptr && IsLiving(now, *state.owner)) ||
+                      now - std::max({state.heard_at, state.named_at,
+                                      state.known_at}) <=
                           kMaybeAtWorkTime;
-                 });
+             });
 }
 
 size_t peer_roster::CountKnown() const {
--- a/unittests/Fleet/crash_bulletin_test.cc
+++ b/unittests/Fleet/crash_bulletin_test.cc
@@ -39,5 +39,26 @@
   EXPECT_TRUE(bulletin.TakeFor(kNow + seconds(9), kPeer).IsEmpty());
 }
 
+// In a fleet where a daemon beats only some of its peers the others never learn
+// of a crash, and run the request on their own upstreams.
+TEST(crash_bulletin_test, WhatAPeerToldIsToldOnOnce) {
+  const endpoint peer{"10.0.0.7", 7};
+  const time_point now{std::chrono::seconds(100)};
+  const quarantine_news told{
+      .crashes = {{.request = {.high = 1, .low = 2},
+                   .upstream = 3,
+                   .age = std::chrono::milliseconds(400)}}};
+  crash_bulletin bulletin;
+  bulletin.Relay(now, told);
+  const duration later = std::chrono::milliseconds(100);
+  const quarantine_news passed = bulletin.TakeFor(now + later, peer);
+  ASSERT_EQ(passed.crashes.size(), 1U);
+  EXPECT_EQ(passed.crashes[0].age, std::chrono::milliseconds(500));
+  quarantine_news again = told;
+  again.crashes[0].age += later;
+  bulletin.Relay(now + later, again);
+  EXPECT_TRUE(bulletin.TakeFor(now + later, peer).IsEmpty());
+}
+
 }  // namespace
 }  // namespace cuminswitch
--- a/unittests/Fleet/roster_fleet.cc
+++ b/unittests/Fleet/roster_fleet.cc
@@ -20,7 +20,7 @@
     for (const host& from : hosts_) {
       to.roster->OnBeat(now_, {.sender = from.record});
     }
-    while (!to.roster->TakeMemberNews({}).empty()) {
+    while (to.roster->TakeMemberNews(now_, {}).size() > 1) {
     }
   }
 }
@@ -89,9 +89,9 @@
   const size_t to = found->second;
   host& sender = hosts_[from];
   beat_frame beat{.sender = sender.record,
-                  .heard = sender.roster->NameLiving(now_, 3),
+                  .heard = sender.roster->NameLiving(now_),
                   .is_watched = sender.roster->IsWatcher(address),
-                  .members = sender.roster->TakeMemberNews(address)};
+                  .members = sender.roster->TakeMemberNews(now_, address)};
   beat.sender.version = sender.roster->self_version();
   ++beats_;
   member_news_ += beat.members.size();
