Bound what is held for slow callers, and beat less while nothing is new

Cause: bodies half read and answers half taken were bounded for each connection alone, so that hundreds of slow callers took a host's memory. Change: byte_account counts what all connections to callers and upstreams hold, a quarter of limits.memory-mb at most; from half of that on an answer is read on only as fast as its caller takes it (4 KB in place of 64), at the limit large requests are refused with 503 and Retry-After (they have not run), at 5/4 of it all. Metrics and a log line tell what is held and refused.

--- a/include/cuminswitch/Edge/edge_metrics.h
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -34,6 +34,8 @@
     const std::map<std::string, quota_counts>& quotas;
     const limit_gate::counts& limits;
     uint64_t log_lines_dropped = 0;
+    size_t held_bytes = 0;
+    uint64_t refused_for_memory = 0;
     uint64_t upstream_connections = 0;
     size_t unreadable_upstreams = 0;
   };
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -51,6 +51,8 @@
     duration old_weights_time = std::chrono::seconds(6);
     /// A stopping daemon has ended by then.
     duration grace = std::chrono::seconds(8);
+    /// Bytes that may be held for callers and upstreams; 0 for no limit.
+    size_t buffer_limit = 0;
   };
   struct parts {
     const edge_protocol& protocol;
@@ -158,6 +160,9 @@
   void LogQuarantines();
   /// Ends the limits that no answer has renewed for long.
   void ExpireLimits(time_point now);
+  /// Tells the log when so much is held that requests are refused, and when no
+  /// more.
+  void LogHeldBytes();
   /// Tells the log when engines begin to be kept for short prompts, or cease.
   void LogKeptEngines();
   void OnStopTick();
@@ -166,6 +171,7 @@
   options options_;
   parts with_;
   request_router router_;
+  byte_account held_;
   upstream_pool pool_;
   std::unique_ptr<caller_server> server_;
   loop_timer tick_timer_;
@@ -185,6 +191,7 @@
   bool has_gathered_ = false;
   /// What the log was last told.
   bool kept_engines_ = false;
+  uint64_t told_refused_ = 0;
   std::unordered_map<request_id, std::unique_ptr<request_flow>> flows_;
   request_id next_request_ = 0;
   quota_gate quotas_;
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -196,6 +196,7 @@
   time_point awake_since_{};
   time_point last_round_{};
   std::vector<partner> partners_;
+  size_t next_partner_ = 0;
   time_point next_renewal_{};
   time_point next_adoption_{};
   /// When any peer was last heard.
--- a/include/cuminswitch/Http1/caller_server.h
+++ b/include/cuminswitch/Http1/caller_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "cuminswitch/Net/byte_account.h"
 #include "cuminswitch/Support/endpoint.h"
 
 struct event_base;
@@ -40,10 +41,14 @@
 /// Accepts connections, reads requests strictly, and hands them on one by one.
 class caller_server {
  public:
-  /// Throws `bind_error` when \p listen cannot be had.
+  /// Throws `bind_error` when \p listen cannot be had. What connections hold is
+  /// counted in \p account, which outlives the server; while that is full,
+  /// large requests are refused, and beyond that all. Without one there is no
+  /// limit.
   caller_server(event_base* base,
                 const endpoint& listen,
-                caller_handler& handler);
+                caller_handler& handler,
+                byte_account* account = nullptr);
   caller_server(const caller_server&) = delete;
   caller_server& operator=(const caller_server&) = delete;
   ~caller_server();
@@ -57,6 +62,8 @@
   bool IsDraining() const { return is_draining_; }
   size_t connection_count() const { return connections_.size(); }
   uint64_t accepted_count() const { return accepted_; }
+  /// Requests that were refused because too much was held.
+  uint64_t refused_count() const { return refused_; }
   endpoint Address() const;
 
  private:
@@ -71,7 +78,10 @@
   caller_limits limits_;
   evconnlistener* listener_ = nullptr;
   endpoint listen_;
+  byte_account own_account_;
+  byte_account& account_;
   uint64_t accepted_ = 0;
+  uint64_t refused_ = 0;
   bool is_draining_ = false;
   bool is_closed_ = false;
   std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>>
--- a/include/cuminswitch/Http1/upstream_pool.h
+++ b/include/cuminswitch/Http1/upstream_pool.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cuminswitch/Http1/upstream_call.h"
+#include "cuminswitch/Net/byte_account.h"
 
 struct event_base;
 
@@ -23,7 +24,9 @@
 /// time and is kept for as long as its upstream announced.
 class upstream_pool {
  public:
-  explicit upstream_pool(event_base* base);
+  /// What connections hold is counted in \p account, which outlives the pool;
+  /// without one it is not limited.
+  explicit upstream_pool(event_base* base, byte_account* account = nullptr);
   upstream_pool(const upstream_pool&) = delete;
   upstream_pool& operator=(const upstream_pool&) = delete;
   ~upstream_pool();
@@ -42,6 +45,7 @@
   /// Closes what is kept beyond the limits, which have changed.
   void TrimIdle();
   uint64_t opened_count() const { return opened_; }
+  const byte_account& account() const { return account_; }
 
  private:
   friend class upstream_connection;
@@ -55,6 +59,8 @@
   void Release(std::unique_ptr<upstream_connection> connection);
 
   event_base* base_;
+  byte_account own_account_;
+  byte_account& account_;
   std::map<endpoint, std::vector<std::unique_ptr<upstream_connection>>> idle_;
   idle_limit idle_limit_;
   uint64_t opened_ = 0;
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -152,6 +152,13 @@
   page.Begin("cuminswitch_unreadable_upstreams", "gauge",
              "Listed upstreams whose entries cannot be read.");
   page.Add(static_cast<double>(from.unreadable_upstreams));
+  page.Begin(
+      "cuminswitch_held_bytes", "gauge",
+      "Bytes held for callers and upstreams that are slow to take them.");
+  page.Add(static_cast<double>(from.held_bytes));
+  page.Begin("cuminswitch_refused_for_memory_total", "counter",
+             "Requests refused because too many bytes were held.");
+  page.Add(static_cast<double>(from.refused_for_memory));
   page.Begin("cuminswitch_log_lines_dropped_total", "counter",
              "Log lines that were not written.");
   page.Add(static_cast<double>(from.log_lines_dropped));
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -37,7 +37,8 @@
                                  .old_weights_time = opts.old_weights_time,
                                  .now = ReadBootClock()}),
               *this),
-      pool_(base),
+      held_(opts.buffer_limit),
+      pool_(base, &held_),
       tick_timer_(base, [this] { OnTick(); }),
       stop_timer_(base, [this] { OnStopTick(); }),
       quotas_(std::make_unique<owner_quota_policy>(owner_quota_policy::options{
@@ -59,7 +60,7 @@
 void edge_task::Start() {
   pool_.SetIdleLimit([this](const endpoint& to) { return IdleLimit(to); });
   server_ = std::make_unique<caller_server>(
-      base(), options_.self.caller_address, *this);
+      base(), options_.self.caller_address, *this, &held_);
   OnTick();
 }
 
@@ -99,12 +100,15 @@
 std::string edge_task::WriteMetrics() const {
   core_status status;
   router_.FillStatus(status);
-  return metrics_.Write({.status = status,
-                         .quotas = quotas_.counts(),
-                         .limits = limits_.totals(),
-                         .log_lines_dropped = with_.log.dropped_count(),
-                         .upstream_connections = pool_.opened_count(),
-                         .unreadable_upstreams = unreadable_upstreams_});
+  return metrics_.Write(
+      {.status = status,
+       .quotas = quotas_.counts(),
+       .limits = limits_.totals(),
+       .log_lines_dropped = with_.log.dropped_count(),
+       .held_bytes = held_.held(),
+       .refused_for_memory = server_ == nullptr ? 0 : server_->refused_count(),
+       .upstream_connections = pool_.opened_count(),
+       .unreadable_upstreams = unreadable_upstreams_});
 }
 
 void edge_task::Receive(edge_message message) {
@@ -397,11 +401,24 @@
   TellQuarantine(now);
   TellPlacements();
   LogKeptEngines();
+  LogHeldBytes();
   ExpireLimits(now);
   with_.log.Flush();
   tick_timer_.Start(flows_.empty() ? kIdleTickInterval : kTickInterval);
 }
 
+void edge_task::LogHeldBytes() {
+  if (server_ == nullptr || server_->refused_count() == told_refused_) {
+    return;
+  }
+  with_.log.Write(log_class::kLifecycle,
+                  log_line("requests_refused_for_memory")
+                      .Add("count", server_->refused_count() - told_refused_)
+                      .Add("held_bytes", held_.held())
+                      .Add("limit_bytes", held_.limit()));
+  told_refused_ = server_->refused_count();
+}
+
 void edge_task::LogKeptEngines() {
   const bool keeps_engines = router_.short_part() > 0;
   if (keeps_engines == kept_engines_) {
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -13,6 +13,8 @@
 static constexpr uint32_t kFirstFailure = 400;
 /// Unsent bytes to a caller at which the upstream is not read any further.
 static constexpr size_t kMaxCallerBacklog = 64UL << 10;
+/// The same where much is held for slow callers already.
+static constexpr size_t kTightCallerBacklog = 4UL << 10;
 /// An upstream's own answer at its deadline should come before ours.
 static constexpr duration kDeadlineSlack = std::chrono::milliseconds(20);
 /// The longest wait for a connection; a host that lives accepts within a few
@@ -186,8 +188,9 @@
     SendAnswerHead(std::nullopt);
   }
   options_.exchange->SendBody(data);
-  if (options_.exchange->PendingBytes() > kMaxCallerBacklog &&
-      call_ != nullptr) {
+  const size_t most =
+      with_.pool.account().IsTight() ? kTightCallerBacklog : kMaxCallerBacklog;
+  if (options_.exchange->PendingBytes() > most && call_ != nullptr) {
     is_paused_ = true;
     call_->PauseReading();
   }
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -27,10 +27,10 @@
 static constexpr duration kAdoptionInterval = std::chrono::seconds(5);
 /// Where no peer at all was heard for so long this daemon is cut off.
 static constexpr duration kIsolatedAfter = std::chrono::seconds(3);
-/// Beats of a round beside these, to the peers that watch this daemon. Of four
-/// drawn from a fleet of which half is lost at once, one in sixteen times none
-/// is left, and the horizon decides.
-static constexpr size_t kWatchers = 4;
+/// Beats of a round beside these, to the peers that watch this daemon. Where
+/// half of a fleet is lost at once, one in eight times none of three is left,
+/// and the next ones adopt the daemon.
+static constexpr size_t kWatchers = 3;
 /// A watched peer is suspected after five beats that did not come.
 static constexpr duration kWatchSilence = std::chrono::milliseconds(600);
 /// From when a daemon hears that a peer is suspected until it takes it for
@@ -42,8 +42,12 @@
 /// Peers named in a beat, others each time. The store lists them all, so this
 /// is for the time without it; many beats a second name all peers soon.
 static constexpr size_t kNamedPerBeat = 3;
+/// Partners beaten in one round while there are news of members, and while
+/// there are none. Messages cost more than the bytes in them.
+static constexpr size_t kPartnersWithNews = 8;
+static constexpr size_t kPartnersAtRest = 2;
 /// News of members in one beat.
-static constexpr size_t kMemberNewsPerBeat = 16;
+static constexpr size_t kMemberNewsPerBeat = 48;
 /// Peers that are told something out of turn.
 static constexpr size_t kMostReachable = 96;
 /// A peer that was not heard for so long is tried rarely, where one round
@@ -336,9 +340,14 @@
   chosen.insert(chosen.end(), watchers_.begin(), watchers_.end());
   if (IsPartial()) {
     RenewPartners(now);
-    for (const partner& item : partners_) {
-      if (!watchers_.contains(item.address)) {
-        chosen.push_back(item.address);
+    const size_t count =
+        std::min(partners_.size(),
+                 bulletin_.IsEmpty() ? kPartnersAtRest : kPartnersWithNews);
+    for (size_t i = 0; i < count; ++i) {
+      const endpoint& address =
+          partners_[next_partner_++ % partners_.size()].address;
+      if (!watchers_.contains(address)) {
+        chosen.push_back(address);
       }
     }
     return chosen;
--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "cuminswitch/Http1/caller_server.h"
+#include "cuminswitch/Net/counted_stream.h"
 #include "cuminswitch/Support/status_code.h"
 #include "read_front.h"
 #include "status_text.h"
@@ -23,6 +24,11 @@
 /// How long a caller may go on sending after its request was rejected. Closing
 /// with unread bytes resets the connection, and the answer can be lost with it.
 static constexpr std::chrono::milliseconds kLingerTime{500};
+/// Bytes of a body that is taken in also where large ones are refused.
+static constexpr size_t kSmallBody = 16UL << 10;
+/// Seconds until a request that was refused for memory may come again. Slow
+/// callers hold what they hold for seconds; other hosts have room.
+static constexpr char kMemoryRetryAfter[] = "1";
 
 caller_connection::caller_connection(caller_server& server,
                                      int fd,
@@ -44,19 +50,27 @@
     static_cast<caller_connection*>(raw)->OnEvent(what);
   };
   bufferevent_setcb(stream_, on_read, on_write, on_event, this);
+  counted_ = std::make_unique<counted_stream>(stream_, server.account_);
   bufferevent_setwatermark(stream_, EV_READ, 0, kMaxReadAhead);
   bufferevent_enable(stream_, EV_READ | EV_WRITE);
   BecomeIdle();
 }
 
 caller_connection::~caller_connection() {
+  ClearBody();
+  counted_.reset();
   bufferevent_free(stream_);
 }
 
+void caller_connection::ClearBody() {
+  server_.account_.Remove(body_.size());
+  body_ = {};
+}
+
 void caller_connection::BecomeIdle() {
   stage_ = stage::kIdle;
   head_ = {};
-  body_.clear();
+  ClearBody();
   listener_ = nullptr;
   timer_.Start(server_.limits_.idle_timeout);
 }
@@ -73,6 +87,7 @@
 
 void caller_connection::OnBody(std::string_view data) {
   body_.append(data);
+  server_.account_.Add(data.size());
 }
 
 void caller_connection::OnReadable() {
@@ -102,10 +117,13 @@
       case read_result::kNeedMore:
         if (reader_.IsInBody()) {
           timer_.Start(server_.limits_.request_timeout);
+          RefuseIfNoRoom();
         }
         break;
       case read_result::kMessageDone:
-        OnRequestRead();
+        if (!RefuseIfNoRoom()) {
+          OnRequestRead();
+        }
         break;
       case read_result::kMalformed:
         Reject(status_code::kBadRequest);
@@ -135,6 +153,21 @@
   Reply(*this, status, {}, {}, true);
 }
 
+bool caller_connection::RefuseIfNoRoom() {
+  const byte_account& account = server_.account_;
+  const bool is_large = body_.size() > kSmallBody;
+  if (!account.IsOver() && !(is_large && account.IsFull())) {
+    return false;
+  }
+  ++server_.refused_;
+  ClearBody();
+  stage_ = stage::kAnswering;
+  timer_.Cancel();
+  Reply(*this, status_code::kUnavailable,
+        {{.name = "Retry-After", .value = kMemoryRetryAfter}}, {}, true);
+  return true;
+}
+
 void caller_connection::SendHead(uint32_t status,
                                  const http_headers& headers,
                                  const answer_framing& framing) {
--- a/lib/Http1/caller_connection.h
+++ b/lib/Http1/caller_connection.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
 #define CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
 
+#include <memory>
 #include <string>
 
 #include "cuminswitch/Http1/caller_exchange.h"
@@ -14,6 +15,7 @@
 namespace cuminswitch {
 
 class caller_server;
+class counted_stream;
 
 /// Reads requests one at a time; those that were sent ahead wait unread.
 class caller_connection : public caller_exchange, private message_sink {
@@ -50,6 +52,9 @@
   void OnRequestRead();
   /// Answers what could not be read as a request, and closes.
   void Reject(uint32_t status);
+  /// Refuses a request that is being read if too much is held.
+  bool RefuseIfNoRoom();
+  void ClearBody();
   /// Closes once everything is written and the caller has stopped to send.
   void CloseGently();
   void CloseNow();
@@ -58,6 +63,7 @@
   caller_server& server_;
   std::string from_;
   bufferevent* stream_ = nullptr;
+  std::unique_ptr<counted_stream> counted_;
   message_reader reader_;
   loop_timer timer_;
   stage stage_ = stage::kIdle;
--- a/lib/Http1/caller_server.cc
+++ b/lib/Http1/caller_server.cc
@@ -24,8 +24,12 @@
 
 caller_server::caller_server(event_base* base,
                              const endpoint& listen,
-                             caller_handler& handler)
-    : base_(base), handler_(handler), listen_(listen) {
+                             caller_handler& handler,
+                             byte_account* account)
+    : base_(base),
+      handler_(handler),
+      listen_(listen),
+      account_(account == nullptr ? own_account_ : *account) {
   const sockaddr_in address = ToSocketAddress(listen);
   const auto on_accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
                             sockaddr* from, int /*size*/, void* raw) {
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "cuminswitch/Http1/upstream_pool.h"
+#include "cuminswitch/Net/counted_stream.h"
 #include "cuminswitch/Net/socket_address.h"
 #include "pooled_call.h"
 #include "read_front.h"
@@ -45,10 +46,12 @@
     static_cast<upstream_connection*>(raw)->OnEvent(what);
   };
   bufferevent_setcb(stream_, on_read, nullptr, on_event, this);
+  counted_ = std::make_unique<counted_stream>(stream_, pool.account_);
   bufferevent_enable(stream_, EV_READ | EV_WRITE);
 }
 
 upstream_connection::~upstream_connection() {
+  counted_.reset();
   bufferevent_free(stream_);
 }
 
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -14,6 +14,7 @@
 
 namespace cuminswitch {
 
+class counted_stream;
 class pooled_call;
 class upstream_pool;
 
@@ -52,6 +53,7 @@
   upstream_pool& pool_;
   endpoint to_;
   bufferevent* stream_ = nullptr;
+  std::unique_ptr<counted_stream> counted_;
   message_reader reader_;
   loop_timer timer_;
   pooled_call* call_ = nullptr;
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -13,7 +13,8 @@
 /// few on small hosts.
 static constexpr size_t kMaxIdlePerUpstream = 16;
 
-upstream_pool::upstream_pool(event_base* base) : base_(base) {}
+upstream_pool::upstream_pool(event_base* base, byte_account* account)
+    : base_(base), account_(account == nullptr ? own_account_ : *account) {}
 
 upstream_pool::~upstream_pool() {
   *alive_ = false;
@@ -90,6 +91,9 @@
   }
   std::unique_ptr<upstream_connection> dropped = std::move(*item);
   kept.erase(item);
+  if (kept.empty()) {
+    idle_.erase(found);
+  }
   Release(std::move(dropped));
 }
 
--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -73,6 +73,8 @@
 ready = "127.0.0.1:${PORTS[5 * i + 1]}"
 directory = "127.0.0.1:${PORTS[5 * i + 2]}"
 control = "127.0.0.1:${PORTS[5 * i + 3]}"
+[limits]
+memory-mb = ${MEMORY_MB:-0}
 [bounds]
 lease-ms = ${LEADER_GAP_MS:-300}
 grace-s = 8
