Keep replicas in a deque and find them by their names' hashes

Cause: of the 2.45 KB that a daemon keeps for each upstream (10,000 of them, by mallinfo: stored item 0.45, decoded 0.57, directory 0.30, router 1.03, address index 0.10) the vector of replicas held up to twice its size ahead of need, and moved all as it grew; a second map by name beside the one by hash.

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -92,6 +92,9 @@
   void NotePeerChanges(std::span<const daemon_record> living);
   /// Tells the log what changed in the lists of peers and upstreams.
   void LogListChanges(time_point now);
+  /// Tells the log which peers came under suspicion, and when this daemon said
+  /// something new of itself, as it does when it is suspected.
+  void LogSuspicions();
   void PublishChanging();
   void RunRollout(time_point now);
   void Perform(const rollout_step& step);
@@ -128,6 +131,7 @@
   time_point published_peers_at_{};
   size_t published_at_work_ = 0;
   size_t published_unreadable_ = 0;
+  uint32_t logged_version_ = 0;
   list_changes peer_changes_;
   list_changes upstream_changes_;
   question_pacer questions_;
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -90,6 +90,11 @@
   /// Returns the news of members for a beat to \p address.
   std::vector<member_news> TakeMemberNews(time_point now,
                                           const endpoint& address);
+  /// Returns the names of the peers that came under suspicion since the last
+  /// call.
+  std::vector<std::string> TakeSuspected() {
+    return std::exchange(newly_suspected_, {});
+  }
   /// Whether the peer at \p address has just been heard though others hold it
   /// for gone, and is to be told.
   bool MustHearSuspicion(const endpoint& address) const {
@@ -206,6 +211,7 @@
   /// The addresses still to be beaten in this turn, the next one last.
   std::vector<endpoint> turn_;
   uint64_t turn_number_ = 0;
+  std::vector<std::string> newly_suspected_;
   /// The peer that was named last.
   std::string last_named_;
   bool has_news_ = false;
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -165,7 +166,6 @@
     return replicas_[index];
   }
   replica& at(replica_index index) { return replicas_[index]; }
-  std::span<const replica> all() const { return replicas_; }
   /// Its place among the replicas of its target in an order that all daemons
   /// share, from 0 to 1.
   double RankOf(replica_index index) const;
@@ -227,11 +227,10 @@
   std::optional<double> OldWeightsPenalty(time_point now,
                                           std::string_view name,
                                           const target_replicas& target,
-                                          const replica& item) const;
+                                          replica_index index) const;
   void AddPeerBacklogs(std::span<const upstream_backlog> backlogs, double sign);
-  replica_index IndexOf(const replica& item) const {
-    return static_cast<replica_index>(&item - replicas_.data());
-  }
+  /// Returns the replica \p name, configured or not.
+  std::optional<replica_index> Find(std::string_view name) const;
   void EjectOutlier(time_point now, replica_index index);
 
   struct told_backlogs {
@@ -243,8 +242,8 @@
   size_t fleet_size_ = 1;
   std::map<std::string, told_backlogs> peer_backlogs_;
   std::unordered_map<uint64_t, replica_index> by_hash_;
-  std::vector<replica> replicas_;
-  std::map<std::string, replica_index, std::less<>> by_name_;
+  /// A deque, which takes no room ahead of need and moves nothing as it grows.
+  std::deque<replica> replicas_;
   std::vector<replica_index> configured_;
   /// Replicas that requests of this daemon wait for; some may repeat.
   std::vector<replica_index> queued_;
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -255,6 +255,7 @@
   }
   RunRollout(now);
   LogListChanges(now);
+  LogSuspicions();
 }
 
 void fleet_task::AskPeers(time_point now) {
@@ -387,6 +388,24 @@
                 .Add("leader", knowledge.leader));
 }
 
+void fleet_task::LogSuspicions() {
+  const std::vector<std::string> suspected = roster_.TakeSuspected();
+  if (!suspected.empty()) {
+    with_.log.Write(log_class::kBelief, log_line("peers_suspected")
+                                            .Add("count", suspected.size())
+                                            .Add("first", suspected.front()));
+  }
+  const uint32_t version = roster_.self_version();
+  if (version != logged_version_) {
+    logged_version_ = version;
+    with_.log.Write(log_class::kBelief,
+                    log_line("own_record_renewed")
+                        .Add("version", version)
+                        .Add("ready", options_.self.is_ready)
+                        .Add("leaving", options_.self.is_leaving));
+  }
+}
+
 void fleet_task::LogListChanges(time_point now) {
   log_line peers("peers_changed");
   if (peer_changes_.TakeInto(now, peers)) {
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -217,6 +217,7 @@
   item.is_watched = false;
   watched_.erase(item.record.name);
   must_choose_watchers_ = true;
+  newly_suspected_.push_back(item.record.name);
   bulletin_.Add({.record = item.record, .is_suspected = true});
 }
 
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -69,7 +69,8 @@
     time_point now,
     std::string_view name,
     const target_replicas& target,
-    const replica& item) const {
+    replica_index index) const {
+  const replica& item = replicas_[index];
   const auto model = std::find_if(
       item.models.begin(), item.models.end(),
       [&](const loaded_model& loaded) { return loaded.name == name; });
@@ -79,7 +80,7 @@
   const duration age = now - SupersededAt(target, model->version);
   // What waits there already runs first; a request that would begin after the
   // bound is better placed elsewhere, or told so.
-  const double queue = EstimateQueueSeconds(now, IndexOf(item));
+  const double queue = EstimateQueueSeconds(now, index);
   const duration begins = age + FromSeconds(kQueueDoubt * queue);
   if (!item.reported || begins >= options_.old_weights_time) {
     return std::nullopt;
@@ -142,7 +143,7 @@
         version.empty() ||
         (item.reported && ServesVersion(item, target, version));
     const std::optional<double> penalty =
-        has_weights ? 0 : OldWeightsPenalty(now, target, found->second, item);
+        has_weights ? 0 : OldWeightsPenalty(now, target, found->second, index);
     const bool usable =
         item.reachable && !item.changing &&
         std::find(excluded.begin(), excluded.end(), index) == excluded.end();
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -33,7 +33,7 @@
   std::vector<replica_index> listed;
   for (const upstream_spec& spec : config.upstreams) {
     SetUpstream(now, spec);
-    InsertSorted(listed, by_name_.find(spec.name)->second);
+    InsertSorted(listed, *Find(spec.name));
   }
   for (const replica_index index : std::vector<replica_index>(configured_)) {
     if (!std::binary_search(listed.begin(), listed.end(), index)) {
@@ -76,14 +76,14 @@
 }
 
 void replica_table::SetUpstream(time_point now, const upstream_spec& spec) {
-  const auto [found, is_new] = by_name_.try_emplace(
-      spec.name, static_cast<replica_index>(replicas_.size()));
+  const uint64_t name_hash = Hash64(spec.name);
+  const auto [found, is_new] = by_hash_.try_emplace(
+      name_hash, static_cast<replica_index>(replicas_.size()));
   const replica_index index = found->second;
   if (is_new) {
     replicas_.push_back(
-        {.spec = spec, .name_hash = Hash64(spec.name), .warm_since = now});
+        {.spec = spec, .name_hash = name_hash, .warm_since = now});
     replicas_.back().limit = FirstLimit(spec);
-    by_hash_[replicas_.back().name_hash] = index;
   }
   replica& item = replicas_[index];
   item.limit = std::min<double>(item.limit, spec.max_in_flight);
@@ -100,10 +100,10 @@
 }
 
 void replica_table::RemoveUpstream(std::string_view name) {
-  const auto found = by_name_.find(name);
-  if (found != by_name_.end() && IsConfigured(found->second)) {
-    LeaveTargets(found->second);
-    EraseSorted(configured_, found->second);
+  const std::optional<replica_index> index = Find(name);
+  if (index && IsConfigured(*index)) {
+    LeaveTargets(*index);
+    EraseSorted(configured_, *index);
   }
 }
 
@@ -154,11 +154,11 @@
 }
 
 void replica_table::OnReport(time_point now, const upstream_report& report) {
-  const auto found = by_name_.find(report.upstream);
-  if (found == by_name_.end()) {
+  const std::optional<replica_index> index = Find(report.upstream);
+  if (!index) {
     return;
   }
-  replica& item = replicas_[found->second];
+  replica& item = replicas_[*index];
   item.reachable = report.reachable;
   if (!report.reachable) {
     return;
@@ -219,9 +219,8 @@
 }
 
 void replica_table::OnLoad(time_point now, const upstream_load& load) {
-  const auto found = by_name_.find(load.upstream);
-  if (found != by_name_.end()) {
-    NoteLoad(now, replicas_[found->second], load.running, load.waiting);
+  if (const std::optional<replica_index> index = Find(load.upstream)) {
+    NoteLoad(now, replicas_[*index], load.running, load.waiting);
   }
 }
 
@@ -262,6 +261,10 @@
   return oldest;
 }
 
+std::optional<replica_index> replica_table::Find(std::string_view name) const {
+  return FindByHash(Hash64(name));
+}
+
 std::optional<replica_index> replica_table::FindByHash(uint64_t hash) const {
   const auto found = by_hash_.find(hash);
   if (found == by_hash_.end()) {
@@ -285,9 +288,8 @@
 }
 
 void replica_table::SetChanging(const upstream_changing& event) {
-  const auto found = by_name_.find(event.upstream);
-  if (found != by_name_.end()) {
-    replicas_[found->second].changing = event.is_changing;
+  if (const std::optional<replica_index> index = Find(event.upstream)) {
+    replicas_[*index].changing = event.is_changing;
   }
 }
 
