--- /dev/null
+++ b/lib/Edge/edge_knowledge.cc
@@ -0,0 +1,139 @@
+// How the edge takes in what is known of the deployment.
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cuminswitch/Edge/edge_task.h"
+#include "cuminswitch/Edge/plan_translator.h"
+#include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Kernel/kernel.h"
+#include "cuminswitch/Log/event_log.h"
+
+namespace cuminswitch {
+
+void edge_task::ForgetRestarted(const upstream_change& change,
+                                revision_number revision) {
+  if (change.before == nullptr || change.after == nullptr ||
+      change.before->started == change.after->started) {
+    return;
+  }
+  // Kept connections to an earlier start are dead. Whoever sends on one learns
+  // that only after it has sent, and must then tell its caller that the request
+  // may have run.
+  pool_.Forget(change.before->address);
+  ForgetLimit(change.id);
+  with_.log.Write(log_class::kBelief, log_line("upstream_restarted")
+                                          .Add("upstream", change.id)
+                                          .Add("started", change.after->started)
+                                          .Add("before", change.before->started)
+                                          .Add("revision", revision));
+}
+
+void edge_task::IndexAddress(const upstream_change& change) {
+  if (change.before != nullptr) {
+    const auto found = upstreams_by_address_.find(change.before->address);
+    // Another upstream may have taken the address.
+    if (found != upstreams_by_address_.end() &&
+        found->second->id == change.id) {
+      upstreams_by_address_.erase(found);
+    }
+  }
+  if (change.after != nullptr) {
+    upstreams_by_address_[change.after->address] = change.after;
+  }
+}
+
+void edge_task::Take(const upstreams_changed& news) {
+  const time_point now = ReadBootClock();
+  unreadable_upstreams_ = news.unreadable;
+  std::vector<upstream_update> updates;
+  std::set<std::string, std::less<>> models;
+  for (const upstream_change& change : news.changes) {
+    ForgetRestarted(change, news.revision);
+    IndexAddress(change);
+    for (const upstream_ref& item : {change.before, change.after}) {
+      for (const weights_version& held :
+           item == nullptr ? std::vector<weights_version>() : item->weights) {
+        models.insert(held.model);
+      }
+    }
+  }
+  std::map<std::string_view, uint64_t> newest;
+  for (const std::string& model : models) {
+    newest[model] = held_weights_.Newest(model);
+  }
+  for (const upstream_change& change : news.changes) {
+    if (change.before != nullptr) {
+      held_weights_.Remove(change.before->weights);
+    }
+    if (change.after == nullptr) {
+      updates.push_back({.spec = {.name = change.id}, .is_gone = true});
+      continue;
+    }
+    held_weights_.Add(change.after->weights);
+    updates.push_back(TranslateUpstream(*change.after));
+  }
+  action_list actions;
+  const bool has_newer =
+      std::any_of(newest.begin(), newest.end(), [&](const auto& item) {
+        return held_weights_.Newest(item.first) != item.second;
+      });
+  if (has_newer) {
+    ApplyPlan(now, actions);
+  }
+  router_.OnUpstreams(now, updates, actions);
+  Perform(now, actions);
+}
+
+void edge_task::ApplyPlan(time_point now, action_list& actions) {
+  if (knowledge_ != nullptr && knowledge_->plan != nullptr) {
+    router_.OnPlan(now, TranslatePlan(*knowledge_, held_weights_), actions);
+  }
+}
+
+void edge_task::Take(const knowledge_changed& news) {
+  const bool was_ready = IsReady();
+  const bool has_same_plan =
+      knowledge_ != nullptr && knowledge_->plan == news.knowledge->plan &&
+      knowledge_->wanted_weights == news.knowledge->wanted_weights;
+  knowledge_ = news.knowledge;
+  router_.quarantine().OnStored(ReadBootClock(), knowledge_->quarantined);
+  LogQuarantines();
+  if (knowledge_->plan == nullptr || has_same_plan) {
+    return;
+  }
+  const route_plan& plan = *knowledge_->plan;
+  server_->SetLimits({.max_head_size = plan.max_head_size,
+                      .max_body_size = plan.max_body_size,
+                      .request_timeout = plan.request_timeout,
+                      .idle_timeout = plan.idle_timeout});
+  const time_point now = ReadBootClock();
+  action_list actions;
+  ApplyPlan(now, actions);
+  Perform(now, actions);
+  pool_.TrimIdle();
+  if (IsReady() && !was_ready) {
+    with_.log.Write(log_class::kLifecycle,
+                    log_line("ready").Add("configuration", plan.version));
+    services_.FindPort<fleet_message>(kFleetService)
+        .Post(readiness_changed{.is_ready = true});
+  }
+}
+
+void edge_task::Take(const peers_changed& news) {
+  peers_ = news.living;
+  fleet_size_ = news.known;
+  notice_time_ = news.notice_time;
+  passes_on_ = news.is_partial;
+  const bool has_other_share = maybe_at_work_ != news.maybe_at_work;
+  maybe_at_work_ = news.maybe_at_work;
+  TellQuotasOfFleet(ReadBootClock());
+  if (has_other_share) {
+    pool_.TrimIdle();
+  }
+}
+
+}  // namespace cuminswitch
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -15,39 +15,9 @@
 
 static constexpr duration kRegistrationRetry = std::chrono::milliseconds(700);
 static constexpr duration kRolloutInterval = std::chrono::milliseconds(50);
-/// What a leader said is being changed counts for so long.
-static constexpr duration kChangingTime = std::chrono::milliseconds(900);
 /// Claims to the lead are spread over this.
 static constexpr uint64_t kClaimSpreadMs = 400;
 
-/// Between two messages on the peers to the edge.
-static constexpr duration kPeersInterval = peer_roster::kBeatInterval / 2;
-
-/// A peer with what decides whether it is used.
-static std::string Describe(const daemon_record& item) {
-  return item.name + "/" + item.caller_address.ToString() +
-         (item.is_ready ? "/ready" : "/not_ready") +
-         (item.is_leaving ? "/leaving" : "");
-}
-
-/// An upstream with what decides whether it is used.
-static std::string Describe(const upstream_entry& item) {
-  std::string text = item.id + "@" + item.address.ToString();
-  for (const weights_version& has : item.weights) {
-    text += "/v" + std::to_string(has.version);
-  }
-  return text + (item.is_draining ? "/draining" : "");
-}
-
-/// Whether \p a and \p b are the same for everybody but those that ask them
-/// for items.
-static bool IsSamePeer(const daemon_record& a, const daemon_record& b) {
-  return a.name == b.name && a.incarnation == b.incarnation &&
-         a.is_ready == b.is_ready && a.is_leaving == b.is_leaving &&
-         a.caller_address == b.caller_address &&
-         a.peer_address == b.peer_address;
-}
-
 fleet_task::fleet_task(event_base* base,
                        const kernel& services,
                        options opts,
@@ -277,51 +247,6 @@
   }
 }
 
-void fleet_task::PublishPeers(time_point now) {
-  if (now - published_peers_at_ < kPeersInterval) {
-    return;
-  }
-  const size_t maybe_at_work = roster_.CountMaybeAtWork(now);
-  if (!roster_.TakeNews(now) && maybe_at_work == published_at_work_) {
-    return;
-  }
-  std::vector<daemon_record> living = roster_.ListLiving(now);
-  published_peers_at_ = now;
-  published_at_work_ = maybe_at_work;
-  NotePeerChanges(living);
-  ChooseFollowers(living);
-  services_.FindPort<fleet_news>(kEdgeService)
-      .Post(peers_changed{.living = living,
-                          .known = roster_.CountKnown(),
-                          .maybe_at_work = maybe_at_work,
-                          .notice_time = roster_.NoticeTime(),
-                          .is_partial = roster_.IsPartial()});
-  published_peers_ = std::move(living);
-}
-
-void fleet_task::NotePeerChanges(std::span<const daemon_record> living) {
-  auto before = published_peers_.begin();
-  auto after = living.begin();
-  while (before != published_peers_.end() || after != living.end()) {
-    const bool is_gone =
-        after == living.end() ||
-        (before != published_peers_.end() && before->name < after->name);
-    const bool is_new = !is_gone && (before == published_peers_.end() ||
-                                     after->name < before->name);
-    if (!is_gone && !is_new && IsSamePeer(*before, *after)) {
-      ++before;
-      ++after;
-      continue;
-    }
-    if (!is_new) {
-      peer_changes_.Remove(Describe(*before++));
-    }
-    if (!is_gone) {
-      peer_changes_.Add(Describe(*after++));
-    }
-  }
-}
-
 void fleet_task::RegisterSelf() {
   const time_point now = ReadBootClock();
   if (is_registered_ || is_registering_ || now < next_registration_ ||
@@ -373,114 +298,6 @@
   feed_.SetFollowing(FollowsStore(options_.self, living));
 }
 
-static void LogKnowledge(event_log& log, const fleet_knowledge& knowledge) {
-  std::string weights;
-  for (const weights_version& item : knowledge.wanted_weights) {
-    weights += (weights.empty() ? "" : " ") + item.model + "=" +
-               std::to_string(item.version);
-  }
-  log.Write(log_class::kBelief,
-            log_line("knowledge_changed")
-                .Add("revision", knowledge.revision)
-                .Add("configuration",
-                     knowledge.plan == nullptr ? 0 : knowledge.plan->version)
-                .Add("weights", weights)
-                .Add("leader", knowledge.leader));
-}
-
-void fleet_task::LogSuspicions() {
-  const std::vector<std::string> suspected = roster_.TakeSuspected();
-  if (!suspected.empty()) {
-    with_.log.Write(log_class::kBelief, log_line("peers_suspected")
-                                            .Add("count", suspected.size())
-                                            .Add("first", suspected.front()));
-  }
-  const uint32_t version = roster_.self_version();
-  if (version != logged_version_) {
-    logged_version_ = version;
-    with_.log.Write(log_class::kBelief,
-                    log_line("own_record_renewed")
-                        .Add("version", version)
-                        .Add("ready", options_.self.is_ready)
-                        .Add("leaving", options_.self.is_leaving));
-  }
-}
-
-void fleet_task::LogListChanges(time_point now) {
-  log_line peers("peers_changed");
-  if (peer_changes_.TakeInto(now, peers)) {
-    with_.log.Write(log_class::kBelief, peers);
-  }
-  log_line upstreams("upstreams_changed");
-  upstreams.Add("revision", feed_.view().revision());
-  if (upstream_changes_.TakeInto(now, upstreams)) {
-    with_.log.Write(log_class::kBelief, upstreams);
-  }
-}
-
-void fleet_task::PublishUpstreams() {
-  std::vector<upstream_change> changes = upstreams_.TakeChanges();
-  const size_t unreadable = upstreams_.unreadable_count();
-  if (changes.empty() && unreadable == published_unreadable_) {
-    return;
-  }
-  published_unreadable_ = unreadable;
-  for (const upstream_change& item : changes) {
-    if (item.before != nullptr) {
-      upstream_changes_.Remove(Describe(*item.before));
-    }
-    if (item.after != nullptr) {
-      upstream_changes_.Add(Describe(*item.after));
-    }
-  }
-  services_.FindPort<fleet_news>(kEdgeService)
-      .Post(upstreams_changed{.changes = std::move(changes),
-                              .unreadable = unreadable,
-                              .revision = feed_.view().revision()});
-}
-
-void fleet_task::Publish(std::shared_ptr<const fleet_knowledge> next) {
-  const bool is_new_plan = knowledge_ == nullptr ||
-                           knowledge_->plan != next->plan ||
-                           knowledge_->wanted_weights != next->wanted_weights;
-  const bool is_other_order = is_new_plan || knowledge_->leader != next->leader;
-  const bool has_other_daemons =
-      knowledge_ == nullptr || knowledge_->daemons != next->daemons;
-  if (!is_other_order && !has_other_daemons &&
-      knowledge_->quarantined == next->quarantined) {
-    return;
-  }
-  knowledge_ = next;
-  if (has_other_daemons) {
-    roster_.SetListed(next->daemons);
-  }
-  if (is_other_order) {
-    LogKnowledge(with_.log, *next);
-  }
-  services_.FindPort<fleet_news>(kEdgeService)
-      .Post(knowledge_changed{.knowledge = std::move(next)});
-  RunRollout(ReadBootClock());
-  if (is_new_plan) {
-    // Peers that the store turns away learn it from here.
-    Announce();
-  }
-}
-
-void fleet_task::PublishChanging() {
-  const time_point now = ReadBootClock();
-  std::vector<std::string> changing;
-  if (election_.IsLeading(now)) {
-    changing = rollout_.ListChanging();
-  } else if (now - leader_changing_at_ < kChangingTime) {
-    changing = leader_changing_;
-  }
-  if (changing != published_changing_) {
-    published_changing_ = changing;
-    services_.FindPort<fleet_news>(kEdgeService)
-        .Post(weights_changing{.upstreams = std::move(changing)});
-  }
-}
-
 void fleet_task::RunRollout(time_point now) {
   if (knowledge_ == nullptr || !feed_.view().HasRead()) {
     return;
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -5,68 +5,10 @@
 #include <utility>
 
 #include "cuminswitch/Support/hash.h"
-#include "cuminswitch/Support/rendezvous.h"
+#include "roster_constants.h"
 
 namespace cuminswitch {
 
-/// Beats sent in one round, so that a daemon's cost stays flat as the fleet
-/// grows; a larger fleet is gone through in turn.
-static constexpr size_t kBeatsPerRound = 16;
-/// A turn that takes more rounds is not gone through: it would last 1.5 s, and
-/// what a peer's requests wait for is forgotten after a second.
-static constexpr size_t kMostRoundsInATurn = 12;
-/// Partners of other failure domains. Beats between domains are the dearer
-/// ones; a few links a daemon join the domains as well as many.
-static constexpr size_t kOtherDomainPartners = 4;
-/// How long a partner is kept. A connection is opened for it, and pays for
-/// itself over this.
-static constexpr duration kPartnerTime = std::chrono::seconds(20);
-/// A partner of which nothing is heard by then is not there.
-static constexpr duration kUnknownPartnerTime = std::chrono::seconds(2);
-/// How often a daemon looks whether those next to it on the ring are watched.
-static constexpr duration kAdoptionInterval = std::chrono::seconds(5);
-/// Where no peer at all was heard for so long this daemon is cut off.
-static constexpr duration kIsolatedAfter = std::chrono::seconds(3);
-/// Beats of a round beside these, to the peers that watch this daemon. Where
-/// half of a fleet is lost at once, one in eight times none of three is left,
-/// and the next ones adopt the daemon.
-static constexpr size_t kWatchers = 3;
-/// A watched peer is suspected after five beats that did not come.
-static constexpr duration kWatchSilence = std::chrono::milliseconds(600);
-/// From when a daemon hears that a peer is suspected until it takes it for
-/// gone. The news reach the peer, and its answer all others, in three rounds.
-static constexpr duration kSuspicionTime = std::chrono::milliseconds(400);
-/// A daemon that was away for longer between two rounds has not read what its
-/// peers sent.
-static constexpr duration kLongestRound = 3 * peer_roster::kBeatInterval;
-/// Peers named in a beat, others each time. The store lists them all, so this
-/// is for the time without it; many beats a second name all peers soon.
-static constexpr size_t kNamedPerBeat = 3;
-/// Partners beaten in one round while there are news of members, and while
-/// there are none. Messages cost more than the bytes in them.
-static constexpr size_t kPartnersWithNews = 8;
-static constexpr size_t kPartnersAtRest = 2;
-/// News of members in one beat.
-static constexpr size_t kMemberNewsPerBeat = 48;
-/// Peers that are told something out of turn.
-static constexpr size_t kMostReachable = 96;
-/// A peer that was not heard for so long is tried rarely, where one round
-/// reaches all.
-static constexpr duration kSilentAfter = std::chrono::seconds(2);
-static constexpr duration kSilentInterval = std::chrono::seconds(1);
-/// Between two beats to one peer out of turn. All of a fleet that starts at
-/// once beat the same few seeds.
-static constexpr duration kAnswerInterval = std::chrono::milliseconds(300);
-/// An address that only others named is forgotten after so long in silence.
-static constexpr duration kForgetAfter = std::chrono::seconds(10);
-/// News of an end or a return reach all in less, whatever the fleet's size.
-static constexpr duration kLongestNotice = std::chrono::seconds(4);
-
-/// A daemon that was silent for longer is taken for gone for good: one that is
-/// killed is back within seconds, and a cut between hosts that lasts longer is
-/// an outage that operators know of.
-static constexpr duration kMaybeAtWorkTime = std::chrono::seconds(60);
-
 /// What decides which of two statements on one daemon is the later one. To be
 /// suspected counts for the version that is suspected, and not for the next.
 static auto OrderOf(const daemon_record& record, bool is_suspected) {
@@ -239,26 +181,6 @@
   }
 }
 
-std::vector<std::pair<uint64_t, peer_roster::peer*>> peer_roster::ListOnRing(
-    time_point now,
-    bool is_backward) {
-  const uint64_t self = Hash64(options_.self_name);
-  std::vector<std::pair<uint64_t, peer*>> ring;
-  for (auto& [name, item] : peers_) {
-    if (IsLiving(now, item) && !item.suspected_at) {
-      const uint64_t distance =
-          is_backward ? self - item.name_hash : item.name_hash - self;
-      ring.emplace_back(distance, &item);
-    }
-  }
-  const size_t count = std::min(ring.size(), kWatchers);
-  std::partial_sort(ring.begin(),
-                    ring.begin() + static_cast<std::ptrdiff_t>(count),
-                    ring.end());
-  ring.resize(count);
-  return ring;
-}
-
 void peer_roster::AdoptOrphans(time_point now) {
   const bool is_due = IsPartial() && now >= next_adoption_;
   if (!IsLarge() || (!must_adopt_ && !is_due)) {
@@ -291,191 +213,6 @@
   return news;
 }
 
-void peer_roster::ChooseWatchers(time_point now,
-                                 std::vector<endpoint>& targets) {
-  if (!std::exchange(must_choose_watchers_, false)) {
-    return;
-  }
-  std::set<endpoint> chosen;
-  if (IsLarge()) {
-    for (const auto& [distance, item] : ListOnRing(now, false)) {
-      chosen.insert(item->record.peer_address);
-    }
-  }
-  for (const endpoint& former : watchers_) {
-    if (!chosen.contains(former)) {
-      targets.push_back(former);
-    }
-  }
-  watchers_ = std::move(chosen);
-}
-
-void peer_roster::BeginTurn(time_point now) {
-  std::erase_if(addresses_, [&](const auto& item) {
-    const address_state& state = item.second;
-    const bool lives = state.owner != nullptr && IsLiving(now, *state.owner);
-    return !state.is_listed && !lives &&
-           now - std::max(state.heard_at, state.named_at) > kForgetAfter;
-  });
-  const uint64_t key =
-      CombineHash(Hash64(options_.self_address.ToString()), ++turn_number_);
-  std::vector<std::pair<uint64_t, endpoint>> order;
-  order.reserve(addresses_.size());
-  for (const auto& [address, state] : addresses_) {
-    order.emplace_back(
-        RendezvousWeight(key, Hash64(address.address, address.port)), address);
-  }
-  // Each daemon in an order of its own, so that no peer is beaten by all in the
-  // same moment, and news spread in all directions.
-  std::sort(order.begin(), order.end());
-  turn_.clear();
-  for (auto& [weight, address] : order) {
-    turn_.push_back(std::move(address));
-  }
-}
-
-std::vector<endpoint> peer_roster::ChooseTargets(time_point now) {
-  SuspectSilent(now);
-  std::vector<endpoint> chosen;
-  ChooseWatchers(now, chosen);
-  chosen.insert(chosen.end(), watchers_.begin(), watchers_.end());
-  if (IsPartial()) {
-    RenewPartners(now);
-    const size_t count =
-        std::min(partners_.size(),
-                 bulletin_.IsEmpty() ? kPartnersAtRest : kPartnersWithNews);
-    for (size_t i = 0; i < count; ++i) {
-      const endpoint& address =
-          partners_[next_partner_++ % partners_.size()].address;
-      if (!watchers_.contains(address)) {
-        chosen.push_back(address);
-      }
-    }
-    return chosen;
-  }
-  const size_t others = chosen.size() + kBeatsPerRound;
-  if (!IsLarge() || turn_.empty()) {
-    BeginTurn(now);
-  }
-  while (!turn_.empty() && chosen.size() < others) {
-    const endpoint next = std::move(turn_.back());
-    turn_.pop_back();
-    const auto found = addresses_.find(next);
-    if (found == addresses_.end() || watchers_.contains(next)) {
-      continue;
-    }
-    address_state& state = found->second;
-    if (state.known_at == time_point()) {
-      state.known_at = now;
-    }
-    const bool is_silent = now - state.heard_at > kSilentAfter;
-    if (!is_silent || now - state.tried_at >= kSilentInterval) {
-      state.tried_at = now;
-      chosen.push_back(next);
-    }
-  }
-  return chosen;
-}
-
-bool peer_roster::MayBePartner(time_point now,
-                               const address_state& state,
-                               time_point since) const {
-  if (state.owner != nullptr) {
-    return IsLiving(now, *state.owner);
-  }
-  return now - since < kUnknownPartnerTime;
-}
-
-void peer_roster::RenewPartners(time_point now) {
-  std::erase_if(partners_, [&](const partner& item) {
-    const auto found = addresses_.find(item.address);
-    return found == addresses_.end() ||
-           !MayBePartner(now, found->second, item.since);
-  });
-  if (now >= next_renewal_ && partners_.size() == kBeatsPerRound) {
-    next_renewal_ = now + kPartnerTime / kBeatsPerRound;
-    partners_.erase(partners_.begin());
-  }
-  if (partners_.size() < kBeatsPerRound) {
-    FindPartners(now);
-  }
-}
-
-void peer_roster::FindPartners(time_point now) {
-  if (turn_.empty()) {
-    BeginTurn(now);
-  }
-  const size_t most_others = own_domain_living_ >= kBeatsPerRound
-                                 ? kOtherDomainPartners
-                                 : kBeatsPerRound;
-  auto others = static_cast<size_t>(std::count_if(
-      partners_.begin(), partners_.end(),
-      [](const partner& item) { return !item.is_of_own_domain; }));
-  while (!turn_.empty() && partners_.size() < kBeatsPerRound) {
-    const endpoint next = std::move(turn_.back());
-    turn_.pop_back();
-    const auto found = addresses_.find(next);
-    if (found == addresses_.end()) {
-      continue;
-    }
-    address_state& state = found->second;
-    if (state.known_at == time_point()) {
-      state.known_at = now;
-    }
-    const bool is_known =
-        std::any_of(partners_.begin(), partners_.end(),
-                    [&](const partner& item) { return item.address == next; });
-    const bool is_own =
-        state.owner != nullptr &&
-        state.owner->record.failure_domain == options_.self_domain;
-    // One that was tried in vain has its time again in the next turn.
-    const bool was_tried =
-        state.owner == nullptr && now - state.tried_at < kForgetAfter;
-    if (is_known || was_tried || (!is_own && others >= most_others) ||
-        !MayBePartner(now, state, now)) {
-      continue;
-    }
-    state.tried_at = now;
-    others += is_own ? 0 : 1;
-    partners_.push_back(
-        {.address = next, .since = now, .is_of_own_domain = is_own});
-  }
-}
-
-bool peer_roster::TakeAnswerTurn(time_point now, const endpoint& address) {
-  address_state& state = addresses_[address];
-  if (now - state.tried_at < kAnswerInterval) {
-    return false;
-  }
-  state.tried_at = now;
-  return true;
-}
-
-std::vector<endpoint> peer_roster::ListReachable(time_point now) const {
-  if (IsPartial()) {
-    std::vector<endpoint> reachable(watchers_.begin(), watchers_.end());
-    for (const partner& item : partners_) {
-      reachable.push_back(item.address);
-    }
-    return reachable;
-  }
-  std::vector<std::pair<uint64_t, endpoint>> list;
-  const uint64_t key = Hash64(options_.self_address.ToString(), turn_number_);
-  for (const auto& [address, state] : addresses_) {
-    if (now - state.heard_at <= kSilentAfter) {
-      list.emplace_back(
-          RendezvousWeight(key, Hash64(address.address, address.port)),
-          address);
-    }
-  }
-  std::sort(list.begin(), list.end());
-  std::vector<endpoint> reachable;
-  for (size_t i = 0; i < std::min(list.size(), kMostReachable); ++i) {
-    reachable.push_back(std::move(list[i].second));
-  }
-  return reachable;
-}
-
 duration peer_roster::Horizon() const {
   const size_t rounds = std::max<size_t>(
       1, (addresses_.size() + kBeatsPerRound - 1) / kBeatsPerRound);
@@ -562,26 +299,6 @@
   return named;
 }
 
-const daemon_record* peer_roster::FindAhead(time_point now,
-                                            revision_number revision,
-                                            uint64_t turn) const {
-  const uint64_t key = Hash64(options_.self_name, turn);
-  const auto rank = [&](const peer& item) {
-    return std::tuple(item.record.has_store,
-                      item.record.failure_domain == options_.self_domain,
-                      RendezvousWeight(key, item.name_hash));
-  };
-  const peer* best = nullptr;
-  for (const auto& [name, item] : peers_) {
-    const bool is_ahead =
-        IsLiving(now, item) && item.record.revision > revision;
-    if (is_ahead && (best == nullptr || rank(item) > rank(*best))) {
-      best = &item;
-    }
-  }
-  return best == nullptr ? nullptr : &best->record;
-}
-
 size_t peer_roster::CountMaybeAtWork(time_point now) const {
   return 1 +
          std::count_if(
--- /dev/null
+++ b/lib/Fleet/peer_targets.cc
@@ -0,0 +1,238 @@
+// Whom a daemon beats, tells and asks.
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "cuminswitch/Fleet/peer_roster.h"
+#include "cuminswitch/Support/hash.h"
+#include "cuminswitch/Support/rendezvous.h"
+#include "roster_constants.h"
+
+namespace cuminswitch {
+
+std::vector<std::pair<uint64_t, peer_roster::peer*>> peer_roster::ListOnRing(
+    time_point now,
+    bool is_backward) {
+  const uint64_t self = Hash64(options_.self_name);
+  std::vector<std::pair<uint64_t, peer*>> ring;
+  for (auto& [name, item] : peers_) {
+    if (IsLiving(now, item) && !item.suspected_at) {
+      const uint64_t distance =
+          is_backward ? self - item.name_hash : item.name_hash - self;
+      ring.emplace_back(distance, &item);
+    }
+  }
+  const size_t count = std::min(ring.size(), kWatchers);
+  std::partial_sort(ring.begin(),
+                    ring.begin() + static_cast<std::ptrdiff_t>(count),
+                    ring.end());
+  ring.resize(count);
+  return ring;
+}
+
+void peer_roster::ChooseWatchers(time_point now,
+                                 std::vector<endpoint>& targets) {
+  if (!std::exchange(must_choose_watchers_, false)) {
+    return;
+  }
+  std::set<endpoint> chosen;
+  if (IsLarge()) {
+    for (const auto& [distance, item] : ListOnRing(now, false)) {
+      chosen.insert(item->record.peer_address);
+    }
+  }
+  for (const endpoint& former : watchers_) {
+    if (!chosen.contains(former)) {
+      targets.push_back(former);
+    }
+  }
+  watchers_ = std::move(chosen);
+}
+
+void peer_roster::BeginTurn(time_point now) {
+  std::erase_if(addresses_, [&](const auto& item) {
+    const address_state& state = item.second;
+    const bool lives = state.owner != nullptr && IsLiving(now, *state.owner);
+    return !state.is_listed && !lives &&
+           now - std::max(state.heard_at, state.named_at) > kForgetAfter;
+  });
+  const uint64_t key =
+      CombineHash(Hash64(options_.self_address.ToString()), ++turn_number_);
+  std::vector<std::pair<uint64_t, endpoint>> order;
+  order.reserve(addresses_.size());
+  for (const auto& [address, state] : addresses_) {
+    order.emplace_back(
+        RendezvousWeight(key, Hash64(address.address, address.port)), address);
+  }
+  // Each daemon in an order of its own, so that no peer is beaten by all in the
+  // same moment, and news spread in all directions.
+  std::sort(order.begin(), order.end());
+  turn_.clear();
+  for (auto& [weight, address] : order) {
+    turn_.push_back(std::move(address));
+  }
+}
+
+std::vector<endpoint> peer_roster::ChooseTargets(time_point now) {
+  SuspectSilent(now);
+  std::vector<endpoint> chosen;
+  ChooseWatchers(now, chosen);
+  chosen.insert(chosen.end(), watchers_.begin(), watchers_.end());
+  if (IsPartial()) {
+    RenewPartners(now);
+    const size_t count =
+        std::min(partners_.size(),
+                 bulletin_.IsEmpty() ? kPartnersAtRest : kPartnersWithNews);
+    for (size_t i = 0; i < count; ++i) {
+      const endpoint& address =
+          partners_[next_partner_++ % partners_.size()].address;
+      if (!watchers_.contains(address)) {
+        chosen.push_back(address);
+      }
+    }
+    return chosen;
+  }
+  const size_t others = chosen.size() + kBeatsPerRound;
+  if (!IsLarge() || turn_.empty()) {
+    BeginTurn(now);
+  }
+  while (!turn_.empty() && chosen.size() < others) {
+    const endpoint next = std::move(turn_.back());
+    turn_.pop_back();
+    const auto found = addresses_.find(next);
+    if (found == addresses_.end() || watchers_.contains(next)) {
+      continue;
+    }
+    address_state& state = found->second;
+    if (state.known_at == time_point()) {
+      state.known_at = now;
+    }
+    const bool is_silent = now - state.heard_at > kSilentAfter;
+    if (!is_silent || now - state.tried_at >= kSilentInterval) {
+      state.tried_at = now;
+      chosen.push_back(next);
+    }
+  }
+  return chosen;
+}
+
+bool peer_roster::MayBePartner(time_point now,
+                               const address_state& state,
+                               time_point since) const {
+  if (state.owner != nullptr) {
+    return IsLiving(now, *state.owner);
+  }
+  return now - since < kUnknownPartnerTime;
+}
+
+void peer_roster::RenewPartners(time_point now) {
+  std::erase_if(partners_, [&](const partner& item) {
+    const auto found = addresses_.find(item.address);
+    return found == addresses_.end() ||
+           !MayBePartner(now, found->second, item.since);
+  });
+  if (now >= next_renewal_ && partners_.size() == kBeatsPerRound) {
+    next_renewal_ = now + kPartnerTime / kBeatsPerRound;
+    partners_.erase(partners_.begin());
+  }
+  if (partners_.size() < kBeatsPerRound) {
+    FindPartners(now);
+  }
+}
+
+void peer_roster::FindPartners(time_point now) {
+  if (turn_.empty()) {
+    BeginTurn(now);
+  }
+  const size_t most_others = own_domain_living_ >= kBeatsPerRound
+                                 ? kOtherDomainPartners
+                                 : kBeatsPerRound;
+  auto others = static_cast<size_t>(std::count_if(
+      partners_.begin(), partners_.end(),
+      [](const partner& item) { return !item.is_of_own_domain; }));
+  while (!turn_.empty() && partners_.size() < kBeatsPerRound) {
+    const endpoint next = std::move(turn_.back());
+    turn_.pop_back();
+    const auto found = addresses_.find(next);
+    if (found == addresses_.end()) {
+      continue;
+    }
+    address_state& state = found->second;
+    if (state.known_at == time_point()) {
+      state.known_at = now;
+    }
+    const bool is_known =
+        std::any_of(partners_.begin(), partners_.end(),
+                    [&](const partner& item) { return item.address == next; });
+    const bool is_own =
+        state.owner != nullptr &&
+        state.owner->record.failure_domain == options_.self_domain;
+    // One that was tried in vain has its time again in the next turn.
+    const bool was_tried =
+        state.owner == nullptr && now - state.tried_at < kForgetAfter;
+    if (is_known || was_tried || (!is_own && others >= most_others) ||
+        !MayBePartner(now, state, now)) {
+      continue;
+    }
+    state.tried_at = now;
+    others += is_own ? 0 : 1;
+    partners_.push_back(
+        {.address = next, .since = now, .is_of_own_domain = is_own});
+  }
+}
+
+bool peer_roster::TakeAnswerTurn(time_point now, const endpoint& address) {
+  address_state& state = addresses_[address];
+  if (now - state.tried_at < kAnswerInterval) {
+    return false;
+  }
+  state.tried_at = now;
+  return true;
+}
+
+std::vector<endpoint> peer_roster::ListReachable(time_point now) const {
+  if (IsPartial()) {
+    std::vector<endpoint> reachable(watchers_.begin(), watchers_.end());
+    for (const partner& item : partners_) {
+      reachable.push_back(item.address);
+    }
+    return reachable;
+  }
+  std::vector<std::pair<uint64_t, endpoint>> list;
+  const uint64_t key = Hash64(options_.self_address.ToString(), turn_number_);
+  for (const auto& [address, state] : addresses_) {
+    if (now - state.heard_at <= kSilentAfter) {
+      list.emplace_back(
+          RendezvousWeight(key, Hash64(address.address, address.port)),
+          address);
+    }
+  }
+  std::sort(list.begin(), list.end());
+  std::vector<endpoint> reachable;
+  for (size_t i = 0; i < std::min(list.size(), kMostReachable); ++i) {
+    reachable.push_back(std::move(list[i].second));
+  }
+  return reachable;
+}
+
+const daemon_record* peer_roster::FindAhead(time_point now,
+                                            revision_number revision,
+                                            uint64_t turn) const {
+  const uint64_t key = Hash64(options_.self_name, turn);
+  const auto rank = [&](const peer& item) {
+    return std::tuple(item.record.has_store,
+                      item.record.failure_domain == options_.self_domain,
+                      RendezvousWeight(key, item.name_hash));
+  };
+  const peer* best = nullptr;
+  for (const auto& [name, item] : peers_) {
+    const bool is_ahead =
+        IsLiving(now, item) && item.record.revision > revision;
+    if (is_ahead && (best == nullptr || rank(item) > rank(*best))) {
+      best = &item;
+    }
+  }
+  return best == nullptr ? nullptr : &best->record;
+}
+
+}  // namespace cuminswitch
