Tell of members once they serve, and beat one partner a round at rest

Cause: in a fleet that starts each of 986 daemons was news twice, when it was first heard and when it became ready: by count 2.6 MB of member records sent by each daemon within seconds, as much as all items that it learns.

Change: what does not serve yet is told to nobody; departures are told 24 times, like suspicions. One partner a round at rest in place of two.

--- a/include/cuminswitch/Fleet/member_bulletin.h
+++ b/include/cuminswitch/Fleet/member_bulletin.h
@@ -20,13 +20,13 @@
 /// not depend on the size.
 class member_bulletin {
  public:
-  /// Times that one daemon tells of a member that lives. With twelve, one
-  /// daemon in 160,000 hears nothing of it, and hears the member itself in its
-  /// turn.
+  /// Times that one daemon tells of a member that serves. With twelve, one
+  /// daemon in 160,000 hears nothing of it at first, and is told in turn.
   static constexpr size_t kTellings = 12;
-  /// Times that one daemon tells of a member that is suspected. Half of those
-  /// that are told may have died with it, and its own beats do not come.
-  static constexpr size_t kSuspicionTellings = 24;
+  /// Times that one daemon tells of a member that is suspected or leaves.
+  /// Callers must not be sent there. Half of those that are told may have died
+  /// with it.
+  static constexpr size_t kDepartureTellings = 24;
 
   /// Takes in \p news in place of what is kept of that member.
   void Add(const member_news& news);
--- a/lib/Fleet/member_bulletin.cc
+++ b/lib/Fleet/member_bulletin.cc
@@ -23,8 +23,10 @@
     const auto found = kept_.find(item.second);
     news.push_back(found->second.news);
     order_.erase(item);
-    const size_t most =
-        found->second.news.is_suspected ? kSuspicionTellings : kTellings;
+    const member_news& told = found->second.news;
+    const size_t most = told.is_suspected || told.record.is_leaving
+                            ? kDepartureTellings
+                            : kTellings;
     if (++found->second.tellings < most) {
       order_.emplace(found->second.tellings, item.second);
     } else {
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -61,6 +61,7 @@
   if (sender.incarnation < known.record.incarnation) {
     return false;
   }
+  const bool was_serving = known.record.is_ready;
   const bool is_late = sender.incarnation == known.record.incarnation &&
                        sender.version < known.record.version;
   const bool is_news =
@@ -94,7 +95,8 @@
   if (is_news) {
     has_news_ = true;
     must_choose_watchers_ = true;
-    if (IsLarge()) {
+    // Nobody needs to know of one that does not serve yet.
+    if (IsLarge() && (sender.is_ready || was_serving)) {
       bulletin_.Add({.record = sender});
     }
   }
--- a/lib/Fleet/roster_constants.h
+++ b/lib/Fleet/roster_constants.h
@@ -45,7 +45,7 @@
 /// Partners beaten in one round while there are news of members, and while
 /// there are none. Messages cost more than the bytes in them.
 inline constexpr size_t kPartnersWithNews = 8;
-inline constexpr size_t kPartnersAtRest = 2;
+inline constexpr size_t kPartnersAtRest = 1;
 /// News of members in one beat.
 inline constexpr size_t kMemberNewsPerBeat = 48;
 /// Peers that are told something out of turn.
