--- a/utils/regression.sh
+++ b/utils/regression.sh
@@ -21,6 +21,8 @@
 # The latest deployments first; the large one stands in the place of the two
 # first ones.
 set_of_sites=(
+  demands/trz-roam-grown
+  demands/socios-quito-grown
   shifted/skzp-objednavky-now-grown
   large/skzp-objednavky-large
   further/shelterline-kgn
