--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -59,10 +59,11 @@
       target.history.erase(target.history.begin());
     }
   }
-  for (auto& [name, target] : by_target_) {
+  for (auto& item : by_target_) {
+    target_replicas& target = item.second;
     const bool is_listed = std::any_of(
         models.begin(), models.end(),
-        [&](const model_spec& model) { return model.name == name; });
+        [&](const model_spec& model) { return model.name == item.first; });
     if (!is_listed && !target.history.empty()) {
       target.version.clear();
       target.history.clear();
--- a/unittests/Fleet/item_view_test.cc
+++ b/unittests/Fleet/item_view_test.cc
@@ -95,6 +95,7 @@
 TEST(item_view_test, ListsNewsFromHoweverFarBack) {
   item_view view;
   std::vector<item_change> changes;
+  changes.reserve(9000);
   for (int i = 0; i < 9000; ++i) {
     changes.push_back(
         Put("key" + std::to_string(i), "1", 1 + static_cast<uint64_t>(i) / 3));
--- a/unittests/Fleet/upstream_directory_test.cc
+++ b/unittests/Fleet/upstream_directory_test.cc
@@ -21,7 +21,7 @@
 class upstream_directory_test : public testing::Test {
  protected:
   /// Lists \p entries and nothing else, in any order, as the store would.
-  void List(std::vector<upstream_entry> entries,
+  void List(const std::vector<upstream_entry>& entries,
             time_point now = kNow,
             time_point awaits_until = kNow) {
     ids listed;
@@ -141,6 +141,7 @@
 
 TEST_F(upstream_directory_test, TellsOnlyWhatChanged) {
   std::vector<upstream_entry> fleet;
+  fleet.reserve(500);
   for (int i = 0; i < 500; ++i) {
     fleet.push_back({.id = "e" + std::to_string(i),
                      .service = "s",
