Be patient with daemons that start, and keep beats in their failure domain

Change: a daemon in its first 15 s is suspected after 2 s of silence; two of its three watchers are of its own failure domain; in a partial fleet a daemon asks one of its own domain for items, before one that has the store. A daemon that never renewed its record, as those of earlier releases, is not adopted.

--- a/include/cuminswitch/Fleet/member_bulletin.h
+++ b/include/cuminswitch/Fleet/member_bulletin.h
@@ -20,9 +20,9 @@
 /// not depend on the size.
 class member_bulletin {
  public:
-  /// Times that one daemon tells of a member that serves. With twelve, one
-  /// daemon in 160,000 hears nothing of it at first, and is told in turn.
-  static constexpr size_t kTellings = 12;
+  /// Times that one daemon tells of a member that serves. With sixteen, one
+  /// daemon in nine million hears nothing of it at first, and is told in turn.
+  static constexpr size_t kTellings = 16;
   /// Times that one daemon tells of a member that is suspected or leaves.
   /// Callers must not be sent there. Half of those that are told may have died
   /// with it.
--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -102,10 +102,12 @@
   }
 
   /// Returns a living peer that knows more than \p revision, or null. One that
-  /// has the store comes first, then one in the own failure domain; among
-  /// equals \p turn decides, and each daemon's turns differ. When all asked the
-  /// one that knew most, it handed a fleet's whole list on to everybody: at 300
-  /// hosts and 3,000 upstreams 2.9 MB/s, most of it to other failure domains.
+  /// has the store comes first, then one in the own failure domain; the other
+  /// way round in a fleet where each domain passes on what its own followers
+  /// know. Among equals \p turn decides, and each daemon's turns differ. When
+  /// all asked the one that knew most, it handed a fleet's whole list on to
+  /// everybody: at 300 hosts and 3,000 upstreams 2.9 MB/s, most of it to other
+  /// failure domains.
   const daemon_record* FindAhead(time_point now,
                                  revision_number revision,
                                  uint64_t turn) const;
@@ -126,6 +128,8 @@
     time_point known_at{};
     /// When it was last heard itself.
     time_point heard_at{};
+    /// When its present incarnation was first known.
+    time_point began_at{};
     /// It counts on this daemon to watch it.
     bool is_watched = false;
     /// Since when it is suspected, unless it has shown that it lives.
@@ -174,11 +178,15 @@
   /// Watches those whose watchers have all died together with them, and who
   /// cannot ask for it.
   void AdoptOrphans(time_point now);
-  /// The peers that live and are not suspected, with their distance from this
-  /// daemon on a ring that all daemons agree on, in the direction of those that
-  /// watch it or of those that it is to watch.
-  std::vector<std::pair<uint64_t, peer*>> ListOnRing(time_point now,
-                                                     bool is_backward);
+  /// In which direction of a ring of all daemons, on which they agree: those
+  /// that watch this one, or those that it watches.
+  enum class ring_side : uint8_t { kWatchers, kWatched };
+  /// Returns the \p count peers next to this daemon that live, are not
+  /// suspected and are, or are not, of its failure domain.
+  std::vector<peer*> ListNext(time_point now,
+                              ring_side side,
+                              bool is_of_own_domain,
+                              size_t count);
   void Suspect(time_point now, peer& item);
   /// Chooses anew who watches this daemon; adds those that cease to \p targets,
   /// so that they learn it.
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -81,6 +81,9 @@
       known.has_contradicted = false;
     }
     known.suspected_at.reset();
+    if (known.record.incarnation != sender.incarnation) {
+      known.began_at = now;
+    }
     known.record = sender;
     known.name_hash = Hash64(sender.name);
     known.is_watched = beat.is_watched;
@@ -133,6 +136,9 @@
     return;
   }
   const revision_number revision = item.record.revision;
+  if (item.record.incarnation != record.incarnation) {
+    item.began_at = now;
+  }
   item.record = record;
   item.record.revision = revision;
   item.name_hash = Hash64(record.name);
@@ -174,7 +180,9 @@
   std::vector<peer*> silent;
   for (const auto& [name, since] : watched_) {
     peer& item = peers_.find(name)->second;
-    if (now - std::max({item.heard_at, since, awake_since_}) > kWatchSilence) {
+    const duration most =
+        now - item.began_at < kStartTime ? kWatchSilenceAtStart : kWatchSilence;
+    if (now - std::max({item.heard_at, since, awake_since_}) > most) {
       silent.push_back(&item);
     }
   }
@@ -190,8 +198,13 @@
   }
   must_adopt_ = false;
   next_adoption_ = now + kAdoptionInterval;
-  for (const auto& [distance, item] : ListOnRing(now, true)) {
-    watched_.try_emplace(item->record.name, now);
+  for (const peer* item :
+       ListNext(now, ring_side::kWatched, true, kOwnDomainWatchers)) {
+    // One that never said anything new of itself may be of a release whose
+    // daemons are not watched.
+    if (item->record.version > 0) {
+      watched_.try_emplace(item->record.name, now);
+    }
   }
 }
 
--- a/lib/Fleet/peer_targets.cc
+++ b/lib/Fleet/peer_targets.cc
@@ -10,24 +10,30 @@
 
 namespace cuminswitch {
 
-std::vector<std::pair<uint64_t, peer_roster::peer*>> peer_roster::ListOnRing(
-    time_point now,
-    bool is_backward) {
+std::vector<peer_roster::peer*> peer_roster::ListNext(time_point now,
+                                                      ring_side side,
+                                                      bool is_of_own_domain,
+                                                      size_t count) {
   const uint64_t self = Hash64(options_.self_name);
   std::vector<std::pair<uint64_t, peer*>> ring;
   for (auto& [name, item] : peers_) {
-    if (IsLiving(now, item) && !item.suspected_at) {
-      const uint64_t distance =
-          is_backward ? self - item.name_hash : item.name_hash - self;
-      ring.emplace_back(distance, &item);
+    const bool is_own = item.record.failure_domain == options_.self_domain;
+    if (is_own == is_of_own_domain && IsLiving(now, item) &&
+        !item.suspected_at) {
+      ring.emplace_back(side == ring_side::kWatched ? self - item.name_hash
+                                                    : item.name_hash - self,
+                        &item);
     }
   }
-  const size_t count = std::min(ring.size(), kWatchers);
+  count = std::min(ring.size(), count);
   std::partial_sort(ring.begin(),
                     ring.begin() + static_cast<std::ptrdiff_t>(count),
                     ring.end());
-  ring.resize(count);
-  return ring;
+  std::vector<peer*> next;
+  for (size_t i = 0; i < count; ++i) {
+    next.push_back(ring[i].second);
+  }
+  return next;
 }
 
 void peer_roster::ChooseWatchers(time_point now,
@@ -37,8 +43,13 @@
   }
   std::set<endpoint> chosen;
   if (IsLarge()) {
-    for (const auto& [distance, item] : ListOnRing(now, false)) {
-      chosen.insert(item->record.peer_address);
+    for (const auto& [is_own, count] :
+         {std::pair(true, kOwnDomainWatchers),
+          std::pair(false, kOtherDomainWatchers)}) {
+      for (const peer* item :
+           ListNext(now, ring_side::kWatchers, is_own, count)) {
+        chosen.insert(item->record.peer_address);
+      }
     }
   }
   for (const endpoint& former : watchers_) {
@@ -220,8 +231,10 @@
                                             uint64_t turn) const {
   const uint64_t key = Hash64(options_.self_name, turn);
   const auto rank = [&](const peer& item) {
-    return std::tuple(item.record.has_store,
-                      item.record.failure_domain == options_.self_domain,
+    const bool is_own = item.record.failure_domain == options_.self_domain;
+    const bool has_store = item.record.has_store;
+    return std::tuple(IsPartial() ? is_own : has_store,
+                      IsPartial() ? has_store : is_own,
                       RendezvousWeight(key, item.name_hash));
   };
   const peer* best = nullptr;
--- a/lib/Fleet/roster_constants.h
+++ b/lib/Fleet/roster_constants.h
@@ -27,12 +27,20 @@
 inline constexpr duration kAdoptionInterval = std::chrono::seconds(5);
 /// Where no peer at all was heard for so long this daemon is cut off.
 inline constexpr duration kIsolatedAfter = std::chrono::seconds(3);
-/// Beats of a round beside these, to the peers that watch this daemon. Where
-/// half of a fleet is lost at once, one in eight times none of three is left,
-/// and the next ones adopt the daemon.
-inline constexpr size_t kWatchers = 3;
+/// Beats of a round beside these, to the peers that watch this daemon. Those of
+/// its failure domain are near and cheap to beat; one of another domain is left
+/// when the domain is lost. Where half of a fleet is lost at once, one in eight
+/// times none of the three is left, and the next ones adopt the daemon.
+inline constexpr size_t kOwnDomainWatchers = 2;
+inline constexpr size_t kOtherDomainWatchers = 1;
 /// A watched peer is suspected after five beats that did not come.
 inline constexpr duration kWatchSilence = std::chrono::milliseconds(600);
+/// The same for one that has started just now. It reads the whole list of the
+/// deployment, which takes a small host a second and more; in a fleet that
+/// starts all would suspect one another.
+inline constexpr duration kWatchSilenceAtStart = std::chrono::seconds(2);
+/// How long a daemon counts as started just now.
+inline constexpr duration kStartTime = std::chrono::seconds(15);
 /// From when a daemon hears that a peer is suspected until it takes it for
 /// gone. The news reach the peer, and its answer all others, in three rounds.
 inline constexpr duration kSuspicionTime = std::chrono::milliseconds(400);
--- a/unittests/Fleet/roster_fleet.cc
+++ b/unittests/Fleet/roster_fleet.cc
@@ -18,6 +18,9 @@
   }
   for (host& to : hosts_) {
     for (const host& from : hosts_) {
+      // Long ago, too: none of them has just started.
+      to.roster->OnBeat(now_ - std::chrono::seconds(30),
+                        {.sender = from.record});
       to.roster->OnBeat(now_, {.sender = from.record});
     }
     while (to.roster->TakeMemberNews(now_, {}).size() > 1) {
@@ -54,6 +57,9 @@
     listed.push_back({.name = NameOf(i), .peer_address = AddressOf(i)});
   }
   item.roster->SetListed(listed);
+  // It serves from now on.
+  item.roster->RenewSelf();
+  item.record.version = item.roster->self_version();
   item.is_up = true;
   const duration interval = peer_roster::kBeatInterval;
   rounds_.emplace(now_ + interval * (random_() % 1000) / 1000, number);
