--- /dev/null
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -0,0 +1,177 @@
+// How frames are written.
+#include <flatbuffers/flatbuffers.h>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cuminswitch/Fleet/packed_bytes.h"
+#include "cuminswitch/Fleet/peer_frame.h"
+#include "fleet_generated.h"
+
+namespace cuminswitch {
+
+namespace {
+
+using builder = flatbuffers::FlatBufferBuilder;
+
+/// Writes items as a list of their own.
+builder WriteItems(std::span<const item_change> changes) {
+  builder out;
+  std::vector<flatbuffers::Offset<fleet_wire::item>> items;
+  for (const item_change& change : changes) {
+    const std::string value = change.value.value_or(std::string());
+    items.push_back(fleet_wire::Createitem(
+        out, out.CreateString(change.key),
+        out.CreateVector(reinterpret_cast<const uint8_t*>(value.data()),
+                         value.size()),
+        !change.value.has_value(), change.revision));
+  }
+  out.Finish(fleet_wire::Createitem_list(out, out.CreateVector(items)));
+  return out;
+}
+
+/// Writes a frame's body; returns its type and place.
+class body_writer {
+ public:
+  explicit body_writer(builder& out) : out_(out) {}
+
+  fleet_wire::body type() const { return type_; }
+
+  flatbuffers::Offset<void> operator()(const beat_frame& frame) {
+    type_ = fleet_wire::body_beat;
+    std::vector<std::string> heard;
+    for (const endpoint& item : frame.heard) {
+      heard.push_back(item.ToString());
+    }
+    std::vector<fleet_wire::load> loads;
+    for (const upstream_backlog& item : frame.backlogs) {
+      loads.emplace_back(item.upstream, item.tokens);
+    }
+    std::vector<fleet_wire::prefix> prefixes;
+    for (const placed_prefix& item : frame.prefixes) {
+      prefixes.emplace_back(item.prefix, item.upstream,
+                            static_cast<uint32_t>(item.incarnation),
+                            item.saved_weights);
+    }
+    std::vector<fleet_wire::limit> limits;
+    for (const limit_news& item : frame.limits) {
+      limits.emplace_back(item.upstream, item.rate, item.age.count(),
+                          item.has_ended);
+    }
+    std::vector<fleet_wire::crash> crashes;
+    for (const crash_news& item : frame.quarantine.crashes) {
+      crashes.emplace_back(item.request.high, item.request.low, item.upstream,
+                           item.age.count(), item.took.count());
+    }
+    std::vector<fleet_wire::completion> completions;
+    for (const completion_news& item : frame.quarantine.completions) {
+      completions.emplace_back(item.request.high, item.request.low,
+                               item.age.count());
+    }
+    std::vector<flatbuffers::Offset<fleet_wire::member>> members;
+    for (const member_news& item : frame.members) {
+      members.push_back(WriteMember(item));
+    }
+    const fleet_wire::prompt_mix mix(
+        static_cast<float>(frame.mix.requests),
+        static_cast<float>(frame.mix.prompt_tokens),
+        static_cast<float>(frame.mix.short_read),
+        static_cast<float>(frame.mix.long_read),
+        static_cast<float>(frame.mix.short_held),
+        static_cast<float>(frame.mix.seconds), frame.mix.keeps_engines);
+    const daemon_record& sender = frame.sender;
+    return fleet_wire::Createbeat(
+               out_, out_.CreateString(sender.name), sender.incarnation,
+               out_.CreateString(sender.peer_address.ToString()),
+               out_.CreateString(sender.caller_address.ToString()),
+               out_.CreateString(sender.failure_domain), sender.is_ready,
+               sender.is_leaving, sender.has_store, sender.awaits_entries,
+               sender.revision, out_.CreateVectorOfStrings(heard),
+               out_.CreateVectorOfStrings(frame.changing),
+               out_.CreateVectorOfStructs(loads),
+               out_.CreateVectorOfStructs(prefixes), sender.link_rate, &mix,
+               out_.CreateVectorOfStructs(limits),
+               out_.CreateVectorOfStructs(crashes),
+               out_.CreateVectorOfStructs(completions), sender.version,
+               frame.is_watched, out_.CreateVector(members))
+        .Union();
+  }
+
+  flatbuffers::Offset<void> operator()(const items_request_frame& frame) {
+    type_ = fleet_wire::body_items_request;
+    return fleet_wire::Createitems_request(
+               out_, out_.CreateString(frame.reply_to.ToString()), frame.after)
+        .Union();
+  }
+
+  flatbuffers::Offset<void> operator()(const items_reply_frame& frame) {
+    type_ = fleet_wire::body_items_reply;
+    const builder list = WriteItems(frame.items);
+    const std::span<const uint8_t> bytes(list.GetBufferPointer(),
+                                         list.GetSize());
+    return fleet_wire::Createitems_reply(out_, frame.revision,
+                                         frame.is_complete,
+                                         out_.CreateVector(PackBytes(bytes)),
+                                         static_cast<uint32_t>(bytes.size()))
+        .Union();
+  }
+
+  flatbuffers::Offset<void> operator()(const quota_ask& ask) {
+    type_ = fleet_wire::body_quota_ask;
+    fleet_wire::quota_level told;
+    if (ask.told) {
+      told = {ask.told->owner, ask.told->level, ask.told->age.count()};
+    }
+    return fleet_wire::Createquota_ask(
+               out_, out_.CreateString(ask.from.ToString()), ask.ticket,
+               ask.subject, ask.limit.rate, ask.limit.burst, ask.limit.version,
+               ask.weight, ask.digest, ask.patience.count(),
+               ask.told ? &told : nullptr, ask.is_final,
+               ask.kind == quota_kind::kUpstream, ask.limit_age.count())
+        .Union();
+  }
+
+  flatbuffers::Offset<void> operator()(const quota_verdict& verdict) {
+    type_ = fleet_wire::body_quota_verdict;
+    const fleet_wire::quota_verdict_body body(
+        verdict.ticket, verdict.retry_after.count(), verdict.owner,
+        verdict.level, verdict.share, verdict.is_admitted);
+    return fleet_wire::Createquota_verdict(
+               out_, &body, verdict.kind == quota_kind::kUpstream)
+        .Union();
+  }
+
+ private:
+  flatbuffers::Offset<fleet_wire::member> WriteMember(const member_news& news) {
+    const daemon_record& record = news.record;
+    const auto name = out_.CreateString(record.name);
+    if (news.is_suspected) {
+      return fleet_wire::Createmember(out_, name, record.incarnation,
+                                      record.version, true);
+    }
+    return fleet_wire::Createmember(
+        out_, name, record.incarnation, record.version, false,
+        out_.CreateString(record.peer_address.ToString()),
+        out_.CreateString(record.caller_address.ToString()),
+        out_.CreateString(record.failure_domain), record.link_rate,
+        record.is_ready, record.is_leaving);
+  }
+
+  builder& out_;
+  fleet_wire::body type_ = fleet_wire::body_NONE;
+};
+
+}  // namespace
+
+std::string EncodePeerFrame(const peer_frame& frame) {
+  builder out;
+  body_writer writer(out);
+  const auto body = std::visit(writer, frame);
+  out.Finish(fleet_wire::Createframe(out, writer.type(), body));
+  return {reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize()};
+}
+
+}  // namespace cuminswitch
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -251,5 +251,54 @@
   EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(ask))).has_value());
 }
 
+/// A beat that tells of \p members.
+beat_frame TellsOf(std::vector<member_news> members) {
+  const endpoint address{"10.0.0.1", 7};
+  return {.sender = {.name = "a",
+                     .peer_address = address,
+                     .caller_address = address},
+          .is_watched = true,
+          .members = std::move(members)};
+}
+
+std::optional<peer_frame> SendAndReceive(const beat_frame& beat) {
+  const std::string bytes = EncodePeerFrame(beat);
+  return DecodePeerFrame(
+      {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()});
+}
+
+TEST(peer_frame_test, NewsOfMembersComeBack) {
+  const member_news lives{.record = {.name = "b",
+                                     .incarnation = 5,
+                                     .version = 3,
+                                     .peer_address = {"10.0.0.2", 7},
+                                     .caller_address = {"10.0.0.2", 8},
+                                     .failure_domain = "z",
+                                     .link_rate = 20,
+                                     .is_ready = true}};
+  const member_news silent{
+      .record = {.name = "c", .incarnation = 6, .version = 9},
+      .is_suspected = true};
+  const auto frame = SendAndReceive(TellsOf({lives, silent}));
+  ASSERT_TRUE(frame.has_value());
+  const auto& beat = std::get<beat_frame>(*frame);
+  EXPECT_TRUE(beat.is_watched);
+  ASSERT_EQ(beat.members.size(), 2U);
+  EXPECT_EQ(beat.members[0].record.caller_address, lives.record.caller_address);
+  EXPECT_EQ(beat.members[0].record.version, 3U);
+  EXPECT_TRUE(beat.members[0].record.is_ready);
+  EXPECT_TRUE(beat.members[1].is_suspected);
+  EXPECT_EQ(beat.members[1].record.version, 9U);
+}
+
+// A peer that has gone wrong fills the lists of all others.
+TEST(peer_frame_test, NewsOfMembersWithoutSenseAreRefused) {
+  const member_news nowhere{.record = {.name = "b"}};
+  EXPECT_FALSE(SendAndReceive(TellsOf({nowhere})).has_value());
+  const member_news silent{.record = {.name = "c"}, .is_suspected = true};
+  EXPECT_TRUE(SendAndReceive(TellsOf(std::vector(64, silent))).has_value());
+  EXPECT_FALSE(SendAndReceive(TellsOf(std::vector(65, silent))).has_value());
+}
+
 }  // namespace
 }  // namespace cuminswitch
