--- a/include/cuminswitch/Edge/weights_census.h
+++ b/include/cuminswitch/Edge/weights_census.h
@@ -21,9 +21,12 @@
   void Remove(std::span<const weights_version> held);
   /// The newest version of \p model that any upstream has; 0 for none.
   uint64_t Newest(std::string_view model) const;
+  /// How often the newest version of any model became another one.
+  uint64_t newest_changes() const { return newest_changes_; }
 
  private:
   std::map<std::string, std::map<uint64_t, size_t>, std::less<>> counts_;
+  uint64_t newest_changes_ = 0;
 };
 
 }  // namespace cuminswitch
--- a/lib/Edge/edge_knowledge.cc
+++ b/lib/Edge/edge_knowledge.cc
@@ -1,9 +1,4 @@
 // How the edge takes in what is known of the deployment.
-#include <algorithm>
-#include <map>
-#include <set>
-#include <string>
-#include <string_view>
 #include <vector>
 
 #include "cuminswitch/Edge/edge_task.h"
@@ -49,39 +44,23 @@
 void edge_task::Take(const upstreams_changed& news) {
   const time_point now = ReadBootClock();
   unreadable_upstreams_ = news.unreadable;
+  const uint64_t newest_changes = held_weights_.newest_changes();
   std::vector<upstream_update> updates;
-  std::set<std::string, std::less<>> models;
   for (const upstream_change& change : news.changes) {
     ForgetRestarted(change, news.revision);
     IndexAddress(change);
-    for (const upstream_ref& item : {change.before, change.after}) {
-      for (const weights_version& held :
-           item == nullptr ? std::vector<weights_version>() : item->weights) {
-        models.insert(held.model);
-      }
+    if (change.after != nullptr) {
+      held_weights_.Add(change.after->weights);
+      updates.push_back(TranslateUpstream(*change.after));
+    } else {
+      updates.push_back({.spec = {.name = change.id}, .is_gone = true});
     }
-  }
-  std::map<std::string_view, uint64_t> newest;
-  for (const std::string& model : models) {
-    newest[model] = held_weights_.Newest(model);
-  }
-  for (const upstream_change& change : news.changes) {
     if (change.before != nullptr) {
       held_weights_.Remove(change.before->weights);
     }
-    if (change.after == nullptr) {
-      updates.push_back({.spec = {.name = change.id}, .is_gone = true});
-      continue;
-    }
-    held_weights_.Add(change.after->weights);
-    updates.push_back(TranslateUpstream(*change.after));
   }
   action_list actions;
-  const bool has_newer =
-      std::any_of(newest.begin(), newest.end(), [&](const auto& item) {
-        return held_weights_.Newest(item.first) != item.second;
-      });
-  if (has_newer) {
+  if (held_weights_.newest_changes() != newest_changes) {
     ApplyPlan(now, actions);
   }
   router_.OnUpstreams(now, updates, actions);
--- a/lib/Edge/weights_census.cc
+++ b/lib/Edge/weights_census.cc
@@ -1,9 +1,12 @@
 #include "cuminswitch/Edge/weights_census.h"
 
+#include <iterator>
+
 namespace cuminswitch {
 
 void weights_census::Add(std::span<const weights_version> held) {
   for (const weights_version& item : held) {
+    newest_changes_ += item.version > Newest(item.model) ? 1 : 0;
     ++counts_[item.model][item.version];
   }
 }
@@ -12,9 +15,11 @@
   for (const weights_version& item : held) {
     std::map<uint64_t, size_t>& versions = counts_[item.model];
     const auto found = versions.find(item.version);
-    if (found != versions.end() && --found->second == 0) {
-      versions.erase(found);
+    if (found == versions.end() || --found->second > 0) {
+      continue;
     }
+    newest_changes_ += std::next(found) == versions.end() ? 1 : 0;
+    versions.erase(found);
   }
 }
 
