--- a/unittests/Admission/upstream_limits_test.cc
+++ b/unittests/Admission/upstream_limits_test.cc
@@ -86,6 +86,17 @@
   EXPECT_EQ(news.front().age, std::chrono::seconds(1));
 }
 
+// Where a daemon beats only some of its peers the others never hear of a limit.
+TEST(upstream_limits_test, WhatPeersToldIsPassedOnWithItsAge) {
+  upstream_limits limits;
+  limits.OnNews(At(0),
+                {.upstream = 1, .rate = 4, .age = std::chrono::seconds(2)});
+  const auto news = limits.ListNews(At(1), true);
+  ASSERT_EQ(news.size(), 1U);
+  EXPECT_EQ(news.front().rate, 4);
+  EXPECT_EQ(news.front().age, std::chrono::seconds(3));
+}
+
 TEST(upstream_limits_test, ALimitThatNobodyRenewsEnds) {
   upstream_limits limits;
   limits.OnAnswer(At(0), 1, At(0), Named(5));
