Take addresses out of a turn, and rank them, in one place each

Cause: reading the change again. Choosing targets and finding partners each popped a turn's addresses, looked them up and noted when they were first known; beginning a turn and listing who is reachable each wrote out the same order. A peer's is_watched was written and never read, since the set of watched names holds it; the edge task kept includes of what had moved.

No change of what is decided; an address of a watcher now also has the time at which it was first known. Ruled out: sharing OnPlan's lines with OnConfiguration, which differ in the middle call.

--- a/include/cuminswitch/Fleet/peer_roster.h
+++ b/include/cuminswitch/Fleet/peer_roster.h
@@ -130,8 +130,6 @@
     time_point heard_at{};
     /// When its present incarnation was first known.
     time_point began_at{};
-    /// It counts on this daemon to watch it.
-    bool is_watched = false;
     /// Since when it is suspected, unless it has shown that it lives.
     std::optional<time_point> suspected_at;
     /// It was heard after the present version of it had been suspected.
@@ -150,6 +148,7 @@
     /// Who said that this is its address; null where nobody did.
     const peer* owner = nullptr;
   };
+  using address_map = std::map<endpoint, address_state>;
   struct partner {
     endpoint address;
     time_point since{};
@@ -193,10 +192,13 @@
   void ChooseWatchers(time_point now, std::vector<endpoint>& targets);
   /// Begins a new turn through all addresses.
   void BeginTurn(time_point now);
+  /// Takes the next address that is still known out of the turn; null at the
+  /// turn's end.
+  address_map::value_type* TakeNextInTurn(time_point now);
 
   options options_;
   std::map<std::string, peer> peers_;
-  std::map<endpoint, address_state> addresses_;
+  address_map addresses_;
   member_bulletin bulletin_;
   uint32_t self_version_ = 0;
   /// Those that may not know that they are suspected, by their addresses.
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -1,13 +1,9 @@
 #include "cuminswitch/Edge/edge_task.h"
 
-#include <algorithm>
-#include <map>
-#include <set>
 #include <string_view>
 #include <utility>
 
 #include "cuminswitch/Admission/owner_quota_policy.h"
-#include "cuminswitch/Edge/plan_translator.h"
 #include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Edge/router_settings.h"
 #include "cuminswitch/Fleet/boot_clock.h"
--- a/lib/Fleet/peer_roster.cc
+++ b/lib/Fleet/peer_roster.cc
@@ -86,7 +86,6 @@
     }
     known.record = sender;
     known.name_hash = Hash64(sender.name);
-    known.is_watched = beat.is_watched;
     if (beat.is_watched) {
       watched_.try_emplace(sender.name, now);
     } else {
@@ -164,7 +163,6 @@
 void peer_roster::Suspect(time_point now, peer& item) {
   item.suspected_at = now;
   item.has_contradicted = false;
-  item.is_watched = false;
   watched_.erase(item.record.name);
   must_choose_watchers_ = true;
   newly_suspected_.push_back(item.record.name);
--- a/lib/Fleet/peer_targets.cc
+++ b/lib/Fleet/peer_targets.cc
@@ -10,6 +10,15 @@
 
 namespace cuminswitch {
 
+/// An address with its place in an order.
+using ranked_address = std::pair<uint64_t, endpoint>;
+
+/// The place of \p address in the order that \p key stands for.
+static ranked_address Rank(uint64_t key, const endpoint& address) {
+  return {RendezvousWeight(key, Hash64(address.address, address.port)),
+          address};
+}
+
 std::vector<peer_roster::peer*> peer_roster::ListNext(time_point now,
                                                       ring_side side,
                                                       bool is_of_own_domain,
@@ -69,11 +78,10 @@
   });
   const uint64_t key =
       CombineHash(Hash64(options_.self_address.ToString()), ++turn_number_);
-  std::vector<std::pair<uint64_t, endpoint>> order;
+  std::vector<ranked_address> order;
   order.reserve(addresses_.size());
   for (const auto& [address, state] : addresses_) {
-    order.emplace_back(
-        RendezvousWeight(key, Hash64(address.address, address.port)), address);
+    order.push_back(Rank(key, address));
   }
   // Each daemon in an order of its own, so that no peer is beaten by all in the
   // same moment, and news spread in all directions.
@@ -84,6 +92,22 @@
   }
 }
 
+peer_roster::address_map::value_type* peer_roster::TakeNextInTurn(
+    time_point now) {
+  while (!turn_.empty()) {
+    const auto found = addresses_.find(turn_.back());
+    turn_.pop_back();
+    if (found == addresses_.end()) {
+      continue;
+    }
+    if (found->second.known_at == time_point()) {
+      found->second.known_at = now;
+    }
+    return &*found;
+  }
+  return nullptr;
+}
+
 std::vector<endpoint> peer_roster::ChooseTargets(time_point now) {
   SuspectSilent(now);
   std::vector<endpoint> chosen;
@@ -107,16 +131,14 @@
   if (!IsLarge() || turn_.empty()) {
     BeginTurn(now);
   }
-  while (!turn_.empty() && chosen.size() < others) {
-    const endpoint next = std::move(turn_.back());
-    turn_.pop_back();
-    const auto found = addresses_.find(next);
-    if (found == addresses_.end() || watchers_.contains(next)) {
-      continue;
+  while (chosen.size() < others) {
+    address_map::value_type* item = TakeNextInTurn(now);
+    if (item == nullptr) {
+      break;
     }
-    address_state& state = found->second;
-    if (state.known_at == time_point()) {
-      state.known_at = now;
+    auto& [next, state] = *item;
+    if (watchers_.contains(next)) {
+      continue;
     }
     const bool is_silent = now - state.heard_at > kSilentAfter;
     if (!is_silent || now - state.tried_at >= kSilentInterval) {
@@ -161,17 +183,13 @@
   auto others = static_cast<size_t>(std::count_if(
       partners_.begin(), partners_.end(),
       [](const partner& item) { return !item.is_of_own_domain; }));
-  while (!turn_.empty() && partners_.size() < kBeatsPerRound) {
-    const endpoint next = std::move(turn_.back());
-    turn_.pop_back();
-    const auto found = addresses_.find(next);
-    if (found == addresses_.end()) {
-      continue;
-    }
-    address_state& state = found->second;
-    if (state.known_at == time_point()) {
-      state.known_at = now;
+  while (partners_.size() < kBeatsPerRound) {
+    address_map::value_type* candidate = TakeNextInTurn(now);
+    if (candidate == nullptr) {
+      break;
     }
+    const endpoint& next = candidate->first;
+    address_state& state = candidate->second;
     const bool is_known =
         std::any_of(partners_.begin(), partners_.end(),
                     [&](const partner& item) { return item.address == next; });
@@ -209,13 +227,11 @@
     }
     return reachable;
   }
-  std::vector<std::pair<uint64_t, endpoint>> list;
+  std::vector<ranked_address> list;
   const uint64_t key = Hash64(options_.self_address.ToString(), turn_number_);
   for (const auto& [address, state] : addresses_) {
     if (now - state.heard_at <= kSilentAfter) {
-      list.emplace_back(
-          RendezvousWeight(key, Hash64(address.address, address.port)),
-          address);
+      list.push_back(Rank(key, address));
     }
   }
   std::sort(list.begin(), list.end());
