Tell how stale a daemon's items are, whom it asked, and what is left of its retries

No line told a fleet in which nothing changes from one in which nobody hears the store, who follows the store, or which question to a peer was lost; none told how many retries a daemon had sent in its window, how many it may send, or how large it takes the fleet for.

Each beat now carries the youngest answer of the store that the sender knows of, with the daemon that got it; a peer that knows more proves nothing for the receiver. New lines: store_following, items_stale, items_current, question_unanswered; items_from_peer names the peer and the time it took; attempt_placed of a retry tells the budget. Metrics: cuminswitch_items_stale, cuminswitch_retry_budget, _used, _daemons. No decision changes: the evidence is only told and logged.

--- a/include/cuminswitch/Admission/retry_budget.h
+++ b/include/cuminswitch/Admission/retry_budget.h
@@ -36,10 +36,18 @@
   explicit retry_budget(const options& opts)
       : options_(opts), burst_(opts.burst) {}
 
+  /// What a window allows, and what of that is spent.
+  struct usage {
+    uint32_t retries = 0;
+    double allowed = 0;
+  };
+
   /// Sets how many daemons divide the burst. A smaller fleet gives none back,
   /// since those that left may have spent theirs just now.
   void SetFleetSize(double size);
   void OnFirstAttempt(time_point now);
+  /// Returns the usage as of the last call with a time.
+  usage Usage() const;
   /// Whether a retry is left.
   bool CanSpend(time_point now);
   /// Spends one retry; false when none is left.
--- a/include/cuminswitch/Core/core_status.h
+++ b/include/cuminswitch/Core/core_status.h
@@ -50,6 +50,13 @@
   std::optional<double> rate_limit;
 };
 
+/// The budget of retries for one target, as of its last use.
+struct retry_status {
+  std::string target;
+  uint32_t retries = 0;
+  double allowed = 0;
+};
+
 struct core_status {
   core_counters counters;
   generation_number generation = 0;
@@ -65,6 +72,9 @@
   /// away from upstreams.
   size_t suspected_requests = 0;
   size_t quarantined_requests = 0;
+  std::vector<retry_status> retries;
+  /// Daemons that divide the fleet's retries among them, as this one believes.
+  size_t budget_daemons = 0;
   bool stopping = false;
 };
 
--- a/include/cuminswitch/Edge/edge_metrics.h
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -38,6 +38,7 @@
     uint64_t refused_for_memory = 0;
     uint64_t upstream_connections = 0;
     size_t unreadable_upstreams = 0;
+    bool is_stale = false;
   };
   std::string Write(const sources& from) const;
 
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -114,6 +114,7 @@
   void ForgetRestarted(const upstream_change& change, revision_number revision);
   void Take(const peers_changed& news);
   void Take(const weights_changing& news);
+  void Take(const items_staleness& news) { is_stale_ = news.is_stale; }
   void Take(const peer_placements& news);
   void Take(const peer_limits& news);
   void Take(const peer_quarantine& news);
@@ -180,6 +181,7 @@
   std::map<endpoint, upstream_ref> upstreams_by_address_;
   weights_census held_weights_;
   size_t unreadable_upstreams_ = 0;
+  bool is_stale_ = false;
   std::vector<daemon_record> peers_;
   std::vector<std::string> changing_;
   std::vector<upstream_backlog> told_backlogs_;
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -87,6 +87,10 @@
 struct peer_quarantine {
   quarantine_news news;
 };
+/// Whether it is unknown for a while if the store holds something newer.
+struct items_staleness {
+  bool is_stale = false;
+};
 /// The upstreams whose weights are being changed just now.
 struct weights_changing {
   std::vector<std::string> upstreams;
@@ -95,6 +99,7 @@
                                 upstreams_changed,
                                 peers_changed,
                                 weights_changing,
+                                items_staleness,
                                 peer_placements,
                                 peer_limits,
                                 peer_quarantine,
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -18,6 +18,7 @@
 #include "cuminswitch/Fleet/peer_roster.h"
 #include "cuminswitch/Fleet/quarantine_records.h"
 #include "cuminswitch/Fleet/question_pacer.h"
+#include "cuminswitch/Fleet/staleness_tracker.h"
 #include "cuminswitch/Fleet/upstream_directory.h"
 #include "cuminswitch/Fleet/weights_rollout.h"
 #include "cuminswitch/Kernel/loop_task.h"
@@ -69,6 +70,7 @@
   bool OnFrame(std::span<const uint8_t> frame) override;
   void OnBeat(const beat_frame& beat);
   void OnItemsRequest(const items_request_frame& request);
+  void OnItemsReply(const items_reply_frame& reply);
 
   void OnTick();
   void OnItemsChanged(std::span<const std::string> keys);
@@ -88,6 +90,9 @@
   /// themselves, but not more often than a daemon can work through it: in a
   /// fleet that starts each beat is news.
   void PublishPeers(time_point now);
+  /// Tells the edge and the log when the items become stale, and when they are
+  /// current again.
+  void PublishStaleness(time_point now);
   /// Notes for the log how \p living differs from what was published.
   void NotePeerChanges(std::span<const daemon_record> living);
   /// Tells the log what changed in the lists of peers and upstreams.
@@ -108,6 +113,7 @@
   item_feed feed_;
   leader_election election_;
   weights_rollout rollout_;
+  staleness_tracker staleness_;
   quarantine_records quarantine_records_;
   std::unique_ptr<peer_transport> transport_;
   loop_timer beat_timer_;
@@ -137,6 +143,7 @@
   question_pacer questions_;
   item_list_cache complete_list_;
   time_point next_registration_{};
+  bool is_stale_ = false;
   bool is_registering_ = false;
   bool is_registered_ = false;
   bool was_leading_ = false;
--- a/include/cuminswitch/Fleet/item_feed.h
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cuminswitch/Fleet/item_store.h"
@@ -37,8 +38,13 @@
   /// Whether to follow the store. While it does not, items come from peers.
   void SetFollowing(bool follows);
   bool IsFollowing() const { return is_following_; }
-  /// Takes in items that a peer sent.
-  void OnPeerItems(const items_reply_frame& reply);
+  /// Whom the daemon asked last, and how long ago.
+  struct question {
+    std::string_view peer;
+    duration took{0};
+  };
+  /// Takes in items that a peer sent as the answer to \p asked.
+  void OnPeerItems(const items_reply_frame& reply, const question& asked);
   const item_view& view() const { return view_; }
   /// The changes of the items under \p keys are news to peers.
   void MarkNews(std::span<const std::string> keys);
@@ -46,6 +52,8 @@
   bool IsFresh(time_point now, duration span) const {
     return now - answered_at_ <= span;
   }
+  /// When the store last answered this daemon.
+  time_point answered_at() const { return answered_at_; }
   /// Whether the store's last answer to this daemon was a failure.
   bool IsLost() const { return is_lost_; }
   /// When the store was last lost, and when it was last regained.
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cuminswitch/Fleet/item_view.h"
+#include "cuminswitch/Fleet/staleness_tracker.h"
 #include "cuminswitch/Protocol/core_event.h"
 #include "cuminswitch/Protocol/crash_news.h"
 #include "cuminswitch/Protocol/quota_message.h"
@@ -74,6 +75,8 @@
   /// The receiver is to watch the sender, which beats it in every round.
   bool is_watched = false;
   std::vector<member_news> members;
+  /// When the sender's items were last known to be complete.
+  std::optional<store_evidence> evidence;
 };
 
 /// Asks for what changed after a revision.
--- a/include/cuminswitch/Fleet/question_pacer.h
+++ b/include/cuminswitch/Fleet/question_pacer.h
@@ -4,6 +4,7 @@
 #define CUMINSWITCH_FLEET_QUESTION_PACER_H_
 
 #include <cstdint>
+#include <string>
 
 #include "cuminswitch/Support/time.h"
 
@@ -18,14 +19,20 @@
 class question_pacer {
  public:
   bool MayAsk(time_point now) const;
-  void OnAsked(time_point now);
+  void OnAsked(time_point now, std::string peer);
   void OnAnswered() { is_waiting_ = false; }
+  /// Whether the last question is still without an answer.
+  bool IsWaiting() const { return is_waiting_; }
+  /// Whom the last question went to, and when.
+  const std::string& peer() const { return peer_; }
+  time_point asked_at() const { return asked_at_; }
   /// Questions so far; another peer is asked each time.
   uint64_t turn() const { return turn_; }
 
  private:
   time_point asked_at_{};
   uint64_t turn_ = 0;
+  std::string peer_;
   bool is_waiting_ = false;
 };
 
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -49,6 +49,9 @@
   std::optional<endpoint> cache_sink;
   /// The request's earlier attempts.
   uint32_t earlier_attempts = 0;
+  /// Retries for this target in the present window, and those allowed.
+  uint32_t retries_used = 0;
+  double retries_allowed = 0;
   /// What decided the placement, for the log: the prompt's tokens, those that
   /// are believed to be cached there, and the estimated wait in its queue.
   uint32_t prompt_tokens = 0;
--- a/lib/Admission/retry_budget.cc
+++ b/lib/Admission/retry_budget.cc
@@ -26,8 +26,7 @@
   ++Advance(now).first_attempts;
 }
 
-bool retry_budget::CanSpend(time_point now) {
-  Advance(now);
+retry_budget::usage retry_budget::Usage() const {
   const auto oldest =
       static_cast<size_t>((newest_ + 1) % static_cast<int64_t>(slots_.size()));
   uint32_t first_attempts = 0;
@@ -38,7 +37,14 @@
     first_attempts += i == oldest ? 0 : slots_[i].first_attempts;
     retries += slots_[i].retries;
   }
-  return retries + 1 <= burst_ + options_.share * first_attempts;
+  return {.retries = retries,
+          .allowed = burst_ + options_.share * first_attempts};
+}
+
+bool retry_budget::CanSpend(time_point now) {
+  Advance(now);
+  const usage used = Usage();
+  return used.retries + 1 <= used.allowed;
 }
 
 bool retry_budget::TrySpend(time_point now) {
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -100,6 +100,7 @@
   ++item.runs;
   attempts_[next.id] = item.info.request;
   item.at = stage::kRunning;
+  const retry_budget::usage budget = BudgetOf(item.info.target).Usage();
   out.push_back(dispatch_attempt{
       .request = item.info.request,
       .attempt = next.id,
@@ -113,6 +114,8 @@
       .cache_source = cache.source,
       .cache_sink = cache.sink,
       .earlier_attempts = earlier,
+      .retries_used = budget.retries,
+      .retries_allowed = budget.allowed,
       .prompt_tokens = item.info.prompt_tokens,
       .expected_cached_tokens = chosen.expected_cached_tokens,
       .prefix_origin = ToString(cache.origin),
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -398,6 +398,12 @@
   status.short_part = short_part_;
   status.suspected_requests = quarantine_.size();
   status.quarantined_requests = quarantine_.CountQuarantined();
+  status.budget_daemons = largest_fleet_;
+  for (const auto& [target, budget] : retries_) {
+    const retry_budget::usage used = budget.Usage();
+    status.retries.push_back(
+        {.target = target, .retries = used.retries, .allowed = used.allowed});
+  }
   for (const replica_index index : replicas_.configured()) {
     const replica& item = replicas_[index];
     status.upstreams.push_back(
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -106,6 +106,19 @@
   page.Begin("cuminswitch_retries_total", "counter",
              "Attempts beyond a request's first.");
   page.Add(static_cast<double>(status.counters.retries));
+  page.Begin("cuminswitch_retry_budget_used", "gauge",
+             "Retries in the present window, by target.");
+  for (const retry_status& item : status.retries) {
+    page.Add(item.retries, "target=\"" + item.target + "\"");
+  }
+  page.Begin("cuminswitch_retry_budget", "gauge",
+             "Retries that this daemon may send in a window, by target.");
+  for (const retry_status& item : status.retries) {
+    page.Add(item.allowed, "target=\"" + item.target + "\"");
+  }
+  page.Begin("cuminswitch_retry_budget_daemons", "gauge",
+             "Daemons among which the fleet's part of the budget is divided.");
+  page.Add(static_cast<double>(status.budget_daemons));
   page.Begin("cuminswitch_waiting_requests", "gauge",
              "Requests that wait for an upstream.");
   page.Add(static_cast<double>(status.waiting));
@@ -152,6 +165,9 @@
   page.Begin("cuminswitch_unreadable_upstreams", "gauge",
              "Listed upstreams whose entries cannot be read.");
   page.Add(static_cast<double>(from.unreadable_upstreams));
+  page.Begin("cuminswitch_items_stale", "gauge",
+             "1 while it is unknown if the store holds something newer.");
+  page.Add(from.is_stale ? 1 : 0);
   page.Begin(
       "cuminswitch_held_bytes", "gauge",
       "Bytes held for callers and upstreams that are slow to take them.");
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -104,7 +104,8 @@
        .held_bytes = held_.held(),
        .refused_for_memory = server_ == nullptr ? 0 : server_->refused_count(),
        .upstream_connections = pool_.opened_count(),
-       .unreadable_upstreams = unreadable_upstreams_});
+       .unreadable_upstreams = unreadable_upstreams_,
+       .is_stale = is_stale_});
 }
 
 void edge_task::Receive(edge_message message) {
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -21,6 +21,10 @@
            static_cast<uint64_t>(action.expected_cached_tokens))
       .Add("prefix", action.prefix_origin)
       .Add("expected_queue_ms", action.expected_queue);
+  if (action.earlier_attempts > 0) {
+    line.Add("retries_used", action.retries_used)
+        .Add("retries_allowed", static_cast<uint64_t>(action.retries_allowed));
+  }
   if (action.cache_source) {
     line.Add("copies_from", action.cache_source->ToString());
   }
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -5,6 +5,7 @@
 #include "cuminswitch/Fleet/fleet_task.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
+#include "store_constants.h"
 
 namespace cuminswitch {
 
@@ -60,6 +61,22 @@
   published_peers_ = std::move(living);
 }
 
+void fleet_task::PublishStaleness(time_point now) {
+  staleness_.OnStoreAnswer(feed_.answered_at());
+  const duration staleness = staleness_.Staleness(now);
+  const bool is_stale = feed_.view().HasRead() && staleness > kStoreFresh;
+  if (std::exchange(is_stale_, is_stale) == is_stale) {
+    return;
+  }
+  with_.log.Write(log_class::kBelief,
+                  log_line(is_stale ? "items_stale" : "items_current")
+                      .Add("staleness_ms", staleness)
+                      .Add("revision", feed_.view().revision())
+                      .Add("follows", feed_.IsFollowing()));
+  services_.FindPort<fleet_news>(kEdgeService)
+      .Post(items_staleness{.is_stale = is_stale});
+}
+
 void fleet_task::NotePeerChanges(std::span<const daemon_record> living) {
   auto before = published_peers_.begin();
   auto after = living.begin();
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -43,6 +43,7 @@
                      Hash64(options_.self.name, options_.self.incarnation) %
                      kClaimSpreadMs)},
                 with.store),
+      staleness_(Hash64(options_.self.name)),
       quarantine_records_(
           {.prefix = options_.quarantine_prefix, .author = options_.self.name},
           with.store),
@@ -115,8 +116,7 @@
   } else if (const auto* verdict = std::get_if<quota_verdict>(&*frame)) {
     services_.FindPort<fleet_news>(kEdgeService).Post(*verdict);
   } else {
-    questions_.OnAnswered();
-    feed_.OnPeerItems(std::get<items_reply_frame>(*frame));
+    OnItemsReply(std::get<items_reply_frame>(*frame));
   }
   return true;
 }
@@ -124,6 +124,10 @@
 void fleet_task::OnBeat(const beat_frame& beat) {
   const time_point now = ReadBootClock();
   const bool is_news = roster_.OnBeat(now, beat);
+  if (beat.evidence) {
+    staleness_.OnPeer(now, *beat.evidence,
+                      beat.sender.revision > feed_.view().revision());
+  }
   lapsed_.OnPeer(now, Contact(), beat.sender);
   if (!beat.changing.empty()) {
     leader_changing_ = beat.changing;
@@ -177,8 +181,15 @@
                        .items = view.ListNewsSince(request.after)}));
 }
 
+void fleet_task::OnItemsReply(const items_reply_frame& reply) {
+  questions_.OnAnswered();
+  feed_.OnPeerItems(reply, {.peer = questions_.peer(),
+                            .took = ReadBootClock() - questions_.asked_at()});
+}
+
 void fleet_task::SendBeat(const endpoint& to) {
   const time_point now = ReadBootClock();
+  staleness_.OnStoreAnswer(feed_.answered_at());
   daemon_record self = options_.self;
   self.version = roster_.self_version();
   self.revision = feed_.view().news_revision();
@@ -193,7 +204,8 @@
                   .limits = own_limits_.limits,
                   .quarantine = crash_bulletin_.TakeFor(now, to),
                   .is_watched = roster_.IsWatcher(to),
-                  .members = roster_.TakeMemberNews(now, to)};
+                  .members = roster_.TakeMemberNews(now, to),
+                  .evidence = staleness_.Youngest(now)};
   for (limit_news& item : beat.limits) {
     item.age += now - own_limits_.at;
   }
@@ -215,6 +227,7 @@
   for (const endpoint& to : roster_.ChooseTargets(now)) {
     SendBeat(to);
   }
+  PublishStaleness(now);
   PublishPeers(now);
   AskPeers(now);
   RegisterSelf();
@@ -237,9 +250,16 @@
     return;
   }
   const revision_number revision = feed_.view().revision();
+  if (questions_.IsWaiting()) {
+    with_.log.Write(log_class::kBelief,
+                    log_line("question_unanswered")
+                        .Add("peer", questions_.peer())
+                        .Add("after_ms", now - questions_.asked_at()));
+    questions_.OnAnswered();
+  }
   if (const daemon_record* ahead =
           roster_.FindAhead(now, revision, questions_.turn())) {
-    questions_.OnAsked(now);
+    questions_.OnAsked(now, ahead->name);
     transport_->Send(
         ahead->peer_address,
         EncodePeerFrame(items_request_frame{
@@ -271,6 +291,7 @@
 }
 
 void fleet_task::OnItemsChanged(std::span<const std::string> keys) {
+  staleness_.OnStoreAnswer(feed_.answered_at());
   decoded_items decoded = with_.decoder.Decode(feed_.view(), keys);
   feed_.MarkNews(decoded.news);
   const time_point now = ReadBootClock();
--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -38,7 +38,11 @@
 }
 
 void item_feed::SetFollowing(bool follows) {
-  is_following_ = follows;
+  if (std::exchange(is_following_, follows) != follows) {
+    log_.Write(log_class::kBelief, log_line("store_following")
+                                       .Add("follows", follows)
+                                       .Add("revision", view_.revision()));
+  }
   if (follows && !is_busy_) {
     Next();
   }
@@ -126,7 +130,8 @@
   timer_.Start(pause_);
 }
 
-void item_feed::OnPeerItems(const items_reply_frame& reply) {
+void item_feed::OnPeerItems(const items_reply_frame& reply,
+                            const question& asked) {
   const revision_number before = view_.revision();
   const std::vector<std::string> changed =
       reply.is_complete ? view_.ApplyAll(reply.items, reply.revision)
@@ -142,6 +147,8 @@
     return;
   }
   log_.Write(log_class::kBelief, log_line("items_from_peer")
+                                     .Add("peer", asked.peer)
+                                     .Add("took_ms", asked.took)
                                      .Add("before", before)
                                      .Add("revision", reply.revision)
                                      .Add("items", reply.items.size()));
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -177,6 +177,13 @@
     }
   }
   frame.is_watched = wire.is_watched();
+  if (wire.store_witness() != 0) {
+    if (!IsAge(wire.store_answer_age_us())) {
+      return std::nullopt;
+    }
+    frame.evidence = {.witness = wire.store_witness(),
+                      .age = duration(wire.store_answer_age_us())};
+  }
   if (!ReadQuarantineNews(wire, frame.quarantine) ||
       !ReadMembers(wire, frame)) {
     return std::nullopt;
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -83,6 +83,7 @@
         static_cast<float>(frame.mix.short_held),
         static_cast<float>(frame.mix.seconds), frame.mix.keeps_engines);
     const daemon_record& sender = frame.sender;
+    const store_evidence evidence = frame.evidence.value_or(store_evidence());
     return fleet_wire::Createbeat(
                out_, out_.CreateString(sender.name), sender.incarnation,
                out_.CreateString(sender.peer_address.ToString()),
@@ -96,7 +97,8 @@
                out_.CreateVectorOfStructs(limits),
                out_.CreateVectorOfStructs(crashes),
                out_.CreateVectorOfStructs(completions), sender.version,
-               frame.is_watched, out_.CreateVector(members))
+               frame.is_watched, out_.CreateVector(members), evidence.witness,
+               evidence.age.count())
         .Union();
   }
 
--- a/lib/Fleet/question_pacer.cc
+++ b/lib/Fleet/question_pacer.cc
@@ -1,5 +1,7 @@
 #include "cuminswitch/Fleet/question_pacer.h"
 
+#include <utility>
+
 namespace cuminswitch {
 
 static constexpr duration kAskInterval = std::chrono::milliseconds(200);
@@ -11,7 +13,8 @@
   return now - asked_at_ >= (is_waiting_ ? kAnswerTime : kAskInterval);
 }
 
-void question_pacer::OnAsked(time_point now) {
+void question_pacer::OnAsked(time_point now, std::string peer) {
+  peer_ = std::move(peer);
   asked_at_ = now;
   is_waiting_ = true;
   ++turn_;
--- /dev/null
+++ b/lib/Fleet/staleness_tracker.cc
@@ -0,0 +1,50 @@
+#include "cuminswitch/Fleet/staleness_tracker.h"
+
+#include <algorithm>
+
+namespace cuminswitch {
+
+/// Witnesses that are not heard of for so long are forgotten.
+static constexpr duration kForgetWitness = std::chrono::seconds(10);
+
+void staleness_tracker::OnStoreAnswer(time_point at) {
+  if (at > complete_at_) {
+    complete_at_ = at;
+    witness_ = self_;
+  }
+}
+
+void staleness_tracker::OnPeer(time_point now,
+                               const store_evidence& told,
+                               bool is_behind) {
+  if (told.witness == 0 || told.witness == self_) {
+    return;
+  }
+  const time_point at = now - told.age;
+  time_point& known = answered_at_[told.witness];
+  known = std::max(known, at);
+  std::erase_if(answered_at_, [&](const auto& item) {
+    return now - item.second > kForgetWitness;
+  });
+  if (!is_behind && at > complete_at_) {
+    complete_at_ = at;
+    witness_ = told.witness;
+  }
+}
+
+std::optional<store_evidence> staleness_tracker::Youngest(
+    time_point now) const {
+  if (witness_ == 0) {
+    return std::nullopt;
+  }
+  return store_evidence{.witness = witness_, .age = Staleness(now)};
+}
+
+bool staleness_tracker::WasAnswered(time_point now,
+                                    uint64_t witness,
+                                    duration span) const {
+  const auto found = answered_at_.find(witness);
+  return found != answered_at_.end() && now - found->second <= span;
+}
+
+}  // namespace cuminswitch
--- a/unittests/Fleet/item_feed_test.cc
+++ b/unittests/Fleet/item_feed_test.cc
@@ -63,7 +63,8 @@
   ASSERT_TRUE(store_.reading);
   feed_.OnPeerItems({.revision = 7,
                      .is_complete = true,
-                     .items = {{.key = "k", .value = "v", .revision = 3}}});
+                     .items = {{.key = "k", .value = "v", .revision = 3}}},
+                    {});
   EXPECT_FALSE(store_.reading);
   EXPECT_EQ(feed_.view().revision(), 7U);
   RunTimers();
@@ -73,7 +74,8 @@
 TEST_F(item_feed_test, APartOfTheItemsDoesNotEndIt) {
   feed_.OnPeerItems({.revision = 7,
                      .is_complete = false,
-                     .items = {{.key = "k", .value = "v", .revision = 7}}});
+                     .items = {{.key = "k", .value = "v", .revision = 7}}},
+                    {});
   EXPECT_TRUE(store_.reading);
 }
 
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -58,6 +58,20 @@
   EXPECT_EQ(beat.prefixes[0].saved_weights, 77U);
 }
 
+TEST(peer_frame_test, EvidenceOfTheStoreComesBack) {
+  beat_frame beat = MakeBeat();
+  beat.evidence = {.witness = 12, .age = std::chrono::milliseconds(340)};
+  const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(beat)));
+  ASSERT_TRUE(frame);
+  EXPECT_EQ(std::get<beat_frame>(*frame).evidence, beat.evidence);
+  beat.evidence->age = -std::chrono::milliseconds(1);
+  EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(beat))));
+  beat.evidence.reset();
+  const auto without = DecodePeerFrame(BytesOf(EncodePeerFrame(beat)));
+  ASSERT_TRUE(without);
+  EXPECT_FALSE(std::get<beat_frame>(*without).evidence);
+}
+
 TEST(peer_frame_test, ItemsComeBack) {
   const items_reply_frame sent{
       .revision = 4,
--- a/unittests/Fleet/question_pacer_test.cc
+++ b/unittests/Fleet/question_pacer_test.cc
@@ -17,7 +17,7 @@
 TEST(question_pacer_test, NothingIsAskedWhileAnAnswerIsOnItsWay) {
   question_pacer pacer;
   EXPECT_TRUE(pacer.MayAsk(kStart));
-  pacer.OnAsked(kStart);
+  pacer.OnAsked(kStart, "d");
   for (int millis = 0; millis < 1000; millis += 50) {
     EXPECT_FALSE(pacer.MayAsk(kStart + milliseconds(millis))) << millis;
   }
@@ -26,7 +26,7 @@
 
 TEST(question_pacer_test, AfterAnAnswerTheNextQuestionComesSoon) {
   question_pacer pacer;
-  pacer.OnAsked(kStart);
+  pacer.OnAsked(kStart, "d");
   pacer.OnAnswered();
   EXPECT_FALSE(pacer.MayAsk(kStart + milliseconds(100)));
   EXPECT_TRUE(pacer.MayAsk(kStart + milliseconds(200)));
@@ -35,7 +35,7 @@
 TEST(question_pacer_test, TurnsDiffer) {
   question_pacer pacer;
   const uint64_t first = pacer.turn();
-  pacer.OnAsked(kStart);
+  pacer.OnAsked(kStart, "d");
   EXPECT_NE(pacer.turn(), first);
 }
 
