--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -76,10 +76,11 @@
 [limits]
 memory-mb = ${MEMORY_MB:-0}
 [bounds]
+${BOUNDS:-}
 lease-ms = ${LEADER_GAP_MS:-300}
 grace-s = 8
 [provider]
-address = "$STORE"
+address = "${PROVIDER:-$STORE}"
 SETTINGS
   "$BUILD/tools/cuminswitchd" --platform \
     --metrics-port "${PORTS[5 * i + 4]}" "$WORK/entry-$i.toml" \
@@ -99,7 +100,7 @@
   local i
   start_stand_in store store_stand_in
   STORE=$ADDRESS
-  put_configuration 1
+  put_configuration 1 "${EXTRA_ROUTES:-}"
   start_replica e1 engines m
   start_replica e2 engines m
   start_replica s1 orders
--- /dev/null
+++ b/test/process/platform_followers.sh
@@ -0,0 +1,72 @@
+#!/usr/bin/env bash
+# A daemon that reaches the store must not wait for followers that have lost it.
+source "$(dirname "$0")/platform.sh"
+# One daemon has the store's first address, the others the second.
+SPARED=5 COUNT=14
+start_stand_in store store_stand_in --second 127.0.0.1:0
+STORE=$ADDRESS
+SECOND=$(sed -n 's/^also listening on //p' "$WORK/store.log")
+put_configuration 1
+start_replica e1 engines m
+start_replica s1 orders
+make_ports $((5 * COUNT))
+SEEDS="\"127.0.0.1:${PORTS[3]}\", \"127.0.0.1:${PORTS[8]}\""
+for ((i = 0; i < COUNT; ++i)); do
+  PROVIDER=$SECOND
+  ((i == SPARED)) && PROVIDER=$STORE
+  start_platform_daemon "$i"
+done
+for ((i = 0; i < COUNT; ++i)); do
+  wait_for 20 is_platform_ready "$i"
+done
+
+# change VERSION PATH: adds a route for it.
+change() {
+  put_configuration "$1" "{\"name\":\"r$1\",\"host\":\"h\",
+    \"path-prefix\":\"$2\",\"kind\":\"stream\",\"timeout-ms\":5000,
+    \"goal-ms\":800,\"priority\":0,\"backend\":\"engines\",\"attempts\":1}"
+}
+# serves INDEX PATH
+serves() {
+  ask "$1" "ask-$1-$RANDOM" "$2"
+}
+
+# Followers have settled once a change has reached all from a few.
+change 2 /calm/
+for ((i = 0; i < COUNT; ++i)); do
+  wait_for 10 serves "$i" /calm/x
+done
+wait_for 10 grep -q '"event":"store_following","follows":false' \
+  "$WORK/entry-$SPARED.log"
+# has_lost_store INDEX: the daemon follows the store and gets no answers.
+has_lost_store() {
+  [[ $(grep -oE '"event":"dependency_(lost|regained)"' "$WORK/entry-$1.log" |
+    tail -1) == *lost* ]]
+}
+# followers: daemons that never ceased to follow the store.
+followers() {
+  local i
+  for ((i = 0; i < COUNT; ++i)); do
+    grep -q '"event":"store_following","follows":false' "$WORK/entry-$i.log" ||
+      echo "$i"
+  done
+}
+wait_for 10 eval '(($(followers | wc -l) == 2))'
+mapfile -t FOLLOWERS < <(followers)
+version=2
+for mode in silent refuse; do
+  "$BUILD/utils/fetch" "$STORE" "/fault?mode=$mode&at=$SECOND" - >/dev/null
+  for i in "${FOLLOWERS[@]}"; do
+    wait_for 10 has_lost_store "$i"
+  done
+  change $((++version)) "/$mode/"
+  wait_for 4 serves $SPARED "/$mode/x" ||
+    fail "the store serves entry-$SPARED, which does not know version $version"
+  for ((i = 0; i < COUNT; ++i)); do
+    wait_for 4 serves "$i" "/$mode/x" || fail "entry-$i did not learn it"
+  done
+  "$BUILD/utils/fetch" "$STORE" "/fault?mode=none&at=$SECOND" - >/dev/null
+  for i in "${FOLLOWERS[@]}"; do
+    wait_for 10 eval "! has_lost_store $i"
+  done
+done
--- a/utils/StandIn/stand_in_main.cc
+++ b/utils/StandIn/stand_in_main.cc
@@ -13,12 +13,26 @@
 
 static constexpr size_t kMaxBody = 64UL << 20;
 
-int RunStandIn(const std::string& listen, const handler_factory& make_handler) {
-  signal(SIGPIPE, SIG_IGN);
+static std::unique_ptr<http_server> Listen(event_base* base,
+                                           const std::string& listen,
+                                           http_request_handler& handler) {
   const std::optional<endpoint> address = ParseEndpoint(listen);
   if (!address) {
-    throw usage_error("--listen must be a numeric address:port");
+    throw usage_error("no numeric address:port: " + listen);
   }
+  return std::make_unique<http_server>(
+      base,
+      http_server::options{.listen = *address,
+                           .max_body_size = kMaxBody,
+                           .read_timeout = std::chrono::hours(1),
+                           .write_timeout = std::chrono::hours(1)},
+      handler);
+}
+
+int RunStandIn(const std::string& listen,
+               const handler_factory& make_handler,
+               const std::string& second) {
+  signal(SIGPIPE, SIG_IGN);
   event_base* base = event_base_new();
   const auto stop = [](evutil_socket_t /*signal*/, short /*what*/, void* raw) {
     event_base_loopbreak(static_cast<event_base*>(raw));
@@ -29,13 +43,14 @@
   event_add(interrupt, nullptr);
   {
     const std::unique_ptr<http_request_handler> handler = make_handler(base);
-    const http_server server(base,
-                             {.listen = *address,
-                              .max_body_size = kMaxBody,
-                              .read_timeout = std::chrono::hours(1),
-                              .write_timeout = std::chrono::hours(1)},
-                             *handler);
-    std::cout << "listening on " << server.Address().ToString() << std::endl;
+    const auto server = Listen(base, listen, *handler);
+    std::unique_ptr<http_server> other;
+    if (!second.empty()) {
+      other = Listen(base, second, *handler);
+      std::cout << "also listening on " << other->Address().ToString()
+                << std::endl;
+    }
+    std::cout << "listening on " << server->Address().ToString() << std::endl;
     event_base_dispatch(base);
   }
   event_free(terminate);
--- a/utils/StandIn/stand_in_main.h
+++ b/utils/StandIn/stand_in_main.h
@@ -16,8 +16,12 @@
     std::function<std::unique_ptr<http_request_handler>(event_base*)>;
 
 /// Serves \p listen until SIGTERM or SIGINT; prints `listening on
-/// <address:port>` first, so port 0 can be used. Returns the exit status.
-int RunStandIn(const std::string& listen, const handler_factory& make_handler);
+/// <address:port>` first, so port 0 can be used. Serves \p second as well, if
+/// it is not empty, and prints `also listening on <address:port>` before that.
+/// Returns the exit status.
+int RunStandIn(const std::string& listen,
+               const handler_factory& make_handler,
+               const std::string& second = {});
 
 }  // namespace cuminswitch
 
--- a/utils/store_stand_in/store_stand_in.cc
+++ b/utils/store_stand_in/store_stand_in.cc
@@ -1,7 +1,7 @@
 // A stand-in for the users' metadata store: items, watches, conditional writes
 // and leases, in memory. `POST /fault?mode=` makes it refuse every call
 // (`refuse`), answer none (`silent`), do writes without answering (`lost`), or
-// work again (`none`).
+// work again (`none`); with `&at=ADDRESS:PORT` only for those that call there.
 #include <event2/event.h>
 
 #include <algorithm>
@@ -62,15 +62,16 @@
   void OnRequest(exchange_ptr exchange) override {
     const std::string path(exchange->Path());
     if (path == "/fault") {
-      fault_ = exchange->Parameter("mode");
+      faults_[exchange->Parameter("at")] = exchange->Parameter("mode");
       exchange->Reply(200, kJson, "{}");
       return;
     }
-    if (fault_ == "silent") {
+    const std::string fault = FaultFor(*exchange);
+    if (fault == "silent") {
       unanswered_.push_back(exchange);
       return;
     }
-    if (fault_ == "refuse") {
+    if (fault == "refuse") {
       exchange->Reply(503, kJson, "{}");
       return;
     }
@@ -78,6 +79,14 @@
   }
 
  private:
+  std::string FaultFor(const http_exchange& exchange) const {
+    const auto found = faults_.find(exchange.Header("Host"));
+    const auto general = faults_.find("");
+    return found != faults_.end()     ? found->second
+           : general != faults_.end() ? general->second
+                                      : std::string();
+  }
+
   void Serve(const exchange_ptr& exchange, const std::string& path) {
     if (path == "/kv-range") {
       ReadRange(*exchange);
@@ -237,7 +246,7 @@
       Remove(key.get<std::string>(), revision);
     }
     WakeWatches();
-    if (fault_ == "lost") {
+    if (FaultFor(*exchange) == "lost") {
       unanswered_.push_back(exchange);
       return;
     }
@@ -262,7 +271,8 @@
   }
 
   loop_timer timer_;
-  std::string fault_;
+  /// By the address that is called; the empty one stands for all others.
+  std::map<std::string, std::string> faults_;
   std::map<std::string, item> items_;
   std::map<uint64_t, lease> leases_;
   std::vector<change> history_;
@@ -274,11 +284,14 @@
 
 int Main(int argc, char** argv) {
   std::string listen = "127.0.0.1:0";
+  std::string second;
   option_parser parser("store_stand_in", "[OPTION...]");
   parser.AddString("listen", listen, "Where to listen", "ADDRESS:PORT");
+  parser.AddString("second", second, "Where to listen as well", "ADDRESS:PORT");
   parser.Parse(ArgumentsOf(argc, argv));
   return RunStandIn(
-      listen, [](event_base* base) { return std::make_unique<store>(base); });
+      listen, [](event_base* base) { return std::make_unique<store>(base); },
+      second);
 }
 
 }  // namespace
