Give a daemon that has just started no part of the fleet's burst of retries

Cause: the burst that a window allows beyond a share of the traffic is divided among the daemons, and each keeps what it spent in memory. A new process began with its whole part, while what the process before it had spent still lay in the window. Until it knew its peers, it also took the whole fleet's burst for its own: 59 retries of two daemons in one second, 16 allowed. Class: a bound of the fleet that is held in a process's memory and given anew to its next start.

Change: a process earns retries from its own requests, and has no part of the burst until a window has passed since it started. By then nothing that its predecessor spent lies in the window, and the fleet's size is known.

Weighed: to tell peers what was spent, so that a new start takes it over; nobody is left to tell when all are killed, which is when it matters most. A part that grows back over the window allows one and a half bursts.

--- a/include/cuminswitch/Admission/retry_budget.h
+++ b/include/cuminswitch/Admission/retry_budget.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "cuminswitch/Support/time.h"
 
@@ -15,7 +16,10 @@
 ///
 /// In any window the retries are at most `burst` plus `share` of the first
 /// attempts in the window that ends with the last of them, so a bound over the
-/// fleet holds when each daemon has its part of the burst. What was earned in
+/// fleet holds when each daemon has its part of the burst. A process that has
+/// just started earns, and has no part of the burst until a window has passed:
+/// the one before it on this host may have spent that part just now, and how
+/// many daemons divide the burst may not be known yet. What was earned in
 /// the window may be spent at once: one crash takes away the answers of some
 /// seconds, and of 63 daemons with a bucket of two retries each, most had none
 /// left for the second of them.
@@ -29,12 +33,14 @@
     double burst = 20;
     /// Whether the daemons of the fleet divide the burst among them.
     bool is_shared = false;
+    /// When the process started; nothing where no earlier one can have spent
+    /// the burst.
+    std::optional<time_point> started_at;
     /// The span in which retries are held against first attempts.
     duration window = std::chrono::seconds(10);
   };
 
-  explicit retry_budget(const options& opts)
-      : options_(opts), burst_(opts.burst) {}
+  explicit retry_budget(const options& opts);
 
   /// What a window allows, and what of that is spent.
   struct usage {
@@ -61,6 +67,8 @@
   /// The window moves in steps of a twentieth.
   static constexpr int64_t kSlotsPerWindow = 20;
 
+  /// Number of the slot that \p at lies in.
+  int64_t SlotAt(time_point at) const;
   slot& Advance(time_point now);
 
   options options_;
@@ -70,6 +78,8 @@
   std::array<slot, kSlotsPerWindow + 1> slots_{};
   /// Number of the newest slot, in steps since the clock's beginning.
   int64_t newest_ = 0;
+  /// The first slot in which the burst may be spent.
+  int64_t first_with_burst_ = 0;
 };
 
 }  // namespace cuminswitch
--- a/lib/Admission/retry_budget.cc
+++ b/lib/Admission/retry_budget.cc
@@ -4,6 +4,17 @@
 
 namespace cuminswitch {
 
+retry_budget::retry_budget(const options& opts)
+    : options_(opts), burst_(opts.burst) {
+  if (opts.started_at) {
+    first_with_burst_ = SlotAt(*opts.started_at + opts.window) + 1;
+  }
+}
+
+int64_t retry_budget::SlotAt(time_point at) const {
+  return at.time_since_epoch() / (options_.window / kSlotsPerWindow);
+}
+
 void retry_budget::SetFleetSize(double size) {
   if (options_.is_shared) {
     burst_ = std::min(burst_, options_.burst / std::max(1.0, size));
@@ -11,8 +22,7 @@
 }
 
 retry_budget::slot& retry_budget::Advance(time_point now) {
-  const int64_t current =
-      now.time_since_epoch() / (options_.window / kSlotsPerWindow);
+  const int64_t current = SlotAt(now);
   const auto count = static_cast<int64_t>(slots_.size());
   const int64_t first_new = std::max(newest_ + 1, current - count + 1);
   for (int64_t number = first_new; number <= current; ++number) {
@@ -38,7 +48,8 @@
     retries += slots_[i].retries;
   }
   return {.retries = retries,
-          .allowed = burst_ + options_.share * first_attempts};
+          .allowed = (newest_ >= first_with_burst_ ? burst_ : 0) +
+                     options_.share * first_attempts};
 }
 
 bool retry_budget::CanSpend(time_point now) {
--- a/lib/Edge/router_settings.cc
+++ b/lib/Edge/router_settings.cc
@@ -34,7 +34,8 @@
   options.random_seed = opts.self.incarnation;
   options.retries = {.share = opts.retry_share * kRetryShareUsed,
                      .burst = opts.retry_burst * kRetryBurstUsed,
-                     .is_shared = true};
+                     .is_shared = true,
+                     .started_at = opts.now};
   options.replicas = {
       .old_weights_time = opts.old_weights_time - kOldWeightsMargin,
       .old_weights_grace = kOldWeightsGrace,
