Let daemons whose items are stale ask the store themselves

Cause: in a fleet of more than twelve the two daemons of a failure domain with the widest links follow the store for all others. They are chosen among those that live, whether they reach it or not, and nothing tells a fleet in which nothing changes from one that hears the store no more. With all six without the store, the others waited for them. Class: a role that is given by who lives, not by who can do it.

Change: a daemon whose evidence of the store (carried by beats since the change before) is older than 1.4 s stands in: it asks the store itself, and goes on while fewer than its domain's followers that rank before it have been answered since. One that is not answered stands down and tries again after 0.8 to 3 s, by the fleet's size. One that does not follow any more asks peers at once, where it counted as told by the store for another 1.4 s.

Ways: ranking those that lost the store last and letting the next in rank step in needs a round of 1.6 s each where the store is silent, ten of them for 61 of 68 hosts; only standing in is bounded by itself. It replaces ranking.

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -19,6 +19,7 @@
 #include "cuminswitch/Fleet/quarantine_records.h"
 #include "cuminswitch/Fleet/question_pacer.h"
 #include "cuminswitch/Fleet/staleness_tracker.h"
+#include "cuminswitch/Fleet/store_duty.h"
 #include "cuminswitch/Fleet/upstream_directory.h"
 #include "cuminswitch/Fleet/weights_rollout.h"
 #include "cuminswitch/Kernel/loop_task.h"
@@ -77,9 +78,7 @@
   void Publish(std::shared_ptr<const fleet_knowledge> next);
   void PublishUpstreams();
   store_contact Contact() const;
-  /// In a large fleet a few daemons of each failure domain follow the store for
-  /// the others.
-  void ChooseFollowers(std::span<const daemon_record> living);
+  void DecideFollowing(time_point now);
   void RegisterSelf();
   /// Writes down which requests crash upstreams.
   void RecordQuarantines(time_point now);
@@ -114,6 +113,7 @@
   leader_election election_;
   weights_rollout rollout_;
   staleness_tracker staleness_;
+  store_duty duty_;
   quarantine_records quarantine_records_;
   std::unique_ptr<peer_transport> transport_;
   loop_timer beat_timer_;
--- a/include/cuminswitch/Fleet/follower_choice.h
+++ b/include/cuminswitch/Fleet/follower_choice.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_FLEET_FOLLOWER_CHOICE_H_
 #define CUMINSWITCH_FLEET_FOLLOWER_CHOICE_H_
 
+#include <cstddef>
 #include <span>
 
 namespace cuminswitch {
@@ -21,6 +22,17 @@
 bool FollowsStore(const daemon_record& self,
                   std::span<const daemon_record> living);
 
+/// Returns how many daemons of its failure domain follow the store in the large
+/// fleet of \p self and \p living.
+size_t FollowersPerDomain(const daemon_record& self,
+                          std::span<const daemon_record> living);
+
+/// Returns whether \p self is one of the first \p places daemons of its failure
+/// domain among \p others.
+bool RanksFirst(const daemon_record& self,
+                std::span<const daemon_record> others,
+                size_t places);
+
 }  // namespace cuminswitch
 
 #endif  // CUMINSWITCH_FLEET_FOLLOWER_CHOICE_H_
--- a/include/cuminswitch/Fleet/item_feed.h
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -54,6 +54,8 @@
   }
   /// When the store last answered this daemon.
   time_point answered_at() const { return answered_at_; }
+  /// When it last failed to.
+  time_point failed_at() const { return failed_at_; }
   /// Whether the store's last answer to this daemon was a failure.
   bool IsLost() const { return is_lost_; }
   /// When the store was last lost, and when it was last regained.
@@ -80,6 +82,7 @@
   bool is_busy_ = false;
   duration pause_{0};
   time_point answered_at_{};
+  time_point failed_at_{};
   time_point lost_at_{};
   time_point regained_at_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -51,7 +51,7 @@
   published_peers_at_ = now;
   published_at_work_ = maybe_at_work;
   NotePeerChanges(living);
-  ChooseFollowers(living);
+  duty_.OnPeers(options_.self, living);
   services_.FindPort<fleet_news>(kEdgeService)
       .Post(peers_changed{.living = living,
                           .known = roster_.CountKnown(),
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -5,7 +5,6 @@
 
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Fleet/engine_control.h"
-#include "cuminswitch/Fleet/follower_choice.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
 #include "cuminswitch/Support/hash.h"
@@ -229,6 +228,7 @@
   }
   PublishStaleness(now);
   PublishPeers(now);
+  DecideFollowing(now);
   AskPeers(now);
   RegisterSelf();
   RecordQuarantines(now);
@@ -244,8 +244,8 @@
 void fleet_task::AskPeers(time_point now) {
   // While the first pages come from the store a peer's packed list is there
   // sooner: in a fleet that starts, all read at the same time.
-  const bool is_told_by_store =
-      feed_.view().HasRead() && feed_.IsFresh(now, kStoreFresh);
+  const bool is_told_by_store = feed_.view().HasRead() && feed_.IsFollowing() &&
+                                feed_.IsFresh(now, kStoreFresh);
   if (!questions_.MayAsk(now) || is_told_by_store) {
     return;
   }
@@ -315,8 +315,13 @@
           .regained_at = feed_.regained_at()};
 }
 
-void fleet_task::ChooseFollowers(std::span<const daemon_record> living) {
-  feed_.SetFollowing(FollowsStore(options_.self, living));
+void fleet_task::DecideFollowing(time_point now) {
+  feed_.SetFollowing(duty_.Decide(now, {.self = options_.self,
+                                        .living = published_peers_,
+                                        .staleness = staleness_,
+                                        .answered_at = feed_.answered_at(),
+                                        .failed_at = feed_.failed_at(),
+                                        .known = roster_.CountKnown()}));
 }
 
 void fleet_task::RunRollout(time_point now) {
--- a/lib/Fleet/follower_choice.cc
+++ b/lib/Fleet/follower_choice.cc
@@ -16,7 +16,7 @@
 /// Two, so that the loss of one is not noticed. Where there are so many
 /// domains, one: those of the other domains are asked until another one
 /// follows.
-static constexpr std::ptrdiff_t kFollowersPerDomain = 2;
+static constexpr size_t kFollowersPerDomain = 2;
 static constexpr size_t kDomainsForOneEach = 6;
 
 static size_t CountDomains(const daemon_record& self,
@@ -28,21 +28,30 @@
   return domains.size();
 }
 
-bool FollowsStore(const daemon_record& self,
-                  std::span<const daemon_record> living) {
-  if (living.size() + 1 <= kFleetThatFollows) {
-    return true;
-  }
+size_t FollowersPerDomain(const daemon_record& self,
+                          std::span<const daemon_record> living) {
+  return CountDomains(self, living) >= kDomainsForOneEach ? 1
+                                                          : kFollowersPerDomain;
+}
+
+bool RanksFirst(const daemon_record& self,
+                std::span<const daemon_record> others,
+                size_t places) {
   const auto rank = [](const daemon_record& item) {
     return std::pair(item.link_rate, Hash64(item.name));
   };
   const auto before = std::count_if(
-      living.begin(), living.end(), [&](const daemon_record& item) {
+      others.begin(), others.end(), [&](const daemon_record& item) {
         return item.failure_domain == self.failure_domain && !item.is_leaving &&
                rank(item) > rank(self);
       });
-  const bool is_one_each = CountDomains(self, living) >= kDomainsForOneEach;
-  return before < (is_one_each ? 1 : kFollowersPerDomain);
+  return static_cast<size_t>(before) < places;
+}
+
+bool FollowsStore(const daemon_record& self,
+                  std::span<const daemon_record> living) {
+  return living.size() + 1 <= kFleetThatFollows ||
+         RanksFirst(self, living, FollowersPerDomain(self, living));
 }
 
 }  // namespace cuminswitch
--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -51,8 +51,6 @@
 void item_feed::Next() {
   is_busy_ = is_following_ || must_read_all_;
   if (!is_busy_) {
-    // Not followed any more, which says nothing about the store.
-    is_lost_ = false;
     return;
   }
   if (must_read_all_) {
@@ -120,8 +118,9 @@
 
 void item_feed::OnFailure(store_end end) {
   pause_ = std::clamp(pause_ * 2, kFirstRetry, kLongestRetry);
+  failed_at_ = ReadBootClock();
   if (!std::exchange(is_lost_, true)) {
-    lost_at_ = ReadBootClock();
+    lost_at_ = failed_at_;
     log_.Write(log_class::kLifecycle, log_line("dependency_lost")
                                           .Add("dependency", "store")
                                           .Add("reason", ToString(end))
--- a/test/process/platform_followers.sh
+++ b/test/process/platform_followers.sh
@@ -59,11 +59,11 @@
   for i in "${FOLLOWERS[@]}"; do
     wait_for 10 has_lost_store "$i"
   done
-  change $((++version)) "/$mode/"
-  wait_for 4 serves $SPARED "/$mode/x" ||
+  change $((++version)) "/route-$mode/"
+  wait_for 4 serves $SPARED "/route-$mode/x" ||
     fail "the store serves entry-$SPARED, which does not know version $version"
   for ((i = 0; i < COUNT; ++i)); do
-    wait_for 4 serves "$i" "/$mode/x" || fail "entry-$i did not learn it"
+    wait_for 4 serves "$i" "/route-$mode/x" || fail "entry-$i did not learn it"
   done
   "$BUILD/utils/fetch" "$STORE" "/fault?mode=none&at=$SECOND" - >/dev/null
   for i in "${FOLLOWERS[@]}"; do
