Do not answer with a history from before the first list

Not seen by callers yet.

Cause: a daemon that has just read all items knows of nothing that went before, yet it answered questions about earlier revisions with the changes that it knew. The asker took the answer for complete, and kept what had been deleted meanwhile: an upstream that is gone would have stayed in use until its next full list.

Change: a view remembers deletions only from its first list on; whoever asks from before that gets the complete list.

Test: item_view_test AViewThatBeganLaterDoesNotPassForAHistory failed before.

--- a/lib/Fleet/item_view.cc
+++ b/lib/Fleet/item_view.cc
@@ -48,6 +48,10 @@
       changed.push_back(key);
     }
   }
+  if (!HasRead()) {
+    // What went before the first list is not in it.
+    forgotten_ = std::max(forgotten_, at);
+  }
   revision_ = std::max(revision_, at);
   news_revision_ = std::max<revision_number>(news_revision_, 1);
   Forget(changed);
--- a/unittests/Fleet/item_view_test.cc
+++ b/unittests/Fleet/item_view_test.cc
@@ -160,5 +160,18 @@
   }
 }
 
+// Guards against a deletion that is lost on the way through a peer whose first
+// list is from after it.
+TEST(item_view_test, AViewThatBeganLaterDoesNotPassForAHistory) {
+  item_view late;
+  late.ApplyAll(
+      std::vector<item_change>{{.key = "a", .value = "1", .revision = 90}},
+      100);
+  EXPECT_FALSE(late.RemembersSince(60)) << "what went at 80 is not listed";
+  EXPECT_TRUE(late.RemembersSince(100));
+  late.ApplyAll({}, 120);
+  EXPECT_TRUE(late.RemembersSince(100)) << "it knows what went since";
+}
+
 }  // namespace
 }  // namespace cuminswitch
