--- a/unittests/Fleet/store_duty_test.cc
+++ b/unittests/Fleet/store_duty_test.cc
@@ -69,6 +69,18 @@
   EXPECT_LE(LongestToLearn(), kBound);
 }
 
+// Guards against a daemon that waits for peers from which it is cut off.
+TEST_P(store_duty_test, ThoseThatAreCutOffFromTheirPeersLearnInTime) {
+  const std::set<size_t> followers = fleet_.Followers();
+  for (size_t i = 0, cut = 0; cut < 3; ++i) {
+    if (!followers.contains(i)) {
+      fleet_.CutOff(i);
+      ++cut;
+    }
+  }
+  EXPECT_LE(LongestToLearn(), kBound);
+}
+
 TEST_P(store_duty_test, FollowersTakeTheirPlacesBack) {
   const std::set<size_t> followers = fleet_.Followers();
   for (const size_t follower : followers) {
--- a/unittests/Fleet/store_fleet.cc
+++ b/unittests/Fleet/store_fleet.cc
@@ -122,10 +122,10 @@
   for (size_t i = 0; i < beats; ++i) {
     const size_t to = is_partial ? random_() % daemons_.size()
                                  : self.turn++ % daemons_.size();
-    if (to == number) {
+    daemon& peer = daemons_[to];
+    if (to == number || self.is_cut_off || peer.is_cut_off) {
       continue;
     }
-    daemon& peer = daemons_[to];
     if (const auto evidence = self.staleness.Youngest(now_)) {
       peer.staleness.OnPeer(now_, *evidence, self.revision > peer.revision);
     }
--- a/unittests/Fleet/store_fleet.h
+++ b/unittests/Fleet/store_fleet.h
@@ -17,7 +17,7 @@
 namespace cuminswitch {
 
 /// Plays who follows the store, and how changes and evidence reach the others.
-/// All daemons live and hear one another.
+/// All daemons live, and hear one another unless they are cut off.
 class store_fleet {
  public:
   /// What becomes of calls that the store does not serve.
@@ -28,6 +28,8 @@
   void Run(duration span);
   /// Turns \p number away from the store, or serves it again.
   void SetReached(size_t number, bool is_reached);
+  /// Cuts \p number off from all others.
+  void CutOff(size_t number) { daemons_[number].is_cut_off = true; }
   /// Those that follow the store now.
   std::set<size_t> Followers() const;
   /// Changes an item; returns the time until the last daemon that reaches the
@@ -41,6 +43,7 @@
     store_duty duty;
     revision_number revision = 0;
     bool is_reached = true;
+    bool is_cut_off = false;
     bool follows = true;
     bool is_calling = false;
     duration pause{0};
