--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -61,7 +61,8 @@
     \"cold-left-ms\":0,\"models\":$models}"
 }
 
-# start_platform_daemon INDEX: leaves its ports in FRONT_n, READY_n, DIRECTORY_n.
+# start_platform_daemon INDEX: on the ports from PORTS[5 * INDEX] on. BOUNDS are
+# further lines of its bounds, PROVIDER is the store's address if not STORE.
 start_platform_daemon() {
   local i=$1 seeds="${SEEDS:-}"
   cat >"$WORK/entry-$i.toml" <<SETTINGS
@@ -96,6 +97,7 @@
 }
 
 # start_platform COUNT: a store, two engines, two services and COUNT daemons.
+# EXTRA_ROUTES are further routes of the first configuration.
 start_platform() {
   local i
   start_stand_in store store_stand_in
--- a/test/process/platform_retry_budget.sh
+++ b/test/process/platform_retry_budget.sh
@@ -8,7 +8,7 @@
   "kind":"idempotent","timeout-ms":600,"backend":"orders","attempts":2}'
 start_platform 2
 
-# retries: ends of their times, in milliseconds, by all daemons so far.
+# retries: the times of all daemons' retries, in milliseconds.
 retries() {
   sed -n '/"event":"attempt_placed"/{/"earlier_attempts":0/!{
     s/.*"time_ms":\([0-9]*\).*/\1/p}}' "$WORK"/entry-?.log | sort -n
