Await lapsed entries of upstreams until one time, however often it is told

Cause: once the store is back, entries that go missing are kept for 2.3 s. A daemon told its peers that it awaits entries whenever it did, also where it only did so because a peer had told it; each beat renewed the wait by 0.4 s. So a fleet kept itself waiting without end, and kept upstreams that were gone. Evidence: no upstreams_changed line names the upstream after its entry went. Class: hearsay that is passed on as if it were seen.

Change: a beat names the return of the store that is awaited, and for how much longer; the first and shortest claim about one return counts. The bool on the wire is deprecated, its place is kept. Weighed: to tell only what one saw itself; where beats reach partners only, most daemons would then drop what lapsed.

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -114,13 +114,13 @@
   weights_rollout rollout_;
   staleness_tracker staleness_;
   store_duty duty_;
+  lapsed_upstreams lapsed_;
   quarantine_records quarantine_records_;
   std::unique_ptr<peer_transport> transport_;
   loop_timer beat_timer_;
   loop_timer rollout_timer_;
   std::shared_ptr<const fleet_knowledge> knowledge_;
   upstream_directory upstreams_;
-  lapsed_upstreams lapsed_;
   std::vector<upstream_backlog> own_backlogs_;
   prompt_mix own_mix_;
   own_limits own_limits_;
--- a/include/cuminswitch/Fleet/lapsed_upstreams.h
+++ b/include/cuminswitch/Fleet/lapsed_upstreams.h
@@ -3,6 +3,9 @@
 #ifndef CUMINSWITCH_FLEET_LAPSED_UPSTREAMS_H_
 #define CUMINSWITCH_FLEET_LAPSED_UPSTREAMS_H_
 
+#include <cstdint>
+#include <map>
+
 #include "cuminswitch/Fleet/peer_frame.h"
 #include "cuminswitch/Support/time.h"
 
@@ -24,20 +27,34 @@
 /// daemon would refuse everything meanwhile. But a store that only turned this
 /// daemon away has heard them all, and what is missing there is gone: kept, it
 /// would get requests after it was drained.
+///
+/// Daemons pass on what others await. Each return of the store is awaited until
+/// one time, however often and late it is told, so that no daemons keep one
+/// another waiting.
 class lapsed_upstreams {
  public:
+  /// \p self is a hash of this daemon's process.
+  explicit lapsed_upstreams(uint64_t self = 0) : self_(self) {}
+
   /// Notes what \p peer says of the store.
   void OnPeer(time_point now,
               const store_contact& contact,
               const daemon_record& peer);
   /// Until when entries that go missing are kept; \p now for not at all.
   time_point AwaitsUntil(time_point now, const store_contact& contact) const;
+  /// Returns what to tell peers of that.
+  awaited_entries Awaits(time_point now, const store_contact& contact) const;
 
  private:
+  /// The return of the store that this daemon saw.
+  uint64_t OwnEvent(const store_contact& contact) const;
+  bool SawAllLoseIt(const store_contact& contact) const;
+
+  uint64_t self_;
   /// While this daemon had lost the store, the store served another one.
   bool store_served_others_ = false;
-  /// A peer said of late that entries may be missing.
-  time_point peer_awaits_until_{};
+  /// Until when entries may be missing, by the return that peers tell of.
+  std::map<uint64_t, time_point> told_;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -22,6 +22,18 @@
 
 namespace cuminswitch {
 
+/// The store was away for all daemons and is back, so that entries of upstreams
+/// are missing that live.
+struct awaited_entries {
+  /// Names the return of the store, as one daemon saw it; 0 for none.
+  uint64_t event = 0;
+  /// For how much longer entries may be missing.
+  duration left{0};
+
+  friend bool operator==(const awaited_entries&,
+                         const awaited_entries&) = default;
+};
+
 /// One daemon as it describes itself.
 struct daemon_record {
   std::string name;
@@ -38,9 +50,7 @@
   bool is_leaving = false;
   /// The store answered it just now.
   bool has_store = false;
-  /// The store was away for all until just now, so that entries of upstreams
-  /// may be missing that are back soon.
-  bool awaits_entries = false;
+  awaited_entries awaits;
   /// Everything up to this revision of the store is known to it.
   revision_number revision = 0;
 };
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -43,6 +43,7 @@
                      kClaimSpreadMs)},
                 with.store),
       staleness_(Hash64(options_.self.name)),
+      lapsed_(Hash64(options_.self.name, options_.self.incarnation)),
       quarantine_records_(
           {.prefix = options_.quarantine_prefix, .author = options_.self.name},
           with.store),
@@ -193,7 +194,7 @@
   self.version = roster_.self_version();
   self.revision = feed_.view().news_revision();
   self.has_store = feed_.IsFresh(now, kStoreFresh);
-  self.awaits_entries = lapsed_.AwaitsUntil(now, Contact()) > now;
+  self.awaits = lapsed_.Awaits(now, Contact());
   beat_frame beat{.sender = self,
                   .heard = roster_.NameLiving(now),
                   .changing = {},
--- a/lib/Fleet/lapsed_upstreams.cc
+++ b/lib/Fleet/lapsed_upstreams.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "cuminswitch/Fleet/peer_roster.h"
+#include "cuminswitch/Support/hash.h"
 #include "store_constants.h"
 
 namespace cuminswitch {
@@ -10,14 +11,21 @@
 /// Entries of upstreams that live are back about two seconds after the store's
 /// return; one that is still missing then is gone.
 static constexpr duration kLapsedTime = std::chrono::milliseconds(2300);
-/// What a peer said of that counts until its next beats would have come.
-static constexpr duration kAwaitsRepeat = std::chrono::milliseconds(400);
+/// Beats that tell of a return have all come by then.
+static constexpr duration kForgetReturn = std::chrono::seconds(30);
 
 void lapsed_upstreams::OnPeer(time_point now,
                               const store_contact& contact,
                               const daemon_record& peer) {
-  if (peer.awaits_entries) {
-    peer_awaits_until_ = now + kAwaitsRepeat;
+  const awaited_entries& told = peer.awaits;
+  if (told.event != 0 && told.event != OwnEvent(contact)) {
+    const time_point until = now + std::min(told.left, kLapsedTime);
+    const auto [found, is_new] = told_.try_emplace(told.event, until);
+    // The later ones of several messages count what they took to come twice.
+    found->second = std::min(found->second, until);
+    std::erase_if(told_, [&](const auto& item) {
+      return now - item.second > kForgetReturn;
+    });
   }
   if (!contact.is_lost) {
     return;
@@ -30,13 +38,35 @@
   }
 }
 
+bool lapsed_upstreams::SawAllLoseIt(const store_contact& contact) const {
+  return contact.is_following && !contact.is_lost && !store_served_others_ &&
+         contact.regained_at != time_point();
+}
+
+uint64_t lapsed_upstreams::OwnEvent(const store_contact& contact) const {
+  return CombineHash(
+      self_,
+      static_cast<uint64_t>(contact.regained_at.time_since_epoch().count()));
+}
+
+awaited_entries lapsed_upstreams::Awaits(time_point now,
+                                         const store_contact& contact) const {
+  awaited_entries longest;
+  if (SawAllLoseIt(contact) && contact.regained_at + kLapsedTime > now) {
+    longest = {.event = OwnEvent(contact),
+               .left = contact.regained_at + kLapsedTime - now};
+  }
+  for (const auto& [event, until] : told_) {
+    if (until - now > longest.left) {
+      longest = {.event = event, .left = until - now};
+    }
+  }
+  return longest;
+}
+
 time_point lapsed_upstreams::AwaitsUntil(time_point now,
                                          const store_contact& contact) const {
-  const bool was_away = contact.is_following && !contact.is_lost &&
-                        !store_served_others_ &&
-                        contact.regained_at != time_point();
-  const time_point own = was_away ? contact.regained_at + kLapsedTime : now;
-  return std::max({now, own, peer_awaits_until_});
+  return now + Awaits(now, contact).left;
 }
 
 }  // namespace cuminswitch
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -121,22 +121,24 @@
   if (!peer_address || !caller_address) {
     return std::nullopt;
   }
-  beat_frame frame{.sender = {.name = wire.daemon()->str(),
-                              .incarnation = wire.incarnation(),
-                              .version = wire.version(),
-                              .peer_address = *peer_address,
-                              .caller_address = *caller_address,
-                              .failure_domain = wire.failure_domain()->str(),
-                              .link_rate = wire.link_rate(),
-                              .is_ready = wire.is_ready(),
-                              .is_leaving = wire.is_leaving(),
-                              .has_store = wire.has_store(),
-                              .awaits_entries = wire.awaits_entries(),
-                              .revision = wire.revision()},
-                   .heard = {},
-                   .changing = ReadTexts(wire.changing()),
-                   .backlogs = {},
-                   .prefixes = {}};
+  beat_frame frame{
+      .sender = {.name = wire.daemon()->str(),
+                 .incarnation = wire.incarnation(),
+                 .version = wire.version(),
+                 .peer_address = *peer_address,
+                 .caller_address = *caller_address,
+                 .failure_domain = wire.failure_domain()->str(),
+                 .link_rate = wire.link_rate(),
+                 .is_ready = wire.is_ready(),
+                 .is_leaving = wire.is_leaving(),
+                 .has_store = wire.has_store(),
+                 .awaits = {.event = wire.awaited_return(),
+                            .left = duration(wire.awaited_for_us())},
+                 .revision = wire.revision()},
+      .heard = {},
+      .changing = ReadTexts(wire.changing()),
+      .backlogs = {},
+      .prefixes = {}};
   if (wire.loads() != nullptr) {
     for (const fleet_wire::load* item : *wire.loads()) {
       frame.backlogs.push_back(
@@ -177,6 +179,9 @@
     }
   }
   frame.is_watched = wire.is_watched();
+  if (!IsAge(wire.awaited_for_us())) {
+    return std::nullopt;
+  }
   if (wire.store_witness() != 0) {
     if (!IsAge(wire.store_answer_age_us())) {
       return std::nullopt;
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -89,8 +89,8 @@
                out_.CreateString(sender.peer_address.ToString()),
                out_.CreateString(sender.caller_address.ToString()),
                out_.CreateString(sender.failure_domain), sender.is_ready,
-               sender.is_leaving, sender.has_store, sender.awaits_entries,
-               sender.revision, out_.CreateVectorOfStrings(heard),
+               sender.is_leaving, sender.has_store, sender.revision,
+               out_.CreateVectorOfStrings(heard),
                out_.CreateVectorOfStrings(frame.changing),
                out_.CreateVectorOfStructs(loads),
                out_.CreateVectorOfStructs(prefixes), sender.link_rate, &mix,
@@ -98,7 +98,8 @@
                out_.CreateVectorOfStructs(crashes),
                out_.CreateVectorOfStructs(completions), sender.version,
                frame.is_watched, out_.CreateVector(members), evidence.witness,
-               evidence.age.count())
+               evidence.age.count(), sender.awaits.event,
+               sender.awaits.left.count())
         .Union();
   }
 
--- a/unittests/Fleet/lapsed_upstreams_test.cc
+++ b/unittests/Fleet/lapsed_upstreams_test.cc
@@ -55,8 +55,34 @@
   constexpr store_contact kNotFollowing{};
   lapsed_upstreams lapsed;
   EXPECT_EQ(lapsed.AwaitsUntil(kBack, kNotFollowing), kBack);
-  lapsed.OnPeer(kBack, kNotFollowing, {.awaits_entries = true});
-  EXPECT_GT(lapsed.AwaitsUntil(kBack, kNotFollowing), kBack);
+  lapsed.OnPeer(kBack, kNotFollowing,
+                {.awaits = {.event = 3, .left = milliseconds(700)}});
+  EXPECT_EQ(lapsed.AwaitsUntil(kBack, kNotFollowing),
+            kBack + milliseconds(700));
+}
+
+// Guards against daemons that keep one another waiting for ever.
+TEST(lapsed_upstreams_test, WhatIsPassedOnEndsHoweverLateItComes) {
+  constexpr milliseconds kDelay{600};
+  constexpr store_contact kNotFollowing{};
+  lapsed_upstreams origin(1);
+  lapsed_upstreams first(2);
+  lapsed_upstreams second(3);
+  const auto tell = [&](const lapsed_upstreams& from, time_point sent,
+                        const store_contact& contact, lapsed_upstreams& to) {
+    to.OnPeer(sent + kDelay, kNotFollowing,
+              {.awaits = from.Awaits(sent, contact)});
+  };
+  for (milliseconds at{0}; at < std::chrono::seconds(20); at += kDelay) {
+    const time_point now = kBack + at;
+    tell(origin, now, kRegained, first);
+    tell(first, now, kNotFollowing, second);
+    tell(second, now, kNotFollowing, first);
+  }
+  const time_point later = kBack + std::chrono::seconds(4);
+  EXPECT_EQ(origin.AwaitsUntil(later, kRegained), later);
+  EXPECT_EQ(first.AwaitsUntil(later, kNotFollowing), later);
+  EXPECT_EQ(second.AwaitsUntil(later, kNotFollowing), later);
 }
 
 }  // namespace
