Let two process tests earn the retries that they expect

process_platform_path and process_platform_crash failed in the first whole check of the mended code: each expects a daemon that started a second before to repeat its first failing request.

Both now have thirty requests served before. No expectation changes: two runs of what may repeat, the continued stream, three engines ended by one request.

--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -132,6 +132,15 @@
     "$BUILD/utils/fetch" "$(front "$1")" "$3" body >"$WORK/out" 2>"$WORK/err"
 }
 
+# earn_retries INDEX PATH: has requests served, so that a daemon that has just
+# started may repeat some to the same service.
+earn_retries() {
+  local i
+  for ((i = 0; i < 30; ++i)); do
+    ask "$1" "earn-$1-$i" "$2" || fail "earn-$1-$i was not served"
+  done
+}
+
 # expect_status STATUS INDEX ID PATH [KEY]
 expect_status() {
   local wanted=$1
--- a/test/process/platform_crash.sh
+++ b/test/process/platform_crash.sh
@@ -42,6 +42,7 @@
 }
 
 # Three engines end in one attempt of its caller.
+earn_retries 0 /resume/x
 ask 0 stream-first /resume/crash/ && fail "stream-first was served"
 (($(ended stream) == 3)) || fail "$(ended stream) engines ended, not 3"
 wait_for 3 is_known_everywhere stream || true
--- a/test/process/platform_path.sh
+++ b/test/process/platform_path.sh
@@ -28,6 +28,7 @@
 expect_status 500 0 b4 /once/fail/x
 [[ $(runs b4) == 1 ]] || fail "b4 ran $(runs b4) times"
 # What may repeat is tried at a second upstream.
+earn_retries 0 /repeat/x
 expect_status 500 0 b5 /repeat/fail/x
 [[ $(runs b5) == 2 ]] || fail "b5 ran $(runs b5) times"
 # No answer: what is true is that nobody knows.
@@ -36,6 +37,7 @@
 
 # A stream that breaks goes on at another engine where its route allows it,
 # with each event once; elsewhere it ends visibly broken.
+earn_retries 0 /resume/x
 ask 0 c1 /resume/cut/x
 [[ $(grep "^id:" "$WORK/out" | tr -d '\n') == "id: 1id: 2id: 3id: 4id: 5" ]] ||
   fail "the continued stream is $(cat "$WORK/out")"
