Note the store's answers where evidence is told, and not a third time

Read over once more: OnItemsChanged noted the store's last answer although the beat that follows it, and each tick, do so themselves. One of the two comments on lapsed entries said less than it meant. Nothing that is told or decided changes: 168 unit tests of Fleet, platform_followers and platform_store_outage pass.

--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -292,7 +292,6 @@
 }
 
 void fleet_task::OnItemsChanged(std::span<const std::string> keys) {
-  staleness_.OnStoreAnswer(feed_.answered_at());
   decoded_items decoded = with_.decoder.Decode(feed_.view(), keys);
   feed_.MarkNews(decoded.news);
   const time_point now = ReadBootClock();
--- a/lib/Fleet/lapsed_upstreams.cc
+++ b/lib/Fleet/lapsed_upstreams.cc
@@ -21,7 +21,7 @@
   if (told.event != 0 && told.event != OwnEvent(contact)) {
     const time_point until = now + std::min(told.left, kLapsedTime);
     const auto [found, is_new] = told_.try_emplace(told.event, until);
-    // The later ones of several messages count what they took to come twice.
+    // Each message adds its delay, so the earliest time is the truest.
     found->second = std::min(found->second, until);
     std::erase_if(told_, [&](const auto& item) {
       return now - item.second > kForgetReturn;
