Tell which upstreams are kept though the store does not list them, and why

The record of the incident could not tell a host that did not know that an upstream leaves from one that knew and kept it. upstreams_kept names what is kept with the revision of its removal, entries_awaited the return of the store for which it is. News of upstreams carry the store's revision. No decision changes.

--- a/include/cuminswitch/Fleet/fleet_knowledge.h
+++ b/include/cuminswitch/Fleet/fleet_knowledge.h
@@ -53,6 +53,8 @@
   upstream_ref entry;
   /// It has one that cannot be read: it is listed, but not to be used.
   bool is_unreadable = false;
+  /// The store's revision of the change.
+  revision_number revision = 0;
 };
 
 /// Another daemon, as the store lists it.
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -96,6 +96,8 @@
   void NotePeerChanges(std::span<const daemon_record> living);
   /// Tells the log what changed in the lists of peers and upstreams.
   void LogListChanges(time_point now);
+  /// Tells the log of a return of the store after which entries may be missing.
+  void LogAwaited(time_point now);
   /// Tells the log which peers came under suspicion, and when this daemon said
   /// something new of itself, as it does when it is suspected.
   void LogSuspicions();
@@ -140,6 +142,9 @@
   uint32_t logged_version_ = 0;
   list_changes peer_changes_;
   list_changes upstream_changes_;
+  list_changes kept_changes_;
+  /// The return of the store that the log was last told to be awaited.
+  uint64_t logged_return_ = 0;
   question_pacer questions_;
   item_list_cache complete_list_;
   time_point next_registration_{};
--- a/include/cuminswitch/Fleet/upstream_directory.h
+++ b/include/cuminswitch/Fleet/upstream_directory.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cuminswitch/Fleet/fleet_knowledge.h"
@@ -26,6 +27,15 @@
   upstream_ref after;
 };
 
+/// An upstream that the store does not list begins to be kept in use, or
+/// ceases.
+struct kept_change {
+  std::string id;
+  /// The store's revision of its removal.
+  revision_number revision = 0;
+  bool is_kept = false;
+};
+
 /// Decides which of the listed upstreams are used. Each call costs what it
 /// changes, whatever the number of upstreams.
 ///
@@ -47,6 +57,11 @@
 
   /// Returns what changed since the last call.
   std::vector<upstream_change> TakeChanges();
+  /// Returns what changed since the last call of upstreams that are kept though
+  /// the store does not list them.
+  std::vector<kept_change> TakeKeptChanges() {
+    return std::exchange(kept_changes_, {});
+  }
   /// Grows with each change.
   uint64_t version() const { return version_; }
 
@@ -68,6 +83,8 @@
     bool is_replaced = false;
     /// Where it is kept though the store does not list it.
     std::optional<time_point> kept_until;
+    /// Of its removal, where it is kept.
+    revision_number removed_at = 0;
   };
   struct address_hash {
     size_t operator()(const endpoint& address) const;
@@ -75,6 +92,8 @@
 
   void Put(const upstream_ref& entry);
   void Remove(const std::string& id);
+  /// \p id is kept no longer; nothing happens where it was not.
+  void EndKeeping(const std::string& id);
   /// Notes that \p id was \p before until now.
   void NoteChange(const std::string& id, const upstream_ref& before);
   /// \p item begins to be in use, or ceases.
@@ -87,6 +106,7 @@
   std::map<std::string, size_t, std::less<>> service_sizes_;
   std::set<std::string, std::less<>> unreadable_;
   std::set<std::string, std::less<>> kept_;
+  std::vector<kept_change> kept_changes_;
   /// What upstreams with changes were at the last `TakeChanges`.
   std::map<std::string, upstream_ref> changed_;
   size_t in_use_count_ = 0;
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -143,9 +143,37 @@
   if (upstream_changes_.TakeInto(now, upstreams)) {
     with_.log.Write(log_class::kBelief, upstreams);
   }
+  log_line kept("upstreams_kept");
+  kept.Add("revision", feed_.view().revision())
+      .Add("awaited_return", logged_return_);
+  if (kept_changes_.TakeInto(now, kept)) {
+    with_.log.Write(log_class::kBelief, kept);
+  }
+}
+
+void fleet_task::LogAwaited(time_point now) {
+  const awaited_entries awaited = lapsed_.Awaits(now, Contact());
+  if (awaited.event == 0 ||
+      std::exchange(logged_return_, awaited.event) == awaited.event) {
+    return;
+  }
+  with_.log.Write(log_class::kBelief,
+                  log_line("entries_awaited")
+                      .Add("return", awaited.event)
+                      .Add("left_ms", awaited.left)
+                      .Add("revision", feed_.view().revision()));
 }
 
 void fleet_task::PublishUpstreams() {
+  for (const kept_change& item : upstreams_.TakeKeptChanges()) {
+    const std::string text =
+        item.id + "/removed_at_" + std::to_string(item.revision);
+    if (item.is_kept) {
+      kept_changes_.Add(text);
+    } else {
+      kept_changes_.Remove(text);
+    }
+  }
   std::vector<upstream_change> changes = upstreams_.TakeChanges();
   const size_t unreadable = upstreams_.unreadable_count();
   if (changes.empty() && unreadable == published_unreadable_) {
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -238,6 +238,7 @@
     PublishUpstreams();
   }
   RunRollout(now);
+  LogAwaited(now);
   LogListChanges(now);
   LogSuspicions();
 }
--- a/lib/Fleet/upstream_directory.cc
+++ b/lib/Fleet/upstream_directory.cc
@@ -37,7 +37,11 @@
   } else if (found != states_.end() && !found->second.is_replaced &&
              !found->second.entry->is_draining && now < awaits_until) {
     found->second.kept_until = awaits_until;
-    kept_.insert(news.id);
+    found->second.removed_at = news.revision;
+    if (kept_.insert(news.id).second) {
+      kept_changes_.push_back(
+          {.id = news.id, .revision = news.revision, .is_kept = true});
+    }
     return;
   }
   Remove(news.id);
@@ -59,7 +63,7 @@
 
 void upstream_directory::Put(const upstream_ref& entry) {
   state& known = states_[entry->id];
-  kept_.erase(entry->id);
+  EndKeeping(entry->id);
   known.kept_until.reset();
   const upstream_ref before = std::exchange(known.entry, entry);
   if (known.is_replaced && before->started == entry->started) {
@@ -77,8 +81,8 @@
     }
     state& replaced = states_.find(other->id)->second;
     replaced.is_replaced = true;
+    EndKeeping(other->id);
     replaced.kept_until.reset();
-    kept_.erase(other->id);
     Disuse(other);
   }
   Use(entry);
@@ -92,10 +96,18 @@
   if (!found->second.is_replaced) {
     Disuse(found->second.entry);
   }
-  kept_.erase(id);
+  EndKeeping(id);
   states_.erase(found);
 }
 
+void upstream_directory::EndKeeping(const std::string& id) {
+  if (kept_.erase(id) != 0) {
+    kept_changes_.push_back({.id = id,
+                             .revision = states_.find(id)->second.removed_at,
+                             .is_kept = false});
+  }
+}
+
 void upstream_directory::Use(const upstream_ref& item) {
   NoteChange(item->id, nullptr);
   owners_[item->address] = item;
