Hold daemons to departures of upstreams in the soak

The soak had no check of this rule against the store's acknowledgement. A request later than 2 s after the acknowledgement is a finding where its daemon and the store had been undisturbed for 3 s.

--- /dev/null
+++ b/test/soak/departure_check.cc
@@ -0,0 +1,26 @@
+#include "soak/departure_check.h"
+
+namespace cuminswitch::soak {
+
+/// From the acknowledgement until no request may come any more.
+static constexpr std::chrono::milliseconds kDrainTime{2'000};
+
+void departure_check::OnAcknowledged(const std::string& upstream,
+                                     wall_time at) {
+  acknowledged_[upstream] = at;
+}
+
+std::optional<std::string> departure_check::OnArrival(
+    const std::string& upstream,
+    wall_time at) {
+  const auto found = acknowledged_.find(upstream);
+  if (found == acknowledged_.end() || at <= found->second + kDrainTime) {
+    return std::nullopt;
+  }
+  const auto after =
+      std::chrono::duration_cast<std::chrono::milliseconds>(at - found->second);
+  return upstream + " got a request " + std::to_string(after.count()) +
+         " ms after its departure was acknowledged";
+}
+
+}  // namespace cuminswitch::soak
--- /dev/null
+++ b/test/soak/departure_check.h
@@ -0,0 +1,35 @@
+/// \file
+/// Whether daemons heed that the store lists an upstream as draining, or no
+/// more.
+#ifndef CUMINSWITCH_TEST_SOAK_DEPARTURE_CHECK_H_
+#define CUMINSWITCH_TEST_SOAK_DEPARTURE_CHECK_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "soak/wall_time.h"
+
+namespace cuminswitch::soak {
+
+/// Holds the requests that upstreams get against the store's acknowledgements.
+class departure_check {
+ public:
+  /// The store acknowledged at \p at that \p upstream departs. A later one of
+  /// the same upstream counts, where an earlier write was undone.
+  void OnAcknowledged(const std::string& upstream, wall_time at);
+  /// A request reached \p upstream at \p at, sent by a daemon that was in
+  /// touch. Returns what is wrong, if anything is.
+  std::optional<std::string> OnArrival(const std::string& upstream,
+                                       wall_time at);
+  /// Departures that the store has acknowledged.
+  size_t counted() const { return acknowledged_.size(); }
+
+ private:
+  std::map<std::string, wall_time> acknowledged_;
+};
+
+}  // namespace cuminswitch::soak
+
+#endif  // CUMINSWITCH_TEST_SOAK_DEPARTURE_CHECK_H_
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -22,12 +22,29 @@
 /// An upstream that crashed is back after so long.
 static constexpr std::chrono::milliseconds kCrashTime{1'500};
 
+static std::string RemovalOf(const std::string& key) {
+  return json({{"precondition", json::array()},
+               {"puts", json::array()},
+               {"remove", {key}}})
+      .dump();
+}
+
 deployment::deployment(event_base* base, options opts, promise_ledger& ledger)
     : base_(base), options_(std::move(opts)), ledger_(ledger), caller_(base) {
   const std::string log = options_.work_folder + "/store.log";
-  processes.Start("store", {options_.build_folder + "/utils/store_stand_in"},
+  processes.Start("store",
+                  {options_.build_folder + "/utils/store_stand_in", "--second",
+                   "127.0.0.1:0"},
                   log);
-  store_ = AwaitListening(log);
+  store_ = AwaitListening(log, "listening on ");
+  sound_store_ = AwaitListening(log, "also listening on ");
+  caller_.Call({.to = store_,
+                .method = http_method::kPost,
+                .path = "/fault?mode=none&at=" + sound_store_.ToString(),
+                .headers = {},
+                .body = {},
+                .idle_timeout = kWriteTimeout},
+               [](const platform::json_answer& /*answer*/) {});
   PutConfiguration(true);
   for (int i = 0; i < options_.engines + options_.services; ++i) {
     upstream_state& item = upstreams.emplace_back();
@@ -65,14 +82,16 @@
   }
 }
 
-endpoint deployment::AwaitListening(const std::string& log) {
-  static constexpr std::string_view kMark = "listening on ";
+endpoint deployment::AwaitListening(const std::string& log,
+                                    std::string_view mark) {
   constexpr int kRounds = 2'000;
   for (int i = 0; i < kRounds; ++i) {
     std::ifstream file(log);
     std::string line;
-    if (std::getline(file, line) && line.starts_with(kMark) && !file.eof()) {
-      return ParseEndpoint(line.substr(kMark.size())).value();
+    while (std::getline(file, line) && !file.eof()) {
+      if (line.starts_with(mark)) {
+        return ParseEndpoint(line.substr(mark.size())).value();
+      }
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
@@ -102,7 +121,7 @@
     command.insert(command.end(), {"--model", "m"});
   }
   processes.Start(item.name, command, item.log);
-  item.address = AwaitListening(item.log);
+  item.address = AwaitListening(item.log, "listening on ");
   if (item.link == nullptr) {
     item.link = std::make_unique<fault_proxy>(base_, item.address);
   }
@@ -111,10 +130,11 @@
   item.is_listed = true;
   item.is_draining = false;
   item.is_paused = false;
+  item.is_departing = false;
   List(item);
 }
 
-void deployment::List(upstream_state& item) {
+void deployment::List(upstream_state& item, std::function<void()> on_done) {
   json entry = {{"backend", item.is_engine ? "engines" : "orders"},
                 {"address", item.link->address().ToString()},
                 {"zone", "z0"},
@@ -127,7 +147,37 @@
   if (item.is_engine) {
     entry["models"].push_back({{"name", "m"}, {"version", item.version}});
   }
-  Put("servers/" + item.id, entry.dump());
+  Put("servers/" + item.id, entry.dump(), std::move(on_done));
+}
+
+void deployment::Depart(size_t index, departure how) {
+  upstream_state& item = upstreams[index];
+  item.is_departing = true;
+  Control(index, "departed/1");
+  const auto note = [this, id = item.id] {
+    ledger_.OnDepartureAcknowledged(id, std::chrono::steady_clock::now());
+  };
+  if (how == departure::kDraining) {
+    item.is_draining = true;
+    List(item, note);
+    return;
+  }
+  item.is_listed = false;
+  const std::string key = "servers/" + item.id;
+  // Nothing brings its entry back.
+  std::erase_if(writes_, [&](const pending_write& write) {
+    return write.key == key && !(is_writing_ && &write == &writes_.front());
+  });
+  if (how == departure::kLapsed) {
+    caller_.Call({.to = sound_store_,
+                  .method = http_method::kPost,
+                  .path = "/kv-txn",
+                  .headers = {},
+                  .body = RemovalOf(key),
+                  .idle_timeout = kWriteTimeout},
+                 [note](const platform::json_answer& /*answer*/) { note(); });
+  }
+  Remove(key, note);
 }
 
 void deployment::Unlist(size_t index) {
@@ -158,6 +208,15 @@
       uint64_t fence = 0;
       words >> holder >> fence >> item.version;
       ledger_.OnOrder(item.id, holder, fence);
+    } else if (what == "departed") {
+      std::string id;
+      int64_t time_ms = 0;
+      words >> id >> time_ms;
+      const wall_time at{std::chrono::milliseconds(time_ms)};
+      const endpoint* daemon = ledger_.DaemonOf(id);
+      if (daemon != nullptr && IsInTouch(*daemon, at)) {
+        ledger_.OnArrivalAtDeparted(item.id, at);
+      }
     } else if (what == "limited" || what == "rested" || what == "left") {
       ReadNoticed(item, what, words);
     }
@@ -279,23 +338,25 @@
   Put("op/version/m", json({{"model", "m"}, {"version", version}}).dump());
 }
 
-void deployment::Put(const std::string& key, const std::string& value) {
-  Write(json({{"precondition", json::array()},
-              {"puts",
-               {{{"key", key}, {"value", platform::EncodeBase64(value)}}}},
-              {"remove", json::array()}})
-            .dump());
+void deployment::Put(const std::string& key,
+                     const std::string& value,
+                     std::function<void()> on_done) {
+  Write({.key = key,
+         .body =
+             json({{"precondition", json::array()},
+                   {"puts",
+                    {{{"key", key}, {"value", platform::EncodeBase64(value)}}}},
+                   {"remove", json::array()}})
+                 .dump(),
+         .on_done = std::move(on_done)});
 }
 
-void deployment::Remove(const std::string& key) {
-  Write(json({{"precondition", json::array()},
-              {"puts", json::array()},
-              {"remove", {key}}})
-            .dump());
+void deployment::Remove(const std::string& key, std::function<void()> on_done) {
+  Write({.key = key, .body = RemovalOf(key), .on_done = std::move(on_done)});
 }
 
-void deployment::Write(std::string body) {
-  writes_.push_back(std::move(body));
+void deployment::Write(pending_write write) {
+  writes_.push_back(std::move(write));
   SendNextWrite();
 }
 
@@ -308,19 +369,29 @@
                 .method = http_method::kPost,
                 .path = "/kv-txn",
                 .headers = {},
-                .body = writes_.front(),
+                .body = writes_.front().body,
                 .idle_timeout = kWriteTimeout},
                [this](const platform::json_answer& answer) {
                  is_writing_ = false;
-                 // Without an answer it is written once more, in its place.
-                 if (answer.is_whole && answer.status == 200) {
-                   writes_.pop_front();
-                   SendNextWrite();
-                 }
+                 OnWritten(answer);
                });
 }
 
+void deployment::OnWritten(const platform::json_answer& answer) {
+  // Without an answer it is written once more, in its place.
+  if (!answer.is_whole || answer.status != 200) {
+    return;
+  }
+  if (writes_.front().on_done) {
+    writes_.front().on_done();
+  }
+  writes_.pop_front();
+  SendNextWrite();
+}
+
 void deployment::SetStoreFault(const std::string& mode) {
+  is_store_faulty_ = mode != "none";
+  DisturbStore();
   caller_.Call({.to = store_,
                 .method = http_method::kPost,
                 .path = "/fault?mode=" + mode,
@@ -330,6 +401,11 @@
                [](const platform::json_answer& /*answer*/) {});
 }
 
+void deployment::HarmStoreLink(size_t index, link_fault fault) {
+  daemons[index].cut_at = std::chrono::steady_clock::now();
+  daemons[index].store->SetFault(fault);
+}
+
 void deployment::Control(size_t index, const std::string& what) {
   caller_.Call({.to = upstreams[index].address,
                 .method = http_method::kGet,
@@ -369,6 +445,13 @@
          item.disturbed_at + kCalmAfter < since;
 }
 
+bool deployment::IsInTouch(const endpoint& front, wall_time at) const {
+  const daemon_state& item = DaemonAt(front);
+  return IsSound(front, at) && item.store->fault() == link_fault::kNone &&
+         item.cut_at + kCalmAfter < at && !is_store_faulty_ &&
+         store_disturbed_at_ + kCalmAfter < at;
+}
+
 wall_time deployment::CalmSince(const endpoint& front) const {
   return DaemonAt(front).disturbed_at;
 }
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -1,5 +1,6 @@
 #include "soak/fault_schedule.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <iostream>
@@ -11,6 +12,14 @@
 /// Between two things that are done.
 static constexpr int kLeastGapMs = 40;
 static constexpr int kMostGapMs = 450;
+/// The same where some daemons are to be in touch.
+static constexpr int kLeastDepartureGapMs = 200;
+static constexpr int kMostDepartureGapMs = 1'300;
+/// A departed upstream serves on for so long, and then comes back under another
+/// id.
+static constexpr int kServesOnMs = 8'000;
+/// Upstreams of a kind that stay.
+static constexpr int kLeastStaying = 2;
 /// From SIGTERM to SIGKILL; a little over the settings' grace.
 static constexpr int kGraceMs = 4'500;
 /// The store's entries last so long without a sign of an upstream.
@@ -89,18 +98,33 @@
       &fault_schedule::PauseStore,    &fault_schedule::ChangeConfiguration,
       &fault_schedule::AskForRest,    &fault_schedule::AskForRest,
       &fault_schedule::AskForRest,    &fault_schedule::SayLeaving};
+  static constexpr std::array<step, 14> kDepartureSteps = {
+      &fault_schedule::KillDaemon,       &fault_schedule::StopDaemon,
+      &fault_schedule::PauseDaemon,      &fault_schedule::HarmStoreLink,
+      &fault_schedule::LoseStoreBriefly, &fault_schedule::LoseStoreBriefly,
+      &fault_schedule::LoseStoreBriefly, &fault_schedule::LoseStore,
+      &fault_schedule::KillAllDaemons,   &fault_schedule::ChangeConfiguration,
+      &fault_schedule::DepartAnyhow,     &fault_schedule::DepartAnyhow,
+      &fault_schedule::DepartAnyhow,     &fault_schedule::DepartAnyhow};
   std::span<const step> steps = kSteps;
+  int least_gap = kLeastGapMs;
+  int most_gap = kMostGapMs;
   if (subject_ == soak_subject::kLimits) {
     steps = kLimitSteps;
   } else if (subject_ == soak_subject::kCrashes) {
     steps = kCrashSteps;
   } else if (subject_ == soak_subject::kNotices) {
     steps = kNoticeSteps;
+  } else if (subject_ == soak_subject::kDepartures) {
+    steps = kDepartureSteps;
+    least_gap = kLeastDepartureGapMs;
+    most_gap = kMostDepartureGapMs;
   }
   const step next = steps[Pick(steps.size())];
   (this->*next)();
   timer_.Start(std::chrono::milliseconds(
-      kLeastGapMs + static_cast<int>(Pick(kMostGapMs - kLeastGapMs))));
+      least_gap +
+      static_cast<int>(Pick(static_cast<size_t>(most_gap - least_gap)))));
 }
 
 void fault_schedule::KillDaemon() {
@@ -142,12 +166,12 @@
 
 void fault_schedule::HarmStoreLink() {
   const size_t index = Pick(target_.daemons.size());
-  fault_proxy& link = *target_.daemons[index].store;
   const link_fault fault = AnyFault(Pick(kLinkFaults));
   Note("store link of " + target_.daemons[index].name + ", kind " +
        std::to_string(static_cast<int>(fault)));
-  link.SetFault(fault);
-  EndLater(200, 4'000, [&link] { link.SetFault(link_fault::kNone); });
+  target_.HarmStoreLink(index, fault);
+  EndLater(200, 4'000,
+           [this, index] { target_.HarmStoreLink(index, link_fault::kNone); });
 }
 
 void fault_schedule::HarmUpstreamLink() {
@@ -211,8 +235,12 @@
 
 void fault_schedule::PauseStore() {
   Note("SIGSTOP to the store");
+  target_.DisturbStore();
   target_.processes.Signal("store", SIGSTOP);
-  EndLater(100, 1'500, [this] { target_.processes.Signal("store", SIGCONT); });
+  EndLater(100, 1'500, [this] {
+    target_.DisturbStore();
+    target_.processes.Signal("store", SIGCONT);
+  });
 }
 
 void fault_schedule::ChangeConfiguration() {
@@ -256,6 +284,59 @@
   });
 }
 
+void fault_schedule::KillAllDaemons() {
+  Note("SIGKILL to all daemons");
+  for (size_t i = 0; i < target_.daemons.size(); ++i) {
+    target_.EndDaemon(i, SIGKILL);
+  }
+}
+
+void fault_schedule::Depart(departure how) {
+  const size_t index = Pick(target_.upstreams.size());
+  const upstream_state& item = target_.upstreams[index];
+  const auto staying = std::count_if(
+      target_.upstreams.begin(), target_.upstreams.end(),
+      [&](const upstream_state& other) {
+        return other.is_engine == item.is_engine && !other.is_departing;
+      });
+  if (item.is_departing || staying <= kLeastStaying) {
+    return;
+  }
+  Note(item.id + " departs, in way " + std::to_string(static_cast<int>(how)));
+  target_.Depart(index, how);
+  EndLater(kServesOnMs, kServesOnMs, [this, index] {
+    target_.processes.Signal(target_.upstreams[index].name, SIGKILL);
+    target_.Unlist(index);
+    target_.StartUpstream(index);
+  });
+}
+
+void fault_schedule::DepartAnyhow() {
+  Depart(Pick(2) == 0 ? departure::kDraining : departure::kRemoved);
+}
+
+void fault_schedule::LoseStore() {
+  if (std::exchange(is_store_harmed_, true)) {
+    return;
+  }
+  const char* mode = Pick(2) == 0 ? "refuse" : "silent";
+  Note(std::string("store ") + mode + " for long");
+  target_.SetStoreFault(mode);
+  EndLater(500, 2'000, [this] { Depart(departure::kLapsed); });
+  EndLater(2'500, 4'500, [this] {
+    is_store_harmed_ = false;
+    target_.SetStoreFault("none");
+    Depart(departure::kRemoved);
+    EndLater(0, 1'500, [this] { DepartAnyhow(); });
+  });
+}
+
+void fault_schedule::LoseStoreBriefly() {
+  const size_t index = Pick(target_.daemons.size());
+  Note(target_.daemons[index].name + " loses the store briefly");
+  target_.HarmStoreLink(index, link_fault::kReset);
+}
+
 void fault_schedule::NameWeights() {
   Note("weights " + std::to_string(target_.weights() + 1) + " named");
   target_.NameWeights(target_.weights() + 1);
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -27,6 +27,9 @@
   kCrashes,
   /// Rest that upstreams ask for, and that they leave; harmed as with limits.
   kNotices,
+  /// Upstreams that depart while the store is lost for one daemon or for all,
+  /// and daemons end; faults are further apart, so that some are in touch.
+  kDepartures,
 };
 
 /// Does one thing after another, each to a part chosen by the seed. Most of
@@ -71,6 +74,15 @@
   void NameLimit();
   void AskForRest();
   void SayLeaving();
+  void KillAllDaemons();
+  /// An upstream departs, as long as some of its kind stay.
+  void Depart(departure how);
+  void DepartAnyhow();
+  /// The store is lost for longer than entries last; upstreams depart while it
+  /// is, and soon after.
+  void LoseStore();
+  /// A daemon loses the store for a moment.
+  void LoseStoreBriefly();
 
   struct lasting {
     std::unique_ptr<loop_timer> timer;
--- a/test/soak/promise_ledger.cc
+++ b/test/soak/promise_ledger.cc
@@ -49,6 +49,13 @@
   }
 }
 
+void promise_ledger::OnArrivalAtDeparted(const std::string& upstream,
+                                         wall_time at) {
+  if (const auto broken = departures_.OnArrival(upstream, at)) {
+    Find("drain", *broken);
+  }
+}
+
 void promise_ledger::OnMaybeCrash(const std::string& id, bool is_daemon_sound) {
   const auto found = requests_.find(id);
   if (found == requests_.end() || found->second.request.crashing_as.empty()) {
--- a/test/soak/promise_ledger.h
+++ b/test/soak/promise_ledger.h
@@ -10,6 +10,7 @@
 
 #include "cuminswitch/Support/endpoint.h"
 #include "soak/crash_check.h"
+#include "soak/departure_check.h"
 #include "soak/limit_check.h"
 #include "soak/notice_check.h"
 #include "soak/wall_time.h"
@@ -71,6 +72,12 @@
   void OnRested(const notice_arrival& item, std::chrono::milliseconds rest);
   /// A request of a sound daemon reached an upstream that leaves.
   void OnLeft(const notice_arrival& item);
+  /// The store acknowledged that an upstream departs.
+  void OnDepartureAcknowledged(const std::string& upstream, wall_time at) {
+    departures_.OnAcknowledged(upstream, at);
+  }
+  /// A request of a daemon in touch reached an upstream that departs.
+  void OnArrivalAtDeparted(const std::string& upstream, wall_time at);
   /// An upstream ran the request \p id, and has crashed if it is one of those.
   void OnMaybeCrash(const std::string& id, bool is_daemon_sound);
   /// The daemon that the request was sent to; null where nobody sent it.
@@ -91,6 +98,7 @@
   /// Requests that notices of upstreams were checked with.
   size_t noticed() const { return notices_.counted(); }
   size_t crashes() const { return crashes_.counted(); }
+  size_t departures() const { return departures_.counted(); }
 
  private:
   struct record {
@@ -108,6 +116,7 @@
   limit_check limits_;
   notice_check notices_;
   crash_check crashes_;
+  departure_check departures_;
   std::vector<std::string> findings_;
   size_t served_ = 0;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -29,6 +29,7 @@
   bool limits = false;
   bool crashes = false;
   bool notices = false;
+  bool departures = false;
   std::string build_folder = "build";
   std::string work_folder = "soak-work";
 };
@@ -52,6 +53,9 @@
   if (opts.notices) {
     return soak_subject::kNotices;
   }
+  if (opts.departures) {
+    return soak_subject::kDepartures;
+  }
   return opts.crashes ? soak_subject::kCrashes : soak_subject::kAll;
 }
 
@@ -103,7 +107,8 @@
               << deployment_.processes.size() << " processes, "
               << ledger_.limited() << " of them held to limits, "
               << ledger_.noticed() << " to notices, " << ledger_.crashes()
-              << " crashes, " << ledger_.findings().size() << " findings\n";
+              << " crashes, " << ledger_.departures() << " departures, "
+              << ledger_.findings().size() << " findings\n";
     return ledger_.findings();
   }
 
@@ -189,6 +194,8 @@
                  "Some requests crash the upstreams that run them");
   parser.AddFlag("notices", options.notices,
                  "Upstreams ask for rest, and say that they leave");
+  parser.AddFlag("departures", options.departures,
+                 "Upstreams depart while daemons lose the store");
   parser.AddString("build", options.build_folder, "The build folder", "FOLDER");
   parser.AddString("work", options.work_folder,
                    "Where logs go; kept when a promise is broken", "FOLDER");
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -14,6 +14,8 @@
 // that it leaves. What comes then is told as `rested ATTEMPT TIME REST` and
 // `left ATTEMPT TIME` (milliseconds), and, later than half a second after it
 // has said so, as `in_rest ATTEMPT` and `while_leaving ATTEMPT`.
+// `GET /control/departed/1` makes it tell each request from then on as
+// `departed ATTEMPT TIME`, and changes nothing else.
 #include <event2/event.h>
 
 #include <chrono>
@@ -44,6 +46,7 @@
 constexpr std::string_view kControlLimit = "/control/limit/";
 constexpr std::string_view kControlRest = "/control/rest/";
 constexpr std::string_view kControlLeaving = "/control/leaving/";
+constexpr std::string_view kControlDeparted = "/control/departed/";
 /// What was under way may come so long after a notice.
 constexpr std::chrono::milliseconds kUnderWayTime{500};
 
@@ -120,6 +123,9 @@
     } else if (path.starts_with(kControlLeaving)) {
       is_leaving_ = true;
       exchange->Reply(200, kJson, "{}");
+    } else if (path.starts_with(kControlDeparted)) {
+      has_departed_ = true;
+      exchange->Reply(200, kJson, "{}");
     } else if ((!expected.empty() && expected != options_.id) ||
                (!version.empty() &&
                 version != std::to_string(options_.version))) {
@@ -186,10 +192,13 @@
     return headers;
   }
 
-  /// Tells of a request that comes although this upstream asked for rest, or
-  /// said that it leaves.
+  /// Tells of a request that comes although this upstream asked for rest, said
+  /// that it leaves, or has departed.
   void TellLateArrival(const std::string& attempt) {
     const auto now = clock::now();
+    if (has_departed_) {
+      std::cout << "departed " << attempt << " " << ToMillis(now) << std::endl;
+    }
     if (is_leaving_) {
       std::cout << "left " << attempt << " " << ToMillis(now) << std::endl;
     }
@@ -306,6 +315,7 @@
   clock::time_point rest_asked_at_{};
   clock::time_point rest_until_{};
   bool is_leaving_ = false;
+  bool has_departed_ = false;
   clock::time_point left_at_{};
   limit_meter meter_;
   loop_timer timer_;
