Keep entries of upstreams only where they may have lapsed

What callers saw: requests ran at upstreams that had left, up to seconds after the store had acknowledged it, while other upstreams were idle.

Cause: each daemon took any failed call for the loss of the store, and the next answer for its return. For 2.3 s after that it kept every entry that went missing, also one that it had seen removed since, and told its peers to do so too. One host that loses its connections every 2 s made the whole fleet use gone upstreams for as long as that lasted. The guess was about the store, and was made from what one daemon saw; and it outlived the fact that refutes it.

What was removed after the revision of the store's first answer is gone at once. The time, 2.0 s, counts from the first answer to anybody; of several witnesses the earliest holds, and a return is not believed where the store is known to have answered just before. While the store is away again, what is kept stays: it could not be back.

Ruled out: news that come late to the hosts that sent (they had logged the removal), and what was under way (the requests came seconds after).

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -46,6 +46,8 @@
     std::string quarantine_prefix;
     /// No two leaders may send orders within this time of each other.
     duration leader_gap = std::chrono::seconds(3);
+    /// Between two signs of an upstream to the store.
+    duration upstream_interval = std::chrono::milliseconds(1200);
   };
   /// What the task works with; all of it outlives the task.
   struct parts {
@@ -77,7 +79,6 @@
   void OnItemsChanged(std::span<const std::string> keys);
   void Publish(std::shared_ptr<const fleet_knowledge> next);
   void PublishUpstreams();
-  store_contact Contact() const;
   void DecideFollowing(time_point now);
   void RegisterSelf();
   /// Writes down which requests crash upstreams.
--- a/include/cuminswitch/Fleet/item_feed.h
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -25,13 +25,18 @@
 /// has dropped the history in between.
 class item_feed {
  public:
-  /// Called with the keys of items that changed or are forgotten.
-  using change_handler = std::function<void(std::span<const std::string> keys)>;
+  struct handlers {
+    /// Called with the keys of items that changed or are forgotten.
+    std::function<void(std::span<const std::string> keys)> on_change;
+    /// Called with the time of each answer of the store, and with the revision
+    /// that it is as of, before its changes. May be empty.
+    std::function<void(time_point at, revision_number revision)> on_answer;
+  };
 
   item_feed(event_base* base,
             item_store& store,
             event_log& log,
-            change_handler on_change);
+            handlers calls);
   ~item_feed();
 
   void Start();
@@ -56,11 +61,6 @@
   time_point answered_at() const { return answered_at_; }
   /// When it last failed to.
   time_point failed_at() const { return failed_at_; }
-  /// Whether the store's last answer to this daemon was a failure.
-  bool IsLost() const { return is_lost_; }
-  /// When the store was last lost, and when it was last regained.
-  time_point lost_at() const { return lost_at_; }
-  time_point regained_at() const { return regained_at_; }
 
  private:
   void Next();
@@ -72,7 +72,7 @@
 
   item_store& store_;
   event_log& log_;
-  change_handler on_change_;
+  handlers handlers_;
   loop_timer timer_;
   item_view view_;
   bool must_read_all_ = true;
@@ -83,8 +83,6 @@
   duration pause_{0};
   time_point answered_at_{};
   time_point failed_at_{};
-  time_point lost_at_{};
-  time_point regained_at_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/cuminswitch/Fleet/lapsed_upstreams.h
+++ b/include/cuminswitch/Fleet/lapsed_upstreams.h
@@ -4,57 +4,75 @@
 #define CUMINSWITCH_FLEET_LAPSED_UPSTREAMS_H_
 
 #include <cstdint>
-#include <map>
+#include <optional>
 
 #include "cuminswitch/Fleet/peer_frame.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
 
-/// How this daemon stands to the store.
-struct store_contact {
-  bool is_following = false;
-  bool is_lost = false;
-  time_point lost_at{};
-  /// Never where it is the clock's beginning.
-  time_point regained_at{};
+/// Which removals from the store's list may be of upstreams that live.
+struct lapse_window {
+  /// What is still missing then is gone.
+  time_point until{};
+  /// What was removed after this revision did not lapse.
+  revision_number last_removal = 0;
 };
 
 /// Tells whether upstreams that are missing from the store may live.
 ///
-/// A store that was away has not heard its upstreams, and drops their entries;
-/// those that live are back about two seconds after its return. Without them a
-/// daemon would refuse everything meanwhile. But a store that only turned this
-/// daemon away has heard them all, and what is missing there is gone: kept, it
-/// would get requests after it was drained.
+/// A store that was away from everybody for long has not heard its upstreams,
+/// and drops their entries; those that live are back about two seconds after
+/// its return. Without them a daemon would refuse everything meanwhile. Nothing
+/// else excuses a missing entry: not that the store turned this daemon away
+/// while it answered others, nor that it was away for a moment. What is removed
+/// after the store's return is gone, however soon.
 ///
-/// Daemons pass on what others await. Each return of the store is awaited until
-/// one time, however often and late it is told, so that no daemons keep one
-/// another waiting.
+/// Daemons pass on a return of the store. Of one that several saw, the earliest
+/// time and revision hold, and a return is not believed where the store is
+/// known to have answered just before.
 class lapsed_upstreams {
  public:
-  /// \p self is a hash of this daemon's process.
-  explicit lapsed_upstreams(uint64_t self = 0) : self_(self) {}
+  struct options {
+    /// A hash of this daemon's process.
+    uint64_t self = 0;
+    /// The store drops no entry that it has not heard for less.
+    duration least_outage = std::chrono::milliseconds(2400);
+  };
 
-  /// Notes what \p peer says of the store.
+  explicit lapsed_upstreams(const options& opts) : options_(opts) {}
+
+  /// The store answered this daemon at \p at, as of \p revision.
+  void OnStoreAnswer(time_point at, revision_number revision);
+  /// Takes in what a peer told of the store.
   void OnPeer(time_point now,
-              const store_contact& contact,
-              const daemon_record& peer);
-  /// Until when entries that go missing are kept; \p now for not at all.
-  time_point AwaitsUntil(time_point now, const store_contact& contact) const;
-  /// Returns what to tell peers of that.
-  awaited_entries Awaits(time_point now, const store_contact& contact) const;
+              const awaited_entries& told,
+              const std::optional<store_evidence>& evidence);
+  /// Whether the store is not known to have answered anybody for so long that
+  /// entries may lapse. Nothing that is missing can come back meanwhile.
+  bool IsAway(time_point now) const;
+  /// The window of the last return of the store; over where there is none.
+  lapse_window Window() const;
+  /// Returns what to tell peers of it.
+  awaited_entries Awaits(time_point now) const;
 
  private:
-  /// The return of the store that this daemon saw.
-  uint64_t OwnEvent(const store_contact& contact) const;
-  bool SawAllLoseIt(const store_contact& contact) const;
-
-  uint64_t self_;
-  /// While this daemon had lost the store, the store served another one.
-  bool store_served_others_ = false;
-  /// Until when entries may be missing, by the return that peers tell of.
-  std::map<uint64_t, time_point> told_;
+  /// The first answer of the store to anybody after it had been away.
+  struct store_return {
+    /// Names it, as its witness saw it; 0 for none.
+    uint64_t event = 0;
+    time_point at{};
+    revision_number revision = 0;
+  };
+
+  void OnReturn(const store_return& seen);
+  /// Whether it would be the end of an outage, by what this daemon knows.
+  bool EndsOutage(time_point at) const;
+
+  options options_;
+  /// When the store is last known to have answered anybody.
+  std::optional<time_point> answered_at_;
+  store_return return_;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -29,6 +29,8 @@
   uint64_t event = 0;
   /// For how much longer entries may be missing.
   duration left{0};
+  /// The store's at its return. What was removed later has not lapsed.
+  revision_number revision = 0;
 
   friend bool operator==(const awaited_entries&,
                          const awaited_entries&) = default;
--- a/include/cuminswitch/Fleet/upstream_directory.h
+++ b/include/cuminswitch/Fleet/upstream_directory.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -19,6 +18,8 @@
 
 namespace cuminswitch {
 
+struct lapse_window;
+
 /// What changed of one upstream in use.
 struct upstream_change {
   std::string id;
@@ -48,11 +49,13 @@
 /// only the one that came last can be true.
 class upstream_directory {
  public:
-  /// Takes in what the store says of an upstream. An entry that goes missing
-  /// before \p awaits_until is kept until then.
-  void Take(time_point now, const upstream_news& news, time_point awaits_until);
-  /// Drops entries that were kept, once nothing is awaited any more.
-  void Expire(time_point now, time_point awaits_until);
+  /// Takes in what the store says of an upstream. An entry that goes missing is
+  /// kept where \p window says that it may have lapsed.
+  void Take(time_point now,
+            const upstream_news& news,
+            const lapse_window& window);
+  /// Drops entries that were kept, and have not lapsed by what is known now.
+  void Expire(time_point now, const lapse_window& window);
   bool HasKept() const { return !kept_.empty(); }
 
   /// Returns what changed since the last call.
@@ -81,9 +84,7 @@
     /// Another one has taken its address. It stays so for this start, whatever
     /// a late write says, until the entry is gone.
     bool is_replaced = false;
-    /// Where it is kept though the store does not list it.
-    std::optional<time_point> kept_until;
-    /// Of its removal, where it is kept.
+    /// Of its removal, where it is kept though the store does not list it.
     revision_number removed_at = 0;
   };
   struct address_hash {
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -152,7 +152,7 @@
 }
 
 void fleet_task::LogAwaited(time_point now) {
-  const awaited_entries awaited = lapsed_.Awaits(now, Contact());
+  const awaited_entries awaited = lapsed_.Awaits(now);
   if (awaited.event == 0 ||
       std::exchange(logged_return_, awaited.event) == awaited.event) {
     return;
@@ -161,6 +161,7 @@
                   log_line("entries_awaited")
                       .Add("return", awaited.event)
                       .Add("left_ms", awaited.left)
+                      .Add("up_to", awaited.revision)
                       .Add("revision", feed_.view().revision()));
 }
 
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -14,6 +14,9 @@
 
 static constexpr duration kRegistrationRetry = std::chrono::milliseconds(700);
 static constexpr duration kRolloutInterval = std::chrono::milliseconds(50);
+/// An entry outlives three intervals without a sign of its upstream, of which
+/// one may have passed before the store went away.
+static constexpr int kIntervalsToLapse = 2;
 /// Claims to the lead are spread over this.
 static constexpr uint64_t kClaimSpreadMs = 400;
 
@@ -30,11 +33,17 @@
                .self_address = options_.self.peer_address,
                .self_domain = options_.self.failure_domain,
                .seeds = options_.seeds}),
-      feed_(
-          base,
-          with.store,
-          with.log,
-          [this](std::span<const std::string> keys) { OnItemsChanged(keys); }),
+      feed_(base,
+            with.store,
+            with.log,
+            {.on_change =
+                 [this](std::span<const std::string> keys) {
+                   OnItemsChanged(keys);
+                 },
+             .on_answer =
+                 [this](time_point at, revision_number revision) {
+                   lapsed_.OnStoreAnswer(at, revision);
+                 }}),
       election_({.self_name = options_.self.name,
                  .key = options_.leader_key,
                  .turn_gap = options_.leader_gap,
@@ -43,7 +52,10 @@
                      kClaimSpreadMs)},
                 with.store),
       staleness_(Hash64(options_.self.name)),
-      lapsed_(Hash64(options_.self.name, options_.self.incarnation)),
+      lapsed_({.self = Hash64(options_.self.name, options_.self.incarnation),
+               .least_outage = std::max<duration>(
+                   kStoreFresh,
+                   options_.upstream_interval * kIntervalsToLapse)}),
       quarantine_records_(
           {.prefix = options_.quarantine_prefix, .author = options_.self.name},
           with.store),
@@ -128,7 +140,7 @@
     staleness_.OnPeer(now, *beat.evidence,
                       beat.sender.revision > feed_.view().revision());
   }
-  lapsed_.OnPeer(now, Contact(), beat.sender);
+  lapsed_.OnPeer(now, beat.sender.awaits, beat.evidence);
   if (!beat.changing.empty()) {
     leader_changing_ = beat.changing;
     leader_changing_at_ = now;
@@ -194,7 +206,7 @@
   self.version = roster_.self_version();
   self.revision = feed_.view().news_revision();
   self.has_store = feed_.IsFresh(now, kStoreFresh);
-  self.awaits = lapsed_.Awaits(now, Contact());
+  self.awaits = lapsed_.Awaits(now);
   beat_frame beat{.sender = self,
                   .heard = roster_.NameLiving(now),
                   .changing = {},
@@ -233,8 +245,8 @@
   AskPeers(now);
   RegisterSelf();
   RecordQuarantines(now);
-  if (upstreams_.HasKept()) {
-    upstreams_.Expire(now, lapsed_.AwaitsUntil(now, Contact()));
+  if (upstreams_.HasKept() && !lapsed_.IsAway(now)) {
+    upstreams_.Expire(now, lapsed_.Window());
     PublishUpstreams();
   }
   RunRollout(now);
@@ -296,9 +308,8 @@
   decoded_items decoded = with_.decoder.Decode(feed_.view(), keys);
   feed_.MarkNews(decoded.news);
   const time_point now = ReadBootClock();
-  const time_point awaits_until = lapsed_.AwaitsUntil(now, Contact());
   for (const upstream_news& news : decoded.upstreams) {
-    upstreams_.Take(now, news, awaits_until);
+    upstreams_.Take(now, news, lapsed_.Window());
   }
   // Before a first configuration, with which the daemon begins to serve.
   PublishUpstreams();
@@ -309,13 +320,6 @@
   }
 }
 
-store_contact fleet_task::Contact() const {
-  return {.is_following = feed_.IsFollowing(),
-          .is_lost = feed_.IsLost(),
-          .lost_at = feed_.lost_at(),
-          .regained_at = feed_.regained_at()};
-}
-
 void fleet_task::DecideFollowing(time_point now) {
   feed_.SetFollowing(duty_.Decide(now, {.self = options_.self,
                                         .living = published_peers_,
--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -23,10 +23,10 @@
 item_feed::item_feed(event_base* base,
                      item_store& store,
                      event_log& log,
-                     change_handler on_change)
+                     handlers calls)
     : store_(store),
       log_(log),
-      on_change_(std::move(on_change)),
+      handlers_(std::move(calls)),
       timer_(base, [this] { Next(); }) {}
 
 item_feed::~item_feed() {
@@ -90,13 +90,16 @@
     return;
   }
   OnSuccess();
+  if (handlers_.on_answer) {
+    handlers_.on_answer(answered_at_, answer.revision);
+  }
   must_read_all_ = false;
   const std::vector<std::string> changed =
       is_complete ? view_.ApplyAll(answer.items, answer.revision)
                   : view_.ApplyChanges(answer.items, answer.revision);
   timer_.Start(answer.items.empty() ? duration(0) : kWatchPause);
   if (!changed.empty()) {
-    on_change_(changed);
+    handlers_.on_change(changed);
   }
 }
 
@@ -110,7 +113,6 @@
   answered_at_ = ReadBootClock();
   pause_ = duration(0);
   if (std::exchange(is_lost_, false)) {
-    regained_at_ = answered_at_;
     log_.Write(log_class::kLifecycle,
                log_line("dependency_regained").Add("dependency", "store"));
   }
@@ -120,7 +122,6 @@
   pause_ = std::clamp(pause_ * 2, kFirstRetry, kLongestRetry);
   failed_at_ = ReadBootClock();
   if (!std::exchange(is_lost_, true)) {
-    lost_at_ = failed_at_;
     log_.Write(log_class::kLifecycle, log_line("dependency_lost")
                                           .Add("dependency", "store")
                                           .Add("reason", ToString(end))
@@ -151,7 +152,7 @@
                                      .Add("before", before)
                                      .Add("revision", reply.revision)
                                      .Add("items", reply.items.size()));
-  on_change_(changed);
+  handlers_.on_change(changed);
 }
 
 }  // namespace cuminswitch
--- a/lib/Fleet/lapsed_upstreams.cc
+++ b/lib/Fleet/lapsed_upstreams.cc
@@ -2,71 +2,79 @@
 
 #include <algorithm>
 
-#include "cuminswitch/Fleet/peer_roster.h"
 #include "cuminswitch/Support/hash.h"
-#include "store_constants.h"
 
 namespace cuminswitch {
 
-/// Entries of upstreams that live are back about two seconds after the store's
-/// return; one that is still missing then is gone.
-static constexpr duration kLapsedTime = std::chrono::milliseconds(2300);
-/// Beats that tell of a return have all come by then.
-static constexpr duration kForgetReturn = std::chrono::seconds(30);
+/// Entries of upstreams that live are back this soon after the store's return.
+static constexpr duration kLapsedTime = std::chrono::seconds(2);
 
-void lapsed_upstreams::OnPeer(time_point now,
-                              const store_contact& contact,
-                              const daemon_record& peer) {
-  const awaited_entries& told = peer.awaits;
-  if (told.event != 0 && told.event != OwnEvent(contact)) {
-    const time_point until = now + std::min(told.left, kLapsedTime);
-    const auto [found, is_new] = told_.try_emplace(told.event, until);
-    // Each message adds its delay, so the earliest time is the truest.
-    found->second = std::min(found->second, until);
-    std::erase_if(told_, [&](const auto& item) {
-      return now - item.second > kForgetReturn;
-    });
-  }
-  if (!contact.is_lost) {
+bool lapsed_upstreams::EndsOutage(time_point at) const {
+  return answered_at_ && at - *answered_at_ >= options_.least_outage;
+}
+
+void lapsed_upstreams::OnReturn(const store_return& seen) {
+  const duration apart = std::chrono::abs(seen.at - return_.at);
+  if (return_.event == 0 || apart >= options_.least_outage) {
+    return_ = seen;
     return;
   }
-  // At first a peer may not have noticed yet.
-  if (now - contact.lost_at < kStoreFresh + 2 * peer_roster::kBeatInterval) {
-    store_served_others_ = false;
-  } else if (peer.has_store) {
-    store_served_others_ = true;
+  // Another daemon saw the same return. Delays make what is told later, never
+  // earlier.
+  if (seen.at < return_.at) {
+    return_.event = seen.event;
+    return_.at = seen.at;
+  }
+  return_.revision = std::min(return_.revision, seen.revision);
+}
+
+void lapsed_upstreams::OnStoreAnswer(time_point at, revision_number revision) {
+  if (EndsOutage(at)) {
+    const auto stamp = static_cast<uint64_t>(at.time_since_epoch().count());
+    OnReturn({.event = CombineHash(options_.self, stamp),
+              .at = at,
+              .revision = revision});
   }
+  answered_at_ = std::max(answered_at_.value_or(at), at);
 }
 
-bool lapsed_upstreams::SawAllLoseIt(const store_contact& contact) const {
-  return contact.is_following && !contact.is_lost && !store_served_others_ &&
-         contact.regained_at != time_point();
+void lapsed_upstreams::OnPeer(time_point now,
+                              const awaited_entries& told,
+                              const std::optional<store_evidence>& evidence) {
+  if (told.event != 0) {
+    const time_point at = now + std::min(told.left, kLapsedTime) - kLapsedTime;
+    const bool is_known =
+        return_.event != 0 &&
+        std::chrono::abs(at - return_.at) < options_.least_outage;
+    if (is_known || !answered_at_ || EndsOutage(at)) {
+      OnReturn({.event = told.event, .at = at, .revision = told.revision});
+    }
+  }
+  if (evidence && evidence->witness != 0) {
+    const time_point at = now - evidence->age;
+    answered_at_ = std::max(answered_at_.value_or(at), at);
+  }
 }
 
-uint64_t lapsed_upstreams::OwnEvent(const store_contact& contact) const {
-  return CombineHash(
-      self_,
-      static_cast<uint64_t>(contact.regained_at.time_since_epoch().count()));
+bool lapsed_upstreams::IsAway(time_point now) const {
+  return EndsOutage(now);
 }
 
-awaited_entries lapsed_upstreams::Awaits(time_point now,
-                                         const store_contact& contact) const {
-  awaited_entries longest;
-  if (SawAllLoseIt(contact) && contact.regained_at + kLapsedTime > now) {
-    longest = {.event = OwnEvent(contact),
-               .left = contact.regained_at + kLapsedTime - now};
+lapse_window lapsed_upstreams::Window() const {
+  if (return_.event == 0) {
+    return {};
   }
-  for (const auto& [event, until] : told_) {
-    if (until - now > longest.left) {
-      longest = {.event = event, .left = until - now};
-    }
-  }
-  return longest;
+  return {.until = return_.at + kLapsedTime, .last_removal = return_.revision};
 }
 
-time_point lapsed_upstreams::AwaitsUntil(time_point now,
-                                         const store_contact& contact) const {
-  return now + Awaits(now, contact).left;
+awaited_entries lapsed_upstreams::Awaits(time_point now) const {
+  const lapse_window window = Window();
+  if (window.until <= now) {
+    return {};
+  }
+  return {.event = return_.event,
+          .left = window.until - now,
+          .revision = return_.revision};
 }
 
 }  // namespace cuminswitch
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -99,7 +99,7 @@
                out_.CreateVectorOfStructs(completions), sender.version,
                frame.is_watched, out_.CreateVector(members), evidence.witness,
                evidence.age.count(), sender.awaits.event,
-               sender.awaits.left.count())
+               sender.awaits.left.count(), sender.awaits.revision)
         .Union();
   }
 
--- a/lib/Fleet/upstream_directory.cc
+++ b/lib/Fleet/upstream_directory.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "cuminswitch/Fleet/lapsed_upstreams.h"
 #include "cuminswitch/Support/hash.h"
 
 namespace cuminswitch {
@@ -17,6 +18,13 @@
   return std::tie(a.revision, a.id) > std::tie(b.revision, b.id);
 }
 
+/// Whether an upstream that was removed at \p revision may live.
+static bool MayHaveLapsed(time_point now,
+                          revision_number revision,
+                          const lapse_window& window) {
+  return now < window.until && revision <= window.last_removal;
+}
+
 size_t upstream_directory::address_hash::operator()(
     const endpoint& address) const {
   return Hash64(address.address, address.port);
@@ -24,7 +32,7 @@
 
 void upstream_directory::Take(time_point now,
                               const upstream_news& news,
-                              time_point awaits_until) {
+                              const lapse_window& window) {
   unreadable_.erase(news.id);
   if (news.entry != nullptr) {
     Put(news.entry);
@@ -35,8 +43,8 @@
     // It did not lapse: it says that the upstream is not to be used.
     unreadable_.insert(news.id);
   } else if (found != states_.end() && !found->second.is_replaced &&
-             !found->second.entry->is_draining && now < awaits_until) {
-    found->second.kept_until = awaits_until;
+             !found->second.entry->is_draining &&
+             MayHaveLapsed(now, news.revision, window)) {
     found->second.removed_at = news.revision;
     if (kept_.insert(news.id).second) {
       kept_changes_.push_back(
@@ -47,12 +55,10 @@
   Remove(news.id);
 }
 
-void upstream_directory::Expire(time_point now, time_point awaits_until) {
+void upstream_directory::Expire(time_point now, const lapse_window& window) {
   std::vector<std::string> over;
   for (const std::string& id : kept_) {
-    std::optional<time_point>& until = states_.find(id)->second.kept_until;
-    until = std::max(*until, awaits_until);
-    if (now >= *until) {
+    if (!MayHaveLapsed(now, states_.find(id)->second.removed_at, window)) {
       over.push_back(id);
     }
   }
@@ -64,7 +70,6 @@
 void upstream_directory::Put(const upstream_ref& entry) {
   state& known = states_[entry->id];
   EndKeeping(entry->id);
-  known.kept_until.reset();
   const upstream_ref before = std::exchange(known.entry, entry);
   if (known.is_replaced && before->started == entry->started) {
     return;
@@ -82,7 +87,6 @@
     state& replaced = states_.find(other->id)->second;
     replaced.is_replaced = true;
     EndKeeping(other->id);
-    replaced.kept_until.reset();
     Disuse(other);
   }
   Use(entry);
--- a/test/process/platform_departed.sh
+++ b/test/process/platform_departed.sh
@@ -112,3 +112,38 @@
   ask_all "$phase"
 done
 expect_none after "$second"
+
+# What lapses while the store is away is used until its upstreams are back.
+store_as_operator() {
+  FETCH_HEADERS="Host: operator" "$BUILD/utils/fetch" "$STORE" "$@" >/dev/null
+}
+store_as_operator "/fault?mode=none&at=operator" -
+store_fault silent
+second_fault silent
+for ((i = 0; i < COUNT; ++i)); do
+  wait_for 10 has_lost_store "$i"
+done
+until=$(($(millis) + 3000))
+while (($(millis) < until)); do
+  ask_all away-again
+done
+for name in "${names[@]:0:2}"; do
+  store_as_operator /kv-txn \
+    "{\"precondition\":[],\"puts\":[],\"remove\":[\"servers/$name\"]}"
+done
+store_fault none
+second_fault none
+for ((i = 0; i < COUNT; ++i)); do
+  wait_for 10 has_store "$i"
+done
+ask_all lapsed
+for name in "${names[@]:0:2}"; do
+  address="ADDRESS_$name"
+  list_replica "$name" orders "${!address}" ready
+done
+until=$(($(millis) + 3000))
+while (($(millis) < until)); do
+  ask_all returned
+done
+grep -q '"event":"upstreams_kept"' "$WORK/entry-0.log" ||
+  fail "no entry was kept"
