Notice the store's return within a second where it was silent

What callers saw: for up to 1.6 s longer than needed the fleet went by what it had known before the store's outage, and used upstreams that were gone by then. A call to a silent store held up the next one until its time was over, with a watch's full second in it, and the pause for retries came on top.

Now a watch of a lost store asks for an answer after 0.1 s at the latest, and the pause for retries counts from the call's begin.

--- a/include/cuminswitch/Fleet/item_feed.h
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -81,6 +81,8 @@
   /// A call is under way, or the timer for the next one runs.
   bool is_busy_ = false;
   duration pause_{0};
+  /// When the call that is under way, or the last one, began.
+  time_point called_at_{};
   time_point answered_at_{};
   time_point failed_at_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -12,6 +12,9 @@
 /// A watch ends after this long without a change. A connection that has gone
 /// silent is noticed a little later, while beliefs may still be trusted.
 static constexpr std::chrono::milliseconds kWatchTime{1000};
+/// While the store is lost a watch only asks whether it is back. One that is not
+/// answered holds up the next for as long as it may take.
+static constexpr std::chrono::milliseconds kProbeTime{100};
 /// Upstreams renew their items all the time, so a watch returns at once; the
 /// pause bounds the calls. What matters is late by this much at most.
 static constexpr duration kWatchPause = std::chrono::milliseconds(100);
@@ -61,6 +64,7 @@
 }
 
 void item_feed::ReadAll() {
+  called_at_ = ReadBootClock();
   store_.ReadAll([this, alive = alive_](const store_items& answer) {
     if (*alive) {
       OnItems(true, answer);
@@ -69,7 +73,8 @@
 }
 
 void item_feed::Watch() {
-  store_.Watch(view_.revision(), kWatchTime,
+  called_at_ = ReadBootClock();
+  store_.Watch(view_.revision(), is_lost_ ? kProbeTime : kWatchTime,
                [this, alive = alive_](const store_items& answer) {
                  if (*alive) {
                    OnItems(false, answer);
@@ -127,7 +132,9 @@
                                           .Add("reason", ToString(end))
                                           .Add("revision", view_.revision()));
   }
-  timer_.Start(pause_);
+  // What the call has taken counts: a store that is silent is asked as often as
+  // one that refuses.
+  timer_.Start(std::max(duration(0), pause_ - (failed_at_ - called_at_)));
 }
 
 void item_feed::OnPeerItems(const items_reply_frame& reply,
--- a/unittests/Fleet/item_feed_test.cc
+++ b/unittests/Fleet/item_feed_test.cc
@@ -23,13 +23,17 @@
   }
   void StopReading() override { reading = nullptr; }
   void Watch(revision_number after,
-             std::chrono::milliseconds /*wait*/,
-             std::function<void(store_items)> /*done*/) override {
+             std::chrono::milliseconds wait,
+             std::function<void(store_items)> done) override {
     watched_after = after;
+    watched_for = wait;
+    watching = std::move(done);
   }
 
   std::function<void(store_items)> reading;
   std::optional<revision_number> watched_after;
+  std::chrono::milliseconds watched_for{0};
+  std::function<void(store_items)> watching;
 };
 
 struct base_deleter {
@@ -80,5 +84,18 @@
   EXPECT_TRUE(store_.reading);
 }
 
+// Guards against daemons that notice the store's return over a second late.
+TEST_F(item_feed_test, ALostStoreIsNotAskedToHoldItsAnswerBack) {
+  store_.reading({.end = store_end::kDone, .revision = 5});
+  RunTimers();
+  const std::chrono::milliseconds usual = store_.watched_for;
+  store_.watching({.end = store_end::kUnknown});
+  RunTimers();
+  EXPECT_LE(store_.watched_for, usual / 5);
+  store_.watching({.end = store_end::kDone, .revision = 5});
+  RunTimers();
+  EXPECT_EQ(store_.watched_for, usual);
+}
+
 }  // namespace
 }  // namespace cuminswitch
