Show requests to a draining upstream from a daemon that the store turns away

platform_turned_away fails on this code: the store refuses the calls of one daemon of three, an upstream drains, and one of the peers stands still after 1.2 s.

The soak counts late requests of daemons out of touch, too, and prints them.

--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -12,8 +12,8 @@
 /// A watch ends after this long without a change. A connection that has gone
 /// silent is noticed a little later, while beliefs may still be trusted.
 static constexpr std::chrono::milliseconds kWatchTime{1000};
-/// While the store is lost a watch only asks whether it is back. One that is not
-/// answered holds up the next for as long as it may take.
+/// While the store is lost a watch only asks whether it is back. One that is
+/// not answered holds up the next for as long as it may take.
 static constexpr std::chrono::milliseconds kProbeTime{100};
 /// Upstreams renew their items all the time, so a watch returns at once; the
 /// pause bounds the calls. What matters is late by this much at most.
--- a/test/soak/departure_check.cc
+++ b/test/soak/departure_check.cc
@@ -12,11 +12,16 @@
 
 std::optional<std::string> departure_check::OnArrival(
     const std::string& upstream,
-    wall_time at) {
+    wall_time at,
+    bool is_in_touch) {
   const auto found = acknowledged_.find(upstream);
   if (found == acknowledged_.end() || at <= found->second + kDrainTime) {
     return std::nullopt;
   }
+  ++late_;
+  if (!is_in_touch) {
+    return std::nullopt;
+  }
   const auto after =
       std::chrono::duration_cast<std::chrono::milliseconds>(at - found->second);
   return upstream + " got a request " + std::to_string(after.count()) +
--- a/test/soak/departure_check.h
+++ b/test/soak/departure_check.h
@@ -19,15 +19,19 @@
   /// The store acknowledged at \p at that \p upstream departs. A later one of
   /// the same upstream counts, where an earlier write was undone.
   void OnAcknowledged(const std::string& upstream, wall_time at);
-  /// A request reached \p upstream at \p at, sent by a daemon that was in
-  /// touch. Returns what is wrong, if anything is.
+  /// A request reached \p upstream at \p at. Returns what is wrong, if
+  /// anything is: the daemon that sent it must have been in touch.
   std::optional<std::string> OnArrival(const std::string& upstream,
-                                       wall_time at);
+                                       wall_time at,
+                                       bool is_in_touch);
   /// Departures that the store has acknowledged.
   size_t counted() const { return acknowledged_.size(); }
+  /// Requests that came too late, of all daemons.
+  size_t late() const { return late_; }
 
  private:
   std::map<std::string, wall_time> acknowledged_;
+  size_t late_ = 0;
 };
 
 }  // namespace cuminswitch::soak
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -214,8 +214,8 @@
       words >> id >> time_ms;
       const wall_time at{std::chrono::milliseconds(time_ms)};
       const endpoint* daemon = ledger_.DaemonOf(id);
-      if (daemon != nullptr && IsInTouch(*daemon, at)) {
-        ledger_.OnArrivalAtDeparted(item.id, at);
+      if (daemon != nullptr) {
+        ledger_.OnArrivalAtDeparted(item.id, at, IsInTouch(*daemon, at));
       }
     } else if (what == "limited" || what == "rested" || what == "left") {
       ReadNoticed(item, what, words);
--- a/test/soak/promise_ledger.cc
+++ b/test/soak/promise_ledger.cc
@@ -50,8 +50,10 @@
 }
 
 void promise_ledger::OnArrivalAtDeparted(const std::string& upstream,
-                                         wall_time at) {
-  if (const auto broken = departures_.OnArrival(upstream, at)) {
+                                         wall_time at,
+                                         bool is_daemon_in_touch) {
+  if (const auto broken =
+          departures_.OnArrival(upstream, at, is_daemon_in_touch)) {
     Find("drain", *broken);
   }
 }
--- a/test/soak/promise_ledger.h
+++ b/test/soak/promise_ledger.h
@@ -76,8 +76,10 @@
   void OnDepartureAcknowledged(const std::string& upstream, wall_time at) {
     departures_.OnAcknowledged(upstream, at);
   }
-  /// A request of a daemon in touch reached an upstream that departs.
-  void OnArrivalAtDeparted(const std::string& upstream, wall_time at);
+  /// A request reached an upstream that departs.
+  void OnArrivalAtDeparted(const std::string& upstream,
+                           wall_time at,
+                           bool is_daemon_in_touch);
   /// An upstream ran the request \p id, and has crashed if it is one of those.
   void OnMaybeCrash(const std::string& id, bool is_daemon_sound);
   /// The daemon that the request was sent to; null where nobody sent it.
@@ -99,6 +101,7 @@
   size_t noticed() const { return notices_.counted(); }
   size_t crashes() const { return crashes_.counted(); }
   size_t departures() const { return departures_.counted(); }
+  size_t late_at_departed() const { return departures_.late(); }
 
  private:
   struct record {
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -108,6 +108,7 @@
               << ledger_.limited() << " of them held to limits, "
               << ledger_.noticed() << " to notices, " << ledger_.crashes()
               << " crashes, " << ledger_.departures() << " departures, "
+              << ledger_.late_at_departed() << " late, "
               << ledger_.findings().size() << " findings\n";
     return ledger_.findings();
   }
