Ask peers for items as soon as the store fails

What callers saw: a daemon that the store turns away sent requests to a draining upstream for up to 2.5 s. In the users' record three hosts learn a change at the same moment, 1.4 s after the store last answered them.

Cause: a daemon took itself for told by the store until 1.4 s had passed since its last answer, though it knew that its calls since had failed, and only then asked a peer that had announced more. A peer that does not answer costs another second.

Now the failure itself ends it. A store that is silent is still waited for, since it has not failed yet.

--- a/include/cuminswitch/Fleet/item_feed.h
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -61,6 +61,8 @@
   time_point answered_at() const { return answered_at_; }
   /// When it last failed to.
   time_point failed_at() const { return failed_at_; }
+  /// Whether the store's last answer to this daemon was a failure.
+  bool IsLost() const { return is_lost_; }
 
  private:
   void Next();
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -259,6 +259,7 @@
   // While the first pages come from the store a peer's packed list is there
   // sooner: in a fleet that starts, all read at the same time.
   const bool is_told_by_store = feed_.view().HasRead() && feed_.IsFollowing() &&
+                                !feed_.IsLost() &&
                                 feed_.IsFresh(now, kStoreFresh);
   if (!questions_.MayAsk(now) || is_told_by_store) {
     return;
