Visit kept entries only when what may have lapsed narrows, or the time is over

Each tick of 0.12 s visited all entries that are kept after an outage of the store: 2.4 ms of a daemon's time at 2,000 hosts with ten upstreams each, for two seconds, just when all upstreams come back. Kept entries change only with the window: it ends, or an earlier witness of the return is heard of.

--- a/include/cuminswitch/Fleet/upstream_directory.h
+++ b/include/cuminswitch/Fleet/upstream_directory.h
@@ -108,6 +108,8 @@
   std::set<std::string, std::less<>> unreadable_;
   std::set<std::string, std::less<>> kept_;
   std::vector<kept_change> kept_changes_;
+  /// No kept entry was removed after this revision.
+  revision_number last_kept_removal_ = 0;
   /// What upstreams with changes were at the last `TakeChanges`.
   std::map<std::string, upstream_ref> changed_;
   size_t in_use_count_ = 0;
--- a/lib/Fleet/upstream_directory.cc
+++ b/lib/Fleet/upstream_directory.cc
@@ -46,6 +46,7 @@
              !found->second.entry->is_draining &&
              MayHaveLapsed(now, news.revision, window)) {
     found->second.removed_at = news.revision;
+    last_kept_removal_ = std::max(last_kept_removal_, news.revision);
     if (kept_.insert(news.id).second) {
       kept_changes_.push_back(
           {.id = news.id, .revision = news.revision, .is_kept = true});
@@ -56,6 +57,10 @@
 }
 
 void upstream_directory::Expire(time_point now, const lapse_window& window) {
+  if (MayHaveLapsed(now, last_kept_removal_, window)) {
+    return;
+  }
+  last_kept_removal_ = window.last_removal;
   std::vector<std::string> over;
   for (const std::string& id : kept_) {
     if (!MayHaveLapsed(now, states_.find(id)->second.removed_at, window)) {
--- a/unittests/PlatformAdapter/fleet_growth_test.cc
+++ b/unittests/PlatformAdapter/fleet_growth_test.cc
@@ -43,6 +43,8 @@
 namespace {
 
 constexpr time_point kNow{std::chrono::seconds(100)};
+constexpr lapse_window kReturned{.until = kNow + std::chrono::seconds(2),
+                                 .last_removal = 1};
 constexpr size_t kUpstreamsPerHost = 10;
 constexpr int kRepeats = 60;
 
@@ -80,6 +82,10 @@
                        .revision = ++revision_});
     }
     TakeIn(items);
+    for (const upstream_ref& entry : directory_.List()) {
+      lapsed_.Take(kNow, {.id = entry->id, .entry = entry}, kReturned);
+      lapsed_.Take(kNow, {.id = entry->id, .revision = 1}, kReturned);
+    }
     for (size_t i = 0; i < hosts; ++i) {
       roster_.OnBeat(kNow, BeatOf(i));
     }
@@ -115,6 +121,7 @@
     roster_.OnBeat(kNow, BeatOf(3));
     roster_.NameLiving(kNow);
   }
+  void KeepLapsed() { lapsed_.Expire(kNow, kReturned); }
   void TellNews() { view_.ListNewsSince(view_.news_revision() - 1); }
 
  private:
@@ -141,6 +148,8 @@
   item_view view_;
   document_decoder decoder_{log_};
   upstream_directory directory_;
+  /// All entries lapsed with the store, and are kept.
+  upstream_directory lapsed_;
   lone_daemon members_;
   request_router router_{{}, members_};
   peer_roster roster_{{.self_name = "self"}};
@@ -181,7 +190,8 @@
       {"an upstream changes", &daemon_parts::Drain},
       {"a tick of the router", &daemon_parts::Tick},
       {"a beat comes and one goes", &daemon_parts::Beat},
-      {"news for a peer", &daemon_parts::TellNews}};
+      {"news for a peer", &daemon_parts::TellNews},
+      {"a tick while all are kept", &daemon_parts::KeepLapsed}};
   // Lookups take a few steps more and miss the processor's caches; a walk over
   // 67 times as many costs 67 times as much.
   constexpr double kLookupGrowth = 12;
