Take no return of the store from daemons of an earlier release

While a fleet is rolled out, daemons of the release before tell how long they await entries, but not up to which revision. Taken as the revision 0 it would have ended the keeping at the new ones, which then refuse all until their upstreams are back; found by reading the change, before any release had it. A time out of range is bounded.

--- a/include/cuminswitch/Fleet/lapsed_upstreams.h
+++ b/include/cuminswitch/Fleet/lapsed_upstreams.h
@@ -66,8 +66,6 @@
   };
 
   void OnReturn(const store_return& seen);
-  /// Whether it would be the end of an outage, by what this daemon knows.
-  bool EndsOutage(time_point at) const;
 
   options options_;
   /// When the store is last known to have answered anybody.
--- a/lib/Fleet/lapsed_upstreams.cc
+++ b/lib/Fleet/lapsed_upstreams.cc
@@ -9,8 +9,8 @@
 /// Entries of upstreams that live are back this soon after the store's return.
 static constexpr duration kLapsedTime = std::chrono::seconds(2);
 
-bool lapsed_upstreams::EndsOutage(time_point at) const {
-  return answered_at_ && at - *answered_at_ >= options_.least_outage;
+bool lapsed_upstreams::IsAway(time_point now) const {
+  return answered_at_ && now - *answered_at_ >= options_.least_outage;
 }
 
 void lapsed_upstreams::OnReturn(const store_return& seen) {
@@ -29,7 +29,7 @@
 }
 
 void lapsed_upstreams::OnStoreAnswer(time_point at, revision_number revision) {
-  if (EndsOutage(at)) {
+  if (IsAway(at)) {
     const auto stamp = static_cast<uint64_t>(at.time_since_epoch().count());
     OnReturn({.event = CombineHash(options_.self, stamp),
               .at = at,
@@ -41,12 +41,15 @@
 void lapsed_upstreams::OnPeer(time_point now,
                               const awaited_entries& told,
                               const std::optional<store_evidence>& evidence) {
-  if (told.event != 0) {
-    const time_point at = now + std::min(told.left, kLapsedTime) - kLapsedTime;
+  // Daemons of an earlier release name no revision, and await more than can
+  // have lapsed.
+  if (told.event != 0 && told.revision != 0) {
+    const time_point at =
+        now + std::clamp(told.left, duration(0), kLapsedTime) - kLapsedTime;
     const bool is_known =
         return_.event != 0 &&
         std::chrono::abs(at - return_.at) < options_.least_outage;
-    if (is_known || !answered_at_ || EndsOutage(at)) {
+    if (is_known || !answered_at_ || IsAway(at)) {
       OnReturn({.event = told.event, .at = at, .revision = told.revision});
     }
   }
@@ -56,10 +59,6 @@
   }
 }
 
-bool lapsed_upstreams::IsAway(time_point now) const {
-  return EndsOutage(now);
-}
-
 lapse_window lapsed_upstreams::Window() const {
   if (return_.event == 0) {
     return {};
--- a/unittests/Fleet/lapsed_upstreams_test.cc
+++ b/unittests/Fleet/lapsed_upstreams_test.cc
@@ -164,6 +164,30 @@
   EXPECT_EQ(lapsed.Window().last_removal, kAtReturn + 9);
 }
 
+// All is refused after an outage, because a daemon of an earlier release tells
+// of the return without its revision.
+TEST_F(lapsed_upstreams_test, AReturnWithoutARevisionIsNotTaken) {
+  lapsed_upstreams lapsed = MakeAfterOutage(1);
+  const time_point now = kBack + milliseconds(500);
+  lapsed.OnPeer(now, {.event = 9, .left = milliseconds(1700)}, std::nullopt);
+  EXPECT_EQ(lapsed.Window().last_removal, kAtReturn);
+  lapsed_upstreams other = Make(2);
+  other.OnPeer(now, {.event = 9, .left = milliseconds(1700)}, std::nullopt);
+  EXPECT_FALSE(Awaits(other, milliseconds(500)));
+}
+
+// A peer that tells a time out of range must not lengthen the wait, nor end it
+// long ago.
+TEST_F(lapsed_upstreams_test, TimesOutOfRangeAreBounded) {
+  lapsed_upstreams lapsed = Make(1);
+  lapsed.OnPeer(kBack, {.event = 9, .left = seconds(900), .revision = 4},
+                std::nullopt);
+  EXPECT_EQ(lapsed.Window().until, kBack + seconds(2));
+  lapsed.OnPeer(kBack, {.event = 9, .left = -seconds(900), .revision = 4},
+                std::nullopt);
+  EXPECT_EQ(lapsed.Window().until, kBack);
+}
+
 // Guards against requests to upstreams that left: a process that had just
 // started took its first answer for the store's return.
 TEST_F(lapsed_upstreams_test, AFirstAnswerIsNoReturn) {
