Play a silent store, too, in the test of a daemon that is turned away

Whom the daemon asks first follows from its count of questions, so that a run says little of the case in which that one does not answer: it stays listed as open.

--- a/test/process/platform_turned_away.sh
+++ b/test/process/platform_turned_away.sh
@@ -11,30 +11,40 @@
 done
 start_daemons_apart $COUNT 0
 
-# While the first daemon is turned away an upstream drains, and a peer that may
-# be asked stands still.
-for ((round = 0; round < 4; ++round)); do
-  store_fault refuse "$SECOND"
-  wait_for 5 has_lost_store 0
-  name=s$((1 + round % 2))
+# turned_away ROUND MODE PEER STOP_MS: while the store turns the first daemon away
+# an upstream drains, and STOP_MS later a peer that may be asked stands still.
+turned_away() {
+  local name=s$((1 + $1 % 2)) drained phase count stopped=0
+  store_fault "$2" "$SECOND"
+  if [[ $2 == refuse ]]; then
+    wait_for 5 has_lost_store 0
+  else
+    # Ends the watch from before the fault.
+    list_replica s3 orders "${addresses[s3]}" ready
+    read -rt 0.13 <> <(:) || true
+  fi
   list_replica "$name" orders "${addresses[$name]}" draining
   drained=$(millis)
-  stopped=0
   until (($(millis) > drained + 3000)); do
-    if ((stopped == 0 && $(millis) > drained + 1200)); then
-      stopped=${DAEMON_PIDS[1 + round / 2]}
+    if ((stopped == 0 && $(millis) > drained + $4)); then
+      stopped=${DAEMON_PIDS[$3]}
       kill -STOP "$stopped"
     fi
     phase=soon
     (($(millis) > drained + 2000)) && phase=late
-    ask 0 "$phase-$round-$RANDOM" /repeat/x || fail "$phase: $(cat "$WORK/err")"
+    ask 0 "$phase-$1-$RANDOM" /repeat/x || fail "$phase: $(cat "$WORK/err")"
   done
   kill -CONT "$stopped"
-  count=$(grep -c "^run late-$round" "$WORK/$name.log" || true)
-  ((count == 0)) || fail "$name drains and ran $count requests late"
+  count=$(grep -c "^run late-$1" "$WORK/$name.log" || true)
+  ((count == 0)) || fail "$name drains and ran $count requests late, store $2"
   store_fault none "$SECOND"
   wait_for 5 has_store 0
   list_replica "$name" orders "${addresses[$name]}" ready
   wait_for 5 eval 'grep "upstreams_changed" "$WORK/entry-0.log" | tail -1 |
-    grep -q "\"added_items\":\"$name@[0-9.:]*\""'
+    grep -q "\"added_items\":\"'"$name"'@[0-9.:]*\""'
+}
+round=0
+for peer in 1 2; do
+  turned_away $((round++)) refuse "$peer" 1200
+  turned_away $((round++)) silent "$peer" 1050
 done
