--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -307,7 +307,8 @@
   EndLater(kServesOnMs, kServesOnMs, [this, index] {
     target_.processes.Signal(target_.upstreams[index].name, SIGKILL);
     target_.Unlist(index);
-    target_.StartUpstream(index);
+    // Its end is collected before its name is used again.
+    EndLater(200, 400, [this, index] { target_.StartUpstream(index); });
   });
 }
 
