Note the store's answers where they come, and a call's begin in one place

The task polled the feed's last answer before each beat and each tick to hand it to staleness_tracker, though the feed tells each answer by now: one handler serves both who ask about the store. Reads and watches each noted when they began; what starts them does. The handler is no longer optional, since only a test left it out.

Nothing decides otherwise: the tracker keeps the latest answer, and it was asked only after a poll.

--- a/include/cuminswitch/Fleet/item_feed.h
+++ b/include/cuminswitch/Fleet/item_feed.h
@@ -29,7 +29,7 @@
     /// Called with the keys of items that changed or are forgotten.
     std::function<void(std::span<const std::string> keys)> on_change;
     /// Called with the time of each answer of the store, and with the revision
-    /// that it is as of, before its changes. May be empty.
+    /// that it is as of, before its changes.
     std::function<void(time_point at, revision_number revision)> on_answer;
   };
 
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -62,7 +62,6 @@
 }
 
 void fleet_task::PublishStaleness(time_point now) {
-  staleness_.OnStoreAnswer(feed_.answered_at());
   const duration staleness = staleness_.Staleness(now);
   const bool is_stale = feed_.view().HasRead() && staleness > kStoreFresh;
   if (std::exchange(is_stale_, is_stale) == is_stale) {
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -42,6 +42,7 @@
                  },
              .on_answer =
                  [this](time_point at, revision_number revision) {
+                   staleness_.OnStoreAnswer(at);
                    lapsed_.OnStoreAnswer(at, revision);
                  }}),
       election_({.self_name = options_.self.name,
@@ -201,7 +202,6 @@
 
 void fleet_task::SendBeat(const endpoint& to) {
   const time_point now = ReadBootClock();
-  staleness_.OnStoreAnswer(feed_.answered_at());
   daemon_record self = options_.self;
   self.version = roster_.self_version();
   self.revision = feed_.view().news_revision();
--- a/lib/Fleet/item_feed.cc
+++ b/lib/Fleet/item_feed.cc
@@ -56,6 +56,7 @@
   if (!is_busy_) {
     return;
   }
+  called_at_ = ReadBootClock();
   if (must_read_all_) {
     ReadAll();
   } else {
@@ -64,7 +65,6 @@
 }
 
 void item_feed::ReadAll() {
-  called_at_ = ReadBootClock();
   store_.ReadAll([this, alive = alive_](const store_items& answer) {
     if (*alive) {
       OnItems(true, answer);
@@ -73,7 +73,6 @@
 }
 
 void item_feed::Watch() {
-  called_at_ = ReadBootClock();
   store_.Watch(view_.revision(), is_lost_ ? kProbeTime : kWatchTime,
                [this, alive = alive_](const store_items& answer) {
                  if (*alive) {
@@ -95,9 +94,7 @@
     return;
   }
   OnSuccess();
-  if (handlers_.on_answer) {
-    handlers_.on_answer(answered_at_, answer.revision);
-  }
+  handlers_.on_answer(answered_at_, answer.revision);
   must_read_all_ = false;
   const std::vector<std::string> changed =
       is_complete ? view_.ApplyAll(answer.items, answer.revision)
--- a/unittests/Fleet/item_feed_test.cc
+++ b/unittests/Fleet/item_feed_test.cc
@@ -49,7 +49,8 @@
               store_,
               log_,
               {.on_change = [](std::span<const std::string> /*keys*/) {},
-               .on_answer = {}}) {
+               .on_answer = [](time_point /*at*/,
+                               revision_number /*revision*/) {}}) {
     feed_.Start();
   }
   void RunTimers() { event_base_loop(base_.get(), EVLOOP_ONCE); }
