Let the tests of the platform's daemons share their start and their counts

platform_departed brought its own count of requests that must not come and its own order of upstreams by use beside those of platform_notices, and a second loop that starts daemons beside start_platform's; platform_turned_away counted once more by hand. Each stands once in platform.sh now. The soak reads all notices of its upstreams in one place, and sends all faults of its store in one.

--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -114,21 +114,16 @@
   "$BUILD/utils/fetch" "127.0.0.1:${PORTS[5 * $1 + 1]}" /ready
 }
 
-# start_platform COUNT: a store, two engines, two services and COUNT daemons.
-# EXTRA_ROUTES are further routes of the first configuration.
-start_platform() {
-  local i
-  start_stand_in store store_stand_in
-  STORE=$ADDRESS
-  put_configuration 1 "${EXTRA_ROUTES:-}"
-  start_replica e1 engines m
-  start_replica e2 engines m
-  start_replica s1 orders
-  start_replica s2 orders
+# start_platform_daemons COUNT [APART]: until all are ready. The daemon APART has
+# the store's second address, the others the first.
+start_platform_daemons() {
+  local i PROVIDER
   make_ports $((5 * $1))
   SEEDS="\"127.0.0.1:${PORTS[3]}\""
   DAEMON_PIDS=()
   for ((i = 0; i < $1; ++i)); do
+    PROVIDER=$STORE
+    [[ $i == "${2:-}" ]] && PROVIDER=$SECOND
     start_platform_daemon "$i"
     DAEMON_PIDS+=("$PID")
   done
@@ -137,22 +132,32 @@
   done
 }
 
-# start_daemons_apart COUNT INDEX: after start_store; the daemon INDEX has the
-# store's second address, the others the first.
-start_daemons_apart() {
-  local i
-  make_ports $((5 * $1))
-  SEEDS="\"127.0.0.1:${PORTS[3]}\", \"127.0.0.1:${PORTS[8]}\""
-  DAEMON_PIDS=()
-  for ((i = 0; i < $1; ++i)); do
-    PROVIDER=$STORE
-    ((i == $2)) && PROVIDER=$SECOND
-    start_platform_daemon "$i"
-    DAEMON_PIDS+=("$PID")
-  done
-  for ((i = 0; i < $1; ++i)); do
-    wait_for 20 is_platform_ready "$i"
-  done
+# start_platform COUNT: a store, two engines, two services and COUNT daemons.
+# EXTRA_ROUTES are further routes of the first configuration.
+start_platform() {
+  start_stand_in store store_stand_in
+  STORE=$ADDRESS
+  put_configuration 1 "${EXTRA_ROUTES:-}"
+  start_replica e1 engines m
+  start_replica e2 engines m
+  start_replica s1 orders
+  start_replica s2 orders
+  start_platform_daemons "$1"
+}
+
+# by_use NAME...: the upstreams, the one that has run fewest requests first.
+by_use() {
+  local name
+  for name in "$@"; do
+    echo "$(grep -c "^run" "$WORK/$name.log") $name"
+  done | sort -n | cut -d' ' -f2
+}
+
+# expect_none WHAT UPSTREAM: the upstream has told of no request so.
+expect_none() {
+  local count
+  count=$(grep -c "^$1" "$WORK/$2.log" || true)
+  ((count == 0)) || fail "$2 got $count requests $1"
 }
 
 # ask INDEX ID PATH [KEY]: sends a POST as a caller; leaves the body in
--- a/test/process/platform_departed.sh
+++ b/test/process/platform_departed.sh
@@ -10,7 +10,7 @@
   start_replica $name orders
   addresses[$name]=$ADDRESS
 done
-start_daemons_apart $COUNT $((COUNT - 1))
+start_platform_daemons $COUNT $((COUNT - 1))
 
 # ask_all NAME: three requests of each daemon; each has to be answered.
 ask_all() {
@@ -21,20 +21,6 @@
     done
   done
 }
-# expect_none NAME UPSTREAM: no request whose name begins so ran there.
-expect_none() {
-  local count
-  count=$(grep -c "^run $1" "$WORK/$2.log" || true)
-  ((count == 0)) || fail "$2 is gone and ran $count requests $1"
-}
-
-# by_use NAME...: the names, the one that has run fewest requests first.
-by_use() {
-  local name
-  for name in "$@"; do
-    echo "$(grep -c "^run" "$WORK/$name.log") $name"
-  done | sort -n | cut -d' ' -f2
-}
 
 # One daemon loses the store for a moment and regains it, again and again, while
 # an upstream is removed. Renewed entries end the watch that is under way.
@@ -59,7 +45,7 @@
 while (($(millis) < until)); do
   ask_all late-last
 done
-expect_none late "$first"
+expect_none "run late" "$first"
 
 # lose_store NAME: away for all, for longer than entries last.
 lose_store() {
@@ -96,7 +82,7 @@
   (($(millis) > removed + 2000)) && phase=after
   ask_all "$phase"
 done
-expect_none after "$second"
+expect_none "run after" "$second"
 
 # What lapses while the store is away is used until its upstreams are back. The
 # store obeys its operator meanwhile.
--- a/test/process/platform_notices.sh
+++ b/test/process/platform_notices.sh
@@ -18,26 +18,12 @@
     ask 0 "$2-$i" "$3" || fail "$2-$i was not served: $(cat "$WORK/err")"
   done
 }
-# expect_none EVENT UPSTREAM
-expect_none() {
-  local count
-  count=$(grep -c "^$1" "$WORK/$2.log" || true)
-  ((count == 0)) || fail "$2 got $count requests $1"
-}
-
-# most_used NAME...: the one of them that has run most requests.
-most_used() {
-  local name
-  for name in "$@"; do
-    echo "$(grep -c "^run" "$WORK/$name.log") $name"
-  done | sort -n | tail -1 | cut -d' ' -f2
-}
 
 # One of three asks for rest: the others serve all that comes.
 ask_for 2 before /stream/x
 ask_for 2 before /repeat/x
-engine=$(most_used e1 e2 e3)
-service=$(most_used s1 s2 s3)
+engine=$(by_use e1 e2 e3 | tail -1)
+service=$(by_use s1 s2 s3 | tail -1)
 control "$engine" rest/3
 control "$service" rest/2
 ask_for 4 rest /stream/x
@@ -77,7 +63,7 @@
 
 # One leaves, and the store lists it as ready.
 ask_for 1 before /resume/x
-engine=$(most_used e1 e2 e3)
+engine=$(by_use e1 e2 e3 | tail -1)
 control "$engine" leaving/1
 ask_for 3 leaving /resume/x
 expect_none while_leaving "$engine"
--- a/test/process/platform_turned_away.sh
+++ b/test/process/platform_turned_away.sh
@@ -9,12 +9,12 @@
   start_replica $name orders
   addresses[$name]=$ADDRESS
 done
-start_daemons_apart $COUNT 0
+start_platform_daemons $COUNT 0
 
 # turned_away ROUND MODE PEER STOP_MS: while the store turns the first daemon away
 # an upstream drains, and STOP_MS later a peer that may be asked stands still.
 turned_away() {
-  local name=s$((1 + $1 % 2)) drained phase count stopped=0
+  local name=s$((1 + $1 % 2)) drained phase stopped=0
   store_fault "$2" "$SECOND"
   if [[ $2 == refuse ]]; then
     wait_for 5 has_lost_store 0
@@ -35,8 +35,7 @@
     ask 0 "$phase-$1-$RANDOM" /repeat/x || fail "$phase: $(cat "$WORK/err")"
   done
   kill -CONT "$stopped"
-  count=$(grep -c "^run late-$1" "$WORK/$name.log" || true)
-  ((count == 0)) || fail "$name drains and ran $count requests late, store $2"
+  expect_none "run late-$1" "$name"
   store_fault none "$SECOND"
   wait_for 5 has_store 0
   list_replica "$name" orders "${addresses[$name]}" ready
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -38,13 +38,7 @@
                   log);
   store_ = AwaitListening(log, "listening on ");
   sound_store_ = AwaitListening(log, "also listening on ");
-  caller_.Call({.to = store_,
-                .method = http_method::kPost,
-                .path = "/fault?mode=none&at=" + sound_store_.ToString(),
-                .headers = {},
-                .body = {},
-                .idle_timeout = kWriteTimeout},
-               [](const platform::json_answer& /*answer*/) {});
+  PostFault("none&at=" + sound_store_.ToString());
   PutConfiguration(true);
   for (int i = 0; i < options_.engines + options_.services; ++i) {
     upstream_state& item = upstreams.emplace_back();
@@ -208,16 +202,8 @@
       uint64_t fence = 0;
       words >> holder >> fence >> item.version;
       ledger_.OnOrder(item.id, holder, fence);
-    } else if (what == "departed") {
-      std::string id;
-      int64_t time_ms = 0;
-      words >> id >> time_ms;
-      const wall_time at{std::chrono::milliseconds(time_ms)};
-      const endpoint* daemon = ledger_.DaemonOf(id);
-      if (daemon != nullptr) {
-        ledger_.OnArrivalAtDeparted(item.id, at, IsInTouch(*daemon, at));
-      }
-    } else if (what == "limited" || what == "rested" || what == "left") {
+    } else if (what == "limited" || what == "rested" || what == "left" ||
+               what == "departed") {
       ReadNoticed(item, what, words);
     }
   }
@@ -235,7 +221,14 @@
   words >> id >> time_ms >> figure;
   const wall_time at{std::chrono::milliseconds(time_ms)};
   const endpoint* daemon = ledger_.DaemonOf(id);
-  if (daemon == nullptr || !IsSound(*daemon, at)) {
+  if (daemon == nullptr) {
+    return;
+  }
+  if (what == "departed") {
+    ledger_.OnArrivalAtDeparted(item.id, at, IsInTouch(*daemon, at));
+    return;
+  }
+  if (!IsSound(*daemon, at)) {
     return;
   }
   if (what == "limited") {
@@ -392,6 +385,10 @@
 void deployment::SetStoreFault(const std::string& mode) {
   is_store_faulty_ = mode != "none";
   DisturbStore();
+  PostFault(mode);
+}
+
+void deployment::PostFault(const std::string& mode) {
   caller_.Call({.to = store_,
                 .method = http_method::kPost,
                 .path = "/fault?mode=" + mode,
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -133,10 +133,12 @@
   void Write(pending_write write);
   void SendNextWrite();
   void OnWritten(const platform::json_answer& answer);
+  /// \p mode may name one address of the store's, too.
+  void PostFault(const std::string& mode);
   void List(upstream_state& item, std::function<void()> on_done = {});
   void ReadLog(upstream_state& item);
-  /// Reads that a request came while the upstream names a limit, is at rest or
-  /// leaves, as \p what says.
+  /// Reads that a request came while the upstream names a limit, is at rest,
+  /// leaves or has departed, as \p what says.
   void ReadNoticed(const upstream_state& item,
                    const std::string& what,
                    std::istream& words);
