Log how a response was delimited and whether it ended inside an event

The log could not distinguish the three hypotheses on streams that their upstream broke off: whether such a response had a length, chunks, or ended with its connection, and whether it ended inside an event. attempt_failed and request_ended of streams now have `framing` and `unfinished_bytes`.

Logic is unchanged.

--- a/include/cuminswitch/Edge/event_splitter.h
+++ b/include/cuminswitch/Edge/event_splitter.h
@@ -22,6 +22,8 @@
   void DropPartial();
   /// Returns the bytes left when the stream has ended normally.
   std::string_view TakeRemainder();
+  /// Bytes received after the last complete event.
+  size_t RemainderSize() const { return buffer_.size() - returned_; }
   /// The identifier of the last complete event that had one.
   const std::optional<std::string>& last_id() const { return last_id_; }
 
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -117,6 +117,11 @@
   /// When the current attempt was sent.
   time_point sent_at() const { return sent_at_; }
   std::optional<time_point> first_byte_at() const { return first_byte_at_; }
+  /// The head of the current attempt's response; its status is 0 before one has
+  /// arrived.
+  const message_head& response_head() const { return response_.head; }
+  /// Bytes after the last complete event of the stream that ended last.
+  size_t unfinished_bytes() const { return unfinished_bytes_; }
   /// The longest time between two pieces of the response sent to the caller.
   duration longest_event_gap() const { return longest_event_gap_; }
 
@@ -172,6 +177,7 @@
   /// succeeds.
   std::optional<response_state> retained_failure_;
   event_splitter splitter_;
+  size_t unfinished_bytes_ = 0;
   std::optional<time_point> first_byte_at_;
   time_point forwarded_at_{};
   duration longest_event_gap_{0};
--- a/include/cuminswitch/Http1/message_head.h
+++ b/include/cuminswitch/Http1/message_head.h
@@ -35,6 +35,10 @@
   bool Has(std::string_view name) const;
 };
 
+/// Returns the name in the log of how the body of the response \p head is
+/// delimited: `length`, `chunked`, `connection` (by its end) or `none`.
+std::string_view FramingName(const message_head& head);
+
 /// Compares field names without case.
 bool IsSameFieldName(std::string_view a, std::string_view b);
 
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -74,6 +74,7 @@
   ++runs_;
   response_ = {};
   splitter_.DropPartial();
+  unfinished_bytes_ = 0;
   dispatch_attributes attributes{
       .upstream = action.upstream,
       .workspace = options_.workspace,
@@ -259,6 +260,7 @@
   // of this function.
   const std::unique_ptr<upstream_call> ended = std::move(call_);
   stall_timer_.Cancel();
+  unfinished_bytes_ = splitter_.RemainderSize();
   if (end == upstream_call_result::kBroken ||
       end == upstream_call_result::kNotConnected) {
     with_.owner.OnConnectionLost(address_);
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -34,6 +34,19 @@
   return line;
 }
 
+/// Adds how the upstream's response was delimited, and whether it ended inside
+/// an event.
+static void AddFraming(const request_flow& flow, log_line& line) {
+  if (flow.response_head().status == 0) {
+    return;
+  }
+  line.Add("framing", FramingName(flow.response_head()));
+  if (flow.unfinished_bytes() > 0) {
+    line.Add("unfinished_bytes",
+             static_cast<uint64_t>(flow.unfinished_bytes()));
+  }
+}
+
 log_line DescribeAttemptFailure(const request_flow& flow,
                                 attempt_result result,
                                 uint32_t status) {
@@ -42,6 +55,7 @@
       .Add("upstream", flow.upstream())
       .Add("answer", ToString(result))
       .Add("status", status);
+  AddFraming(flow, line);
   if (result == attempt_result::kBroken || result == attempt_result::kStalled) {
     // The id changes with each attempt of the caller; the digest does not.
     line.Add("digest", ToHex(flow.digest()));
@@ -78,6 +92,9 @@
     line.Add("first_byte_ms", *flow.first_byte_at() - flow.arrived())
         .Add("longest_pause_ms", flow.longest_event_gap());
   }
+  if (flow.route().IsStream()) {
+    AddFraming(flow, line);
+  }
   if (end.result != outcome::kAnswered) {
     line.Add("digest", ToHex(flow.digest()));
   }
--- a/lib/Http1/message_head.cc
+++ b/lib/Http1/message_head.cc
@@ -29,6 +29,16 @@
   return FindField(headers, name) != nullptr;
 }
 
+std::string_view FramingName(const message_head& head) {
+  if (head.ends_with_connection) {
+    return "connection";
+  }
+  if (head.is_chunked) {
+    return "chunked";
+  }
+  return head.content_length ? "length" : "none";
+}
+
 /// Whether the comma-separated \p list contains \p wanted.
 static bool ListNames(std::string_view list, std::string_view wanted) {
   while (!list.empty()) {
