--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -202,6 +202,77 @@
   EXPECT_EQ(owner_.failed, 0);
 }
 
+constexpr char kCloseDelimitedHead[] = "HTTP/1.1 200 OK\r\n\r\n";
+
+// Guards against a stream that its upstream broke off inside an event reaching
+// the caller as complete.
+TEST_F(request_flow_test, StreamThatEndsInsideEventIsBroken) {
+  route_.kind = request_kind::kStream;
+  const auto upstream = Dispatch(1);
+  upstream->Send(std::string(kCloseDelimitedHead) + "id: 1\n\nid: 2\nda");
+  upstream->Close();
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_EQ(owner_.last.result, outcome::kUnknown);
+  EXPECT_TRUE(exchange_.aborted);
+  EXPECT_EQ(exchange_.sent, "id: 1\n\n");
+}
+
+TEST_F(request_flow_test, ChunkedStreamThatEndsInsideEventIsBroken) {
+  route_.kind = request_kind::kStream;
+  const auto upstream = Dispatch(1);
+  upstream->Send(std::string(kStreamHead) + kEvent + "3\r\nid:\r\n0\r\n\r\n");
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_EQ(owner_.last.result, outcome::kUnknown);
+  EXPECT_TRUE(exchange_.aborted);
+}
+
+TEST_F(request_flow_test, ResumesStreamThatEndedInsideEvent) {
+  const auto first = Dispatch(1);
+  first->Send(std::string(kCloseDelimitedHead) + "id: 1\n\nid: 2\nda");
+  first->Close();
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  EXPECT_FALSE(owner_.ended);
+  const auto second = Dispatch(2);
+  second->Send(std::string(kCloseDelimitedHead) + "id: 2\ndata: b\n\n");
+  second->Close();
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_TRUE(exchange_.finished);
+  EXPECT_EQ(exchange_.sent, "id: 1\n\nid: 2\ndata: b\n\n");
+}
+
+// Guards against an upstream that crashed before its first event counting as a
+// successful empty stream.
+TEST_F(request_flow_test, CloseDelimitedStreamWithoutEventsIsBroken) {
+  route_.kind = request_kind::kStream;
+  const auto upstream = Dispatch(1);
+  upstream->Send(kCloseDelimitedHead);
+  upstream->Close();
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_EQ(owner_.last.status, 502U);
+}
+
+TEST_F(request_flow_test, CloseDelimitedStreamThatIsResetIsBroken) {
+  route_.kind = request_kind::kStream;
+  const auto upstream = Dispatch(1);
+  upstream->Send(std::string(kCloseDelimitedHead) + "id: 1\n\n");
+  RunUntil(base_, [&] { return !exchange_.sent.empty(); });
+  upstream->Reset();
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_EQ(owner_.last.result, outcome::kUnknown);
+  EXPECT_TRUE(exchange_.aborted);
+}
+
+TEST_F(request_flow_test, CloseDelimitedStreamThatEndsAfterEventIsComplete) {
+  route_.kind = request_kind::kStream;
+  const auto upstream = Dispatch(1);
+  upstream->Send(std::string(kCloseDelimitedHead) + "id: 1\n\n: end\n");
+  upstream->Close();
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_EQ(owner_.last.result, outcome::kAnswered);
+  EXPECT_TRUE(exchange_.finished);
+  EXPECT_EQ(exchange_.sent, "id: 1\n\n: end\n");
+}
+
 // Symptom: an upstream that advertises a rate limit gets bursts beyond it.
 // Sequence: the upstream refuses a request, without a limit in the refusal; the
 // next requests are sent without a permit until a response advertises the limit
