Treat a stream that ends inside an event as broken off

Cause: a response without a length or chunks ends with its connection, and any orderly close counted as its end, also the one of a crashing engine's process. The rest of the last event was forwarded and the last chunk was added. The request was also recorded as answered, which cleared the suspicion that it crashes engines, and a resumable stream was not resumed.

A stream of events that ends inside an event, however it is delimited, is now a broken response, and so is one that ends with its connection before its first event. Its caller's connection is aborted, or another upstream resumes the stream. Events may end in CR, LF or both; comments and blank lines after the last event are no event. A body of another content type is complete by its framing, as before.

An orderly close after an event cannot be told from the end of the stream; it stays complete.

--- a/include/cuminswitch/Edge/attempt_disposition.h
+++ b/include/cuminswitch/Edge/attempt_disposition.h
@@ -23,7 +23,8 @@
   kMismatch,
   /// No connection was established.
   kNotConnected,
-  /// The connection was lost before the response was complete.
+  /// The response ended before it was complete: the connection was lost, or a
+  /// stream ended inside an event.
   kBroken,
   /// No bytes arrived within the stall timeout, so this daemon ended the
   /// attempt.
--- a/include/cuminswitch/Edge/event_splitter.h
+++ b/include/cuminswitch/Edge/event_splitter.h
@@ -22,8 +22,9 @@
   void DropPartial();
   /// Returns the bytes left when the stream has ended normally.
   std::string_view TakeRemainder();
-  /// Bytes received after the last complete event.
-  size_t RemainderSize() const { return buffer_.size() - returned_; }
+  /// Bytes received of an event that is not complete; 0 if only comments and
+  /// blank lines follow the last event.
+  size_t UnfinishedSize() const;
   /// The identifier of the last complete event that had one.
   const std::optional<std::string>& last_id() const { return last_id_; }
 
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -120,7 +120,7 @@
   /// The head of the current attempt's response; its status is 0 before one has
   /// arrived.
   const message_head& response_head() const { return response_.head; }
-  /// Bytes after the last complete event of the stream that ended last.
+  /// Bytes of the event inside which the last stream ended.
   size_t unfinished_bytes() const { return unfinished_bytes_; }
   /// The longest time between two pieces of the response sent to the caller.
   duration longest_event_gap() const { return longest_event_gap_; }
@@ -144,6 +144,9 @@
   void ReportAttemptEnd(attempt_result result,
                         const attempt_disposition& disposition);
   bool IsForwarding() const;
+  /// Whether the stream that has ended lacks a part: it ended inside an event,
+  /// or nothing shows that the end of the connection was the end of the stream.
+  bool IsTruncatedStream() const;
   void Forward(std::string_view data);
   void SendResponseHead(std::optional<uint64_t> length);
   void SendCompleteResponse();
@@ -158,6 +161,7 @@
     message_head head;
     response_attributes attributes;
     std::string body;
+    bool has_events = false;
   };
 
   options options_;
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -179,6 +179,7 @@
   }
   const std::string_view events = splitter_.Add(data);
   if (!events.empty()) {
+    response_.has_events = true;
     Forward(events);
   }
 }
@@ -224,6 +225,25 @@
                               {.content_length = length});
 }
 
+/// Whether the body is a stream of events. A stream's upstream may also send
+/// another kind of body, which only the framing can show to be complete.
+static bool IsEventStream(const message_head& head) {
+  static constexpr std::string_view kEventStream = "text/event-stream";
+  const std::string_view type = head.Find("Content-Type");
+  return type.empty() ||
+         IsSameFieldName(type.substr(0, kEventStream.size()), kEventStream);
+}
+
+bool request_flow::IsTruncatedStream() const {
+  if (!IsForwarding() || !IsEventStream(response_.head)) {
+    return false;
+  }
+  // An upstream that crashes closes its connections in an orderly way too.
+  const bool is_unmarked =
+      response_.head.ends_with_connection && !response_.has_events;
+  return is_unmarked || splitter_.UnfinishedSize() > 0;
+}
+
 attempt_result request_flow::Classify(upstream_call_result end) const {
   switch (end) {
     case upstream_call_result::kNotConnected:
@@ -247,6 +267,9 @@
   if (attributes.was_not_run) {
     return attempt_result::kRefused;
   }
+  if (IsTruncatedStream()) {
+    return attempt_result::kBroken;
+  }
   if (IsVerifiedSuccess(response_.head, attributes, options_.request.attempt)) {
     return attempt_result::kSuccess;
   }
@@ -260,12 +283,13 @@
   // of this function.
   const std::unique_ptr<upstream_call> ended = std::move(call_);
   stall_timer_.Cancel();
-  unfinished_bytes_ = splitter_.RemainderSize();
-  if (end == upstream_call_result::kBroken ||
-      end == upstream_call_result::kNotConnected) {
+  unfinished_bytes_ = splitter_.UnfinishedSize();
+  const attempt_result result = Classify(end);
+  if (result == attempt_result::kBroken ||
+      result == attempt_result::kNotConnected) {
     with_.owner.OnConnectionLost(address_);
   }
-  ProcessAttemptResult(Classify(end));
+  ProcessAttemptResult(result);
 }
 
 void request_flow::ProcessAttemptResult(attempt_result result) {
--- a/unittests/Edge/event_splitter_test.cc
+++ b/unittests/Edge/event_splitter_test.cc
@@ -35,6 +35,36 @@
   EXPECT_EQ(splitter.last_id(), "7");
 }
 
+TEST(event_splitter_test, ReadsEventsThatEndInCr) {
+  event_splitter splitter;
+  EXPECT_EQ(splitter.Add("id:7\rdata: a\r\rid: 8"), "id:7\rdata: a\r\r");
+  EXPECT_EQ(splitter.last_id(), "7");
+}
+
+TEST(event_splitter_test, ReadsCrLfThatIsSplit) {
+  event_splitter splitter;
+  std::string events(splitter.Add("id: 1\r\n\r"));
+  events += splitter.Add("\nid: 2\r");
+  events += splitter.Add("\n\r\n");
+  EXPECT_EQ(events, "id: 1\r\n\r\nid: 2\r\n\r\n");
+  EXPECT_EQ(splitter.last_id(), "2");
+  EXPECT_EQ(splitter.UnfinishedSize(), 0U);
+}
+
+TEST(event_splitter_test, CountsBytesOfUnfinishedEvent) {
+  const auto unfinished = [](std::string_view text) {
+    event_splitter splitter;
+    splitter.Add(text);
+    return splitter.UnfinishedSize();
+  };
+  EXPECT_EQ(unfinished(""), 0U);
+  EXPECT_EQ(unfinished("id: 1\n\n"), 0U);
+  EXPECT_EQ(unfinished("id: 1\n\n\n: comment\n"), 0U);
+  EXPECT_EQ(unfinished("id: 1\n\n: com"), 5U);
+  EXPECT_EQ(unfinished("id: 1\n\ni"), 1U);
+  EXPECT_EQ(unfinished("id: 1\n"), 6U);
+}
+
 TEST(event_splitter_test, PreservesBytesForAnyPieceSize) {
   const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n\nrest";
   for (size_t piece = 1; piece <= text.size(); ++piece) {
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -273,6 +273,16 @@
   EXPECT_EQ(exchange_.sent, "id: 1\n\n: end\n");
 }
 
+TEST_F(request_flow_test, OtherBodyOfStreamRouteIsCompleteByItsFraming) {
+  const auto upstream = Dispatch(1);
+  upstream->Send(
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+      "Content-Length: 2\r\n\r\n{}");
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_TRUE(exchange_.finished);
+  EXPECT_EQ(exchange_.sent, "{}");
+}
+
 // Symptom: an upstream that advertises a rate limit gets bursts beyond it.
 // Sequence: the upstream refuses a request, without a limit in the refusal; the
 // next requests are sent without a permit until a response advertises the limit
