Log whether a daemon reaches any upstream

A failure at one upstream now casts doubt on the contact with all. The response to a later request ends the doubt; after 50 ms without one, three upstreams are probed, of different services where possible and not those that have failed. If none responds, upstreams_unreachable is logged, and upstreams_reachable when a later probe is responded to. Where a new connection failed, only a response on a new one counts, since open connections may live on. Silence counts only while no upstream responds, so an overloaded one does not cast doubt. Nothing acts on it yet.

--- a/include/cuminswitch/Edge/edge_metrics.h
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -40,6 +40,8 @@
     size_t held_bytes = 0;
     uint64_t refused_for_memory = 0;
     uint64_t upstream_connections = 0;
+    uint64_t upstream_doubts = 0;
+    bool has_lost_upstreams = false;
     size_t unreadable_upstreams = 0;
     bool is_stale = false;
   };
--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -93,6 +93,9 @@
       const message_head& head,
       const dispatch_attributes& attributes) const = 0;
   virtual response_attributes ReadResponse(const message_head& head) const = 0;
+  /// Returns the path of a GET that every upstream responds to at once, without
+  /// executing anything.
+  virtual std::string ProbeTarget() const = 0;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -18,7 +18,9 @@
 #include "cuminswitch/Edge/graceful_stop.h"
 #include "cuminswitch/Edge/quota_admission.h"
 #include "cuminswitch/Edge/request_flow.h"
+#include "cuminswitch/Edge/upstream_contact.h"
 #include "cuminswitch/Edge/upstream_limit_admission.h"
+#include "cuminswitch/Edge/upstream_prober.h"
 #include "cuminswitch/Edge/weights_version_counter.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Http1/caller_server.h"
@@ -95,12 +97,18 @@
   void OnFlowAttemptFailed(const request_flow& flow,
                            attempt_result result,
                            uint32_t status) override;
-  void OnConnectionLost(const endpoint& address) override;
+  void OnConnectionLost(const request_flow& flow) override;
+  void OnAttemptStalled(const request_flow& flow) override;
+  void OnUpstreamSilent(const request_flow& flow) override;
   bool CanRetryElsewhere(const request_flow& flow) override;
   void OnFlowEnd(request_flow& flow, const flow_result& end) override;
   const member* FindOwner(shard_number shard) const override;
   size_t CountServing() const override;
 
+  /// Logs whether any upstream is reached when that has changed, and starts
+  /// probes when they are due.
+  void UpdateContact();
+  void OnProbesEnded(bool has_response);
   /// Applies the rate limit that a response advertises.
   void ApplyLimit(const request_flow& flow, const limit_notice& notice);
   /// Applies the backoff that an upstream requested with a refusal.
@@ -188,6 +196,11 @@
   request_router router_;
   byte_account buffer_account_;
   upstream_pool pool_;
+  upstream_contact contact_;
+  upstream_prober prober_;
+  time_point probes_sent_at_{};
+  uint64_t probe_rounds_ = 0;
+  bool has_lost_upstreams_ = false;
   std::unique_ptr<caller_server> server_;
   loop_timer tick_timer_;
   loop_timer stop_timer_;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -52,9 +52,14 @@
   virtual void OnFlowAttemptFailed(const request_flow& flow,
                                    attempt_result result,
                                    uint32_t status) = 0;
-  /// A connection to \p address was lost or stalled; other connections to it
-  /// may be broken too.
-  virtual void OnConnectionLost(const endpoint& address) = 0;
+  /// The connection of the current attempt was lost or was not established;
+  /// other connections to the upstream may be broken too.
+  virtual void OnConnectionLost(const request_flow& flow) = 0;
+  /// The current attempt is retried elsewhere because its upstream sent nothing
+  /// within the stall timeout; other connections to it may be broken too.
+  virtual void OnAttemptStalled(const request_flow& flow) = 0;
+  /// The upstream of the current attempt sent no response head in time.
+  virtual void OnUpstreamSilent(const request_flow& flow) = 0;
   /// Whether a request whose upstream is unresponsive can be retried at another
   /// one now.
   virtual bool CanRetryElsewhere(const request_flow& flow) = 0;
@@ -113,6 +118,9 @@
   const std::string& workspace() const { return options_.workspace; }
   const hash128& digest() const { return options_.digest; }
   const std::string& upstream() const { return upstream_; }
+  const endpoint& address() const { return address_; }
+  /// Whether the current attempt opened its connection.
+  bool is_on_new_connection() const { return is_on_new_connection_; }
   time_point arrived() const { return options_.arrived; }
   /// When the current attempt was sent.
   time_point sent_at() const { return sent_at_; }
@@ -172,6 +180,7 @@
   std::string upstream_;
   time_point sent_at_{};
   endpoint address_;
+  bool is_on_new_connection_ = false;
   uint32_t attempts_ = 0;
   uint32_t runs_ = 0;
   duration mean_first_byte_{0};
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -162,6 +162,12 @@
   page.Begin("cuminswitch_upstream_connections_total", "counter",
              "Connections opened to upstreams.");
   page.Add(static_cast<double>(from.upstream_connections));
+  page.Begin("cuminswitch_upstream_doubts_total", "counter",
+             "Times that a failure cast doubt on the contact with upstreams.");
+  page.Add(static_cast<double>(from.upstream_doubts));
+  page.Begin("cuminswitch_upstreams_unreachable", "gauge",
+             "1 while this daemon reaches no upstream.");
+  page.Add(from.has_lost_upstreams ? 1 : 0);
   page.Begin("cuminswitch_unreadable_upstreams", "gauge",
              "Listed upstreams whose entries cannot be read.");
   page.Add(static_cast<double>(from.unreadable_upstreams));
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -36,6 +36,9 @@
               *this),
       buffer_account_(opts.buffer_limit),
       pool_(base, &buffer_account_),
+      prober_(base,
+              pool_,
+              [this](bool has_response) { OnProbesEnded(has_response); }),
       tick_timer_(base, [this] { OnTick(); }),
       stop_timer_(base, [this] { OnStopTick(); }),
       quotas_(std::make_unique<owner_quota_policy>(owner_quota_policy::options{
@@ -105,6 +108,8 @@
        .held_bytes = buffer_account_.held(),
        .refused_for_memory = server_ == nullptr ? 0 : server_->refused_count(),
        .upstream_connections = pool_.opened_count(),
+       .upstream_doubts = contact_.doubt_count(),
+       .has_lost_upstreams = has_lost_upstreams_,
        .unreadable_upstreams = unreadable_upstreams_,
        .is_stale = is_stale_});
 }
@@ -216,10 +221,6 @@
                       .Add("revision", snapshot_->revision));
 }
 
-void edge_task::OnConnectionLost(const endpoint& address) {
-  pool_.Forget(address);
-}
-
 bool edge_task::CanRetryElsewhere(const request_flow& flow) {
   return router_.CanRetryElsewhere(ReadBootClock(), flow.id());
 }
@@ -277,11 +278,14 @@
   ReportLimits(now);
   ReportQuarantine(now);
   ReportPlacements();
+  UpdateContact();
   LogReservedEngines();
   LogHeldBytes();
   ExpireLimits(now);
   with_.log.Flush();
-  tick_timer_.Start(flows_.empty() ? kIdleTickInterval : kTickInterval);
+  const bool is_idle =
+      flows_.empty() && contact_.current() == upstream_contact::state::kReached;
+  tick_timer_.Start(is_idle ? kIdleTickInterval : kTickInterval);
 }
 
 void edge_task::LogHeldBytes() {
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -102,6 +102,7 @@
                    : options_.route->MayRepeat() ? kMaxIdle
                                                  : kMaxIdleNotRepeatable},
       *this);
+  is_on_new_connection_ = !call_->IsOnReusedConnection();
   RestartStallTimer();
 }
 
@@ -137,7 +138,7 @@
     return;
   }
   call_.reset();
-  with_.owner.OnConnectionLost(address_);
+  with_.owner.OnAttemptStalled(*this);
   ProcessAttemptResult(attempt_result::kStalled);
 }
 
@@ -287,7 +288,7 @@
   const attempt_result result = Classify(end);
   if (result == attempt_result::kBroken ||
       result == attempt_result::kNotConnected) {
-    with_.owner.OnConnectionLost(address_);
+    with_.owner.OnConnectionLost(*this);
   }
   ProcessAttemptResult(result);
 }
@@ -422,6 +423,9 @@
   }
   const bool is_running = call_ != nullptr;
   const bool is_sent = is_running || may_have_run_;
+  if (is_running && response_.head.status == 0) {
+    with_.owner.OnUpstreamSilent(*this);
+  }
   call_.reset();
   if (is_head_sent_) {
     AbortResponse("deadline");
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -55,6 +55,7 @@
       const message_head& /*head*/) const override {
     return response;
   }
+  std::string ProbeTarget() const override { return "/"; }
   response_attributes response{.is_signed = true};
 };
 
@@ -72,7 +73,9 @@
                            uint32_t /*status*/) override {
     ++failed;
   }
-  void OnConnectionLost(const endpoint& /*address*/) override {}
+  void OnConnectionLost(const request_flow& /*flow*/) override {}
+  void OnAttemptStalled(const request_flow& /*flow*/) override {}
+  void OnUpstreamSilent(const request_flow& /*flow*/) override {}
   bool CanRetryElsewhere(const request_flow& /*flow*/) override {
     return can_retry;
   }
