Add a soak in which daemons are partitioned from all upstreams

Some daemons, or a whole failure domain, lose all upstreams for 6 to 9 s: their connections hang, are reset, or live on while new ones are refused. Callers, the store and the other daemons still reach them. Proxies attribute each connection to the process that opened it.

--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -121,6 +121,10 @@
   item.address = WaitForAddress(item.log, "listening on ");
   if (item.link == nullptr) {
     item.link = std::make_unique<fault_proxy>(base_, item.address);
+    if (options_.attributes_connections) {
+      item.link->SetOwnerLookup(
+          [this](uint16_t port) { return processes.OwnerOf(port); });
+    }
   }
   item.link->SetTarget(item.address);
   item.lines = std::ifstream(item.log);
@@ -410,6 +414,25 @@
   daemons[index].store->SetFault(fault);
 }
 
+void deployment::Partition(const std::vector<size_t>& indices,
+                           partition_kind kind) {
+  partition_ = {.processes = {}, .kind = kind};
+  std::set<endpoint> fronts;
+  for (const size_t index : indices) {
+    partition_.processes.insert(daemons[index].name);
+    fronts.insert(daemons[index].front);
+  }
+  for (const upstream_state& item : upstreams) {
+    item.link->SetPartition(partition_);
+  }
+  if (fronts.empty()) {
+    checker_.OnPartitionEnded();
+  } else {
+    checker_.OnPartitionBegun(std::move(fronts),
+                              std::chrono::steady_clock::now());
+  }
+}
+
 void deployment::SendControl(size_t index, const std::string& what) {
   caller_.Call({.to = upstreams[index].address,
                 .method = http_method::kGet,
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -89,6 +89,9 @@
     int daemons = 4;
     int engines = 3;
     int services = 2;
+    /// Whether connections to upstreams are attributed to daemons, which
+    /// `Partition` needs.
+    bool attributes_connections = false;
   };
 
   deployment(event_base* base, options opts, guarantee_checker& checker);
@@ -110,6 +113,9 @@
   /// Records that a fault of the store begins or ends now.
   void MarkStoreDisturbed() { store_disturbed_at_ = steady_time::clock::now(); }
   void InjectStoreLinkFault(size_t index, link_fault fault);
+  /// Partitions the daemons with these indices from all upstreams; an empty
+  /// list ends the partition.
+  void Partition(const std::vector<size_t>& indices, partition_kind kind);
   /// Changes the behaviour of an upstream; \p what is a path below /control/.
   void SendControl(size_t index, const std::string& what);
   /// Sends a daemon a signal that terminates it.
@@ -129,8 +135,8 @@
   int weights() const { return weights_; }
 
   std::vector<daemon_state> daemons;
-  std::vector<upstream_state> upstreams;
   process_table processes;
+  std::vector<upstream_state> upstreams;
 
  private:
   /// A write to the store, with a callback for its acknowledgement.
@@ -168,6 +174,7 @@
   event_base* base_;
   options options_;
   guarantee_checker& checker_;
+  partition partition_;
   platform::json_caller caller_;
   endpoint store_;
   /// A second address of the store, where calls never fail.
--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -26,8 +26,10 @@
        int fd,
        const endpoint& target,
        const link_fault& mode,
+       std::string owner,
        std::function<void()> on_closed)
       : mode_(mode),
+        owner_(std::move(owner)),
         on_closed_(std::move(on_closed)),
         caller_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)),
         target_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)),
@@ -48,9 +50,12 @@
   }
 
   bool is_closed() const { return is_closed_; }
+  const std::string& owner() const { return owner_; }
   void BlockForever() { is_blocked_ = true; }
+  void SetHanging(bool on) { is_hanging_ = on; }
   void Pump() {
-    const bool is_blocked = is_blocked_ || mode_ == link_fault::kBlackhole;
+    const bool is_blocked =
+        is_blocked_ || is_hanging_ || mode_ == link_fault::kBlackhole;
     if (is_blocked || is_closed_) {
       return;
     }
@@ -109,6 +114,8 @@
   }
 
   const link_fault& mode_;
+  /// The process that opened the connection.
+  std::string owner_;
   std::function<void()> on_closed_;
   bufferevent* caller_;
   bufferevent* target_;
@@ -116,6 +123,7 @@
   bool caller_ended_ = false;
   bool target_ended_ = false;
   bool is_blocked_ = false;
+  bool is_hanging_ = false;
   bool is_one_way_ = false;
   bool is_closed_ = false;
 };
@@ -144,13 +152,43 @@
   evconnlistener_free(listener_);
 }
 
+static uint16_t PeerPort(int fd) {
+  sockaddr_in peer{};
+  socklen_t size = sizeof(peer);
+  getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size);
+  return ntohs(peer.sin_port);
+}
+
 void fault_proxy::Accept(int fd) {
-  links_.push_back(std::make_unique<link>(base_, fd, target_, fault_, [this] {
-    // Deferred, since the link must not be deleted in its own callback.
-    CallLater(base_, [this] {
-      links_.remove_if([](const auto& item) { return item->is_closed(); });
-    });
-  }));
+  const std::string owner = lookup_ ? lookup_(PeerPort(fd)) : std::string();
+  links_.push_back(
+      std::make_unique<link>(base_, fd, target_, fault_, owner, [this] {
+        // Deferred, since the link must not be deleted in its own callback.
+        CallLater(base_, [this] {
+          links_.remove_if([](const auto& item) { return item->is_closed(); });
+        });
+      }));
+  if (partition_ == nullptr || !partition_->processes.contains(owner)) {
+    return;
+  }
+  if (partition_->kind == partition_kind::kHang) {
+    links_.back()->SetHanging(true);
+  } else {
+    links_.back()->Reset();
+  }
+}
+
+void fault_proxy::SetPartition(const partition& cut) {
+  partition_ = &cut;
+  for (const auto& item : links_) {
+    const bool is_cut = cut.processes.contains(item->owner());
+    item->SetHanging(is_cut && cut.kind == partition_kind::kHang);
+    if (is_cut && cut.kind == partition_kind::kReset) {
+      item->Reset();
+    } else {
+      item->Pump();
+    }
+  }
 }
 
 void fault_proxy::SetFault(link_fault fault) {
--- a/test/soak/fault_proxy.h
+++ b/test/soak/fault_proxy.h
@@ -4,8 +4,11 @@
 #define CUMINSWITCH_TEST_SOAK_FAULT_PROXY_H_
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "cuminswitch/Support/endpoint.h"
 
@@ -32,6 +35,24 @@
 /// Number of values of `link_fault`.
 inline constexpr int kLinkFaults = 6;
 
+/// What happens to the connections of a partitioned process.
+enum class partition_kind : uint8_t {
+  /// No bytes are forwarded, and no connection is closed.
+  kHang,
+  /// Open connections are reset, and so are new ones.
+  kReset,
+  /// Open connections live on, and new ones are reset.
+  kRefuseNew,
+};
+/// Number of values of `partition_kind`.
+inline constexpr int kPartitionKinds = 3;
+
+/// The processes that are partitioned from all upstreams, by name.
+struct partition {
+  std::set<std::string> processes;
+  partition_kind kind = partition_kind::kHang;
+};
+
 /// Accepts connections on a free port and forwards them to one target.
 class fault_proxy {
  public:
@@ -44,6 +65,13 @@
   void SetTarget(const endpoint& target) { target_ = target; }
   void SetFault(link_fault fault);
   link_fault fault() const { return fault_; }
+  /// Returns the name of the process that has bound a local port.
+  using owner_lookup = std::function<std::string(uint16_t port)>;
+  /// Sets how connections are attributed to processes, which is needed before
+  /// `SetPartition`.
+  void SetOwnerLookup(owner_lookup lookup) { lookup_ = std::move(lookup); }
+  /// Applies \p cut, which must outlive the proxy, after it has changed.
+  void SetPartition(const partition& cut);
 
  private:
   class link;
@@ -55,6 +83,8 @@
   endpoint address_;
   evconnlistener* listener_;
   link_fault fault_ = link_fault::kNone;
+  owner_lookup lookup_;
+  const partition* partition_ = nullptr;
   std::list<std::unique_ptr<link>> links_;
 };
 
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -16,6 +16,12 @@
 /// store.
 static constexpr int kMinDepartureGapMs = 200;
 static constexpr int kMaxDepartureGapMs = 1'300;
+/// The same with partitions, where the daemons compared must be undisturbed.
+static constexpr int kMinPartitionGapMs = 500;
+static constexpr int kMaxPartitionGapMs = 3'000;
+/// Time that a partition lasts.
+static constexpr int kMinPartitionMs = 6'000;
+static constexpr int kMaxPartitionMs = 9'000;
 /// Time that a departed upstream still serves. It is then killed and restarted
 /// under another id.
 static constexpr int kServiceAfterDepartureMs = 8'000;
@@ -130,6 +136,11 @@
       &fault_schedule::KillAllDaemons, &fault_schedule::ChangeConfiguration,
       &fault_schedule::DepartRandomly, &fault_schedule::DepartRandomly,
       &fault_schedule::DepartRandomly, &fault_schedule::DepartRandomly};
+  static constexpr std::array<step, 8> kPartitionSteps = {
+      &fault_schedule::KillDaemon,       &fault_schedule::StopDaemon,
+      &fault_schedule::ReloadDaemon,     &fault_schedule::ChangeConfiguration,
+      &fault_schedule::PartitionDaemons, &fault_schedule::PartitionDaemons,
+      &fault_schedule::PartitionDaemons, &fault_schedule::PartitionDaemons};
   std::span<const step> steps = kSteps;
   int min_gap = kMinGapMs;
   int max_gap = kMaxGapMs;
@@ -143,6 +154,10 @@
     steps = kDepartureSteps;
     min_gap = kMinDepartureGapMs;
     max_gap = kMaxDepartureGapMs;
+  } else if (mode_ == soak_mode::kPartitions) {
+    steps = kPartitionSteps;
+    min_gap = kMinPartitionGapMs;
+    max_gap = kMaxPartitionGapMs;
   }
   const step next = steps[Pick(steps.size())];
   (this->*next)();
@@ -362,6 +377,32 @@
   });
 }
 
+void fault_schedule::PartitionDaemons() {
+  if (std::exchange(is_partitioned_, true)) {
+    return;
+  }
+  const auto kind = static_cast<partition_kind>(Pick(kPartitionKinds));
+  const size_t count = target_.daemons.size();
+  // The daemons of a failure domain have every second index.
+  const bool takes_domain = Pick(3) == 0;
+  const size_t step = takes_domain ? 2 : 1;
+  const size_t chosen = takes_domain ? count / 2 : 1 + Pick(count - 1);
+  const size_t first = Pick(count);
+  std::vector<size_t> indices;
+  std::string names;
+  for (size_t i = 0; i < chosen; ++i) {
+    indices.push_back((first + i * step) % count);
+    names += " " + target_.daemons[indices.back()].name;
+  }
+  LogFault("partition from all upstreams, kind " +
+           std::to_string(static_cast<int>(kind)) + ":" + names);
+  target_.Partition(indices, kind);
+  ScheduleEnd(kMinPartitionMs, kMaxPartitionMs, [this, kind] {
+    is_partitioned_ = false;
+    target_.Partition({}, kind);
+  });
+}
+
 void fault_schedule::ResetStoreLink() {
   const size_t index = Pick(target_.daemons.size());
   LogFault(target_.daemons[index].name + " loses its store connections once");
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -34,6 +34,9 @@
   /// and daemons are killed. Faults are further apart, so that some daemons
   /// have contact with the store.
   kDepartures,
+  /// Some daemons are partitioned from all upstreams at a time; otherwise
+  /// faults of daemons and changes of the configuration.
+  kPartitions,
 };
 
 /// Injects one fault after another, each into a process or connection chosen by
@@ -88,6 +91,9 @@
   /// Makes the store unavailable for longer than the lifetime of its entries.
   /// Upstreams depart during the outage and soon after it.
   void StartStoreOutage();
+  /// Partitions one daemon, several, or all of a failure domain from all
+  /// upstreams, unless a partition is in progress.
+  void PartitionDaemons();
   /// Resets a daemon's open connections to the store.
   void ResetStoreLink();
 
@@ -108,6 +114,7 @@
   bool has_second_ = true;
   bool may_use_second_ = true;
   bool is_store_faulty_ = false;
+  bool is_partitioned_ = false;
 };
 
 }  // namespace cuminswitch::soak
--- a/test/soak/guarantee_checker.cc
+++ b/test/soak/guarantee_checker.cc
@@ -128,6 +128,10 @@
 void guarantee_checker::OnResponse(const sent_request& request,
                                    const observed_response& response) {
   requests_[request.id].reported_status = response.status;
+  if (response.is_daemon_undisturbed && !request.provokes_failure) {
+    partitions_.OnResponse(request.daemon, request.sent_at,
+                           response.status == 200 && response.is_complete);
+  }
   if (response.advertises_limit) {
     limits_.OnLimitForwarded(request.daemon, response.upstream,
                              std::chrono::steady_clock::now());
@@ -160,6 +164,12 @@
   }
 }
 
+void guarantee_checker::OnPartitionEnded() {
+  if (const auto broken = partitions_.OnEnd()) {
+    ReportViolation("recover", *broken);
+  }
+}
+
 void guarantee_checker::CheckAtEnd() {
   for (const auto& [id, item] : requests_) {
     const bool was_refused =
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -6,7 +6,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cuminswitch/Support/endpoint.h"
@@ -14,6 +16,7 @@
 #include "soak/departure_check.h"
 #include "soak/feedback_check.h"
 #include "soak/limit_check.h"
+#include "soak/partition_check.h"
 #include "soak/steady_time.h"
 
 namespace cuminswitch::soak {
@@ -92,6 +95,12 @@
   /// Records that an upstream ran the request \p id, and with it a crash if the
   /// request crashes upstreams.
   void OnPossibleCrash(const std::string& id, bool is_daemon_undisturbed);
+  /// Records that the daemons with these caller addresses are partitioned from
+  /// all upstreams, and the end of that.
+  void OnPartitionBegun(std::set<endpoint> daemons, steady_time at) {
+    partitions_.OnBegin(std::move(daemons), at);
+  }
+  void OnPartitionEnded();
   /// Returns the caller address of the daemon that the request was sent to;
   /// null if no caller sent it.
   const endpoint* DaemonOf(const std::string& id) const;
@@ -115,6 +124,7 @@
   /// Requests checked against feedback of upstreams.
   size_t feedback_checked() const { return feedback_.counted(); }
   size_t crashes() const { return crashes_.counted(); }
+  size_t partition_checked() const { return partitions_.counted(); }
   size_t departures() const { return departures_.counted(); }
   size_t late_at_departed() const { return departures_.late(); }
 
@@ -139,6 +149,7 @@
   feedback_check feedback_;
   crash_check crashes_;
   departure_check departures_;
+  partition_check partitions_;
   std::vector<std::string> findings_;
   size_t served_ = 0;
 };
--- a/test/soak/process_table.cc
+++ b/test/soak/process_table.cc
@@ -5,6 +5,9 @@
 #include <sys/wait.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 extern char** environ;
@@ -60,4 +63,45 @@
   return ended;
 }
 
+/// Returns the inode of the IPv4 socket that is bound to \p port, as text;
+/// empty if there is none.
+static std::string FindSocketInode(uint16_t port) {
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  while (std::getline(table, line)) {
+    std::istringstream fields(line);
+    std::string slot;
+    std::string local;
+    fields >> slot >> local;
+    const size_t colon = local.find(':');
+    if (colon == std::string::npos ||
+        std::stoul(local.substr(colon + 1), nullptr, 16) != port) {
+      continue;
+    }
+    constexpr int kFieldsBeforeInode = 7;
+    std::string inode;
+    for (int i = 0; i < kFieldsBeforeInode; ++i) {
+      fields >> inode;
+    }
+    fields >> inode;
+    return inode;
+  }
+  return {};
+}
+
+std::string process_table::OwnerOf(uint16_t port) const {
+  const std::string wanted = "socket:[" + FindSocketInode(port) + "]";
+  for (const auto& [name, pid] : pids_) {
+    std::error_code error;
+    const std::string folder = "/proc/" + std::to_string(pid) + "/fd";
+    for (const auto& item :
+         std::filesystem::directory_iterator(folder, error)) {
+      if (std::filesystem::read_symlink(item.path(), error) == wanted) {
+        return name;
+      }
+    }
+  }
+  return {};
+}
+
 }  // namespace cuminswitch::soak
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -31,6 +31,7 @@
   bool crashes = false;
   bool notices = false;
   bool departures = false;
+  bool partitions = false;
   std::string build_folder = "build";
   std::string work_folder = "soak-work";
 };
@@ -58,6 +59,9 @@
   if (opts.departures) {
     return soak_mode::kDepartures;
   }
+  if (opts.partitions) {
+    return soak_mode::kPartitions;
+  }
   return opts.crashes ? soak_mode::kCrashes : soak_mode::kAll;
 }
 
@@ -71,7 +75,8 @@
                      .work_folder = opts.work_folder,
                      .daemons = opts.daemons,
                      .engines = opts.engines,
-                     .services = opts.services},
+                     .services = opts.services,
+                     .attributes_connections = opts.partitions},
                     checker_),
         schedule_(base_,
                   static_cast<uint64_t>(opts.seed),
@@ -109,6 +114,7 @@
               << deployment_.processes.size() << " processes, "
               << checker_.limit_checked() << " of them held to limits, "
               << checker_.feedback_checked() << " to notices, "
+              << checker_.partition_checked() << " at partitioned daemons, "
               << checker_.crashes() << " crashes, " << checker_.departures()
               << " departures, " << checker_.late_at_departed() << " late, "
               << checker_.findings().size() << " findings\n";
@@ -202,6 +208,8 @@
                  "Upstreams ask for backoff and announce that they leave");
   parser.AddFlag("departures", options.departures,
                  "Upstreams depart while the store is unavailable");
+  parser.AddFlag("partitions", options.partitions,
+                 "Daemons are partitioned from all upstreams");
   parser.AddString("build", options.build_folder, "The build folder", "FOLDER");
   parser.AddString("work", options.work_folder,
                    "Folder of the logs; kept if there are findings", "FOLDER");
