Attribute proxied connections by both of their ports

The soak's partitions leaked: a local port is reused for other destinations, so the first entry with that port could belong to a connection that had ended. The proxy then did not recognise the partitioned process. Both ports identify the connection.

--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -122,8 +122,9 @@
   if (item.link == nullptr) {
     item.link = std::make_unique<fault_proxy>(base_, item.address);
     if (options_.attributes_connections) {
-      item.link->SetOwnerLookup(
-          [this](uint16_t port) { return processes.OwnerOf(port); });
+      item.link->SetOwnerLookup([this](uint16_t local, uint16_t remote) {
+        return processes.OwnerOf(local, remote);
+      });
     }
   }
   item.link->SetTarget(item.address);
--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -160,7 +160,8 @@
 }
 
 void fault_proxy::Accept(int fd) {
-  const std::string owner = lookup_ ? lookup_(PeerPort(fd)) : std::string();
+  const std::string owner =
+      lookup_ ? lookup_(PeerPort(fd), address_.port) : std::string();
   links_.push_back(
       std::make_unique<link>(base_, fd, target_, fault_, owner, [this] {
         // Deferred, since the link must not be deleted in its own callback.
--- a/test/soak/fault_proxy.h
+++ b/test/soak/fault_proxy.h
@@ -65,8 +65,9 @@
   void SetTarget(const endpoint& target) { target_ = target; }
   void SetFault(link_fault fault);
   link_fault fault() const { return fault_; }
-  /// Returns the name of the process that has bound a local port.
-  using owner_lookup = std::function<std::string(uint16_t port)>;
+  /// Returns the name of the process whose socket connects two ports.
+  using owner_lookup =
+      std::function<std::string(uint16_t local, uint16_t remote)>;
   /// Sets how connections are attributed to processes, which is needed before
   /// `SetPartition`.
   void SetOwnerLookup(owner_lookup lookup) { lookup_ = std::move(lookup); }
--- a/test/soak/process_table.cc
+++ b/test/soak/process_table.cc
@@ -63,34 +63,42 @@
   return ended;
 }
 
-/// Returns the inode of the IPv4 socket that is bound to \p port, as text;
-/// empty if there is none.
-static std::string FindSocketInode(uint16_t port) {
+/// Reads the port of an address in /proc/net/tcp, which is ADDRESS:PORT in
+/// hexadecimal; 0 if \p address has another form.
+static uint16_t ReadPort(const std::string& address) {
+  const size_t colon = address.find(':');
+  return colon == std::string::npos
+             ? 0
+             : static_cast<uint16_t>(
+                   std::stoul(address.substr(colon + 1), nullptr, 16));
+}
+
+/// Returns the inode, as text, of the IPv4 socket that connects port \p local
+/// to port \p remote; empty if there is none.
+static std::string FindSocketInode(uint16_t local, uint16_t remote) {
   std::ifstream table("/proc/net/tcp");
   std::string line;
   while (std::getline(table, line)) {
     std::istringstream fields(line);
     std::string slot;
-    std::string local;
-    fields >> slot >> local;
-    const size_t colon = local.find(':');
-    if (colon == std::string::npos ||
-        std::stoul(local.substr(colon + 1), nullptr, 16) != port) {
+    std::string from;
+    std::string to;
+    fields >> slot >> from >> to;
+    if (ReadPort(from) != local || ReadPort(to) != remote) {
       continue;
     }
-    constexpr int kFieldsBeforeInode = 7;
+    constexpr int kFieldsBeforeInode = 6;
     std::string inode;
-    for (int i = 0; i < kFieldsBeforeInode; ++i) {
+    for (int i = 0; i <= kFieldsBeforeInode; ++i) {
       fields >> inode;
     }
-    fields >> inode;
     return inode;
   }
   return {};
 }
 
-std::string process_table::OwnerOf(uint16_t port) const {
-  const std::string wanted = "socket:[" + FindSocketInode(port) + "]";
+std::string process_table::OwnerOf(uint16_t local, uint16_t remote) const {
+  const std::string wanted = "socket:[" + FindSocketInode(local, remote) + "]";
   for (const auto& [name, pid] : pids_) {
     std::error_code error;
     const std::string folder = "/proc/" + std::to_string(pid) + "/fd";
--- a/test/soak/process_table.h
+++ b/test/soak/process_table.h
@@ -32,9 +32,9 @@
   /// Reaps processes that have exited and returns their names.
   std::vector<std::string> Reap();
   bool IsRunning(const std::string& name) const { return pids_.contains(name); }
-  /// Returns the name of the process whose TCP socket is bound to the local
-  /// \p port; empty if none of these processes has one.
-  std::string OwnerOf(uint16_t port) const;
+  /// Returns the name of the process whose TCP socket connects the port
+  /// \p local to the port \p remote; empty if none of these processes has one.
+  std::string OwnerOf(uint16_t local, uint16_t remote) const;
   size_t size() const { return pids_.size(); }
 
  private:
