Forward requests to a peer while no upstream is reached

Cause: the failures at all upstreams were never joined into one fact about the host. Each request tried upstream after upstream, 400 ms each, until its deadline, while peers that reach them were a hop away.

Once upstream_contact has confirmed that no upstream responds, a request is sent to one of up to three peers, chosen evenly by its id, as the caller sent it, with the time that is left and a mark that stops a second hop. The response is relayed unchanged. Only what no upstream may have run is forwarded: new requests, and those that still wait or whose attempts were not connected. The next peer is tried if one is not reached or refuses with 503, which is a promise. Peers are told that this daemon serves no callers, so address replies leave it out while others remain, and nothing is forwarded to it; its readiness check stays good. If no peer reaches an upstream either, requests are rejected at once. Probes end the state within 250 ms.

Ruled out: withdrawing the host from address replies alone, since callers keep an address for up to three times its time to live; ejecting upstreams, since with all of them ejected any is used.

--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -32,6 +32,8 @@
   std::string credential;
   /// The longest time that the caller will wait, if it states one.
   std::optional<duration> max_wait;
+  /// A peer forwarded the request because it reaches no upstream.
+  bool is_forwarded = false;
   std::string model;
   std::vector<prompt_part> parts;
   uint32_t prompt_tokens = 0;
@@ -92,6 +94,9 @@
   virtual http_headers WriteRequest(
       const message_head& head,
       const dispatch_attributes& attributes) const = 0;
+  /// Returns the fields of a caller's request for a peer that serves it.
+  virtual http_headers WriteForwarded(const message_head& head,
+                                      duration time_left) const = 0;
   virtual response_attributes ReadResponse(const message_head& head) const = 0;
   /// Returns the path of a GET that every upstream responds to at once, without
   /// executing anything.
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -15,6 +15,7 @@
 #include "cuminswitch/Core/request_router.h"
 #include "cuminswitch/Edge/edge_metrics.h"
 #include "cuminswitch/Edge/edge_protocol.h"
+#include "cuminswitch/Edge/forwarded_request.h"
 #include "cuminswitch/Edge/graceful_stop.h"
 #include "cuminswitch/Edge/quota_admission.h"
 #include "cuminswitch/Edge/request_flow.h"
@@ -42,6 +43,7 @@
 class edge_task : public loop_task<edge_message>,
                   public caller_handler,
                   public flow_owner,
+                  public forward_owner,
                   public shard_directory {
  public:
   struct options {
@@ -102,6 +104,8 @@
   void OnUpstreamSilent(const request_flow& flow) override;
   bool CanRetryElsewhere(const request_flow& flow) override;
   void OnFlowEnd(request_flow& flow, const flow_result& end) override;
+  void OnForwardEnd(const forwarded_request& request,
+                    const forward_result& end) override;
   const member* FindOwner(shard_number shard) const override;
   size_t CountServing() const override;
 
@@ -109,6 +113,29 @@
   /// probes when they are due.
   void UpdateContact();
   void OnProbesEnded(bool has_response);
+  /// Tells the peers whether this daemon should receive callers.
+  void ReportReadiness();
+  /// Returns the peers that the request of the caller's \p attempt is offered
+  /// to.
+  std::vector<forward_target> ChoosePeers(std::string_view attempt) const;
+  /// Forwards a request to a peer; \p opts lacks the peers. Returns false if
+  /// there is no peer to forward to.
+  bool Forward(forwarded_request::options opts);
+  /// Forwards the request of \p flow if this daemon reaches no upstream and
+  /// none may have run it; the flow has ended then.
+  bool ForwardUnsent(request_flow& flow);
+  /// Removes a flow that has ended, from the event loop.
+  void RemoveFlowLater(const request_flow& flow);
+  /// Answers an accepted request, while no upstream is reached, without routing
+  /// it here. Returns false if it must be routed.
+  bool RedirectRequest(caller_exchange& exchange,
+                       const caller_request& request,
+                       const route_spec& route);
+  /// Rejects a request that is not routed.
+  void RejectRequest(caller_exchange& exchange,
+                     const caller_request& request,
+                     uint32_t status,
+                     duration retry_after);
   /// Applies the rate limit that a response advertises.
   void ApplyLimit(const request_flow& flow, const limit_notice& notice);
   /// Applies the backoff that an upstream requested with a refusal.
@@ -223,6 +250,7 @@
   bool logged_reserved_engines_ = false;
   uint64_t logged_refused_count_ = 0;
   std::unordered_map<request_id, std::unique_ptr<request_flow>> flows_;
+  std::unordered_map<request_id, std::unique_ptr<forwarded_request>> forwarded_;
   request_id next_request_ = 0;
   quota_admission quotas_;
   upstream_limit_admission limits_;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -106,12 +106,18 @@
   /// Stops the current attempt. The request counts as possibly executed.
   void CancelAttempt();
 
+  /// Ends the flow without a response and returns its exchange. No attempt may
+  /// be in progress.
+  caller_exchange* Detach();
+
   request_id id() const { return options_.id; }
   attempt_id attempt() const { return attempt_; }
   /// Attempts that the upstream executed or may have executed.
   uint32_t runs() const { return runs_; }
   time_point deadline() const { return options_.deadline; }
   bool has_ended() const { return has_ended_; }
+  /// Whether an upstream executed the request or may have executed it.
+  bool may_have_run() const { return may_have_run_; }
   const caller_request& request() const { return options_.request; }
   const routing_config& config() const { return *options_.config; }
   const route_spec& route() const { return *options_.route; }
--- a/include/cuminswitch/Http1/message_head.h
+++ b/include/cuminswitch/Http1/message_head.h
@@ -46,6 +46,9 @@
 /// standard ones or one that \p head lists in `Connection`.
 bool IsConnectionField(const message_head& head, std::string_view name);
 
+/// Returns the fields of \p head that are forwarded.
+http_headers EndToEndHeaders(const message_head& head);
+
 }  // namespace cuminswitch
 
 #endif  // CUMINSWITCH_HTTP1_MESSAGE_HEAD_H_
--- a/lib/Edge/edge_arrivals.cc
+++ b/lib/Edge/edge_arrivals.cc
@@ -17,6 +17,9 @@
 static constexpr duration kStartupRetryAfter = std::chrono::milliseconds(500);
 /// `Retry-After` of a stopping daemon; the caller retries at another one.
 static constexpr duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+/// `Retry-After` of a daemon that reaches no upstream and no peer that does.
+static constexpr duration kUnreachableRetryAfter =
+    std::chrono::milliseconds(500);
 /// The wait assumed for a caller that states none.
 static constexpr duration kDefaultMaxWait = std::chrono::seconds(60);
 
@@ -53,24 +56,54 @@
       !stop_.CanAccept(ReadBootClock(), MaxWait(request, *route))) {
     status = status_code::kUnavailable;
   }
-  if (status == 0) {
+  if (status != 0) {
+    RejectRequest(exchange, request, status,
+                  stop_.HasBegun() ? kStoppingRetryAfter : kStartupRetryAfter);
+  } else if (!RedirectRequest(exchange, request, *route)) {
     BeginFlow(exchange, std::move(request), *route, workspace);
-    return;
   }
+}
+
+bool edge_task::RedirectRequest(caller_exchange& exchange,
+                                const caller_request& request,
+                                const route_spec& route) {
+  if (!has_lost_upstreams_) {
+    return false;
+  }
+  const time_point now = ReadBootClock();
+  if (request.is_forwarded ||
+      !Forward({.id = ++next_request_,
+                .exchange = &exchange,
+                .attempt = request.attempt,
+                .route = route.name,
+                .arrived = now,
+                .deadline = now + MaxWait(request, route),
+                .peers = {}})) {
+    RejectRequest(exchange, request, status_code::kUnavailable,
+                  kUnreachableRetryAfter);
+  }
+  return true;
+}
+
+void edge_task::RejectRequest(caller_exchange& exchange,
+                              const caller_request& request,
+                              uint32_t status,
+                              duration retry_after) {
   metrics_.CountRejected(status);
   const uint64_t version = snapshot_ == nullptr || snapshot_->config == nullptr
                                ? 0
                                : snapshot_->config->version;
-  with_.log.Write(log_class::kRequest, log_line("request_rejected")
-                                           .Add("id", request.attempt)
-                                           .Add("host", request.host)
-                                           .Add("path", request.path)
-                                           .Add("status", status)
-                                           .Add("configuration", version));
+  with_.log.Write(log_class::kRequest,
+                  log_line("request_rejected")
+                      .Add("id", request.attempt)
+                      .Add("host", request.host)
+                      .Add("path", request.path)
+                      .Add("status", status)
+                      .Add("unreachable", has_lost_upstreams_)
+                      .Add("configuration", version));
   http_headers headers;
   if (status == status_code::kUnavailable) {
-    headers.push_back(RetryAfter(stop_.HasBegun() ? kStoppingRetryAfter
-                                                  : kStartupRetryAfter));
+    headers.push_back(RetryAfter(retry_after));
   }
   Reply(exchange, status, headers, {}, false);
 }
--- a/lib/Edge/edge_contact.cc
+++ b/lib/Edge/edge_contact.cc
@@ -4,6 +4,7 @@
 
 #include "cuminswitch/Edge/edge_task.h"
 #include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
 #include "cuminswitch/Support/hash.h"
 
@@ -42,6 +43,9 @@
             .Add("failed", contact_.failed().size())
             .Add("known", upstreams_by_address_.size())
             .Add("doubted_ms", now - contact_.doubted_since()));
+    if (IsReady()) {
+      ReportReadiness();
+    }
   }
   if (!contact_.NeedsProbes(now) || prober_.IsRunning() ||
       upstreams_by_address_.empty()) {
@@ -58,6 +62,11 @@
                 with_.protocol.ProbeTarget());
 }
 
+void edge_task::ReportReadiness() {
+  services_.FindPort<fleet_message>(kFleetService)
+      .Post(readiness_changed{.is_ready = !has_lost_upstreams_});
+}
+
 void edge_task::OnProbesEnded(bool has_response) {
   if (has_response) {
     contact_.OnResponse(probes_sent_at_, true);
--- a/lib/Edge/edge_snapshot.cc
+++ b/lib/Edge/edge_snapshot.cc
@@ -99,8 +99,7 @@
   if (IsReady() && !was_ready) {
     with_.log.Write(log_class::kLifecycle,
                     log_line("ready").Add("configuration", config.version));
-    services_.FindPort<fleet_message>(kFleetService)
-        .Post(readiness_changed{.is_ready = true});
+    ReportReadiness();
   }
 }
 
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -68,6 +68,7 @@
   tick_timer_.Cancel();
   stop_timer_.Cancel();
   flows_.clear();
+  forwarded_.clear();
   server_.reset();
 }
 
@@ -91,7 +92,9 @@
       serving.push_back(item);
     }
   }
-  if (IsReady()) {
+  // A daemon that reaches no upstream still forwards what reaches it, but
+  // callers are better served elsewhere.
+  if (IsReady() && (!has_lost_upstreams_ || serving.empty())) {
     serving.push_back(options_.self);
   }
   return serving;
@@ -176,7 +179,8 @@
     } else if (const auto* dispatch = std::get_if<dispatch_attempt>(&action)) {
       Perform(now, *dispatch);
     } else if (const auto* response = std::get_if<local_response>(&action)) {
-      if (request_flow* flow = FindFlow(response->request)) {
+      request_flow* flow = FindFlow(response->request);
+      if (flow != nullptr && !ForwardUnsent(*flow)) {
         flow->GiveUp(*response);
       }
     }
@@ -198,7 +202,7 @@
 
 void edge_task::Perform(time_point now, const dispatch_attempt& action) {
   request_flow* flow = FindFlow(action.request);
-  if (flow == nullptr || flow->has_ended()) {
+  if (flow == nullptr || flow->has_ended() || ForwardUnsent(*flow)) {
     ForwardToRouter(now, attempt_ended{.attempt = action.attempt,
                                        .result = outcome::kNotRun,
                                        .response_started = true,
@@ -253,6 +257,10 @@
       metrics_.CountLate(route, cause);
     }
   }
+  RemoveFlowLater(flow);
+}
+
+void edge_task::RemoveFlowLater(const request_flow& flow) {
   CallLater(base(), [this, alive = alive_, id = flow.id(), runs = flow.runs()] {
     if (*alive) {
       const time_point now = ReadBootClock();
@@ -324,8 +332,9 @@
     return;
   }
   stop_.Begin(ReadBootClock());
-  with_.log.Write(log_class::kLifecycle,
-                  log_line("stopping").Add("requests", flows_.size()));
+  with_.log.Write(
+      log_class::kLifecycle,
+      log_line("stopping").Add("requests", flows_.size() + forwarded_.size()));
   UpdateQuotaFleet(ReadBootClock());
   server_->BeginDrain();
   services_.FindPort<fleet_message>(kFleetService).Post(fleet_stop_requested{});
@@ -337,9 +346,10 @@
   if (stop_.HasAddressExpired(now)) {
     server_->CloseIdle();
   }
-  if (stop_.IsComplete(now, flows_.size(), server_->connection_count())) {
+  const size_t requests = flows_.size() + forwarded_.size();
+  if (stop_.IsComplete(now, requests, server_->connection_count())) {
     with_.log.Write(log_class::kLifecycle,
-                    log_line("stopped").Add("requests", flows_.size()));
+                    log_line("stopped").Add("requests", requests));
     with_.log.Flush();
     with_.on_stopped();
     return;
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cuminswitch/Edge/caller_backlog.h"
 #include "cuminswitch/Edge/retry_after.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Http1/upstream_pool.h"
@@ -11,11 +12,6 @@
 namespace cuminswitch {
 
 static constexpr uint32_t kFirstFailureStatus = 400;
-/// Bytes not yet sent to the caller above which reading from the upstream is
-/// paused.
-static constexpr size_t kMaxCallerBacklog = 64UL << 10;
-/// The same while much is already buffered for slow callers.
-static constexpr size_t kMaxCallerBacklogUnderPressure = 4UL << 10;
 /// Delay after the deadline before this daemon responds, so that the upstream's
 /// own time-out response arrives first.
 static constexpr duration kDeadlineSlack = std::chrono::milliseconds(20);
@@ -142,6 +138,13 @@
   ProcessAttemptResult(attempt_result::kStalled);
 }
 
+caller_exchange* request_flow::Detach() {
+  has_ended_ = true;
+  timer_.Cancel();
+  stall_timer_.Cancel();
+  return std::exchange(options_.exchange, nullptr);
+}
+
 void request_flow::CancelAttempt() {
   may_have_run_ = true;
   stall_timer_.Cancel();
@@ -199,10 +202,9 @@
     SendResponseHead(std::nullopt);
   }
   options_.exchange->SendBody(data);
-  const size_t most = with_.pool.account().IsTight()
-                          ? kMaxCallerBacklogUnderPressure
-                          : kMaxCallerBacklog;
-  if (options_.exchange->PendingBytes() > most && call_ != nullptr) {
+  if (options_.exchange->PendingBytes() >
+          MaxCallerBacklog(with_.pool.account()) &&
+      call_ != nullptr) {
     is_paused_ = true;
     call_->PauseReading();
   }
@@ -216,13 +218,8 @@
 
 void request_flow::SendResponseHead(std::optional<uint64_t> length) {
   is_head_sent_ = true;
-  http_headers headers;
-  for (const http_header& item : response_.head.headers) {
-    if (!IsConnectionField(response_.head, item.name)) {
-      headers.push_back(item);
-    }
-  }
-  options_.exchange->SendHead(response_.head.status, headers,
+  options_.exchange->SendHead(response_.head.status,
+                              EndToEndHeaders(response_.head),
                               {.content_length = length});
 }
 
--- a/lib/Http1/message_head.cc
+++ b/lib/Http1/message_head.cc
@@ -71,4 +71,14 @@
   return ListNames(head.Find("Connection"), name);
 }
 
+http_headers EndToEndHeaders(const message_head& head) {
+  http_headers headers;
+  for (const http_header& item : head.headers) {
+    if (!IsConnectionField(head, item.name)) {
+      headers.push_back(item);
+    }
+  }
+  return headers;
+}
+
 }  // namespace cuminswitch
--- /dev/null
+++ b/unittests/Edge/edge_fakes.h
@@ -0,0 +1,63 @@
+/// \file
+/// A caller's exchange and a protocol for tests of requests.
+#ifndef CUMINSWITCH_UNITTESTS_EDGE_EDGE_FAKES_H_
+#define CUMINSWITCH_UNITTESTS_EDGE_EDGE_FAKES_H_
+
+#include <string>
+
+#include "cuminswitch/Edge/edge_protocol.h"
+#include "cuminswitch/Http1/caller_exchange.h"
+
+namespace cuminswitch {
+
+/// Records the response.
+class fake_exchange : public caller_exchange {
+ public:
+  const message_head& Head() const override { return head; }
+  const std::string& Body() const override { return body; }
+  void SetListener(caller_listener* value) override { listener = value; }
+  void SendHead(uint32_t value,
+                const http_headers& /*headers*/,
+                const response_framing& /*framing*/) override {
+    status = value;
+  }
+  void SendBody(std::string_view data) override { sent += data; }
+  void Finish() override { finished = true; }
+  void Abort() override { aborted = true; }
+  size_t PendingBytes() const override { return 0; }
+
+  caller_listener* listener = nullptr;
+  message_head head;
+  std::string body;
+  uint32_t status = 0;
+  std::string sent;
+  bool finished = false;
+  bool aborted = false;
+};
+
+/// A protocol whose responses all have the same attributes, by default signed.
+class fixed_protocol : public edge_protocol {
+ public:
+  caller_request ReadRequest(const message_head& /*head*/) const override {
+    return {};
+  }
+  http_headers WriteRequest(
+      const message_head& /*head*/,
+      const dispatch_attributes& /*attributes*/) const override {
+    return {{.name = "Host", .value = "h"}};
+  }
+  response_attributes ReadResponse(
+      const message_head& /*head*/) const override {
+    return response;
+  }
+  std::string ProbeTarget() const override { return "/"; }
+  http_headers WriteForwarded(const message_head& /*head*/,
+                              duration /*time_left*/) const override {
+    return {};
+  }
+  response_attributes response{.is_signed = true};
+};
+
+}  // namespace cuminswitch
+
+#endif  // CUMINSWITCH_UNITTESTS_EDGE_EDGE_FAKES_H_
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -11,54 +11,13 @@
 #include "../Http1/loopback.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Http1/upstream_pool.h"
+#include "edge_fakes.h"
 
 namespace cuminswitch {
 namespace {
 
 using std::chrono::milliseconds;
 
-class fake_exchange : public caller_exchange {
- public:
-  const message_head& Head() const override { return head; }
-  const std::string& Body() const override { return body; }
-  void SetListener(caller_listener* /*listener*/) override {}
-  void SendHead(uint32_t value,
-                const http_headers& /*headers*/,
-                const response_framing& /*framing*/) override {
-    status = value;
-  }
-  void SendBody(std::string_view data) override { sent += data; }
-  void Finish() override { finished = true; }
-  void Abort() override { aborted = true; }
-  size_t PendingBytes() const override { return 0; }
-
-  message_head head;
-  std::string body;
-  uint32_t status = 0;
-  std::string sent;
-  bool finished = false;
-  bool aborted = false;
-};
-
-/// A protocol whose responses all have the same attributes, by default signed.
-class fixed_protocol : public edge_protocol {
- public:
-  caller_request ReadRequest(const message_head& /*head*/) const override {
-    return {};
-  }
-  http_headers WriteRequest(
-      const message_head& /*head*/,
-      const dispatch_attributes& /*attributes*/) const override {
-    return {{.name = "Host", .value = "h"}};
-  }
-  response_attributes ReadResponse(
-      const message_head& /*head*/) const override {
-    return response;
-  }
-  std::string ProbeTarget() const override { return "/"; }
-  response_attributes response{.is_signed = true};
-};
-
 class recording_owner : public flow_owner {
  public:
   void OnFlowEvent(core_event /*event*/) override {}
--- a/unittests/PlatformAdapter/http_protocol_test.cc
+++ b/unittests/PlatformAdapter/http_protocol_test.cc
@@ -47,6 +47,22 @@
   EXPECT_EQ(request.parts[1].tokens, 410U);
 }
 
+// Guards against a request being forwarded from daemon to daemon without end.
+TEST(http_protocol_test, MarksForwardedRequests) {
+  const http_protocol protocol;
+  EXPECT_FALSE(protocol.ReadRequest(MakeHead()).is_forwarded);
+  message_head forwarded = MakeHead();
+  forwarded.headers =
+      protocol.WriteForwarded(MakeHead(), std::chrono::milliseconds(700));
+  EXPECT_EQ(Find(forwarded.headers, "X-Deadline-Ms"), "700");
+  EXPECT_EQ(Find(forwarded.headers, "Authorization"), "Token secret");
+  EXPECT_EQ(Find(forwarded.headers, "X-Attempt-Id"), "id1");
+  EXPECT_TRUE(protocol.ReadRequest(forwarded).is_forwarded);
+  EXPECT_EQ(
+      Find(protocol.WriteRequest(forwarded, {}), "X-Cuminswitch-Forwarded"),
+      "");
+}
+
 // Guards against a caller that acts as another workspace or reaches its cache:
 // fields that only the daemon may set were forwarded as the caller sent them.
 TEST(http_protocol_test, RemovesSystemFieldsOfCallers) {
