Send equal requests in the soak's partitions, and check the other daemons

Every second request of a caller is now the same as the others', so that a quarantine of it by a partitioned daemon shows at all daemons. Daemons that are not partitioned must serve all but the failures that the rule allows.

--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -26,10 +26,10 @@
        int fd,
        const endpoint& target,
        const link_fault& mode,
-       std::string owner,
+       uint16_t caller_port,
        std::function<void()> on_closed)
       : mode_(mode),
-        owner_(std::move(owner)),
+        caller_port_(caller_port),
         on_closed_(std::move(on_closed)),
         caller_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)),
         target_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)),
@@ -50,7 +50,7 @@
   }
 
   bool is_closed() const { return is_closed_; }
-  const std::string& owner() const { return owner_; }
+  uint16_t caller_port() const { return caller_port_; }
   void BlockForever() { is_blocked_ = true; }
   void SetHanging(bool on) { is_hanging_ = on; }
   void Pump() {
@@ -114,8 +114,7 @@
   }
 
   const link_fault& mode_;
-  /// The process that opened the connection.
-  std::string owner_;
+  uint16_t caller_port_;
   std::function<void()> on_closed_;
   bufferevent* caller_;
   bufferevent* target_;
@@ -160,16 +159,14 @@
 }
 
 void fault_proxy::Accept(int fd) {
-  const std::string owner =
-      lookup_ ? lookup_(PeerPort(fd), address_.port) : std::string();
   links_.push_back(
-      std::make_unique<link>(base_, fd, target_, fault_, owner, [this] {
+      std::make_unique<link>(base_, fd, target_, fault_, PeerPort(fd), [this] {
         // Deferred, since the link must not be deleted in its own callback.
         CallLater(base_, [this] {
           links_.remove_if([](const auto& item) { return item->is_closed(); });
         });
       }));
-  if (partition_ == nullptr || !partition_->processes.contains(owner)) {
+  if (!IsPartitioned(*links_.back())) {
     return;
   }
   if (partition_->kind == partition_kind::kHang) {
@@ -179,10 +176,16 @@
   }
 }
 
+bool fault_proxy::IsPartitioned(const link& item) const {
+  return partition_ != nullptr && !partition_->processes.empty() &&
+         partition_->processes.contains(
+             lookup_(item.caller_port(), address_.port));
+}
+
 void fault_proxy::SetPartition(const partition& cut) {
   partition_ = &cut;
   for (const auto& item : links_) {
-    const bool is_cut = cut.processes.contains(item->owner());
+    const bool is_cut = IsPartitioned(*item);
     item->SetHanging(is_cut && cut.kind == partition_kind::kHang);
     if (is_cut && cut.kind == partition_kind::kReset) {
       item->Reset();
--- a/test/soak/fault_proxy.h
+++ b/test/soak/fault_proxy.h
@@ -78,6 +78,7 @@
   class link;
 
   void Accept(int fd);
+  bool IsPartitioned(const link& item) const;
 
   event_base* base_;
   endpoint target_;
--- a/test/soak/partition_check.cc
+++ b/test/soak/partition_check.cc
@@ -11,6 +11,10 @@
 static constexpr size_t kFailuresAllowed = 10;
 static constexpr size_t kRequestsPerFailure = 50;
 
+static std::string Describe(size_t served, size_t sent) {
+  return std::to_string(served) + " of " + std::to_string(sent) + " requests";
+}
+
 void partition_check::OnBegin(std::set<endpoint> partitioned, steady_time at) {
   partitioned_ = std::move(partitioned);
   begun_at_ = at;
@@ -29,20 +33,25 @@
   group.served += is_served ? 1 : 0;
 }
 
+bool partition_check::tally::HasTooManyFailures() const {
+  return sent - served > kFailuresAllowed + sent / kRequestsPerFailure;
+}
+
 std::optional<std::string> partition_check::OnEnd() {
   partitioned_.clear();
   counted_ += cut_.sent;
-  const size_t failed = cut_.sent - cut_.served;
+  const std::string others = Describe(others_.served, others_.sent);
+  if (others_.HasTooManyFailures()) {
+    return "daemons that are not partitioned served " + others;
+  }
   // Served less than two thirds as often: 3 * cut / sent < 2 * others / sent.
   const bool is_rarer =
       3 * cut_.served * others_.sent < 2 * others_.served * cut_.sent;
-  if (!is_rarer ||
-      failed <= kFailuresAllowed + cut_.sent / kRequestsPerFailure) {
-    return std::nullopt;
+  if (is_rarer && cut_.HasTooManyFailures()) {
+    return "partitioned daemons served " + Describe(cut_.served, cut_.sent) +
+           ", the others " + others;
   }
-  return "partitioned daemons served " + std::to_string(cut_.served) + " of " +
-         std::to_string(cut_.sent) + " requests, the others " +
-         std::to_string(others_.served) + " of " + std::to_string(others_.sent);
+  return std::nullopt;
 }
 
 }  // namespace cuminswitch::soak
--- a/test/soak/partition_check.h
+++ b/test/soak/partition_check.h
@@ -23,7 +23,7 @@
   /// Records the end of a request that was sent to an undisturbed \p daemon.
   void OnResponse(const endpoint& daemon, steady_time sent_at, bool is_served);
   /// Records the end of the partition. Returns a description of the violation
-  /// if too few requests at partitioned daemons were served.
+  /// if too few requests at partitioned daemons, or at the others, were served.
   std::optional<std::string> OnEnd();
   /// Requests at partitioned daemons that were compared.
   size_t counted() const { return counted_; }
@@ -32,6 +32,8 @@
   struct tally {
     size_t sent = 0;
     size_t served = 0;
+
+    bool HasTooManyFailures() const;
   };
 
   std::set<endpoint> partitioned_;
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -160,7 +160,8 @@
                           may_use_third ? "key3" : "key2", "w2");
                   }
                 },
-            .sends_crashing = options_.crashes},
+            .sends_crashing = options_.crashes,
+            .sends_equal = options_.partitions},
         checker_);
   }
 
--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -107,7 +107,9 @@
     request_.path += kFailurePaths[random_() % kFailurePaths.size()];
   }
   response_ = {};
-  std::string body = "order " + request_.id;
+  const bool is_equal =
+      options_.sends_equal && !request_.provokes_failure && random_() % 2 == 0;
+  std::string body = is_equal ? "standing order" : "order " + request_.id;
   std::string key = credential;
   if (options_.sends_crashing && random_() % kCrashingRequestPeriod == 0) {
     MakeCrashing(body);
--- a/test/soak/soak_caller.h
+++ b/test/soak/soak_caller.h
@@ -35,6 +35,8 @@
         choose_workspace;
     /// Also sends requests that crash upstreams.
     bool sends_crashing = false;
+    /// Sends the same request as the other callers every second time.
+    bool sends_equal = false;
   };
 
   soak_caller(event_base* base, options opts, guarantee_checker& checker);
