Count lost connections as crashes only while upstreams are reached

A daemon that is partitioned by resets took its lost connections for crashes of the upstreams and told all peers and the store, so that a request that many callers send was quarantined over the whole fleet, though no upstream had ended.

Cause: "no upstream responds to me" was taken for "the upstream ended".

Two unit tests.

--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -47,12 +47,25 @@
     bool keeps_events = false;
   };
 
+  /// Whether this daemon reaches upstreams. Lost connections are no evidence of
+  /// crashes where it reaches none.
+  enum class contact : uint8_t {
+    kReached,
+    /// Crashes are held back until it is known.
+    kInDoubt,
+    /// Crashes are ignored.
+    kLost,
+  };
+
   /// How long a crash counts. A quarantine lasts as long after the last crash.
   static constexpr duration kQuarantineTime = std::chrono::minutes(10);
 
   request_quarantine() = default;
   explicit request_quarantine(const options& opts) : options_(opts) {}
 
+  /// Sets the contact with upstreams. Crashes that were held back count once it
+  /// is reached, and are dropped once it is lost.
+  void SetContact(time_point now, contact value);
   /// Records that this daemon's execution of \p request at \p upstream, sent at
   /// \p sent, ended without a response.
   void OnCrash(time_point now,
@@ -160,6 +173,9 @@
                    crash_source source);
 
   options options_;
+  contact contact_ = contact::kReached;
+  /// This daemon's crashes since the contact is in doubt.
+  std::vector<pending_crash> held_crashes_;
   std::unordered_map<hash128, suspect, hash128_hasher> suspects_;
   /// The suspects, the oldest first; some may have been removed already.
   std::deque<hash128> order_;
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -173,8 +173,27 @@
                                  const hash128& request,
                                  uint64_t upstream,
                                  time_point sent) {
-  AddCrash(now, request,
-           {.upstream = upstream, .sent = sent, .at = now, .is_local = true});
+  const crash seen{
+      .upstream = upstream, .sent = sent, .at = now, .is_local = true};
+  if (contact_ == contact::kReached) {
+    AddCrash(now, request, seen);
+  } else if (contact_ == contact::kInDoubt &&
+             held_crashes_.size() < kMaxReports) {
+    held_crashes_.push_back({.request = request, .seen = seen});
+  }
+}
+
+void request_quarantine::SetContact(time_point now, contact value) {
+  contact_ = value;
+  if (value == contact::kInDoubt) {
+    return;
+  }
+  const std::vector<pending_crash> held = std::exchange(held_crashes_, {});
+  if (value == contact::kReached) {
+    for (const pending_crash& item : held) {
+      AddCrash(now, item.request, item.seen);
+    }
+  }
 }
 
 void request_quarantine::RecordCompletion(time_point now,
--- a/lib/Edge/edge_contact.cc
+++ b/lib/Edge/edge_contact.cc
@@ -32,8 +32,22 @@
   UpdateContact();
 }
 
+static request_quarantine::contact ToQuarantineContact(
+    upstream_contact::state value) {
+  switch (value) {
+    case upstream_contact::state::kReached:
+      return request_quarantine::contact::kReached;
+    case upstream_contact::state::kInDoubt:
+      return request_quarantine::contact::kInDoubt;
+    case upstream_contact::state::kLost:
+      return request_quarantine::contact::kLost;
+  }
+  return request_quarantine::contact::kReached;
+}
+
 void edge_task::UpdateContact() {
   const time_point now = ReadBootClock();
+  router_.quarantine().SetContact(now, ToQuarantineContact(contact_.current()));
   if (const bool is_lost = contact_.current() == upstream_contact::state::kLost;
       is_lost != has_lost_upstreams_) {
     has_lost_upstreams_ = is_lost;
--- a/lib/Edge/edge_feedback.cc
+++ b/lib/Edge/edge_feedback.cc
@@ -16,6 +16,7 @@
 void edge_task::OnFlowFeedback(const request_flow& flow,
                                const upstream_feedback& feedback) {
   contact_.OnResponse(flow.sent_at(), flow.is_on_new_connection());
+  UpdateContact();
   if (feedback.load) {
     router_.OnUpstreamLoad(ReadBootClock(),
                            {.upstream = flow.upstream(),
--- a/unittests/Admission/request_quarantine_test.cc
+++ b/unittests/Admission/request_quarantine_test.cc
@@ -72,6 +72,31 @@
   EXPECT_FALSE(IsQuarantined());
 }
 
+// Guards against a partitioned daemon that quarantines requests because its own
+// connections were lost.
+TEST_F(request_quarantine_test, LostContactDropsCrashes) {
+  using contact = request_quarantine::contact;
+  quarantine_.SetContact(now_, contact::kInDoubt);
+  CrashThree();
+  quarantine_.SetContact(now_, contact::kLost);
+  Crash(4);
+  quarantine_.SetContact(now_, contact::kReached);
+  EXPECT_FALSE(IsQuarantined());
+  EXPECT_TRUE(quarantine_.TakeUpdate(now_).IsEmpty());
+  EXPECT_EQ(quarantine_.size(), 0U);
+}
+
+TEST_F(request_quarantine_test, CrashesInDoubtCountOnceContactIsReached) {
+  using contact = request_quarantine::contact;
+  quarantine_.SetContact(now_, contact::kInDoubt);
+  CrashThree();
+  EXPECT_FALSE(IsQuarantined());
+  EXPECT_TRUE(quarantine_.TakeUpdate(now_).IsEmpty());
+  quarantine_.SetContact(now_, contact::kReached);
+  EXPECT_TRUE(IsQuarantined());
+  EXPECT_EQ(quarantine_.TakeUpdate(now_).crashes.size(), 3U);
+}
+
 // Upstreams may crash at once for another reason than the request.
 TEST_F(request_quarantine_test, CountsOverlappingExecutionsOnce) {
   CrashAtOnce({1, 2, 3, 4, 5, 6, 7, 8});
