Stand down as leader while no upstream is reached

A leader that is partitioned from the engines, but not from the store, kept its lease and rolled out no weights until it reached them again: the role was assigned to a daemon that is alive and not to one that can perform it. It now ends its lease after a second without contact and claims none meanwhile. A successor sends no commands for the handover gap, hence the second, which outlasts a false alarm.

A unit test; before, nothing told the election.

--- a/include/cuminswitch/Fleet/leader_election.h
+++ b/include/cuminswitch/Fleet/leader_election.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cuminswitch/Fleet/item_store.h"
@@ -43,11 +44,16 @@
   /// Gives up leadership for the life of this process. The lease ends at once
   /// if the store is reachable; otherwise it expires.
   void Resign();
+  /// Sets whether this daemon can perform the role. While it cannot, it claims
+  /// no leadership, and gives up the one that it has after a second.
+  void SetEligible(time_point now, bool on);
 
  private:
   void Claim(time_point now);
   void OnLease(time_point called_at, const store_lease& reply);
   void Renew(time_point now);
+  /// Ends the lease, and with it the leadership.
+  void EndTerm();
   void DropLeadership();
 
   options options_;
@@ -61,6 +67,8 @@
   time_point now_{};
   bool is_calling_ = false;
   bool has_resigned_ = false;
+  /// Since when it cannot perform the role, if it cannot.
+  std::optional<time_point> ineligible_since_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -105,6 +105,8 @@
   }
   if (const auto* readiness = std::get_if<readiness_changed>(&message)) {
     options_.self.is_ready = readiness->is_ready;
+    // A leader that reaches no engine cannot roll out weights.
+    election_.SetEligible(ReadBootClock(), readiness->is_ready);
   } else {
     options_.self.is_leaving = true;
     options_.self.is_ready = false;
--- a/lib/Fleet/leader_election.cc
+++ b/lib/Fleet/leader_election.cc
@@ -10,6 +10,9 @@
 /// A command must arrive at its engine before the lease expires at the store,
 /// so the leader stops sending this long before.
 static constexpr duration kSafetyMargin = std::chrono::milliseconds(250);
+/// A successor sends no commands for the handover gap, so a leader outlasts a
+/// short loss of contact.
+static constexpr duration kStandDownDelay = std::chrono::seconds(1);
 static constexpr duration kRetryInterval = std::chrono::milliseconds(400);
 
 leader_election::leader_election(options opts, item_store& store)
@@ -25,14 +28,21 @@
 
 void leader_election::OnTick(time_point now, const std::string& leader) {
   now_ = now;
-  if (is_calling_ || has_resigned_ || now < next_call_) {
+  if (is_calling_ || has_resigned_) {
+    return;
+  }
+  if (ineligible_since_ && now - *ineligible_since_ >= kStandDownDelay) {
+    EndTerm();
+    return;
+  }
+  if (now < next_call_) {
     return;
   }
   if (lease_ != 0 && fence_ != 0) {
     Renew(now);
     return;
   }
-  if (!leader.empty()) {
+  if (!leader.empty() || ineligible_since_) {
     vacant_since_ = {};
     return;
   }
@@ -113,12 +123,24 @@
   vacant_since_ = {};
 }
 
-void leader_election::Resign() {
-  has_resigned_ = true;
+void leader_election::EndTerm() {
   if (lease_ != 0) {
     store_.EndLease(lease_);
   }
   DropLeadership();
 }
 
+void leader_election::SetEligible(time_point now, bool on) {
+  if (on) {
+    ineligible_since_.reset();
+  } else if (!ineligible_since_) {
+    ineligible_since_ = now;
+  }
+}
+
+void leader_election::Resign() {
+  has_resigned_ = true;
+  EndTerm();
+}
+
 }  // namespace cuminswitch
--- a/unittests/Fleet/leader_election_test.cc
+++ b/unittests/Fleet/leader_election_test.cc
@@ -165,6 +165,25 @@
   EXPECT_FALSE(election.IsLeading(now_));
 }
 
+// Guards against a leader that reaches no engine, but the store: weights would
+// not be rolled out until it reaches one.
+TEST_F(leader_election_test, IneligibleLeaderStandsDown) {
+  leader_election election = MakeElection("a");
+  Advance(election, milliseconds(4000));
+  ASSERT_TRUE(election.IsLeading(now_));
+  election.SetEligible(now_, false);
+  Advance(election, milliseconds(900));
+  EXPECT_TRUE(election.IsLeading(now_));
+  Advance(election, milliseconds(200));
+  EXPECT_FALSE(election.IsLeading(now_));
+  EXPECT_EQ(store_.holder, "");
+  Advance(election, milliseconds(2000));
+  EXPECT_FALSE(election.IsLeading(now_)) << "claimed while ineligible";
+  election.SetEligible(now_, true);
+  Advance(election, milliseconds(2000));
+  EXPECT_TRUE(election.IsLeading(now_));
+}
+
 TEST_F(leader_election_test, IncreasesFenceWithEachTerm) {
   leader_election election = MakeElection("a");
   Advance(election, milliseconds(1000));
