Add a soak in which responses end with their connection

Proxies take the length or the chunks from upstreams' responses, so that they end with an orderly close, and let a stream whose connection is lost end inside an event.

--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -121,6 +121,9 @@
   item.address = WaitForAddress(item.log, "listening on ");
   if (item.link == nullptr) {
     item.link = std::make_unique<fault_proxy>(base_, item.address);
+    if (options_.removes_framing) {
+      item.link->RemoveFraming();
+    }
     if (options_.attributes_connections) {
       item.link->SetOwnerLookup([this](uint16_t local, uint16_t remote) {
         return processes.OwnerOf(local, remote);
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -92,6 +92,8 @@
     /// Whether connections to upstreams are attributed to daemons, which
     /// `Partition` needs.
     bool attributes_connections = false;
+    /// Whether responses of upstreams reach daemons without their framing.
+    bool removes_framing = false;
   };
 
   deployment(event_base* base, options opts, guarantee_checker& checker);
--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "cuminswitch/Http1/message_reader.h"
 #include "cuminswitch/Net/loop_timer.h"
 #include "cuminswitch/Net/socket_address.h"
 
@@ -20,16 +21,23 @@
 static constexpr std::chrono::milliseconds kDelay{60};
 
 /// A caller's connection and the matching connection to the target.
-class fault_proxy::link {
+class fault_proxy::link : private message_sink {
  public:
+  struct options {
+    endpoint target;
+    uint16_t caller_port = 0;
+    bool removes_framing = false;
+  };
+
   link(event_base* base,
        int fd,
-       const endpoint& target,
+       const options& opts,
        const link_fault& mode,
-       uint16_t caller_port,
        std::function<void()> on_closed)
       : mode_(mode),
-        caller_port_(caller_port),
+        caller_port_(opts.caller_port),
+        removes_framing_(opts.removes_framing),
+        reader_({.reads = message_reader::kind::kResponse}, *this),
         on_closed_(std::move(on_closed)),
         caller_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)),
         target_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)),
@@ -38,13 +46,13 @@
       bufferevent_setcb(side, &link::OnRead, nullptr, &link::OnEvent, this);
       bufferevent_enable(side, EV_READ | EV_WRITE);
     }
-    const sockaddr_in address = ToSocketAddress(target);
+    const sockaddr_in address = ToSocketAddress(opts.target);
     bufferevent_socket_connect(
         target_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   }
   link(const link&) = delete;
   link& operator=(const link&) = delete;
-  ~link() {
+  ~link() override {
     bufferevent_free(caller_);
     bufferevent_free(target_);
   }
@@ -94,6 +102,8 @@
     if (is_one_way_) {
       evbuffer* dropped = bufferevent_get_input(target_);
       evbuffer_drain(dropped, evbuffer_get_length(dropped));
+    } else if (removes_framing_) {
+      ForwardUnframed();
     } else {
       Move(target_, caller_);
     }
@@ -105,6 +115,37 @@
       timer_.Start(std::chrono::milliseconds(1));
     }
   }
+  /// Forwards the response without its framing; its end becomes an orderly
+  /// close. A stream whose connection is lost ends inside an event: after whole
+  /// events nothing would show that it was truncated.
+  void ForwardUnframed() {
+    static constexpr std::string_view kPartialEvent = "id: ";
+    evbuffer* input = bufferevent_get_input(target_);
+    std::string data(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, data.data(), data.size());
+    size_t consumed = 0;
+    if (has_response_) {
+      return;
+    }
+    has_response_ = reader_.Read(data, consumed) != read_result::kNeedMore;
+    if (target_ended_ && !has_response_ && is_stream_) {
+      bufferevent_write(caller_, kPartialEvent.data(), kPartialEvent.size());
+    }
+    target_ended_ = target_ended_ || has_response_;
+  }
+  void OnHead(message_head head) override {
+    is_stream_ = head.is_chunked;
+    std::string text =
+        "HTTP/1.1 " + std::to_string(head.status) + " Status\r\n";
+    for (const http_header& item : EndToEndHeaders(head)) {
+      text.append(item.name).append(": ").append(item.value).append("\r\n");
+    }
+    text += "Connection: close\r\n\r\n";
+    bufferevent_write(caller_, text.data(), text.size());
+  }
+  void OnBody(std::string_view data) override {
+    bufferevent_write(caller_, data.data(), data.size());
+  }
   void Close() {
     is_closed_ = true;
     on_closed_();
@@ -115,6 +156,8 @@
 
   const link_fault& mode_;
   uint16_t caller_port_;
+  bool removes_framing_;
+  message_reader reader_;
   std::function<void()> on_closed_;
   bufferevent* caller_;
   bufferevent* target_;
@@ -125,6 +168,9 @@
   bool is_hanging_ = false;
   bool is_one_way_ = false;
   bool is_closed_ = false;
+  /// The whole response has been forwarded without its framing.
+  bool has_response_ = false;
+  bool is_stream_ = false;
 };
 
 fault_proxy::fault_proxy(event_base* base, const endpoint& target)
@@ -159,8 +205,12 @@
 }
 
 void fault_proxy::Accept(int fd) {
-  links_.push_back(
-      std::make_unique<link>(base_, fd, target_, fault_, PeerPort(fd), [this] {
+  links_.push_back(std::make_unique<link>(
+      base_, fd,
+      link::options{.target = target_,
+                    .caller_port = PeerPort(fd),
+                    .removes_framing = removes_framing_},
+      fault_, [this] {
         // Deferred, since the link must not be deleted in its own callback.
         CallLater(base_, [this] {
           links_.remove_if([](const auto& item) { return item->is_closed(); });
--- a/test/soak/fault_proxy.h
+++ b/test/soak/fault_proxy.h
@@ -65,6 +65,9 @@
   void SetTarget(const endpoint& target) { target_ = target; }
   void SetFault(link_fault fault);
   link_fault fault() const { return fault_; }
+  /// Responses on new connections get neither a length nor chunks and end with
+  /// their connection, whose end is always an orderly close.
+  void RemoveFraming() { removes_framing_ = true; }
   /// Returns the name of the process whose socket connects two ports.
   using owner_lookup =
       std::function<std::string(uint16_t local, uint16_t remote)>;
@@ -85,6 +88,7 @@
   endpoint address_;
   evconnlistener* listener_;
   link_fault fault_ = link_fault::kNone;
+  bool removes_framing_ = false;
   owner_lookup lookup_;
   const partition* partition_ = nullptr;
   std::list<std::unique_ptr<link>> links_;
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -32,6 +32,7 @@
   bool notices = false;
   bool departures = false;
   bool partitions = false;
+  bool unframed = false;
   std::string build_folder = "build";
   std::string work_folder = "soak-work";
 };
@@ -76,7 +77,8 @@
                      .daemons = opts.daemons,
                      .engines = opts.engines,
                      .services = opts.services,
-                     .attributes_connections = opts.partitions},
+                     .attributes_connections = opts.partitions,
+                     .removes_framing = opts.unframed},
                     checker_),
         schedule_(base_,
                   static_cast<uint64_t>(opts.seed),
@@ -211,6 +213,8 @@
                  "Upstreams depart while the store is unavailable");
   parser.AddFlag("partitions", options.partitions,
                  "Daemons are partitioned from all upstreams");
+  parser.AddFlag("unframed", options.unframed,
+                 "Responses of upstreams end with their connection");
   parser.AddString("build", options.build_folder, "The build folder", "FOLDER");
   parser.AddString("work", options.work_folder,
                    "Folder of the logs; kept if there are findings", "FOLDER");
