--- a/include/cuminswitch/Edge/caller_backlog.h
+++ b/include/cuminswitch/Edge/caller_backlog.h
@@ -3,15 +3,15 @@
 #ifndef CUMINSWITCH_EDGE_CALLER_BACKLOG_H_
 #define CUMINSWITCH_EDGE_CALLER_BACKLOG_H_
 
-#include <cstddef>
-
 namespace cuminswitch {
 
 class byte_account;
+class caller_exchange;
 
-/// Returns the number of bytes not yet sent to a caller above which reading
-/// from the source of its response is paused; less while \p account is tight.
-size_t MaxCallerBacklog(const byte_account& account);
+/// Whether so much of the response waits for a slow caller that reading from
+/// its source must pause. Less may wait while \p account is tight.
+bool HasMaxBacklog(const caller_exchange& exchange,
+                   const byte_account& account);
 
 }  // namespace cuminswitch
 
--- a/lib/Edge/forwarded_request.cc
+++ b/lib/Edge/forwarded_request.cc
@@ -82,9 +82,8 @@
     return;
   }
   options_.exchange->SendBody(data);
-  if (options_.exchange->PendingBytes() >
-          MaxCallerBacklog(with_.pool.account()) &&
-      call_ != nullptr) {
+  if (call_ != nullptr &&
+      HasMaxBacklog(*options_.exchange, with_.pool.account())) {
     is_paused_ = true;
     call_->PauseReading();
   }
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -202,9 +202,8 @@
     SendResponseHead(std::nullopt);
   }
   options_.exchange->SendBody(data);
-  if (options_.exchange->PendingBytes() >
-          MaxCallerBacklog(with_.pool.account()) &&
-      call_ != nullptr) {
+  if (call_ != nullptr &&
+      HasMaxBacklog(*options_.exchange, with_.pool.account())) {
     is_paused_ = true;
     call_->PauseReading();
   }
