Write the rest of ended responses before a graceful stop

process_graceful_stop lost the last event and the terminator of one stream in 1 of 48 to 56 runs beside builds, while the daemon reported a graceful stop.

Cause: the core stops once all requests have ended, and gateway_task::OnStop then closed callers' connections whose last bytes were still in the output buffer. It now runs the event loop until responses that have ended are written, for at most a second.

The unit test, without the call to Flush: the response is broken and none of its 26,214,400 bytes arrives; with it, complete.

--- a/include/cuminswitch/Net/http_server.h
+++ b/include/cuminswitch/Net/http_server.h
@@ -55,6 +55,9 @@
   endpoint Address() const;
   /// Stops accepting connections; open ones continue.
   void StopListening();
+  /// Writes the rest of the responses that have ended, for at most \p limit.
+  /// Runs the event loop, so it must not be called from it.
+  void Flush(std::chrono::milliseconds limit);
 
  private:
   struct hooks;
@@ -63,7 +66,10 @@
   /// read (\p reading).
   void SetTimeouts(evhtp_connection* connection, bool reading);
   std::shared_ptr<http_exchange>& ExchangeOf(evhtp_request* request);
+  /// Whether a response that has ended is not completely written.
+  bool HasUnwritten() const;
 
+  event_base* base_;
   options options_;
   http_request_handler& handler_;
   evhtp* evhtp_ = nullptr;
--- a/lib/Daemon/gateway_task.cc
+++ b/lib/Daemon/gateway_task.cc
@@ -30,6 +30,8 @@
 static constexpr duration kStandardTimeLimit = std::chrono::seconds(15);
 static constexpr duration kBatchTimeLimit = std::chrono::minutes(5);
 static constexpr int64_t kMaxTimeLimitMs = 3'600'000;
+/// Longest time that a stop waits for callers to read the rest of responses.
+static constexpr std::chrono::milliseconds kFlushTime{1'000};
 
 static void ReplyError(http_exchange& exchange,
                        uint32_t status,
@@ -105,6 +107,9 @@
 }
 
 void gateway_task::OnStop() {
+  // The core stops when all requests have ended, which may be before their last
+  // bytes are written.
+  server_->Flush(kFlushTime);
   probes_.clear();
   status_waiters_.clear();
   server_.reset();
--- a/lib/Net/http_server.cc
+++ b/lib/Net/http_server.cc
@@ -7,12 +7,14 @@
 #include <evhtp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <string>
 
 #include "cuminswitch/Net/bind_error.h"
 #include "cuminswitch/Net/http_exchange.h"
+#include "cuminswitch/Net/loop_timer.h"
 #include "cuminswitch/Support/status_code.h"
 #include "timeval.h"
 
@@ -113,7 +115,7 @@
 http_server::http_server(event_base* base,
                          const options& opts,
                          http_request_handler& handler)
-    : options_(opts), handler_(handler) {
+    : base_(base), options_(opts), handler_(handler) {
   evhtp_ = evhtp_new(base, nullptr);
   evhtp_->flags |= EVHTP_FLAG_ENABLE_NODELAY;
   evhtp_set_max_body_size(evhtp_, opts.max_body_size * kDiscardFactor);
@@ -172,6 +174,22 @@
   return {.address = options_.listen.address, .port = ntohs(address.sin_port)};
 }
 
+bool http_server::HasUnwritten() const {
+  return std::any_of(
+      exchanges_.begin(), exchanges_.end(), [](const auto& item) {
+        return item.second->has_ended_ && item.second->PendingBytes() > 0;
+      });
+}
+
+void http_server::Flush(std::chrono::milliseconds limit) {
+  bool is_over = false;
+  loop_timer timer(base_, [&is_over] { is_over = true; });
+  timer.Start(limit);
+  while (!is_over && HasUnwritten()) {
+    event_base_loop(base_, EVLOOP_ONCE);
+  }
+}
+
 void http_server::StopListening() {
   if (evhtp_->server != nullptr) {
     evhtp_unbind_socket(evhtp_);
--- a/unittests/Net/http_test.cc
+++ b/unittests/Net/http_test.cc
@@ -242,6 +242,33 @@
   EXPECT_EQ(result.body.size(), 5 + 400 * piece.size());
 }
 
+// Guards against a graceful stop that loses the end of a response.
+TEST_F(http_test, FlushWritesResponsesThatHaveEnded) {
+  const std::string piece(1 << 16, 'x');
+  constexpr int kPieces = 400;
+  handler_.serve = [&](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->BeginStream(200, "text/plain");
+    for (int i = 0; i < kPieces; ++i) {
+      exchange->SendChunk(piece);
+    }
+    exchange->EndStream();
+    event_base_loopbreak(base_);
+  };
+  recording_handler result(base_);
+  const std::unique_ptr<http_call> call = client_->Start(To("/"), result);
+  event_base_dispatch(base_);
+  ASSERT_FALSE(result.ended);
+  server_->Flush(std::chrono::seconds(5));
+  server_.reset();
+  if (!result.ended) {
+    event_base_dispatch(base_);
+  }
+  EXPECT_EQ(result.end, http_result::kComplete);
+  EXPECT_EQ(result.body.size(), kPieces * piece.size());
+  server_ = std::make_unique<http_server>(
+      base_, http_server::options{.listen = {"127.0.0.1", 0}}, handler_);
+}
+
 TEST_F(http_test, PortInUseIsAnError) {
   try {
     http_server second(base_, {.listen = server_->Address()}, handler_);
