--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -128,10 +128,14 @@
       return;
     }
     has_response_ = reader_.Read(data, consumed) != read_result::kNeedMore;
-    if (target_ended_ && !has_response_ && is_stream_) {
-      bufferevent_write(caller_, kPartialEvent.data(), kPartialEvent.size());
+    if (has_response_) {
+      target_ended_ = true;
+    } else if (target_ended_) {
+      has_response_ = true;
+      if (is_stream_) {
+        bufferevent_write(caller_, kPartialEvent.data(), kPartialEvent.size());
+      }
     }
-    target_ended_ = target_ended_ || has_response_;
   }
   void OnHead(message_head head) override {
     is_stream_ = head.is_chunked;
@@ -168,7 +172,7 @@
   bool is_hanging_ = false;
   bool is_one_way_ = false;
   bool is_closed_ = false;
-  /// The whole response has been forwarded without its framing.
+  /// All that is left of the response has been forwarded without its framing.
   bool has_response_ = false;
   bool is_stream_ = false;
 };
