--- a/test/soak/process_table.cc
+++ b/test/soak/process_table.cc
@@ -1,13 +1,19 @@
 #include "soak/process_table.h"
 
 #include <fcntl.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <netinet/in.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
+#include <array>
 #include <csignal>
+#include <cstring>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <stdexcept>
 
 extern char** environ;
@@ -63,42 +69,51 @@
   return ended;
 }
 
-/// Reads the port of an address in /proc/net/tcp, which is ADDRESS:PORT in
-/// hexadecimal; 0 if \p address has another form.
-static uint16_t ReadPort(const std::string& address) {
-  const size_t colon = address.find(':');
-  return colon == std::string::npos
-             ? 0
-             : static_cast<uint16_t>(
-                   std::stoul(address.substr(colon + 1), nullptr, 16));
-}
-
-/// Returns the inode, as text, of the IPv4 socket that connects port \p local
-/// to port \p remote; empty if there is none.
-static std::string FindSocketInode(uint16_t local, uint16_t remote) {
-  std::ifstream table("/proc/net/tcp");
-  std::string line;
-  while (std::getline(table, line)) {
-    std::istringstream fields(line);
-    std::string slot;
-    std::string from;
-    std::string to;
-    fields >> slot >> from >> to;
-    if (ReadPort(from) != local || ReadPort(to) != remote) {
-      continue;
-    }
-    constexpr int kFieldsBeforeInode = 6;
-    std::string inode;
-    for (int i = 0; i <= kFieldsBeforeInode; ++i) {
-      fields >> inode;
-    }
-    return inode;
+/// Returns the inode of the IPv4 socket that connects port \p local to port
+/// \p remote on the loopback address; 0 if there is none. Asks the kernel for
+/// that socket: the table of all sockets has thousands on a busy machine.
+static uint32_t FindSocketInode(uint16_t local, uint16_t remote) {
+  struct {
+    nlmsghdr header;
+    inet_diag_req_v2 query;
+  } request{};
+  request.header = {.nlmsg_len = sizeof(request),
+                    .nlmsg_type = SOCK_DIAG_BY_FAMILY,
+                    .nlmsg_flags = NLM_F_REQUEST};
+  request.query.sdiag_family = AF_INET;
+  request.query.sdiag_protocol = IPPROTO_TCP;
+  request.query.idiag_states = ~0U;
+  inet_diag_sockid& id = request.query.id;
+  id.idiag_sport = htons(local);
+  id.idiag_dport = htons(remote);
+  id.idiag_src[0] = htonl(INADDR_LOOPBACK);
+  id.idiag_dst[0] = htonl(INADDR_LOOPBACK);
+  id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+  id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+  const int fd =
+      socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+  std::array<char, 8192> reply{};
+  ssize_t size = -1;
+  if (send(fd, &request, sizeof(request), 0) >= 0) {
+    size = recv(fd, reply.data(), reply.size(), 0);
   }
-  return {};
+  close(fd);
+  if (size < static_cast<ssize_t>(sizeof(nlmsghdr) + sizeof(inet_diag_msg))) {
+    return 0;
+  }
+  nlmsghdr header{};
+  std::memcpy(&header, reply.data(), sizeof(header));
+  if (header.nlmsg_type != SOCK_DIAG_BY_FAMILY) {
+    return 0;
+  }
+  inet_diag_msg found{};
+  std::memcpy(&found, reply.data() + NLMSG_HDRLEN, sizeof(found));
+  return found.idiag_inode;
 }
 
 std::string process_table::OwnerOf(uint16_t local, uint16_t remote) const {
-  const std::string wanted = "socket:[" + FindSocketInode(local, remote) + "]";
+  const std::string wanted =
+      "socket:[" + std::to_string(FindSocketInode(local, remote)) + "]";
   for (const auto& [name, pid] : pids_) {
     std::error_code error;
     const std::string folder = "/proc/" + std::to_string(pid) + "/fd";
