--- a/unittests/Edge/upstream_contact_test.cc
+++ b/unittests/Edge/upstream_contact_test.cc
@@ -82,8 +82,10 @@
 }
 
 TEST(upstream_contact_test, ProbesDifferentServicesAndOthersFirst) {
+  constexpr int kUpstreams = 8;
   std::vector<upstream_ref> upstreams;
-  for (int i = 0; i < 8; ++i) {
+  upstreams.reserve(kUpstreams);
+  for (int i = 0; i < kUpstreams; ++i) {
     upstreams.push_back(std::make_shared<upstream_entry>(
         upstream_entry{.id = std::to_string(i),
                        .service = i < 6 ? "a" : "b",
