Forward requests to stopping peers that reach upstreams

Cause: a stopping host is out of the address replies, and was left out of the peers that requests are forwarded to by the same test. It still accepts requests for 2.7 s.

Change: the choice of peers moves into Edge/peer_selection, a pure function. Peers that are stopping come last. A stopping host no longer resets is_ready in its record, and goes on reporting whether it reaches upstreams, so that one that lost them as well is not asked. The frames are unchanged; daemons of an earlier release say "not ready" when they stop, and are not asked, as before.

Ruled out: late news of the end of the partition (0.1 s), refusals by the stopping host (it got no request).

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -109,15 +109,13 @@
   const member* FindOwner(shard_number shard) const override;
   size_t CountServing() const override;
 
+  bool HasConfig() const;
   /// Logs whether any upstream is reached when that has changed, and starts
   /// probes when they are due.
   void UpdateContact();
   void OnProbesEnded(bool has_response);
-  /// Tells the peers whether this daemon should receive callers.
+  /// Tells the peers whether this daemon reaches upstreams.
   void ReportReadiness();
-  /// Returns the peers that the request of the caller's \p attempt is offered
-  /// to.
-  std::vector<forward_target> ChoosePeers(std::string_view attempt) const;
   /// Forwards a request to a peer; \p opts lacks the peers. Returns false if
   /// there is no peer to forward to.
   bool Forward(forwarded_request::options opts);
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -19,7 +19,7 @@
 
 /// The daemon is stopping; peers are notified at once.
 struct fleet_stop_requested {};
-/// Whether the daemon accepts callers changed.
+/// Whether the daemon has a configuration and reaches upstreams changed.
 struct readiness_changed {
   bool is_ready = false;
 };
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -49,8 +49,9 @@
   std::string failure_domain;
   /// Rate of its link in megabits per second; 0 where unknown.
   uint32_t link_rate = 0;
-  /// It has a configuration and accepts callers.
+  /// It has a configuration and reaches upstreams.
   bool is_ready = false;
+  /// It is stopping. Callers get other addresses, but it serves what arrives.
   bool is_leaving = false;
   /// It got a reply of the store recently.
   bool has_store = false;
--- a/lib/Edge/edge_arrivals.cc
+++ b/lib/Edge/edge_arrivals.cc
@@ -32,7 +32,7 @@
 uint32_t edge_task::CheckRequest(const caller_request& request,
                                  const route_spec*& route,
                                  const workspace_config*& workspace) const {
-  if (snapshot_ == nullptr || snapshot_->config == nullptr) {
+  if (!HasConfig()) {
     return status_code::kUnavailable;
   }
   const routing_config& config = *snapshot_->config;
@@ -90,9 +90,7 @@
                               uint32_t status,
                               duration retry_after) {
   metrics_.CountRejected(status);
-  const uint64_t version = snapshot_ == nullptr || snapshot_->config == nullptr
-                               ? 0
-                               : snapshot_->config->version;
+  const uint64_t version = HasConfig() ? snapshot_->config->version : 0;
   with_.log.Write(log_class::kRequest,
                   log_line("request_rejected")
                       .Add("id", request.attempt)
--- a/lib/Edge/edge_contact.cc
+++ b/lib/Edge/edge_contact.cc
@@ -57,7 +57,7 @@
             .Add("failed", contact_.failed().size())
             .Add("known", upstreams_by_address_.size())
             .Add("doubted_ms", now - contact_.doubted_since()));
-    if (IsReady()) {
+    if (HasConfig()) {
       ReportReadiness();
     }
   }
--- a/lib/Edge/edge_forwarding.cc
+++ b/lib/Edge/edge_forwarding.cc
@@ -1,50 +1,17 @@
 // Forwards requests to peers while this daemon reaches no upstream.
-#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "cuminswitch/Edge/edge_task.h"
+#include "cuminswitch/Edge/peer_selection.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Log/event_log.h"
-#include "cuminswitch/Support/hash.h"
 
 namespace cuminswitch {
 
-/// Peers that a request is offered to. Some may have lost the upstreams too,
-/// which their heartbeats do not say yet.
-static constexpr size_t kMaxPeersTried = 3;
-
-std::vector<forward_target> edge_task::ChoosePeers(
-    std::string_view attempt) const {
-  struct candidate {
-    uint64_t order = 0;
-    const daemon_record* record = nullptr;
-  };
-  std::vector<candidate> candidates;
-  for (const daemon_record& item : peers_) {
-    if (item.is_ready && !item.is_leaving) {
-      candidates.push_back(
-          {.order = Hash64(item.name, Hash64(attempt)), .record = &item});
-    }
-  }
-  const size_t count = std::min(kMaxPeersTried, candidates.size());
-  std::partial_sort(
-      candidates.begin(), candidates.begin() + static_cast<ptrdiff_t>(count),
-      candidates.end(),
-      [](const candidate& a, const candidate& b) { return a.order < b.order; });
-  std::vector<forward_target> chosen;
-  for (size_t i = 0; i < count; ++i) {
-    const daemon_record& peer = *candidates[i].record;
-    chosen.push_back(
-        {.name = peer.name, .caller_address = peer.caller_address});
-  }
-  return chosen;
-}
-
 bool edge_task::Forward(forwarded_request::options opts) {
-  opts.peers = ChoosePeers(opts.attempt);
+  opts.peers = ChooseForwardTargets(peers_, opts.attempt);
   if (opts.peers.empty()) {
     return false;
   }
@@ -67,7 +34,8 @@
 
 bool edge_task::ForwardUnsent(request_flow& flow) {
   if (!has_lost_upstreams_ || flow.request().is_forwarded || flow.has_ended() ||
-      flow.may_have_run() || ChoosePeers(flow.request().attempt).empty()) {
+      flow.may_have_run() ||
+      ChooseForwardTargets(peers_, flow.request().attempt).empty()) {
     return false;
   }
   forwarded_request::options opts{.id = flow.id(),
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -80,9 +80,12 @@
   return fleet_size_;
 }
 
+bool edge_task::HasConfig() const {
+  return snapshot_ != nullptr && snapshot_->config != nullptr;
+}
+
 bool edge_task::IsReady() const {
-  return snapshot_ != nullptr && snapshot_->config != nullptr &&
-         !stop_.HasBegun();
+  return HasConfig() && !stop_.HasBegun();
 }
 
 std::vector<daemon_record> edge_task::ListServing() const {
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -109,7 +109,6 @@
     election_.SetEligible(ReadBootClock(), readiness->is_ready);
   } else {
     options_.self.is_leaving = true;
-    options_.self.is_ready = false;
     election_.Resign();
   }
   peer_table_.IncrementSelfVersion();
