Ask a peer for changes that the store does not report in time

Cause: such a daemon waited for 1.4 s after the store's last reply to it, then asked a peer, and where that one did not reply another second: 2.4 s. Both times start at events of its own, not at the acknowledgement, although peers' heartbeats told it of the newer revision after 0.1 s. Evidence: the peer asked follows from the number of the request, so the test was repeated with the two peers exchanged: 3 of 4 runs fail, and the log has question_unanswered peer=entry-2 after_ms=1080, then items_from_peer from the other one.

Change: a change that a peer has had for 0.4 s and the store has not reported is overdue, and is requested from a peer (Fleet/revision_lag). The next request goes to another peer.

Ruled out: late heartbeats (both peers had the revision within 0.1 s), the change itself (items_from_peer takes under 1 ms).

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -17,6 +17,7 @@
 #include "cuminswitch/Fleet/peer_table.h"
 #include "cuminswitch/Fleet/peer_update_log.h"
 #include "cuminswitch/Fleet/quarantine_records.h"
+#include "cuminswitch/Fleet/revision_lag.h"
 #include "cuminswitch/Fleet/staleness_tracker.h"
 #include "cuminswitch/Fleet/store_follower_policy.h"
 #include "cuminswitch/Fleet/store_outage_tracker.h"
@@ -153,6 +154,7 @@
   /// The recovery of the store that was logged last.
   uint64_t logged_recovery_ = 0;
   items_request_tracker items_requests_;
+  revision_lag lag_;
   item_list_cache item_list_;
   time_point next_registration_{};
   bool is_stale_ = false;
--- a/include/cuminswitch/Fleet/peer_table.h
+++ b/include/cuminswitch/Fleet/peer_table.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -115,10 +116,12 @@
   /// equals depends on \p request_number, and differs between daemons. If all
   /// daemons asked the peer with the newest items, it would send the fleet's
   /// whole list to each of them: 2.9 MB/s at 300 hosts and 3,000 upstreams,
-  /// most of it to other failure domains.
+  /// most of it to other failure domains. The peer \p last_resort is chosen
+  /// only if no other one has them.
   const daemon_record* FindAhead(time_point now,
                                  revision_number revision,
-                                 uint64_t request_number) const;
+                                 uint64_t request_number,
+                                 std::string_view last_resort = {}) const;
   /// Returns the number of known daemons of the deployment, alive or not, this
   /// one included.
   size_t CountKnown() const;
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -140,6 +140,8 @@
 void fleet_task::OnHeartbeatFrame(const heartbeat_frame& heartbeat) {
   const time_point now = ReadBootClock();
   const bool has_changed = peer_table_.OnHeartbeat(now, heartbeat);
+  lag_.OnPeerRevision(now, heartbeat.sender.revision,
+                      item_watcher_.view().revision());
   if (heartbeat.freshness) {
     staleness_.OnPeerReport(
         now, *heartbeat.freshness,
@@ -269,21 +271,27 @@
   // of the store do: in a starting fleet all daemons read at the same time.
   const bool has_current_store =
       item_watcher_.view().HasRead() && item_watcher_.IsFollowing() &&
-      !item_watcher_.HasFailed() && item_watcher_.IsFresh(now, kStoreFresh);
+      !item_watcher_.HasFailed() && item_watcher_.IsFresh(now, kStoreFresh) &&
+      !lag_.IsOverdue(now, item_watcher_.view().revision());
   if (!items_requests_.MaySend(now) || has_current_store) {
     return;
   }
   const revision_number revision = item_watcher_.view().revision();
+  std::string unresponsive;
   if (items_requests_.IsPending()) {
+    unresponsive = items_requests_.peer();
     parts_.log.Write(log_class::kStateChange,
                      log_line("question_unanswered")
-                         .Add("peer", items_requests_.peer())
+                         .Add("peer", unresponsive)
                          .Add("after_ms", now - items_requests_.sent_at()));
-    items_requests_.OnReply();
+    items_requests_.OnLost();
   }
   if (const daemon_record* ahead = peer_table_.FindAhead(
-          now, revision, items_requests_.request_count())) {
-    items_requests_.OnSent(now, ahead->name);
+          now, revision, items_requests_.request_count(), unresponsive)) {
+    items_requests_.OnSent(now, ahead->name,
+                           revision == 0
+                               ? items_request_tracker::scope::kAllItems
+                               : items_request_tracker::scope::kChanges);
     transport_->Send(
         ahead->peer_address,
         EncodePeerFrame(items_request_frame{
--- a/lib/Fleet/peer_targets.cc
+++ b/lib/Fleet/peer_targets.cc
@@ -250,12 +250,14 @@
 
 const daemon_record* peer_table::FindAhead(time_point now,
                                            revision_number revision,
-                                           uint64_t request_number) const {
+                                           uint64_t request_number,
+                                           std::string_view last_resort) const {
   const uint64_t key = Hash64(options_.self_name, request_number);
   const auto rank = [&](const peer& item) {
     const bool is_own = item.record.failure_domain == options_.self_domain;
     const bool has_store = item.record.has_store;
-    return std::tuple(IsPartial() ? is_own : has_store,
+    return std::tuple(item.record.name != last_resort,
+                      IsPartial() ? is_own : has_store,
                       IsPartial() ? has_store : is_own,
                       RendezvousWeight(key, item.name_hash));
   };
--- a/test/process/platform_turned_away.sh
+++ b/test/process/platform_turned_away.sh
@@ -49,3 +49,9 @@
   check_draining $((round++)) refuse "$peer" 1200
   check_draining $((round++)) silent "$peer" 1050
 done
+# The daemon chooses the peer to ask by the number of its request, so each of
+# them is paused in both orders, and also before it is asked the first time.
+for peer in 2 1; do
+  check_draining $((round++)) silent "$peer" 1050
+  check_draining $((round++)) silent "$peer" 500
+done
--- a/unittests/Fleet/peer_table_test.cc
+++ b/unittests/Fleet/peer_table_test.cc
@@ -158,6 +158,24 @@
   EXPECT_EQ(receivers.size(), 4U);
 }
 
+// Guards against a second request to a peer that did not reply to the first.
+TEST(peer_table_test, RequestsItemsFromTheUnresponsivePeerLast) {
+  peer_table table = MakeTable();
+  for (const char* name : {"a", "b"}) {
+    heartbeat_frame heartbeat = MakeHeartbeat(name, 2 + (name[0] - 'a'));
+    heartbeat.sender.revision = 5;
+    table.OnHeartbeat(kStart, heartbeat);
+  }
+  for (uint64_t number = 0; number < 20; ++number) {
+    EXPECT_EQ(table.FindAhead(kStart, 1, number, "a")->name, "b");
+  }
+  heartbeat_frame behind = MakeHeartbeat("b", 3);
+  behind.sender.incarnation += 1;
+  behind.sender.revision = 0;
+  table.OnHeartbeat(kStart, behind);
+  EXPECT_EQ(table.FindAhead(kStart, 1, 0, "a")->name, "a");
+}
+
 TEST(peer_table_test, FindsAPeerWithNewerItems) {
   peer_table table = MakeTable();
   heartbeat_frame a = MakeHeartbeat("a", 2);
