Let a restarted daemon earn fewer retries until a window has passed

Cause: a daemon may spend at once what it earned in the last 10 s. A new process does not know that the one before it did so, and earned the whole share from its first request on.

Change: until a window has passed since its start a process earns only what the steady share (0.8 of the bound) leaves of the bound.

retry_fleet_test.RestartsDoNotRepeatSavedRetries: with the former share it fails at 1 to 68 daemons, for instance 96 of 54 at 2. The fleets of the other tests earn 0.8 of the bound as the adapter does, and the rest at a start; their bound is unchanged. earn_retries of the process tests sends 120 requests instead of 30, as a daemon that has just started earns a quarter as many.

--- a/include/cuminswitch/Admission/retry_budget.h
+++ b/include/cuminswitch/Admission/retry_budget.h
@@ -17,25 +17,31 @@
 ///
 /// In any window the retries are at most `burst` plus `share` of the first
 /// attempts in the window that ends with the last of these retries. A bound
-/// over the fleet therefore holds if each daemon has its share of the burst. A
-/// newly started process earns retries, but has no share of the burst until a
-/// window has passed: the previous process on this host may just have spent
-/// that share, and the number of daemons that divide the burst may not be known
-/// yet. Retries earned within the window may be spent at once: one crash loses
-/// the responses of several seconds. With a token bucket of two retries per
-/// daemon instead, most of 63 daemons ran out of retries during a single crash.
+/// over the fleet therefore holds if each daemon has its share of the burst.
+/// Retries earned within the window may be spent at once: one crash loses the
+/// responses of several seconds. With a token bucket of two retries per daemon
+/// instead, most of 63 daemons ran out of retries during a single crash.
+///
+/// The previous process on this host may have spent, just before this one
+/// started, all that it had earned in a window and its share of the burst. So
+/// until a window has passed a newly started process earns only `start_share`,
+/// and has no share of the burst; the number of daemons that divide it may not
+/// be known yet either. With restarts the bound over the fleet is `share` plus
+/// `start_share` of the first attempts, and `burst`.
 class retry_budget {
  public:
   struct options {
     /// Retries earned per first attempt.
     double share = 0.1;
+    /// The same until a window has passed since `started_at`.
+    double start_share = 0;
     /// Retries allowed in a window beyond the earned ones, for the whole fleet,
     /// or for one daemon where `is_shared` is false.
     double burst = 20;
     /// Whether the daemons of the fleet divide the burst among them.
     bool is_shared = false;
     /// When the process started; nothing where no earlier process can have
-    /// spent the burst.
+    /// spent retries.
     std::optional<time_point> started_at;
     /// Length of the window in which retries are compared with first attempts.
     duration window = std::chrono::seconds(10);
@@ -82,8 +88,9 @@
   std::array<slot, kSlotsPerWindow + 1> slots_{};
   /// Number of the newest slot, counted from the clock's epoch.
   int64_t newest_ = 0;
-  /// Number of the first slot in which the burst may be spent.
-  int64_t first_with_burst_ = 0;
+  /// Number of the first slot in which an earlier process's retries are out of
+  /// the window.
+  int64_t first_unrestricted_ = 0;
 };
 
 }  // namespace cuminswitch
--- a/lib/Admission/retry_budget.cc
+++ b/lib/Admission/retry_budget.cc
@@ -7,7 +7,7 @@
 retry_budget::retry_budget(const options& opts)
     : options_(opts), burst_(opts.burst) {
   if (opts.started_at) {
-    first_with_burst_ = SlotAt(*opts.started_at + opts.window) + 1;
+    first_unrestricted_ = SlotAt(*opts.started_at + opts.window) + 1;
   }
 }
 
@@ -47,9 +47,10 @@
     first_attempts += i == oldest ? 0 : slots_[i].first_attempts;
     retries += slots_[i].retries;
   }
+  const bool is_restricted = newest_ < first_unrestricted_;
+  const double share = is_restricted ? options_.start_share : options_.share;
   return {.retries = retries,
-          .allowed = (newest_ >= first_with_burst_ ? burst_ : 0) +
-                     options_.share * first_attempts};
+          .allowed = (is_restricted ? 0 : burst_) + share * first_attempts};
 }
 
 bool retry_budget::CanSpend(time_point now) {
--- a/lib/Edge/router_settings.cc
+++ b/lib/Edge/router_settings.cc
@@ -2,9 +2,11 @@
 
 namespace cuminswitch {
 
-/// Fractions of the platform's bounds on retries that are used; the rest covers
-/// retries that other daemons do not know of yet.
+/// Parts of the platform's bound on retries: what a daemon earns, and what the
+/// process after it earns while those retries still count.
 static constexpr double kRetryShareUsed = 0.8;
+static constexpr double kRetryStartShareUsed = 1 - kRetryShareUsed;
+/// The rest covers retries that other daemons do not know of yet.
 static constexpr double kRetryBurstUsed = 0.7;
 /// Margin to the end of the time in which old weights may be used, not counting
 /// the wait in an engine's queue. The publication of a version arrives up to
@@ -36,6 +38,7 @@
   options.prefix_capacity = kPrefixCapacity;
   options.random_seed = opts.self.incarnation;
   options.retries = {.share = opts.retry_share * kRetryShareUsed,
+                     .start_share = opts.retry_share * kRetryStartShareUsed,
                      .burst = opts.retry_burst * kRetryBurstUsed,
                      .is_shared = true,
                      .started_at = opts.now};
--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -181,12 +181,19 @@
     "$BUILD/utils/fetch" "$(front "$1")" "$3" body >"$WORK/out" 2>"$WORK/err"
 }
 
-# earn_retries INDEX PATH: sends 30 requests that are served, so that the retry
-# budget of a daemon that has just started allows retries to the same service.
+# earn_retries INDEX PATH: sends 120 requests that are served, six at a time, so
+# that the retry budget of a daemon that has just started allows retries to the
+# same service.
 earn_retries() {
-  local i
-  for ((i = 0; i < 30; ++i)); do
-    ask "$1" "earn-$1-$i" "$2" || fail "earn-$1-$i was not served"
+  local i part pids=()
+  for ((part = 0; part < 6; ++part)); do
+    for ((i = part; i < 120; i += 6)); do
+      ask "$1" "earn-$1-$i" "$2" || fail "earn-$1-$i was not served"
+    done &
+    pids+=("$!")
+  done
+  for i in "${pids[@]}"; do
+    wait "$i" || fail "not all requests were served"
   done
 }
 
--- a/unittests/Admission/retry_fleet_test.cc
+++ b/unittests/Admission/retry_fleet_test.cc
@@ -14,7 +14,9 @@
 
 using std::chrono::milliseconds;
 
+/// The bound over the fleet, and the part of its share that a daemon earns.
 constexpr double kShare = 0.2;
+constexpr double kShareUsed = 0.8 * kShare;
 constexpr double kBurst = 54;
 constexpr milliseconds kWindow{10'000};
 constexpr milliseconds kStep{50};
@@ -31,17 +33,19 @@
 
   /// Restarts the daemon; it knows of \p known daemons at first.
   void Start(size_t number, size_t known) {
-    daemons_[number].emplace(retry_budget::options{.share = kShare,
-                                                   .burst = kBurst,
-                                                   .is_shared = true,
-                                                   .started_at = now_});
+    daemons_[number].emplace(
+        retry_budget::options{.share = kShareUsed,
+                              .start_share = kShare - kShareUsed,
+                              .burst = kBurst,
+                              .is_shared = true,
+                              .started_at = now_});
     daemons_[number]->SetFleetSize(static_cast<double>(known));
   }
   void Kill(size_t number) { daemons_[number].reset(); }
 
   /// Each daemon gets a request with probability \p rate in each step, and
-  /// retries as often as its budget allows.
-  void Run(milliseconds span, double rate) {
+  /// retries as often as its budget allows if \p has_failures.
+  void Run(milliseconds span, double rate, bool has_failures = true) {
     const time_point end = now_ + span;
     for (; now_ < end; now_ += kStep) {
       requests_.push_back(0);
@@ -57,7 +61,7 @@
         if (has_request) {
           budget->OnFirstAttempt(now_);
         }
-        while (budget->TrySpend(now_)) {
+        while (has_failures && budget->TrySpend(now_)) {
           ++retries_.back();
         }
       }
@@ -125,6 +129,24 @@
   }
 }
 
+// Guards against a restart right after a daemon has spent all that it had
+// saved: the next process earned the same share once more within the window.
+TEST_P(retry_fleet_test, RestartsDoNotRepeatSavedRetries) {
+  for (int phase = 0; phase < 10; ++phase) {
+    retry_fleet fleet(GetParam());
+    fleet.Run(milliseconds(12'000), 1, false);
+    fleet.Run(milliseconds(100 + 300 * phase), 1);
+    for (int kill = 0; kill < 3; ++kill) {
+      for (size_t i = 0; i < GetParam(); ++i) {
+        fleet.Start(i, GetParam());
+      }
+      fleet.Run(milliseconds(3'000), 1);
+    }
+    fleet.Run(milliseconds(12'000), 1);
+    EXPECT_LE(fleet.MostBeyondShare(), kBurst) << phase;
+  }
+}
+
 // Guards against a newly started daemon that knows no others yet and takes the
 // whole burst for its share.
 TEST_P(retry_fleet_test, KeepsTheBudgetBeforePeersAreKnown) {
