Verify crashes of upstreams before they stop a request in the fleet

Cause: a lost connection counts as a crash, and three at three upstreams quarantine the request, on word of one daemon, through its reports and its record in the store. Others clear the crash of an upstream that responds to them, each for itself. Evidence: daemon 5 logs request_quarantined crashes=3 from=own, the others from=peer and from=store within 0.1 s; no upstream ended.

Change: once two crashes are known for a request, two daemons of each failure domain probe each upstream (Edge/crash_verifier, with the condition that it is the same one). A response is reported in heartbeats and clears the crash everywhere; a record that is based on refuted crashes is ignored, and removed by its writer. A request is quarantined as soon as before.

Ruled out: a record only after a second (platform_crash kills all daemons within it; 5 more upstreams crashed); ending a quarantine when the record goes (it may expire in an outage; request_quarantine_test holds that).

--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -35,11 +35,15 @@
 /// clear a request:
 /// - Its executions overlapped: several upstreams may crash at once for another
 ///   reason, and many callers may send the same request.
-/// - The upstream responds later under the same start: only a connection was
-///   lost.
+/// - The upstream responds later under the same start, to any daemon: only a
+///   connection was lost.
 /// - Another request that was running there is quarantined, which explains the
 ///   crash.
 /// - An execution that was sent later completed.
+///
+/// A daemon whose links fail cannot tell lost connections from crashes. So
+/// several daemons verify each crash of a request that may become quarantined,
+/// and report the upstreams that respond.
 class request_quarantine {
  public:
   struct options {
@@ -76,19 +80,23 @@
   void OnCompleted(time_point now, const hash128& request, time_point sent);
   /// Applies a peer's update.
   void OnUpdate(time_point now, const quarantine_update& update);
-  /// Applies the store's list of quarantined requests.
+  /// Applies the store's list of quarantined requests. Those of
+  /// which this daemon knows that the upstreams had not crashed are ignored.
   void OnStored(time_point now, std::span<const hash128> requests);
-  /// Records that \p upstream responded to an attempt sent at \p sent, so it
-  /// had not crashed before.
+  /// Records that \p upstream responded to an attempt or probe sent at \p sent,
+  /// so it had not crashed before.
   void OnUpstreamResponse(uint64_t upstream, time_point sent);
+  /// Returns the upstreams to probe, each of them once per crash.
+  std::vector<uint64_t> TakeUnverified(time_point now);
   /// Removes expired crashes and quarantines.
   void Expire(time_point now);
 
   /// Returns how long \p request remains quarantined; nothing where it is not.
+  /// Until its crashes are verified this is the time that verification takes.
   std::optional<duration> TimeLeft(time_point now,
                                    const hash128& request) const;
-  /// Returns the changes for peers since the last call, at most 16 crashes and
-  /// 16 completions.
+  /// Returns the changes for peers since the last call, at most 16 of each
+  /// kind.
   quarantine_update TakeUpdate(time_point now);
   /// Returns crashes of quarantined requests, for peers that missed the update;
   /// at most 16.
@@ -116,6 +124,8 @@
     time_point at{};
     /// Whether this daemon observed it itself.
     bool is_local = false;
+    /// Whether `TakeUnverified` returned it.
+    bool is_probed = false;
     /// Whether it turned out to be no crash, or not caused by the request. Such
     /// entries stay, so that later reports of them don't count either.
     bool is_cleared = false;
@@ -137,6 +147,10 @@
     size_t CountInSequence() const;
     bool HasCrashedEnough() const;
     time_point QuarantinedUntil() const;
+    /// Whether the crashes for which it was quarantined were none.
+    bool IsRefuted() const;
+    /// When verification of the latest crash is over.
+    time_point VerifiedAt() const;
   };
 
   struct pending_crash {
@@ -147,8 +161,17 @@
     hash128 request;
     time_point sent{};
   };
+  struct pending_response {
+    uint64_t upstream = 0;
+    time_point sent{};
+  };
 
   void AddCrash(time_point now, const hash128& request, const crash& seen);
+  /// Clears the crashes of \p upstream before \p at. Returns whether there were
+  /// any.
+  bool ClearCrashes(uint64_t upstream, time_point at);
+  /// Records that \p upstream responded to a peer, to what was sent at \p at.
+  void OnPeerResponse(uint64_t upstream, time_point at);
   /// Returns the entry of \p request, created if it is new.
   suspect& FindOrCreate(time_point now, const hash128& request);
   /// Evicts the oldest suspects that are not quarantined if there are too many.
@@ -192,6 +215,10 @@
   /// What `TakeUpdate` returns next.
   std::vector<pending_crash> pending_crashes_;
   std::vector<pending_completion> pending_completions_;
+  std::vector<pending_response> pending_responses_;
+  /// When what upstreams responded to was sent, as peers reported. A report of
+  /// a crash may arrive after the one that clears it.
+  std::unordered_map<uint64_t, time_point> peer_responses_;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -101,6 +101,9 @@
   /// Returns the path of a GET that every upstream responds to at once, without
   /// executing anything.
   virtual std::string ProbeTarget() const = 0;
+  /// Returns the fields of a probe that any upstream but \p upstream responds
+  /// to with 421.
+  virtual http_headers WriteProbe(const std::string& upstream) const = 0;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -13,6 +13,7 @@
 
 #include "cuminswitch/Admission/upstream_limits.h"
 #include "cuminswitch/Core/request_router.h"
+#include "cuminswitch/Edge/crash_verifier.h"
 #include "cuminswitch/Edge/edge_metrics.h"
 #include "cuminswitch/Edge/edge_protocol.h"
 #include "cuminswitch/Edge/forwarded_request.h"
@@ -204,6 +205,8 @@
   void ReportLimits(time_point now);
   /// Sends the peers and the store the requests that crash upstreams.
   void ReportQuarantine(time_point now);
+  /// Probes the upstreams that this daemon is to verify the crash of.
+  void VerifyCrashes(time_point now);
   /// Logs the changes to the set of requests that crash upstreams.
   void LogQuarantines();
   /// Removes the rate limits that no response has renewed recently.
@@ -223,6 +226,7 @@
   upstream_pool pool_;
   upstream_contact contact_;
   upstream_prober prober_;
+  crash_verifier verifier_;
   time_point probes_sent_at_{};
   uint64_t probe_rounds_ = 0;
   bool has_lost_upstreams_ = false;
--- a/include/cuminswitch/Edge/upstream_prober.h
+++ b/include/cuminswitch/Edge/upstream_prober.h
@@ -17,6 +17,7 @@
 namespace cuminswitch {
 
 class upstream_pool;
+class response_probe;
 
 /// Sends one round of probes at a time, each a GET on a connection of its own.
 /// A round ends with the first response, whatever its status, or when all
@@ -36,15 +37,13 @@
   void Start(std::span<const endpoint> upstreams, const std::string& target);
 
  private:
-  class probe;
-
   void OnProbeEnded(bool has_response);
   void OnRoundEnded();
 
   upstream_pool& pool_;
   end_handler on_end_;
   loop_timer timer_;
-  std::vector<std::unique_ptr<probe>> probes_;
+  std::vector<std::unique_ptr<response_probe>> probes_;
   size_t pending_ = 0;
   bool is_running_ = false;
   bool has_response_ = false;
--- a/include/cuminswitch/Fleet/crash_update_queue.h
+++ b/include/cuminswitch/Fleet/crash_update_queue.h
@@ -1,5 +1,5 @@
 /// \file
-/// Queue of the crash and completion reports that heartbeats carry.
+/// Queue of the reports on crashes that heartbeats carry.
 #ifndef CUMINSWITCH_FLEET_CRASH_UPDATE_QUEUE_H_
 #define CUMINSWITCH_FLEET_CRASH_UPDATE_QUEUE_H_
 
@@ -44,6 +44,7 @@
 
   peer_update_log<timed<crash_report>, kCapacity> crashes_;
   peer_update_log<timed<completion_report>, kCapacity> completions_;
+  peer_update_log<timed<life_report>, kCapacity> responses_;
   /// Time of the event last relayed, by request and upstream.
   std::map<std::pair<hash128, uint64_t>, time_point> relayed_;
   /// Active crashes of this daemon, with ages as of `active_at_`.
--- a/include/cuminswitch/Fleet/quarantine_records.h
+++ b/include/cuminswitch/Fleet/quarantine_records.h
@@ -32,12 +32,16 @@
   ~quarantine_records();
 
   /// Starts writing the first of \p wanted that is not among \p stored, if
-  /// there is one and no other write is in progress.
+  /// there is one and no other write is in progress. Removes this daemon's
+  /// records that are not wanted any more.
   void OnTick(time_point now,
               std::span<const quarantine_record> wanted,
               std::span<const hash128> stored);
 
  private:
+  void RemoveUnwanted(time_point now,
+                      std::span<const quarantine_record> wanted,
+                      std::span<const hash128> stored);
   void Write(const hash128& request, duration time_left);
   void OnLease(const hash128& request, const store_lease& granted);
 
@@ -46,6 +50,8 @@
   /// When each request may be written again: a written one appears among the
   /// stored ones only some time later.
   std::map<hash128, time_point> next_write_;
+  /// Leases of the records that this daemon wrote.
+  std::map<hash128, lease_number> leases_;
   bool is_writing_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/cuminswitch/Protocol/crash_report.h
+++ b/include/cuminswitch/Protocol/crash_report.h
@@ -13,13 +13,17 @@
 
 namespace cuminswitch {
 
+/// Identifies one run of an upstream's process.
+inline uint64_t UpstreamStartId(uint64_t name_hash, uint64_t started) {
+  return CombineHash(name_hash, started);
+}
+
 /// The connection to an upstream was lost while it executed a request, as
 /// happens when the upstream crashes.
 struct crash_report {
   /// Digest of the request.
   hash128 request;
-  /// Hash of the upstream's name and of its start, so that it identifies one
-  /// run of the upstream's process.
+  /// See `UpstreamStartId`.
   uint64_t upstream = 0;
   /// Time since the connection was lost.
   duration age{0};
@@ -34,11 +38,22 @@
   duration age{0};
 };
 
+/// An upstream that a daemon regards as crashed responded.
+struct life_report {
+  /// As `crash_report::upstream`.
+  uint64_t upstream = 0;
+  /// Time since what it responded to was sent.
+  duration age{0};
+};
+
 /// Exchanged between daemons about requests that may crash upstreams.
 struct quarantine_update {
   std::vector<crash_report> crashes;
   std::vector<completion_report> completions;
-  bool IsEmpty() const { return crashes.empty() && completions.empty(); }
+  std::vector<life_report> responses;
+  bool IsEmpty() const {
+    return crashes.empty() && completions.empty() && responses.empty();
+  }
 };
 
 /// A quarantined request, which is sent to no upstream until the time is over.
--- a/include/cuminswitch/Support/status_code.h
+++ b/include/cuminswitch/Support/status_code.h
@@ -18,6 +18,7 @@
 inline constexpr uint32_t kGone = 410;
 inline constexpr uint32_t kPreconditionFailed = 412;
 inline constexpr uint32_t kPayloadTooLarge = 413;
+inline constexpr uint32_t kMisdirected = 421;
 inline constexpr uint32_t kTooManyRequests = 429;
 inline constexpr uint32_t kHeadTooLarge = 431;
 inline constexpr uint32_t kBadGateway = 502;
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -28,6 +28,19 @@
 /// large fleet crashes at once, which no request causes.
 static constexpr size_t kMaxSuspects = 4096;
 
+/// Age at which a crash is verified. The times that peers report are late by
+/// the time that their messages take, so a probe must not be sent at once.
+static constexpr duration kVerifyDelay = std::chrono::milliseconds(150);
+/// How much later than a crash a peer's request must have been sent for its
+/// response to clear the crash.
+static constexpr duration kReportDelay = std::chrono::milliseconds(100);
+/// Age at which a crash is verified unless a response was reported: the probes
+/// have timed out, and a report would have arrived.
+static constexpr duration kVerifyTime = std::chrono::seconds(1);
+/// Peers' responses are remembered for this time, and at most so many.
+static constexpr duration kResponseRetention = std::chrono::seconds(10);
+static constexpr size_t kMaxResponses = 1024;
+
 size_t request_quarantine::suspect::CountCrashes() const {
   return static_cast<size_t>(
       std::count_if(crashes.begin(), crashes.end(),
@@ -62,6 +75,18 @@
              : stored_until;
 }
 
+bool request_quarantine::suspect::IsRefuted() const {
+  const auto cleared =
+      std::count_if(crashes.begin(), crashes.end(),
+                    [](const crash& item) { return item.is_cleared; });
+  return cleared > 0 && crashes.size() >= kSequenceToQuarantine &&
+         !HasCrashedEnough();
+}
+
+time_point request_quarantine::suspect::VerifiedAt() const {
+  return crashes.empty() ? time_point() : crashes.back().at + kVerifyTime;
+}
+
 void request_quarantine::RecordEvent(quarantine_event::kind what,
                                      const hash128& request,
                                      const suspect& item,
@@ -116,7 +141,10 @@
       item.crashes.begin(), item.crashes.end(), seen,
       [](const crash& a, const crash& b) { return a.at < b.at; });
   const auto added = item.crashes.insert(place, seen);
-  if (explained_.contains(seen.upstream)) {
+  const auto responded = peer_responses_.find(seen.upstream);
+  const bool has_responded = responded != peer_responses_.end() &&
+                             seen.at + kReportDelay < responded->second;
+  if (has_responded || explained_.contains(seen.upstream)) {
     added->is_cleared = true;
     return;
   }
@@ -238,13 +266,16 @@
   for (const completion_report& item : update.completions) {
     RecordCompletion(now, item.request, now - item.age, crash_source::kPeer);
   }
+  for (const life_report& item : update.responses) {
+    OnPeerResponse(item.upstream, now - item.age);
+  }
 }
 
 void request_quarantine::OnStored(time_point now,
                                   std::span<const hash128> requests) {
   for (const hash128& request : requests) {
     suspect& item = FindOrCreate(now, request);
-    if (item.stored_until != time_point()) {
+    if (item.stored_until != time_point() || item.IsRefuted()) {
       continue;
     }
     const bool was_quarantined = item.QuarantinedUntil() > now;
@@ -258,21 +289,68 @@
 void request_quarantine::OnUpstreamResponse(uint64_t upstream,
                                             time_point sent) {
   // Called for each response; almost always the upstream has no crash.
-  if (!crashed_.contains(upstream)) {
-    return;
+  if (crashed_.contains(upstream) && ClearCrashes(upstream, sent) &&
+      pending_responses_.size() < kMaxReports) {
+    pending_responses_.push_back({.upstream = upstream, .sent = sent});
   }
+}
+
+void request_quarantine::OnPeerResponse(uint64_t upstream, time_point at) {
+  if (peer_responses_.size() < kMaxResponses) {
+    time_point& known = peer_responses_[upstream];
+    known = std::max(known, at);
+  }
+  if (crashed_.contains(upstream)) {
+    ClearCrashes(upstream, at - kReportDelay);
+  }
+}
+
+bool request_quarantine::ClearCrashes(uint64_t upstream, time_point at) {
+  bool has_cleared = false;
   for (auto& [request, item] : suspects_) {
     for (crash& seen : item.crashes) {
-      if (seen.upstream == upstream && seen.at < sent && !seen.is_cleared) {
+      if (seen.upstream == upstream && seen.at < at && !seen.is_cleared) {
         seen.is_cleared = true;
+        has_cleared = true;
         RecordEvent(quarantine_event::kind::kCleared, request, item,
                     crash_source::kOwn);
       }
     }
+    if (item.IsRefuted()) {
+      item.stored_until = {};
+    }
+  }
+  return has_cleared;
+}
+
+std::vector<uint64_t> request_quarantine::TakeUnverified(time_point now) {
+  std::vector<uint64_t> upstreams;
+  if (crashed_.empty()) {
+    return upstreams;
+  }
+  for (auto& [request, item] : suspects_) {
+    if (item.CountCrashes() < kCrashesToRelay) {
+      continue;
+    }
+    for (crash& seen : item.crashes) {
+      const duration age = now - seen.at;
+      if (item.Counts(seen) && !seen.is_probed && age >= kVerifyDelay &&
+          age < kVerifyTime) {
+        seen.is_probed = true;
+        upstreams.push_back(seen.upstream);
+      }
+    }
   }
+  std::sort(upstreams.begin(), upstreams.end());
+  upstreams.erase(std::unique(upstreams.begin(), upstreams.end()),
+                  upstreams.end());
+  return upstreams;
 }
 
 void request_quarantine::Expire(time_point now) {
+  std::erase_if(peer_responses_, [now](const auto& item) {
+    return now - item.second > kResponseRetention;
+  });
   crashed_.clear();
   explained_.clear();
   for (auto& [request, item] : suspects_) {
@@ -308,8 +386,13 @@
   if (found == suspects_.end()) {
     return std::nullopt;
   }
-  const duration left = found->second.QuarantinedUntil() - now;
-  return left > duration(0) ? std::optional(left) : std::nullopt;
+  const suspect& item = found->second;
+  const duration left = item.QuarantinedUntil() - now;
+  if (left <= duration(0)) {
+    return std::nullopt;
+  }
+  const duration verification = item.VerifiedAt() - now;
+  return verification > duration(0) ? std::min(left, verification) : left;
 }
 
 quarantine_update request_quarantine::TakeUpdate(time_point now) {
@@ -325,6 +408,10 @@
     update.completions.push_back(
         {.request = item.request, .age = now - item.sent});
   }
+  for (const pending_response& item : std::exchange(pending_responses_, {})) {
+    update.responses.push_back(
+        {.upstream = item.upstream, .age = now - item.sent});
+  }
   return update;
 }
 
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -294,7 +294,7 @@
 }
 
 uint64_t request_router::UpstreamStartId(const replica& item) {
-  return CombineHash(item.name_hash, item.started);
+  return cuminswitch::UpstreamStartId(item.name_hash, item.started);
 }
 
 bool request_router::MayRepeat(const request& item) {
--- a/lib/Edge/edge_quarantine.cc
+++ b/lib/Edge/edge_quarantine.cc
@@ -1,10 +1,12 @@
 // Reports requests that crash upstreams to the peers, the store and the log.
 #include <utility>
+#include <vector>
 
 #include "cuminswitch/Edge/edge_task.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
+#include "cuminswitch/Support/hash.h"
 
 namespace cuminswitch {
 
@@ -37,6 +39,25 @@
   LogQuarantines();
 }
 
+void edge_task::VerifyCrashes(time_point now) {
+  verifier_.OnTick(now);
+  const std::vector<uint64_t> unverified =
+      router_.quarantine().TakeUnverified(now);
+  for (const uint64_t upstream : unverified) {
+    if (!VerifiesCrash(options_.self, peers_, upstream)) {
+      continue;
+    }
+    for (const auto& [address, entry] : upstreams_by_address_) {
+      if (UpstreamStartId(Hash64(entry->id), entry->started) == upstream) {
+        with_.log.Write(
+            log_class::kStateChange,
+            log_line("crash_verification").Add("upstream", entry->id));
+        verifier_.Start(now, upstream, *entry);
+      }
+    }
+  }
+}
+
 void edge_task::ReportQuarantine(time_point now) {
   LogQuarantines();
   request_quarantine& quarantine = router_.quarantine();
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -39,6 +39,11 @@
       prober_(base,
               pool_,
               [this](bool has_response) { OnProbesEnded(has_response); }),
+      verifier_(pool_,
+                with.protocol,
+                [this](uint64_t upstream, time_point sent) {
+                  router_.quarantine().OnUpstreamResponse(upstream, sent);
+                }),
       tick_timer_(base, [this] { OnTick(); }),
       stop_timer_(base, [this] { OnStopTick(); }),
       quotas_(std::make_unique<owner_quota_policy>(owner_quota_policy::options{
@@ -287,6 +292,7 @@
   limits_.policy().OnTick(now);
   ProcessLimitDecisions(now);
   ReportLimits(now);
+  VerifyCrashes(now);
   ReportQuarantine(now);
   ReportPlacements();
   UpdateContact();
@@ -294,8 +300,8 @@
   LogHeldBytes();
   ExpireLimits(now);
   with_.log.Flush();
-  const bool is_idle =
-      flows_.empty() && contact_.current() == upstream_contact::state::kReached;
+  const bool is_idle = flows_.empty() && verifier_.IsIdle() &&
+                       contact_.current() == upstream_contact::state::kReached;
   tick_timer_.Start(is_idle ? kIdleTickInterval : kTickInterval);
 }
 
--- a/lib/Edge/upstream_prober.cc
+++ b/lib/Edge/upstream_prober.cc
@@ -2,35 +2,11 @@
 
 #include <utility>
 
+#include "cuminswitch/Edge/response_probe.h"
 #include "cuminswitch/Http1/upstream_pool.h"
 
 namespace cuminswitch {
 
-/// A probe needs no free slot at its upstream, so it is responded to within a
-/// few round trips.
-static constexpr std::chrono::milliseconds kProbeTimeout{400};
-
-class upstream_prober::probe : private upstream_handler {
- public:
-  probe(upstream_prober& owner, const upstream_request& request)
-      : owner_(owner), call_(owner.pool_.Start(request, *this)) {}
-
- private:
-  void OnResponseHead(const message_head& /*head*/) override { End(true); }
-  void OnResponseBody(std::string_view /*data*/) override {}
-  void OnCallEnd(upstream_call_result /*result*/) override { End(false); }
-
-  void End(bool has_response) {
-    if (!std::exchange(has_ended_, true)) {
-      owner_.OnProbeEnded(has_response);
-    }
-  }
-
-  upstream_prober& owner_;
-  bool has_ended_ = false;
-  std::unique_ptr<upstream_call> call_;
-};
-
 upstream_prober::upstream_prober(event_base* base,
                                  upstream_pool& pool,
                                  end_handler on_end)
@@ -45,15 +21,18 @@
   is_running_ = true;
   has_response_ = false;
   pending_ = upstreams.size();
-  timer_.Start(kProbeTimeout);
+  timer_.Start(response_probe::kTimeout);
   for (const endpoint& to : upstreams) {
-    probes_.push_back(std::make_unique<probe>(
-        *this,
+    probes_.push_back(std::make_unique<response_probe>(
+        pool_,
         upstream_request{.to = to,
                          .method = "GET",
                          .target = target,
                          .headers = {{.name = "Host", .value = to.ToString()}},
-                         .connect_timeout = kProbeTimeout}));
+                         .connect_timeout = response_probe::kTimeout},
+        [this](std::optional<uint32_t> status) {
+          OnProbeEnded(status.has_value());
+        }));
   }
 }
 
--- a/lib/Fleet/crash_update_queue.cc
+++ b/lib/Fleet/crash_update_queue.cc
@@ -25,6 +25,11 @@
     completions.push_back({.report = item, .at = own.at});
   }
   completions_.Add(completions);
+  std::vector<timed<life_report>> responses;
+  for (const life_report& item : own.update.responses) {
+    responses.push_back({.report = item, .at = own.at});
+  }
+  responses_.Add(responses);
   active_ = own.active_crashes;
   active_at_ = own.at;
 }
@@ -70,6 +75,13 @@
     }
   }
   completions_.Add(completions);
+  std::vector<timed<life_report>> responses;
+  for (const life_report& item : received.responses) {
+    if (NoteRelayed({}, item.upstream, now - item.age)) {
+      responses.push_back({.report = item, .at = now});
+    }
+  }
+  responses_.Add(responses);
 }
 
 quarantine_update crash_update_queue::TakeFor(time_point now,
@@ -83,6 +95,10 @@
     item.report.age += now - item.at;
     update.completions.push_back(item.report);
   }
+  for (timed<life_report>& item : responses_.TakeFor(peer)) {
+    item.report.age += now - item.at;
+    update.responses.push_back(item.report);
+  }
   if (active_.empty()) {
     active_sent_at_.clear();
     return update;
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -40,7 +40,8 @@
   return age_us >= 0 && age_us <= kMaxAgeUs;
 }
 
-/// Reads the crash and completion reports; returns false where one is invalid.
+/// Reads the reports about requests that may crash upstreams; returns false
+/// where one is invalid.
 static bool ReadQuarantineUpdate(const fleet_wire::beat& wire,
                                  quarantine_update& update) {
   if (wire.crashes() != nullptr) {
@@ -65,6 +66,15 @@
                                     .age = duration(item->age_us())});
     }
   }
+  if (wire.life_signs() != nullptr) {
+    for (const fleet_wire::life_sign* item : *wire.life_signs()) {
+      if (!IsPlausibleAge(item->age_us())) {
+        return false;
+      }
+      update.responses.push_back(
+          {.upstream = item->upstream(), .age = duration(item->age_us())});
+    }
+  }
   return true;
 }
 
--- a/lib/Fleet/quarantine_records.cc
+++ b/lib/Fleet/quarantine_records.cc
@@ -21,6 +21,7 @@
                                 std::span<const hash128> stored) {
   std::erase_if(next_write_,
                 [now](const auto& item) { return now >= item.second; });
+  RemoveUnwanted(now, wanted, stored);
   if (is_writing_) {
     return;
   }
@@ -36,6 +37,27 @@
   }
 }
 
+void quarantine_records::RemoveUnwanted(
+    time_point now,
+    std::span<const quarantine_record> wanted,
+    std::span<const hash128> stored) {
+  std::erase_if(leases_, [&](const auto& item) {
+    const auto& [request, lease] = item;
+    const bool is_wanted = std::any_of(
+        wanted.begin(), wanted.end(),
+        [&](const auto& record) { return record.request == request; });
+    if (is_wanted || next_write_.contains(request)) {
+      return false;
+    }
+    if (std::find(stored.begin(), stored.end(), request) == stored.end()) {
+      return true;
+    }
+    next_write_[request] = now + kRetryInterval;
+    store_.EndLease(lease);
+    return false;
+  });
+}
+
 void quarantine_records::Write(const hash128& request, duration time_left) {
   is_writing_ = true;
   store_.GrantLease(
@@ -57,7 +79,7 @@
                 .value = options_.author,
                 .expected = 0,
                 .lease = granted.lease},
-               [this, alive = alive_,
+               [this, alive = alive_, request,
                 lease = granted.lease](const store_write& written) {
                  if (!*alive) {
                    return;
@@ -66,6 +88,8 @@
                  if (written.status == store_status::kConflict) {
                    // Another daemon has written it.
                    store_.EndLease(lease);
+                 } else {
+                   leases_[request] = lease;
                  }
                });
 }
--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -419,6 +419,7 @@
 }
 
 void deployment::Partition(const std::vector<size_t>& indices,
+                           const std::vector<size_t>& from,
                            partition_kind kind) {
   partition_ = {.processes = {}, .kind = kind};
   std::set<endpoint> fronts;
@@ -427,7 +428,10 @@
     fronts.insert(daemons[index].front);
   }
   for (const upstream_state& item : upstreams) {
-    item.link->SetPartition(partition_);
+    item.link->SetPartition(no_partition_);
+  }
+  for (const size_t index : from) {
+    upstreams[index].link->SetPartition(partition_);
   }
   if (fronts.empty()) {
     checker_.OnPartitionEnded();
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -115,9 +115,11 @@
   /// Records that a fault of the store begins or ends now.
   void MarkStoreDisturbed() { store_disturbed_at_ = steady_time::clock::now(); }
   void InjectStoreLinkFault(size_t index, link_fault fault);
-  /// Partitions the daemons with these indices from all upstreams; an empty
-  /// list ends the partition.
-  void Partition(const std::vector<size_t>& indices, partition_kind kind);
+  /// Partitions the daemons \p indices from the upstreams \p from; an empty
+  /// list of daemons ends the partition.
+  void Partition(const std::vector<size_t>& indices,
+                 const std::vector<size_t>& from,
+                 partition_kind kind);
   /// Changes the behaviour of an upstream; \p what is a path below /control/.
   void SendControl(size_t index, const std::string& what);
   /// Sends a daemon a signal that terminates it.
@@ -177,6 +179,7 @@
   options options_;
   guarantee_checker& checker_;
   partition partition_;
+  const partition no_partition_;
   platform::json_caller caller_;
   endpoint store_;
   /// A second address of the store, where calls never fail.
--- a/test/soak/fault_proxy.h
+++ b/test/soak/fault_proxy.h
@@ -47,7 +47,7 @@
 /// Number of values of `partition_kind`.
 inline constexpr int kPartitionKinds = 3;
 
-/// The processes that are partitioned from all upstreams, by name.
+/// The processes that are partitioned from a target, by name.
 struct partition {
   std::set<std::string> processes;
   partition_kind kind = partition_kind::kHang;
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -154,7 +154,8 @@
     steps = kDepartureSteps;
     min_gap = kMinDepartureGapMs;
     max_gap = kMaxDepartureGapMs;
-  } else if (mode_ == soak_mode::kPartitions) {
+  } else if (mode_ == soak_mode::kPartitions ||
+             mode_ == soak_mode::kPartialPartitions) {
     steps = kPartitionSteps;
     min_gap = kMinPartitionGapMs;
     max_gap = kMaxPartitionGapMs;
@@ -377,6 +378,24 @@
   });
 }
 
+std::vector<size_t> fault_schedule::ChoosePartitionedUpstreams() {
+  std::vector<size_t> chosen;
+  for (const bool is_engine : {true, false}) {
+    std::vector<size_t> same_kind;
+    for (size_t i = 0; i < target_.upstreams.size(); ++i) {
+      if (target_.upstreams[i].is_engine == is_engine) {
+        same_kind.push_back(i);
+      }
+    }
+    if (mode_ == soak_mode::kPartialPartitions) {
+      std::shuffle(same_kind.begin(), same_kind.end(), random_);
+      same_kind.resize(1 + Pick(same_kind.size() - 1));
+    }
+    chosen.insert(chosen.end(), same_kind.begin(), same_kind.end());
+  }
+  return chosen;
+}
+
 void fault_schedule::PartitionDaemons() {
   if (std::exchange(is_partitioned_, true)) {
     return;
@@ -394,12 +413,17 @@
     indices.push_back((first + i * step) % count);
     names += " " + target_.daemons[indices.back()].name;
   }
-  LogFault("partition from all upstreams, kind " +
-           std::to_string(static_cast<int>(kind)) + ":" + names);
-  target_.Partition(indices, kind);
+  const std::vector<size_t> from = ChoosePartitionedUpstreams();
+  std::string upstream_names;
+  for (const size_t index : from) {
+    upstream_names += " " + target_.upstreams[index].id;
+  }
+  LogFault("partition, kind " + std::to_string(static_cast<int>(kind)) + ":" +
+           names + " from" + upstream_names);
+  target_.Partition(indices, from, kind);
   ScheduleEnd(kMinPartitionMs, kMaxPartitionMs, [this, kind] {
     is_partitioned_ = false;
-    target_.Partition({}, kind);
+    target_.Partition({}, {}, kind);
   });
 }
 
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -37,6 +37,8 @@
   /// Some daemons are partitioned from all upstreams at a time; otherwise
   /// faults of daemons and changes of the configuration.
   kPartitions,
+  /// The same, but from some upstreams only.
+  kPartialPartitions,
 };
 
 /// Injects one fault after another, each into a process or connection chosen by
@@ -91,9 +93,12 @@
   /// Makes the store unavailable for longer than the lifetime of its entries.
   /// Upstreams depart during the outage and soon after it.
   void StartStoreOutage();
-  /// Partitions one daemon, several, or all of a failure domain from all
-  /// upstreams, unless a partition is in progress.
+  /// Partitions one daemon, several, or all of a failure domain from upstreams,
+  /// unless a partition is in progress.
   void PartitionDaemons();
+  /// Returns the upstreams that daemons are partitioned from: all or, in the
+  /// mode of partial partitions, some of each kind.
+  std::vector<size_t> ChoosePartitionedUpstreams();
   /// Resets a daemon's open connections to the store.
   void ResetStoreLink();
 
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -32,6 +32,7 @@
   bool notices = false;
   bool departures = false;
   bool partitions = false;
+  bool partial = false;
   bool unframed = false;
   std::string build_folder = "build";
   std::string work_folder = "soak-work";
@@ -61,7 +62,8 @@
     return soak_mode::kDepartures;
   }
   if (opts.partitions) {
-    return soak_mode::kPartitions;
+    return opts.partial ? soak_mode::kPartialPartitions
+                        : soak_mode::kPartitions;
   }
   return opts.crashes ? soak_mode::kCrashes : soak_mode::kAll;
 }
@@ -213,6 +215,8 @@
                  "Upstreams depart while the store is unavailable");
   parser.AddFlag("partitions", options.partitions,
                  "Daemons are partitioned from all upstreams");
+  parser.AddFlag("partial", options.partial,
+                 "Partitions leave some upstreams of each kind reachable");
   parser.AddFlag("unframed", options.unframed,
                  "Responses of upstreams end with their connection");
   parser.AddString("build", options.build_folder, "The build folder", "FOLDER");
--- a/unittests/Admission/request_quarantine_test.cc
+++ b/unittests/Admission/request_quarantine_test.cc
@@ -50,6 +50,11 @@
                                 .completions = {}});
   }
 
+  void ReceiveResponse(uint64_t upstream, duration age) {
+    quarantine_.OnUpdate(now_,
+                         {.responses = {{.upstream = upstream, .age = age}}});
+  }
+
   static constexpr duration kExecutionTime = milliseconds(40);
   time_point now_{seconds(100)};
   request_quarantine quarantine_{{.keeps_events = true}};
@@ -235,6 +240,68 @@
   EXPECT_EQ(quarantine_.size(), 0U);
 }
 
+// Guards against a request that the whole fleet rejects because one daemon lost
+// its links to some upstreams, which run on.
+TEST_F(request_quarantine_test, ResponsesToPeersRefuteCrashes) {
+  CrashThree();
+  quarantine_.OnStored(now_, std::vector{kRequest});
+  now_ += milliseconds(300);
+  ReceiveResponse(2, milliseconds(50));
+  EXPECT_FALSE(IsQuarantined());
+  EXPECT_TRUE(quarantine_.ListOwn(now_).empty());
+  quarantine_.OnStored(now_, std::vector{kRequest});
+  EXPECT_FALSE(IsQuarantined()) << "the record is of refuted crashes";
+}
+
+TEST_F(request_quarantine_test, ResponseBeforeTheCrashRefutesNothing) {
+  CrashThree();
+  now_ += milliseconds(300);
+  ReceiveResponse(2, milliseconds(300));
+  EXPECT_TRUE(IsQuarantined());
+}
+
+// Guards against a quarantine by a report that a slow link delivers after the
+// one that refutes it.
+TEST_F(request_quarantine_test, ResponseRefutesACrashThatIsReportedLater) {
+  ReceiveResponse(3, duration(0));
+  ReceiveReport(1, milliseconds(600));
+  ReceiveReport(2, milliseconds(400));
+  ReceiveReport(3, milliseconds(200));
+  EXPECT_FALSE(IsQuarantined());
+}
+
+TEST_F(request_quarantine_test, ReportsAnUpstreamThatResponds) {
+  CrashThree();
+  quarantine_.TakeUpdate(now_);
+  now_ += milliseconds(200);
+  quarantine_.OnUpstreamResponse(1, now_ - milliseconds(1));
+  quarantine_.OnUpstreamResponse(1, now_);
+  const quarantine_update update = quarantine_.TakeUpdate(now_);
+  ASSERT_EQ(update.responses.size(), 1U);
+  EXPECT_EQ(update.responses[0].upstream, 1U);
+  EXPECT_EQ(update.responses[0].age, milliseconds(1));
+}
+
+TEST_F(request_quarantine_test, VerifiesEachCrashOnce) {
+  Crash(1);
+  now_ += milliseconds(200);
+  EXPECT_TRUE(quarantine_.TakeUnverified(now_).empty())
+      << "one lost connection is common";
+  Crash(2);
+  now_ += milliseconds(200);
+  EXPECT_EQ(quarantine_.TakeUnverified(now_), (std::vector<uint64_t>{1, 2}));
+  EXPECT_TRUE(quarantine_.TakeUnverified(now_).empty());
+}
+
+// Guards against callers told to wait for ten minutes because of lost
+// connections.
+TEST_F(request_quarantine_test, RetryTimeIsShortUntilCrashesAreVerified) {
+  CrashThree();
+  EXPECT_LE(quarantine_.TimeLeft(now_, kRequest), seconds(1));
+  now_ += seconds(1);
+  EXPECT_GT(quarantine_.TimeLeft(now_, kRequest), seconds(500));
+}
+
 TEST_F(request_quarantine_test, QuarantinesRequestsListedByTheStore) {
   quarantine_.OnStored(now_, std::vector{kRequest});
   quarantine_.OnStored(now_, std::vector{kRequest});
--- a/unittests/Edge/edge_fakes.h
+++ b/unittests/Edge/edge_fakes.h
@@ -51,6 +51,9 @@
     return response;
   }
   std::string ProbeTarget() const override { return "/"; }
+  http_headers WriteProbe(const std::string& upstream) const override {
+    return {{.name = "Expect", .value = upstream}};
+  }
   http_headers WriteForwarded(const message_head& /*head*/,
                               duration /*time_left*/) const override {
     return {};
--- a/unittests/Fleet/crash_update_queue_test.cc
+++ b/unittests/Fleet/crash_update_queue_test.cc
@@ -48,15 +48,19 @@
   const quarantine_update received{
       .crashes = {{.request = {.high = 1, .low = 2},
                    .upstream = 3,
-                   .age = std::chrono::milliseconds(400)}}};
+                   .age = std::chrono::milliseconds(400)}},
+      .responses = {{.upstream = 3, .age = std::chrono::milliseconds(200)}}};
   crash_update_queue queue;
   queue.Relay(now, received);
   const duration later = std::chrono::milliseconds(100);
   const quarantine_update relayed = queue.TakeFor(now + later, peer);
   ASSERT_EQ(relayed.crashes.size(), 1U);
   EXPECT_EQ(relayed.crashes[0].age, std::chrono::milliseconds(500));
+  ASSERT_EQ(relayed.responses.size(), 1U);
+  EXPECT_EQ(relayed.responses[0].age, std::chrono::milliseconds(300));
   quarantine_update copy = received;
   copy.crashes[0].age += later;
+  copy.responses[0].age += later;
   queue.Relay(now + later, copy);
   EXPECT_TRUE(queue.TakeFor(now + later, peer).IsEmpty());
 }
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -243,7 +243,8 @@
                    .upstream = 3,
                    .age = std::chrono::seconds(4),
                    .took = std::chrono::milliseconds(5)}},
-      .completions = {{.request = request, .age = std::chrono::seconds(6)}}};
+      .completions = {{.request = request, .age = std::chrono::seconds(6)}},
+      .responses = {{.upstream = 7, .age = std::chrono::seconds(8)}}};
   const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(heartbeat)));
   ASSERT_TRUE(frame.has_value());
   const quarantine_update& update =
@@ -256,6 +257,9 @@
   ASSERT_EQ(update.completions.size(), 1U);
   EXPECT_EQ(update.completions[0].request, request);
   EXPECT_EQ(update.completions[0].age, std::chrono::seconds(6));
+  ASSERT_EQ(update.responses.size(), 1U);
+  EXPECT_EQ(update.responses[0].upstream, 7U);
+  EXPECT_EQ(update.responses[0].age, std::chrono::seconds(8));
 
   heartbeat.quarantine.completions[0].age = duration(-1);
   EXPECT_FALSE(
@@ -264,6 +268,10 @@
   heartbeat.quarantine.crashes[0].took = duration::max();
   EXPECT_FALSE(
       DecodePeerFrame(BytesOf(EncodePeerFrame(heartbeat))).has_value());
+  heartbeat.quarantine.crashes.clear();
+  heartbeat.quarantine.responses[0].age = duration(-1);
+  EXPECT_FALSE(
+      DecodePeerFrame(BytesOf(EncodePeerFrame(heartbeat))).has_value());
 }
 
 // Guards against a NaN or an infinity that would remain in an owner's token
--- a/unittests/Fleet/quarantine_records_test.cc
+++ b/unittests/Fleet/quarantine_records_test.cc
@@ -85,5 +85,21 @@
   EXPECT_EQ(store_.ended, std::vector<lease_number>{1});
 }
 
+// Guards against a record of refuted crashes that daemons read at their start.
+TEST_F(quarantine_records_test, RemovesItsRecordOnceItIsNotWanted) {
+  Tick();
+  wanted_.clear();
+  Tick({kRequest});
+  EXPECT_TRUE(store_.ended.empty()) << "too soon after the write";
+  now_ += seconds(2);
+  Tick({kRequest});
+  EXPECT_EQ(store_.ended, std::vector<lease_number>{1});
+  now_ += seconds(2);
+  Tick();
+  now_ += seconds(2);
+  Tick({kRequest});
+  EXPECT_EQ(store_.ended.size(), 1U) << "the record is another daemon's";
+}
+
 }  // namespace
 }  // namespace cuminswitch
