--- a/lib/Fleet/quarantine_records.cc
+++ b/lib/Fleet/quarantine_records.cc
@@ -41,12 +41,14 @@
     time_point now,
     std::span<const quarantine_record> wanted,
     std::span<const hash128> stored) {
+  const auto is_wanted = [&](const hash128& request) {
+    return std::any_of(wanted.begin(), wanted.end(), [&](const auto& record) {
+      return record.request == request;
+    });
+  };
   std::erase_if(leases_, [&](const auto& item) {
     const auto& [request, lease] = item;
-    const bool is_wanted = std::any_of(
-        wanted.begin(), wanted.end(),
-        [&](const auto& record) { return record.request == request; });
-    if (is_wanted || next_write_.contains(request)) {
+    if (is_wanted(request) || next_write_.contains(request)) {
       return false;
     }
     if (std::find(stored.begin(), stored.end(), request) == stored.end()) {
--- a/unittests/Edge/crash_verifier_test.cc
+++ b/unittests/Edge/crash_verifier_test.cc
@@ -71,6 +71,7 @@
 
 TEST(crash_verifiers_test, TwoDaemonsOfEachDomainVerifyACrash) {
   std::vector<daemon_record> fleet;
+  fleet.reserve(30);
   for (int i = 0; i < 30; ++i) {
     fleet.push_back({.name = "d" + std::to_string(i),
                      .failure_domain = "z" + std::to_string(i % 3),
--- a/unittests/Edge/peer_selection_test.cc
+++ b/unittests/Edge/peer_selection_test.cc
@@ -17,6 +17,7 @@
 
 std::vector<std::string> NamesOf(const std::vector<forward_target>& targets) {
   std::vector<std::string> names;
+  names.reserve(targets.size());
   for (const forward_target& item : targets) {
     names.push_back(item.name);
   }
