Use the ejected upstreams that failed least when all are ejected

Cause: one in eight requests of the soak makes its upstream fail, which ejects it for half a second. Where that was the only one within reach, all were ejected, and all were used alike. Evidence: in the partition the daemon's attempts are broken more often than they are answered (162 broken, 123 answered in 2 s), while three of four upstreams had failed many times in a row and one had not.

Change: of the ejected replicas those with the fewest failures in a row are eligible. A response ends the count, as before.

replica_table_test.PrefersTheEjectedReplicaWithFewestFailures: both replicas were eligible before.

--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -124,6 +124,7 @@
     std::span<const replica_index> excluded) const {
   eligible_replicas result;
   eligible_replicas ejected;
+  uint32_t fewest_failures = UINT32_MAX;
   const auto found = by_target_.find(target);
   if (found == by_target_.end()) {
     return result;
@@ -152,13 +153,22 @@
     if (!penalty || !usable) {
       continue;
     }
-    eligible_replicas& list = now >= item.ejected_until ? result : ejected;
+    const bool is_ejected = now < item.ejected_until;
+    if (is_ejected && item.failures_in_row < fewest_failures) {
+      fewest_failures = item.failures_in_row;
+      ejected = {};
+    }
+    if (is_ejected && item.failures_in_row > fewest_failures) {
+      continue;
+    }
+    eligible_replicas& list = is_ejected ? ejected : result;
     list.indices.push_back(index);
     list.has_free_slot.push_back(HasFreeSlot(now, item));
     list.penalty_seconds.push_back(*penalty);
     list.weights.push_back(WeightsAt(index, target));
   }
-  // If every replica is ejected, an ejected one is better than none.
+  // If every replica is ejected, those that failed least are better than none.
+  // Others may be out of reach, while these only failed single requests.
   return result.indices.empty() ? ejected : result;
 }
 
--- a/unittests/Routing/replica_table_test.cc
+++ b/unittests/Routing/replica_table_test.cc
@@ -73,6 +73,19 @@
   EXPECT_EQ(Eligible(1700).size(), 2U);
 }
 
+// Guards against requests to replicas that this daemon does not reach, because
+// the one that it reaches has failed a request.
+TEST_F(replica_table_test, PrefersTheEjectedReplicaWithFewestFailures) {
+  for (int i = 0; i < 3; ++i) {
+    table_.OnFailure(At(0), 0);
+  }
+  table_.OnFailure(At(0), 1);
+  EXPECT_EQ(Eligible(100), std::vector<replica_index>{1});
+  table_.OnFailure(At(100), 1);
+  table_.OnFailure(At(100), 1);
+  EXPECT_EQ(Eligible(200).size(), 2U) << "they failed equally often";
+}
+
 // Guards against a replica that restarts after a crash, is overloaded at once
 // and crashes again: its cache is empty, and it looks like the least busy
 // replica.
