Keep the time of a quarantine apart from the time of its verification

Cause: the time left of a quarantine was also the lease of its record in the store, so a record written in the second of the verification expired with it. Evidence: the daemons that start again list the later request from the store and not the first, whose record the log shows as read before.

Change: RetryDelay is what callers are told; TimeLeft is the quarantine's time again, for the record too.

crashing_request_test.RefusesWithUnknownThenNotRun held that callers are told ten minutes from the first moment. They are told the rest of the verification for a second, and then the rest of the ten minutes: the test holds both, each exactly. request_quarantine_test holds the record's time.

--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -92,9 +92,12 @@
   void Expire(time_point now);
 
   /// Returns how long \p request remains quarantined; nothing where it is not.
-  /// Until its crashes are verified this is the time that verification takes.
   std::optional<duration> TimeLeft(time_point now,
                                    const hash128& request) const;
+  /// Returns after which time a caller may send the quarantined \p request
+  /// again: until its crashes are verified, the rest of the verification.
+  std::optional<duration> RetryDelay(time_point now,
+                                     const hash128& request) const;
   /// Returns the changes for peers since the last call, at most 16 of each
   /// kind.
   quarantine_update TakeUpdate(time_point now);
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -386,13 +386,19 @@
   if (found == suspects_.end()) {
     return std::nullopt;
   }
-  const suspect& item = found->second;
-  const duration left = item.QuarantinedUntil() - now;
-  if (left <= duration(0)) {
+  const duration left = found->second.QuarantinedUntil() - now;
+  return left > duration(0) ? std::optional(left) : std::nullopt;
+}
+
+std::optional<duration> request_quarantine::RetryDelay(
+    time_point now,
+    const hash128& request) const {
+  const std::optional<duration> left = TimeLeft(now, request);
+  if (!left) {
     return std::nullopt;
   }
-  const duration verification = item.VerifiedAt() - now;
-  return verification > duration(0) ? std::min(left, verification) : left;
+  const duration verification = suspects_.at(request).VerifiedAt() - now;
+  return verification > duration(0) ? std::min(*left, verification) : *left;
 }
 
 quarantine_update request_quarantine::TakeUpdate(time_point now) {
--- a/lib/Core/request_refusals.cc
+++ b/lib/Core/request_refusals.cc
@@ -96,7 +96,7 @@
                                          const request& item,
                                          action_list& out) {
   const std::optional<duration> left =
-      quarantine_.TimeLeft(now, item.info.request_digest);
+      quarantine_.RetryDelay(now, item.info.request_digest);
   if (!left) {
     return false;
   }
--- a/unittests/Admission/request_quarantine_test.cc
+++ b/unittests/Admission/request_quarantine_test.cc
@@ -297,9 +297,12 @@
 // connections.
 TEST_F(request_quarantine_test, RetryTimeIsShortUntilCrashesAreVerified) {
   CrashThree();
-  EXPECT_LE(quarantine_.TimeLeft(now_, kRequest), seconds(1));
+  EXPECT_EQ(quarantine_.RetryDelay(now_, kRequest), seconds(1));
+  EXPECT_EQ(quarantine_.ListOwn(now_).front().time_left,
+            request_quarantine::kQuarantineTime);
   now_ += seconds(1);
-  EXPECT_GT(quarantine_.TimeLeft(now_, kRequest), seconds(500));
+  EXPECT_EQ(quarantine_.RetryDelay(now_, kRequest),
+            request_quarantine::kQuarantineTime - seconds(1));
 }
 
 TEST_F(request_quarantine_test, QuarantinesRequestsListedByTheStore) {
--- a/unittests/Core/crashing_request_test.cc
+++ b/unittests/Core/crashing_request_test.cc
@@ -15,6 +15,8 @@
 constexpr hash128 kCrashing{.high = 1, .low = 1};
 constexpr hash128 kHarmless{.high = 2, .low = 2};
 constexpr uint64_t kMaxCrashes = 3;
+/// Time in which the crashes under a request are verified.
+constexpr duration kVerificationTime = std::chrono::seconds(1);
 
 class crashing_request_test : public testing::Test {
  protected:
@@ -108,7 +110,13 @@
   ASSERT_TRUE(next);
   EXPECT_EQ(next->result, outcome::kNotRun);
   EXPECT_EQ(next->status, 503U);
-  EXPECT_EQ(next->retry_after, request_quarantine::kQuarantineTime);
+  EXPECT_EQ(next->retry_after, kVerificationTime);
+  now_ += kVerificationTime;
+  SendRequest(kCrashing, repeat_rule::kRepeatable, 5);
+  const auto verified = TakeAction<local_response>(out_);
+  ASSERT_TRUE(verified);
+  EXPECT_EQ(verified->retry_after,
+            request_quarantine::kQuarantineTime - kVerificationTime);
 }
 
 TEST_F(crashing_request_test, ServesOtherRequests) {
