Earn retries in the test of notices before it needs one

The daemon has just started, the requests of the first two seconds earned 0.04 of a retry each since daemons earn less at first, and on a busy machine they were fewer than the 25 that the one retry of the test needs. earn_retries sends 120.

--- a/test/process/platform_notices.sh
+++ b/test/process/platform_notices.sh
@@ -23,8 +23,8 @@
 }
 
 # One upstream of three asks for backoff: the others serve all requests.
-ask_for 2 before /stream/x
-ask_for 2 before /repeat/x
+earn_retries 0 /stream/x
+earn_retries 0 /repeat/x
 engine=$(by_run_count e1 e2 e3 | tail -1)
 service=$(by_run_count s1 s2 s3 | tail -1)
 control "$engine" rest/3
