--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -154,8 +154,7 @@
     steps = kDepartureSteps;
     min_gap = kMinDepartureGapMs;
     max_gap = kMaxDepartureGapMs;
-  } else if (mode_ == soak_mode::kPartitions ||
-             mode_ == soak_mode::kPartialPartitions) {
+  } else if (PartitionsDaemons()) {
     steps = kPartitionSteps;
     min_gap = kMinPartitionGapMs;
     max_gap = kMaxPartitionGapMs;
@@ -378,9 +377,20 @@
   });
 }
 
+bool fault_schedule::PartitionsDaemons() const {
+  return mode_ == soak_mode::kPartitions ||
+         mode_ == soak_mode::kPartialPartitions ||
+         mode_ == soak_mode::kServicePartitions;
+}
+
 std::vector<size_t> fault_schedule::ChoosePartitionedUpstreams() {
   std::vector<size_t> chosen;
+  const bool loses_engines =
+      mode_ == soak_mode::kServicePartitions && Pick(2) == 0;
   for (const bool is_engine : {true, false}) {
+    if (mode_ == soak_mode::kServicePartitions && is_engine != loses_engines) {
+      continue;
+    }
     std::vector<size_t> same_kind;
     for (size_t i = 0; i < target_.upstreams.size(); ++i) {
       if (target_.upstreams[i].is_engine == is_engine) {
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -39,6 +39,8 @@
   kPartitions,
   /// The same, but from some upstreams only.
   kPartialPartitions,
+  /// The same, but from all upstreams of one kind and none of the other.
+  kServicePartitions,
 };
 
 /// Injects one fault after another, each into a process or connection chosen by
@@ -96,8 +98,10 @@
   /// Partitions one daemon, several, or all of a failure domain from upstreams,
   /// unless a partition is in progress.
   void PartitionDaemons();
-  /// Returns the upstreams that daemons are partitioned from: all or, in the
-  /// mode of partial partitions, some of each kind.
+  /// Whether the mode is one in which daemons are partitioned.
+  bool PartitionsDaemons() const;
+  /// Returns the upstreams that daemons are partitioned from, as the mode
+  /// says.
   std::vector<size_t> ChoosePartitionedUpstreams();
   /// Resets a daemon's open connections to the store.
   void ResetStoreLink();
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -33,6 +33,7 @@
   bool departures = false;
   bool partitions = false;
   bool partial = false;
+  bool service = false;
   bool unframed = false;
   std::string build_folder = "build";
   std::string work_folder = "soak-work";
@@ -61,6 +62,9 @@
   if (opts.departures) {
     return soak_mode::kDepartures;
   }
+  if (opts.partitions && opts.service) {
+    return soak_mode::kServicePartitions;
+  }
   if (opts.partitions) {
     return opts.partial ? soak_mode::kPartialPartitions
                         : soak_mode::kPartitions;
@@ -217,6 +221,8 @@
                  "Daemons are partitioned from all upstreams");
   parser.AddFlag("partial", options.partial,
                  "Partitions leave some upstreams of each kind reachable");
+  parser.AddFlag("service", options.service,
+                 "Partitions are from all engines or all plain services");
   parser.AddFlag("unframed", options.unframed,
                  "Responses of upstreams end with their connection");
   parser.AddString("build", options.build_folder, "The build folder", "FOLDER");
