--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -80,8 +80,8 @@
   void OnCompleted(time_point now, const hash128& request, time_point sent);
   /// Applies a peer's update.
   void OnUpdate(time_point now, const quarantine_update& update);
-  /// Applies the store's list of quarantined requests. Those of
-  /// which this daemon knows that the upstreams had not crashed are ignored.
+  /// Applies the store's list of quarantined requests. Ignores those whose
+  /// upstreams had not crashed, as far as this daemon knows.
   void OnStored(time_point now, std::span<const hash128> requests);
   /// Records that \p upstream responded to an attempt or probe sent at \p sent,
   /// so it had not crashed before.
--- a/include/cuminswitch/Fleet/crash_update_queue.h
+++ b/include/cuminswitch/Fleet/crash_update_queue.h
@@ -44,7 +44,7 @@
 
   peer_update_log<timed<crash_report>, kCapacity> crashes_;
   peer_update_log<timed<completion_report>, kCapacity> completions_;
-  peer_update_log<timed<life_report>, kCapacity> responses_;
+  peer_update_log<timed<response_report>, kCapacity> responses_;
   /// Time of the event last relayed, by request and upstream.
   std::map<std::pair<hash128, uint64_t>, time_point> relayed_;
   /// Active crashes of this daemon, with ages as of `active_at_`.
--- a/include/cuminswitch/Protocol/crash_report.h
+++ b/include/cuminswitch/Protocol/crash_report.h
@@ -39,7 +39,7 @@
 };
 
 /// An upstream that a daemon regards as crashed responded.
-struct life_report {
+struct response_report {
   /// As `crash_report::upstream`.
   uint64_t upstream = 0;
   /// Time since what it responded to was sent.
@@ -50,7 +50,7 @@
 struct quarantine_update {
   std::vector<crash_report> crashes;
   std::vector<completion_report> completions;
-  std::vector<life_report> responses;
+  std::vector<response_report> responses;
   bool IsEmpty() const {
     return crashes.empty() && completions.empty() && responses.empty();
   }
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -266,7 +266,7 @@
   for (const completion_report& item : update.completions) {
     RecordCompletion(now, item.request, now - item.age, crash_source::kPeer);
   }
-  for (const life_report& item : update.responses) {
+  for (const response_report& item : update.responses) {
     OnPeerResponse(item.upstream, now - item.age);
   }
 }
--- a/lib/Fleet/crash_update_queue.cc
+++ b/lib/Fleet/crash_update_queue.cc
@@ -25,8 +25,8 @@
     completions.push_back({.report = item, .at = own.at});
   }
   completions_.Add(completions);
-  std::vector<timed<life_report>> responses;
-  for (const life_report& item : own.update.responses) {
+  std::vector<timed<response_report>> responses;
+  for (const response_report& item : own.update.responses) {
     responses.push_back({.report = item, .at = own.at});
   }
   responses_.Add(responses);
@@ -75,8 +75,8 @@
     }
   }
   completions_.Add(completions);
-  std::vector<timed<life_report>> responses;
-  for (const life_report& item : received.responses) {
+  std::vector<timed<response_report>> responses;
+  for (const response_report& item : received.responses) {
     if (NoteRelayed({}, item.upstream, now - item.age)) {
       responses.push_back({.report = item, .at = now});
     }
@@ -95,7 +95,7 @@
     item.report.age += now - item.at;
     update.completions.push_back(item.report);
   }
-  for (timed<life_report>& item : responses_.TakeFor(peer)) {
+  for (timed<response_report>& item : responses_.TakeFor(peer)) {
     item.report.age += now - item.at;
     update.responses.push_back(item.report);
   }
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -66,8 +66,8 @@
                                     .age = duration(item->age_us())});
     }
   }
-  if (wire.life_signs() != nullptr) {
-    for (const fleet_wire::life_sign* item : *wire.life_signs()) {
+  if (wire.responses() != nullptr) {
+    for (const fleet_wire::upstream_response* item : *wire.responses()) {
       if (!IsPlausibleAge(item->age_us())) {
         return false;
       }
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -71,9 +71,9 @@
       completions.emplace_back(item.request.high, item.request.low,
                                item.age.count());
     }
-    std::vector<fleet_wire::life_sign> life_signs;
-    for (const life_report& item : frame.quarantine.responses) {
-      life_signs.emplace_back(item.upstream, item.age.count());
+    std::vector<fleet_wire::upstream_response> responses;
+    for (const response_report& item : frame.quarantine.responses) {
+      responses.emplace_back(item.upstream, item.age.count());
     }
     std::vector<flatbuffers::Offset<fleet_wire::member>> members;
     for (const member_update& item : frame.members) {
@@ -105,7 +105,7 @@
                frame.is_watched, out_.CreateVector(members),
                freshness.daemon_hash, freshness.age.count(),
                sender.recovery.event, sender.recovery.left.count(),
-               sender.recovery.revision, out_.CreateVectorOfStructs(life_signs))
+               sender.recovery.revision, out_.CreateVectorOfStructs(responses))
         .Union();
   }
 
