--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -66,10 +66,11 @@
 }
 
 # start_replica ID SERVICE [MODEL [VERSION]]: starts an upstream and registers
-# it in the store.
+# it in the store. SOFTWARE is the version of its software, which its events
+# name.
 start_replica() {
   start_stand_in "$1" replica_stand_in --id "$1" --model "${3:-}" \
-    --version "${4:-1}"
+    --version "${4:-1}" --software "${SOFTWARE:-}"
   list_replica "$1" "$2" "$ADDRESS" ready "${3:-}" "${4:-1}"
 }
 
@@ -79,7 +80,7 @@
   local models="[]"
   [[ -n ${5:-} ]] && models="[{\"name\":\"$5\",\"version\":$6}]"
   put "servers/$1" "{\"backend\":\"$2\",\"address\":\"$3\",\"zone\":\"z1\",
-    \"version\":\"v1\",\"slots\":64,\"state\":\"$4\",\"seq\":1,
+    \"version\":\"${SOFTWARE:-v1}\",\"slots\":64,\"state\":\"$4\",\"seq\":1,
     \"cold-left-ms\":0,\"models\":$models}"
 }
 
@@ -169,7 +170,8 @@
 }
 
 # ask INDEX ID PATH [KEY]: sends a POST to the daemon as a caller; leaves the
-# body in $WORK/out and the status in $WORK/err.
+# body in $WORK/out and the status in $WORK/err. BODY is the request's body,
+# EXTRA_HEADERS are further headers, one per line.
 ask() {
   FETCH_HEADERS="Host: h
 X-Attempt-Id: $2
@@ -177,8 +179,9 @@
 X-Model: m
 X-Token-Usage: 100,10
 X-Prompt-Prefix: aa:50,bb:40,$2:10
-Authorization: Token ${4:-key1}" \
-    "$BUILD/utils/fetch" "$(front "$1")" "$3" body >"$WORK/out" 2>"$WORK/err"
+Authorization: Token ${4:-key1}${EXTRA_HEADERS:+
+$EXTRA_HEADERS}" \
+    "$BUILD/utils/fetch" "$(front "$1")" "$3" "${BODY:-body}" >"$WORK/out" 2>"$WORK/err"
 }
 
 # earn_retries INDEX PATH: sends 120 requests that are served, six at a time, so
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -11,6 +11,7 @@
 //              request and closes the connection without a response
 //   /hang/     sends no response
 //   /crash/    executes the request, and the process exits
+//   /slow/     an engine pauses for longer between events
 //
 // Control requests change its state:
 //
@@ -56,6 +57,8 @@
 constexpr char kJson[] = "application/json";
 /// Events in a complete stream.
 constexpr int kEvents = 5;
+/// Pauses between events of a slow stream, in those of another stream.
+constexpr int kSlowPauses = 20;
 
 constexpr std::string_view kControlLimit = "/control/limit/";
 constexpr std::string_view kControlBackoff = "/control/rest/";
@@ -116,6 +119,9 @@
   std::string id = "i-1";
   std::string model;
   int version = 1;
+  /// Written into each event, so that callers see which software made it; empty
+  /// for none.
+  std::string software;
   int event_gap_ms = 10;
 };
 
@@ -160,6 +166,9 @@
     exchange_ptr exchange;
     int next = 1;
     int last = kEvents;
+    /// Pauses between two events, and those left until the next event.
+    int pauses = 1;
+    int pauses_left = 0;
   };
 
   json Models() const {
@@ -279,34 +288,39 @@
       exchange->Reply(200, "text/plain", "answer of " + options_.id,
                       ResponseHeaders(*exchange));
     } else {
-      Stream(exchange, has("/cut/"));
+      Stream(exchange, has("/cut/"), has("/slow/"));
     }
   }
 
-  void Stream(const exchange_ptr& exchange, bool is_truncated) {
+  void Stream(const exchange_ptr& exchange, bool is_truncated, bool is_slow) {
     exchange->BeginStream(200, "text/event-stream", ResponseHeaders(*exchange));
     const std::string last = exchange->Header("Last-Event-Id");
     streams_.push_back({.exchange = exchange,
                         .next = last.empty() ? 1 : std::stoi(last) + 1,
-                        .last = is_truncated && last.empty() ? 2 : kEvents});
+                        .last = is_truncated && last.empty() ? 2 : kEvents,
+                        .pauses = is_slow ? kSlowPauses : 1});
     if (streams_.size() == 1) {
       timer_.Start(std::chrono::milliseconds(options_.event_gap_ms));
     }
   }
 
   void OnTick() {
-    streams_.remove_if([](stream& item) { return Advance(item); });
+    streams_.remove_if([this](stream& item) { return Advance(item); });
     if (!streams_.empty()) {
       timer_.Start(std::chrono::milliseconds(options_.event_gap_ms));
     }
   }
 
   /// Sends the next event; returns whether the stream has ended.
-  static bool Advance(stream& item) {
+  bool Advance(stream& item) const {
     if (item.exchange->IsClosed()) {
       std::cout << "cancelled" << std::endl;
       return true;
     }
+    if (item.pauses_left-- > 0) {
+      return false;
+    }
+    item.pauses_left = item.pauses - 1;
     const std::string number = std::to_string(item.next);
     if (item.next > item.last) {
       if (item.last == kEvents) {
@@ -317,8 +331,10 @@
       }
       return true;
     }
+    const std::string author =
+        options_.software.empty() ? "" : " of " + options_.software;
     item.exchange->SendChunk("id: " + number + "\ndata: event " + number +
-                             "\n\n");
+                             author + "\n\n");
     ++item.next;
     return false;
   }
@@ -350,6 +366,9 @@
   parser.AddString("model", options.model,
                    "Model of an engine; empty for a service", "MODEL");
   parser.AddInteger("version", options.version, "Version of the weights");
+  parser.AddString("software", options.software,
+                   "Version of its software, which each event names",
+                   "VERSION");
   parser.AddInteger("event-gap-ms", options.event_gap_ms,
                     "Milliseconds between two events");
   parser.Parse(ArgumentsOf(argc, argv));
