Log the software versions of upstreams and which requests resume a stream

The logs of the incident show neither, so its hypotheses could not be told apart. upstreams_changed and attempt_placed name the software version of an upstream, and attempt_placed the attempt that a caller resumes. The version of an upstream's store entry was checked and dropped; it is kept now, and nothing decides by it yet.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -79,6 +79,8 @@
   upstream_kind kind = upstream_kind::kEngine;
   endpoint address;
   std::string failure_domain;
+  /// Version of its software; empty if unknown.
+  std::string software_version;
   /// Names of the models (engine) or services (service) it serves.
   std::vector<std::string> serves;
   /// Maximum number of concurrent requests from all daemons.
--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -34,6 +34,11 @@
   std::optional<duration> max_wait;
   /// A peer forwarded the request because it reaches no upstream.
   bool is_forwarded = false;
+  /// For a stream that the caller resumes: the identifier of the caller's
+  /// attempt that brought its first event. Empty otherwise.
+  std::string resumed_attempt;
+  /// The caller resumes a stream after an event that it names.
+  bool has_last_event = false;
   std::string model;
   std::vector<prompt_part> parts;
   uint32_t prompt_tokens = 0;
--- a/include/cuminswitch/Fleet/fleet_snapshot.h
+++ b/include/cuminswitch/Fleet/fleet_snapshot.h
@@ -33,6 +33,8 @@
   std::string service;
   endpoint address;
   std::string failure_domain;
+  /// Version of its software. Streams cannot be resumed at another one.
+  std::string software_version;
   uint32_t slots = 0;
   bool is_draining = false;
   /// Start time in Unix milliseconds by the upstream's own clock. It
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -42,6 +42,8 @@
   bool after_failure = false;
   /// Weights version that the upstream last reported; empty for a service.
   std::string weights_version;
+  /// The upstream's software version; empty if unknown.
+  std::string software_version;
   /// Another engine or a cache store that should have more of the prompt's
   /// prefixes cached; the upstream may copy them from there.
   std::optional<endpoint> cache_source;
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -14,6 +14,7 @@
   line.Add("id", flow.request().attempt)
       .Add("upstream", action.upstream)
       .Add("weights", action.weights_version)
+      .Add("software", action.software_version)
       .Add("earlier_attempts", action.earlier_attempts)
       .Add("waited_ms", now - flow.arrived())
       .Add("prompt_tokens", action.prompt_tokens)
@@ -21,6 +22,9 @@
            static_cast<uint64_t>(action.expected_cached_tokens))
       .Add("prefix", action.prefix_origin)
       .Add("expected_queue_ms", action.expected_queue);
+  if (flow.request().has_last_event) {
+    line.Add("resumes", flow.request().resumed_attempt);
+  }
   if (action.earlier_attempts > 0) {
     line.Add("retries_used", action.retries_used)
         .Add("retries_allowed", static_cast<uint64_t>(action.retries_allowed));
--- a/lib/Edge/routing_config_translator.cc
+++ b/lib/Edge/routing_config_translator.cc
@@ -72,6 +72,7 @@
                                                    : upstream_kind::kEngine,
                      .address = entry.address,
                      .failure_domain = entry.failure_domain,
+                     .software_version = entry.software_version,
                      .serves = {entry.service},
                      .max_in_flight = std::max<uint32_t>(1, entry.slots),
                      .leaving = entry.is_draining};
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -29,7 +29,8 @@
   for (const weights_version& has : item.weights) {
     text += "/v" + std::to_string(has.version);
   }
-  return text + (item.is_draining ? "/draining" : "");
+  return text + "/software_" + item.software_version +
+         (item.is_draining ? "/draining" : "");
 }
 
 /// Whether \p a and \p b are equal apart from what matters only for items
