--- a/lib/Edge/edge_origins.cc
+++ b/lib/Edge/edge_origins.cc
@@ -37,13 +37,12 @@
   // The version of a stream that has begun is final.
   const uint32_t number =
       request.has_last_event ? UINT32_MAX : action.earlier_attempts + 1;
-  origins_.OnDispatch(
-      now, flow.id(),
-      {.stream = StreamOf(request),
-       .software = action.software,
-       .number = number,
-       .time_left = std::min(kMaxStreamTime,
-                             request.max_wait.value_or(kMaxStreamTime))});
+  // Callers may return after the deadline that they stated for one attempt.
+  origins_.OnDispatch(now, flow.id(),
+                      {.stream = StreamOf(request),
+                       .software = action.software,
+                       .number = number,
+                       .time_left = kMaxStreamTime});
   ProcessOrigins(now);
 }
 
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -312,7 +312,8 @@
                                        .caller_address = {"10.0.0.2", 8},
                                        .failure_domain = "z",
                                        .link_rate = 20,
-                                       .is_ready = true}};
+                                       .is_ready = true,
+                                       .tracks_streams = true}};
   const member_update suspected{
       .record = {.name = "c", .incarnation = 6, .version = 9},
       .is_suspected = true};
@@ -325,10 +326,54 @@
             alive.record.caller_address);
   EXPECT_EQ(heartbeat.members[0].record.version, 3U);
   EXPECT_TRUE(heartbeat.members[0].record.is_ready);
+  EXPECT_TRUE(heartbeat.members[0].record.tracks_streams);
   EXPECT_TRUE(heartbeat.members[1].is_suspected);
   EXPECT_EQ(heartbeat.members[1].record.version, 9U);
 }
 
+template <class Frame>
+std::optional<peer_frame> SendAndReceiveFrame(const Frame& frame) {
+  const std::string bytes = EncodePeerFrame(frame);
+  return DecodePeerFrame(
+      {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()});
+}
+
+TEST(peer_frame_test, DecodesOriginsOfStreams) {
+  const stream_origin origin{.stream = 1,
+                             .software = 2,
+                             .number = 3,
+                             .time_left = std::chrono::milliseconds(1500)};
+  const auto report = SendAndReceiveFrame(origin_report{.origins = {origin}});
+  ASSERT_TRUE(report.has_value());
+  EXPECT_EQ(std::get<origin_report>(*report).origins, std::vector{origin});
+  const auto known =
+      SendAndReceiveFrame(origin_reply{.ticket = 4, .origin = origin});
+  ASSERT_TRUE(known.has_value());
+  EXPECT_EQ(std::get<origin_reply>(*known).origin, origin);
+  const auto unknown = SendAndReceiveFrame(origin_reply{.ticket = 4});
+  ASSERT_TRUE(unknown.has_value());
+  EXPECT_FALSE(std::get<origin_reply>(*unknown).origin);
+  const auto query = SendAndReceiveFrame(
+      origin_query{.from = {"10.0.0.2", 7}, .ticket = 5, .stream = 6});
+  ASSERT_TRUE(query.has_value());
+  EXPECT_EQ(std::get<origin_query>(*query).from, (endpoint{"10.0.0.2", 7}));
+}
+
+// Guards against a faulty peer whose record would allow any version, or stay
+// for ever.
+TEST(peer_frame_test, RejectsInvalidOrigins) {
+  EXPECT_FALSE(SendAndReceiveFrame(
+                   origin_report{.origins = {{.stream = 1, .software = 0}}})
+                   .has_value());
+  EXPECT_FALSE(
+      SendAndReceiveFrame(
+          origin_reply{.origin =
+                           stream_origin{.stream = 1,
+                                         .software = 2,
+                                         .time_left = 2 * kMaxStreamTime}})
+          .has_value());
+}
+
 // Guards against a faulty peer that fills the peer tables of all others.
 TEST(peer_frame_test, RejectsInvalidMemberUpdates) {
   const member_update without_address{.record = {.name = "b"}};
--- a/unittests/PlatformAdapter/document_decoder_test.cc
+++ b/unittests/PlatformAdapter/document_decoder_test.cc
@@ -134,6 +134,7 @@
   ASSERT_EQ(snapshot->upstreams.size(), 1U);
   EXPECT_EQ(snapshot->upstreams[0].id, "i-1");
   EXPECT_EQ(snapshot->upstreams[0].weights[0].version, 3U);
+  EXPECT_EQ(snapshot->upstreams[0].software_version, "v1");
   EXPECT_FALSE(snapshot->upstreams[0].is_draining);
   Put("servers/i-1",
       R"({"backend":"s1","address":"10.0.0.9:80","zone":"z","version":"v1",
@@ -325,6 +326,14 @@
   EXPECT_TRUE(Decode()->quarantined.empty());
 }
 
+TEST_F(document_decoder_test, TracksMixedServices) {
+  const std::string key = std::string(kMixedServicesPrefix) + "ab";
+  Put(key, "s1");
+  EXPECT_EQ(Decode()->mixed_services, std::vector<std::string>{"s1"});
+  Remove(key);
+  EXPECT_TRUE(Decode()->mixed_services.empty());
+}
+
 TEST_F(document_decoder_test, ReadsQuota) {
   Put("op/config", WithWorkspace("\"unit\":\"tokens\",\"rate-per-s\":500,"
                                  "\"burst\":700,\"uncached-tokens\":200"));
