Add software versions to the soak

Two software versions of engines side by side; callers resume the streams that break off, up to three times, at other daemons. Daemons are killed alone and all at once, stopped and suspended, engines killed and drained. Checked by the bytes that callers see: a stream holds one version and each event once, and resumed streams go on at least half as often as new ones are complete.

--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -67,6 +67,8 @@
   /// Path of its log, and the log as read so far.
   std::string log;
   std::ifstream lines;
+  /// Version of its software; kept over its starts.
+  std::string software = "v1";
   /// Version of the weights that it has loaded.
   int version = 1;
   bool is_registered = false;
@@ -94,6 +96,9 @@
     bool attributes_connections = false;
     /// Whether responses of upstreams reach daemons without their framing.
     bool removes_framing = false;
+    /// Whether every second engine has another software version, which events
+    /// name.
+    bool mixes_versions = false;
   };
 
   deployment(event_base* base, options opts, guarantee_checker& checker);
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -141,6 +141,12 @@
       &fault_schedule::ReloadDaemon,     &fault_schedule::ChangeConfiguration,
       &fault_schedule::PartitionDaemons, &fault_schedule::PartitionDaemons,
       &fault_schedule::PartitionDaemons, &fault_schedule::PartitionDaemons};
+  static constexpr std::array<step, 10> kVersionSteps = {
+      &fault_schedule::KillDaemon,       &fault_schedule::KillDaemon,
+      &fault_schedule::KillDaemon,       &fault_schedule::StopDaemon,
+      &fault_schedule::PauseDaemon,      &fault_schedule::InjectStoreLinkFault,
+      &fault_schedule::KillAllDaemons,   &fault_schedule::KillUpstream,
+      &fault_schedule::InjectStoreFault, &fault_schedule::DrainUpstream};
   std::span<const step> steps = kSteps;
   int min_gap = kMinGapMs;
   int max_gap = kMaxGapMs;
@@ -150,6 +156,10 @@
     steps = kCrashSteps;
   } else if (mode_ == soak_mode::kFeedback) {
     steps = kFeedbackSteps;
+  } else if (mode_ == soak_mode::kVersions) {
+    steps = kVersionSteps;
+    min_gap = kMinDepartureGapMs;
+    max_gap = kMaxDepartureGapMs;
   } else if (mode_ == soak_mode::kDepartures) {
     steps = kDepartureSteps;
     min_gap = kMinDepartureGapMs;
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -41,6 +41,9 @@
   kPartialPartitions,
   /// The same, but from all upstreams of one kind and none of the other.
   kServicePartitions,
+  /// Engines of two software versions serve side by side; faults of daemons,
+  /// alone and all at once, and crashes of engines.
+  kVersions,
 };
 
 /// Injects one fault after another, each into a process or connection chosen by
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -18,6 +18,7 @@
 #include "soak/limit_check.h"
 #include "soak/partition_check.h"
 #include "soak/steady_time.h"
+#include "soak/version_check.h"
 
 namespace cuminswitch::soak {
 
@@ -32,6 +33,8 @@
   /// Must run at most once.
   bool is_once = false;
   bool is_stream = false;
+  /// The caller resumes a stream that another attempt began.
+  bool is_resumption = false;
   /// Makes its upstream misbehave, so that no success is expected.
   bool provokes_failure = false;
   /// For requests that crash each upstream that runs them: equal for requests
@@ -127,6 +130,7 @@
   size_t partition_checked() const { return partitions_.counted(); }
   size_t departures() const { return departures_.counted(); }
   size_t late_at_departed() const { return departures_.late(); }
+  const version_check& versions() const { return versions_; }
 
  private:
   struct record {
@@ -150,6 +154,7 @@
   crash_check crashes_;
   departure_check departures_;
   partition_check partitions_;
+  version_check versions_;
   std::vector<std::string> findings_;
   size_t served_ = 0;
 };
--- a/test/soak/soak_caller.h
+++ b/test/soak/soak_caller.h
@@ -37,6 +37,8 @@
     bool sends_crashing = false;
     /// Sends the same request as the other callers every second time.
     bool sends_equal = false;
+    /// Resumes streams that end before they are complete.
+    bool resumes_streams = false;
   };
 
   soak_caller(event_base* base, options opts, guarantee_checker& checker);
@@ -56,6 +58,11 @@
   /// Turns the next request into one that crashes upstreams. All callers send
   /// the same such request for some seconds.
   void MakeCrashing(std::string& body);
+  /// Returns the fields that resume the stream that the last response broke
+  /// off, and turns the next request into that; empty if there is none.
+  std::string MakeResumption();
+  /// Keeps the events of a stream that is to be resumed.
+  void KeepBegunStream();
   void OnReadable();
   void OnClosed();
   void EndRequest();
@@ -74,6 +81,12 @@
   bool keeps_connection_ = false;
   bool is_stopping_ = false;
   uint64_t count_ = 0;
+  /// The complete events of a stream that is to be resumed, and the attempt
+  /// that brought the first of them.
+  std::string begun_events_;
+  std::string begun_attempt_;
+  std::string begun_path_;
+  int resumptions_ = 0;
 };
 
 }  // namespace cuminswitch::soak
