Forward requests of a service whose upstreams this daemon lost

Cause: the contact with upstreams was judged as a whole, and a response of any service ended each doubt, so such a daemon counted as reaching upstreams. The contact is judged for each service too, with probes of its own while others are reached; a daemon forwards the requests of a service that it lost, tells its peers which, and forwards to peers that have not lost it. Crashes are still judged by the contact with all upstreams.

--- a/include/cuminswitch/Edge/arrival_translator.h
+++ b/include/cuminswitch/Edge/arrival_translator.h
@@ -19,6 +19,9 @@
 /// digest, so that requests of two workspaces never share one.
 hash128 DigestRequest(const caller_exchange& exchange,
                       std::string_view workspace);
+/// Returns the service of \p route that \p request goes to.
+const std::string& ServiceFor(const route_spec& route,
+                              const caller_request& request);
 /// Returns the router's name of \p service, which serves \p model if its
 /// upstreams are engines.
 std::string TargetOf(const routing_config& config,
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -7,12 +7,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "cuminswitch/Admission/upstream_limits.h"
 #include "cuminswitch/Core/request_router.h"
+#include "cuminswitch/Edge/contact_monitor.h"
 #include "cuminswitch/Edge/crash_verifier.h"
 #include "cuminswitch/Edge/edge_metrics.h"
 #include "cuminswitch/Edge/edge_protocol.h"
@@ -21,9 +23,7 @@
 #include "cuminswitch/Edge/quota_admission.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Edge/stream_origin_registry.h"
-#include "cuminswitch/Edge/upstream_contact.h"
 #include "cuminswitch/Edge/upstream_limit_admission.h"
-#include "cuminswitch/Edge/upstream_prober.h"
 #include "cuminswitch/Edge/weights_version_counter.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Fleet/software_history.h"
@@ -116,27 +116,41 @@
   /// Logs whether any upstream is reached when that has changed, and starts
   /// probes when they are due.
   void UpdateContact();
-  void OnProbesEnded(bool has_response);
-  /// Tells the peers whether this daemon reaches upstreams.
+  void UpdateLostServices();
+  /// Logs that this daemon lost or reaches the upstreams of \p service, or all
+  /// if that is empty.
+  void LogContact(std::string_view service, const upstream_contact& contact);
+  /// Returns the service of the upstream at \p address; empty if it is unknown.
+  std::string_view ServiceAt(const endpoint& address) const;
+  /// Returns the contact with the upstreams of \p service; null if no request
+  /// has failed at them.
+  contact_monitor* FindContact(std::string_view service);
+  /// Returns the same, created if there is none.
+  contact_monitor& ContactOf(std::string_view service);
+  /// Whether this daemon reaches no upstream of \p service.
+  bool HasLost(std::string_view service) const;
+  /// Tells the peers which upstreams this daemon reaches.
   void ReportReadiness();
   /// Forwards a request to a peer; \p opts lacks the peers. Returns false if
   /// there is no peer to forward to.
   bool Forward(forwarded_request::options opts);
-  /// Forwards the request of \p flow if this daemon reaches no upstream and
-  /// none may have run it; the flow has ended then.
+  /// Forwards the request of \p flow if this daemon reaches no upstream of its
+  /// service and none may have run it; the flow has ended then.
   bool ForwardUnsent(request_flow& flow);
   /// Removes a flow that has ended, from the event loop.
   void RemoveFlowLater(const request_flow& flow);
-  /// Answers an accepted request, while no upstream is reached, without routing
-  /// it here. Returns false if it must be routed.
+  /// Answers an accepted request, while no upstream of its service is reached,
+  /// without routing it here. Returns false if it must be routed.
   bool RedirectRequest(caller_exchange& exchange,
                        const caller_request& request,
                        const route_spec& route);
-  /// Rejects a request that is not routed.
+  /// Rejects a request that is not routed. \p is_unreachable: because no
+  /// upstream of its service is reached.
   void RejectRequest(caller_exchange& exchange,
                      const caller_request& request,
                      uint32_t status,
-                     duration retry_after);
+                     duration retry_after,
+                     bool is_unreachable);
   /// Applies the rate limit that a response advertises.
   void ApplyLimit(const request_flow& flow, const limit_notice& notice);
   /// Applies the backoff that an upstream requested with a refusal.
@@ -246,11 +260,12 @@
   request_router router_;
   byte_account buffer_account_;
   upstream_pool pool_;
-  upstream_contact contact_;
-  upstream_prober prober_;
+  contact_monitor contact_;
+  /// By service; for services at which a request has failed.
+  std::map<std::string, std::unique_ptr<contact_monitor>, std::less<>>
+      service_contacts_;
+  std::set<std::string, std::less<>> lost_services_;
   crash_verifier verifier_;
-  time_point probes_sent_at_{};
-  uint64_t probe_rounds_ = 0;
   bool has_lost_upstreams_ = false;
   std::unique_ptr<caller_server> server_;
   loop_timer tick_timer_;
--- a/include/cuminswitch/Edge/forwarded_request.h
+++ b/include/cuminswitch/Edge/forwarded_request.h
@@ -58,6 +58,8 @@
     /// The caller's identifier of this attempt.
     std::string attempt;
     std::string route;
+    /// The service that the request is routed to.
+    std::string service;
     time_point arrived{};
     /// When the request times out.
     time_point deadline{};
--- a/include/cuminswitch/Edge/peer_selection.h
+++ b/include/cuminswitch/Edge/peer_selection.h
@@ -13,10 +13,12 @@
 namespace cuminswitch {
 
 /// Returns the peers that the request of the caller's \p attempt is offered to,
-/// in the order in which they are tried: at most three that reach upstreams.
-/// Those that are stopping come last. Different attempts get different peers.
+/// in the order in which they are tried: at most three that reach upstreams of
+/// \p service. Those that are stopping come last. Different attempts get
+/// different peers.
 std::vector<forward_target> ChooseForwardTargets(
     std::span<const daemon_record> peers,
+    std::string_view service,
     std::string_view attempt);
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "cuminswitch/Edge/attempt_disposition.h"
 #include "cuminswitch/Edge/edge_protocol.h"
@@ -78,6 +79,8 @@
     /// The configuration that `route` points into.
     std::shared_ptr<const routing_config> config;
     const route_spec* route = nullptr;
+    /// The service that the request is routed to.
+    std::string service;
     std::string workspace;
     uint32_t rank = 0;
     bool uses_cache = false;
@@ -103,6 +106,10 @@
   /// Ends the request as the router, which has no further upstream for it,
   /// decided.
   void GiveUp(const local_response& action);
+  /// Routes the request to another service; it may not have been sent yet.
+  void SetService(std::string service) {
+    options_.service = std::move(service);
+  }
   /// Stops the current attempt. The request counts as possibly executed.
   void CancelAttempt();
 
@@ -121,6 +128,7 @@
   const caller_request& request() const { return options_.request; }
   const routing_config& config() const { return *options_.config; }
   const route_spec& route() const { return *options_.route; }
+  const std::string& service() const { return options_.service; }
   const std::string& workspace() const { return options_.workspace; }
   const hash128& digest() const { return options_.digest; }
   const std::string& upstream() const { return upstream_; }
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -19,9 +19,12 @@
 
 /// The daemon is stopping; peers are notified at once.
 struct fleet_stop_requested {};
-/// Whether the daemon has a configuration and reaches upstreams changed.
+/// Whether the daemon has a configuration and reaches upstreams, and which,
+/// changed.
 struct readiness_changed {
   bool is_ready = false;
+  /// See `daemon_record::lost_services`.
+  std::vector<uint64_t> lost_services;
 };
 /// The backlog of this daemon's requests at upstreams, its recent traffic, and
 /// the prefixes that it placed since the last message of this kind.
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -52,6 +52,9 @@
   uint32_t link_rate = 0;
   /// It has a configuration and reaches upstreams.
   bool is_ready = false;
+  /// Hashes of the names of the services of which it reaches no upstream,
+  /// though it reaches others.
+  std::vector<uint64_t> lost_services;
   /// It is stopping. Callers get other addresses, but it serves what arrives.
   bool is_leaving = false;
   /// It got a reply of the store recently.
--- a/lib/Edge/arrival_translator.cc
+++ b/lib/Edge/arrival_translator.cc
@@ -28,6 +28,14 @@
   return route.shares.front().service;
 }
 
+const std::string& ServiceFor(const route_spec& route,
+                              const caller_request& request) {
+  // All attempts at one stream go to the same service.
+  return ChooseService(route, request.resumed_attempt.empty()
+                                  ? request.attempt
+                                  : request.resumed_attempt);
+}
+
 /// Returns the prompt's prefix levels; each is the prompt up to the end of one
 /// part.
 static std::vector<prefix_level> MakeLevels(
@@ -66,15 +74,10 @@
 request_arrived DescribeArrival(const request_flow::options& flow,
                                 const workspace_config* workspace) {
   const route_spec& route = *flow.route;
-  // All attempts at one stream go to the same service.
-  const caller_request& request = flow.request;
-  const std::string& service = ChooseService(
-      route, request.resumed_attempt.empty() ? request.attempt
-                                             : request.resumed_attempt);
   request_arrived arrival{
       .request = flow.id,
       .workspace = flow.workspace,
-      .target = TargetOf(*flow.config, service, flow.request.model),
+      .target = TargetOf(*flow.config, flow.service, flow.request.model),
       .levels = MakeLevels(flow.request.parts),
       .prompt_tokens = flow.request.prompt_tokens,
       .request_digest = flow.digest,
--- a/lib/Edge/edge_arrivals.cc
+++ b/lib/Edge/edge_arrivals.cc
@@ -58,7 +58,8 @@
   }
   if (status != 0) {
     RejectRequest(exchange, request, status,
-                  stop_.HasBegun() ? kStoppingRetryAfter : kStartupRetryAfter);
+                  stop_.HasBegun() ? kStoppingRetryAfter : kStartupRetryAfter,
+                  false);
   } else if (!RedirectRequest(exchange, request, *route)) {
     BeginFlow(exchange, std::move(request), *route, workspace);
   }
@@ -67,7 +68,8 @@
 bool edge_task::RedirectRequest(caller_exchange& exchange,
                                 const caller_request& request,
                                 const route_spec& route) {
-  if (!has_lost_upstreams_) {
+  const std::string& service = ServiceFor(route, request);
+  if (!HasLost(service)) {
     return false;
   }
   const time_point now = ReadBootClock();
@@ -76,11 +78,12 @@
                 .exchange = &exchange,
                 .attempt = request.attempt,
                 .route = route.name,
+                .service = service,
                 .arrived = now,
                 .deadline = now + MaxWait(request, route),
                 .peers = {}})) {
     RejectRequest(exchange, request, status_code::kUnavailable,
-                  kUnreachableRetryAfter);
+                  kUnreachableRetryAfter, true);
   }
   return true;
 }
@@ -88,17 +91,17 @@
 void edge_task::RejectRequest(caller_exchange& exchange,
                               const caller_request& request,
                               uint32_t status,
-                              duration retry_after) {
+                              duration retry_after,
+                              bool is_unreachable) {
   metrics_.CountRejected(status);
   const uint64_t version = HasConfig() ? snapshot_->config->version : 0;
-  with_.log.Write(log_class::kRequest,
-                  log_line("request_rejected")
-                      .Add("id", request.attempt)
-                      .Add("host", request.host)
-                      .Add("path", request.path)
-                      .Add("status", status)
-                      .Add("unreachable", has_lost_upstreams_)
-                      .Add("configuration", version));
+  with_.log.Write(log_class::kRequest, log_line("request_rejected")
+                                           .Add("id", request.attempt)
+                                           .Add("host", request.host)
+                                           .Add("path", request.path)
+                                           .Add("status", status)
+                                           .Add("unreachable", is_unreachable)
+                                           .Add("configuration", version));
   http_headers headers;
   if (status == status_code::kUnavailable) {
     headers.push_back(RetryAfter(retry_after));
@@ -118,6 +121,7 @@
       .request = std::move(request),
       .config = snapshot_->config,
       .route = &route,
+      .service = {},
       .workspace = workspace == nullptr ? std::string() : workspace->name,
       .rank = workspace == nullptr ? route.rank
                                    : workspace->rank.value_or(route.rank),
@@ -125,6 +129,7 @@
       .digest = {},
       .arrived = now,
       .deadline = now + max_wait};
+  options.service = ServiceFor(route, options.request);
   options.uses_cache = !options.request.parts.empty();
   options.digest = DigestRequest(exchange, options.workspace);
   request_arrived arrival = DescribeArrival(options, workspace);
--- a/lib/Edge/edge_contact.cc
+++ b/lib/Edge/edge_contact.cc
@@ -1,5 +1,10 @@
 // Tracks whether this daemon reaches any upstream.
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cuminswitch/Edge/edge_task.h"
@@ -10,15 +15,38 @@
 
 namespace cuminswitch {
 
-/// Upstreams probed at once, so that a few that have crashed do not look like a
-/// partition.
-static constexpr size_t kProbes = 3;
+std::string_view edge_task::ServiceAt(const endpoint& address) const {
+  const auto found = upstreams_by_address_.find(address);
+  return found == upstreams_by_address_.end() ? std::string_view()
+                                              : found->second->service;
+}
+
+contact_monitor* edge_task::FindContact(std::string_view service) {
+  const auto found = service_contacts_.find(service);
+  return found == service_contacts_.end() ? nullptr : found->second.get();
+}
+
+contact_monitor& edge_task::ContactOf(std::string_view service) {
+  std::unique_ptr<contact_monitor>& item =
+      service_contacts_[std::string(service)];
+  if (item == nullptr) {
+    item = std::make_unique<contact_monitor>(
+        base(), pool_, Hash64(service, Hash64(options_.self.name)),
+        [this] { UpdateContact(); });
+  }
+  return *item;
+}
 
 void edge_task::OnConnectionLost(const request_flow& flow) {
   pool_.Forget(flow.address());
-  contact_.OnFailure(ReadBootClock(),
-                     {.upstream = flow.address(),
-                      .on_new_connection = flow.is_on_new_connection()});
+  const time_point now = ReadBootClock();
+  const upstream_contact::failure seen{
+      .upstream = flow.address(),
+      .on_new_connection = flow.is_on_new_connection()};
+  contact_.contact().OnFailure(now, seen);
+  if (const auto service = ServiceAt(flow.address()); !service.empty()) {
+    ContactOf(service).contact().OnFailure(now, seen);
+  }
   UpdateContact();
 }
 
@@ -28,7 +56,11 @@
 }
 
 void edge_task::OnUpstreamSilent(const request_flow& flow) {
-  contact_.OnSilence(ReadBootClock(), flow.address(), flow.sent_at());
+  const time_point now = ReadBootClock();
+  contact_.contact().OnSilence(now, flow.address(), flow.sent_at());
+  if (const auto service = ServiceAt(flow.address()); !service.empty()) {
+    ContactOf(service).contact().OnSilence(now, flow.address(), flow.sent_at());
+  }
   UpdateContact();
 }
 
@@ -45,49 +77,83 @@
   return request_quarantine::contact::kReached;
 }
 
+void edge_task::LogContact(std::string_view service,
+                           const upstream_contact& contact) {
+  const bool is_lost = contact.current() == upstream_contact::state::kLost;
+  log_line line(is_lost ? "upstreams_unreachable" : "upstreams_reachable");
+  if (!service.empty()) {
+    line.Add("service", service);
+  }
+  line.Add("failed", contact.failed().size())
+      .Add("known", upstreams_by_address_.size())
+      .Add("doubted_ms", ReadBootClock() - contact.doubted_since());
+  with_.log.Write(log_class::kLifecycle, line);
+}
+
+void edge_task::UpdateLostServices() {
+  std::set<std::string, std::less<>> lost;
+  for (const auto& [service, monitor] : service_contacts_) {
+    if (monitor->IsLost()) {
+      lost.insert(service);
+    }
+    if (monitor->IsLost() != lost_services_.contains(service)) {
+      LogContact(service, monitor->contact());
+    }
+  }
+  if (lost != lost_services_) {
+    lost_services_ = std::move(lost);
+    ReportReadiness();
+  }
+}
+
 void edge_task::UpdateContact() {
   const time_point now = ReadBootClock();
-  router_.quarantine().SetContact(now, ToQuarantineContact(contact_.current()));
-  if (const bool is_lost = contact_.current() == upstream_contact::state::kLost;
-      is_lost != has_lost_upstreams_) {
-    has_lost_upstreams_ = is_lost;
-    with_.log.Write(
-        log_class::kLifecycle,
-        log_line(is_lost ? "upstreams_unreachable" : "upstreams_reachable")
-            .Add("failed", contact_.failed().size())
-            .Add("known", upstreams_by_address_.size())
-            .Add("doubted_ms", now - contact_.doubted_since()));
-    if (HasConfig()) {
-      ReportReadiness();
-    }
+  const upstream_contact& contact = contact_.contact();
+  router_.quarantine().SetContact(now, ToQuarantineContact(contact.current()));
+  if (contact_.IsLost() != has_lost_upstreams_) {
+    has_lost_upstreams_ = contact_.IsLost();
+    LogContact({}, contact);
+    ReportReadiness();
   }
-  if (!contact_.NeedsProbes(now) || prober_.IsRunning() ||
-      upstreams_by_address_.empty()) {
+  UpdateLostServices();
+  const bool reaches_any = contact_.IsSettled();
+  if (reaches_any &&
+      std::none_of(service_contacts_.begin(), service_contacts_.end(),
+                   [now](const auto& i) {
+                     return i.second->contact().NeedsProbes(now);
+                   })) {
     return;
   }
   std::vector<upstream_ref> upstreams;
+  std::map<std::string_view, std::vector<upstream_ref>> by_service;
   for (const auto& [address, upstream] : upstreams_by_address_) {
     upstreams.push_back(upstream);
+    by_service[upstream->service].push_back(upstream);
+  }
+  const std::string target = with_.protocol.ProbeTarget();
+  if (!reaches_any) {
+    // Probes at all services say more than those at one.
+    contact_.ProbeIfDue(now, upstreams, target);
+    return;
+  }
+  for (const auto& [service, monitor] : service_contacts_) {
+    monitor->ProbeIfDue(now, by_service[service], target);
   }
-  contact_.OnProbesSent(now);
-  probes_sent_at_ = now;
-  const uint64_t seed = Hash64(options_.self.name, ++probe_rounds_);
-  prober_.Start(ChooseProbeTargets(upstreams, contact_.failed(), kProbes, seed),
-                with_.protocol.ProbeTarget());
 }
 
 void edge_task::ReportReadiness() {
-  services_.FindPort<fleet_message>(kFleetService)
-      .Post(readiness_changed{.is_ready = !has_lost_upstreams_});
+  if (!HasConfig()) {
+    return;
+  }
+  readiness_changed change{.is_ready = !has_lost_upstreams_};
+  for (const std::string& service : lost_services_) {
+    change.lost_services.push_back(Hash64(service));
+  }
+  services_.FindPort<fleet_message>(kFleetService).Post(std::move(change));
 }
 
-void edge_task::OnProbesEnded(bool has_response) {
-  if (has_response) {
-    contact_.OnResponse(probes_sent_at_, true);
-  } else {
-    contact_.OnProbesFailed(probes_sent_at_);
-  }
-  UpdateContact();
+bool edge_task::HasLost(std::string_view service) const {
+  return has_lost_upstreams_ || lost_services_.contains(service);
 }
 
 }  // namespace cuminswitch
--- a/lib/Edge/edge_feedback.cc
+++ b/lib/Edge/edge_feedback.cc
@@ -15,7 +15,10 @@
 
 void edge_task::OnFlowFeedback(const request_flow& flow,
                                const upstream_feedback& feedback) {
-  contact_.OnResponse(flow.sent_at(), flow.is_on_new_connection());
+  contact_.contact().OnResponse(flow.sent_at(), flow.is_on_new_connection());
+  if (contact_monitor* monitor = FindContact(ServiceAt(flow.address()))) {
+    monitor->contact().OnResponse(flow.sent_at(), flow.is_on_new_connection());
+  }
   UpdateContact();
   if (feedback.load) {
     router_.OnUpstreamLoad(ReadBootClock(),
--- a/lib/Edge/edge_forwarding.cc
+++ b/lib/Edge/edge_forwarding.cc
@@ -11,7 +11,7 @@
 namespace cuminswitch {
 
 bool edge_task::Forward(forwarded_request::options opts) {
-  opts.peers = ChooseForwardTargets(peers_, opts.attempt);
+  opts.peers = ChooseForwardTargets(peers_, opts.service, opts.attempt);
   if (opts.peers.empty()) {
     return false;
   }
@@ -33,15 +33,17 @@
 }
 
 bool edge_task::ForwardUnsent(request_flow& flow) {
-  if (!has_lost_upstreams_ || flow.request().is_forwarded || flow.has_ended() ||
-      flow.may_have_run() ||
-      ChooseForwardTargets(peers_, flow.request().attempt).empty()) {
+  if (!HasLost(flow.service()) || flow.request().is_forwarded ||
+      flow.has_ended() || flow.may_have_run() ||
+      ChooseForwardTargets(peers_, flow.service(), flow.request().attempt)
+          .empty()) {
     return false;
   }
   forwarded_request::options opts{.id = flow.id(),
                                   .exchange = flow.Detach(),
                                   .attempt = flow.request().attempt,
                                   .route = flow.route().name,
+                                  .service = flow.service(),
                                   .arrived = flow.arrived(),
                                   .deadline = flow.deadline(),
                                   .peers = {}};
--- a/lib/Edge/edge_origins.cc
+++ b/lib/Edge/edge_origins.cc
@@ -106,6 +106,7 @@
   if (std::any_of(shares.begin(), shares.end(), [&](const route_share& share) {
         return share.service == service;
       })) {
+    flow->SetService(service);
     arrival.target = TargetOf(flow->config(), service, flow->request().model);
   }
   arrival.software = *software;
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -1,5 +1,6 @@
 #include "cuminswitch/Edge/edge_task.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -36,9 +37,10 @@
               *this),
       buffer_account_(opts.buffer_limit),
       pool_(base, &buffer_account_),
-      prober_(base,
-              pool_,
-              [this](bool has_response) { OnProbesEnded(has_response); }),
+      contact_(base,
+               pool_,
+               Hash64(opts.self.name),
+               [this] { UpdateContact(); }),
       verifier_(pool_,
                 with.protocol,
                 [this](uint64_t upstream, time_point sent) {
@@ -120,7 +122,7 @@
        .held_bytes = buffer_account_.held(),
        .refused_for_memory = server_ == nullptr ? 0 : server_->refused_count(),
        .upstream_connections = pool_.opened_count(),
-       .upstream_doubts = contact_.doubt_count(),
+       .upstream_doubts = contact_.contact().doubt_count(),
        .has_lost_upstreams = has_lost_upstreams_,
        .unreadable_upstreams = unreadable_upstreams_,
        .is_stale = is_stale_,
@@ -308,8 +310,10 @@
   LogHeldBytes();
   ExpireLimits(now);
   with_.log.Flush();
-  const bool is_idle = flows_.empty() && verifier_.IsIdle() &&
-                       contact_.current() == upstream_contact::state::kReached;
+  const bool is_idle =
+      flows_.empty() && verifier_.IsIdle() && contact_.IsSettled() &&
+      std::all_of(service_contacts_.begin(), service_contacts_.end(),
+                  [](const auto& i) { return i.second->IsSettled(); });
   tick_timer_.Start(is_idle ? kIdleTickInterval : kTickInterval);
 }
 
--- a/lib/Edge/peer_selection.cc
+++ b/lib/Edge/peer_selection.cc
@@ -15,6 +15,7 @@
 
 std::vector<forward_target> ChooseForwardTargets(
     std::span<const daemon_record> peers,
+    std::string_view service,
     std::string_view attempt) {
   struct candidate {
     bool is_stopping = false;
@@ -22,8 +23,11 @@
     const daemon_record* record = nullptr;
   };
   std::vector<candidate> candidates;
+  const uint64_t service_hash = Hash64(service);
   for (const daemon_record& item : peers) {
-    if (item.is_ready) {
+    const auto& lost = item.lost_services;
+    if (item.is_ready &&
+        std::find(lost.begin(), lost.end(), service_hash) == lost.end()) {
       candidates.push_back({.is_stopping = item.is_leaving,
                             .order = Hash64(item.name, Hash64(attempt)),
                             .record = &item});
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -19,6 +19,7 @@
 static std::string Describe(const daemon_record& item) {
   return item.name + "/" + item.caller_address.ToString() +
          (item.is_ready ? "/ready" : "/not_ready") +
+         (item.lost_services.empty() ? "" : "/lost_services") +
          (item.is_leaving ? "/leaving" : "");
 }
 
@@ -37,8 +38,8 @@
 /// requests.
 static bool IsSamePeer(const daemon_record& a, const daemon_record& b) {
   return a.name == b.name && a.incarnation == b.incarnation &&
-         a.is_ready == b.is_ready && a.is_leaving == b.is_leaving &&
-         a.caller_address == b.caller_address &&
+         a.is_ready == b.is_ready && a.lost_services == b.lost_services &&
+         a.is_leaving == b.is_leaving && a.caller_address == b.caller_address &&
          a.peer_address == b.peer_address;
 }
 
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -114,6 +114,7 @@
   }
   if (const auto* readiness = std::get_if<readiness_changed>(&message)) {
     options_.self.is_ready = readiness->is_ready;
+    options_.self.lost_services = readiness->lost_services;
     // A leader that reaches no engine cannot roll out weights.
     election_.SetEligible(ReadBootClock(), readiness->is_ready);
   } else {
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -26,6 +26,12 @@
   return texts;
 }
 
+static std::vector<uint64_t> ReadNumbers(
+    const flatbuffers::Vector<uint64_t>* list) {
+  return list == nullptr ? std::vector<uint64_t>()
+                         : std::vector<uint64_t>(list->begin(), list->end());
+}
+
 /// Whether no value is infinite or NaN.
 static bool AreFinite(std::initializer_list<double> values) {
   return std::all_of(values.begin(), values.end(),
@@ -105,6 +111,7 @@
   record.is_ready = wire.is_ready();
   record.is_leaving = wire.is_leaving();
   record.tracks_streams = wire.tracks_streams();
+  record.lost_services = ReadNumbers(wire.lost_services());
   return update;
 }
 
@@ -143,6 +150,7 @@
                  .failure_domain = wire.failure_domain()->str(),
                  .link_rate = wire.link_rate(),
                  .is_ready = wire.is_ready(),
+                 .lost_services = ReadNumbers(wire.lost_services()),
                  .is_leaving = wire.is_leaving(),
                  .has_store = wire.has_store(),
                  .tracks_streams = wire.tracks_streams(),
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -106,7 +106,7 @@
                freshness.daemon_hash, freshness.age.count(),
                sender.recovery.event, sender.recovery.left.count(),
                sender.recovery.revision, out_.CreateVectorOfStructs(responses),
-               sender.tracks_streams)
+               sender.tracks_streams, out_.CreateVector(sender.lost_services))
         .Union();
   }
 
@@ -205,7 +205,8 @@
         out_.CreateString(record.peer_address.ToString()),
         out_.CreateString(record.caller_address.ToString()),
         out_.CreateString(record.failure_domain), record.link_rate,
-        record.is_ready, record.is_leaving, record.tracks_streams);
+        record.is_ready, record.is_leaving, record.tracks_streams,
+        out_.CreateVector(record.lost_services));
   }
 
   builder& out_;
--- a/unittests/Edge/peer_selection_test.cc
+++ b/unittests/Edge/peer_selection_test.cc
@@ -7,6 +7,8 @@
 #include <set>
 #include <string>
 
+#include "cuminswitch/Support/hash.h"
+
 namespace cuminswitch {
 namespace {
 
@@ -30,16 +32,28 @@
   const std::vector<daemon_record> peers = {Peer("lost", false, false),
                                             Peer("stopping", true, true),
                                             Peer("lost-too", false, true)};
-  EXPECT_EQ(NamesOf(ChooseForwardTargets(peers, "1")),
+  EXPECT_EQ(NamesOf(ChooseForwardTargets(peers, "s", "1")),
             std::vector<std::string>{"stopping"});
 }
 
+// Guards against requests of a service that are forwarded to a daemon that
+// reaches other services only.
+TEST(peer_selection_test, PeerThatLostTheServiceIsNotAsked) {
+  std::vector<daemon_record> peers = {Peer("lost", true, false),
+                                      Peer("a", true, false)};
+  peers[0].lost_services = {Hash64("s")};
+  EXPECT_EQ(NamesOf(ChooseForwardTargets(peers, "s", "1")),
+            std::vector<std::string>{"a"});
+  EXPECT_EQ(ChooseForwardTargets(peers, "t", "1").size(), 2U);
+}
+
 TEST(peer_selection_test, StoppingPeersComeLast) {
   const std::vector<daemon_record> peers = {
       Peer("stopping", true, true), Peer("a", true, false),
       Peer("stopping-too", true, true), Peer("b", true, false)};
   for (int i = 0; i < 50; ++i) {
-    const auto names = NamesOf(ChooseForwardTargets(peers, std::to_string(i)));
+    const auto names =
+        NamesOf(ChooseForwardTargets(peers, "s", std::to_string(i)));
     ASSERT_EQ(names.size(), 3U);
     EXPECT_EQ(std::set<std::string>(names.begin(), names.begin() + 2),
               (std::set<std::string>{"a", "b"}));
@@ -53,7 +67,8 @@
   }
   std::set<std::string> first;
   for (int i = 0; i < 100; ++i) {
-    first.insert(ChooseForwardTargets(peers, std::to_string(i)).front().name);
+    first.insert(
+        ChooseForwardTargets(peers, "s", std::to_string(i)).front().name);
   }
   EXPECT_EQ(first.size(), peers.size());
 }
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -313,6 +313,7 @@
                                        .failure_domain = "z",
                                        .link_rate = 20,
                                        .is_ready = true,
+                                       .lost_services = {17, 18},
                                        .tracks_streams = true}};
   const member_update suspected{
       .record = {.name = "c", .incarnation = 6, .version = 9},
@@ -327,6 +328,8 @@
   EXPECT_EQ(heartbeat.members[0].record.version, 3U);
   EXPECT_TRUE(heartbeat.members[0].record.is_ready);
   EXPECT_TRUE(heartbeat.members[0].record.tracks_streams);
+  EXPECT_EQ(heartbeat.members[0].record.lost_services,
+            alive.record.lost_services);
   EXPECT_TRUE(heartbeat.members[1].is_suspected);
   EXPECT_EQ(heartbeat.members[1].record.version, 9U);
 }
