Queue requests of one software version apart, and probe without copies

A new request waited behind resumed streams whose version had no free slot, though other upstreams were idle: the queue of a target orders all of its requests. Those of one version have a queue of their own now; the new test fails without it. While a contact is in doubt, the list of all upstreams is built only when probes are due. The metric's label is its source.

--- a/include/cuminswitch/Edge/contact_monitor.h
+++ b/include/cuminswitch/Edge/contact_monitor.h
@@ -37,6 +37,9 @@
   bool IsSettled() const {
     return contact_.current() == upstream_contact::state::kReached;
   }
+  bool IsProbeDue(time_point now) const {
+    return contact_.NeedsProbes(now) && !prober_.IsRunning();
+  }
   /// Starts a round of probes at some of \p upstreams if one is due. \p target
   /// is the path of the probes.
   void ProbeIfDue(time_point now,
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -203,12 +203,17 @@
 }
 
 waiting_request request_router::MakeWaiting(const request& item) const {
-  return {.request = item.info.request,
-          .target = item.info.target,
-          .priority = PriorityOf(item),
-          .workspace_hash = item.workspace_hash,
-          .arrived = ArrivedAt(item),
-          .deadline = item.deadline};
+  // Requests that may go to one software version only have a queue of their
+  // own: they neither hold up the others nor wait behind them.
+  return {
+      .request = item.info.request,
+      .target = item.software == kAnySoftware
+                    ? item.info.target
+                    : std::to_string(item.software) + "/" + item.info.target,
+      .priority = PriorityOf(item),
+      .workspace_hash = item.workspace_hash,
+      .arrived = ArrivedAt(item),
+      .deadline = item.deadline};
 }
 
 void request_router::Admit(time_point now, request& item, action_list& out) {
--- a/lib/Edge/contact_monitor.cc
+++ b/lib/Edge/contact_monitor.cc
@@ -23,7 +23,7 @@
 void contact_monitor::ProbeIfDue(time_point now,
                                  std::span<const upstream_ref> upstreams,
                                  const std::string& target) {
-  if (!contact_.NeedsProbes(now) || prober_.IsRunning() || upstreams.empty()) {
+  if (!IsProbeDue(now) || upstreams.empty()) {
     return;
   }
   contact_.OnProbesSent(now);
--- a/lib/Edge/edge_contact.cc
+++ b/lib/Edge/edge_contact.cc
@@ -117,11 +117,14 @@
   }
   UpdateLostServices();
   const bool reaches_any = contact_.IsSettled();
-  if (reaches_any &&
-      std::none_of(service_contacts_.begin(), service_contacts_.end(),
-                   [now](const auto& i) {
-                     return i.second->contact().NeedsProbes(now);
-                   })) {
+  const bool is_due =
+      reaches_any
+          ? std::any_of(service_contacts_.begin(), service_contacts_.end(),
+                        [now](const auto& item) {
+                          return item.second->IsProbeDue(now);
+                        })
+          : contact_.IsProbeDue(now);
+  if (!is_due) {
     return;
   }
   std::vector<upstream_ref> upstreams;
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -108,7 +108,7 @@
              "Requests that resume a stream, by where its software version is "
              "known from.");
   for (const auto& [source, count] : resumed_) {
-    page.Add(static_cast<double>(count), "version=\"" + source + "\"");
+    page.Add(static_cast<double>(count), "source=\"" + source + "\"");
   }
   page.Begin("cuminswitch_known_streams", "gauge",
              "Streams whose software version this daemon knows.");
--- a/unittests/Core/software_version_test.cc
+++ b/unittests/Core/software_version_test.cc
@@ -102,6 +102,19 @@
   EXPECT_EQ(placed.size(), 10U);
 }
 
+// Guards against new requests that wait behind resumed streams for upstreams
+// that these do not use.
+TEST_F(software_version_test, WaitingStreamsHoldUpNoOtherRequests) {
+  for (request_id id = 1; id <= 10; ++id) {
+    SendRequest(id, old_);
+  }
+  out_.clear();
+  SendRequest(11);
+  const auto dispatch = Take<dispatch_attempt>();
+  ASSERT_TRUE(dispatch);
+  EXPECT_EQ(dispatch->request, 11U);
+}
+
 // Guards against a daemon's own retry at another version in one response.
 TEST_F(software_version_test, BegunStreamIsRetriedAtItsVersionOnly) {
   SendRequest(1);
