--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -91,8 +91,6 @@
   void RegisterSelf();
   /// Records in the store which requests crash upstreams.
   void RecordQuarantines(time_point now);
-  /// Counts the software versions of the upstreams that changed.
-  void CountVersions(time_point now, std::span<const upstream_change> changes);
   /// Records in the store, as the leader, which services have several software
   /// versions.
   void RecordMixedServices(time_point now);
--- a/include/cuminswitch/Fleet/software_history.h
+++ b/include/cuminswitch/Fleet/software_history.h
@@ -17,6 +17,8 @@
 
 namespace cuminswitch {
 
+struct upstream_change;
+
 /// Tells whether a stream of a service can only have begun at one version.
 class software_history {
  public:
@@ -26,6 +28,8 @@
   void Remove(time_point now,
               std::string_view service,
               const std::string& version);
+  /// Records a change of an upstream in use.
+  void Apply(time_point now, const upstream_change& change);
   /// Sets the services that had several versions within `kMaxStreamTime`, as
   /// recorded in the store. It covers the time before this daemon started.
   void SetMixed(std::span<const std::string> services);
--- a/lib/Edge/edge_snapshot.cc
+++ b/lib/Edge/edge_snapshot.cc
@@ -59,13 +59,7 @@
     if (change.before != nullptr) {
       weights_counter_.Remove(change.before->weights);
     }
-    if (change.after != nullptr) {
-      software_.Add(change.after->service, change.after->software_version);
-    }
-    if (change.before != nullptr) {
-      software_.Remove(now, change.before->service,
-                       change.before->software_version);
-    }
+    software_.Apply(now, change);
   }
   action_list actions;
   if (weights_counter_.newest_changes() != newest_changes) {
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -187,8 +187,9 @@
     return;
   }
   published_unreadable_ = unreadable;
-  CountVersions(ReadBootClock(), changes);
+  const time_point now = ReadBootClock();
   for (const upstream_change& item : changes) {
+    software_.Apply(now, item);
     if (item.before != nullptr) {
       upstream_changes_.Remove(Describe(*item.before));
     }
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -341,19 +341,6 @@
   }
 }
 
-void fleet_task::CountVersions(time_point now,
-                               std::span<const upstream_change> changes) {
-  for (const upstream_change& item : changes) {
-    if (item.after != nullptr) {
-      software_.Add(item.after->service, item.after->software_version);
-    }
-    if (item.before != nullptr) {
-      software_.Remove(now, item.before->service,
-                       item.before->software_version);
-    }
-  }
-}
-
 void fleet_task::RecordMixedServices(time_point now) {
   if (election_.IsLeading(now)) {
     mixed_records_.OnTick(now, software_.ListMixed(now));
--- a/lib/Fleet/software_history.cc
+++ b/lib/Fleet/software_history.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cuminswitch/Fleet/upstream_directory.h"
+
 namespace cuminswitch {
 
 bool software_history::IsRecent(time_point now, const version_state& state) {
@@ -25,6 +27,15 @@
   state.last_used = now;
 }
 
+void software_history::Apply(time_point now, const upstream_change& change) {
+  if (change.after != nullptr) {
+    Add(change.after->service, change.after->software_version);
+  }
+  if (change.before != nullptr) {
+    Remove(now, change.before->service, change.before->software_version);
+  }
+}
+
 void software_history::SetMixed(std::span<const std::string> services) {
   mixed_ = {services.begin(), services.end()};
 }
