--- a/lib/Edge/stream_origin_registry.cc
+++ b/lib/Edge/stream_origin_registry.cc
@@ -82,6 +82,7 @@
       [](const candidate& a, const candidate& b) { return a.rank < b.rank; });
   candidates.resize(std::min(count, candidates.size()));
   std::vector<const peer*> chosen;
+  chosen.reserve(candidates.size());
   for (const candidate& item : candidates) {
     chosen.push_back(item.chosen);
   }
