Name the software version of engines only in upstreams_changed

Engines, which serve streams, show it before their weights; attempt_placed names it for every upstream.

--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -27,11 +27,13 @@
 /// used.
 static std::string Describe(const upstream_entry& item) {
   std::string text = item.id + "@" + item.address.ToString();
+  if (!item.weights.empty()) {
+    text += "/software_" + item.software_version;
+  }
   for (const weights_version& has : item.weights) {
     text += "/v" + std::to_string(has.version);
   }
-  return text + "/software_" + item.software_version +
-         (item.is_draining ? "/draining" : "");
+  return text + (item.is_draining ? "/draining" : "");
 }
 
 /// Whether \p a and \p b are equal apart from what matters only for items
