Log how old a published version may be, and until when superseded weights serve

The log could not distinguish a daemon that learned of a version late from one that used superseded weights for too long. knowledge_changed now states the time since the items were last known to be complete, and attempt_placed the time that is left to begin on superseded weights.

--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -62,6 +62,8 @@
 /// The decoded view of the store changed.
 struct fleet_snapshot_changed {
   std::shared_ptr<const fleet_snapshot> snapshot;
+  /// Nothing that this change brings was written before.
+  time_point written_after{};
 };
 /// Some of the upstreams in use changed.
 struct upstreams_changed {
@@ -70,6 +72,8 @@
   size_t unreadable = 0;
   /// Revision of the store that the changes lead to.
   revision_number revision = 0;
+  /// As in `fleet_snapshot_changed`.
+  time_point written_after{};
 };
 /// The set of peers that are alive, or the record of one of them, changed.
 struct peers_changed {
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -127,6 +127,8 @@
   leader_election election_;
   weights_rollout rollout_;
   staleness_tracker staleness_;
+  /// Nothing that the last change of the items brought was written before.
+  time_point written_after_{};
   store_follower_policy follower_policy_;
   store_outage_tracker store_outage_;
   quarantine_records quarantine_records_;
--- a/include/cuminswitch/Fleet/staleness_tracker.h
+++ b/include/cuminswitch/Fleet/staleness_tracker.h
@@ -38,6 +38,9 @@
   void OnPeerReport(time_point now,
                     const freshness_record& reported,
                     bool is_behind);
+  /// Returns when the items were last known to be complete. An item that is new
+  /// to this daemon was written later.
+  time_point complete_at() const { return complete_at_; }
   /// Returns the time since the items were last known to be complete.
   duration Staleness(time_point now) const { return now - complete_at_; }
   /// Returns the most recent record that applies to this daemon's items, if
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -43,6 +43,9 @@
   bool after_failure = false;
   /// Weights version that the upstream last reported; empty for a service.
   std::string weights_version;
+  /// Latest time at which the request may start on these weights; empty if they
+  /// are not superseded.
+  std::optional<time_point> last_start;
   /// The upstream's software version; empty if unknown.
   std::string software_version;
   software_tag software = kAnySoftware;
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -23,6 +23,9 @@
            static_cast<uint64_t>(action.expected_cached_tokens))
       .Add("prefix", action.prefix_origin)
       .Add("expected_queue_ms", action.expected_queue);
+  if (action.last_start) {
+    line.Add("last_start_ms", *action.last_start - now);
+  }
   if (flow.request().has_last_event) {
     line.Add("resumes", flow.request().resumed_attempt);
   }
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -107,7 +107,10 @@
   }
 }
 
-static void LogSnapshot(event_log& log, const fleet_snapshot& snapshot) {
+/// Logs \p snapshot, of which nothing new is older than \p max_age.
+static void LogSnapshot(event_log& log,
+                        const fleet_snapshot& snapshot,
+                        duration max_age) {
   std::string weights;
   for (const weights_version& item : snapshot.wanted_weights) {
     weights += (weights.empty() ? "" : " ") + item.model + "=" +
@@ -119,7 +122,8 @@
                 .Add("configuration",
                      snapshot.config == nullptr ? 0 : snapshot.config->version)
                 .Add("weights", weights)
-                .Add("leader", snapshot.leader));
+                .Add("leader", snapshot.leader)
+                .Add("max_age_ms", max_age));
 }
 
 void fleet_task::LogSuspicions() {
@@ -202,7 +206,8 @@
   services_.FindPort<fleet_event>(kEdgeService)
       .Post(upstreams_changed{.changes = std::move(changes),
                               .unreadable = unreadable,
-                              .revision = item_watcher_.view().revision()});
+                              .revision = item_watcher_.view().revision(),
+                              .written_after = written_after_});
 }
 
 void fleet_task::Publish(std::shared_ptr<const fleet_snapshot> next) {
@@ -223,10 +228,11 @@
     peer_table_.SetListed(next->daemons);
   }
   if (affects_rollout) {
-    LogSnapshot(parts_.log, *next);
+    LogSnapshot(parts_.log, *next, ReadBootClock() - written_after_);
   }
   services_.FindPort<fleet_event>(kEdgeService)
-      .Post(fleet_snapshot_changed{.snapshot = std::move(next)});
+      .Post(fleet_snapshot_changed{.snapshot = std::move(next),
+                                   .written_after = written_after_});
   RunRollout(ReadBootClock());
   if (is_new_config) {
     // Peers that the store rejects get the configuration from this daemon.
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -42,6 +42,7 @@
                          },
                      .on_reply =
                          [this](time_point at, revision_number revision) {
+                           written_after_ = staleness_.complete_at();
                            staleness_.OnStoreReply(at);
                            store_outage_.OnStoreReply(at, revision);
                          }}),
@@ -222,6 +223,7 @@
 
 void fleet_task::OnItemsReply(const items_reply_frame& reply) {
   items_requests_.OnReply();
+  written_after_ = staleness_.complete_at();
   item_watcher_.OnPeerItems(
       reply, {.peer = items_requests_.peer(),
               .elapsed = ReadBootClock() - items_requests_.sent_at()});
