Count the time of superseded weights from their publication, not its arrival

Callers saw requests begin on superseded weights later than the bound after a newer version was acknowledged.

Cause: a daemon counted the bound from when the publication arrived there, with 0.9 s of margin. A daemon that was suspended, or whose followers of the store failed, learns seconds later and went on for as much longer. By then it counts as undisturbed again. The class: a grace period that starts at the observer's own event where the bound counts from another's.

Change: the fleet task tells with each change when the items were last known to be complete, by its own replies of the store or by the freshness records of peers. Nothing new in the change was written before, so the bound counts from then. The margins, which had to cover the arrival, shrink from 1.1 to 0.8 s and from 0.9 to 0.6 s; new weights are preferred after 1.5 s, where 1.2 s counted from the arrival.

In virtual time, fleets of 13 to 986 daemons whose followers lose the store never place a change later than it was made.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -4,10 +4,12 @@
 #define CUMINSWITCH_CONFIG_CONFIGURATION_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "cuminswitch/Support/endpoint.h"
+#include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
 
@@ -56,6 +58,9 @@
 struct model_spec {
   std::string name;
   std::string version;
+  /// No version newer than the previous one was published before this; empty if
+  /// the version may be taken as published when it is applied.
+  std::optional<time_point> published_after;
   std::string adapter;
   /// The stores of computed prefixes; each prefix is assigned to one of them.
   std::vector<cache_store_spec> cache_stores;
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -160,8 +160,10 @@
   void Handle(const fleet_snapshot_changed& update);
   void Handle(const upstreams_changed& update);
   /// Passes the routing configuration, with the newest weights versions, to the
-  /// router.
-  void ApplyRoutingConfig(time_point now, action_list& actions);
+  /// router. None of what is new in it was written before \p written_after.
+  void ApplyRoutingConfig(time_point now,
+                          time_point written_after,
+                          action_list& actions);
   /// Returns this daemon's share of the idle connections that the upstream at
   /// \p to accepts from all daemons, or nothing if the upstream is unknown.
   std::optional<size_t> IdleLimit(const endpoint& to) const;
--- a/include/cuminswitch/Edge/routing_config_translator.h
+++ b/include/cuminswitch/Edge/routing_config_translator.h
@@ -24,10 +24,12 @@
 /// Builds the router's configuration, without the upstreams. \p snapshot must
 /// contain a routing config. A model's version is the newest of the published
 /// ones and of those that upstreams have according to \p counter: an upstream
-/// with a newer version has received its publication before this daemon.
+/// with a newer version has received its publication before this daemon. None
+/// of what is new to this daemon was written before \p written_after.
 std::shared_ptr<const configuration> TranslateRoutingConfig(
     const fleet_snapshot& snapshot,
-    const weights_version_counter& counter);
+    const weights_version_counter& counter,
+    time_point written_after);
 
 /// Translates an upstream's store entry. The report in it replaces the one that
 /// the router would get from a probe.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -204,7 +204,8 @@
   struct target_replicas {
     /// The model's version; empty for a service.
     std::string version;
-    /// When this daemon first saw each version configured, oldest first.
+    /// Earliest time at which each version may have been published, oldest
+    /// first.
     std::vector<version_start> history;
     /// In ascending order.
     std::vector<replica_index> indices;
--- a/lib/Edge/edge_snapshot.cc
+++ b/lib/Edge/edge_snapshot.cc
@@ -63,16 +63,20 @@
   }
   action_list actions;
   if (weights_counter_.newest_changes() != newest_changes) {
-    ApplyRoutingConfig(now, actions);
+    ApplyRoutingConfig(now, update.written_after, actions);
   }
   router_.OnUpstreams(now, updates, actions);
   Perform(now, actions);
 }
 
-void edge_task::ApplyRoutingConfig(time_point now, action_list& actions) {
+void edge_task::ApplyRoutingConfig(time_point now,
+                                   time_point written_after,
+                                   action_list& actions) {
   if (snapshot_ != nullptr && snapshot_->config != nullptr) {
     router_.OnRoutingConfig(
-        now, TranslateRoutingConfig(*snapshot_, weights_counter_), actions);
+        now,
+        TranslateRoutingConfig(*snapshot_, weights_counter_, written_after),
+        actions);
   }
 }
 
@@ -95,7 +99,7 @@
                       .idle_timeout = config.idle_timeout});
   const time_point now = ReadBootClock();
   action_list actions;
-  ApplyRoutingConfig(now, actions);
+  ApplyRoutingConfig(now, update.written_after, actions);
   Perform(now, actions);
   pool_.TrimIdle();
   if (IsReady() && !was_ready) {
--- a/lib/Edge/router_settings.cc
+++ b/lib/Edge/router_settings.cc
@@ -9,23 +9,19 @@
 /// The rest covers retries that other daemons do not know of yet.
 static constexpr double kRetryBurstUsed = 0.7;
 /// Margin to the end of the time in which old weights may be used, not counting
-/// the wait in an engine's queue. The publication of a version arrives up to
-/// 0.8 s late where peers relay it over slow links (84 daemons). With 1.8 s,
-/// which covered the queue too, an idle fleet refused all requests for 2 s when
-/// the leader had failed just before a publication.
-static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(1100);
+/// the wait in an engine's queue.
+static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(800);
 /// How long a daemon that has just started uses older weights; it does not know
 /// when they were superseded.
 static constexpr duration kOldWeightsAfterStart =
     std::chrono::milliseconds(2300);
 /// An attempt on old weights that has not begun this long before the bound is
-/// cancelled. The bound is counted from when the publication arrived here,
-/// which may be late, so the attempt could otherwise begin after the actual
-/// bound.
-static constexpr duration kStartLimitMargin = std::chrono::milliseconds(900);
+/// cancelled. The bound counts from a reply of the store that a peer may have
+/// relayed, which looks more recent than it is by the delay of its messages.
+static constexpr duration kStartLimitMargin = std::chrono::milliseconds(600);
 /// Time after a publication from which engines with new weights are preferred;
 /// responses of old weights lose value from 1.5 s after the publication.
-static constexpr duration kOldWeightsGrace = std::chrono::milliseconds(1200);
+static constexpr duration kOldWeightsGrace = std::chrono::milliseconds(1500);
 /// Number of prefixes in the index, including those that belong to one prompt:
 /// about 3 MB, and half a minute of the traffic of the largest deployment.
 static constexpr size_t kPrefixCapacity = 16'384;
--- a/lib/Edge/routing_config_translator.cc
+++ b/lib/Edge/routing_config_translator.cc
@@ -84,7 +84,8 @@
 
 std::shared_ptr<const configuration> TranslateRoutingConfig(
     const fleet_snapshot& snapshot,
-    const weights_version_counter& counter) {
+    const weights_version_counter& counter,
+    time_point written_after) {
   auto config = std::make_shared<configuration>();
   std::vector<std::string> targets;
   for (const service_config& service : snapshot.config->services) {
@@ -94,6 +95,7 @@
       config->models.push_back(
           {.name = TargetName(service.name, model),
            .version = NewestVersion(snapshot, counter, model),
+           .published_after = written_after,
            .adapter = {},
            .cache_stores = ListCacheStores(*snapshot.config, service),
            .copy_rate = service.copy_rate * kCopyRateUsed,
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -51,10 +51,13 @@
     target.estimate.SetCacheTokens(model.cache_tokens);
     if (target.history.empty() ||
         target.history.back().version != model.version) {
-      const bool is_first = target.history.empty();
-      target.history.push_back(
-          {.version = model.version,
-           .since = is_first ? options_.first_version_since : now});
+      // The bound on superseded weights counts from the publication, which may
+      // have been long before it arrived here.
+      const time_point since =
+          target.history.empty()
+              ? options_.first_version_since
+              : std::min(now, model.published_after.value_or(now));
+      target.history.push_back({.version = model.version, .since = since});
     }
     if (target.history.size() > kMaxVersionHistory) {
       target.history.erase(target.history.begin());
--- a/unittests/Fleet/store_fleet.cc
+++ b/unittests/Fleet/store_fleet.cc
@@ -65,16 +65,33 @@
 }
 
 duration store_fleet::ConvergenceTime(duration max_time) {
-  const time_point changed_at = now_;
+  changed_at_ = now_;
   ++revision_;
   const auto is_behind = [this](const daemon& item) {
     return item.reaches_store && item.revision < revision_;
   };
-  while (now_ - changed_at < max_time &&
+  while (now_ - changed_at_ < max_time &&
          std::any_of(daemons_.begin(), daemons_.end(), is_behind)) {
     Run(kStep);
   }
-  return now_ - changed_at;
+  return now_ - changed_at_;
+}
+
+duration store_fleet::LatestBoundOnChange() const {
+  time_point latest{};
+  for (const daemon& item : daemons_) {
+    if (item.revision == revision_) {
+      latest = std::max(latest, item.changed_after);
+    }
+  }
+  return latest - changed_at_;
+}
+
+void store_fleet::SetRevision(daemon& self, revision_number revision) {
+  if (revision > self.revision) {
+    self.revision = revision;
+    self.changed_after = self.staleness.complete_at();
+  }
 }
 
 void store_fleet::Step(size_t number) {
@@ -106,7 +123,7 @@
   }
   calls_ += self.is_calling ? 0 : 1;
   if (self.reaches_store && !self.is_calling) {
-    self.revision = revision_;
+    SetRevision(self, revision_);
     self.last_reply_at = now_;
     self.staleness.OnStoreReply(now_);
     self.retry_delay = duration(0);
@@ -139,7 +156,7 @@
     }
     // The peer requests the items, and gets the reply well before the next
     // round.
-    peer.revision = std::max(peer.revision, self.revision);
+    SetRevision(peer, self.revision);
   }
 }
 
--- a/unittests/Fleet/store_fleet.h
+++ b/unittests/Fleet/store_fleet.h
@@ -36,6 +36,9 @@
   /// Changes an item, and returns the time until all daemons that reach the
   /// store have the change, at most \p max_time.
   duration ConvergenceTime(duration max_time);
+  /// Returns the latest time before which, as far as any daemon knows, the last
+  /// change was not made, relative to the change.
+  duration LatestBoundOnChange() const;
   size_t calls() const { return calls_; }
 
  private:
@@ -43,6 +46,8 @@
     staleness_tracker staleness{0};
     store_follower_policy policy;
     revision_number revision = 0;
+    /// The last change was not made before.
+    time_point changed_after{};
     bool reaches_store = true;
     bool is_partitioned = false;
     bool follows = true;
@@ -58,6 +63,8 @@
 
   void Step(size_t number);
   void Call(daemon& self);
+  /// Applies the changes up to \p revision at \p self.
+  static void SetRevision(daemon& self, revision_number revision);
   void SendHeartbeats(size_t number);
 
   std::vector<daemon> daemons_;
@@ -66,6 +73,7 @@
   std::vector<daemon_record> alive_;
   fault fault_;
   revision_number revision_ = 1;
+  time_point changed_at_{};
   time_point now_{std::chrono::seconds(1000)};
   size_t calls_ = 0;
   std::mt19937_64 random_{5};
--- a/unittests/Fleet/store_follower_policy_test.cc
+++ b/unittests/Fleet/store_follower_policy_test.cc
@@ -63,6 +63,21 @@
   EXPECT_LE(MaxConvergenceTime(), kBound);
 }
 
+// Guards against a daemon that learns late of new weights and takes them for
+// new, so that it goes on with superseded ones.
+TEST_P(store_follower_policy_test, BoundOnChangeIsNeverLaterThanTheChange) {
+  EXPECT_LE(fleet_.ConvergenceTime(kBound), milliseconds(1000));
+  EXPECT_LE(fleet_.LatestBoundOnChange(), duration(0));
+  for (const size_t follower : fleet_.Followers()) {
+    fleet_.SetStoreReachable(follower, false);
+  }
+  for (int i = 0; i < 3; ++i) {
+    fleet_.ConvergenceTime(seconds(20));
+    EXPECT_LE(fleet_.LatestBoundOnChange(), duration(0));
+    fleet_.Run(milliseconds(370));
+  }
+}
+
 TEST_P(store_follower_policy_test, ConvergesIfOneDaemonReachesStore) {
   for (size_t i = 1; i < size(); ++i) {
     fleet_.SetStoreReachable(i, false);
--- a/unittests/Routing/replica_table_test.cc
+++ b/unittests/Routing/replica_table_test.cc
@@ -56,6 +56,22 @@
   EXPECT_EQ(Eligible(0), (std::vector<replica_index>{1}));
 }
 
+// Guards against requests on superseded weights after their bound, where the
+// new weights were published long before this daemon learned of them.
+TEST(superseded_weights_test, BoundCountsFromThePublication) {
+  replica_table table({.old_weights_time = std::chrono::seconds(6),
+                       .old_weights_limit = std::chrono::seconds(7)});
+  configuration config = MakeConfiguration();
+  table.Reconfigure(At(10'000), config);
+  table.OnReport(At(10'000), MakeReport("a"));
+  config.models[0].version = "3";
+  config.models[0].published_after = At(20'000);
+  table.SetModels(At(24'000), config.models);
+  EXPECT_EQ(table.LastStart("m", "2"), At(27'000));
+  EXPECT_EQ(table.ListEligible(At(25'900), "m", {}, {}).indices.size(), 1U);
+  EXPECT_TRUE(table.ListEligible(At(26'100), "m", {}, {}).indices.empty());
+}
+
 TEST_F(replica_table_test, LeavingAndUnreachableReplicasAreNotEligible) {
   upstream_report leaving = MakeReport("a");
   leaving.leaving = true;
