Take messages that waited during a suspension for as old as it

Cause: heartbeats wait in the sockets of a suspended process. Their records of the store's replies have an age as of when they were sent, and were applied as of when they were handled, 4 s later: the log has max_age_ms=210 for a version that was published 3.9 s before. The same holds for a reply of the store.

Change: the fleet task notices that it did not run for half a second, and takes what it handles in the next half second for as old as the suspension.

The process test now lets heartbeats wait before the publication: it fails without the tracker and passes with it.

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -23,6 +23,7 @@
 #include "cuminswitch/Fleet/staleness_tracker.h"
 #include "cuminswitch/Fleet/store_follower_policy.h"
 #include "cuminswitch/Fleet/store_outage_tracker.h"
+#include "cuminswitch/Fleet/suspension_tracker.h"
 #include "cuminswitch/Fleet/upstream_directory.h"
 #include "cuminswitch/Fleet/weights_rollout.h"
 #include "cuminswitch/Kernel/loop_task.h"
@@ -126,6 +127,7 @@
   item_watcher item_watcher_;
   leader_election election_;
   weights_rollout rollout_;
+  suspension_tracker suspension_;
   staleness_tracker staleness_;
   /// Nothing that the last change of the items brought was written before.
   time_point written_after_{};
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -33,19 +33,21 @@
                    .self_address = options_.self.peer_address,
                    .self_domain = options_.self.failure_domain,
                    .seeds = options_.seeds}),
-      item_watcher_(base,
-                    with.store,
-                    with.log,
-                    {.on_change =
-                         [this](std::span<const std::string> keys) {
-                           OnItemsChanged(keys);
-                         },
-                     .on_reply =
-                         [this](time_point at, revision_number revision) {
-                           written_after_ = staleness_.complete_at();
-                           staleness_.OnStoreReply(at);
-                           store_outage_.OnStoreReply(at, revision);
-                         }}),
+      item_watcher_(
+          base,
+          with.store,
+          with.log,
+          {.on_change =
+               [this](std::span<const std::string> keys) {
+                 OnItemsChanged(keys);
+               },
+           .on_reply =
+               [this](time_point at, revision_number revision) {
+                 written_after_ = staleness_.complete_at();
+                 suspension_.OnRunning(at);
+                 staleness_.OnStoreReply(suspension_.ArrivedAfter(at));
+                 store_outage_.OnStoreReply(at, revision);
+               }}),
       election_({.self_name = options_.self.name,
                  .key = options_.leader_key,
                  .handover_gap = options_.leader_gap,
@@ -127,6 +129,7 @@
 }
 
 bool fleet_task::OnFrame(std::span<const uint8_t> bytes) {
+  suspension_.OnRunning(ReadBootClock());
   const std::optional<peer_frame> frame = DecodePeerFrame(bytes);
   if (!frame) {
     parts_.log.Write(
@@ -161,7 +164,7 @@
                       item_watcher_.view().revision());
   if (heartbeat.freshness) {
     staleness_.OnPeerReport(
-        now, *heartbeat.freshness,
+        suspension_.ArrivedAfter(now), *heartbeat.freshness,
         heartbeat.sender.revision > item_watcher_.view().revision());
   }
   store_outage_.OnPeerReport(now, heartbeat.sender.recovery,
@@ -266,6 +269,7 @@
 void fleet_task::OnTick() {
   heartbeat_timer_.Start(peer_table::kHeartbeatInterval);
   const time_point now = ReadBootClock();
+  suspension_.OnRunning(now);
   for (const endpoint& to : peer_table_.ChooseTargets(now)) {
     SendHeartbeat(to);
   }
--- a/test/process/platform_superseded_weights.sh
+++ b/test/process/platform_superseded_weights.sh
@@ -30,6 +30,10 @@
 late=$(((leader + 2) % 3))
 kill -9 "${DAEMON_PIDS[$leader]}"
 kill -STOP "${DAEMON_PIDS[$late]}"
+# Heartbeats from before the publication wait at the suspended daemon.
+for number in 1 2 3 4 5; do
+  ask "$prompt" "before-$number" /stream/x || fail "before-$number was not served"
+done
 put op/version/m '{"model":"m","version":2}'
 published=$(millis)
 wait_for 5 has_version "$prompt"
