Give a request that may wait on superseded weights a deadline at its engine

Cause: a daemon cancels attempts that have not begun in time. One that has lost power, or is suspended, cancels nothing, and the engine begins them. The class: a fact that one process knows and any other must act on.

A response that ends at the deadline that the engine was given is "expired" in the log: it counts neither as a lost connection nor towards a quarantine.

Ruled out: a deadline for all attempts on superseded weights, which would also end streams that begin at once; a smaller share of the queue, since estimates of idle engines were as wrong.

GivesQueuedAttemptOnOldWeightsADeadline and StreamThatEndsAtUpstreamDeadlineHasExpired fail without the change: neither the deadline nor the result exists there.

--- a/include/cuminswitch/Edge/attempt_disposition.h
+++ b/include/cuminswitch/Edge/attempt_disposition.h
@@ -29,6 +29,9 @@
   /// No bytes arrived within the stall timeout, so this daemon ended the
   /// attempt.
   kStalled,
+  /// The response ended before it was complete, at or after the deadline that
+  /// the upstream was given.
+  kExpired,
   /// The bytes received are not a response to this attempt.
   kUnrelated,
 };
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -137,6 +137,8 @@
   bool is_on_new_connection() const { return is_on_new_connection_; }
   time_point arrived() const { return options_.arrived; }
   /// When the current attempt was sent.
+  /// The deadline that was handed to the attempt's upstream.
+  time_point upstream_deadline_{};
   time_point sent_at() const { return sent_at_; }
   std::optional<time_point> first_byte_at() const { return first_byte_at_; }
   /// The head of the current attempt's response; its status is 0 before one has
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -46,6 +46,9 @@
   /// Latest time at which the request may start on these weights; empty if they
   /// are not superseded.
   std::optional<time_point> last_start;
+  /// When the upstream must stop, if that is before the request's deadline. It
+  /// may have a queue, and this daemon may fail before it cancels the attempt.
+  std::optional<time_point> upstream_deadline;
   /// The upstream's software version; empty if unknown.
   std::string software_version;
   software_tag software = kAnySoftware;
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -114,6 +114,9 @@
       .after_failure = target.failures_in_row > 0,
       .weights_version = next.version,
       .last_start = replicas_.LastStart(item.info.target, next.version),
+      .upstream_deadline =
+          queue > 0 ? replicas_.QueueDeadline(item.info.target, next.version)
+                    : std::nullopt,
       .software_version = target.spec.software_version,
       .software = target.software,
       .cache_source = cache.source,
--- a/lib/Edge/attempt_disposition.cc
+++ b/lib/Edge/attempt_disposition.cc
@@ -18,6 +18,8 @@
       return "broken";
     case attempt_result::kStalled:
       return "stalled";
+    case attempt_result::kExpired:
+      return "expired";
     case attempt_result::kUnrelated:
       return "foreign";
   }
@@ -48,6 +50,7 @@
       return {.result = outcome::kNotRun, .action = attempt_action::kRetry};
     case attempt_result::kBroken:
     case attempt_result::kStalled:
+    case attempt_result::kExpired:
     case attempt_result::kUnrelated:
       if (may_repeat) {
         return {.result = outcome::kUnknown, .action = attempt_action::kRetry};
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -66,6 +66,8 @@
   address_ = action.address;
   mean_first_byte_ = action.mean_first_byte;
   sent_at_ = now;
+  upstream_deadline_ = std::min(
+      options_.deadline, action.upstream_deadline.value_or(options_.deadline));
   ++attempts_;
   ++runs_;
   response_ = {};
@@ -74,7 +76,7 @@
   dispatch_attributes attributes{
       .upstream = action.upstream,
       .workspace = options_.workspace,
-      .time_left = std::max(duration(0), options_.deadline - now),
+      .time_left = std::max(duration(0), upstream_deadline_ - now),
       .rank = options_.rank,
       .cache_scope = std::nullopt,
       .cache_source = std::nullopt,
@@ -281,7 +283,11 @@
   const std::unique_ptr<upstream_call> ended = std::move(call_);
   stall_timer_.Cancel();
   unfinished_bytes_ = splitter_.UnfinishedSize();
-  const attempt_result result = Classify(end);
+  attempt_result result = Classify(end);
+  if (result == attempt_result::kBroken &&
+      ReadBootClock() >= upstream_deadline_) {
+    result = attempt_result::kExpired;
+  }
   if (result == attempt_result::kBroken ||
       result == attempt_result::kNotConnected) {
     with_.owner.OnConnectionLost(*this);
@@ -333,7 +339,8 @@
                     .refused_busy = result == attempt_result::kRefused ||
                                     result == attempt_result::kMismatch,
                     .unreachable = result == attempt_result::kNotConnected,
-                    .failed_in_run = result == attempt_result::kFailure,
+                    .failed_in_run = result == attempt_result::kFailure ||
+                                     result == attempt_result::kExpired,
                     .connection_lost = result == attempt_result::kBroken,
                     .response_started = is_final,
                     .response = {}});
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -53,16 +53,28 @@
                                                   : std::next(known)->since;
 }
 
-std::optional<time_point> replica_table::LastStart(
+std::optional<time_point> replica_table::TimeAfterSuperseded(
     std::string_view target,
-    std::string_view version) const {
+    std::string_view version,
+    duration limit) const {
   const auto found = by_target_.find(target);
-  if (options_.old_weights_limit == duration(0) || found == by_target_.end() ||
-      version.empty() || found->second.version == version ||
-      found->second.history.empty()) {
+  if (limit == duration(0) || found == by_target_.end() || version.empty() ||
+      found->second.version == version || found->second.history.empty()) {
     return std::nullopt;
   }
-  return SupersededAt(found->second, version) + options_.old_weights_limit;
+  return SupersededAt(found->second, version) + limit;
+}
+
+std::optional<time_point> replica_table::LastStart(
+    std::string_view target,
+    std::string_view version) const {
+  return TimeAfterSuperseded(target, version, options_.old_weights_limit);
+}
+
+std::optional<time_point> replica_table::QueueDeadline(
+    std::string_view target,
+    std::string_view version) const {
+  return TimeAfterSuperseded(target, version, options_.old_weights_deadline);
 }
 
 std::optional<double> replica_table::OldWeightsPenalty(
--- a/unittests/Core/repeat_rules_test.cc
+++ b/unittests/Core/repeat_rules_test.cc
@@ -32,7 +32,8 @@
     options.refuse_without_upstream = true;
     options.replicas = {.old_weights_time = milliseconds(4000),
                         .old_weights_grace = milliseconds(1000),
-                        .old_weights_limit = milliseconds(5700)};
+                        .old_weights_limit = milliseconds(5700),
+                        .old_weights_deadline = milliseconds(5900)};
     router_.emplace(options, fleet_);
     Configure("1");
     for (const char* name : {"a", "b", "c", "d", "e"}) {
@@ -223,5 +224,24 @@
   EXPECT_EQ(Take<local_response>()->result, outcome::kUnknown);
 }
 
+// Guards against a request that begins on superseded weights after the time
+// limit, since the daemon that sent it failed while it waited in an engine.
+TEST_F(repeat_rules_test, GivesQueuedAttemptOnOldWeightsADeadline) {
+  Configure("2");
+  const time_point published = now_;
+  now_ += milliseconds(2000);
+  SendRequest(1, repeat_rule::kOnce, 1, "m");
+  EXPECT_FALSE(Take<dispatch_attempt>()->upstream_deadline)
+      << "the request begins at once";
+  for (request_id id = 2; id < 7; ++id) {
+    SendRequest(id, repeat_rule::kOnce, 1, "m");
+  }
+  std::optional<time_point> deadline;
+  while (const auto dispatch = Take<dispatch_attempt>()) {
+    deadline = dispatch->upstream_deadline;
+  }
+  EXPECT_EQ(deadline, published + milliseconds(5900));
+}
+
 }  // namespace
 }  // namespace cuminswitch
--- a/unittests/Edge/edge_fakes.h
+++ b/unittests/Edge/edge_fakes.h
@@ -43,7 +43,8 @@
   }
   http_headers WriteRequest(
       const message_head& /*head*/,
-      const dispatch_attributes& /*attributes*/) const override {
+      const dispatch_attributes& attributes) const override {
+    last_time_left = attributes.time_left;
     return {{.name = "Host", .value = "h"}};
   }
   response_attributes ReadResponse(
@@ -59,6 +60,8 @@
     return {};
   }
   response_attributes response{.is_signed = true};
+  /// The time that the last request's upstream was given.
+  mutable duration last_time_left{0};
 };
 
 }  // namespace cuminswitch
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -28,9 +28,10 @@
     }
   }
   void OnFlowAttemptFailed(const request_flow& /*flow*/,
-                           attempt_result /*result*/,
+                           attempt_result result,
                            uint32_t /*status*/) override {
     ++failed;
+    last_failure = result;
   }
   void OnConnectionLost(const request_flow& /*flow*/) override {}
   void OnAttemptStalled(const request_flow& /*flow*/) override {}
@@ -44,6 +45,7 @@
   }
   bool can_retry = true;
   int failed = 0;
+  attempt_result last_failure = attempt_result::kSuccess;
   std::vector<limit_notice> limits;
   bool ended = false;
   flow_result last;
@@ -179,6 +181,25 @@
   EXPECT_EQ(exchange_.sent, "id: 1\n\n");
 }
 
+// Guards against an upstream that stops at the deadline that it was given
+// counting as crashed.
+TEST_F(request_flow_test, StreamThatEndsAtUpstreamDeadlineHasExpired) {
+  const time_point deadline = ReadBootClock() + milliseconds(20);
+  flow_->Dispatch(ReadBootClock(), {.request = 1,
+                                    .attempt = 1,
+                                    .upstream = "u",
+                                    .address = listener_.Address(),
+                                    .upstream_deadline = deadline});
+  EXPECT_LE(protocol_.last_time_left, milliseconds(20));
+  const auto upstream = listener_.Accept(base_);
+  upstream->Send(std::string(kStreamHead) + kEvent);
+  RunUntil(base_, [&] { return ReadBootClock() >= deadline; });
+  upstream->Close();
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  EXPECT_EQ(owner_.last_failure, attempt_result::kExpired);
+  EXPECT_FALSE(owner_.ended) << "the stream may go on at another upstream";
+}
+
 TEST_F(request_flow_test, ChunkedStreamThatEndsInsideEventIsBroken) {
   route_.kind = request_kind::kStream;
   const auto upstream = Dispatch(1);
