Log the digests of prompt parts with failed attempts

The log named only the digest of a whole request, so that it could not show what different requests have in common whose upstreams crashed. The lines attempt_failed (connection lost) and request_ended (no upstream's response) now list the digests of the prompt's parts, without the last, which belongs to the request or its session. A digest depends on the service and the part's id alone. Its topmost bits state the kind: no request has them.

--- a/include/cuminswitch/Edge/arrival_translator.h
+++ b/include/cuminswitch/Edge/arrival_translator.h
@@ -3,7 +3,9 @@
 #ifndef CUMINSWITCH_EDGE_ARRIVAL_TRANSLATOR_H_
 #define CUMINSWITCH_EDGE_ARRIVAL_TRANSLATOR_H_
 
+#include <span>
 #include <string_view>
+#include <vector>
 
 #include "cuminswitch/Edge/quota_admission.h"
 #include "cuminswitch/Edge/request_flow.h"
@@ -12,6 +14,7 @@
 namespace cuminswitch {
 
 class caller_exchange;
+struct prompt_part;
 struct workspace_config;
 
 /// Returns a digest of the request that is the same each time its caller
@@ -19,6 +22,9 @@
 /// digest, so that requests of two workspaces never share one.
 hash128 DigestRequest(const caller_exchange& exchange,
                       std::string_view workspace);
+/// Returns a digest of each part of the prompt except the last, for \p service.
+std::vector<hash128> DigestParts(std::span<const prompt_part> parts,
+                                 std::string_view service);
 /// Returns the service of \p route that \p request goes to.
 const std::string& ServiceFor(const route_spec& route,
                               const caller_request& request);
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -5,8 +5,10 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cuminswitch/Edge/attempt_disposition.h"
 #include "cuminswitch/Edge/edge_protocol.h"
@@ -86,6 +88,8 @@
     bool uses_cache = false;
     /// Digest that all attempts of the caller for one request share.
     hash128 digest;
+    /// See `request_arrived::part_digests`.
+    std::vector<hash128> part_digests;
     time_point arrived{};
     /// When the request times out.
     time_point deadline{};
@@ -131,6 +135,9 @@
   const std::string& service() const { return options_.service; }
   const std::string& workspace() const { return options_.workspace; }
   const hash128& digest() const { return options_.digest; }
+  std::span<const hash128> part_digests() const {
+    return options_.part_digests;
+  }
   const std::string& upstream() const { return upstream_; }
   const endpoint& address() const { return address_; }
   /// Whether the current attempt opened its connection.
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -60,6 +60,9 @@
   /// Digest of the parts that stay the same if the caller repeats the request;
   /// zero if unknown.
   hash128 request_digest;
+  /// Digests of the prompt's parts in order, without the last, which belongs
+  /// to the request or its session.
+  std::vector<hash128> part_digests;
   /// How long the caller waits for the first byte.
   duration time_limit{0};
   /// Time to first byte, from the arrival, up to which the response has its
--- a/include/cuminswitch/Protocol/crash_report.h
+++ b/include/cuminswitch/Protocol/crash_report.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 #include "cuminswitch/Support/hash.h"
@@ -18,6 +19,28 @@
   return CombineHash(name_hash, started);
 }
 
+/// The topmost bits of a digest tell parts of prompts from requests, so that
+/// reports and records need not state the kind.
+inline constexpr uint64_t kPartDigestMask = 0xffffULL << 48;
+inline constexpr uint64_t kRequestDigestMask = UINT64_MAX >> 1;
+
+/// Whether \p digest is that of a part of a prompt, not of a request.
+constexpr bool IsPartDigest(const hash128& digest) {
+  return (digest.high & kPartDigestMask) == kPartDigestMask;
+}
+
+/// Returns the digest of the part \p id of prompts for \p service. It depends
+/// neither on the other parts nor on the position.
+inline hash128 DigestPart(std::string_view service, std::string_view id) {
+  const hash128 hash = Hash128(id, Hash64(service));
+  return {.high = hash.high | kPartDigestMask, .low = hash.low};
+}
+
+/// Returns the digest of a request with the hash \p hash.
+constexpr hash128 ToRequestDigest(const hash128& hash) {
+  return {.high = hash.high & kRequestDigestMask, .low = hash.low};
+}
+
 /// The connection to an upstream was lost while it executed a request, as
 /// happens when the upstream crashes.
 struct crash_report {
--- a/lib/Daemon/gateway_task.cc
+++ b/lib/Daemon/gateway_task.cc
@@ -9,6 +9,7 @@
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Net/http_call.h"
 #include "cuminswitch/Net/http_exchange.h"
+#include "cuminswitch/Protocol/crash_report.h"
 #include "cuminswitch/Support/digest.h"
 #include "cuminswitch/Support/status_code.h"
 
@@ -397,8 +398,8 @@
   }
   const request_id id = ++next_request_;
   event.request = id;
-  event.request_digest = Hash128(
-      exchange->Body(), Hash64(exchange->Path(), Hash64(event.workspace)));
+  event.request_digest = ToRequestDigest(Hash128(
+      exchange->Body(), Hash64(exchange->Path(), Hash64(event.workspace))));
   relay.request = id;
   relay.workspace = event.workspace;
   relay.caller = exchange;
--- a/lib/Edge/arrival_translator.cc
+++ b/lib/Edge/arrival_translator.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cuminswitch/Edge/routing_config_translator.h"
+#include "cuminswitch/Protocol/crash_report.h"
 #include "cuminswitch/Support/hash.h"
 
 namespace cuminswitch {
@@ -60,7 +61,16 @@
         std::string_view(head.target)}) {
     seed = Hash64(part, seed);
   }
-  return Hash128(exchange.Body(), seed);
+  return ToRequestDigest(Hash128(exchange.Body(), seed));
+}
+
+std::vector<hash128> DigestParts(std::span<const prompt_part> parts,
+                                 std::string_view service) {
+  std::vector<hash128> digests;
+  for (size_t i = 0; i + 1 < parts.size(); ++i) {
+    digests.push_back(DigestPart(service, parts[i].id));
+  }
+  return digests;
 }
 
 std::string TargetOf(const routing_config& config,
@@ -81,6 +91,7 @@
       .levels = MakeLevels(flow.request.parts),
       .prompt_tokens = flow.request.prompt_tokens,
       .request_digest = flow.digest,
+      .part_digests = flow.part_digests,
       .time_limit = flow.deadline - flow.arrived,
       .target_latency = route.target_latency,
       .caller_idle_timeout = route.caller_idle_timeout,
--- a/lib/Edge/edge_arrivals.cc
+++ b/lib/Edge/edge_arrivals.cc
@@ -127,11 +127,13 @@
                                    : workspace->rank.value_or(route.rank),
       .uses_cache = false,
       .digest = {},
+      .part_digests = {},
       .arrived = now,
       .deadline = now + max_wait};
   options.service = ServiceFor(route, options.request);
   options.uses_cache = !options.request.parts.empty();
   options.digest = DigestRequest(exchange, options.workspace);
+  options.part_digests = DigestParts(options.request.parts, options.service);
   request_arrived arrival = DescribeArrival(options, workspace);
   const request_id id = options.id;
   auto flow = std::make_unique<request_flow>(
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -1,5 +1,7 @@
 #include "cuminswitch/Edge/request_log.h"
 
+#include <string>
+
 #include "cuminswitch/Admission/quota_policy.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Edge/stream_origin_registry.h"
@@ -52,6 +54,19 @@
   }
 }
 
+/// Adds what stays the same when the caller sends the request again, and what
+/// other requests may share.
+static void AddDigests(const request_flow& flow, log_line& line) {
+  line.Add("digest", ToHex(flow.digest()));
+  std::string parts;
+  for (const hash128& part : flow.part_digests()) {
+    parts += (parts.empty() ? "" : ",") + ToHex(part);
+  }
+  if (!parts.empty()) {
+    line.Add("parts", parts);
+  }
+}
+
 log_line DescribeAttemptFailure(const request_flow& flow,
                                 attempt_result result,
                                 uint32_t status) {
@@ -62,8 +77,7 @@
       .Add("status", status);
   AddFraming(flow, line);
   if (result == attempt_result::kBroken || result == attempt_result::kStalled) {
-    // The id changes with each attempt of the caller; the digest does not.
-    line.Add("digest", ToHex(flow.digest()));
+    AddDigests(flow, line);
   }
   return line;
 }
@@ -101,7 +115,7 @@
     AddFraming(flow, line);
   }
   if (end.result != outcome::kAnswered) {
-    line.Add("digest", ToHex(flow.digest()));
+    AddDigests(flow, line);
   }
   if (end.retry_after > duration(0)) {
     line.Add("retry_after_ms", end.retry_after);
