Quarantine prompt parts that crash upstreams

Callers of one route were refused or broken off for 30 s at a time: each request with one part of a prompt crashed the engine that began to respond to it, no two of these requests alike.

Cause: the quarantine knew only the digest of a whole request, so an identity that is narrower than the cause: every such request was new. Each crash is now recorded under the parts of the prompt as well, with digests of the same form whose topmost bits state the kind, so neither heartbeats nor records in the store change.

Sound parts are aborted beside the crashing one. Completed requests reset their crashes, at all daemons; unframed responses don't count as completed. AttributeCrashes then chooses the parts that explain the crashes: few completions first, then most crashes, the deeper one of two. What they explain is cleared, also requests and parts that were quarantined meanwhile. It is derived anew with each change, so order and repetition of reports don't matter.

--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -1,5 +1,6 @@
 /// \file
-/// Quarantines requests that crash the upstreams that run them.
+/// Quarantines requests, and parts of prompts, that crash the upstreams that
+/// run them.
 #ifndef CUMINSWITCH_ADMISSION_REQUEST_QUARANTINE_H_
 #define CUMINSWITCH_ADMISSION_REQUEST_QUARANTINE_H_
 
@@ -13,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "cuminswitch/Admission/completion_counts.h"
+#include "cuminswitch/Admission/crash_attribution.h"
 #include "cuminswitch/Protocol/crash_report.h"
 #include "cuminswitch/Support/hash.h"
 #include "cuminswitch/Support/time.h"
@@ -41,6 +44,16 @@
 ///   crash.
 /// - An execution that was sent later completed.
 ///
+/// A part of a prompt may be what crashes upstreams, in requests of which no
+/// two are alike. So crashes are recorded under the parts of the request as
+/// well, each under a digest like that of a request. Sound parts are shared by
+/// many requests and aborted beside the one that crashes the upstream,
+/// therefore parts are judged together, by `AttributeCrashes`, from all crashes
+/// since a request with the part completed. A quarantined part explains the
+/// crashes under other parts and under requests. What follows from the crashes
+/// is derived anew with each change, so a sound part that was quarantined while
+/// reports were missing is released.
+///
 /// A daemon whose links fail cannot tell lost connections from crashes. So
 /// several daemons verify each crash of a request that may become quarantined,
 /// and report the upstreams that respond.
@@ -70,18 +83,25 @@
   /// Sets the contact with upstreams. Crashes that were held back count once it
   /// is reached, and are dropped once it is lost.
   void SetContact(time_point now, contact value);
-  /// Records that this daemon's execution of \p request at \p upstream, sent at
-  /// \p sent, ended without a response.
+  /// Records that this daemon's execution of \p request with \p parts at
+  /// \p upstream, sent at \p sent, ended without a response.
   void OnCrash(time_point now,
                const hash128& request,
                uint64_t upstream,
-               time_point sent);
+               time_point sent,
+               std::span<const hash128> parts = {});
   /// Records that an execution of \p request, sent at \p sent, completed.
   void OnCompleted(time_point now, const hash128& request, time_point sent);
+  /// Records that an execution of a request with \p parts, sent at \p sent,
+  /// completed with success.
+  void OnPartsCompleted(time_point now,
+                        std::span<const hash128> parts,
+                        time_point sent);
   /// Applies a peer's update.
   void OnUpdate(time_point now, const quarantine_update& update);
-  /// Applies the store's list of quarantined requests. Ignores those whose
-  /// upstreams had not crashed, as far as this daemon knows.
+  /// Applies the store's list of quarantined requests and parts. Ignores those
+  /// whose upstreams had not crashed, as far as this daemon knows. A part that
+  /// is no longer listed is released unless this daemon has quarantined it.
   void OnStored(time_point now, std::span<const hash128> requests);
   /// Records that \p upstream responded to an attempt or probe sent at \p sent,
   /// so it had not crashed before.
@@ -98,24 +118,28 @@
   /// again: until its crashes are verified, the rest of the verification.
   std::optional<duration> RetryDelay(time_point now,
                                      const hash128& request) const;
+  /// Returns the first of \p parts that is quarantined; null if none is.
+  const hash128* FindQuarantined(time_point now,
+                                 std::span<const hash128> parts) const;
   /// Returns the changes for peers since the last call, at most 16 of each
-  /// kind.
+  /// kind. Crashes under parts are a kind of their own; further ones follow
+  /// with the next calls.
   quarantine_update TakeUpdate(time_point now);
-  /// Returns crashes of quarantined requests, for peers that missed the update;
-  /// at most 16.
+  /// Returns crashes of quarantined requests and parts, for peers that missed
+  /// the update; at most 16 of each kind.
   std::vector<crash_report> ListActiveCrashes(time_point now) const;
-  /// Returns the quarantined requests under which this daemon itself observed a
-  /// crash.
+  /// Returns the quarantined requests and parts under which this daemon itself
+  /// observed a crash; parts once their crashes are verified.
   std::vector<quarantine_record> ListOwn(time_point now) const;
   /// Returns the changes since the last call: new quarantines, and those caused
   /// by this daemon's own executions.
   std::vector<quarantine_event> TakeEvents() {
     return std::exchange(events_, {});
   }
-  /// Returns the number of quarantined requests. Those that ended since the
-  /// last call of `Expire` are included.
+  /// Returns the number of quarantined requests and parts. Those that ended
+  /// since the last call of `Expire` are included.
   size_t CountQuarantined() const { return quarantined_.size(); }
-  /// Returns the number of requests under which an upstream crashed,
+  /// Returns the number of requests and parts under which an upstream crashed,
   /// quarantined ones included.
   size_t size() const { return suspects_.size(); }
 
@@ -132,19 +156,33 @@
     /// Whether it turned out to be no crash, or not caused by the request. Such
     /// entries stay, so that later reports of them don't count either.
     bool is_cleared = false;
+    /// Whether a quarantined part explains it.
+    bool is_explained = false;
   };
   struct suspect {
     /// Ordered by `crash::at`.
     std::vector<crash> crashes;
-    /// When the latest execution that completed was sent.
+    /// When the latest execution that completed was sent; for a part, when it
+    /// completed.
     time_point completed_sent{};
     /// End of the quarantine that the store listed.
     time_point stored_until{};
+    bool is_part = false;
+    /// Whether the crashes are attributed to this part.
+    bool is_blamed = false;
+    /// The position of the part in prompts, if a request of this daemon had it.
+    size_t depth = 0;
 
+    /// Whether an upstream crashed while it executed a request with this part,
+    /// or this request, since one completed.
+    bool HasCrashed(const crash& item) const {
+      return !item.is_cleared && item.at >= completed_sent;
+    }
     /// Whether the crash counts towards a quarantine.
     bool Counts(const crash& item) const {
-      return !item.is_cleared && item.at >= completed_sent;
+      return HasCrashed(item) && !item.is_explained;
     }
+    std::vector<crashed_start> ListCrashes() const;
     size_t CountCrashes() const;
     /// Returns the largest number of crashes whose executions don't overlap.
     size_t CountInSequence() const;
@@ -160,6 +198,11 @@
     hash128 request;
     crash seen;
   };
+  struct held_crash {
+    hash128 request;
+    crash seen;
+    std::vector<hash128> parts;
+  };
   struct pending_completion {
     hash128 request;
     time_point sent{};
@@ -170,6 +213,27 @@
   };
 
   void AddCrash(time_point now, const hash128& request, const crash& seen);
+  /// Adds this daemon's own crash under a request and under \p parts.
+  void AddOwnCrash(time_point now,
+                   const hash128& request,
+                   const crash& seen,
+                   std::span<const hash128> parts);
+  /// Records that an execution of a request with the part completed at \p at.
+  void RecordPartCompletion(const hash128& part,
+                            time_point at,
+                            crash_source source);
+  /// Decides anew which parts are quarantined and what they explain.
+  void JudgeParts(time_point now, crash_source source);
+  /// Returns the parts to which the crashes are to be attributed.
+  std::vector<hash128> ListBlamedParts() const;
+  std::vector<pending_crash> TakePendingCrashes();
+  size_t CountCrashesOf(const hash128& digest) const;
+  void QueueCompletion(const hash128& request, time_point at);
+  /// Appends up to \p limit crashes under \p request that count to \p active.
+  void ListActive(time_point now,
+                  const hash128& request,
+                  size_t limit,
+                  std::vector<crash_report>& active) const;
   /// Clears the crashes of \p upstream before \p at. Returns whether there were
   /// any.
   bool ClearCrashes(uint64_t upstream, time_point at);
@@ -201,7 +265,7 @@
   options options_;
   contact contact_ = contact::kReached;
   /// This daemon's crashes since the contact is in doubt.
-  std::vector<pending_crash> held_crashes_;
+  std::vector<held_crash> held_crashes_;
   std::unordered_map<hash128, suspect, hash128_hasher> suspects_;
   /// The suspects, the oldest first; some may have been removed already.
   std::deque<hash128> order_;
@@ -215,8 +279,14 @@
   /// often.
   std::vector<hash128> quarantined_;
   std::vector<quarantine_event> events_;
+  /// Whether anything changed that `JudgeParts` depends on.
+  bool must_judge_ = false;
+  bool has_blamed_ = false;
+  completion_counts part_completions_;
+  time_point next_halving_{};
   /// What `TakeUpdate` returns next.
   std::vector<pending_crash> pending_crashes_;
+  std::vector<pending_crash> pending_part_crashes_;
   std::vector<pending_completion> pending_completions_;
   std::vector<pending_response> pending_responses_;
   /// When what upstreams responded to was sent, as peers reported. A report of
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -244,6 +244,8 @@
     duration retry_after{0};
     /// The wait estimate, if it is refused because it would be late.
     std::optional<expected_wait> wait;
+    /// The quarantined part of the prompt, if that is the reason.
+    std::optional<hash128> quarantined_part;
   };
 
   std::optional<refusal> Check(const request& item) const;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -40,6 +40,8 @@
   /// The estimate behind a refusal because the response would be late; null for
   /// other results.
   const expected_wait* wait = nullptr;
+  /// The quarantined part of the prompt for which it was refused, if any.
+  std::optional<hash128> quarantined_part;
 };
 
 /// Receives the events of a flow. A flow may not be destroyed within one of
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -88,6 +88,8 @@
   recorded_response recorded;
   /// The wait estimate behind a refusal because the response would be late.
   std::optional<expected_wait> wait;
+  /// The quarantined part of the prompt for which it is refused.
+  std::optional<hash128> quarantined_part;
 };
 
 struct send_peer {
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -169,6 +169,9 @@
   /// The connection was lost before the response was complete, as happens when
   /// the upstream crashes.
   bool connection_lost = false;
+  /// The response ended with its connection. An upstream that crashes closes
+  /// its connections as well, so this does not show that it completed.
+  bool is_unframed = false;
   /// Whether any part of this attempt's response was sent to the caller.
   bool response_started = false;
   /// Exact token counts from the response; 0 if it carried none.
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -41,6 +41,29 @@
 static constexpr duration kResponseRetention = std::chrono::seconds(10);
 static constexpr size_t kMaxResponses = 1024;
 
+/// Parts whose crashes are relayed to peers or verified; fewer than suffice for
+/// a quarantine.
+static constexpr size_t kPartCrashesToVerify = 3;
+/// Crashes under parts that wait to be reported.
+static constexpr size_t kMaxPendingParts = 256;
+/// Crashes under one part that are repeated to peers.
+static constexpr size_t kMaxActivePerPart = 8;
+/// Requests whose crashes are held back.
+static constexpr size_t kMaxHeld = 16;
+/// Time in which the numbers of completions are halved.
+static constexpr duration kCompletionHalfLife = std::chrono::minutes(1);
+
+std::vector<crashed_start> request_quarantine::suspect::ListCrashes() const {
+  std::vector<crashed_start> listed;
+  for (const crash& item : crashes) {
+    if (HasCrashed(item)) {
+      listed.push_back(
+          {.upstream = item.upstream, .sent = item.sent, .at = item.at});
+    }
+  }
+  return listed;
+}
+
 size_t request_quarantine::suspect::CountCrashes() const {
   return static_cast<size_t>(
       std::count_if(crashes.begin(), crashes.end(),
@@ -48,18 +71,20 @@
 }
 
 size_t request_quarantine::suspect::CountInSequence() const {
-  size_t count = 0;
-  time_point last{};
+  std::vector<crashed_start> counted;
   for (const crash& item : crashes) {
-    if (Counts(item) && item.sent >= last) {
-      ++count;
-      last = item.at;
+    if (Counts(item)) {
+      counted.push_back(
+          {.upstream = item.upstream, .sent = item.sent, .at = item.at});
     }
   }
-  return count;
+  return cuminswitch::CountInSequence(counted);
 }
 
 bool request_quarantine::suspect::HasCrashedEnough() const {
+  if (is_part) {
+    return is_blamed;
+  }
   if (crashes.size() < kSequenceToQuarantine) {
     return false;
   }
@@ -70,15 +95,18 @@
 }
 
 time_point request_quarantine::suspect::QuarantinedUntil() const {
-  return HasCrashedEnough()
+  return HasCrashedEnough() && !crashes.empty()
              ? std::max(stored_until, crashes.back().at + kQuarantineTime)
              : stored_until;
 }
 
 bool request_quarantine::suspect::IsRefuted() const {
-  const auto cleared =
-      std::count_if(crashes.begin(), crashes.end(),
-                    [](const crash& item) { return item.is_cleared; });
+  if (is_part) {
+    return !is_blamed && completed_sent != time_point();
+  }
+  const auto cleared = std::count_if(
+      crashes.begin(), crashes.end(),
+      [](const crash& item) { return item.is_cleared || item.is_explained; });
   return cleared > 0 && crashes.size() >= kSequenceToQuarantine &&
          !HasCrashedEnough();
 }
@@ -107,7 +135,9 @@
   }
   EvictOldest(now);
   order_.push_back(request);
-  return suspects_[request];
+  suspect& created = suspects_[request];
+  created.is_part = IsPartDigest(request);
+  return created;
 }
 
 void request_quarantine::EvictOldest(time_point now) {
@@ -141,10 +171,13 @@
       item.crashes.begin(), item.crashes.end(), seen,
       [](const crash& a, const crash& b) { return a.at < b.at; });
   const auto added = item.crashes.insert(place, seen);
+  must_judge_ = true;
   const auto responded = peer_responses_.find(seen.upstream);
   const bool has_responded = responded != peer_responses_.end() &&
                              seen.at + kReportDelay < responded->second;
-  if (has_responded || explained_.contains(seen.upstream)) {
+  // Whether a quarantined part explains it is decided for all crashes at once.
+  const bool is_explained = !item.is_part && explained_.contains(seen.upstream);
+  if (has_responded || is_explained) {
     added->is_cleared = true;
     return;
   }
@@ -154,7 +187,8 @@
   if (seen.is_local) {
     RecordEvent(quarantine_event::kind::kSuspected, request, item, source);
   }
-  if (seen.is_local || item.CountCrashes() >= kCrashesToRelay) {
+  if (seen.is_local ||
+      (!item.is_part && item.CountCrashes() >= kCrashesToRelay)) {
     QueueReport(request, seen);
   }
   if (!was_quarantined && item.QuarantinedUntil() > now) {
@@ -165,8 +199,10 @@
 
 void request_quarantine::QueueReport(const hash128& request,
                                      const crash& seen) {
-  if (pending_crashes_.size() < kMaxReports) {
-    pending_crashes_.push_back({.request = request, .seen = seen});
+  const bool is_part = IsPartDigest(request);
+  auto& pending = is_part ? pending_part_crashes_ : pending_crashes_;
+  if (pending.size() < (is_part ? kMaxPendingParts : kMaxReports)) {
+    pending.push_back({.request = request, .seen = seen});
   }
 }
 
@@ -188,7 +224,7 @@
     }
   }
   for (auto& [other, item] : suspects_) {
-    if (other == request || item.HasCrashedEnough()) {
+    if (other == request || item.is_part || item.HasCrashedEnough()) {
       continue;
     }
     for (crash& seen : item.crashes) {
@@ -200,14 +236,86 @@
 void request_quarantine::OnCrash(time_point now,
                                  const hash128& request,
                                  uint64_t upstream,
-                                 time_point sent) {
+                                 time_point sent,
+                                 std::span<const hash128> parts) {
   const crash seen{
       .upstream = upstream, .sent = sent, .at = now, .is_local = true};
   if (contact_ == contact::kReached) {
-    AddCrash(now, request, seen);
-  } else if (contact_ == contact::kInDoubt &&
-             held_crashes_.size() < kMaxReports) {
-    held_crashes_.push_back({.request = request, .seen = seen});
+    AddOwnCrash(now, request, seen, parts);
+  } else if (contact_ == contact::kInDoubt && held_crashes_.size() < kMaxHeld) {
+    held_crashes_.push_back({.request = request,
+                             .seen = seen,
+                             .parts = {parts.begin(), parts.end()}});
+  }
+}
+
+void request_quarantine::AddOwnCrash(time_point now,
+                                     const hash128& request,
+                                     const crash& seen,
+                                     std::span<const hash128> parts) {
+  AddCrash(now, request, seen);
+  for (size_t depth = 0; depth < parts.size(); ++depth) {
+    AddCrash(now, parts[depth], seen);
+    suspects_.at(parts[depth]).depth = depth;
+  }
+  JudgeParts(now, crash_source::kOwn);
+}
+
+std::vector<hash128> request_quarantine::ListBlamedParts() const {
+  std::vector<suspected_part> parts;
+  std::vector<std::vector<uint64_t>> requests;
+  for (const auto& [digest, item] : suspects_) {
+    if (item.crashes.size() < kPartCrashesToVerify) {
+      continue;
+    }
+    std::vector<crashed_start> crashes = item.ListCrashes();
+    if (item.is_part) {
+      parts.push_back({.part = digest,
+                       .crashes = std::move(crashes),
+                       .completions = part_completions_.Count(digest),
+                       .depth = item.depth});
+    } else {
+      std::vector<uint64_t>& upstreams = requests.emplace_back();
+      for (const crashed_start& seen : crashes) {
+        upstreams.push_back(seen.upstream);
+      }
+      std::sort(upstreams.begin(), upstreams.end());
+    }
+  }
+  return AttributeCrashes(parts, requests);
+}
+
+void request_quarantine::JudgeParts(time_point now, crash_source source) {
+  if (!std::exchange(must_judge_, false)) {
+    return;
+  }
+  const std::vector<hash128> blamed = ListBlamedParts();
+  if (blamed.empty() && !has_blamed_) {
+    return;
+  }
+  has_blamed_ = !blamed.empty();
+  std::unordered_set<uint64_t> explained;
+  for (const hash128& part : blamed) {
+    for (const crashed_start& seen : suspects_.at(part).ListCrashes()) {
+      explained.insert(seen.upstream);
+    }
+  }
+  for (auto& [digest, item] : suspects_) {
+    const bool was_quarantined = item.QuarantinedUntil() > now;
+    item.is_blamed =
+        std::find(blamed.begin(), blamed.end(), digest) != blamed.end();
+    for (crash& seen : item.crashes) {
+      seen.is_explained = !item.is_blamed && explained.contains(seen.upstream);
+    }
+    if (was_quarantined && item.IsRefuted()) {
+      item.stored_until = {};
+    }
+    const bool is_quarantined = item.QuarantinedUntil() > now;
+    if (is_quarantined && !was_quarantined) {
+      OnQuarantined(digest, item, source);
+    } else if (was_quarantined && !is_quarantined) {
+      RecordEvent(quarantine_event::kind::kCleared, digest, item, source);
+    }
   }
 }
 
@@ -216,10 +324,10 @@
   if (value == contact::kInDoubt) {
     return;
   }
-  const std::vector<pending_crash> held = std::exchange(held_crashes_, {});
+  const std::vector<held_crash> held = std::exchange(held_crashes_, {});
   if (value == contact::kReached) {
-    for (const pending_crash& item : held) {
-      AddCrash(now, item.request, item.seen);
+    for (const held_crash& item : held) {
+      AddOwnCrash(now, item.request, item.seen, item.parts);
     }
   }
 }
@@ -236,11 +344,12 @@
   const size_t before = item.CountCrashes();
   const bool was_quarantined = item.QuarantinedUntil() > now;
   item.completed_sent = sent;
+  must_judge_ = true;
   if (item.CountCrashes() == before) {
     return;
   }
-  if (before >= kCrashesToRelay && pending_completions_.size() < kMaxReports) {
-    pending_completions_.push_back({.request = request, .sent = sent});
+  if (before >= kCrashesToRelay) {
+    QueueCompletion(request, sent);
   }
   if (source == crash_source::kOwn || was_quarantined) {
     RecordEvent(quarantine_event::kind::kCleared, request, item, source);
@@ -253,6 +362,53 @@
   RecordCompletion(now, request, sent, crash_source::kOwn);
 }
 
+void request_quarantine::QueueCompletion(const hash128& request,
+                                         time_point at) {
+  if (pending_completions_.size() < kMaxReports) {
+    pending_completions_.push_back({.request = request, .sent = at});
+  }
+}
+
+void request_quarantine::OnPartsCompleted(time_point now,
+                                          std::span<const hash128> parts,
+                                          time_point sent) {
+  for (const hash128& part : parts) {
+    part_completions_.Add(part);
+    const auto found = suspects_.find(part);
+    if (found == suspects_.end()) {
+      continue;
+    }
+    // An execution that was sent before the first crash may have begun when the
+    // part did not crash upstreams yet.
+    const std::vector<crashed_start> crashes = found->second.ListCrashes();
+    if (!crashes.empty() && sent > crashes.front().at) {
+      RecordPartCompletion(part, now, crash_source::kOwn);
+    }
+  }
+  JudgeParts(now, crash_source::kOwn);
+}
+
+void request_quarantine::RecordPartCompletion(const hash128& part,
+                                              time_point at,
+                                              crash_source source) {
+  const auto found = suspects_.find(part);
+  if (found == suspects_.end() || at <= found->second.completed_sent) {
+    return;
+  }
+  suspect& item = found->second;
+  const size_t before = item.ListCrashes().size();
+  item.completed_sent = at;
+  must_judge_ = true;
+  const bool has_cleared = item.ListCrashes().size() < before;
+  if (has_cleared && source == crash_source::kOwn &&
+      before >= kCrashesToRelay) {
+    QueueCompletion(part, at);
+  }
+  if (has_cleared && !item.is_blamed && source == crash_source::kOwn) {
+    RecordEvent(quarantine_event::kind::kCleared, part, item, source);
+  }
+}
+
 void request_quarantine::OnUpdate(time_point now,
                                   const quarantine_update& update) {
   for (const crash_report& item : update.crashes) {
@@ -264,11 +420,16 @@
     }
   }
   for (const completion_report& item : update.completions) {
-    RecordCompletion(now, item.request, now - item.age, crash_source::kPeer);
+    if (IsPartDigest(item.request)) {
+      RecordPartCompletion(item.request, now - item.age, crash_source::kPeer);
+    } else {
+      RecordCompletion(now, item.request, now - item.age, crash_source::kPeer);
+    }
   }
   for (const response_report& item : update.responses) {
     OnPeerResponse(item.upstream, now - item.age);
   }
+  JudgeParts(now, crash_source::kPeer);
 }
 
 void request_quarantine::OnStored(time_point now,
@@ -284,6 +445,12 @@
       OnQuarantined(request, item, crash_source::kStore);
     }
   }
+  for (auto& [digest, item] : suspects_) {
+    if (item.is_part && item.stored_until != time_point() &&
+        std::find(requests.begin(), requests.end(), digest) == requests.end()) {
+      item.stored_until = {};
+    }
+  }
 }
 
 void request_quarantine::OnUpstreamResponse(uint64_t upstream,
@@ -312,6 +479,7 @@
       if (seen.upstream == upstream && seen.at < at && !seen.is_cleared) {
         seen.is_cleared = true;
         has_cleared = true;
+        must_judge_ = true;
         RecordEvent(quarantine_event::kind::kCleared, request, item,
                     crash_source::kOwn);
       }
@@ -328,15 +496,15 @@
   if (crashed_.empty()) {
     return upstreams;
   }
-  for (auto& [request, item] : suspects_) {
-    if (item.CountCrashes() < kCrashesToRelay) {
+  for (const auto& [request, item] : suspects_) {
+    if (item.CountCrashes() <
+        (item.is_part ? kPartCrashesToVerify : kCrashesToRelay)) {
       continue;
     }
-    for (crash& seen : item.crashes) {
+    for (const crash& seen : item.crashes) {
       const duration age = now - seen.at;
       if (item.Counts(seen) && !seen.is_probed && age >= kVerifyDelay &&
           age < kVerifyTime) {
-        seen.is_probed = true;
         upstreams.push_back(seen.upstream);
       }
     }
@@ -344,6 +512,13 @@
   std::sort(upstreams.begin(), upstreams.end());
   upstreams.erase(std::unique(upstreams.begin(), upstreams.end()),
                   upstreams.end());
+  for (auto& [request, item] : suspects_) {
+    for (crash& seen : item.crashes) {
+      seen.is_probed =
+          seen.is_probed ||
+          std::binary_search(upstreams.begin(), upstreams.end(), seen.upstream);
+    }
+  }
   return upstreams;
 }
 
@@ -353,6 +528,8 @@
   });
   crashed_.clear();
   explained_.clear();
+  // Crashes may grow too old.
+  must_judge_ = true;
   for (auto& [request, item] : suspects_) {
     if (item.QuarantinedUntil() <= now) {
       std::erase_if(item.crashes, [now](const crash& seen) {
@@ -362,15 +539,26 @@
     for (const crash& seen : item.crashes) {
       if (!seen.is_cleared) {
         crashed_.insert(seen.upstream);
-        if (item.QuarantinedUntil() > now) {
+        if (!item.is_part && item.QuarantinedUntil() > now) {
           explained_.insert(seen.upstream);
         }
       }
     }
   }
   std::erase_if(suspects_, [now](const auto& entry) {
-    return entry.second.crashes.empty() && entry.second.stored_until <= now;
+    const suspect& item = entry.second;
+    // The store may list a part for as long after it completed.
+    const bool was_part_completed = item.is_part &&
+                                    item.completed_sent != time_point() &&
+                                    now - item.completed_sent < kQuarantineTime;
+    return item.crashes.empty() && item.stored_until <= now &&
+           !was_part_completed;
   });
+  if (now >= next_halving_) {
+    next_halving_ = now + kCompletionHalfLife;
+    part_completions_.Halve();
+  }
+  JudgeParts(now, crash_source::kOwn);
   std::erase_if(order_, [this](const hash128& request) {
     return !suspects_.contains(request);
   });
@@ -401,9 +589,43 @@
   return verification > duration(0) ? std::min(*left, verification) : *left;
 }
 
+const hash128* request_quarantine::FindQuarantined(
+    time_point now,
+    std::span<const hash128> parts) const {
+  if (quarantined_.empty()) {
+    return nullptr;
+  }
+  const auto found = std::find_if(
+      parts.begin(), parts.end(),
+      [&](const hash128& part) { return TimeLeft(now, part).has_value(); });
+  return found == parts.end() ? nullptr : &*found;
+}
+
+std::vector<request_quarantine::pending_crash>
+request_quarantine::TakePendingCrashes() {
+  std::vector<pending_crash> taken = std::exchange(pending_crashes_, {});
+  // Parts under which more upstreams crashed are more likely the cause.
+  std::stable_sort(pending_part_crashes_.begin(), pending_part_crashes_.end(),
+                   [this](const pending_crash& a, const pending_crash& b) {
+                     return CountCrashesOf(a.request) >
+                            CountCrashesOf(b.request);
+                   });
+  const auto end = pending_part_crashes_.begin() +
+                   static_cast<ptrdiff_t>(
+                       std::min(kMaxReports, pending_part_crashes_.size()));
+  taken.insert(taken.end(), pending_part_crashes_.begin(), end);
+  pending_part_crashes_.erase(pending_part_crashes_.begin(), end);
+  return taken;
+}
+
+size_t request_quarantine::CountCrashesOf(const hash128& digest) const {
+  const auto found = suspects_.find(digest);
+  return found == suspects_.end() ? 0 : found->second.CountCrashes();
+}
+
 quarantine_update request_quarantine::TakeUpdate(time_point now) {
   quarantine_update update;
-  for (const pending_crash& item : std::exchange(pending_crashes_, {})) {
+  for (const pending_crash& item : TakePendingCrashes()) {
     update.crashes.push_back({.request = item.request,
                               .upstream = item.seen.upstream,
                               .age = now - item.seen.at,
@@ -421,26 +643,40 @@
   return update;
 }
 
+void request_quarantine::ListActive(time_point now,
+                                    const hash128& request,
+                                    size_t limit,
+                                    std::vector<crash_report>& active) const {
+  const suspect& item = suspects_.at(request);
+  for (const crash& seen : item.crashes) {
+    const duration age = now - seen.at;
+    if (item.Counts(seen) && age < kMaxReportAge && limit > 0) {
+      --limit;
+      active.push_back({.request = request,
+                        .upstream = seen.upstream,
+                        .age = age,
+                        .took = seen.at - seen.sent});
+    }
+  }
+}
+
 std::vector<crash_report> request_quarantine::ListActiveCrashes(
     time_point now) const {
-  std::vector<crash_report> active;
+  std::vector<crash_report> of_requests;
+  std::vector<crash_report> of_parts;
   for (const hash128& request : quarantined_) {
     if (!TimeLeft(now, request)) {
       continue;
     }
-    const suspect& item = suspects_.at(request);
-    for (const crash& seen : item.crashes) {
-      const duration age = now - seen.at;
-      if (item.Counts(seen) && age < kMaxReportAge &&
-          active.size() < kMaxReports) {
-        active.push_back({.request = request,
-                          .upstream = seen.upstream,
-                          .age = age,
-                          .took = seen.at - seen.sent});
-      }
-    }
-  }
-  return active;
+    std::vector<crash_report>& list =
+        IsPartDigest(request) ? of_parts : of_requests;
+    const size_t left = kMaxReports - list.size();
+    ListActive(now, request,
+               IsPartDigest(request) ? std::min(left, kMaxActivePerPart) : left,
+               list);
+  }
+  of_parts.insert(of_parts.end(), of_requests.begin(), of_requests.end());
+  return of_parts;
 }
 
 std::vector<quarantine_record> request_quarantine::ListOwn(
@@ -452,6 +688,9 @@
       continue;
     }
     const suspect& item = suspects_.at(request);
+    if (item.is_part && now < item.VerifiedAt()) {
+      continue;
+    }
     const bool has_local_crash = std::any_of(
         item.crashes.begin(), item.crashes.end(), [&item](const crash& seen) {
           return seen.is_local && item.Counts(seen);
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -283,10 +283,14 @@
   if (digest == hash128()) {
     return;
   }
+  const std::vector<hash128>& parts = item.info.part_digests;
   if (event.connection_lost) {
-    quarantine_.OnCrash(now, digest, done.upstream_start, done.sent);
-  } else if (event.result == outcome::kAnswered) {
+    quarantine_.OnCrash(now, digest, done.upstream_start, done.sent, parts);
+  } else if (event.result == outcome::kAnswered && !event.is_unframed) {
     quarantine_.OnCompleted(now, digest, done.sent);
+    if (!event.failed_in_run) {
+      quarantine_.OnPartsCompleted(now, parts, done.sent);
+    }
   }
 }
 
--- a/lib/Core/request_refusals.cc
+++ b/lib/Core/request_refusals.cc
@@ -97,8 +97,10 @@
 bool request_router::RefuseIfQuarantined(time_point now,
                                          const request& item,
                                          action_list& out) {
-  const std::optional<duration> left =
-      quarantine_.RetryDelay(now, item.info.request_digest);
+  const hash128* part =
+      quarantine_.FindQuarantined(now, item.info.part_digests);
+  const std::optional<duration> left = quarantine_.RetryDelay(
+      now, part == nullptr ? item.info.request_digest : *part);
   if (!left) {
     return false;
   }
@@ -106,8 +108,12 @@
          {.status = item.may_have_run ? status_code::kBadGateway
                                       : status_code::kUnavailable,
           .retry_after_seconds = static_cast<uint32_t>(ToSeconds(*left)) + 1,
-          .message = "upstreams crash under this request",
-          .retry_after = *left},
+          .message = part == nullptr
+                         ? "upstreams crash under this request"
+                         : "upstreams crash under a part of this prompt",
+          .retry_after = *left,
+          .quarantined_part =
+              part == nullptr ? std::nullopt : std::optional(*part)},
          out);
   return true;
 }
@@ -171,7 +177,8 @@
                                .retry_after = why.retry_after,
                                .message = why.message,
                                .recorded = {},
-                               .wait = why.wait});
+                               .wait = why.wait,
+                               .quarantined_part = why.quarantined_part});
   Erase(id);
 }
 
--- a/lib/Edge/edge_quarantine.cc
+++ b/lib/Edge/edge_quarantine.cc
@@ -76,11 +76,13 @@
 
 void edge_task::LogQuarantines() {
   for (const quarantine_event& item : router_.quarantine().TakeEvents()) {
-    with_.log.Write(log_class::kStateChange,
-                    log_line(EventName(item.what))
-                        .Add("digest", ToHex(item.request))
-                        .Add("crashes", item.crashes)
-                        .Add("from", ToString(item.source)));
+    with_.log.Write(
+        log_class::kStateChange,
+        log_line(EventName(item.what))
+            .Add("digest", ToHex(item.request))
+            .Add("of", IsPartDigest(item.request) ? "part" : "request")
+            .Add("crashes", item.crashes)
+            .Add("from", ToString(item.source)));
   }
 }
 
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -335,6 +335,7 @@
                     .unreachable = result == attempt_result::kNotConnected,
                     .failed_in_run = result == attempt_result::kFailure,
                     .connection_lost = result == attempt_result::kBroken,
+                    .is_unframed = response_.head.ends_with_connection,
                     .response_started = is_final,
                     .response = {}});
 }
@@ -391,12 +392,14 @@
                   .status = action.status,
                   .reason = action.message,
                   .retry_after = wait,
-                  .wait = action.wait ? &*action.wait : nullptr});
+                  .wait = action.wait ? &*action.wait : nullptr,
+                  .quarantined_part = action.quarantined_part});
     return;
   }
   ReplyLocally({.result = outcome::kUnknown,
                 .status = status_code::kBadGateway,
-                .reason = action.message});
+                .reason = action.message,
+                .quarantined_part = action.quarantined_part});
 }
 
 void request_flow::ReplyLocally(const flow_result& end) {
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -117,6 +117,9 @@
   if (end.result != outcome::kAnswered) {
     AddDigests(flow, line);
   }
+  if (end.quarantined_part) {
+    line.Add("part", ToHex(*end.quarantined_part));
+  }
   if (end.retry_after > duration(0)) {
     line.Add("retry_after_ms", end.retry_after);
   }
--- a/unittests/Admission/quarantine_fleet_test.cc
+++ b/unittests/Admission/quarantine_fleet_test.cc
@@ -4,9 +4,12 @@
 
 #include <algorithm>
 #include <functional>
+#include <iostream>
 #include <memory>
 #include <queue>
 #include <random>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "cuminswitch/Admission/request_quarantine.h"
@@ -79,6 +82,7 @@
   void Complete(size_t daemon, const hash128& request, duration took) {
     quarantines_[daemon].OnCompleted(now_, request, now_ - took);
   }
+  request_quarantine& At(size_t daemon) { return quarantines_[daemon]; }
 
  private:
   struct message {
@@ -313,5 +317,268 @@
   EXPECT_LE(refused, sent_count / 20);
 }
 
+/// Requests that share parts of their prompts, some of which crash every
+/// upstream that begins to execute a request with them. Upstreams execute
+/// several requests at a time, and are back some seconds after a crash.
+class shared_part_traffic {
+ public:
+  struct options {
+    size_t daemons = 8;
+    size_t upstreams = 12;
+    /// Requests a second with each crashing part, and other requests a second.
+    double crashing_rate = 4;
+    double sound_rate = 25;
+    size_t crashing_parts = 1;
+    /// Whether the first part of prompts, which nearly all others share, is
+    /// what crashes upstreams.
+    bool crashes_under_first_part = false;
+  };
+  struct part_counts {
+    size_t crashes = 0;
+    size_t late_sends = 0;
+    time_point fifth_crash_at{};
+  };
+
+  shared_part_traffic(quarantine_fleet& fleet, const options& opts)
+      : fleet_(fleet),
+        options_(opts),
+        counts_(opts.crashing_parts),
+        starts_(opts.upstreams),
+        back_at_(opts.upstreams) {
+    for (uint64_t& start : starts_) {
+      start = ++last_start_;
+    }
+  }
+
+  /// Time that sound requests take.
+  static constexpr duration kSoundTime = milliseconds(800);
+  /// Time from when a request is sent until it crashes its upstream.
+  static constexpr duration kCrashTime = milliseconds(60);
+  static constexpr duration kRestartTime = seconds(3);
+  /// A daemon must not send a crashing part later than this after the fifth
+  /// crash.
+  static constexpr duration kMaxSendTime = seconds(4);
+  static constexpr duration kServedTime = seconds(8);
+
+  const std::vector<part_counts>& counts() const { return counts_; }
+  size_t sound_sent() const { return sound_sent_; }
+  size_t sound_refused() const { return sound_refused_; }
+
+  /// Sends requests for \p time; those with a crashing part only if
+  /// \p has_crashing.
+  void Run(duration time, bool has_crashing) {
+    const time_point end = fleet_.now() + time;
+    while (fleet_.now() < end) {
+      fleet_.Advance(kStep);
+      if (fleet_.now() >= next_expiry_) {
+        next_expiry_ = fleet_.now() + seconds(1);
+        for (size_t daemon = 0; daemon < options_.daemons; ++daemon) {
+          fleet_.At(daemon).Expire(fleet_.now());
+        }
+      }
+      EndExecutions();
+      for (due_sound_ += options_.sound_rate * ToSeconds(kStep);
+           due_sound_ >= 1; due_sound_ -= 1) {
+        SendSound();
+      }
+      for (size_t part = 0; has_crashing && part < counts_.size(); ++part) {
+        due_crashing_ += options_.crashing_rate * ToSeconds(kStep);
+        if (due_crashing_ >= 1) {
+          due_crashing_ -= 1;
+          SendCrashing(part);
+        }
+      }
+    }
+  }
+
+ private:
+  static constexpr size_t kNone = SIZE_MAX;
+  struct execution {
+    size_t daemon = 0;
+    size_t upstream = 0;
+    hash128 request;
+    std::vector<hash128> parts;
+    time_point sent{};
+    /// Which crashing part it has, if any.
+    size_t crashing = kNone;
+  };
+
+  static hash128 Part(std::string_view kind, size_t number) {
+    return DigestPart("s", std::string(kind) + std::to_string(number));
+  }
+  hash128 NewRequest() { return {.high = 7, .low = ++last_request_}; }
+
+  /// Sends a request unless its daemon refuses it; returns whether it was sent
+  /// or no upstream could take it.
+  bool Send(const std::vector<hash128>& parts, size_t crashing) {
+    const size_t daemon = fleet_.Draw(options_.daemons);
+    if (fleet_.At(daemon).FindQuarantined(fleet_.now(), parts) != nullptr) {
+      return false;
+    }
+    const size_t upstream = fleet_.Draw(options_.upstreams);
+    if (fleet_.now() < back_at_[upstream]) {
+      return true;
+    }
+    running_.push_back({.daemon = daemon,
+                        .upstream = upstream,
+                        .request = NewRequest(),
+                        .parts = parts,
+                        .sent = fleet_.now(),
+                        .crashing = crashing});
+    if (crashing != kNone && counts_[crashing].crashes >= 5 &&
+        fleet_.now() - counts_[crashing].fifth_crash_at > kMaxSendTime) {
+      ++counts_[crashing].late_sends;
+    }
+    return true;
+  }
+
+  void SendSound() {
+    const size_t first = options_.crashes_under_first_part ? 1 : 0;
+    const bool is_sent =
+        Send({Part("first", first), Part("tool", fleet_.Draw(3)),
+              Part("session", fleet_.Draw(40))},
+             kNone);
+    if (last_crash_at_ != time_point() &&
+        fleet_.now() - last_crash_at_ > kServedTime) {
+      ++sound_sent_;
+      sound_refused_ += is_sent ? 0 : 1;
+    }
+  }
+
+  void SendCrashing(size_t part) {
+    std::vector<hash128> parts = {Part("first", 0),
+                                  Part("tool", fleet_.Draw(3)),
+                                  Part("session", fleet_.Draw(40))};
+    if (!options_.crashes_under_first_part) {
+      parts.insert(parts.begin() + 2, Part("crash", part));
+    }
+    Send(parts, part);
+  }
+
+  void EndExecutions() {
+    for (size_t i = 0; i < running_.size(); ++i) {
+      if (running_[i].crashing != kNone &&
+          fleet_.now() - running_[i].sent >= kCrashTime) {
+        CrashUpstream(running_[i].upstream, running_[i].crashing);
+        i = 0;
+      }
+    }
+    std::erase_if(running_, [this](const execution& item) {
+      const bool is_over = fleet_.now() - item.sent >= kSoundTime;
+      if (is_over && item.crashing == kNone) {
+        fleet_.At(item.daemon)
+            .OnCompleted(fleet_.now(), item.request, item.sent);
+        fleet_.At(item.daemon)
+            .OnPartsCompleted(fleet_.now(), item.parts, item.sent);
+      }
+      return is_over;
+    });
+  }
+
+  void CrashUpstream(size_t upstream, size_t part) {
+    std::erase_if(running_, [&](const execution& item) {
+      if (item.upstream != upstream) {
+        return false;
+      }
+      fleet_.At(item.daemon)
+          .OnCrash(fleet_.now(), item.request, starts_[upstream], item.sent,
+                   item.parts);
+      return true;
+    });
+    starts_[upstream] = ++last_start_;
+    back_at_[upstream] = fleet_.now() + kRestartTime;
+    last_crash_at_ = fleet_.now();
+    if (++counts_[part].crashes == 5) {
+      counts_[part].fifth_crash_at = fleet_.now();
+    }
+  }
+
+  quarantine_fleet& fleet_;
+  options options_;
+  std::vector<part_counts> counts_;
+  std::vector<execution> running_;
+  std::vector<uint64_t> starts_;
+  std::vector<time_point> back_at_;
+  time_point next_expiry_{};
+  time_point last_crash_at_{};
+  double due_sound_ = 0;
+  double due_crashing_ = 0;
+  uint64_t last_start_ = 0;
+  uint64_t last_request_ = 0;
+  size_t sound_sent_ = 0;
+  size_t sound_refused_ = 0;
+};
+
+class crashing_part_fleet : public crashing_fleet {
+ protected:
+  static constexpr uint64_t kSeeds = 5;
+
+  void RunWith(shared_part_traffic::options options, bool has_history = true) {
+    options.daemons = GetParam().daemons;
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      quarantine_fleet::options shape = Options();
+      shape.seed = seed;
+      quarantine_fleet fleet(shape);
+      shared_part_traffic traffic(fleet, options);
+      traffic.Run(has_history ? seconds(10) : seconds(0), false);
+      traffic.Run(seconds(20), true);
+      for (const auto& part : traffic.counts()) {
+        EXPECT_LE(part.late_sends, 3U) << "seed " << seed;
+        crashes_ += part.crashes;
+        late_sends_ += part.late_sends;
+      }
+      EXPECT_LE(traffic.sound_refused(), traffic.sound_sent() / 4)
+          << "seed " << seed;
+      refused_ += traffic.sound_refused();
+      sent_ += traffic.sound_sent();
+    }
+    std::cout << options.daemons << " daemons: " << crashes_
+              << " upstreams crashed, " << late_sends_ << " sends late, "
+              << refused_ << " of " << sent_ << " sound requests refused\n";
+  }
+
+ private:
+  size_t crashes_ = 0;
+  size_t late_sends_ = 0;
+  size_t refused_ = 0;
+  size_t sent_ = 0;
+};
+INSTANTIATE_TEST_SUITE_P(Sizes,
+                         crashing_part_fleet,
+                         testing::Values(fleet_shape{8, milliseconds(120)},
+                                         fleet_shape{68, milliseconds(400)},
+                                         fleet_shape{300, milliseconds(1500)}));
+
+// Guards against a prompt part that crashes upstreams in ever new requests.
+TEST_P(crashing_part_fleet, StopsSendingAPartOfDifferentRequests) {
+  RunWith({});
+}
+
+// Guards against a shared part that is refused since nothing has completed yet.
+TEST_P(crashing_part_fleet, ServesSharedPartsInANewFleet) {
+  RunWith({}, false);
+}
+
+// Guards against one crashing part that hides another.
+TEST_P(crashing_part_fleet, StopsSendingTwoPartsAtOnce) {
+  RunWith({.crashing_parts = 2});
+}
+
+// Guards against a first part that is thought sound since many requests have
+// it.
+TEST_P(crashing_part_fleet, StopsSendingACrashingFirstPart) {
+  RunWith({.crashes_under_first_part = true});
+}
+
+// Guards against a part that is missed since its crashes are far apart.
+TEST_P(crashing_part_fleet, StopsSendingARarePart) {
+  RunWith({.crashing_rate = 0.7});
+}
+
+// Guards against parts that are quarantined since few upstreams are left.
+TEST_P(crashing_part_fleet, StopsSendingAFrequentPart) {
+  RunWith({.crashing_rate = 20});
+}
+
 }  // namespace
 }  // namespace cuminswitch
--- a/unittests/Core/crashing_request_test.cc
+++ b/unittests/Core/crashing_request_test.cc
@@ -4,6 +4,8 @@
 
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "cuminswitch/Core/request_router.h"
 #include "cuminswitch/Membership/member_table.h"
@@ -42,17 +44,36 @@
     now_ += std::chrono::seconds(10);
   }
 
-  void SendRequest(const hash128& digest, repeat_rule rule, uint32_t max_runs) {
+  void SendRequest(const hash128& digest,
+                   repeat_rule rule,
+                   uint32_t max_runs,
+                   std::vector<hash128> parts = {}) {
     router_.OnRequest(now_,
                       {.request = ++last_request_,
                        .workspace = "w",
                        .target = "s",
                        .request_digest = digest,
+                       .part_digests = std::move(parts),
                        .time_limit = std::chrono::seconds(5),
                        .repeats = rule,
                        .max_runs = max_runs},
                       out_);
   }
+  /// Sends a request that no other is alike, with \p parts.
+  void SendNewRequest(std::vector<hash128> parts, uint32_t max_runs = 1) {
+    SendRequest({.high = 9, .low = ++last_digest_}, repeat_rule::kRepeatable,
+                max_runs, std::move(parts));
+  }
+  /// Ends the dispatched attempt with a complete response.
+  void Complete(bool is_unframed = false) {
+    const auto sent = TakeDispatch();
+    ASSERT_TRUE(sent);
+    router_.OnAttemptEnded(now_,
+                           {.attempt = *sent,
+                            .result = outcome::kAnswered,
+                            .is_unframed = is_unframed},
+                           out_);
+  }
   std::optional<attempt_id> TakeDispatch() {
     const auto sent = TakeAction<dispatch_attempt>(out_);
     return sent ? std::optional(sent->attempt) : std::nullopt;
@@ -77,6 +98,7 @@
   request_router router_;
   action_list out_;
   request_id last_request_ = 0;
+  uint64_t last_digest_ = 0;
 };
 
 TEST_F(crashing_request_test, CrashesThreeUpstreamsAtMost) {
@@ -162,5 +184,85 @@
   }
 }
 
+const hash128 kFirst = DigestPart("s", "first");
+const hash128 kCrashingPart = DigestPart("s", "crashing");
+const hash128 kOtherPart = DigestPart("s", "other");
+
+// Guards against a prompt part that crashes upstreams in ever new requests.
+TEST_F(crashing_request_test, RefusesNewRequestsWithACrashingPart) {
+  uint64_t crashed = 0;
+  for (int i = 0; i < 20; ++i) {
+    SendNewRequest({kFirst, kCrashingPart});
+    crashed += CrashAttempts();
+    now_ += std::chrono::milliseconds(50);
+    SendNewRequest({kFirst, kOtherPart});
+    Complete();
+    now_ += std::chrono::milliseconds(50);
+  }
+  EXPECT_LE(crashed, 5U);
+  out_.clear();
+  SendNewRequest({kFirst, kOtherPart, kCrashingPart});
+  const auto response = TakeAction<local_response>(out_);
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->result, outcome::kNotRun);
+  EXPECT_EQ(response->status, 503U);
+  EXPECT_GT(response->retry_after, duration(0));
+  EXPECT_EQ(response->quarantined_part, kCrashingPart);
+}
+
+// Guards against the retry of a request whose part was quarantined meanwhile.
+TEST_F(crashing_request_test, RefusesInsteadOfARetryUnderACrashingPart) {
+  SendNewRequest({kFirst, kOtherPart});
+  Complete();
+  uint64_t crashed = 0;
+  for (int i = 0; i < 3; ++i) {
+    SendNewRequest({kFirst, kCrashingPart}, 2);
+    crashed += CrashAttempts();
+    now_ += std::chrono::milliseconds(50);
+  }
+  EXPECT_LE(crashed, 5U);
+  std::optional<local_response> last;
+  while (const auto response = TakeAction<local_response>(out_)) {
+    last = response;
+  }
+  ASSERT_TRUE(last);
+  EXPECT_TRUE(last->quarantined_part);
+}
+
+// Guards against a request with a crashing part that waits in the queue.
+TEST_F(crashing_request_test, RefusesQueuedRequestOfACrashingPart) {
+  for (int i = 0; i < 12; ++i) {
+    SendRequest(kHarmless, repeat_rule::kRepeatable, 2, {kFirst, kOtherPart});
+  }
+  SendNewRequest({kFirst, kCrashingPart});
+  EXPECT_FALSE(TakeAction<local_response>(out_));
+  for (uint64_t upstream = 1; upstream <= 4; ++upstream) {
+    router_.quarantine().OnCrash(now_, {.high = 9, .low = 100 + upstream},
+                                 upstream, now_,
+                                 std::vector{kFirst, kCrashingPart});
+  }
+  router_.OnTick(now_, out_);
+  const auto response = TakeAction<local_response>(out_);
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->result, outcome::kNotRun);
+  EXPECT_EQ(response->quarantined_part, kCrashingPart);
+}
+
+// Guards against a crashed upstream's response that passes for a complete one.
+TEST_F(crashing_request_test, UnframedResponsesClearNoPart) {
+  uint64_t crashed = 0;
+  for (int i = 0; i < 10; ++i) {
+    SendNewRequest({kFirst, kCrashingPart});
+    crashed += CrashAttempts();
+    now_ += std::chrono::milliseconds(50);
+    SendNewRequest({kFirst, kCrashingPart});
+    if (!TakeAction<local_response>(out_)) {
+      Complete(true);
+    }
+    now_ += std::chrono::milliseconds(50);
+  }
+  EXPECT_LE(crashed, 5U);
+}
+
 }  // namespace
 }  // namespace cuminswitch
