Count unframed responses as crashes where their upstream is gone

A response with neither a length nor chunks ends with its connection, when it is complete and when its upstream crashes: the crash of such a response was recorded as a completed execution, which even cleared the request.

An unframed end is now held until it is known what it was. It counts as a crash if another execution's connection to that upstream was lost at the same time, or the upstream accepts no connection within a second; it counts as complete once the upstream responds to something sent later.

--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -90,6 +90,17 @@
                uint64_t upstream,
                time_point sent,
                std::span<const hash128> parts = {});
+  /// Records that the response to this daemon's execution ended with its
+  /// connection, as it does both when it is complete and when the upstream
+  /// crashes. It counts as a crash if the upstream is found to have crashed at
+  /// that time, and as complete once the upstream responds again.
+  void OnUnframedEnd(time_point now,
+                     const hash128& request,
+                     uint64_t upstream,
+                     time_point sent,
+                     std::span<const hash128> parts);
+  /// Records that \p upstream accepts no connection.
+  void OnUnreachable(time_point now, uint64_t upstream);
   /// Records that an execution of \p request, sent at \p sent, completed.
   void OnCompleted(time_point now, const hash128& request, time_point sent);
   /// Records that an execution of a request with \p parts, sent at \p sent,
@@ -222,6 +233,19 @@
   void RecordPartCompletion(const hash128& part,
                             time_point at,
                             crash_source source);
+  /// Records that an execution of a request with \p parts, sent at \p sent,
+  /// completed at \p at.
+  void RecordPartsCompletion(std::span<const hash128> parts,
+                             time_point sent,
+                             time_point at);
+  /// Records as complete the unframed ends at \p upstream before \p sent, when
+  /// something was sent to which it responded.
+  void CompleteUnframedEnds(uint64_t upstream, time_point sent);
+  /// Moves the unframed ends at \p upstream from \p from to \p to to those that
+  /// count as crashes.
+  void ConfirmUnframedEnds(uint64_t upstream, time_point from, time_point to);
+  /// Adds the crashes that were confirmed.
+  void AddConfirmed(time_point now);
   /// Decides anew which parts are quarantined and what they explain.
   void JudgeParts(time_point now, crash_source source);
   /// Returns the parts to which the crashes are to be attributed.
@@ -266,6 +290,9 @@
   contact contact_ = contact::kReached;
   /// This daemon's crashes since the contact is in doubt.
   std::vector<held_crash> held_crashes_;
+  /// The latest unframed ends, and those at upstreams that crashed.
+  std::deque<held_crash> unframed_ends_;
+  std::vector<held_crash> confirmed_;
   std::unordered_map<hash128, suspect, hash128_hasher> suspects_;
   /// The suspects, the oldest first; some may have been removed already.
   std::deque<hash128> order_;
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -50,6 +50,13 @@
 static constexpr size_t kMaxActivePerPart = 8;
 /// Requests whose crashes are held back.
 static constexpr size_t kMaxHeld = 16;
+/// Unframed ends that are remembered, and how far from a crash of their
+/// upstream they count as caused by it.
+static constexpr size_t kMaxUnframedEnds = 256;
+static constexpr duration kCrashWindow = std::chrono::milliseconds(300);
+/// Time after an unframed end in which an upstream that accepts no connection
+/// counts as crashed.
+static constexpr duration kUnreachableWindow = std::chrono::seconds(1);
 /// Time in which the numbers of completions are halved.
 static constexpr duration kCompletionHalfLife = std::chrono::minutes(1);
 
@@ -182,6 +189,8 @@
     return;
   }
   crashed_.insert(seen.upstream);
+  ConfirmUnframedEnds(seen.upstream, seen.at - kCrashWindow,
+                      seen.at + kCrashWindow);
   const crash_source source =
       seen.is_local ? crash_source::kOwn : crash_source::kPeer;
   if (seen.is_local) {
@@ -258,9 +267,68 @@
     AddCrash(now, parts[depth], seen);
     suspects_.at(parts[depth]).depth = depth;
   }
+  AddConfirmed(now);
   JudgeParts(now, crash_source::kOwn);
 }
 
+void request_quarantine::OnUnframedEnd(time_point now,
+                                       const hash128& request,
+                                       uint64_t upstream,
+                                       time_point sent,
+                                       std::span<const hash128> parts) {
+  if (contact_ != contact::kReached) {
+    return;
+  }
+  if (unframed_ends_.size() >= kMaxUnframedEnds) {
+    unframed_ends_.pop_front();
+  }
+  unframed_ends_.push_back({.request = request,
+                            .seen = {.upstream = upstream,
+                                     .sent = sent,
+                                     .at = now,
+                                     .is_local = true},
+                            .parts = {parts.begin(), parts.end()}});
+  // A report of the crash may have arrived before.
+  if (!crashed_.contains(upstream)) {
+    return;
+  }
+  for (const auto& [digest, item] : suspects_) {
+    for (const crash& seen : item.crashes) {
+      if (seen.upstream == upstream && !seen.is_cleared) {
+        ConfirmUnframedEnds(upstream, seen.at - kCrashWindow,
+                            seen.at + kCrashWindow);
+      }
+    }
+  }
+  AddConfirmed(now);
+}
+
+void request_quarantine::OnUnreachable(time_point now, uint64_t upstream) {
+  if (contact_ == contact::kReached) {
+    ConfirmUnframedEnds(upstream, now - kUnreachableWindow, now);
+    AddConfirmed(now);
+  }
+}
+
+void request_quarantine::ConfirmUnframedEnds(uint64_t upstream,
+                                             time_point from,
+                                             time_point to) {
+  std::erase_if(unframed_ends_, [&](const held_crash& item) {
+    const bool is_crash = item.seen.upstream == upstream &&
+                          item.seen.at >= from && item.seen.at <= to;
+    if (is_crash) {
+      confirmed_.push_back(item);
+    }
+    return is_crash;
+  });
+}
+
+void request_quarantine::AddConfirmed(time_point now) {
+  for (const held_crash& item : std::exchange(confirmed_, {})) {
+    AddOwnCrash(now, item.request, item.seen, item.parts);
+  }
+}
+
 std::vector<hash128> request_quarantine::ListBlamedParts() const {
   std::vector<suspected_part> parts;
   std::vector<std::vector<uint64_t>> requests;
@@ -372,6 +440,13 @@
 void request_quarantine::OnPartsCompleted(time_point now,
                                           std::span<const hash128> parts,
                                           time_point sent) {
+  RecordPartsCompletion(parts, sent, now);
+  JudgeParts(now, crash_source::kOwn);
+}
+
+void request_quarantine::RecordPartsCompletion(std::span<const hash128> parts,
+                                               time_point sent,
+                                               time_point at) {
   for (const hash128& part : parts) {
     part_completions_.Add(part);
     const auto found = suspects_.find(part);
@@ -382,10 +457,27 @@
     // part did not crash upstreams yet.
     const std::vector<crashed_start> crashes = found->second.ListCrashes();
     if (!crashes.empty() && sent > crashes.front().at) {
-      RecordPartCompletion(part, now, crash_source::kOwn);
+      RecordPartCompletion(part, at, crash_source::kOwn);
     }
   }
-  JudgeParts(now, crash_source::kOwn);
+}
+
+void request_quarantine::CompleteUnframedEnds(uint64_t upstream,
+                                              time_point sent) {
+  std::vector<held_crash> completed;
+  std::erase_if(unframed_ends_, [&](const held_crash& item) {
+    const bool is_complete =
+        item.seen.upstream == upstream && item.seen.at < sent;
+    if (is_complete) {
+      completed.push_back(item);
+    }
+    return is_complete;
+  });
+  for (const held_crash& item : completed) {
+    RecordCompletion(item.seen.at, item.request, item.seen.sent,
+                     crash_source::kOwn);
+    RecordPartsCompletion(item.parts, item.seen.sent, item.seen.at);
+  }
 }
 
 void request_quarantine::RecordPartCompletion(const hash128& part,
@@ -429,6 +521,7 @@
   for (const response_report& item : update.responses) {
     OnPeerResponse(item.upstream, now - item.age);
   }
+  AddConfirmed(now);
   JudgeParts(now, crash_source::kPeer);
 }
 
@@ -455,6 +548,9 @@
 
 void request_quarantine::OnUpstreamResponse(uint64_t upstream,
                                             time_point sent) {
+  if (!unframed_ends_.empty()) {
+    CompleteUnframedEnds(upstream, sent);
+  }
   // Called for each response; almost always the upstream has no crash.
   if (crashed_.contains(upstream) && ClearCrashes(upstream, sent) &&
       pending_responses_.size() < kMaxReports) {
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -286,7 +286,12 @@
   const std::vector<hash128>& parts = item.info.part_digests;
   if (event.connection_lost) {
     quarantine_.OnCrash(now, digest, done.upstream_start, done.sent, parts);
-  } else if (event.result == outcome::kAnswered && !event.is_unframed) {
+  } else if (event.unreachable) {
+    quarantine_.OnUnreachable(now, done.upstream_start);
+  } else if (event.result == outcome::kAnswered && event.is_unframed) {
+    quarantine_.OnUnframedEnd(now, digest, done.upstream_start, done.sent,
+                              parts);
+  } else if (event.result == outcome::kAnswered) {
     quarantine_.OnCompleted(now, digest, done.sent);
     if (!event.failed_in_run) {
       quarantine_.OnPartsCompleted(now, parts, done.sent);
--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -171,14 +171,15 @@
 
 # ask INDEX ID PATH [KEY]: sends a POST to the daemon as a caller; leaves the
 # body in $WORK/out and the status in $WORK/err. BODY is the request's body,
-# EXTRA_HEADERS are further headers, one per line.
+# EXTRA_HEADERS are further headers, one per line. PARTS are the parts of the
+# prompt before its last one.
 ask() {
   FETCH_HEADERS="Host: h
 X-Attempt-Id: $2
 X-Deadline-Ms: ${DEADLINE_MS:-3000}
 X-Model: m
 X-Token-Usage: 100,10
-X-Prompt-Prefix: aa:50,bb:40,$2:10
+X-Prompt-Prefix: ${PARTS:-aa:50,bb:40},$2:10
 Authorization: Token ${4:-key1}${EXTRA_HEADERS:+
 $EXTRA_HEADERS}" \
     "$BUILD/utils/fetch" "$(front "$1")" "$3" "${BODY:-body}" >"$WORK/out" 2>"$WORK/err"
--- a/unittests/Core/crashing_request_test.cc
+++ b/unittests/Core/crashing_request_test.cc
@@ -264,5 +264,37 @@
   EXPECT_LE(crashed, 5U);
 }
 
+// Guards against crashes that look like complete responses, since these have
+// neither a length nor chunks.
+TEST_F(crashing_request_test, CountsUnframedEndsAtUpstreamsThatAreGone) {
+  uint64_t crashed = 0;
+  for (int i = 0; i < 10; ++i) {
+    SendNewRequest({kFirst, kCrashingPart});
+    if (const auto sent = TakeDispatch()) {
+      ++crashed;
+      router_.OnAttemptEnded(
+          now_,
+          {.attempt = *sent, .result = outcome::kAnswered, .is_unframed = true},
+          out_);
+    }
+    out_.clear();
+    now_ += std::chrono::milliseconds(50);
+    // The next request to the same upstream finds no process there.
+    for (int other = 0; other < 12; ++other) {
+      SendNewRequest({kFirst, kOtherPart});
+      if (const auto sent = TakeDispatch()) {
+        router_.OnAttemptEnded(
+            now_,
+            {.attempt = *sent, .result = outcome::kNotRun, .unreachable = true},
+            out_);
+      }
+      out_.clear();
+    }
+    now_ += std::chrono::milliseconds(50);
+  }
+  EXPECT_LE(crashed, 5U);
+  EXPECT_GE(crashed, 1U);
+}
+
 }  // namespace
 }  // namespace cuminswitch
