Number the store's replies, so that relays don't rejuvenate their records

A review of the bound on superseded weights found that the records it rests on get younger. Daemons relay the most recent record of a reply of the store, and each relay makes its age too short by the delay of its message. Only the origin ignored its own record, so one reply circulated and its record grew younger without limit: daemons whose followers had all failed noticed late that the store replied to nobody, took over late, and took a change for newer than it was.

Change: a record names the number of the reply, and a daemon keeps the earliest time by all records of one reply. Beats of daemons of the landing before have no number and are applied as before. The detection of store outages uses the same time.

Evidence: store_fleet now delivers heartbeats after 10 ms instead of at once.

--- a/include/cuminswitch/Fleet/staleness_tracker.h
+++ b/include/cuminswitch/Fleet/staleness_tracker.h
@@ -15,7 +15,10 @@
 struct freshness_record {
   /// Hash of the name of the daemon that received the reply.
   uint64_t daemon_hash = 0;
-  /// Time since the reply.
+  /// Increases with the replies that this daemon received; 0 if unknown.
+  uint64_t reply = 0;
+  /// Time since the reply. Each relay makes it too short by the delay of its
+  /// message.
   duration age{0};
 
   friend bool operator==(const freshness_record&,
@@ -34,10 +37,11 @@
   void OnStoreReply(time_point at);
   /// Applies the freshness record \p reported, which a peer sent. If
   /// \p is_behind, this daemon has an older revision than the peer, so the
-  /// record does not prove that this daemon's items are complete.
-  void OnPeerReport(time_point now,
-                    const freshness_record& reported,
-                    bool is_behind);
+  /// record does not prove that this daemon's items are complete. Returns when
+  /// the reply was received, as far as is known.
+  time_point OnPeerReport(time_point now,
+                          const freshness_record& reported,
+                          bool is_behind);
   /// Returns when the items were last known to be complete. An item that is new
   /// to this daemon was written later.
   time_point complete_at() const { return complete_at_; }
@@ -53,12 +57,23 @@
                        duration span) const;
 
  private:
+  struct known_reply {
+    uint64_t number = 0;
+    /// The earliest of the times by the records of this reply: a record that
+    /// circulates among peers looks younger with each relay.
+    time_point at{};
+  };
+
+  /// Returns the time of the reply that \p reported states, which was at \p at
+  /// by this record.
+  time_point UpdateReply(time_point at, const freshness_record& reported);
+
   uint64_t self_;
   uint64_t freshness_source_ = 0;
+  uint64_t freshness_reply_ = 0;
   time_point complete_at_{};
-  /// Time of the store's last reply to each daemon reported by peers, by name
-  /// hash.
-  std::map<uint64_t, time_point> last_reply_at_;
+  /// The store's last reply to each daemon reported by peers, by name hash.
+  std::map<uint64_t, known_reply> last_replies_;
 };
 
 }  // namespace cuminswitch
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -162,13 +162,14 @@
   const bool has_changed = peer_table_.OnHeartbeat(now, heartbeat);
   lag_.OnPeerRevision(now, heartbeat.sender.revision,
                       item_watcher_.view().revision());
-  if (heartbeat.freshness) {
-    staleness_.OnPeerReport(
-        suspension_.ArrivedAfter(now), *heartbeat.freshness,
+  std::optional<freshness_record> freshness = heartbeat.freshness;
+  if (freshness) {
+    const time_point replied_at = staleness_.OnPeerReport(
+        suspension_.ArrivedAfter(now), *freshness,
         heartbeat.sender.revision > item_watcher_.view().revision());
+    freshness->age = now - replied_at;
   }
-  store_outage_.OnPeerReport(now, heartbeat.sender.recovery,
-                             heartbeat.freshness);
+  store_outage_.OnPeerReport(now, heartbeat.sender.recovery, freshness);
   if (!heartbeat.changing.empty()) {
     leader_changing_ = heartbeat.changing;
     leader_changing_at_ = now;
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -210,6 +210,7 @@
       return std::nullopt;
     }
     frame.freshness = {.daemon_hash = wire.store_witness(),
+                       .reply = wire.store_answer(),
                        .age = duration(wire.store_answer_age_us())};
   }
   if (!ReadQuarantineUpdate(wire, frame.quarantine) ||
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -106,7 +106,8 @@
                freshness.daemon_hash, freshness.age.count(),
                sender.recovery.event, sender.recovery.left.count(),
                sender.recovery.revision, out_.CreateVectorOfStructs(responses),
-               sender.tracks_streams, out_.CreateVector(sender.lost_services))
+               sender.tracks_streams, out_.CreateVector(sender.lost_services),
+               freshness.reply)
         .Union();
   }
 
--- a/unittests/Fleet/store_fleet.cc
+++ b/unittests/Fleet/store_fleet.cc
@@ -11,6 +11,7 @@
 
 static constexpr milliseconds kStep{10};
 static constexpr milliseconds kHeartbeatInterval{120};
+static constexpr milliseconds kMessageDelay{10};
 /// Pause between watches, which return immediately since upstreams renew their
 /// items.
 static constexpr milliseconds kWatchPause{100};
@@ -44,6 +45,7 @@
 void store_fleet::Run(duration span) {
   const time_point end = now_ + span;
   for (; now_ < end; now_ += kStep) {
+    DeliverHeartbeats();
     for (size_t i = 0; i < daemons_.size(); ++i) {
       Step(i);
     }
@@ -150,13 +152,25 @@
     if (to == number || self.is_partitioned || peer.is_partitioned) {
       continue;
     }
-    if (const auto freshness = self.staleness.MostRecent(now_)) {
-      peer.staleness.OnPeerReport(now_, *freshness,
-                                  self.revision > peer.revision);
+    in_transit_.push_back({.arrives_at = now_ + kMessageDelay,
+                           .to = to,
+                           .freshness = self.staleness.MostRecent(now_),
+                           .revision = self.revision});
+  }
+}
+
+void store_fleet::DeliverHeartbeats() {
+  while (!in_transit_.empty() && in_transit_.front().arrives_at <= now_) {
+    const heartbeat& message = in_transit_.front();
+    daemon& to = daemons_[message.to];
+    if (message.freshness) {
+      to.staleness.OnPeerReport(now_, *message.freshness,
+                                message.revision > to.revision);
     }
-    // The peer requests the items, and gets the reply well before the next
+    // The receiver requests the items, and gets the reply well before the next
     // round.
-    SetRevision(peer, self.revision);
+    SetRevision(to, message.revision);
+    in_transit_.pop_front();
   }
 }
 
--- a/unittests/Fleet/store_fleet.h
+++ b/unittests/Fleet/store_fleet.h
@@ -4,6 +4,7 @@
 #define CUMINSWITCH_UNITTESTS_FLEET_STORE_FLEET_H_
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -61,13 +62,24 @@
     size_t rotation = 0;
   };
 
+  /// A heartbeat on its way.
+  struct heartbeat {
+    time_point arrives_at{};
+    size_t to = 0;
+    std::optional<freshness_record> freshness;
+    revision_number revision = 0;
+  };
+
   void Step(size_t number);
+  void DeliverHeartbeats();
   void Call(daemon& self);
   /// Applies the changes up to \p revision at \p self.
   static void SetRevision(daemon& self, revision_number revision);
   void SendHeartbeats(size_t number);
 
   std::vector<daemon> daemons_;
+  /// In the order of arrival.
+  std::deque<heartbeat> in_transit_;
   /// All daemons. One list serves as the peers of each, since a daemon does not
   /// rank before itself.
   std::vector<daemon_record> alive_;
