Count a paged read of all items as complete as of its first page

Found by the review of the bound on superseded weights: the pages of all items show them as of the first page's revision, and the last page may come seconds later, also after failed pages. The items counted as complete as of the last page, so a version that was published between counted as newer than it was.

The read now counts from when its first page was requested. The test ReadIsCompleteAsOfItsFirstPage needs the new report and fails where it states the time of the reply.

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -85,6 +85,7 @@
   void OnItemsReply(const items_reply_frame& reply);
 
   void OnTick();
+  void OnStoreReply(const item_watcher::store_reply& reply);
   void OnItemsChanged(std::span<const std::string> keys);
   void Publish(std::shared_ptr<const fleet_snapshot> next);
   void PublishUpstreams();
--- a/include/cuminswitch/Fleet/item_watcher.h
+++ b/include/cuminswitch/Fleet/item_watcher.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,12 +26,18 @@
 /// store has discarded the history in between.
 class item_watcher {
  public:
+  struct store_reply {
+    time_point at{};
+    /// The items are complete as of then: pages show the items as of the first
+    /// one.
+    time_point complete_at{};
+    revision_number revision = 0;
+  };
   struct handlers {
     /// Called with the keys of items that changed or were pruned.
     std::function<void(std::span<const std::string> keys)> on_change;
-    /// Called for each reply of the store, before its changes are applied, with
-    /// the time of the reply and the revision that it reflects.
-    std::function<void(time_point at, revision_number revision)> on_reply;
+    /// Called for each reply of the store, before its changes are applied.
+    std::function<void(const store_reply& reply)> on_reply;
   };
 
   item_watcher(event_base* base,
@@ -83,6 +90,8 @@
   /// A call is in progress, or the timer for the next one is running.
   bool is_busy_ = false;
   duration retry_delay_{0};
+  /// When the first page of the current read of all items was requested.
+  std::optional<time_point> read_started_at_;
   /// Start of the current or the last call.
   time_point called_at_{};
   time_point last_reply_at_{};
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -33,21 +33,17 @@
                    .self_address = options_.self.peer_address,
                    .self_domain = options_.self.failure_domain,
                    .seeds = options_.seeds}),
-      item_watcher_(
-          base,
-          with.store,
-          with.log,
-          {.on_change =
-               [this](std::span<const std::string> keys) {
-                 OnItemsChanged(keys);
-               },
-           .on_reply =
-               [this](time_point at, revision_number revision) {
-                 written_after_ = staleness_.complete_at();
-                 suspension_.OnRunning(at);
-                 staleness_.OnStoreReply(suspension_.ArrivedAfter(at));
-                 store_outage_.OnStoreReply(at, revision);
-               }}),
+      item_watcher_(base,
+                    with.store,
+                    with.log,
+                    {.on_change =
+                         [this](std::span<const std::string> keys) {
+                           OnItemsChanged(keys);
+                         },
+                     .on_reply =
+                         [this](const item_watcher::store_reply& reply) {
+                           OnStoreReply(reply);
+                         }}),
       election_({.self_name = options_.self.name,
                  .key = options_.leader_key,
                  .handover_gap = options_.leader_gap,
@@ -355,6 +351,14 @@
   software_.Expire(now);
 }
 
+void fleet_task::OnStoreReply(const item_watcher::store_reply& reply) {
+  written_after_ = staleness_.complete_at();
+  suspension_.OnRunning(reply.at);
+  staleness_.OnStoreReply(
+      std::min(reply.complete_at, suspension_.ArrivedAfter(reply.at)));
+  store_outage_.OnStoreReply(reply.at, reply.revision);
+}
+
 void fleet_task::OnItemsChanged(std::span<const std::string> keys) {
   decoded_items decoded = parts_.decoder.Decode(item_watcher_.view(), keys);
   item_watcher_.MarkForRelay(decoded.changed_keys);
--- a/lib/Fleet/item_watcher.cc
+++ b/lib/Fleet/item_watcher.cc
@@ -60,6 +60,7 @@
   }
   called_at_ = ReadBootClock();
   if (must_read_all_) {
+    read_started_at_ = read_started_at_.value_or(called_at_);
     ReadAll();
   } else {
     Watch();
@@ -96,7 +97,12 @@
     return;
   }
   OnSuccess();
-  handlers_.on_reply(last_reply_at_, reply.revision);
+  handlers_.on_reply({.at = last_reply_at_,
+                      .complete_at = is_complete
+                                         ? read_started_at_.value_or(called_at_)
+                                         : last_reply_at_,
+                      .revision = reply.revision});
+  read_started_at_.reset();
   must_read_all_ = false;
   const std::vector<std::string> changed =
       is_complete ? view_.ApplyAll(reply.items, reply.revision)
@@ -148,6 +154,7 @@
     // there. Reading the remaining pages would only use bandwidth of the
     // store's link that other daemons need.
     must_read_all_ = false;
+    read_started_at_.reset();
     store_.StopReading();
     timer_.Start(duration(0));
   }
--- a/unittests/Fleet/item_watcher_test.cc
+++ b/unittests/Fleet/item_watcher_test.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Fleet/peer_frame.h"
 #include "cuminswitch/Log/event_log.h"
 #include "idle_item_store.h"
@@ -50,14 +51,17 @@
             store_,
             log_,
             {.on_change = [](std::span<const std::string> /*keys*/) {},
-             .on_reply = [](time_point /*at*/,
-                            revision_number /*revision*/) {}}) {
+             .on_reply =
+                 [this](const item_watcher::store_reply& reply) {
+                   last_reply_ = reply;
+                 }}) {
     item_watcher_.Start();
   }
   void RunTimers() { event_base_loop(base_.get(), EVLOOP_ONCE); }
 
   std::unique_ptr<event_base, base_deleter> base_;
   event_log log_;
+  item_watcher::store_reply last_reply_;
   manual_store store_;
   item_watcher item_watcher_;
 };
@@ -79,6 +83,20 @@
   EXPECT_EQ(store_.watched_after, 7U);
 }
 
+// Guards against a change that was made while the pages of all items were read
+// and is taken for newer than the last page.
+TEST_F(item_watcher_test, ReadIsCompleteAsOfItsFirstPage) {
+  const time_point started = ReadBootClock();
+  store_.reading({.status = store_status::kRefused});
+  while (ReadBootClock() - started < std::chrono::milliseconds(50)) {
+    RunTimers();
+  }
+  ASSERT_TRUE(store_.reading);
+  store_.reading({.status = store_status::kDone, .revision = 5});
+  EXPECT_LE(last_reply_.complete_at, started);
+  EXPECT_GT(last_reply_.at, started);
+}
+
 TEST_F(item_watcher_test, ContinuesReadWhenPeerSendsSomeItems) {
   item_watcher_.OnPeerItems(
       {.revision = 7,
