Recognise expired attempts only by a deadline of their own

The process test passed where the version arrived too late at the suspended daemon; it now fails there, and demands that the daemon serves other requests and refuses for lack of an upstream. The log has no max_age_ms before the items were first complete.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -58,8 +58,8 @@
 struct model_spec {
   std::string name;
   std::string version;
-  /// No version newer than the previous one was published before this; empty if
-  /// the version may be taken as published when it is applied.
+  /// A version that is new to this daemon was published after this; empty if it
+  /// counts as published when it is applied.
   std::optional<time_point> published_after;
   std::string adapter;
   /// The stores of computed prefixes; each prefix is assigned to one of them.
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -146,8 +146,6 @@
   bool is_on_new_connection() const { return is_on_new_connection_; }
   time_point arrived() const { return options_.arrived; }
   /// When the current attempt was sent.
-  /// The deadline that was handed to the attempt's upstream.
-  time_point upstream_deadline_{};
   time_point sent_at() const { return sent_at_; }
   std::optional<time_point> first_byte_at() const { return first_byte_at_; }
   /// The head of the current attempt's response; its status is 0 before one has
@@ -204,6 +202,9 @@
   attempt_id attempt_ = 0;
   std::string upstream_;
   time_point sent_at_{};
+  /// The deadline of the current attempt's upstream; empty if it has that of
+  /// the request.
+  std::optional<time_point> upstream_deadline_;
   endpoint address_;
   bool is_on_new_connection_ = false;
   uint32_t attempts_ = 0;
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -66,8 +66,7 @@
   address_ = action.address;
   mean_first_byte_ = action.mean_first_byte;
   sent_at_ = now;
-  upstream_deadline_ = std::min(
-      options_.deadline, action.upstream_deadline.value_or(options_.deadline));
+  upstream_deadline_ = action.upstream_deadline;
   ++attempts_;
   ++runs_;
   response_ = {};
@@ -76,7 +75,10 @@
   dispatch_attributes attributes{
       .upstream = action.upstream,
       .workspace = options_.workspace,
-      .time_left = std::max(duration(0), upstream_deadline_ - now),
+      .time_left = std::max(
+          duration(0), std::min(options_.deadline, upstream_deadline_.value_or(
+                                                       options_.deadline)) -
+                           now),
       .rank = options_.rank,
       .cache_scope = std::nullopt,
       .cache_source = std::nullopt,
@@ -284,8 +286,8 @@
   stall_timer_.Cancel();
   unfinished_bytes_ = splitter_.UnfinishedSize();
   attempt_result result = Classify(end);
-  if (result == attempt_result::kBroken &&
-      ReadBootClock() >= upstream_deadline_) {
+  if (result == attempt_result::kBroken && upstream_deadline_ &&
+      ReadBootClock() >= *upstream_deadline_) {
     result = attempt_result::kExpired;
   }
   if (result == attempt_result::kBroken ||
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -107,23 +107,26 @@
   }
 }
 
-/// Logs \p snapshot, of which nothing new is older than \p max_age.
+/// Logs \p snapshot, of which nothing new was written before
+/// \p written_after; empty if that is unknown.
 static void LogSnapshot(event_log& log,
                         const fleet_snapshot& snapshot,
-                        duration max_age) {
+                        time_point written_after) {
   std::string weights;
   for (const weights_version& item : snapshot.wanted_weights) {
     weights += (weights.empty() ? "" : " ") + item.model + "=" +
                std::to_string(item.version);
   }
-  log.Write(log_class::kStateChange,
-            log_line("knowledge_changed")
-                .Add("revision", snapshot.revision)
-                .Add("configuration",
-                     snapshot.config == nullptr ? 0 : snapshot.config->version)
-                .Add("weights", weights)
-                .Add("leader", snapshot.leader)
-                .Add("max_age_ms", max_age));
+  log_line line("knowledge_changed");
+  line.Add("revision", snapshot.revision)
+      .Add("configuration",
+           snapshot.config == nullptr ? 0 : snapshot.config->version)
+      .Add("weights", weights)
+      .Add("leader", snapshot.leader);
+  if (written_after != time_point()) {
+    line.Add("max_age_ms", ReadBootClock() - written_after);
+  }
+  log.Write(log_class::kStateChange, line);
 }
 
 void fleet_task::LogSuspicions() {
@@ -228,7 +231,7 @@
     peer_table_.SetListed(next->daemons);
   }
   if (affects_rollout) {
-    LogSnapshot(parts_.log, *next, ReadBootClock() - written_after_);
+    LogSnapshot(parts_.log, *next, written_after_);
   }
   services_.FindPort<fleet_event>(kEdgeService)
       .Post(fleet_snapshot_changed{.snapshot = std::move(next),
--- a/lib/Fleet/suspension_tracker.cc
+++ b/lib/Fleet/suspension_tracker.cc
@@ -2,8 +2,7 @@
 
 namespace cuminswitch {
 
-/// A process that did not run for this long was suspended. A busy host delays
-/// its processes for less.
+/// A process that did not run for this long was suspended.
 static constexpr duration kMinSuspension = std::chrono::milliseconds(500);
 /// Time in which a resumed process handles the messages that waited.
 static constexpr duration kDrainTime = std::chrono::milliseconds(500);
@@ -11,7 +10,7 @@
 void suspension_tracker::OnRunning(time_point now) {
   if (last_run_ != time_point() && now - last_run_ >= kMinSuspension) {
     // Messages of an earlier suspension may wait still.
-    if (now - resumed_at_ >= kDrainTime + (now - last_run_)) {
+    if (last_run_ - resumed_at_ >= kDrainTime) {
       suspended_at_ = last_run_;
     }
     resumed_at_ = now;
--- a/test/process/platform_superseded_weights.sh
+++ b/test/process/platform_superseded_weights.sh
@@ -41,5 +41,9 @@
   fail "superseded weights did not serve before their bound"
 kill -CONT "${DAEMON_PIDS[$late]}"
 wait_for 5 has_version "$late"
+(($(millis) - published < VERSION_MS)) || fail "the version arrived too late"
+wait_for 1 eval 'ask "$late" "resumed-$RANDOM" /repeat/x'
 after=$(count_started "$late" "$VERSION_MS" $((VERSION_MS + SUSPENSION_MS)))
+grep -q '"reason":"no upstream can take it now"' "$WORK/entry-$late.log" ||
+  fail "daemon $late did not refuse for lack of an upstream"
 ((after == 0)) || fail "$after requests were sent to superseded weights"
