Report the first byte of each attempt, not only of a request's first

The router cancels attempts on superseded weights that have not begun in time. A stream that was resumed at another upstream never reported a first byte there, since the flow reports it once per request: such a stream was cancelled while it went on, and counted as waiting at its upstream until its end.

ReportsFirstByteOfEachAttempt fails without the change.

--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -163,6 +163,8 @@
   void OnResponseBody(std::string_view data) override;
   void OnCallEnd(upstream_call_result end) override;
 
+  /// Reports the first byte of the current attempt.
+  void RecordFirstByte(time_point now);
   void OnDeadline();
   /// The upstream sent no bytes within the stall timeout.
   void OnStall();
@@ -205,6 +207,8 @@
   /// The deadline of the current attempt's upstream; empty if it has that of
   /// the request.
   std::optional<time_point> upstream_deadline_;
+  /// Whether the current attempt has sent the first byte of its response.
+  bool has_attempt_begun_ = false;
   endpoint address_;
   bool is_on_new_connection_ = false;
   uint32_t attempts_ = 0;
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -67,6 +67,7 @@
   mean_first_byte_ = action.mean_first_byte;
   sent_at_ = now;
   upstream_deadline_ = action.upstream_deadline;
+  has_attempt_begun_ = false;
   ++attempts_;
   ++runs_;
   response_ = {};
@@ -192,12 +193,18 @@
   }
 }
 
+void request_flow::RecordFirstByte(time_point now) {
+  first_byte_at_ = first_byte_at_.value_or(now);
+  if (!std::exchange(has_attempt_begun_, true)) {
+    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = attempt_});
+  }
+}
+
 void request_flow::Forward(std::string_view data) {
   const time_point now = ReadBootClock();
-  if (!first_byte_at_) {
-    first_byte_at_ = now;
-    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = attempt_});
-  } else {
+  const bool is_first = !first_byte_at_;
+  RecordFirstByte(now);
+  if (!is_first) {
     longest_event_gap_ =
         std::max<duration>(longest_event_gap_, now - forwarded_at_);
   }
@@ -350,10 +357,7 @@
 }
 
 void request_flow::SendCompleteResponse() {
-  if (!first_byte_at_) {
-    first_byte_at_ = ReadBootClock();
-    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = attempt_});
-  }
+  RecordFirstByte(ReadBootClock());
   if (IsForwarding()) {
     const std::string_view rest = splitter_.TakeRemainder();
     if (!is_head_sent_) {
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -20,7 +20,11 @@
 
 class recording_owner : public flow_owner {
  public:
-  void OnFlowEvent(core_event /*event*/) override {}
+  void OnFlowEvent(core_event event) override {
+    if (const auto* first = std::get_if<attempt_first_byte>(&event)) {
+      begun.push_back(first->attempt);
+    }
+  }
   void OnFlowFeedback(const request_flow& /*flow*/,
                       const upstream_feedback& feedback) override {
     if (feedback.limit) {
@@ -45,6 +49,7 @@
   }
   bool can_retry = true;
   int failed = 0;
+  std::vector<attempt_id> begun;
   attempt_result last_failure = attempt_result::kSuccess;
   std::vector<limit_notice> limits;
   bool ended = false;
@@ -223,6 +228,19 @@
   EXPECT_EQ(exchange_.sent, "id: 1\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against a resumed stream that is cancelled while it goes on, since it
+// looks as if it still waited at its upstream.
+TEST_F(request_flow_test, ReportsFirstByteOfEachAttempt) {
+  const auto first = Dispatch(1);
+  first->Send(std::string(kCloseDelimitedHead) + "id: 1\n\nid: 2\nda");
+  first->Close();
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  const auto second = Dispatch(2);
+  second->Send(std::string(kStreamHead) + kEvent);
+  RunUntil(base_, [&] { return owner_.begun.size() == 2; });
+  EXPECT_EQ(owner_.begun, (std::vector<attempt_id>{1, 2}));
+}
+
 // Guards against an upstream that crashed before its first event counting as a
 // successful empty stream.
 TEST_F(request_flow_test, CloseDelimitedStreamWithoutEventsIsBroken) {
