Try a quarantined prompt part that completed before

After all upstreams crashed one after the other for another reason, parts that most prompts share had crashed often enough to be quarantined, and no request with them was sent any more that could have refuted it: their callers would have been refused for ten minutes.

A daemon that observed the last crash now admits one request with a part that it knows to have completed before, two to five seconds after the crash. If it completes, all daemons release the part; if it crashes its upstream, this daemon tries no more.

--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -52,7 +52,9 @@
 /// since a request with the part completed. A quarantined part explains the
 /// crashes under other parts and under requests. What follows from the crashes
 /// is derived anew with each change, so a sound part that was quarantined while
-/// reports were missing is released.
+/// reports were missing is released. Where all upstreams crashed for another
+/// reason, nothing could refute it any more: a daemon that observed the last
+/// crash then admits a request with a part that had completed before.
 ///
 /// A daemon whose links fail cannot tell lost connections from crashes. So
 /// several daemons verify each crash of a request that may become quarantined,
@@ -132,6 +134,10 @@
   /// Returns the first of \p parts that is quarantined; null if none is.
   const hash128* FindQuarantined(time_point now,
                                  std::span<const hash128> parts) const;
+  /// Whether this daemon may send a request with the quarantined \p part, to
+  /// see whether it still crashes upstreams. If so, it may not again for some
+  /// time.
+  bool TryStartTrial(time_point now, const hash128& part);
   /// Returns the changes for peers since the last call, at most 16 of each
   /// kind. Crashes under parts are a kind of their own; further ones follow
   /// with the next calls.
@@ -181,6 +187,10 @@
     bool is_part = false;
     /// Whether the crashes are attributed to this part.
     bool is_blamed = false;
+    /// When this daemon last sent a request to try the quarantined part, and
+    /// how many of these crashed their upstream.
+    time_point tried_at{};
+    size_t failed_trials = 0;
     /// The position of the part in prompts, if a request of this daemon had it.
     size_t depth = 0;
 
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -212,6 +212,8 @@
     bool repeatable = true;
     /// The result of an attempt is unknown: it may have run the request.
     bool may_have_run = false;
+    /// It is sent to try a quarantined part of its prompt.
+    bool is_trial = false;
     /// Counted in the workspace's requests in flight.
     bool is_counted_in_flight = false;
     bool caller_disconnected = false;
@@ -298,9 +300,7 @@
                            const eligible_replicas& eligible,
                            action_list& out);
   /// Refuses the request if it is quarantined because it crashes upstreams.
-  bool RefuseIfQuarantined(time_point now,
-                           const request& item,
-                           action_list& out);
+  bool RefuseIfQuarantined(time_point now, request& item, action_list& out);
   /// Records in the quarantine that an attempt lost its connection or was
   /// completed.
   void RecordCrash(time_point now,
--- a/lib/Admission/crash_attribution.cc
+++ b/lib/Admission/crash_attribution.cc
@@ -76,11 +76,10 @@
 }
 
 /// Numbers of completions of about the same magnitude say nothing.
-static int CompletionClass(const suspected_part& part) {
-  constexpr int kBitsPerClass = 3;
-  return part.completions == 0
-             ? 0
-             : 1 + std::bit_width(part.completions) / kBitsPerClass;
+static unsigned CompletionClass(const suspected_part& part) {
+  constexpr unsigned kBitsPerClass = 3;
+  const auto bits = static_cast<unsigned>(std::bit_width(part.completions));
+  return bits == 0 ? 0 : 1 + bits / kBitsPerClass;
 }
 
 /// A part with those of its crashes that no chosen part explains.
@@ -94,7 +93,7 @@
 /// counts as more specific.
 static const unexplained_part& ChooseCause(
     const std::vector<unexplained_part>& candidates) {
-  int lowest_class = INT_MAX;
+  unsigned lowest_class = UINT_MAX;
   for (const unexplained_part& item : candidates) {
     lowest_class = std::min(lowest_class, CompletionClass(*item.part));
   }
@@ -119,6 +118,7 @@
     std::span<const suspected_part> parts,
     const std::vector<std::vector<uint64_t>>& requests) {
   std::vector<unexplained_part> candidates;
+  candidates.reserve(parts.size());
   for (const suspected_part& part : parts) {
     if (!IsOneRequest(part, requests)) {
       candidates.push_back({.part = &part, .crashes = part.crashes});
@@ -144,6 +144,7 @@
   }
   RemoveRedundant(chosen);
   std::vector<hash128> found;
+  found.reserve(chosen.size());
   for (const suspected_part* part : chosen) {
     found.push_back(part->part);
   }
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -57,6 +57,13 @@
 /// Time after an unframed end in which an upstream that accepts no connection
 /// counts as crashed.
 static constexpr duration kUnreachableWindow = std::chrono::seconds(1);
+/// Time from the last crash under a quarantined part until it is tried, and
+/// between trials. Daemons that observed the crash begin at different times, so
+/// that the first result reaches the others.
+static constexpr duration kTrialDelay = std::chrono::seconds(2);
+static constexpr duration kTrialSpread = std::chrono::seconds(3);
+static constexpr duration kTrialInterval = std::chrono::seconds(3);
+static constexpr size_t kMaxFailedTrials = 1;
 /// Time in which the numbers of completions are halved.
 static constexpr duration kCompletionHalfLife = std::chrono::minutes(1);
 
@@ -265,7 +272,11 @@
   AddCrash(now, request, seen);
   for (size_t depth = 0; depth < parts.size(); ++depth) {
     AddCrash(now, parts[depth], seen);
-    suspects_.at(parts[depth]).depth = depth;
+    suspect& item = suspects_.at(parts[depth]);
+    item.depth = depth;
+    if (item.tried_at != time_point() && seen.sent >= item.tried_at) {
+      ++item.failed_trials;
+    }
   }
   AddConfirmed(now);
   JudgeParts(now, crash_source::kOwn);
@@ -412,10 +423,10 @@
   const size_t before = item.CountCrashes();
   const bool was_quarantined = item.QuarantinedUntil() > now;
   item.completed_sent = sent;
-  must_judge_ = true;
   if (item.CountCrashes() == before) {
     return;
   }
+  must_judge_ = true;
   if (before >= kCrashesToRelay) {
     QueueCompletion(request, sent);
   }
@@ -490,8 +501,8 @@
   suspect& item = found->second;
   const size_t before = item.ListCrashes().size();
   item.completed_sent = at;
-  must_judge_ = true;
   const bool has_cleared = item.ListCrashes().size() < before;
+  must_judge_ = must_judge_ || has_cleared;
   if (has_cleared && source == crash_source::kOwn &&
       before >= kCrashesToRelay) {
     QueueCompletion(part, at);
@@ -697,6 +708,29 @@
   return found == parts.end() ? nullptr : &*found;
 }
 
+bool request_quarantine::TryStartTrial(time_point now, const hash128& part) {
+  const auto found = suspects_.find(part);
+  if (found == suspects_.end() || !found->second.is_blamed ||
+      part_completions_.Count(part) == 0) {
+    return false;
+  }
+  suspect& item = found->second;
+  const crash& last = item.crashes.back();
+  const uint64_t draw =
+      CombineHash(last.upstream,
+                  static_cast<uint64_t>(last.sent.time_since_epoch().count()));
+  const duration spread(
+      static_cast<int64_t>(draw % static_cast<uint64_t>(kTrialSpread.count())));
+  const bool was_tried = item.tried_at != time_point();
+  if (!last.is_local || item.failed_trials >= kMaxFailedTrials ||
+      now - last.at < kTrialDelay + spread ||
+      (was_tried && now - item.tried_at < kTrialInterval)) {
+    return false;
+  }
+  item.tried_at = now;
+  return true;
+}
+
 std::vector<request_quarantine::pending_crash>
 request_quarantine::TakePendingCrashes() {
   std::vector<pending_crash> taken = std::exchange(pending_crashes_, {});
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -234,6 +234,7 @@
   const request_id id = found->second;
   attempts_.erase(found);
   request& item = requests_.at(id);
+  item.is_trial = false;
   const attempt done = *std::exchange(item.running, std::nullopt);
   if (!done.first_byte) {
     replicas_.OnFirstByte(done.index, done.expected_tokens);
--- a/lib/Core/request_refusals.cc
+++ b/lib/Core/request_refusals.cc
@@ -95,8 +95,11 @@
 }
 
 bool request_router::RefuseIfQuarantined(time_point now,
-                                         const request& item,
+                                         request& item,
                                          action_list& out) {
+  if (item.is_trial) {
+    return false;
+  }
   const hash128* part =
       quarantine_.FindQuarantined(now, item.info.part_digests);
   const std::optional<duration> left = quarantine_.RetryDelay(
@@ -104,6 +107,11 @@
   if (!left) {
     return false;
   }
+  if (part != nullptr && !item.may_have_run &&
+      quarantine_.TryStartTrial(now, *part)) {
+    item.is_trial = true;
+    return false;
+  }
   Refuse(item.info.request,
          {.status = item.may_have_run ? status_code::kBadGateway
                                       : status_code::kUnavailable,
--- a/unittests/Admission/quarantine_fleet_test.cc
+++ b/unittests/Admission/quarantine_fleet_test.cc
@@ -332,6 +332,8 @@
     /// Whether the first part of prompts, which nearly all others share, is
     /// what crashes upstreams.
     bool crashes_under_first_part = false;
+    /// Whether requests with the crashing parts completed at first.
+    bool completed_before = false;
   };
   struct part_counts {
     size_t crashes = 0;
@@ -368,6 +370,8 @@
   /// \p has_crashing.
   void Run(duration time, bool has_crashing) {
     const time_point end = fleet_.now() + time;
+    const bool sends_part = has_crashing || options_.completed_before;
+    does_crash_ = has_crashing;
     while (fleet_.now() < end) {
       fleet_.Advance(kStep);
       if (fleet_.now() >= next_expiry_) {
@@ -381,7 +385,7 @@
            due_sound_ >= 1; due_sound_ -= 1) {
         SendSound();
       }
-      for (size_t part = 0; has_crashing && part < counts_.size(); ++part) {
+      for (size_t part = 0; sends_part && part < counts_.size(); ++part) {
         due_crashing_ += options_.crashing_rate * ToSeconds(kStep);
         if (due_crashing_ >= 1) {
           due_crashing_ -= 1;
@@ -391,6 +395,15 @@
     }
   }
 
+  /// Crashes all upstreams, one every \p interval, with no request as the
+  /// cause.
+  void CrashAll(duration interval) {
+    for (size_t upstream = 0; upstream < options_.upstreams; ++upstream) {
+      CrashUpstream(upstream);
+      Run(interval, false);
+    }
+  }
+
  private:
   static constexpr size_t kNone = SIZE_MAX;
   struct execution {
@@ -412,7 +425,10 @@
   /// or no upstream could take it.
   bool Send(const std::vector<hash128>& parts, size_t crashing) {
     const size_t daemon = fleet_.Draw(options_.daemons);
-    if (fleet_.At(daemon).FindQuarantined(fleet_.now(), parts) != nullptr) {
+    const hash128* refused =
+        fleet_.At(daemon).FindQuarantined(fleet_.now(), parts);
+    if (refused != nullptr &&
+        !fleet_.At(daemon).TryStartTrial(fleet_.now(), *refused)) {
       return false;
     }
     const size_t upstream = fleet_.Draw(options_.upstreams);
@@ -452,14 +468,18 @@
     if (!options_.crashes_under_first_part) {
       parts.insert(parts.begin() + 2, Part("crash", part));
     }
-    Send(parts, part);
+    Send(parts, does_crash_ ? part : kNone);
   }
 
   void EndExecutions() {
     for (size_t i = 0; i < running_.size(); ++i) {
       if (running_[i].crashing != kNone &&
           fleet_.now() - running_[i].sent >= kCrashTime) {
-        CrashUpstream(running_[i].upstream, running_[i].crashing);
+        const size_t part = running_[i].crashing;
+        CrashUpstream(running_[i].upstream);
+        if (++counts_[part].crashes == 5) {
+          counts_[part].fifth_crash_at = fleet_.now();
+        }
         i = 0;
       }
     }
@@ -475,7 +495,7 @@
     });
   }
 
-  void CrashUpstream(size_t upstream, size_t part) {
+  void CrashUpstream(size_t upstream) {
     std::erase_if(running_, [&](const execution& item) {
       if (item.upstream != upstream) {
         return false;
@@ -488,9 +508,6 @@
     starts_[upstream] = ++last_start_;
     back_at_[upstream] = fleet_.now() + kRestartTime;
     last_crash_at_ = fleet_.now();
-    if (++counts_[part].crashes == 5) {
-      counts_[part].fifth_crash_at = fleet_.now();
-    }
   }
 
   quarantine_fleet& fleet_;
@@ -501,6 +518,7 @@
   std::vector<time_point> back_at_;
   time_point next_expiry_{};
   time_point last_crash_at_{};
+  bool does_crash_ = false;
   double due_sound_ = 0;
   double due_crashing_ = 0;
   uint64_t last_start_ = 0;
@@ -580,5 +598,27 @@
   RunWith({.crashing_rate = 20});
 }
 
+// Guards against shared parts that stay quarantined after all upstreams crashed
+// for another reason, since no request with them is sent any more.
+TEST_P(crashing_part_fleet, ServesSharedPartsAfterAllUpstreamsCrashed) {
+  for (const duration interval : {milliseconds(60), milliseconds(200)}) {
+    quarantine_fleet fleet(Options());
+    shared_part_traffic traffic(
+        fleet, {.daemons = GetParam().daemons,
+                .sound_rate = 3 * static_cast<double>(GetParam().daemons)});
+    traffic.Run(seconds(10), false);
+    traffic.CrashAll(interval);
+    traffic.Run(seconds(20), false);
+    EXPECT_GT(traffic.sound_sent(), 200U);
+    EXPECT_LE(traffic.sound_refused(), traffic.sound_sent() / 4)
+        << "every " << interval.count() << " us";
+  }
+}
+
+// Guards against a crashing part that completed before and is tried too often.
+TEST_P(crashing_part_fleet, StopsSendingAPartThatCompletedBefore) {
+  RunWith({.completed_before = true});
+}
+
 }  // namespace
 }  // namespace cuminswitch
--- a/unittests/Core/crashing_request_test.cc
+++ b/unittests/Core/crashing_request_test.cc
@@ -296,5 +296,24 @@
   EXPECT_GE(crashed, 1U);
 }
 
+// Guards against a part that stays quarantined although it crashes no upstream.
+TEST_F(crashing_request_test, TriesAPartThatCompletedBefore) {
+  SendNewRequest({kFirst});
+  Complete();
+  for (int i = 0; i < 5; ++i) {
+    SendNewRequest({kFirst});
+    EXPECT_EQ(CrashAttempts(), 1U);
+    now_ += std::chrono::milliseconds(50);
+  }
+  out_.clear();
+  SendNewRequest({kFirst});
+  EXPECT_TRUE(TakeAction<local_response>(out_));
+  now_ += std::chrono::seconds(5);
+  SendNewRequest({kFirst});
+  Complete();
+  SendNewRequest({kFirst});
+  EXPECT_TRUE(TakeDispatch());
+}
+
 }  // namespace
 }  // namespace cuminswitch
