Let the upstream stand-in crash on a part of a prompt

A request whose prompt names, other than as its last part, an ID that begins with "dead" ends the process after the first bytes of its response. The response is chunked, or has neither a length nor chunks and ends inside an event (`/inside/` in the path) or between two events (`/between/`), where nothing in the response shows that it is truncated. The stand-in prints `crashing ATTEMPT TIME` on arrival and `crashed ATTEMPT TIME` when it exits.

`http_exchange` writes the head of an unframed response itself: libevhtp adds `Content-Length: 0` to a response that is not chunked.

The same ID as the last part changes nothing.

--- a/include/cuminswitch/Net/http_exchange.h
+++ b/include/cuminswitch/Net/http_exchange.h
@@ -40,6 +40,11 @@
   void BeginStream(uint32_t status,
                    std::string_view content_type,
                    const http_headers& headers = {});
+  /// Begins a response that has neither a length nor chunks and ends with its
+  /// connection. `SendChunk` sends its bytes as they are.
+  void BeginUnframed(uint32_t status,
+                     std::string_view content_type,
+                     const http_headers& headers = {});
   void SendChunk(std::string_view data);
   void EndStream();
   /// Closes the connection without ending the response, so that the caller sees
@@ -76,6 +81,7 @@
   uint32_t rejected_ = 0;
   bool has_begun_ = false;
   bool has_ended_ = false;
+  bool is_unframed_ = false;
   std::function<void()> on_closed_;
   std::function<void()> on_drained_;
 };
--- a/lib/Net/http_exchange.cc
+++ b/lib/Net/http_exchange.cc
@@ -112,6 +112,24 @@
   evhtp_send_reply_chunk_start(request_, static_cast<evhtp_res>(status));
 }
 
+void http_exchange::BeginUnframed(uint32_t status,
+                                  std::string_view content_type,
+                                  const http_headers& headers) {
+  if (request_ == nullptr || has_begun_) {
+    return;
+  }
+  has_begun_ = true;
+  is_unframed_ = true;
+  // libevhtp would add a length.
+  std::string head = "HTTP/1.1 " + std::to_string(status) +
+                     " Status\r\nConnection: close\r\nContent-Type: ";
+  head.append(content_type).append("\r\n");
+  for (const http_header& header : headers) {
+    head += header.name + ": " + header.value + "\r\n";
+  }
+  SendChunk(head + "\r\n");
+}
+
 void http_exchange::SendChunk(std::string_view data) {
   // An empty chunk would end the stream.
   if (request_ == nullptr || has_ended_ || data.empty()) {
@@ -119,7 +137,11 @@
   }
   const buffer_ptr chunk(evbuffer_new());
   evbuffer_add(chunk.get(), data.data(), data.size());
-  evhtp_send_reply_chunk(request_, chunk.get());
+  if (is_unframed_) {
+    evhtp_send_reply_body(request_, chunk.get());
+  } else {
+    evhtp_send_reply_chunk(request_, chunk.get());
+  }
 }
 
 void http_exchange::EndStream() {
@@ -127,7 +149,11 @@
     return;
   }
   has_ended_ = true;
-  evhtp_send_reply_chunk_end(request_);
+  if (is_unframed_) {
+    Abort();
+  } else {
+    evhtp_send_reply_chunk_end(request_);
+  }
 }
 
 void http_exchange::Abort() {
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -12,6 +12,14 @@
 //   /hang/     sends no response
 //   /crash/    executes the request, and the process exits
 //   /slow/     an engine pauses for longer between events
+//   /inside/   with a crashing part: the response has neither length nor chunks
+//              and ends inside an event
+//   /between/  the same, but it ends between two events
+//
+// A crashing part is one in `X-Prompt-Prefix`, other than the last, with an ID
+// that begins with `dead`. On such a request prints `crashing ATTEMPT TIME`,
+// writes the first bytes of its response, prints `crashed ATTEMPT TIME`, and
+// the process exits.
 //
 // Control requests change its state:
 //
@@ -55,6 +63,7 @@
 using exchange_ptr = std::shared_ptr<http_exchange>;
 
 constexpr char kJson[] = "application/json";
+constexpr char kEventStream[] = "text/event-stream";
 /// Events in a complete stream.
 constexpr int kEvents = 5;
 /// Pauses between events of a slow stream, in those of another stream.
@@ -74,6 +83,20 @@
       .count();
 }
 
+/// Whether an item of the list `ID:TOKENS,ID:TOKENS`, other than the last, has
+/// an ID that begins with `dead`.
+bool HasCrashingPart(std::string_view list) {
+  constexpr std::string_view kCrashingId = "dead";
+  for (size_t comma = list.find(','); comma != std::string_view::npos;
+       comma = list.find(',')) {
+    if (list.starts_with(kCrashingId)) {
+      return true;
+    }
+    list.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
 /// Counts the requests that arrive while a rate limit is advertised, and prints
 /// a line when there are more than `AllowedByLimit` within `kLimitWindow`.
 class limit_meter {
@@ -169,6 +192,8 @@
     /// Pauses between two events, and those left until the next event.
     int pauses = 1;
     int pauses_left = 0;
+    /// The process exits when what was sent is written.
+    bool is_crashing = false;
   };
 
   json Models() const {
@@ -276,7 +301,9 @@
     std::cout << "run " << exchange->Header("X-Attempt-Id") << " "
               << exchange->Header("X-Tenant") << " "
               << exchange->Header("X-Cache-Salt") << std::endl;
-    if (has("/crash/")) {
+    if (HasCrashingPart(exchange->Header("X-Prompt-Prefix"))) {
+      Crash(exchange, has("/inside/"), has("/between/"));
+    } else if (has("/crash/")) {
       std::_Exit(EXIT_FAILURE);
     } else if (has("/hang/")) {
       hanging_.push_back(exchange);
@@ -292,13 +319,40 @@
     }
   }
 
+  /// Begins a response; `Advance` ends the process when its first bytes are
+  /// written.
+  void Crash(const exchange_ptr& exchange,
+             bool ends_inside_event,
+             bool ends_between_events) {
+    std::cout << "crashing " << exchange->Header("X-Attempt-Id") << " "
+              << ToMillis(clock::now()) << std::endl;
+    const char* type = options_.model.empty() ? "text/plain" : kEventStream;
+    const std::string last = exchange->Header("Last-Event-Id");
+    const int next = last.empty() ? 1 : std::stoi(last) + 1;
+    std::string text = options_.model.empty() ? "answer" : MakeEvent(next);
+    if (ends_inside_event || ends_between_events) {
+      exchange->BeginUnframed(200, type, ResponseHeaders(*exchange));
+    } else {
+      exchange->BeginStream(200, type, ResponseHeaders(*exchange));
+    }
+    if (ends_inside_event) {
+      text += "id: " + std::to_string(next + 1) + "\ndata: ev";
+    }
+    exchange->SendChunk(text);
+    AddStream({.exchange = exchange, .is_crashing = true});
+  }
+
   void Stream(const exchange_ptr& exchange, bool is_truncated, bool is_slow) {
-    exchange->BeginStream(200, "text/event-stream", ResponseHeaders(*exchange));
+    exchange->BeginStream(200, kEventStream, ResponseHeaders(*exchange));
     const std::string last = exchange->Header("Last-Event-Id");
-    streams_.push_back({.exchange = exchange,
-                        .next = last.empty() ? 1 : std::stoi(last) + 1,
-                        .last = is_truncated && last.empty() ? 2 : kEvents,
-                        .pauses = is_slow ? kSlowPauses : 1});
+    AddStream({.exchange = exchange,
+               .next = last.empty() ? 1 : std::stoi(last) + 1,
+               .last = is_truncated && last.empty() ? 2 : kEvents,
+               .pauses = is_slow ? kSlowPauses : 1});
+  }
+
+  void AddStream(stream item) {
+    streams_.push_back(std::move(item));
     if (streams_.size() == 1) {
       timer_.Start(std::chrono::milliseconds(options_.event_gap_ms));
     }
@@ -311,30 +365,39 @@
     }
   }
 
+  std::string MakeEvent(int id) const {
+    const std::string number = std::to_string(id);
+    const std::string author =
+        options_.software.empty() ? "" : " of " + options_.software;
+    return "id: " + number + "\ndata: event " + number + author + "\n\n";
+  }
+
   /// Sends the next event; returns whether the stream has ended.
   bool Advance(stream& item) const {
     if (item.exchange->IsClosed()) {
       std::cout << "cancelled" << std::endl;
       return true;
     }
-    if (item.pauses_left-- > 0) {
+    if (item.is_crashing && item.exchange->PendingBytes() == 0) {
+      std::cout << "crashed " << item.exchange->Header("X-Attempt-Id") << " "
+                << ToMillis(clock::now()) << std::endl;
+      std::_Exit(EXIT_FAILURE);
+    }
+    if (item.is_crashing || item.pauses_left-- > 0) {
       return false;
     }
     item.pauses_left = item.pauses - 1;
-    const std::string number = std::to_string(item.next);
     if (item.next > item.last) {
       if (item.last == kEvents) {
         item.exchange->EndStream();
       } else {
-        item.exchange->SendChunk("id: " + number + "\ndata: to");
+        item.exchange->SendChunk("id: " + std::to_string(item.next) +
+                                 "\ndata: to");
         item.exchange->Abort();
       }
       return true;
     }
-    const std::string author =
-        options_.software.empty() ? "" : " of " + options_.software;
-    item.exchange->SendChunk("id: " + number + "\ndata: event " + number +
-                             author + "\n\n");
+    item.exchange->SendChunk(MakeEvent(item.next));
     ++item.next;
     return false;
   }
