End an unframed response when its bytes are written

It now closes the connection once all bytes were written. Trials: closing at once lost the bytes; ending with libevhtp's keep-alive cleared left the connection open.

The test guards against the length of 0 that libevhtp adds by itself.

--- a/include/cuminswitch/Net/http_exchange.h
+++ b/include/cuminswitch/Net/http_exchange.h
@@ -68,6 +68,8 @@
   /// Copies the request from libevhtp's structures.
   void Load();
   void OnRequestFinished();
+  /// Closes the connection when all pending bytes were written.
+  void AbortWhenDrained();
 
   evhtp_request* request_;
   std::string method_;
--- a/lib/Net/http_exchange.cc
+++ b/lib/Net/http_exchange.cc
@@ -150,7 +150,7 @@
   }
   has_ended_ = true;
   if (is_unframed_) {
-    Abort();
+    AbortWhenDrained();
   } else {
     evhtp_send_reply_chunk_end(request_);
   }
@@ -169,6 +169,14 @@
   });
 }
 
+void http_exchange::AbortWhenDrained() {
+  if (PendingBytes() == 0) {
+    Abort();
+    return;
+  }
+  on_drained_ = [this] { Abort(); };
+}
+
 size_t http_exchange::PendingBytes() const {
   if (request_ == nullptr) {
     return 0;
--- a/unittests/Net/http_test.cc
+++ b/unittests/Net/http_test.cc
@@ -128,6 +128,21 @@
   EXPECT_EQ(Call(fresh).end, http_result::kBroken);
 }
 
+// An unframed response that states a length of 0 loses its body.
+TEST_F(http_test, UnframedResponseEndsWithItsConnection) {
+  handler_.serve = [](const auto& exchange) {
+    exchange->BeginUnframed(200, "text/plain");
+    exchange->SendChunk("to ");
+    exchange->SendChunk("the end");
+    exchange->EndStream();
+  };
+  const recording_handler result = Call(To("/"));
+  EXPECT_EQ(result.end, http_result::kComplete);
+  EXPECT_EQ(result.head.Find("Content-Length"), "");
+  EXPECT_EQ(result.head.Find("Transfer-Encoding"), "");
+  EXPECT_EQ(result.body, "to the end");
+}
+
 TEST_F(http_test, StreamThatBreaksHalfwayIsBroken) {
   handler_.serve = [](const auto& exchange) {
     exchange->BeginStream(200, "text/event-stream");
