Check in the soak that prompt parts that crash upstreams are held back

With `--crashing-parts` callers send, in phases of 13 to 15 s, one request in twelve with a prompt part that crashes each engine that begins to respond to it. No two of them are alike in body, last part or the place of the part; sound requests share their caller, their first part and their other parts. A third of the responses end inside chunks, a third without framing inside an event, a third without framing between two events. A phase uses a new part or that of the phase before.

Checked by what upstreams print and callers receive, over all daemons: from 4 s after the fifth crash under a part no more than three requests with it reach upstreams from undisturbed daemons; from 8 s after it, until the phase ends, sound requests at undisturbed daemons are served at the first attempt at least half as often as outside the phases, per route and with 20 or more of each. A truncated response with such a part may look complete only if it has no framing and ends between two events.

--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -222,7 +222,7 @@
       words >> holder >> fence >> item.version;
       checker_.OnEngineCommand(item.id, holder, fence);
     } else if (what == "limited" || what == "rested" || what == "left" ||
-               what == "departed") {
+               what == "departed" || what == "crashing" || what == "crashed") {
       ReadFeedbackLine(item, what, words);
     }
   }
@@ -247,6 +247,14 @@
     checker_.OnArrivalAtDeparted(item.id, at, HasStoreContact(*daemon, at));
     return;
   }
+  if (what == "crashed") {
+    checker_.OnPartCrash(id, at);
+    return;
+  }
+  if (what == "crashing") {
+    checker_.OnPartArrival(id, IsUndisturbed(*daemon, at), at);
+    return;
+  }
   if (!IsUndisturbed(*daemon, at)) {
     return;
   }
@@ -447,6 +455,11 @@
   }
 }
 
+void deployment::SetCrashingPart(const std::string& part) {
+  crashing_part_ = part;
+  checker_.OnCrashingPart(part);
+}
+
 void deployment::SendControl(size_t index, const std::string& what) {
   caller_.Call({.to = upstreams[index].address,
                 .method = http_method::kGet,
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -125,6 +125,9 @@
   void Partition(const std::vector<size_t>& indices,
                  const std::vector<size_t>& from,
                  partition_kind kind);
+  /// Lets callers send requests with this crashing part; empty ends it.
+  void SetCrashingPart(const std::string& part);
+  const std::string& crashing_part() const { return crashing_part_; }
   /// Changes the behaviour of an upstream; \p what is a path below /control/.
   void SendControl(size_t index, const std::string& what);
   /// Sends a daemon a signal that terminates it.
@@ -167,8 +170,8 @@
   void Register(upstream_state& item, std::function<void()> on_done = {});
   void ReadLog(upstream_state& item);
   /// Reads a log line about a request that arrived while the upstream
-  /// advertised a limit, asked for backoff, announced that it leaves, or had
-  /// departed; \p what says which.
+  /// advertised a limit, asked for backoff, announced that it leaves, had
+  /// departed, or crashed; \p what says which.
   void ReadFeedbackLine(const upstream_state& item,
                         const std::string& what,
                         std::istream& words);
@@ -195,6 +198,7 @@
   bool is_writing_ = false;
   uint64_t configuration_ = 0;
   int weights_ = 1;
+  std::string crashing_part_;
 };
 
 }  // namespace cuminswitch::soak
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -22,6 +22,12 @@
 /// Time that a partition lasts.
 static constexpr int kMinPartitionMs = 6'000;
 static constexpr int kMaxPartitionMs = 9'000;
+/// Time that callers send requests with a crashing part, and the time between
+/// two such phases.
+static constexpr int kMinCrashingPartMs = 13'000;
+static constexpr int kMaxCrashingPartMs = 15'000;
+static constexpr int kMinCrashingPartGapMs = 1'000;
+static constexpr int kMaxCrashingPartGapMs = 8'000;
 /// Time that a departed upstream still serves. It is then killed and restarted
 /// under another id.
 static constexpr int kServiceAfterDepartureMs = 8'000;
@@ -44,6 +50,9 @@
       timer_(base, [this] { InjectNext(); }) {}
 
 void fault_schedule::Start() {
+  if (mode_ == soak_mode::kCrashingParts) {
+    BeginCrashingPart();
+  }
   InjectNext();
 }
 
@@ -154,6 +163,10 @@
     steps = kLimitSteps;
   } else if (mode_ == soak_mode::kCrashes) {
     steps = kCrashSteps;
+  } else if (mode_ == soak_mode::kCrashingParts) {
+    steps = kCrashSteps;
+    min_gap = kMinDepartureGapMs;
+    max_gap = kMaxDepartureGapMs;
   } else if (mode_ == soak_mode::kFeedback) {
     steps = kFeedbackSteps;
   } else if (mode_ == soak_mode::kVersions) {
@@ -387,6 +400,22 @@
   });
 }
 
+void fault_schedule::BeginCrashingPart() {
+  if (is_stopped_) {
+    return;
+  }
+  if (crashing_part_.empty() || Pick(2) == 0) {
+    crashing_part_ = "dead" + std::to_string(1'000 + Pick(9'000));
+  }
+  LogFault("requests with crashing part " + crashing_part_);
+  target_.SetCrashingPart(crashing_part_);
+  ScheduleEnd(kMinCrashingPartMs, kMaxCrashingPartMs, [this] {
+    target_.SetCrashingPart("");
+    ScheduleEnd(kMinCrashingPartGapMs, kMaxCrashingPartGapMs,
+                [this] { BeginCrashingPart(); });
+  });
+}
+
 bool fault_schedule::PartitionsDaemons() const {
   return mode_ == soak_mode::kPartitions ||
          mode_ == soak_mode::kPartialPartitions ||
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -27,6 +27,9 @@
   /// Callers send requests that crash upstreams; faults of daemons and the
   /// store only.
   kCrashes,
+  /// Callers send requests with prompt parts that crash upstreams, in phases;
+  /// faults of daemons and the store only, and further apart.
+  kCrashingParts,
   /// Upstreams ask for backoff and announce that they leave; otherwise faults
   /// of daemons and the store only.
   kFeedback,
@@ -106,6 +109,9 @@
   /// Returns the upstreams that daemons are partitioned from, as the mode
   /// says.
   std::vector<size_t> ChoosePartitionedUpstreams();
+  /// Begins a phase in which callers send requests with a crashing part, one of
+  /// an earlier phase or a new one, and schedules the next phase.
+  void BeginCrashingPart();
   /// Resets a daemon's open connections to the store.
   void ResetStoreLink();
 
@@ -127,6 +133,8 @@
   bool may_use_second_ = true;
   bool is_store_faulty_ = false;
   bool is_partitioned_ = false;
+  /// Crashing part of the latest phase.
+  std::string crashing_part_;
 };
 
 }  // namespace cuminswitch::soak
--- a/test/soak/guarantee_checker.cc
+++ b/test/soak/guarantee_checker.cc
@@ -73,6 +73,21 @@
   }
 }
 
+void guarantee_checker::OnPartArrival(const std::string& id,
+                                      bool is_daemon_undisturbed,
+                                      steady_time at) {
+  if (const auto found = requests_.find(id); found != requests_.end()) {
+    part_crashes_.OnArrival(found->second.request.crashing_part,
+                            is_daemon_undisturbed, at);
+  }
+}
+
+void guarantee_checker::OnPartCrash(const std::string& id, steady_time at) {
+  if (const auto found = requests_.find(id); found != requests_.end()) {
+    part_crashes_.OnCrash(found->second.request.crashing_part, at);
+  }
+}
+
 const endpoint* guarantee_checker::DaemonOf(const std::string& id) const {
   const auto found = requests_.find(id);
   return found == requests_.end() ? nullptr : &found->second.request.daemon;
@@ -114,6 +129,17 @@
   if (!response.is_complete) {
     return;
   }
+  if (!request.crashing_part.empty()) {
+    // Without framing, nothing shows that a stream ended between two events.
+    if (!response.body.ends_with("\n\n") ||
+        !CompleteStream().starts_with(response.body)) {
+      ReportViolation("mixed", request.id +
+                                   " got a truncated body that looks "
+                                   "complete: " +
+                                   response.body);
+    }
+    return;
+  }
   ++served_;
   const bool is_right = request.is_stream
                             ? WithoutVersions(response.body) == CompleteStream()
@@ -141,8 +167,11 @@
     }
   }
   if (response.is_daemon_undisturbed && !request.provokes_failure) {
-    partitions_.OnResponse(request.daemon, request.sent_at,
-                           response.status == 200 && response.is_complete);
+    const bool is_served = response.status == 200 && response.is_complete;
+    partitions_.OnResponse(request.daemon, request.sent_at, is_served);
+    if (request.is_stream) {
+      part_crashes_.OnResponse(request.path, request.sent_at, is_served);
+    }
   }
   if (response.advertises_limit) {
     limits_.OnLimitForwarded(request.daemon, response.upstream,
@@ -186,6 +215,12 @@
   if (const auto broken = versions_.OnEnd()) {
     ReportViolation("lost", *broken);
   }
+  for (const std::string& broken : part_crashes_.ListLateArrivals()) {
+    ReportViolation("budget", broken);
+  }
+  for (const std::string& broken : part_crashes_.ListLosses()) {
+    ReportViolation("lost", broken);
+  }
   for (const auto& [id, item] : requests_) {
     const bool was_refused =
         item.reported_status == 408 || item.reported_status == 421 ||
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -16,6 +16,7 @@
 #include "soak/departure_check.h"
 #include "soak/feedback_check.h"
 #include "soak/limit_check.h"
+#include "soak/part_crash_check.h"
 #include "soak/partition_check.h"
 #include "soak/steady_time.h"
 #include "soak/version_check.h"
@@ -40,6 +41,8 @@
   /// For requests that crash each upstream that runs them: equal for requests
   /// that count as one for the quarantine. Empty for all others.
   std::string crash_group;
+  /// The part of its prompt that crashes upstreams; empty for none.
+  std::string crashing_part;
 };
 
 /// The outcome of a request as its caller observed it.
@@ -98,6 +101,17 @@
   /// Records that an upstream ran the request \p id, and with it a crash if the
   /// request crashes upstreams.
   void OnPossibleCrash(const std::string& id, bool is_daemon_undisturbed);
+  /// Records that callers send requests with this crashing part from now on;
+  /// empty if they stop.
+  void OnCrashingPart(const std::string& part) {
+    part_crashes_.OnPhase(part, std::chrono::steady_clock::now());
+  }
+  /// Records that a request with a crashing part reached an upstream.
+  void OnPartArrival(const std::string& id,
+                     bool is_daemon_undisturbed,
+                     steady_time at);
+  /// Records that an upstream crashed under a part of this request.
+  void OnPartCrash(const std::string& id, steady_time at);
   /// Records that the daemons with these caller addresses are partitioned from
   /// all upstreams, and the end of that.
   void OnPartitionBegun(std::set<endpoint> daemons, steady_time at) {
@@ -111,8 +125,8 @@
   void OnEngineCommand(const std::string& upstream,
                        const std::string& holder,
                        uint64_t fence);
-  /// Checks that refused at-most-once requests did not run. Call at the end,
-  /// when no request is in flight.
+  /// Checks what only the whole run shows. Call at the end, when no request is
+  /// in flight.
   void CheckAtEnd();
   /// Adds a finding: \p guarantee is the short name of the guarantee, \p what
   /// the observation that violates it.
@@ -127,6 +141,7 @@
   /// Requests checked against feedback of upstreams.
   size_t feedback_checked() const { return feedback_.counted(); }
   size_t crashes() const { return crashes_.counted(); }
+  const part_crash_check& part_crashes() const { return part_crashes_; }
   size_t partition_checked() const { return partitions_.counted(); }
   size_t departures() const { return departures_.counted(); }
   size_t late_at_departed() const { return departures_.late(); }
@@ -152,6 +167,7 @@
   limit_check limits_;
   feedback_check feedback_;
   crash_check crashes_;
+  part_crash_check part_crashes_;
   departure_check departures_;
   partition_check partitions_;
   version_check versions_;
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -7,8 +7,10 @@
 #include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <functional>
 #include <iostream>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "cuminswitch/CommandLine/option_parser.h"
@@ -29,6 +31,7 @@
   int callers = 12;
   bool limits = false;
   bool crashes = false;
+  bool crashing_parts = false;
   bool notices = false;
   bool departures = false;
   bool partitions = false;
@@ -63,6 +66,9 @@
   if (opts.departures) {
     return soak_mode::kDepartures;
   }
+  if (opts.crashing_parts) {
+    return soak_mode::kCrashingParts;
+  }
   if (opts.versions) {
     return soak_mode::kVersions;
   }
@@ -132,6 +138,9 @@
               << " departures, " << checker_.late_at_departed() << " late, "
               << checker_.versions().resumed() << " streams resumed, "
               << checker_.versions().continued() << " of them went on, "
+              << checker_.part_crashes().crashes() << " crashes under parts, "
+              << checker_.part_crashes().late() << " requests with them late, "
+              << checker_.part_crashes().compared() << " beside them compared, "
               << checker_.findings().size() << " findings\n";
     return checker_.findings();
   }
@@ -176,11 +185,19 @@
                   }
                 },
             .sends_crashing = options_.crashes,
+            .choose_crashing_part = ChooseCrashingPart(),
             .sends_equal = options_.partitions,
             .resumes_streams = options_.versions},
         checker_);
   }
 
+  std::function<std::string()> ChooseCrashingPart() const {
+    if (!options_.crashing_parts) {
+      return {};
+    }
+    return [this] { return deployment_.crashing_part(); };
+  }
+
   void CheckRecovery(size_t sent, size_t served) {
     if (sent == 0 || served * 100 < sent * kMinServedPercent) {
       checker_.ReportViolation("recover", "of " + std::to_string(sent) +
@@ -221,6 +238,8 @@
                  "Upstreams advertise limits, without other upstream faults");
   parser.AddFlag("crashes", options.crashes,
                  "Some requests crash the upstreams that run them");
+  parser.AddFlag("crashing-parts", options.crashing_parts,
+                 "Some prompt parts crash the upstreams that answer to them");
   parser.AddFlag("notices", options.notices,
                  "Upstreams ask for backoff and announce that they leave");
   parser.AddFlag("departures", options.departures,
--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -5,7 +5,9 @@
 #include <event2/event.h>
 
 #include <array>
+#include <cstddef>
 #include <utility>
+#include <vector>
 
 #include "cuminswitch/Net/socket_address.h"
 
@@ -23,6 +25,10 @@
 static constexpr uint64_t kFailingRequestPeriod = 8;
 /// One request in this many crashes its upstream, if `sends_crashing` is set.
 static constexpr uint64_t kCrashingRequestPeriod = 40;
+/// One request in this many names the prompt part that crashes upstreams.
+static constexpr uint64_t kCrashingPartPeriod = 12;
+/// Shared prompt parts among which requests choose.
+static constexpr uint64_t kSharedParts = 8;
 /// How often a caller resumes one stream.
 static constexpr int kMaxResumptions = 3;
 /// Time during which all callers send the same crashing request.
@@ -122,14 +128,19 @@
     MakeCrashing(body);
     key = "key1";
   }
+  const std::string crashing_part =
+      options_.choose_crashing_part ? options_.choose_crashing_part() : "";
+  if (!crashing_part.empty() && random_() % kCrashingPartPeriod == 0) {
+    MakePartCrashing(crashing_part);
+    key = "key1";
+  }
   checker_.OnSent(request_);
   const std::string text =
       "POST " + request_.path +
       "x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + request_.id +
       "\r\nX-Deadline-Ms: " + std::to_string(kDeadline.count()) +
-      "\r\nX-Model: m\r\nX-Token-Usage: 100,10\r\nX-Prompt-Prefix: "
-      "aa:50,bb:40," +
-      request_.id + ":10\r\nAuthorization: Token " + key + resumption +
+      "\r\nX-Model: m\r\nX-Token-Usage: 100,10\r\nX-Prompt-Prefix: " +
+      MakePromptParts() + "\r\nAuthorization: Token " + key + resumption +
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   is_waiting_ = true;
   bufferevent_write(connection_, text.data(), text.size());
@@ -148,6 +159,40 @@
   request_.crash_group = body;
 }
 
+void soak_caller::MakePartCrashing(const std::string& part) {
+  static constexpr std::array<const char*, 2> kRoutes = {"/stream/",
+                                                         "/resume/"};
+  // The response ends inside chunks, inside an event, or between two events.
+  static constexpr std::array<const char*, 3> kEndPaths = {"", "inside/",
+                                                           "between/"};
+  const size_t route = random_() % kRoutes.size();
+  request_.path = kRoutes[route];
+  request_.path += kEndPaths[random_() % kEndPaths.size()];
+  request_.workspace = "w1";
+  request_.is_once = route == 0;
+  request_.is_stream = true;
+  request_.provokes_failure = true;
+  request_.crashing_part = part;
+}
+
+std::string soak_caller::MakePromptParts() {
+  const std::string last = request_.id + ":10";
+  if (!options_.choose_crashing_part) {
+    return "aa:50,bb:40," + last;
+  }
+  std::vector<std::string> shared = {
+      "aa:50", "b" + std::to_string(random_() % kSharedParts) + ":40"};
+  if (!request_.crashing_part.empty()) {
+    const auto at = static_cast<std::ptrdiff_t>(random_() % 3);
+    shared.insert(shared.begin() + at, request_.crashing_part + ":30");
+  }
+  std::string list;
+  for (const std::string& part : shared) {
+    list += part + ",";
+  }
+  return list + last;
+}
+
 std::string soak_caller::MakeResumption() {
   if (begun_attempt_.empty()) {
     return {};
--- a/test/soak/soak_caller.h
+++ b/test/soak/soak_caller.h
@@ -35,6 +35,10 @@
         choose_workspace;
     /// Also sends requests that crash upstreams.
     bool sends_crashing = false;
+    /// Returns the prompt part that crashes upstreams, which some requests name
+    /// beside parts that others share; empty for none. If it is not set, the
+    /// shared parts of all prompts are equal.
+    std::function<std::string()> choose_crashing_part;
     /// Sends the same request as the other callers every second time.
     bool sends_equal = false;
     /// Resumes streams that end before they are complete.
@@ -58,6 +62,10 @@
   /// Turns the next request into one that crashes upstreams. All callers send
   /// the same such request for some seconds.
   void MakeCrashing(std::string& body);
+  /// Turns the next request into one with a prompt part that crashes upstreams.
+  void MakePartCrashing(const std::string& part);
+  /// Returns the parts of the next request's prompt.
+  std::string MakePromptParts();
   /// Returns the fields that resume the stream that the last response broke
   /// off, and turns the next request into that; empty if there is none.
   std::string MakeResumption();
