--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -60,6 +60,9 @@
   /// Digest of the parts that stay the same if the caller repeats the request;
   /// zero if unknown.
   hash128 request_digest;
+  /// Digests of the prompt's parts in order, without the last, which belongs
+  /// to the request or its session.
+  std::vector<hash128> part_digests;
   /// How long the caller waits for the first byte.
   duration time_limit{0};
   /// Time to first byte, from the arrival, up to which the response has its
@@ -166,6 +169,9 @@
   /// The connection was lost before the response was complete, as happens when
   /// the upstream crashes.
   bool connection_lost = false;
+  /// The response ended with its connection. An upstream that crashes closes
+  /// its connections as well, so this does not show that it completed.
+  bool is_unframed = false;
   /// Whether any part of this attempt's response was sent to the caller.
   bool response_started = false;
   /// Exact token counts from the response; 0 if it carried none.
