Let all responses to some crashing parts end alike in the soak

With every crashing part a third of the responses showed that they were truncated, so that a daemon could learn of the part without recognizing the others. By the last digit of the part all its responses now end inside chunks, inside an event, between two events, or each its own way.

--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -162,12 +162,16 @@
 void soak_caller::MakePartCrashing(const std::string& part) {
   static constexpr std::array<const char*, 2> kRoutes = {"/stream/",
                                                          "/resume/"};
-  // The response ends inside chunks, inside an event, or between two events.
+  // The response ends inside chunks, inside an event, or between two events. By
+  // the last digit of the part, all its responses end alike or each its own
+  // way.
   static constexpr std::array<const char*, 3> kEndPaths = {"", "inside/",
                                                            "between/"};
+  const auto way = static_cast<size_t>(part.back() - '0') % 4;
   const size_t route = random_() % kRoutes.size();
   request_.path = kRoutes[route];
-  request_.path += kEndPaths[random_() % kEndPaths.size()];
+  request_.path +=
+      kEndPaths[way < kEndPaths.size() ? way : random_() % kEndPaths.size()];
   request_.workspace = "w1";
   request_.is_once = route == 0;
   request_.is_stream = true;
