Spread a hot prefix over the busy replicas that hold it

Cause: a hot prefix (30% of the long prompts, 40 a second) needs 2.6 engines and has three preferred ones, which are in use for 64 to 78% of the time. All daemons know the same reports, up to half a second old, and all choose the holder that had the shortest queue: 20 prompts, 1.3 s of prefill, until the next reports. Its prompts waited 0.31 s where 0.02 s was expected, and 346 of 574 were late; of all others 71 of 1,446.

Change: among replicas that this daemon knows to hold the prefix, the cost varies between prompts by up to twice the mean backlog that peers reported there, 0 on average. Replicas that would have to compute the prefix are not affected, nor are idle holders.

Seen and not mended: more replicas for a prefix that needs more than three.

--- a/include/cuminswitch/Routing/prefix_cost_policy.h
+++ b/include/cuminswitch/Routing/prefix_cost_policy.h
@@ -53,6 +53,9 @@
   /// prefix.
   bool CanCopy(const placement_query& query, size_t position);
   void CollectExpectedHits(const placement_query& query);
+  /// Returns an amount in seconds, different for each prompt and 0 on average,
+  /// that spreads prompts over the replicas that have their prefix cached.
+  double SpreadOverHolders(const placement_query& query, size_t position) const;
 
   /// Expected cached tokens by position in `eligible`. A member, so that its
   /// allocation is reused between calls.
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -43,6 +43,9 @@
   double others_pending_tokens = 0;
   /// The times of these reports in seconds, each multiplied by its tokens.
   double others_token_seconds = 0;
+  /// Moving average of `others_pending_tokens` up to `others_averaged_at`.
+  double mean_others_pending_tokens = 0;
+  time_point others_averaged_at{};
 
   /// This daemon's attempts in flight, and those of them without a first byte
   /// yet; both exact.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -185,6 +185,9 @@
   /// Returns the estimated seconds until \p index starts computing a newly sent
   /// prompt, given a free slot.
   double EstimateQueueSeconds(time_point now, replica_index index) const;
+  /// Returns how many seconds of other daemons' prompts have recently waited at
+  /// \p index on average.
+  double MeanPeerBacklogSeconds(time_point now, replica_index index) const;
   /// Returns the estimated number of requests that wait at \p index or for a
   /// free slot there.
   double EstimateWaiting(time_point now, replica_index index) const;
@@ -247,7 +250,9 @@
                                           std::string_view name,
                                           const target_replicas& target,
                                           replica_index index) const;
-  void AddPeerBacklogs(const peer_backlog_report& report, double sign);
+  void AddPeerBacklogs(time_point now,
+                       const peer_backlog_report& report,
+                       double sign);
   /// Returns the prompt tokens of other daemons' requests that \p item has
   /// still to compute, as far as their reports say.
   static double OthersPendingTokens(time_point now, const replica& item);
--- a/lib/Routing/prefix_cost_policy.cc
+++ b/lib/Routing/prefix_cost_policy.cc
@@ -37,6 +37,11 @@
 static constexpr double kLongMismatchPenaltySeconds = 0.25;
 static constexpr double kShortMismatchPenaltySeconds = 0.4;
 
+/// Largest amount by which the cost of a holder of the prefix varies between
+/// prompts, as a multiple of the mean backlog there. The backlog at a moment
+/// deviates from its mean by about as much as the mean.
+static constexpr double kHolderSpread = 2;
+
 /// Returns the level that determines the preferred replicas of a request: the
 /// innermost shared level, or the only one.
 static const prefix_level& AffinityLevel(std::span<const prefix_level> levels) {
@@ -188,6 +193,24 @@
   return copyable_.back().can_copy;
 }
 
+double prefix_cost_policy::SpreadOverHolders(const placement_query& query,
+                                             size_t position) const {
+  // All daemons know the same reports, which are old compared with the queues.
+  // Without this, they all choose the replica of a hot prefix that had the
+  // shortest queue, until the next reports say that it has the longest.
+  const prefix_level* shared = FindSharedLevel(query.levels);
+  if (shared == nullptr || expected_cached_[position] < shared->tokens) {
+    return 0;
+  }
+  const replica_index index = query.eligible[position];
+  const uint64_t hash = RendezvousWeight(query.levels.back().hash,
+                                         query.replicas[index].name_hash);
+  const double fraction =
+      static_cast<double>(hash) / static_cast<double>(UINT64_MAX);
+  return kHolderSpread * (2 * fraction - 1) *
+         query.replicas.MeanPeerBacklogSeconds(query.now, index);
+}
+
 placement prefix_cost_policy::Choose(const placement_query& query) {
   assert(!query.eligible.empty() && "nowhere to place the request");
   CollectExpectedHits(query);
@@ -215,7 +238,8 @@
                   unshared / item.prefill_rate +
                   (can_copy ? missing / query.copy_rate
                             : recompute_factor * missing / item.prefill_rate) +
-                  kBatchSlowdownSeconds * item.in_flight;
+                  kBatchSlowdownSeconds * item.in_flight +
+                  SpreadOverHolders(query, i);
     if (!query.failure_domain.empty() &&
         item.spec.failure_domain != query.failure_domain) {
       cost += kCrossDomainPenaltySeconds;
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 #include "cuminswitch/Support/hash.h"
 #include "cuminswitch/Support/rendezvous.h"
@@ -11,6 +12,8 @@
 /// Number of versions whose publication time is stored; older ones are not
 /// served any more.
 static constexpr size_t kMaxVersionHistory = 16;
+/// Time constant of the moving average of backlogs, in seconds.
+static constexpr double kMeanBacklogSeconds = 5;
 /// Time after which a peer's backlog report expires.
 static constexpr duration kPeerBacklogLifetime = std::chrono::seconds(1);
 
@@ -230,7 +233,22 @@
   }
 }
 
-void replica_table::AddPeerBacklogs(const peer_backlog_report& report,
+/// Returns the moving average of the tokens that peers report for \p item.
+static double MeanOthersPendingTokens(time_point now, const replica& item) {
+  const double age = std::max(0.0, ToSeconds(now - item.others_averaged_at));
+  const double older = std::exp(-age / kMeanBacklogSeconds);
+  return older * item.mean_others_pending_tokens +
+         (1 - older) * item.others_pending_tokens;
+}
+
+double replica_table::MeanPeerBacklogSeconds(time_point now,
+                                             replica_index index) const {
+  const replica& item = replicas_[index];
+  return MeanOthersPendingTokens(now, item) / item.prefill_rate;
+}
+
+void replica_table::AddPeerBacklogs(time_point now,
+                                    const peer_backlog_report& report,
                                     double sign) {
   const double at = ToSeconds(report.at.time_since_epoch());
   for (const upstream_backlog& backlog : report.backlogs) {
@@ -239,6 +257,8 @@
       continue;
     }
     replica& item = replicas_[found->second];
+    item.mean_others_pending_tokens = MeanOthersPendingTokens(now, item);
+    item.others_averaged_at = now;
     item.others_pending_tokens += sign * backlog.tokens;
     item.others_token_seconds += sign * backlog.tokens * at;
     // An upstream may have become known only after a report.
@@ -252,16 +272,16 @@
 void replica_table::OnPeerPlacements(time_point now,
                                      const peer_placements& report) {
   peer_backlog_report& known = peer_backlogs_[report.peer];
-  AddPeerBacklogs(known, -1);
+  AddPeerBacklogs(now, known, -1);
   known = {.at = now, .backlogs = report.backlogs};
-  AddPeerBacklogs(known, 1);
+  AddPeerBacklogs(now, known, 1);
 }
 
 void replica_table::ExpirePeerBacklogs(time_point now) {
   std::erase_if(peer_backlogs_, [&](const auto& item) {
     const bool is_old = now - item.second.at > kPeerBacklogLifetime;
     if (is_old) {
-      AddPeerBacklogs(item.second, -1);
+      AddPeerBacklogs(now, item.second, -1);
     }
     return is_old;
   });
--- a/unittests/Routing/prefix_cost_policy_test.cc
+++ b/unittests/Routing/prefix_cost_policy_test.cc
@@ -120,6 +120,35 @@
   EXPECT_EQ(Choose(5).index, ranked[1]);
 }
 
+// Guards against daemons that all send a hot prefix to the same busy replica.
+TEST_F(prefix_cost_policy_test,
+       HotPrefixIsSpreadOverTheBusyReplicasThatHaveIt) {
+  const std::vector<replica_index> ranked = RankReplicas(5);
+  peer_placements report{.peer = "p"};
+  for (size_t rank = 0; rank < 2; ++rank) {
+    Warm(5, ranked[rank]);
+    report.backlogs.push_back(
+        {.upstream = table_[ranked[rank]].name_hash, .tokens = kPromptTokens});
+  }
+  const auto count_first = [&] {
+    int first = 0;
+    for (uint64_t order = 100; order < 200; ++order) {
+      const replica_index chosen = Choose(5, order).index;
+      EXPECT_TRUE(chosen == ranked[0] || chosen == ranked[1]);
+      first += chosen == ranked[0] ? 1 : 0;
+    }
+    return first;
+  };
+  EXPECT_EQ(count_first(), ranked[0] < ranked[1] ? 100 : 0);
+  for (int i = 0; i < 20; ++i) {
+    now_ += std::chrono::milliseconds(500);
+    table_.OnPeerPlacements(now_, report);
+  }
+  Warm(5, ranked[0]);
+  Warm(5, ranked[1]);
+  EXPECT_NEAR(count_first(), 50, 20);
+}
+
 TEST_F(prefix_cost_policy_test, LongUnusedPrefixIsExpectedToBeEvicted) {
   const std::vector<replica_index> ranked = RankReplicas(5);
   Warm(5, ranked[2]);
