--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -23,6 +23,7 @@
 #include "cuminswitch/Fleet/staleness_tracker.h"
 #include "cuminswitch/Fleet/store_follower_policy.h"
 #include "cuminswitch/Fleet/store_outage_tracker.h"
+#include "cuminswitch/Fleet/suspension_tracker.h"
 #include "cuminswitch/Fleet/upstream_directory.h"
 #include "cuminswitch/Fleet/weights_rollout.h"
 #include "cuminswitch/Kernel/loop_task.h"
@@ -84,6 +85,7 @@
   void OnItemsReply(const items_reply_frame& reply);
 
   void OnTick();
+  void OnStoreReply(const item_watcher::store_reply& reply);
   void OnItemsChanged(std::span<const std::string> keys);
   void Publish(std::shared_ptr<const fleet_snapshot> next);
   void PublishUpstreams();
@@ -126,7 +128,10 @@
   item_watcher item_watcher_;
   leader_election election_;
   weights_rollout rollout_;
+  suspension_tracker suspension_;
   staleness_tracker staleness_;
+  /// Nothing that the last change of the items brought was written before.
+  time_point written_after_{};
   store_follower_policy follower_policy_;
   store_outage_tracker store_outage_;
   quarantine_records quarantine_records_;
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -43,6 +43,12 @@
   bool after_failure = false;
   /// Weights version that the upstream last reported; empty for a service.
   std::string weights_version;
+  /// Latest time at which the request may start on these weights; empty if they
+  /// are not superseded.
+  std::optional<time_point> last_start;
+  /// When the upstream must stop, if that is before the request's deadline. It
+  /// may have a queue, and this daemon may fail before it cancels the attempt.
+  std::optional<time_point> upstream_deadline;
   /// The upstream's software version; empty if unknown.
   std::string software_version;
   software_tag software = kAnySoftware;
@@ -88,6 +94,8 @@
   recorded_response recorded;
   /// The wait estimate behind a refusal because the response would be late.
   std::optional<expected_wait> wait;
+  /// The quarantined part of the prompt for which it is refused.
+  std::optional<hash128> quarantined_part;
 };
 
 struct send_peer {
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -113,6 +113,10 @@
       .fresh_connection = !item.repeatable,
       .after_failure = target.failures_in_row > 0,
       .weights_version = next.version,
+      .last_start = replicas_.LastStart(item.info.target, next.version),
+      .upstream_deadline =
+          queue > 0 ? replicas_.QueueDeadline(item.info.target, next.version)
+                    : std::nullopt,
       .software_version = target.spec.software_version,
       .software = target.software,
       .cache_source = cache.source,
@@ -283,10 +287,19 @@
   if (digest == hash128()) {
     return;
   }
+  const std::vector<hash128>& parts = item.info.part_digests;
   if (event.connection_lost) {
-    quarantine_.OnCrash(now, digest, done.upstream_start, done.sent);
+    quarantine_.OnCrash(now, digest, done.upstream_start, done.sent, parts);
+  } else if (event.unreachable) {
+    quarantine_.OnUnreachable(now, done.upstream_start);
+  } else if (event.result == outcome::kAnswered && event.is_unframed) {
+    quarantine_.OnUnframedEnd(now, digest, done.upstream_start, done.sent,
+                              parts);
   } else if (event.result == outcome::kAnswered) {
     quarantine_.OnCompleted(now, digest, done.sent);
+    if (!event.failed_in_run) {
+      quarantine_.OnPartsCompleted(now, parts, done.sent);
+    }
   }
 }
 
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -66,6 +66,8 @@
   address_ = action.address;
   mean_first_byte_ = action.mean_first_byte;
   sent_at_ = now;
+  upstream_deadline_ = action.upstream_deadline;
+  has_attempt_begun_ = false;
   ++attempts_;
   ++runs_;
   response_ = {};
@@ -74,7 +76,10 @@
   dispatch_attributes attributes{
       .upstream = action.upstream,
       .workspace = options_.workspace,
-      .time_left = std::max(duration(0), options_.deadline - now),
+      .time_left = std::max(
+          duration(0), std::min(options_.deadline, upstream_deadline_.value_or(
+                                                       options_.deadline)) -
+                           now),
       .rank = options_.rank,
       .cache_scope = std::nullopt,
       .cache_source = std::nullopt,
@@ -188,12 +193,18 @@
   }
 }
 
+void request_flow::RecordFirstByte(time_point now) {
+  first_byte_at_ = first_byte_at_.value_or(now);
+  if (!std::exchange(has_attempt_begun_, true)) {
+    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = attempt_});
+  }
+}
+
 void request_flow::Forward(std::string_view data) {
   const time_point now = ReadBootClock();
-  if (!first_byte_at_) {
-    first_byte_at_ = now;
-    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = attempt_});
-  } else {
+  const bool is_first = !first_byte_at_;
+  RecordFirstByte(now);
+  if (!is_first) {
     longest_event_gap_ =
         std::max<duration>(longest_event_gap_, now - forwarded_at_);
   }
@@ -281,7 +292,11 @@
   const std::unique_ptr<upstream_call> ended = std::move(call_);
   stall_timer_.Cancel();
   unfinished_bytes_ = splitter_.UnfinishedSize();
-  const attempt_result result = Classify(end);
+  attempt_result result = Classify(end);
+  if (result == attempt_result::kBroken && upstream_deadline_ &&
+      ReadBootClock() >= *upstream_deadline_) {
+    result = attempt_result::kExpired;
+  }
   if (result == attempt_result::kBroken ||
       result == attempt_result::kNotConnected) {
     with_.owner.OnConnectionLost(*this);
@@ -333,17 +348,16 @@
                     .refused_busy = result == attempt_result::kRefused ||
                                     result == attempt_result::kMismatch,
                     .unreachable = result == attempt_result::kNotConnected,
-                    .failed_in_run = result == attempt_result::kFailure,
+                    .failed_in_run = result == attempt_result::kFailure ||
+                                     result == attempt_result::kExpired,
                     .connection_lost = result == attempt_result::kBroken,
+                    .is_unframed = response_.head.ends_with_connection,
                     .response_started = is_final,
                     .response = {}});
 }
 
 void request_flow::SendCompleteResponse() {
-  if (!first_byte_at_) {
-    first_byte_at_ = ReadBootClock();
-    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = attempt_});
-  }
+  RecordFirstByte(ReadBootClock());
   if (IsForwarding()) {
     const std::string_view rest = splitter_.TakeRemainder();
     if (!is_head_sent_) {
@@ -391,12 +405,14 @@
                   .status = action.status,
                   .reason = action.message,
                   .retry_after = wait,
-                  .wait = action.wait ? &*action.wait : nullptr});
+                  .wait = action.wait ? &*action.wait : nullptr,
+                  .quarantined_part = action.quarantined_part});
     return;
   }
   ReplyLocally({.result = outcome::kUnknown,
                 .status = status_code::kBadGateway,
-                .reason = action.message});
+                .reason = action.message,
+                .quarantined_part = action.quarantined_part});
 }
 
 void request_flow::ReplyLocally(const flow_result& end) {
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -41,9 +41,8 @@
                            OnItemsChanged(keys);
                          },
                      .on_reply =
-                         [this](time_point at, revision_number revision) {
-                           staleness_.OnStoreReply(at);
-                           store_outage_.OnStoreReply(at, revision);
+                         [this](const item_watcher::store_reply& reply) {
+                           OnStoreReply(reply);
                          }}),
       election_({.self_name = options_.self.name,
                  .key = options_.leader_key,
@@ -126,6 +125,7 @@
 }
 
 bool fleet_task::OnFrame(std::span<const uint8_t> bytes) {
+  suspension_.OnRunning(ReadBootClock());
   const std::optional<peer_frame> frame = DecodePeerFrame(bytes);
   if (!frame) {
     parts_.log.Write(
@@ -158,13 +158,14 @@
   const bool has_changed = peer_table_.OnHeartbeat(now, heartbeat);
   lag_.OnPeerRevision(now, heartbeat.sender.revision,
                       item_watcher_.view().revision());
-  if (heartbeat.freshness) {
-    staleness_.OnPeerReport(
-        now, *heartbeat.freshness,
+  std::optional<freshness_record> freshness = heartbeat.freshness;
+  if (freshness) {
+    const time_point replied_at = staleness_.OnPeerReport(
+        suspension_.ArrivedAfter(now), *freshness,
         heartbeat.sender.revision > item_watcher_.view().revision());
+    freshness->age = now - replied_at;
   }
-  store_outage_.OnPeerReport(now, heartbeat.sender.recovery,
-                             heartbeat.freshness);
+  store_outage_.OnPeerReport(now, heartbeat.sender.recovery, freshness);
   if (!heartbeat.changing.empty()) {
     leader_changing_ = heartbeat.changing;
     leader_changing_at_ = now;
@@ -222,6 +223,7 @@
 
 void fleet_task::OnItemsReply(const items_reply_frame& reply) {
   items_requests_.OnReply();
+  written_after_ = staleness_.complete_at();
   item_watcher_.OnPeerItems(
       reply, {.peer = items_requests_.peer(),
               .elapsed = ReadBootClock() - items_requests_.sent_at()});
@@ -264,6 +266,7 @@
 void fleet_task::OnTick() {
   heartbeat_timer_.Start(peer_table::kHeartbeatInterval);
   const time_point now = ReadBootClock();
+  suspension_.OnRunning(now);
   for (const endpoint& to : peer_table_.ChooseTargets(now)) {
     SendHeartbeat(to);
   }
@@ -348,6 +351,14 @@
   software_.Expire(now);
 }
 
+void fleet_task::OnStoreReply(const item_watcher::store_reply& reply) {
+  written_after_ = staleness_.complete_at();
+  suspension_.OnRunning(reply.at);
+  staleness_.OnStoreReply(
+      std::min(reply.complete_at, suspension_.ArrivedAfter(reply.at)));
+  store_outage_.OnStoreReply(reply.at, reply.revision);
+}
+
 void fleet_task::OnItemsChanged(std::span<const std::string> keys) {
   decoded_items decoded = parts_.decoder.Decode(item_watcher_.view(), keys);
   item_watcher_.MarkForRelay(decoded.changed_keys);
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -20,7 +20,11 @@
 
 class recording_owner : public flow_owner {
  public:
-  void OnFlowEvent(core_event /*event*/) override {}
+  void OnFlowEvent(core_event event) override {
+    if (const auto* first = std::get_if<attempt_first_byte>(&event)) {
+      begun.push_back(first->attempt);
+    }
+  }
   void OnFlowFeedback(const request_flow& /*flow*/,
                       const upstream_feedback& feedback) override {
     if (feedback.limit) {
@@ -28,9 +32,10 @@
     }
   }
   void OnFlowAttemptFailed(const request_flow& /*flow*/,
-                           attempt_result /*result*/,
+                           attempt_result result,
                            uint32_t /*status*/) override {
     ++failed;
+    last_failure = result;
   }
   void OnConnectionLost(const request_flow& /*flow*/) override {}
   void OnAttemptStalled(const request_flow& /*flow*/) override {}
@@ -44,6 +49,8 @@
   }
   bool can_retry = true;
   int failed = 0;
+  std::vector<attempt_id> begun;
+  attempt_result last_failure = attempt_result::kSuccess;
   std::vector<limit_notice> limits;
   bool ended = false;
   flow_result last;
@@ -179,6 +186,25 @@
   EXPECT_EQ(exchange_.sent, "id: 1\n\n");
 }
 
+// Guards against an upstream that stops at the deadline that it was given
+// counting as crashed.
+TEST_F(request_flow_test, StreamThatEndsAtUpstreamDeadlineHasExpired) {
+  const time_point deadline = ReadBootClock() + milliseconds(20);
+  flow_->Dispatch(ReadBootClock(), {.request = 1,
+                                    .attempt = 1,
+                                    .upstream = "u",
+                                    .address = listener_.Address(),
+                                    .upstream_deadline = deadline});
+  EXPECT_LE(protocol_.last_time_left, milliseconds(20));
+  const auto upstream = listener_.Accept(base_);
+  upstream->Send(std::string(kStreamHead) + kEvent);
+  RunUntil(base_, [&] { return ReadBootClock() >= deadline; });
+  upstream->Close();
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  EXPECT_EQ(owner_.last_failure, attempt_result::kExpired);
+  EXPECT_FALSE(owner_.ended) << "the stream may go on at another upstream";
+}
+
 TEST_F(request_flow_test, ChunkedStreamThatEndsInsideEventIsBroken) {
   route_.kind = request_kind::kStream;
   const auto upstream = Dispatch(1);
@@ -202,6 +228,19 @@
   EXPECT_EQ(exchange_.sent, "id: 1\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against a resumed stream that is cancelled while it goes on, since it
+// looks as if it still waited at its upstream.
+TEST_F(request_flow_test, ReportsFirstByteOfEachAttempt) {
+  const auto first = Dispatch(1);
+  first->Send(std::string(kCloseDelimitedHead) + "id: 1\n\nid: 2\nda");
+  first->Close();
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  const auto second = Dispatch(2);
+  second->Send(std::string(kStreamHead) + kEvent);
+  RunUntil(base_, [&] { return owner_.begun.size() == 2; });
+  EXPECT_EQ(owner_.begun, (std::vector<attempt_id>{1, 2}));
+}
+
 // Guards against an upstream that crashed before its first event counting as a
 // successful empty stream.
 TEST_F(request_flow_test, CloseDelimitedStreamWithoutEventsIsBroken) {
--- a/unittests/Fleet/store_fleet.cc
+++ b/unittests/Fleet/store_fleet.cc
@@ -11,6 +11,7 @@
 
 static constexpr milliseconds kStep{10};
 static constexpr milliseconds kHeartbeatInterval{120};
+static constexpr milliseconds kMessageDelay{10};
 /// Pause between watches, which return immediately since upstreams renew their
 /// items.
 static constexpr milliseconds kWatchPause{100};
@@ -44,6 +45,7 @@
 void store_fleet::Run(duration span) {
   const time_point end = now_ + span;
   for (; now_ < end; now_ += kStep) {
+    DeliverHeartbeats();
     for (size_t i = 0; i < daemons_.size(); ++i) {
       Step(i);
     }
@@ -65,16 +67,33 @@
 }
 
 duration store_fleet::ConvergenceTime(duration max_time) {
-  const time_point changed_at = now_;
+  changed_at_ = now_;
   ++revision_;
   const auto is_behind = [this](const daemon& item) {
     return item.reaches_store && item.revision < revision_;
   };
-  while (now_ - changed_at < max_time &&
+  while (now_ - changed_at_ < max_time &&
          std::any_of(daemons_.begin(), daemons_.end(), is_behind)) {
     Run(kStep);
   }
-  return now_ - changed_at;
+  return now_ - changed_at_;
+}
+
+duration store_fleet::LatestBoundOnChange() const {
+  time_point latest{};
+  for (const daemon& item : daemons_) {
+    if (item.revision == revision_) {
+      latest = std::max(latest, item.changed_after);
+    }
+  }
+  return latest - changed_at_;
+}
+
+void store_fleet::SetRevision(daemon& self, revision_number revision) {
+  if (revision > self.revision) {
+    self.revision = revision;
+    self.changed_after = self.staleness.complete_at();
+  }
 }
 
 void store_fleet::Step(size_t number) {
@@ -106,7 +125,7 @@
   }
   calls_ += self.is_calling ? 0 : 1;
   if (self.reaches_store && !self.is_calling) {
-    self.revision = revision_;
+    SetRevision(self, revision_);
     self.last_reply_at = now_;
     self.staleness.OnStoreReply(now_);
     self.retry_delay = duration(0);
@@ -133,13 +152,25 @@
     if (to == number || self.is_partitioned || peer.is_partitioned) {
       continue;
     }
-    if (const auto freshness = self.staleness.MostRecent(now_)) {
-      peer.staleness.OnPeerReport(now_, *freshness,
-                                  self.revision > peer.revision);
+    in_transit_.push_back({.arrives_at = now_ + kMessageDelay,
+                           .to = to,
+                           .freshness = self.staleness.MostRecent(now_),
+                           .revision = self.revision});
+  }
+}
+
+void store_fleet::DeliverHeartbeats() {
+  while (!in_transit_.empty() && in_transit_.front().arrives_at <= now_) {
+    const heartbeat& message = in_transit_.front();
+    daemon& to = daemons_[message.to];
+    if (message.freshness) {
+      to.staleness.OnPeerReport(now_, *message.freshness,
+                                message.revision > to.revision);
     }
-    // The peer requests the items, and gets the reply well before the next
+    // The receiver requests the items, and gets the reply well before the next
     // round.
-    peer.revision = std::max(peer.revision, self.revision);
+    SetRevision(to, message.revision);
+    in_transit_.pop_front();
   }
 }
 
--- a/unittests/Fleet/store_fleet.h
+++ b/unittests/Fleet/store_fleet.h
@@ -4,6 +4,7 @@
 #define CUMINSWITCH_UNITTESTS_FLEET_STORE_FLEET_H_
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -36,6 +37,9 @@
   /// Changes an item, and returns the time until all daemons that reach the
   /// store have the change, at most \p max_time.
   duration ConvergenceTime(duration max_time);
+  /// Returns the latest time before which, as far as any daemon knows, the last
+  /// change was not made, relative to the change.
+  duration LatestBoundOnChange() const;
   size_t calls() const { return calls_; }
 
  private:
@@ -43,6 +47,8 @@
     staleness_tracker staleness{0};
     store_follower_policy policy;
     revision_number revision = 0;
+    /// The last change was not made before.
+    time_point changed_after{};
     bool reaches_store = true;
     bool is_partitioned = false;
     bool follows = true;
@@ -56,16 +62,30 @@
     size_t rotation = 0;
   };
 
+  /// A heartbeat on its way.
+  struct heartbeat {
+    time_point arrives_at{};
+    size_t to = 0;
+    std::optional<freshness_record> freshness;
+    revision_number revision = 0;
+  };
+
   void Step(size_t number);
+  void DeliverHeartbeats();
   void Call(daemon& self);
+  /// Applies the changes up to \p revision at \p self.
+  static void SetRevision(daemon& self, revision_number revision);
   void SendHeartbeats(size_t number);
 
   std::vector<daemon> daemons_;
+  /// In the order of arrival.
+  std::deque<heartbeat> in_transit_;
   /// All daemons. One list serves as the peers of each, since a daemon does not
   /// rank before itself.
   std::vector<daemon_record> alive_;
   fault fault_;
   revision_number revision_ = 1;
+  time_point changed_at_{};
   time_point now_{std::chrono::seconds(1000)};
   size_t calls_ = 0;
   std::mt19937_64 random_{5};
