--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -193,6 +193,9 @@
   /// Returns the estimated seconds until \p index starts computing a newly sent
   /// prompt, given a free slot.
   double EstimateQueueSeconds(time_point now, replica_index index) const;
+  /// Returns how many seconds of other daemons' prompts have recently waited at
+  /// \p index on average.
+  double MeanPeerBacklogSeconds(time_point now, replica_index index) const;
   /// Returns the estimated number of requests that wait at \p index or for a
   /// free slot there.
   double EstimateWaiting(time_point now, replica_index index) const;
@@ -223,6 +226,11 @@
     target_estimate estimate;
   };
 
+  struct peer_backlog_report {
+    time_point at{};
+    std::vector<upstream_backlog> backlogs;
+  };
+
   /// Adds \p index to, or removes it from, the targets that its upstream
   /// serves.
   void JoinTargets(replica_index index);
@@ -256,16 +264,16 @@
                                           std::string_view name,
                                           const target_replicas& target,
                                           replica_index index) const;
-  void AddPeerBacklogs(std::span<const upstream_backlog> backlogs, double sign);
+  void AddPeerBacklogs(time_point now,
+                       const peer_backlog_report& report,
+                       double sign);
+  /// Returns the prompt tokens of other daemons' requests that \p item has
+  /// still to compute, as far as their reports say.
+  static double OthersPendingTokens(time_point now, const replica& item);
   /// Returns the replica called \p name, whether configured or not.
   std::optional<replica_index> Find(std::string_view name) const;
   void EjectOutlier(time_point now, replica_index index);
 
-  struct peer_backlog_report {
-    time_point at{};
-    std::vector<upstream_backlog> backlogs;
-  };
-
   options options_;
   size_t fleet_size_ = 1;
   std::map<std::string, peer_backlog_report> peer_backlogs_;
