Agree on the interfaces for scarce capacity and uneven upstreams

Heartbeats get observations of upstreams, demands, pressures and promises; the settings' policies say whether capacity is scarce. Nothing fills the reports yet: the router's four functions are empty until the parts are merged, and an empty report adds no byte to a heartbeat.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -22,9 +22,11 @@
 #include "cuminswitch/Admission/workspace_limiter.h"
 #include "cuminswitch/Config/configuration.h"
 #include "cuminswitch/Core/core_status.h"
+#include "cuminswitch/Protocol/admission_report.h"
 #include "cuminswitch/Protocol/core_action.h"
 #include "cuminswitch/Protocol/core_event.h"
 #include "cuminswitch/Protocol/send_permit.h"
+#include "cuminswitch/Protocol/upstream_observation.h"
 #include "cuminswitch/Routing/copy_budget.h"
 #include "cuminswitch/Routing/placement_policy.h"
 #include "cuminswitch/Routing/placement_query.h"
@@ -66,6 +68,9 @@
     bool refuse_without_upstream = false;
     /// Record placements for `TakePlacedPrefixes`.
     bool reports_placements = false;
+    /// The deployment's callers compete for less capacity than they ask for:
+    /// the daemons share it out together.
+    bool is_capacity_scarce = false;
     request_quarantine::options quarantine;
   };
 
@@ -99,6 +104,19 @@
   void OnUpstreamLoad(time_point now, const upstream_load& load);
   /// Applies a peer's report of its placements, backlogs and traffic.
   void OnPeerPlacements(time_point now, const peer_placements& report);
+  /// Applies a peer's recent observations of upstreams.
+  void OnPeerObservations(time_point now,
+                          std::span<const upstream_observation> observations);
+  /// Returns this daemon's recent observations of upstreams; none unless the
+  /// deployment or an upstream calls for them.
+  std::vector<upstream_observation> ListObservations(time_point now) const;
+  /// Applies a peer's report about its admissions.
+  void OnPeerAdmissions(time_point now,
+                        const std::string& peer,
+                        const admission_report& report);
+  /// Returns this daemon's demand and pressure, and the promises made or kept
+  /// since the last call; empty unless capacity is scarce.
+  admission_report TakeAdmissionReport(time_point now);
   /// Returns the shared prefixes that were placed since the last call.
   std::vector<placed_prefix> TakePlacedPrefixes() {
     return std::exchange(placed_prefixes_, {});
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -58,6 +58,8 @@
     /// How long after the publication of a version engines with older weights
     /// may begin requests.
     duration old_weights_time = std::chrono::seconds(6);
+    /// Callers compete for less capacity than they ask for.
+    bool is_capacity_scarce = false;
     /// A stopping daemon exits within this time after the stop signal.
     duration grace = std::chrono::seconds(8);
     /// Limit in bytes of the data buffered for callers and upstreams; 0 for no
@@ -178,6 +180,11 @@
   void Handle(const items_staleness& update) { is_stale_ = update.is_stale; }
   void Handle(const peer_placements& update);
   void Handle(const peer_limits& update);
+  void Handle(const peer_observations& update);
+  void Handle(const peer_admissions& update);
+  /// Sends the peers what the router observed of upstreams and admitted, where
+  /// the deployment calls for it.
+  void ReportLoad(time_point now);
   void Handle(const peer_quarantine& update);
   void Handle(const quota_query& query);
   void Handle(const quota_reply& reply);
@@ -280,6 +287,9 @@
   std::vector<daemon_record> peers_;
   std::vector<std::string> changing_upstreams_;
   std::vector<upstream_backlog> reported_backlogs_;
+  /// Whether the last reports to the peers contained anything.
+  bool has_reported_observations_ = false;
+  bool has_reported_admissions_ = false;
   size_t fleet_size_ = 1;
   size_t possibly_active_ = 1;
   duration convergence_time_{0};
--- a/include/cuminswitch/Edge/router_settings.h
+++ b/include/cuminswitch/Edge/router_settings.h
@@ -19,6 +19,8 @@
   /// How long after the publication of a version requests may begin on older
   /// weights.
   duration old_weights_time{0};
+  /// See `request_router::options`.
+  bool is_capacity_scarce = false;
   /// When the daemon starts.
   time_point now{};
 };
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -33,6 +33,19 @@
   std::vector<placed_prefix> prefixes;
   prompt_mix mix;
 };
+/// This daemon's recent observations of upstreams.
+struct own_observations {
+  std::vector<upstream_observation> observations;
+  /// The time as of which their ages are.
+  time_point at{};
+};
+/// This daemon's admissions. `promises` are those made or kept since the last
+/// message of this kind.
+struct own_admissions {
+  admission_report report;
+  /// The time as of which the promises' times are.
+  time_point at{};
+};
 /// Rate limits that upstreams advertised to this daemon.
 struct own_limits {
   std::vector<limit_update> limits;
@@ -54,6 +67,8 @@
 using fleet_message = std::variant<fleet_stop_requested,
                                    readiness_changed,
                                    own_placements,
+                                   own_observations,
+                                   own_admissions,
                                    own_limits,
                                    own_quarantine,
                                    outgoing_quota_message,
@@ -95,6 +110,16 @@
   std::string peer;
   std::vector<limit_update> limits;
 };
+/// A peer's recent observations of upstreams.
+struct peer_observations {
+  std::string peer;
+  std::vector<upstream_observation> observations;
+};
+/// A peer's report about its admissions.
+struct peer_admissions {
+  std::string peer;
+  admission_report report;
+};
 /// A peer's reports of requests that may crash upstreams.
 struct peer_quarantine {
   quarantine_update update;
@@ -114,6 +139,8 @@
                                  weights_changing,
                                  items_staleness,
                                  peer_placements,
+                                 peer_observations,
+                                 peer_admissions,
                                  peer_limits,
                                  peer_quarantine,
                                  quota_query,
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -14,11 +14,13 @@
 
 #include "cuminswitch/Fleet/item_view.h"
 #include "cuminswitch/Fleet/staleness_tracker.h"
+#include "cuminswitch/Protocol/admission_report.h"
 #include "cuminswitch/Protocol/core_event.h"
 #include "cuminswitch/Protocol/crash_report.h"
 #include "cuminswitch/Protocol/quota_message.h"
 #include "cuminswitch/Protocol/stream_origin.h"
 #include "cuminswitch/Protocol/upstream_notice.h"
+#include "cuminswitch/Protocol/upstream_observation.h"
 #include "cuminswitch/Support/endpoint.h"
 
 namespace cuminswitch {
@@ -101,6 +103,9 @@
   std::vector<member_update> members;
   /// When the sender's items were last known to be up to date.
   std::optional<freshness_record> freshness;
+  /// The sender's recent observations of upstreams.
+  std::vector<upstream_observation> observations;
+  admission_report admissions;
 };
 
 /// Requests the items that changed after a revision.
--- /dev/null
+++ b/lib/Core/request_load_reports.cc
@@ -0,0 +1,23 @@
+// What the router exchanges with peers about upstreams and admissions.
+#include "cuminswitch/Core/request_router.h"
+
+namespace cuminswitch {
+
+void request_router::OnPeerObservations(
+    time_point /*now*/,
+    std::span<const upstream_observation> /*observations*/) {}
+
+std::vector<upstream_observation> request_router::ListObservations(
+    time_point /*now*/) const {
+  return {};
+}
+
+void request_router::OnPeerAdmissions(time_point /*now*/,
+                                      const std::string& /*peer*/,
+                                      const admission_report& /*report*/) {}
+
+admission_report request_router::TakeAdmissionReport(time_point /*now*/) {
+  return {};
+}
+
+}  // namespace cuminswitch
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -33,6 +33,7 @@
                                  .retry_share = opts.retry_share,
                                  .retry_burst = opts.retry_burst,
                                  .old_weights_time = opts.old_weights_time,
+                                 .is_capacity_scarce = opts.is_capacity_scarce,
                                  .now = ReadBootClock()}),
               *this),
       buffer_account_(opts.buffer_limit),
@@ -305,6 +306,7 @@
   VerifyCrashes(now);
   ReportQuarantine(now);
   ReportPlacements();
+  ReportLoad(now);
   UpdateContact();
   LogReservedEngines();
   LogHeldBytes();
--- a/lib/Edge/router_settings.cc
+++ b/lib/Edge/router_settings.cc
@@ -52,6 +52,7 @@
       .old_weights_deadline = opts.old_weights_time - kQueueDeadlineMargin};
   options.refuse_without_upstream = true;
   options.reports_placements = true;
+  options.is_capacity_scarce = opts.is_capacity_scarce;
   options.quarantine.keeps_events = true;
   return options;
 }
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -85,6 +85,14 @@
     placement_log_.Add(own->prefixes);
     return;
   }
+  if (auto* observed = std::get_if<own_observations>(&message)) {
+    own_observations_ = std::move(*observed);
+    return;
+  }
+  if (auto* admissions = std::get_if<own_admissions>(&message)) {
+    ReceiveAdmissions(std::move(*admissions));
+    return;
+  }
   if (auto* limits = std::get_if<own_limits>(&message)) {
     own_limits_ = std::move(*limits);
     return;
@@ -124,6 +132,16 @@
   BroadcastHeartbeat();
 }
 
+void fleet_task::ReceiveAdmissions(own_admissions admissions) {
+  std::vector<timed_promise> promises;
+  for (const return_promise& item : admissions.report.promises) {
+    promises.push_back({.promise = item, .at = admissions.at});
+  }
+  promise_log_.Add(promises);
+  admissions.report.promises.clear();
+  own_admissions_ = std::move(admissions);
+}
+
 bool fleet_task::OnFrame(std::span<const uint8_t> bytes) {
   suspension_.OnRunning(ReadBootClock());
   const std::optional<peer_frame> frame = DecodePeerFrame(bytes);
@@ -176,6 +194,7 @@
                             .mix = heartbeat.mix,
                             .backlogs = heartbeat.backlogs,
                             .prefixes = heartbeat.prefixes});
+  PublishLoadReports(heartbeat);
   if (!heartbeat.limits.empty()) {
     services_.FindPort<fleet_event>(kEdgeService)
         .Post(peer_limits{.peer = heartbeat.sender.name,
@@ -251,12 +270,41 @@
   for (limit_update& item : heartbeat.limits) {
     item.age += now - own_limits_.at;
   }
+  AddLoadReports(now, to, heartbeat);
   if (election_.IsLeading(now)) {
     heartbeat.changing = rollout_.ListChanging();
   }
   transport_->Send(to, EncodePeerFrame(heartbeat));
 }
 
+void fleet_task::AddLoadReports(time_point now,
+                                const endpoint& to,
+                                heartbeat_frame& heartbeat) {
+  heartbeat.observations = own_observations_.observations;
+  for (upstream_observation& item : heartbeat.observations) {
+    item.age += now - own_observations_.at;
+  }
+  heartbeat.admissions = own_admissions_.report;
+  for (const timed_promise& item : promise_log_.TakeFor(to)) {
+    return_promise promise = item.promise;
+    promise.due_in -= now - item.at;
+    heartbeat.admissions.promises.push_back(promise);
+  }
+}
+
+void fleet_task::PublishLoadReports(const heartbeat_frame& heartbeat) {
+  if (!heartbeat.observations.empty()) {
+    services_.FindPort<fleet_event>(kEdgeService)
+        .Post(peer_observations{.peer = heartbeat.sender.name,
+                                .observations = heartbeat.observations});
+  }
+  if (!heartbeat.admissions.IsEmpty()) {
+    services_.FindPort<fleet_event>(kEdgeService)
+        .Post(peer_admissions{.peer = heartbeat.sender.name,
+                              .report = heartbeat.admissions});
+  }
+}
+
 void fleet_task::BroadcastHeartbeat() {
   for (const endpoint& to : peer_table_.ListReachable(ReadBootClock())) {
     SendHeartbeat(to);
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -3,6 +3,7 @@
 #include <flatbuffers/flatbuffers.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <initializer_list>
 #include <utility>
@@ -14,6 +15,11 @@
 
 /// Maximum number of member updates in a valid heartbeat; daemons send fewer.
 static constexpr size_t kMaxMembers = 64;
+/// Likewise for the entries of other lists.
+static constexpr size_t kMaxObservations = 1024;
+static constexpr size_t kMaxDemands = 256;
+static constexpr size_t kMaxPressures = 64;
+static constexpr size_t kMaxPromises = 1024;
 
 static std::vector<std::string> ReadTexts(
     const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* list) {
@@ -134,6 +140,94 @@
   return true;
 }
 
+/// Reads the observations of upstreams; returns false where one is invalid.
+static bool ReadObservations(const fleet_wire::beat& wire,
+                             heartbeat_frame& frame) {
+  if (wire.observations() == nullptr) {
+    return true;
+  }
+  if (wire.observations()->size() > kMaxObservations) {
+    return false;
+  }
+  for (const fleet_wire::observation* item : *wire.observations()) {
+    if (item->refusal() > static_cast<uint8_t>(kLastUpstreamRefusal)) {
+      return false;
+    }
+    frame.observations.push_back(
+        {.upstream = item->upstream(),
+         .incarnation = item->incarnation(),
+         .age = std::chrono::milliseconds(item->age_ms()),
+         .running = item->running(),
+         .waiting = item->waiting(),
+         .slots = item->slots(),
+         .work_percent = item->work_percent(),
+         .refusal = static_cast<upstream_refusal>(item->refusal())});
+  }
+  return true;
+}
+
+/// Whether \p value is a priority class and the quantities are finite and not
+/// negative.
+static bool IsValidReport(uint8_t value,
+                          std::initializer_list<double> quantities) {
+  return value <= static_cast<uint8_t>(priority_class::kBatch) &&
+         AreFinite(quantities) &&
+         std::all_of(quantities.begin(), quantities.end(),
+                     [](double quantity) { return quantity >= 0; });
+}
+
+/// Reads the report about admissions; returns false where it is too long or an
+/// entry is invalid.
+static bool ReadAdmissions(const fleet_wire::beat& wire,
+                           heartbeat_frame& frame) {
+  admission_report& report = frame.admissions;
+  if (wire.demands() != nullptr) {
+    if (wire.demands()->size() > kMaxDemands) {
+      return false;
+    }
+    for (const fleet_wire::demand* item : *wire.demands()) {
+      if (!IsValidReport(item->priority(),
+                         {item->offered(), item->admitted()})) {
+        return false;
+      }
+      report.demands.push_back(
+          {.workspace = item->workspace(),
+           .target = item->target(),
+           .priority = static_cast<priority_class>(item->priority()),
+           .offered = item->offered(),
+           .admitted = item->admitted()});
+    }
+  }
+  if (wire.pressures() != nullptr) {
+    if (wire.pressures()->size() > kMaxPressures) {
+      return false;
+    }
+    for (const fleet_wire::pressure* item : *wire.pressures()) {
+      if (!IsValidReport(item->priority(),
+                         {item->wait_ratio(), item->weight()})) {
+        return false;
+      }
+      report.pressures.push_back(
+          {.target = item->target(),
+           .priority = static_cast<priority_class>(item->priority()),
+           .wait_ratio = item->wait_ratio(),
+           .weight = item->weight()});
+    }
+  }
+  if (wire.promises() != nullptr) {
+    if (wire.promises()->size() > kMaxPromises) {
+      return false;
+    }
+    for (const fleet_wire::promise* item : *wire.promises()) {
+      report.promises.push_back(
+          {.request = item->request(),
+           .due_in = std::chrono::milliseconds(item->due_in_ms()),
+           .is_kept = item->is_kept()});
+    }
+  }
+  return true;
+}
+
 static std::optional<peer_frame> ReadHeartbeat(const fleet_wire::beat& wire) {
   const auto peer_address = ParseEndpoint(wire.peer_address()->string_view());
   const auto caller_address =
@@ -189,6 +283,9 @@
                  .seconds = mix->seconds(),
                  .reserves_engines = mix->keeps_engines()};
   }
+  if (!ReadObservations(wire, frame) || !ReadAdmissions(wire, frame)) {
+    return std::nullopt;
+  }
   if (wire.limits() != nullptr) {
     for (const fleet_wire::limit* item : *wire.limits()) {
       if (!AreFinite({item->rate()}) || item->rate() < 0 ||
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -1,6 +1,8 @@
 // Encoding of frames between daemons.
 #include <flatbuffers/flatbuffers.h>
 
+#include <algorithm>
+#include <chrono>
 #include <optional>
 #include <span>
 #include <string>
@@ -33,6 +35,27 @@
   return out;
 }
 
+int64_t ToMillis(duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+uint16_t Saturate(int64_t value) {
+  return static_cast<uint16_t>(std::clamp<int64_t>(value, 0, UINT16_MAX));
+}
+
+std::vector<fleet_wire::observation> WriteObservations(
+    std::span<const upstream_observation> observations) {
+  std::vector<fleet_wire::observation> list;
+  for (const upstream_observation& item : observations) {
+    list.emplace_back(item.upstream, static_cast<uint32_t>(item.incarnation),
+                      Saturate(ToMillis(item.age)), Saturate(item.running),
+                      Saturate(item.waiting), Saturate(item.slots),
+                      Saturate(item.work_percent),
+                      static_cast<uint8_t>(item.refusal));
+  }
+  return list;
+}
+
 /// Writes the body of a frame and returns its offset; `type` is its type.
 class body_writer {
  public:
@@ -86,6 +109,27 @@
         static_cast<float>(frame.mix.long_prefill),
         static_cast<float>(frame.mix.short_held),
         static_cast<float>(frame.mix.seconds), frame.mix.reserves_engines);
+    const std::vector<fleet_wire::observation> observations =
+        WriteObservations(frame.observations);
+    std::vector<fleet_wire::demand> demands;
+    for (const workspace_demand& item : frame.admissions.demands) {
+      demands.emplace_back(item.workspace, item.target,
+                           static_cast<float>(item.offered),
+                           static_cast<float>(item.admitted),
+                           static_cast<uint8_t>(item.priority));
+    }
+    std::vector<fleet_wire::pressure> pressures;
+    for (const target_pressure& item : frame.admissions.pressures) {
+      pressures.emplace_back(item.target, static_cast<float>(item.wait_ratio),
+                             static_cast<float>(item.weight),
+                             static_cast<uint8_t>(item.priority));
+    }
+    std::vector<fleet_wire::promise> promises;
+    for (const return_promise& item : frame.admissions.promises) {
+      promises.emplace_back(item.request,
+                            static_cast<int32_t>(ToMillis(item.due_in)),
+                            item.is_kept);
+    }
     const daemon_record& sender = frame.sender;
     const freshness_record freshness =
         frame.freshness.value_or(freshness_record());
@@ -107,7 +151,8 @@
                sender.recovery.event, sender.recovery.left.count(),
                sender.recovery.revision, out_.CreateVectorOfStructs(responses),
                sender.tracks_streams, out_.CreateVector(sender.lost_services),
-               freshness.reply)
+               freshness.reply, WriteIfAny(observations), WriteIfAny(demands),
+               WriteIfAny(pressures), WriteIfAny(promises))
         .Union();
   }
 
@@ -186,6 +231,14 @@
   }
 
  private:
+  /// Writes nothing for an empty list, so that heartbeats of deployments
+  /// without such entries do not grow.
+  template <class Item>
+  flatbuffers::Offset<flatbuffers::Vector<const Item*>> WriteIfAny(
+      const std::vector<Item>& items) {
+    return items.empty() ? 0 : out_.CreateVectorOfStructs(items);
+  }
+
   static fleet_wire::stream_origin WriteOrigin(const stream_origin& item) {
     const auto millis =
         std::chrono::duration_cast<std::chrono::milliseconds>(item.time_left);
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -235,6 +235,63 @@
   EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(query))).has_value());
 }
 
+TEST(peer_frame_test, DecodesObservationsOfUpstreams) {
+  heartbeat_frame heartbeat = MakeHeartbeat();
+  heartbeat.observations = {{.upstream = 3,
+                             .incarnation = 4'000'000'000U,
+                             .age = std::chrono::milliseconds(70),
+                             .running = 5,
+                             .waiting = 2,
+                             .slots = 24,
+                             .work_percent = 250,
+                             .refusal = upstream_refusal::kMismatch}};
+  const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(heartbeat)));
+  ASSERT_TRUE(frame);
+  EXPECT_EQ(std::get<heartbeat_frame>(*frame).observations,
+            heartbeat.observations);
+  heartbeat.observations[0].refusal = static_cast<upstream_refusal>(9);
+  EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(heartbeat))));
+}
+
+TEST(peer_frame_test, DecodesAdmissionReports) {
+  heartbeat_frame heartbeat = MakeHeartbeat();
+  admission_report& report = heartbeat.admissions;
+  report.demands = {{.workspace = 1,
+                     .target = 2,
+                     .priority = priority_class::kInteractive,
+                     .offered = 1.5,
+                     .admitted = 0.5}};
+  report.pressures = {{.target = 2,
+                       .priority = priority_class::kInteractive,
+                       .wait_ratio = 1.25,
+                       .weight = 8}};
+  report.promises = {{.request = 7,
+                      .due_in = -std::chrono::milliseconds(40),
+                      .is_kept = true}};
+  const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(heartbeat)));
+  ASSERT_TRUE(frame);
+  const admission_report& decoded =
+      std::get<heartbeat_frame>(*frame).admissions;
+  EXPECT_EQ(decoded.demands, report.demands);
+  EXPECT_EQ(decoded.pressures, report.pressures);
+  EXPECT_EQ(decoded.promises, report.promises);
+}
+
+TEST(peer_frame_test, RejectsInvalidAdmissionReports) {
+  const auto is_valid = [](const admission_report& report) {
+    heartbeat_frame heartbeat = MakeHeartbeat();
+    heartbeat.admissions = report;
+    return DecodePeerFrame(BytesOf(EncodePeerFrame(heartbeat))).has_value();
+  };
+  EXPECT_TRUE(is_valid({.demands = {{}}, .pressures = {{}}, .promises = {}}));
+  const double infinite = std::numeric_limits<double>::infinity();
+  EXPECT_FALSE(is_valid({.demands = {{.offered = infinite}}}));
+  EXPECT_FALSE(is_valid({.demands = {{.admitted = -1}}}));
+  EXPECT_FALSE(
+      is_valid({.demands = {{.priority = static_cast<priority_class>(7)}}}));
+  EXPECT_FALSE(is_valid({.pressures = {{.wait_ratio = -1}}}));
+}
+
 TEST(peer_frame_test, DecodesCrashAndCompletionReports) {
   heartbeat_frame heartbeat = MakeHeartbeat();
   const hash128 request{.high = 1, .low = 2};
--- a/unittests/PlatformAdapter/platform_settings_test.cc
+++ b/unittests/PlatformAdapter/platform_settings_test.cc
@@ -51,6 +51,29 @@
   }
 }
 
+TEST(platform_settings_test, ReadsWhetherCapacityIsScarce) {
+  const std::string text = kSettings;
+  EXPECT_FALSE(ParsePlatformSettings(text, "f").is_capacity_scarce);
+  EXPECT_FALSE(ParsePlatformSettings("policies = [\"base\"]\n" + text, "f")
+                   .is_capacity_scarce);
+  EXPECT_TRUE(
+      ParsePlatformSettings("policies = [\"base\", \"pressure\"]\n" + text, "f")
+          .is_capacity_scarce);
+}
+
+TEST(platform_settings_test, ReportsPoliciesOfAnotherType) {
+  for (const std::string policies : {"\"pressure\"", "[\"pressure\", 3]"}) {
+    try {
+      ParsePlatformSettings("policies = " + policies + "\n" + kSettings, "f");
+      FAIL() << "no error";
+    } catch (const findings_error& error) {
+      ASSERT_EQ(error.findings().size(), 1U);
+      EXPECT_EQ(error.findings()[0].place.path, "policies");
+      EXPECT_EQ(error.findings()[0].place.line, 1U);
+    }
+  }
+}
+
 TEST(platform_settings_test, RejectsSyntaxError) {
   EXPECT_THROW(ParsePlatformSettings("node-name = ", "f"), findings_error);
 }
