Answer a report of a crash that a completion refutes

Cause: a completion clears the crashes under a part at the daemon that saw it, and was sent to peers only where it cleared two or more. Where a request completes after each crash, every daemon clears one at a time and says nothing, and a daemon that completes none itself counts them all. Once it has quarantined the part it sends no request with it, and the others have nothing left to clear.

Now a daemon that is sent a crash under a part and knows a later completion answers with that completion. Quarantined parts are reported again and again, so an answer that is lost is repeated.

Evidence: request_quarantine_test, AnswersAReportThatACompletionRefutes, fails on the code before.

Ruled out: to send each completion that clears something.

--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -173,6 +173,10 @@
                                   const hash128& request,
                                   const crash& seen) {
   suspect& item = FindOrCreate(now, request);
+  if (item.is_part && !seen.is_local && seen.at < item.completed_sent) {
+    // The peer may not know of the completion.
+    QueueCompletion(request, item.completed_sent);
+  }
   const auto known = std::find_if(
       item.crashes.begin(), item.crashes.end(),
       [&](const crash& old) { return old.upstream == seen.upstream; });
@@ -443,7 +447,12 @@
 
 void request_quarantine::QueueCompletion(const hash128& request,
                                          time_point at) {
-  if (pending_completions_.size() < kMaxReports) {
+  const auto known = std::find_if(
+      pending_completions_.begin(), pending_completions_.end(),
+      [&](const pending_completion& item) { return item.request == request; });
+  if (known != pending_completions_.end()) {
+    known->sent = std::max(known->sent, at);
+  } else if (pending_completions_.size() < kMaxReports) {
     pending_completions_.push_back({.request = request, .sent = at});
   }
 }
--- a/unittests/Admission/request_quarantine_test.cc
+++ b/unittests/Admission/request_quarantine_test.cc
@@ -212,6 +212,25 @@
   EXPECT_FALSE(peer.TimeLeft(now_, kRequest));
 }
 
+// Guards against a sound part that one daemon quarantines though another has
+// completed requests with it after each crash.
+TEST_F(request_quarantine_test, AnswersAReportThatACompletionRefutes) {
+  const std::vector<hash128> parts = {DigestPart("s", "a")};
+  request_quarantine peer;
+  for (uint64_t upstream = 1; upstream <= 5; ++upstream) {
+    now_ += kExecutionTime;
+    quarantine_.OnCrash(now_, {.high = 7, .low = upstream}, upstream,
+                        now_ - kExecutionTime, parts);
+    peer.OnUpdate(now_, quarantine_.TakeUpdate(now_));
+    now_ += seconds(1);
+    peer.OnPartsCompleted(now_, parts, now_ - kExecutionTime);
+  }
+  ASSERT_TRUE(IsQuarantined(parts[0]));
+  peer.OnUpdate(now_, {.crashes = quarantine_.ListActiveCrashes(now_)});
+  quarantine_.OnUpdate(now_, peer.TakeUpdate(now_));
+  EXPECT_FALSE(IsQuarantined(parts[0]));
+}
+
 // Other requests that ran at the crashed upstreams were aborted and retried.
 TEST_F(request_quarantine_test, QuarantineClearsRequestsThatRanBesideIt) {
   Crash(1, kOther);
