Let a daemon that starts refuse weights superseded at an unknown time

Callers saw responses of weights that had been superseded over 6 s before: with engines that load no new weights, and all daemons killed 5.5 s after a publication and started at once, 41 requests began after the bound, the last 8.08 s after the publication.

Cause: a daemon that starts finds a version and cannot tell when it was published. The first version that it knew counted as published 2.9 s before its own start, so that superseded weights had 2.3 s left, however old the publication was: a grace period that starts at the observer's own event.

Now such weights are refused until the daemon learns since when they are superseded. Its heartbeats say that it lacks this, once engines with unknown weights are listed; peers that witnessed the publication answer with its age and with the version that it superseded, without which weights of two publications ago would pass for those of the last. Only witnesses answer, so that no age gets younger by relays. For a fleet that was killed as a whole, the leader writes one record per publication under a lease that ends 2.2 s before the bound. While it exists, the publication is at most as old as the record says; no time of day enters.

Conclusion: the bound counts from the publication at every daemon, whatever it witnessed.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -111,6 +111,15 @@
     return replicas_.ListBacklogs();
   }
   void OnUpstreamChanging(const upstream_changing& event);
+  /// See `replica_table`.
+  std::vector<weights_publication> ListPublications(time_point now) const {
+    return replicas_.ListPublications(now);
+  }
+  std::vector<weights_publication> LearnPublications(
+      std::span<const weights_publication> learned) {
+    return replicas_.LearnPublications(learned);
+  }
+  bool LacksPublications() const { return replicas_.LacksPublications(); }
   /// Whether the running request \p id may be retried at another upstream, and
   /// one accepts requests now.
   bool CanRetryElsewhere(time_point now, request_id id);
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -175,6 +175,10 @@
                               revision_number revision);
   void Handle(const peers_changed& update);
   void Handle(const weights_changing& update);
+  void Handle(const learned_publications& update);
+  /// Sends the fleet task which publications of weights this daemon witnessed,
+  /// and whether it lacks some.
+  void ReportPublications(time_point now);
   void Handle(const items_staleness& update) { is_stale_ = update.is_stale; }
   void Handle(const peer_placements& update);
   void Handle(const peer_limits& update);
@@ -279,6 +283,7 @@
   bool is_stale_ = false;
   std::vector<daemon_record> peers_;
   std::vector<std::string> changing_upstreams_;
+  own_publications reported_publications_;
   std::vector<upstream_backlog> reported_backlogs_;
   size_t fleet_size_ = 1;
   size_t possibly_active_ = 1;
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -51,11 +51,22 @@
   /// The time as of which the ages are.
   time_point at{};
 };
+/// What this daemon knows of publications of weights.
+struct own_publications {
+  /// Those that it witnessed, while superseded weights may still serve.
+  std::vector<weights_publication> witnessed;
+  /// Upstreams have weights that were superseded at an unknown time, before
+  /// this daemon started.
+  bool lacks_some = false;
+  friend bool operator==(const own_publications&,
+                         const own_publications&) = default;
+};
 using fleet_message = std::variant<fleet_stop_requested,
                                    readiness_changed,
                                    own_placements,
                                    own_limits,
                                    own_quarantine,
+                                   own_publications,
                                    outgoing_quota_message,
                                    outgoing_origin_message>;
 
@@ -108,10 +119,15 @@
 struct weights_changing {
   std::vector<std::string> upstreams;
 };
+/// When weights were published, by the records of peers or of the store.
+struct learned_publications {
+  std::vector<weights_publication> list;
+};
 using fleet_event = std::variant<fleet_snapshot_changed,
                                  upstreams_changed,
                                  peers_changed,
                                  weights_changing,
+                                 learned_publications,
                                  items_staleness,
                                  peer_placements,
                                  peer_limits,
--- a/include/cuminswitch/Fleet/fleet_snapshot.h
+++ b/include/cuminswitch/Fleet/fleet_snapshot.h
@@ -11,6 +11,7 @@
 
 #include "cuminswitch/Fleet/item_view.h"
 #include "cuminswitch/Fleet/routing_config.h"
+#include "cuminswitch/Protocol/weights_publication.h"
 #include "cuminswitch/Support/endpoint.h"
 #include "cuminswitch/Support/hash.h"
 
@@ -79,6 +80,9 @@
   std::vector<hash128> quarantined;
   /// Services that have or recently had several software versions.
   std::vector<std::string> mixed_services;
+  /// Recent publications of weights; `age` bounds the age of each for as long
+  /// as its record exists.
+  std::vector<publication_report> publications;
   /// Name of the daemon that holds leadership and may send commands to engines;
   /// empty if there is none.
   std::string leader;
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -4,6 +4,7 @@
 #define CUMINSWITCH_FLEET_FLEET_TASK_H_
 
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "cuminswitch/Fleet/mixed_service_records.h"
 #include "cuminswitch/Fleet/peer_table.h"
 #include "cuminswitch/Fleet/peer_update_log.h"
+#include "cuminswitch/Fleet/publication_records.h"
 #include "cuminswitch/Fleet/quarantine_records.h"
 #include "cuminswitch/Fleet/revision_lag.h"
 #include "cuminswitch/Fleet/software_history.h"
@@ -52,6 +54,11 @@
     std::string quarantine_prefix;
     /// Key prefix of the records of services with several software versions.
     std::string mixed_services_prefix;
+    /// Key prefix of the records of recent publications of weights.
+    std::string publications_prefix;
+    /// How long after the publication of weights requests may begin on those
+    /// that they superseded.
+    duration old_weights_time{0};
     /// Minimum time between the last command of one leader and the first
     /// command of its successor.
     duration leader_gap = std::chrono::seconds(3);
@@ -96,6 +103,12 @@
   /// Records in the store, as the leader, which services have several software
   /// versions.
   void RecordMixedServices(time_point now);
+  /// Sends the edge when weights were published, as \p heartbeat reports.
+  void OnPublicationReports(time_point now, const heartbeat_frame& heartbeat);
+  /// Records in the store, as the leader, which weights were published
+  /// recently. Sends the edge what the records show of publications before this
+  /// daemon's start.
+  void ProcessPublicationRecords(time_point now);
   void SendHeartbeat(const endpoint& to);
   void BroadcastHeartbeat();
   void RequestItems(time_point now);
@@ -137,6 +150,7 @@
   quarantine_records quarantine_records_;
   software_history software_;
   mixed_service_records mixed_records_;
+  publication_records publication_records_;
   std::unique_ptr<peer_transport> transport_;
   loop_timer heartbeat_timer_;
   loop_timer rollout_timer_;
@@ -146,6 +160,9 @@
   prompt_mix own_mix_;
   own_limits own_limits_;
   std::vector<quarantine_record> quarantined_;
+  own_publications own_publications_;
+  /// Addresses of peers that lack publications.
+  std::set<endpoint> lacking_peers_;
   crash_update_queue crash_updates_;
   /// Prefixes placed by this daemon. A daemon places up to 20 per second, and
   /// sends each peer a heartbeat within 1.5 s in a fleet where it rotates
@@ -170,6 +187,7 @@
   items_request_tracker items_requests_;
   revision_lag lag_;
   item_list_cache item_list_;
+  time_point started_at_{};
   time_point next_registration_{};
   bool is_stale_ = false;
   bool is_registering_ = false;
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -19,6 +19,7 @@
 #include "cuminswitch/Protocol/quota_message.h"
 #include "cuminswitch/Protocol/stream_origin.h"
 #include "cuminswitch/Protocol/upstream_notice.h"
+#include "cuminswitch/Protocol/weights_publication.h"
 #include "cuminswitch/Support/endpoint.h"
 
 namespace cuminswitch {
@@ -101,6 +102,11 @@
   std::vector<member_update> members;
   /// When the sender's items were last known to be up to date.
   std::optional<freshness_record> freshness;
+  /// The sender started after a publication of weights, and does not know when
+  /// that was.
+  bool lacks_publications = false;
+  /// Publications that the sender witnessed, for a receiver that lacks them.
+  std::vector<publication_report> publications;
 };
 
 /// Requests the items that changed after a revision.
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cuminswitch/Protocol/weights_publication.h"
 #include "cuminswitch/Routing/prompt_length_classifier.h"
 #include "cuminswitch/Routing/replica.h"
 #include "cuminswitch/Routing/target_estimate.h"
@@ -48,8 +49,8 @@
     /// Time since the publication of new weights after which requests prefer
     /// replicas with the new weights.
     duration old_weights_grace{0};
-    /// When the first version that this daemon receives counts as configured.
-    /// It may have been published long before this daemon started.
+    /// When the first version that this daemon receives counts as configured,
+    /// until it learns when that was published.
     time_point first_version_since{};
     /// Longest time after the publication of new weights at which a request may
     /// still start on superseded weights; 0 for no bound.
@@ -69,6 +70,16 @@
   void Reconfigure(time_point now, const configuration& config);
   /// Applies the configured \p models without changing the upstreams.
   void SetModels(time_point now, std::span<const model_spec> models);
+  /// Lists the publications that this daemon witnessed of weights whose
+  /// predecessors may still serve.
+  std::vector<weights_publication> ListPublications(time_point now) const;
+  /// Applies when weights were published that this daemon found at its start.
+  /// Returns those of \p learned that were new to it.
+  std::vector<weights_publication> LearnPublications(
+      std::span<const weights_publication> learned);
+  /// Whether a replica has weights that a publication before this daemon's
+  /// start superseded.
+  bool LacksPublications() const;
   /// Adds an upstream or applies its changed configuration.
   void SetUpstream(time_point now, const upstream_spec& spec);
   /// Removes an upstream from the configuration. Its state is retained.
@@ -211,6 +222,8 @@
   struct version_start {
     std::string version;
     time_point since{};
+    /// The daemon was running when the version was published.
+    bool is_witnessed = false;
   };
   struct target_replicas {
     /// The model's version; empty for a service.
@@ -236,6 +249,8 @@
   void JoinTargets(replica_index index);
   void LeaveTargets(replica_index index);
   bool IsConfigured(replica_index index) const;
+  /// Applies one of `LearnPublications()`; returns whether it is new.
+  bool LearnPublication(const weights_publication& learned);
   double InitialLimit(const upstream_spec& spec) const;
   /// Resets the state that belongs to the previous process of the upstream.
   static void ResetProcessState(replica& item);
--- a/lib/Edge/edge_snapshot.cc
+++ b/lib/Edge/edge_snapshot.cc
@@ -67,6 +67,7 @@
   }
   router_.OnUpstreams(now, updates, actions);
   Perform(now, actions);
+  ReportPublications(now);
 }
 
 void edge_task::ApplyRoutingConfig(time_point now,
@@ -101,6 +102,7 @@
   action_list actions;
   ApplyRoutingConfig(now, update.written_after, actions);
   Perform(now, actions);
+  ReportPublications(now);
   pool_.TrimIdle();
   if (IsReady() && !was_ready) {
     with_.log.Write(log_class::kLifecycle,
@@ -109,6 +111,30 @@
   }
 }
 
+void edge_task::Handle(const learned_publications& update) {
+  const time_point now = ReadBootClock();
+  for (const weights_publication& item :
+       router_.LearnPublications(update.list)) {
+    with_.log.Write(log_class::kStateChange,
+                    log_line("publication_learned")
+                        .Add("target", item.target)
+                        .Add("version", item.version)
+                        .Add("superseded", item.superseded)
+                        .Add("max_age_ms", now - item.since));
+  }
+  ReportPublications(now);
+}
+
+void edge_task::ReportPublications(time_point now) {
+  const bool may_lack = now - started_at_ < options_.old_weights_time;
+  own_publications own{.witnessed = router_.ListPublications(now),
+                       .lacks_some = may_lack && router_.LacksPublications()};
+  if (own != reported_publications_) {
+    reported_publications_ = own;
+    services_.FindPort<fleet_message>(kFleetService).Post(std::move(own));
+  }
+}
+
 void edge_task::Handle(const peers_changed& update) {
   peers_ = update.alive;
   fleet_size_ = update.known;
--- a/lib/Edge/router_settings.cc
+++ b/lib/Edge/router_settings.cc
@@ -11,10 +11,6 @@
 /// Margin to the end of the time in which old weights may be used, not counting
 /// the wait in an engine's queue.
 static constexpr duration kOldWeightsMargin = std::chrono::milliseconds(800);
-/// How long a daemon that has just started uses older weights; it does not know
-/// when they were superseded.
-static constexpr duration kOldWeightsAfterStart =
-    std::chrono::milliseconds(2300);
 /// An attempt on old weights that has not begun this long before the bound is
 /// cancelled. The bound counts from a reply of the store that a peer may have
 /// relayed, which looks more recent than it is by the delay of its messages.
@@ -45,9 +41,9 @@
   options.replicas = {
       .old_weights_time = opts.old_weights_time - kOldWeightsMargin,
       .old_weights_grace = kOldWeightsGrace,
-      .first_version_since =
-          opts.now -
-          (opts.old_weights_time - kOldWeightsMargin - kOldWeightsAfterStart),
+      // A version that was published before the start counts as published so
+      // long ago that the weights it superseded may not be used.
+      .first_version_since = opts.now - opts.old_weights_time,
       .old_weights_limit = opts.old_weights_time - kStartLimitMargin,
       .old_weights_deadline = opts.old_weights_time - kQueueDeadlineMargin};
   options.refuse_without_upstream = true;
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -223,6 +223,7 @@
       snapshot_ == nullptr || snapshot_->daemons != next->daemons;
   if (!affects_rollout && !has_other_daemons &&
       snapshot_->quarantined == next->quarantined &&
+      snapshot_->publications == next->publications &&
       snapshot_->mixed_services == next->mixed_services) {
     return;
   }
@@ -237,6 +238,7 @@
       .Post(fleet_snapshot_changed{.snapshot = std::move(next),
                                    .written_after = written_after_});
   RunRollout(ReadBootClock());
+  ProcessPublicationRecords(ReadBootClock());
   if (is_new_config) {
     // Peers that the store rejects get the configuration from this daemon.
     BroadcastHeartbeat();
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -17,6 +17,12 @@
 /// An entry outlives three intervals without renewal, one of which may have
 /// passed before the outage began.
 static constexpr int kIntervalsToExpiry = 2;
+/// The record of a publication ends this long before superseded weights may no
+/// longer be used: a daemon that knows the record only knows that it existed up
+/// to `kStoreFresh` ago, and the edge stops using those weights some time
+/// before their bound.
+static constexpr duration kPublicationRecordMargin =
+    kStoreFresh + std::chrono::milliseconds(800);
 /// Range over which the daemons' claims of leadership are spread.
 static constexpr uint64_t kClaimSpreadMs = 400;
 
@@ -61,6 +67,11 @@
           {.prefix = options_.quarantine_prefix, .author = options_.self.name},
           with.store),
       mixed_records_(options_.mixed_services_prefix, with.store),
+      publication_records_(
+          {.prefix = options_.publications_prefix,
+           .lifetime = options_.old_weights_time - kPublicationRecordMargin},
+          with.store,
+          with.log),
       heartbeat_timer_(base, [this] { OnTick(); }),
       rollout_timer_(base, [this] { RunRollout(ReadBootClock()); }) {}
 
@@ -70,6 +81,7 @@
       peer_transport::options{.listen = options_.self.peer_address,
                               .idle_timeout = std::chrono::seconds(5)},
       *this);
+  started_at_ = ReadBootClock();
   item_watcher_.Start();
   OnTick();
 }
@@ -95,6 +107,14 @@
     RecordQuarantines(ReadBootClock());
     return;
   }
+  if (auto* publications = std::get_if<own_publications>(&message)) {
+    const bool lacked_some = own_publications_.lacks_some;
+    own_publications_ = std::move(*publications);
+    if (own_publications_.lacks_some && !lacked_some) {
+      BroadcastHeartbeat();
+    }
+    return;
+  }
   if (const auto* quota = std::get_if<outgoing_quota_message>(&message)) {
     std::visit(
         [&](const auto& item) {
@@ -171,6 +191,7 @@
     leader_changing_at_ = now;
     PublishChanging();
   }
+  OnPublicationReports(now, heartbeat);
   services_.FindPort<fleet_event>(kEdgeService)
       .Post(peer_placements{.peer = heartbeat.sender.name,
                             .mix = heartbeat.mix,
@@ -194,8 +215,10 @@
   const bool needs_items = heartbeat.sender.revision == 0;
   // A peer that has just started learns from the reply who has the items; a
   // suspected peer learns that it is suspected, and can refute it.
+  const bool needs_publications =
+      heartbeat.lacks_publications && !own_publications_.witnessed.empty();
   const bool needs_reply =
-      (needs_items && item_watcher_.view().HasRead()) ||
+      (needs_items && item_watcher_.view().HasRead()) || needs_publications ||
       peer_table_.MustNotifySuspected(heartbeat.sender.peer_address);
   if (needs_reply &&
       peer_table_.TryReserveReply(now, heartbeat.sender.peer_address)) {
@@ -204,6 +227,27 @@
   RequestItems(now);
 }
 
+void fleet_task::OnPublicationReports(time_point now,
+                                      const heartbeat_frame& heartbeat) {
+  if (heartbeat.lacks_publications) {
+    lacking_peers_.insert(heartbeat.sender.peer_address);
+  } else {
+    lacking_peers_.erase(heartbeat.sender.peer_address);
+  }
+  if (heartbeat.publications.empty()) {
+    return;
+  }
+  const time_point sent_after = suspension_.ArrivedAfter(now);
+  learned_publications learned;
+  for (const publication_report& item : heartbeat.publications) {
+    learned.list.push_back({.target = item.target,
+                            .version = item.version,
+                            .superseded = item.superseded,
+                            .since = sent_after - item.age});
+  }
+  services_.FindPort<fleet_event>(kEdgeService).Post(std::move(learned));
+}
+
 void fleet_task::OnItemsRequest(const items_request_frame& request) {
   const item_view& view = item_watcher_.view();
   if (!view.HasRead()) {
@@ -254,6 +298,15 @@
   if (election_.IsLeading(now)) {
     heartbeat.changing = rollout_.ListChanging();
   }
+  heartbeat.lacks_publications = own_publications_.lacks_some;
+  if (lacking_peers_.contains(to)) {
+    for (const weights_publication& item : own_publications_.witnessed) {
+      heartbeat.publications.push_back({.target = item.target,
+                                        .version = item.version,
+                                        .superseded = item.superseded,
+                                        .age = now - item.since});
+    }
+  }
   transport_->Send(to, EncodePeerFrame(heartbeat));
 }
 
@@ -277,6 +330,7 @@
   RegisterSelf();
   RecordQuarantines(now);
   RecordMixedServices(now);
+  ProcessPublicationRecords(now);
   if (upstreams_.HasRetained() && !store_outage_.IsStoreUnavailable(now)) {
     upstreams_.Expire(now, store_outage_.Window());
     PublishUpstreams();
@@ -351,6 +405,32 @@
   software_.Expire(now);
 }
 
+void fleet_task::ProcessPublicationRecords(time_point now) {
+  std::erase_if(own_publications_.witnessed, [&](const auto& item) {
+    return now - item.since >= options_.old_weights_time;
+  });
+  if (snapshot_ == nullptr) {
+    return;
+  }
+  if (election_.IsLeading(now)) {
+    publication_records_.OnTick(now, own_publications_.witnessed,
+                                snapshot_->publications);
+  }
+  // What was published before the start is older than the bound by then.
+  const bool is_recent = now - started_at_ < options_.old_weights_time;
+  if (!is_recent || snapshot_->publications.empty()) {
+    return;
+  }
+  learned_publications learned;
+  for (const publication_report& item : snapshot_->publications) {
+    learned.list.push_back({.target = item.target,
+                            .version = item.version,
+                            .superseded = item.superseded,
+                            .since = staleness_.complete_at() - item.age});
+  }
+  services_.FindPort<fleet_event>(kEdgeService).Post(std::move(learned));
+}
+
 void fleet_task::OnStoreReply(const item_watcher::store_reply& reply) {
   written_after_ = staleness_.complete_at();
   suspension_.OnRunning(reply.at);
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -134,6 +134,23 @@
   return true;
 }
 
+static bool ReadPublications(const fleet_wire::beat& wire,
+                             heartbeat_frame& frame) {
+  if (wire.publications() == nullptr) {
+    return true;
+  }
+  for (const fleet_wire::publication* item : *wire.publications()) {
+    if (!IsPlausibleAge(item->age_us())) {
+      return false;
+    }
+    frame.publications.push_back({.target = item->target()->str(),
+                                  .version = item->version()->str(),
+                                  .superseded = item->superseded()->str(),
+                                  .age = duration(item->age_us())});
+  }
+  return true;
+}
+
 static std::optional<peer_frame> ReadHeartbeat(const fleet_wire::beat& wire) {
   const auto peer_address = ParseEndpoint(wire.peer_address()->string_view());
   const auto caller_address =
@@ -214,9 +231,10 @@
                        .age = duration(wire.store_answer_age_us())};
   }
   if (!ReadQuarantineUpdate(wire, frame.quarantine) ||
-      !ReadMembers(wire, frame)) {
+      !ReadMembers(wire, frame) || !ReadPublications(wire, frame)) {
     return std::nullopt;
   }
+  frame.lacks_publications = wire.lacks_publications();
   for (const std::string& text : ReadTexts(wire.heard())) {
     if (const auto address = ParseEndpoint(text)) {
       frame.recent_peers.push_back(*address);
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -79,6 +79,12 @@
     for (const member_update& item : frame.members) {
       members.push_back(WriteMember(item));
     }
+    std::vector<flatbuffers::Offset<fleet_wire::publication>> publications;
+    for (const publication_report& item : frame.publications) {
+      publications.push_back(fleet_wire::Createpublication(
+          out_, out_.CreateString(item.target), out_.CreateString(item.version),
+          out_.CreateString(item.superseded), item.age.count()));
+    }
     const fleet_wire::prompt_mix mix(
         static_cast<float>(frame.mix.requests),
         static_cast<float>(frame.mix.prompt_tokens),
@@ -107,7 +113,8 @@
                sender.recovery.event, sender.recovery.left.count(),
                sender.recovery.revision, out_.CreateVectorOfStructs(responses),
                sender.tracks_streams, out_.CreateVector(sender.lost_services),
-               freshness.reply)
+               freshness.reply, frame.lacks_publications,
+               publications.empty() ? 0 : out_.CreateVector(publications))
         .Union();
   }
 
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -60,7 +60,9 @@
           target.history.empty()
               ? options_.first_version_since
               : std::min(now, model.published_after.value_or(now));
-      target.history.push_back({.version = model.version, .since = since});
+      target.history.push_back({.version = model.version,
+                                .since = since,
+                                .is_witnessed = !target.history.empty()});
     }
     if (target.history.size() > kMaxVersionHistory) {
       target.history.erase(target.history.begin());
@@ -79,6 +81,82 @@
   }
 }
 
+std::vector<weights_publication> replica_table::ListPublications(
+    time_point now) const {
+  std::vector<weights_publication> list;
+  for (const auto& [name, target] : by_target_) {
+    for (size_t i = 1; i < target.history.size(); ++i) {
+      const version_start& start = target.history[i];
+      if (start.is_witnessed && now - start.since < options_.old_weights_time) {
+        list.push_back({.target = name,
+                        .version = start.version,
+                        .superseded = target.history[i - 1].version,
+                        .since = start.since});
+      }
+    }
+  }
+  return list;
+}
+
+std::vector<weights_publication> replica_table::LearnPublications(
+    std::span<const weights_publication> learned) {
+  std::vector<weights_publication> accepted;
+  // Each one is applied after the next one of its target, which names its
+  // version as superseded.
+  for (size_t before = SIZE_MAX; before != accepted.size();) {
+    before = accepted.size();
+    for (const weights_publication& item : learned) {
+      if (LearnPublication(item)) {
+        accepted.push_back(item);
+      }
+    }
+  }
+  return accepted;
+}
+
+bool replica_table::LearnPublication(const weights_publication& learned) {
+  const auto found = by_target_.find(learned.target);
+  if (found == by_target_.end()) {
+    return false;
+  }
+  std::vector<version_start>& history = found->second.history;
+  const auto known = std::find_if(
+      history.begin(), history.end(),
+      [&](const auto& item) { return item.version == learned.version; });
+  if (known == history.end() || known->is_witnessed) {
+    return false;
+  }
+  if (known != history.begin()) {
+    known->since = std::max(known->since, learned.since);
+    return false;
+  }
+  known->since = learned.since;
+  history.insert(history.begin(), {.version = learned.superseded,
+                                   .since = options_.first_version_since});
+  return true;
+}
+
+bool replica_table::LacksPublications() const {
+  const auto knows = [](const target_replicas& target,
+                        const std::string& version) {
+    return target.history.empty() ||
+           std::any_of(target.history.begin(), target.history.end(),
+                       [&](const version_start& item) {
+                         return item.version == version;
+                       });
+  };
+  for (const auto& [name, target] : by_target_) {
+    for (const replica_index index : target.indices) {
+      for (const loaded_model& model : replicas_[index].models) {
+        if (model.name == name && !knows(target, model.version)) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
 bool replica_table::IsConfigured(replica_index index) const {
   return std::binary_search(configured_.begin(), configured_.end(), index);
 }
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -79,6 +79,22 @@
   EXPECT_FALSE(std::get<heartbeat_frame>(*without).freshness);
 }
 
+TEST(peer_frame_test, DecodesPublications) {
+  heartbeat_frame heartbeat = MakeHeartbeat();
+  heartbeat.lacks_publications = true;
+  heartbeat.publications = {{.target = "s/m",
+                             .version = "2",
+                             .superseded = "1",
+                             .age = std::chrono::milliseconds(1200)}};
+  const auto frame = DecodePeerFrame(BytesOf(EncodePeerFrame(heartbeat)));
+  ASSERT_TRUE(frame);
+  const auto& decoded = std::get<heartbeat_frame>(*frame);
+  EXPECT_TRUE(decoded.lacks_publications);
+  EXPECT_EQ(decoded.publications, heartbeat.publications);
+  heartbeat.publications[0].age = -std::chrono::milliseconds(1);
+  EXPECT_FALSE(DecodePeerFrame(BytesOf(EncodePeerFrame(heartbeat))));
+}
+
 TEST(peer_frame_test, DecodesItems) {
   const items_reply_frame sent{
       .revision = 4,
--- a/unittests/PlatformAdapter/document_decoder_test.cc
+++ b/unittests/PlatformAdapter/document_decoder_test.cc
@@ -334,6 +334,19 @@
   EXPECT_TRUE(Decode()->mixed_services.empty());
 }
 
+TEST_F(document_decoder_test, TracksPublications) {
+  const std::string key = std::string(kPublicationsPrefix) + "ab";
+  Put(key, "3900 1 2 s1/m");
+  Put(std::string(kPublicationsPrefix) + "cd", "nonsense");
+  const publication_report record{.target = "s1/m",
+                                  .version = "2",
+                                  .superseded = "1",
+                                  .age = std::chrono::milliseconds(3900)};
+  EXPECT_EQ(Decode()->publications, std::vector{record});
+  Remove(key);
+  EXPECT_TRUE(Decode()->publications.empty());
+}
+
 TEST_F(document_decoder_test, ReadsQuota) {
   Put("op/config", WithWorkspace("\"unit\":\"tokens\",\"rate-per-s\":500,"
                                  "\"burst\":700,\"uncached-tokens\":200"));
