Let engines that accept no command serve with their old weights

Callers were refused from the publication of new weights on where the engines of a service accepted no command (409, or no response): 0.00 requests a second for five seconds, though superseded weights may begin requests for 6 s.

Cause: an engine counted as changing from the first query of its state on, whatever came of the command, and again with each further query and command, every 150 to 500 ms. Daemons other than the leader kept each such list for up to 0.9 s. With three engines or fewer in a service, all were left out at once.

Now an engine that does not accept a command, does not respond to it, or does not respond to the leader's query serves its old weights until their bound, while the leader goes on. It may begin to change at any time, and then refuses requests as not run, which are placed once more; the leader tells its peers which engines these are (`unconfirmed` in heartbeats, empty otherwise), and daemons prefer others by 0.1 s. An engine counts as changing again once it accepts a command or reports that it is busy, which is told at once.

Ruled out: leaving such engines out for a fixed time after each command, since commands follow each other faster; using an engine before its first command has ended, since most carry it out and refuse what arrives. So half a second without service remains where all engines of a service are silent.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -282,7 +282,7 @@
   size_t unreadable_upstreams_ = 0;
   bool is_stale_ = false;
   std::vector<daemon_record> peers_;
-  std::vector<std::string> changing_upstreams_;
+  weights_changing changing_;
   own_publications reported_publications_;
   std::vector<upstream_backlog> reported_backlogs_;
   size_t fleet_size_ = 1;
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -118,6 +118,11 @@
 /// The upstreams whose weights are being changed.
 struct weights_changing {
   std::vector<std::string> upstreams;
+  /// Upstreams that may begin to change their weights, since they did not
+  /// confirm a command.
+  std::vector<std::string> unconfirmed;
+  friend bool operator==(const weights_changing&,
+                         const weights_changing&) = default;
 };
 /// When weights were published, by the records of peers or of the store.
 struct learned_publications {
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -129,6 +129,9 @@
   /// version of its own record, e.g. to refute a suspicion.
   void LogSuspicions();
   void PublishChanging();
+  /// Sends the peers which upstreams are changing their weights, if that is
+  /// news to them or they soon drop it.
+  void AnnounceChanging(std::span<const rollout_step> steps);
   void RunRollout(time_point now);
   void Perform(const rollout_step& step);
   void OnEngineReport(const rollout_step& step,
@@ -168,10 +171,11 @@
   /// sends each peer a heartbeat within 1.5 s in a fleet where it rotates
   /// through all peers, and each gossip partner within 2 s in a larger one.
   peer_update_log<placed_prefix, 256> placement_log_;
-  /// Upstreams whose weights are changing, as last reported by the leader, and
-  /// as last published to the edge.
-  std::vector<std::string> leader_changing_;
-  std::vector<std::string> published_changing_;
+  /// Upstreams whose weights are changing, as last reported by the leader, as
+  /// last published to the edge, and as last announced by this daemon.
+  weights_changing leader_changing_;
+  weights_changing published_changing_;
+  weights_changing announced_changing_;
   time_point leader_changing_at_{};
   /// The peers that are alive as last published to the edge, ordered by name.
   std::vector<daemon_record> published_peers_;
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -85,6 +85,8 @@
   std::vector<endpoint> recent_peers;
   /// Upstreams whose weights the sender, as the leader, is changing.
   std::vector<std::string> changing;
+  /// Upstreams that did not confirm the sender's command to do so.
+  std::vector<std::string> unconfirmed;
   /// Prompt tokens of the sender's requests that wait at upstreams.
   std::vector<upstream_backlog> backlogs;
   /// Prefixes that the sender placed at upstreams since its last heartbeat to
--- a/include/cuminswitch/Fleet/weights_rollout.h
+++ b/include/cuminswitch/Fleet/weights_rollout.h
@@ -83,6 +83,10 @@
                        command_result result);
   /// Returns the upstreams that should get no requests at present.
   std::vector<std::string> ListChanging() const;
+  /// Returns the upstreams that serve with their old weights, since they did
+  /// not accept the last command, or their state is unknown. They may begin to
+  /// change at any time.
+  std::vector<std::string> ListUnconfirmed() const;
   /// Discards all state after loss of leadership.
   void Clear();
 
@@ -90,6 +94,10 @@
   enum class stage : uint8_t { kIdle, kQuerying, kCommanded, kChanging };
   struct engine {
     stage at = stage::kIdle;
+    /// It did not accept the last command, or its state is unknown.
+    bool is_unconfirmed = false;
+    /// It accepted a command that it has not completed, as far as known.
+    bool has_accepted = false;
     std::string service;
     endpoint address;
     /// Start time of the engine's run that this state refers to.
@@ -106,6 +114,9 @@
     uint64_t version = 0;
   };
 
+  bool IsChanging(const engine& item) const {
+    return item.at != stage::kIdle && !item.is_unconfirmed;
+  }
   std::optional<outdated> FindOutdated(const upstream_ref& entry) const;
   /// Lists outdated engines that are not draining, those with the oldest
   /// weights first: versions may be published faster than all engines change,
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -142,6 +142,8 @@
 struct upstream_changing {
   std::string upstream;
   bool is_changing = false;
+  /// It serves, but may begin to change its weights at any time.
+  bool may_change = false;
 };
 
 /// The caller closed its connection.
--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -93,6 +93,8 @@
   outlier_detector responses;
   /// The replica's weights are being changed.
   bool changing = false;
+  /// The replica serves, but may begin to change its weights at any time.
+  bool may_change = false;
   /// When the replica was first seen in its current incarnation, for slow
   /// start.
   time_point slow_start_since{};
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -134,11 +134,16 @@
 }
 
 void edge_task::Handle(const weights_changing& update) {
-  for (const std::string& id : changing_upstreams_) {
-    router_.OnUpstreamChanging({.upstream = id, .is_changing = false});
+  for (const auto* list : {&changing_.upstreams, &changing_.unconfirmed}) {
+    for (const std::string& id : *list) {
+      router_.OnUpstreamChanging({.upstream = id});
+    }
+  }
+  changing_ = update;
+  for (const std::string& id : changing_.unconfirmed) {
+    router_.OnUpstreamChanging({.upstream = id, .may_change = true});
   }
-  changing_upstreams_ = update.upstreams;
-  for (const std::string& id : changing_upstreams_) {
+  for (const std::string& id : changing_.upstreams) {
     router_.OnUpstreamChanging({.upstream = id, .is_changing = true});
   }
 }
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -1,4 +1,5 @@
 // Events that the fleet task sends to the edge, and its log lines.
+#include <algorithm>
 #include <utility>
 
 #include "cuminswitch/Fleet/boot_clock.h"
@@ -247,16 +248,40 @@
 
 void fleet_task::PublishChanging() {
   const time_point now = ReadBootClock();
-  std::vector<std::string> changing;
+  weights_changing changing;
   if (election_.IsLeading(now)) {
-    changing = rollout_.ListChanging();
+    changing = {.upstreams = rollout_.ListChanging(),
+                .unconfirmed = rollout_.ListUnconfirmed()};
   } else if (now - leader_changing_at_ < kChangingLifetime) {
     changing = leader_changing_;
   }
   if (changing != published_changing_) {
     published_changing_ = changing;
-    services_.FindPort<fleet_event>(kEdgeService)
-        .Post(weights_changing{.upstreams = std::move(changing)});
+    services_.FindPort<fleet_event>(kEdgeService).Post(std::move(changing));
+  }
+}
+
+void fleet_task::AnnounceChanging(std::span<const rollout_step> steps) {
+  PublishChanging();
+  if (!election_.IsLeading(ReadBootClock())) {
+    return;
+  }
+  const weights_changing& changing = published_changing_;
+  const auto includes = [](const std::vector<std::string>& all,
+                           const std::vector<std::string>& some) {
+    return std::includes(all.begin(), all.end(), some.begin(), some.end());
+  };
+  const bool is_news =
+      !includes(announced_changing_.upstreams, changing.upstreams) ||
+      !includes(announced_changing_.unconfirmed, changing.unconfirmed);
+  const bool must_renew =
+      std::any_of(steps.begin(), steps.end(), [&](const rollout_step& step) {
+        return std::binary_search(changing.upstreams.begin(),
+                                  changing.upstreams.end(), step.upstream);
+      });
+  announced_changing_ = changing;
+  if (is_news || must_renew) {
+    BroadcastHeartbeat();
   }
 }
 
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -186,8 +186,9 @@
     freshness->age = now - replied_at;
   }
   store_outage_.OnPeerReport(now, heartbeat.sender.recovery, freshness);
-  if (!heartbeat.changing.empty()) {
-    leader_changing_ = heartbeat.changing;
+  if (!heartbeat.changing.empty() || !heartbeat.unconfirmed.empty()) {
+    leader_changing_ = {.upstreams = heartbeat.changing,
+                        .unconfirmed = heartbeat.unconfirmed};
     leader_changing_at_ = now;
     PublishChanging();
   }
@@ -284,6 +285,7 @@
   heartbeat_frame heartbeat{.sender = self,
                             .recent_peers = peer_table_.SampleAlive(now),
                             .changing = {},
+                            .unconfirmed = {},
                             .backlogs = own_backlogs_,
                             .prefixes = placement_log_.TakeFor(to),
                             .mix = own_mix_,
@@ -297,6 +299,7 @@
   }
   if (election_.IsLeading(now)) {
     heartbeat.changing = rollout_.ListChanging();
+    heartbeat.unconfirmed = rollout_.ListUnconfirmed();
   }
   heartbeat.lacks_publications = own_publications_.lacks_some;
   if (lacking_peers_.contains(to)) {
@@ -487,16 +490,13 @@
   }
   const std::vector<rollout_step> steps =
       rollout_.OnTick(now, snapshot_->wanted_weights, upstreams_);
-  PublishChanging();
-  if (!steps.empty()) {
-    // Before the commands, so that no peer sends a request to an engine that is
-    // changing its weights.
-    BroadcastHeartbeat();
-  }
+  // Before the commands, so that no peer sends a request to an engine that is
+  // changing its weights.
+  AnnounceChanging(steps);
   for (const rollout_step& step : steps) {
     Perform(step);
   }
-  if (!rollout_.ListChanging().empty()) {
+  if (!rollout_.ListChanging().empty() || !rollout_.ListUnconfirmed().empty()) {
     rollout_timer_.Start(kRolloutInterval);
   }
 }
@@ -530,6 +530,7 @@
                              .Add("upstream", step.upstream)
                              .Add("end", ToString(end)));
         rollout_.OnCommandResult(ReadBootClock(), step.upstream, end);
+        AnnounceChanging({});
       });
 }
 
@@ -537,6 +538,7 @@
                                 const std::optional<engine_report>& report) {
   const auto command =
       rollout_.OnReport(ReadBootClock(), step.upstream, report);
+  AnnounceChanging({});
   if (command) {
     Perform(*command);
   }
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -177,6 +177,7 @@
                  .revision = wire.revision()},
       .recent_peers = {},
       .changing = ReadTexts(wire.changing()),
+      .unconfirmed = ReadTexts(wire.unconfirmed()),
       .backlogs = {},
       .prefixes = {}};
   if (wire.loads() != nullptr) {
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -114,7 +114,10 @@
                sender.recovery.revision, out_.CreateVectorOfStructs(responses),
                sender.tracks_streams, out_.CreateVector(sender.lost_services),
                freshness.reply, frame.lacks_publications,
-               publications.empty() ? 0 : out_.CreateVector(publications))
+               publications.empty() ? 0 : out_.CreateVector(publications),
+               frame.unconfirmed.empty()
+                   ? 0
+                   : out_.CreateVectorOfStrings(frame.unconfirmed))
         .Union();
   }
 
--- a/lib/Fleet/weights_rollout.cc
+++ b/lib/Fleet/weights_rollout.cc
@@ -136,14 +136,18 @@
     // A command is in progress: the engine completes its running requests,
     // which takes seconds under load, and rejects all others meanwhile.
     item.at = stage::kChanging;
+    item.is_unconfirmed = false;
+    item.has_accepted = true;
     item.since = now - kChangeTimeout + kBusyRetryDelay;
     return std::nullopt;
   }
   if (!report) {
     item.at = stage::kIdle;
+    item.is_unconfirmed = !item.has_accepted;
     item.next_step = now + kBusyRetryDelay;
     return std::nullopt;
   }
+  item.has_accepted = false;
   const bool has_wanted =
       std::any_of(report->weights.begin(), report->weights.end(),
                   [&](const weights_version& has) {
@@ -190,7 +194,10 @@
   }
   engine& item = found->second;
   item.since = now;
-  if (result == command_result::kAccepted) {
+  item.is_unconfirmed = result != command_result::kAccepted &&
+                        result != command_result::kAlreadyApplied;
+  item.has_accepted = result == command_result::kAccepted;
+  if (item.has_accepted) {
     item.at = stage::kChanging;
     return;
   }
@@ -201,7 +208,17 @@
 std::vector<std::string> weights_rollout::ListChanging() const {
   std::vector<std::string> list;
   for (const auto& [id, item] : engines_) {
-    if (item.at != stage::kIdle) {
+    if (IsChanging(item)) {
+      list.push_back(id);
+    }
+  }
+  return list;
+}
+
+std::vector<std::string> weights_rollout::ListUnconfirmed() const {
+  std::vector<std::string> list;
+  for (const auto& [id, item] : engines_) {
+    if (item.is_unconfirmed) {
       list.push_back(id);
     }
   }
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -16,6 +16,9 @@
 /// Cost of superseded weights in seconds: a response from old weights is worth
 /// less, about as much as waiting this long for a replica with the new ones.
 static constexpr double kOldWeightsPenaltySeconds = 0.2;
+/// Cost in seconds of a replica that may begin to change its weights: it may
+/// refuse the request, which is then placed once more.
+static constexpr double kMayChangePenaltySeconds = 0.1;
 /// Half-life of the weight of a load report, in seconds.
 static constexpr double kReportHalfLifeSeconds = 1.0;
 
@@ -179,7 +182,8 @@
     eligible_replicas& list = is_ejected ? ejected : result;
     list.indices.push_back(index);
     list.has_free_slot.push_back(HasFreeSlot(now, item));
-    list.penalty_seconds.push_back(*penalty);
+    list.penalty_seconds.push_back(
+        *penalty + (item.may_change ? kMayChangePenaltySeconds : 0));
     list.weights.push_back(WeightsAt(index, target));
   }
   // If every replica is ejected, those that failed least are better than none.
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -405,6 +405,7 @@
 void replica_table::SetChanging(const upstream_changing& event) {
   if (const std::optional<replica_index> index = Find(event.upstream)) {
     replicas_[*index].changing = event.is_changing;
+    replicas_[*index].may_change = event.may_change;
   }
 }
 
--- a/unittests/Fleet/peer_frame_test.cc
+++ b/unittests/Fleet/peer_frame_test.cc
@@ -31,6 +31,7 @@
                      .revision = 9},
           .recent_peers = {{"10.0.0.2", 1}},
           .changing = {"u"},
+          .unconfirmed = {"v", "w"},
           .backlogs = {{.upstream = 3, .tokens = 400}},
           .prefixes = {{.prefix = 5,
                         .upstream = 3,
@@ -52,6 +53,7 @@
   EXPECT_EQ(heartbeat.sender.revision, 9U);
   EXPECT_EQ(heartbeat.recent_peers.size(), 1U);
   EXPECT_EQ(heartbeat.changing, std::vector<std::string>{"u"});
+  EXPECT_EQ(heartbeat.unconfirmed, (std::vector<std::string>{"v", "w"}));
   EXPECT_EQ(heartbeat.backlogs[0].tokens, 400U);
   EXPECT_EQ(heartbeat.prefixes[0].prefix, 5U);
   EXPECT_EQ(heartbeat.prefixes[0].incarnation, 4'000'000'000U);
--- a/unittests/Fleet/weights_rollout_test.cc
+++ b/unittests/Fleet/weights_rollout_test.cc
@@ -50,6 +50,10 @@
     }
     return rollout_.OnTick(now, wanted_, directory_);
   }
+  bool IsChanging(const std::string& id) const {
+    const std::vector<std::string> list = rollout_.ListChanging();
+    return std::find(list.begin(), list.end(), id) != list.end();
+  }
   upstream_entry& Entry(const std::string& id) {
     return *std::find_if(
         upstreams_.begin(), upstreams_.end(),
@@ -143,6 +147,67 @@
   EXPECT_EQ(Tick(now_ + milliseconds(1000)).size(), 1U);
 }
 
+// Guards against callers that are refused although engines could serve them:
+// those that refuse each command, or respond to none, counted as changing.
+TEST_F(weights_rollout_test, EngineThatAcceptsNoCommandServesMeanwhile) {
+  for (const command_result result :
+       {command_result::kConflict, command_result::kUnknown,
+        command_result::kRejected, command_result::kConflict}) {
+    Tick(now_);
+    ASSERT_TRUE(rollout_.OnReport(now_, "e0", Report(1)));
+    rollout_.OnCommandResult(now_, "e0", result);
+    EXPECT_EQ(rollout_.ListUnconfirmed(), std::vector<std::string>{"e0"});
+    EXPECT_EQ(rollout_.ListChanging(), (std::vector<std::string>{"e1", "e10"}));
+    now_ += std::chrono::seconds(2);
+    Tick(now_);
+    EXPECT_FALSE(IsChanging("e0")) << "it is only queried";
+  }
+  rollout_.OnReport(now_, "e0", Report(1));
+  EXPECT_FALSE(IsChanging("e0"));
+  rollout_.OnCommandResult(now_, "e0", command_result::kAccepted);
+  EXPECT_TRUE(IsChanging("e0"));
+  EXPECT_TRUE(rollout_.ListUnconfirmed().empty());
+}
+
+// Guards against requests to an engine that carries out a command whose
+// response was lost: it refuses them.
+TEST_F(weights_rollout_test, EngineThatCarriesOutALateCommandIsChanging) {
+  Tick(now_);
+  rollout_.OnReport(now_, "e0", Report(1));
+  rollout_.OnCommandResult(now_, "e0", command_result::kUnknown);
+  now_ += milliseconds(600);
+  Tick(now_);
+  engine_report busy = Report(1, 1);
+  busy.is_busy = true;
+  rollout_.OnReport(now_, "e0", busy);
+  EXPECT_TRUE(IsChanging("e0"));
+  EXPECT_TRUE(rollout_.ListUnconfirmed().empty());
+}
+
+// Guards against an engine that gets no requests from any daemon, since the
+// leader does not reach it.
+TEST_F(weights_rollout_test, EngineThatTheLeaderDoesNotReachServesMeanwhile) {
+  Tick(now_);
+  rollout_.OnReport(now_, "e0", std::nullopt);
+  now_ += milliseconds(200);
+  Tick(now_);
+  EXPECT_FALSE(IsChanging("e0"));
+  EXPECT_EQ(rollout_.ListUnconfirmed(), std::vector<std::string>{"e0"});
+}
+
+TEST_F(weights_rollout_test, SilentEngineThatAcceptedACommandIsChanging) {
+  Tick(now_);
+  rollout_.OnReport(now_, "e0", Report(1));
+  rollout_.OnCommandResult(now_, "e0", command_result::kAccepted);
+  now_ += milliseconds(1000);
+  Tick(now_);
+  rollout_.OnReport(now_, "e0", std::nullopt);
+  EXPECT_TRUE(rollout_.ListUnconfirmed().empty());
+  now_ += milliseconds(200);
+  Tick(now_);
+  EXPECT_TRUE(IsChanging("e0"));
+}
+
 TEST_F(weights_rollout_test, DelaysRetryAfterQueryWithoutResponse) {
   Tick(now_);
   EXPECT_FALSE(rollout_.OnReport(now_, "e1", std::nullopt).has_value());
--- a/unittests/Routing/replica_table_test.cc
+++ b/unittests/Routing/replica_table_test.cc
@@ -72,6 +72,16 @@
   EXPECT_TRUE(table.ListEligible(At(26'100), "m", {}, {}).indices.empty());
 }
 
+TEST_F(replica_table_test, ReplicaThatMayChangeItsWeightsServesAtACost) {
+  table_.SetChanging({.upstream = "a", .may_change = true});
+  const eligible_replicas eligible = table_.ListEligible(At(0), "m", {}, {});
+  ASSERT_EQ(eligible.indices.size(), 2U);
+  EXPECT_GT(eligible.penalty_seconds[0], 0);
+  EXPECT_EQ(eligible.penalty_seconds[1], 0);
+  table_.SetChanging({.upstream = "a"});
+  EXPECT_EQ(table_.ListEligible(At(0), "m", {}, {}).penalty_seconds[0], 0);
+}
+
 TEST_F(replica_table_test, LeavingAndUnreachableReplicasAreNotEligible) {
   upstream_report leaving = MakeReport("a");
   leaving.leaving = true;
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -34,6 +34,10 @@
 //                               Prints `left ATTEMPT TIME` for each request
 //   GET /control/departed/1     prints `departed ATTEMPT TIME` for each request
 //                               and changes nothing else
+//   GET /control/orders/MODE    an engine does not carry out commands: `refuse`
+//                               responds with 409, `ignore` sends no response,
+//                               `none` ends it. Prints `unmet_order TIME` for
+//                               each command
 //
 // A request that arrives more than 500 ms after the first response that asked
 // for the backoff or announced the departure also prints `in_rest ATTEMPT`
@@ -73,6 +77,7 @@
 constexpr std::string_view kControlBackoff = "/control/rest/";
 constexpr std::string_view kControlLeaving = "/control/leaving/";
 constexpr std::string_view kControlDeparted = "/control/departed/";
+constexpr std::string_view kControlOrders = "/control/orders/";
 /// Requests that were sent before a daemon received an announcement may arrive
 /// this long after it.
 constexpr std::chrono::milliseconds kInFlightTime{500};
@@ -171,6 +176,9 @@
     } else if (path.starts_with(kControlDeparted)) {
       has_departed_ = true;
       exchange->Reply(200, kJson, "{}");
+    } else if (path.starts_with(kControlOrders)) {
+      order_fault_ = path.substr(kControlOrders.size());
+      exchange->Reply(200, kJson, "{}");
     } else if ((!expected.empty() && expected != options_.id) ||
                (!version.empty() &&
                 version != std::to_string(options_.version))) {
@@ -178,7 +186,7 @@
     } else if (path == "/report") {
       Report(*exchange);
     } else if (path == "/order") {
-      ApplyCommand(*exchange);
+      ReceiveCommand(exchange);
     } else {
       Run(exchange, path);
     }
@@ -213,6 +221,19 @@
                        .dump());
   }
 
+  void ReceiveCommand(const exchange_ptr& exchange) {
+    if (order_fault_ == "none") {
+      ApplyCommand(*exchange);
+      return;
+    }
+    std::cout << "unmet_order " << ToMillis(clock::now()) << std::endl;
+    if (order_fault_ == "refuse") {
+      exchange->Reply(409, kJson, "{}");
+    } else {
+      hanging_.push_back(exchange);
+    }
+  }
+
   void ApplyCommand(http_exchange& exchange) {
     const json command = json::parse(exchange.Body());
     if (command.value("precondition", command_count_) != command_count_) {
@@ -409,6 +430,8 @@
   std::string backoff_ = "none";
   clock::time_point backoff_requested_at_{};
   clock::time_point backoff_until_{};
+  /// What happens to commands: `refuse`, `ignore` or `none`.
+  std::string order_fault_ = "none";
   bool is_leaving_ = false;
   bool has_departed_ = false;
   /// When a response first announced that this upstream is leaving.
