--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -177,6 +177,10 @@
                               revision_number revision);
   void Handle(const peers_changed& update);
   void Handle(const weights_changing& update);
+  void Handle(const learned_publications& update);
+  /// Sends the fleet task which publications of weights this daemon witnessed,
+  /// and whether it lacks some.
+  void ReportPublications(time_point now);
   void Handle(const items_staleness& update) { is_stale_ = update.is_stale; }
   void Handle(const peer_placements& update);
   void Handle(const peer_limits& update);
@@ -285,7 +289,8 @@
   size_t unreadable_upstreams_ = 0;
   bool is_stale_ = false;
   std::vector<daemon_record> peers_;
-  std::vector<std::string> changing_upstreams_;
+  weights_changing changing_;
+  own_publications reported_publications_;
   std::vector<upstream_backlog> reported_backlogs_;
   /// Whether the last reports to the peers contained anything.
   bool has_reported_observations_ = false;
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -4,6 +4,7 @@
 #define CUMINSWITCH_FLEET_FLEET_TASK_H_
 
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "cuminswitch/Fleet/mixed_service_records.h"
 #include "cuminswitch/Fleet/peer_table.h"
 #include "cuminswitch/Fleet/peer_update_log.h"
+#include "cuminswitch/Fleet/publication_records.h"
 #include "cuminswitch/Fleet/quarantine_records.h"
 #include "cuminswitch/Fleet/revision_lag.h"
 #include "cuminswitch/Fleet/software_history.h"
@@ -52,6 +54,11 @@
     std::string quarantine_prefix;
     /// Key prefix of the records of services with several software versions.
     std::string mixed_services_prefix;
+    /// Key prefix of the records of recent publications of weights.
+    std::string publications_prefix;
+    /// How long after the publication of weights requests may begin on those
+    /// that they superseded.
+    duration old_weights_time{0};
     /// Minimum time between the last command of one leader and the first
     /// command of its successor.
     duration leader_gap = std::chrono::seconds(3);
@@ -110,6 +117,12 @@
   /// Records in the store, as the leader, which services have several software
   /// versions.
   void RecordMixedServices(time_point now);
+  /// Sends the edge when weights were published, as \p heartbeat reports.
+  void OnPublicationReports(time_point now, const heartbeat_frame& heartbeat);
+  /// Records in the store, as the leader, which weights were published
+  /// recently. Sends the edge what the records show of publications before this
+  /// daemon's start.
+  void ProcessPublicationRecords(time_point now);
   void SendHeartbeat(const endpoint& to);
   void BroadcastHeartbeat();
   void RequestItems(time_point now);
@@ -130,6 +143,9 @@
   /// version of its own record, e.g. to refute a suspicion.
   void LogSuspicions();
   void PublishChanging();
+  /// Sends the peers which upstreams are changing their weights, if that is
+  /// news to them or they soon drop it.
+  void AnnounceChanging(std::span<const rollout_step> steps);
   void RunRollout(time_point now);
   void Perform(const rollout_step& step);
   void OnEngineReport(const rollout_step& step,
@@ -151,6 +167,7 @@
   quarantine_records quarantine_records_;
   software_history software_;
   mixed_service_records mixed_records_;
+  publication_records publication_records_;
   std::unique_ptr<peer_transport> transport_;
   loop_timer heartbeat_timer_;
   loop_timer rollout_timer_;
@@ -164,15 +181,19 @@
   /// A daemon makes some tens of promises per second while it refuses requests.
   peer_update_log<timed_promise, 128> promise_log_;
   std::vector<quarantine_record> quarantined_;
+  own_publications own_publications_;
+  /// Addresses of peers that lack publications.
+  std::set<endpoint> lacking_peers_;
   crash_update_queue crash_updates_;
   /// Prefixes placed by this daemon. A daemon places up to 20 per second, and
   /// sends each peer a heartbeat within 1.5 s in a fleet where it rotates
   /// through all peers, and each gossip partner within 2 s in a larger one.
   peer_update_log<placed_prefix, 256> placement_log_;
-  /// Upstreams whose weights are changing, as last reported by the leader, and
-  /// as last published to the edge.
-  std::vector<std::string> leader_changing_;
-  std::vector<std::string> published_changing_;
+  /// Upstreams whose weights are changing, as last reported by the leader, as
+  /// last published to the edge, and as last announced by this daemon.
+  weights_changing leader_changing_;
+  weights_changing published_changing_;
+  weights_changing announced_changing_;
   time_point leader_changing_at_{};
   /// The peers that are alive as last published to the edge, ordered by name.
   std::vector<daemon_record> published_peers_;
@@ -188,6 +209,7 @@
   items_request_tracker items_requests_;
   revision_lag lag_;
   item_list_cache item_list_;
+  time_point started_at_{};
   time_point next_registration_{};
   bool is_stale_ = false;
   bool is_registering_ = false;
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -21,6 +21,7 @@
 #include "cuminswitch/Protocol/stream_origin.h"
 #include "cuminswitch/Protocol/upstream_notice.h"
 #include "cuminswitch/Protocol/upstream_observation.h"
+#include "cuminswitch/Protocol/weights_publication.h"
 #include "cuminswitch/Support/endpoint.h"
 
 namespace cuminswitch {
@@ -86,6 +87,8 @@
   std::vector<endpoint> recent_peers;
   /// Upstreams whose weights the sender, as the leader, is changing.
   std::vector<std::string> changing;
+  /// Upstreams that did not confirm the sender's command to do so.
+  std::vector<std::string> unconfirmed;
   /// Prompt tokens of the sender's requests that wait at upstreams.
   std::vector<upstream_backlog> backlogs;
   /// Prefixes that the sender placed at upstreams since its last heartbeat to
@@ -103,6 +106,11 @@
   std::vector<member_update> members;
   /// When the sender's items were last known to be up to date.
   std::optional<freshness_record> freshness;
+  /// The sender started after a publication of weights, and does not know when
+  /// that was.
+  bool lacks_publications = false;
+  /// Publications that the sender witnessed, for a receiver that lacks them.
+  std::vector<publication_report> publications;
   /// The sender's recent observations of upstreams.
   std::vector<upstream_observation> observations;
   admission_report admissions;
