Pace the roll-out of weights by the load and the bound

Cause: a fifth of a service's engines changes at a time, whatever the load. An engine under load completes its requests for 1 to 2.5 s first and accepts no others meanwhile.

Change: with `pressure` in `policies`, `Fleet/rollout_pace` decides which engines change next and how many. Those past the bound or just started change at once, up to twice the limit in all; of the others those that hold least first, as many as the load can spare and as many as the bound forces. A command without a reply is queried after 0.2 s and holds no place of another after 0.3 s. `order_sent` states `why`, `changing`, `left_ms`. Every daemon keeps when versions were published, so that a new leader knows the bounds. Load comes from the observations in heartbeats; without any, engines go by age and id, as before. Without `pressure` no decision differs: the same code runs, and the tests of weights_rollout_test are unchanged.

Ruled out: all engines past the bound at once (loading slows down); `evict` (callers lose work); limiting only engines that load (the report is late).

--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -15,6 +15,7 @@
 #include "cuminswitch/Fleet/items_request_tracker.h"
 #include "cuminswitch/Fleet/leader_election.h"
 #include "cuminswitch/Fleet/mixed_service_records.h"
+#include "cuminswitch/Fleet/observed_occupancy.h"
 #include "cuminswitch/Fleet/peer_table.h"
 #include "cuminswitch/Fleet/peer_update_log.h"
 #include "cuminswitch/Fleet/quarantine_records.h"
@@ -57,6 +58,10 @@
     duration leader_gap = std::chrono::seconds(3);
     /// Interval at which an upstream renews its entry in the store.
     duration upstream_interval = std::chrono::milliseconds(1200);
+    /// How long superseded weights may be used.
+    duration old_weights_time{0};
+    /// Engines change their weights at a pace that leaves capacity to requests.
+    bool is_capacity_scarce = false;
   };
   /// Dependencies of the task, which must outlive it.
   struct parts {
@@ -93,7 +98,7 @@
   void AddLoadReports(time_point now,
                       const endpoint& to,
                       heartbeat_frame& heartbeat);
-  /// Passes a peer's load reports on to the edge.
+  /// Passes a peer's load reports on to the edge, and uses them for roll-outs.
   void PublishLoadReports(const heartbeat_frame& heartbeat);
   void OnItemsRequest(const items_request_frame& request);
   void OnItemsReply(const items_reply_frame& reply);
@@ -141,6 +146,7 @@
   peer_table peer_table_;
   item_watcher item_watcher_;
   leader_election election_;
+  observed_occupancy occupancy_;
   weights_rollout rollout_;
   suspension_tracker suspension_;
   staleness_tracker staleness_;
--- a/include/cuminswitch/Fleet/weights_rollout.h
+++ b/include/cuminswitch/Fleet/weights_rollout.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cuminswitch/Fleet/fleet_snapshot.h"
+#include "cuminswitch/Fleet/rollout_pace.h"
 #include "cuminswitch/Support/time.h"
 
 namespace cuminswitch {
@@ -51,6 +52,8 @@
     weights_version weights;
     /// Precondition: number of commands that the engine has accepted.
     uint64_t accepted_orders = 0;
+    /// Why the engine changes now, if a pace decides about it.
+    std::optional<rollout_choice> choice;
   };
   std::optional<weights_command> command;
 };
@@ -68,6 +71,12 @@
   static constexpr size_t kMinConcurrentChanges = 3;
   static constexpr size_t kConcurrentChangesDivisor = 5;
 
+  /// With \p pace, a `rollout_pace` decides which engines change next.
+  explicit weights_rollout(
+      const std::optional<rollout_pace::options>& pace = std::nullopt);
+
+  /// Records target weights published at \p at, whoever leads.
+  void OnPublished(time_point at, std::span<const weights_version> wanted);
   /// Returns the next steps. Only the leader may call this.
   std::vector<rollout_step> OnTick(time_point now,
                                    std::span<const weights_version> wanted,
@@ -97,6 +106,11 @@
     weights_version wanted;
     time_point next_step{};
     time_point since{};
+    /// Only with a pace: why it changes now, since when, and whether it has
+    /// reported that it does.
+    std::optional<rollout_choice> choice;
+    time_point began{};
+    bool is_confirmed = false;
   };
 
   /// An engine with older weights than the target.
@@ -115,7 +129,31 @@
   /// Drops the state of engines that have the target weights, were removed, or
   /// have restarted.
   void DropFinished(const upstream_directory& upstreams);
-
+  /// Returns the state of \p candidate, of which nothing may be known yet.
+  engine& Track(const outdated& candidate);
+  /// Whether a change or a command in progress is due to be queried.
+  bool IsOverdue(time_point now, const engine& item) const;
+  static rollout_step Query(time_point now,
+                            const std::string& id,
+                            engine& item);
+
+  /// `OnTick` with a pace.
+  std::vector<rollout_step> TickPaced(time_point now,
+                                      std::span<const outdated> candidates,
+                                      const upstream_directory& upstreams);
+  /// Chooses among the \p candidates of one service.
+  void ChoosePaced(time_point now,
+                   std::span<const outdated> candidates,
+                   std::span<const upstream_ref> engines,
+                   std::vector<rollout_step>& steps);
+  /// Why \p item is changing, if it is. An engine that does not respond does
+  /// not count as changing for long: others do not wait for it.
+  static std::optional<change_reason> ChangingFor(time_point now,
+                                                  const engine& item);
+  /// Reports to the pace what changed, and how long changes took.
+  void UpdatePace(time_point now, const upstream_directory& upstreams);
+
+  std::optional<rollout_pace> pace_;
   std::map<std::string, engine> engines_;
   std::vector<weights_version> wanted_;
   /// The directory's version at which all engines were last seen to have the
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -226,6 +226,11 @@
       snapshot_->mixed_services == next->mixed_services) {
     return;
   }
+  if (is_new_config) {
+    const bool is_dated = written_after_ != time_point();
+    rollout_.OnPublished(is_dated ? written_after_ : ReadBootClock(),
+                         next->wanted_weights);
+  }
   snapshot_ = next;
   if (has_other_daemons) {
     peer_table_.SetListed(next->daemons);
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -20,6 +20,17 @@
 /// Range over which the daemons' claims of leadership are spread.
 static constexpr uint64_t kClaimSpreadMs = 400;
 
+/// Returns the pace of roll-outs, if \p opts ask for one.
+static std::optional<rollout_pace::options> MakePace(
+    const fleet_task::options& opts,
+    const occupancy_source& occupancy) {
+  if (!opts.is_capacity_scarce) {
+    return std::nullopt;
+  }
+  return rollout_pace::options{.old_weights_time = opts.old_weights_time,
+                               .occupancy = &occupancy};
+}
+
 fleet_task::fleet_task(event_base* base,
                        const kernel& services,
                        options opts,
@@ -51,6 +62,7 @@
                      Hash64(options_.self.name, options_.self.incarnation) %
                      kClaimSpreadMs)},
                 with.store),
+      rollout_(MakePace(options_, occupancy_)),
       staleness_(Hash64(options_.self.name)),
       store_outage_(
           {.self = Hash64(options_.self.name, options_.self.incarnation),
@@ -86,6 +98,7 @@
     return;
   }
   if (auto* observed = std::get_if<own_observations>(&message)) {
+    occupancy_.Add(observed->at, observed->observations);
     own_observations_ = std::move(*observed);
     return;
   }
@@ -294,6 +307,7 @@
 
 void fleet_task::PublishLoadReports(const heartbeat_frame& heartbeat) {
   if (!heartbeat.observations.empty()) {
+    occupancy_.Add(ReadBootClock(), heartbeat.observations);
     services_.FindPort<fleet_event>(kEdgeService)
         .Post(peer_observations{.peer = heartbeat.sender.name,
                                 .observations = heartbeat.observations});
@@ -484,13 +498,18 @@
                              command_result::kConflict);
     return;
   }
-  parts_.log.Write(log_class::kStateChange,
-                   log_line("order_sent")
-                       .Add("upstream", step.upstream)
-                       .Add("model", step.command->weights.model)
-                       .Add("version", step.command->weights.version)
-                       .Add("accepted_orders", step.command->accepted_orders)
-                       .Add("fence", election_.fence()));
+  log_line line("order_sent");
+  line.Add("upstream", step.upstream)
+      .Add("model", step.command->weights.model)
+      .Add("version", step.command->weights.version)
+      .Add("accepted_orders", step.command->accepted_orders)
+      .Add("fence", election_.fence());
+  if (const auto& choice = step.command->choice) {
+    line.Add("why", ToString(choice->reason))
+        .Add("changing", choice->concurrent)
+        .Add("left_ms", choice->time_left);
+  }
+  parts_.log.Write(log_class::kStateChange, line);
   parts_.engines.SendCommand(
       step, election_.fence(), [this, step](command_result end) {
         parts_.log.Write(log_class::kStateChange,
--- a/lib/Fleet/weights_rollout.cc
+++ b/lib/Fleet/weights_rollout.cc
@@ -13,6 +13,9 @@
 /// Delay after a command without response, which may still be in transit.
 static constexpr duration kUnknownResultDelay = std::chrono::milliseconds(500);
 static constexpr duration kRejectedRetryDelay = std::chrono::seconds(2);
+/// Time within which an engine responds to a command unless the command or the
+/// response is lost or late.
+static constexpr duration kResponseTime = std::chrono::milliseconds(200);
 
 std::string_view ToString(command_result value) {
   switch (value) {
@@ -69,7 +72,34 @@
   });
 }
 
+weights_rollout::engine& weights_rollout::Track(const outdated& candidate) {
+  const upstream_entry& entry = *candidate.entry;
+  engine& item = engines_[entry.id];
+  item.started = entry.started;
+  item.service = entry.service;
+  item.address = entry.address;
+  item.wanted = candidate.wanted;
+  return item;
+}
+
+bool weights_rollout::IsOverdue(time_point now, const engine& item) const {
+  return (item.at == stage::kChanging && now - item.since > kChangeTimeout) ||
+         (pace_ && item.at == stage::kCommanded &&
+          now - item.since > kResponseTime);
+}
+
+rollout_step weights_rollout::Query(time_point now,
+                                    const std::string& id,
+                                    engine& item) {
+  item.at = stage::kQuerying;
+  item.since = now;
+  return {.upstream = id, .address = item.address, .command = std::nullopt};
+}
+
 void weights_rollout::Clear() {
+  if (pace_) {
+    pace_->Clear();
+  }
   engines_.clear();
   settled_version_.reset();
 }
@@ -84,6 +114,9 @@
     return {};
   }
   wanted_.assign(wanted.begin(), wanted.end());
+  if (pace_) {
+    UpdatePace(now, upstreams);
+  }
   DropFinished(upstreams);
   const std::vector<outdated> candidates = ListOutdated(upstreams);
   settled_version_.reset();
@@ -91,6 +124,9 @@
     settled_version_ = upstreams.version();
     return {};
   }
+  if (pace_) {
+    return TickPaced(now, candidates, upstreams);
+  }
   std::map<std::string, size_t> in_progress;
   for (const auto& [id, item] : engines_) {
     in_progress[item.service] += item.at == stage::kIdle ? 0 : 1;
@@ -98,27 +134,17 @@
   std::vector<rollout_step> steps;
   for (const outdated& candidate : candidates) {
     const upstream_entry& entry = *candidate.entry;
-    engine& item = engines_[entry.id];
-    item.started = entry.started;
-    item.service = entry.service;
-    item.address = entry.address;
-    item.wanted = candidate.wanted;
-    const bool is_overdue =
-        item.at == stage::kChanging && now - item.since > kChangeTimeout;
+    engine& item = Track(candidate);
     const bool is_new =
         item.at == stage::kIdle && now >= item.next_step &&
         in_progress[entry.service] <
             std::max(kMinConcurrentChanges, upstreams.CountOf(entry.service) /
                                                 kConcurrentChangesDivisor);
-    if (!is_overdue && !is_new) {
+    if (!is_new && !IsOverdue(now, item)) {
       continue;
     }
     in_progress[entry.service] += is_new ? 1 : 0;
-    item.at = stage::kQuerying;
-    item.since = now;
-    steps.push_back({.upstream = entry.id,
-                     .address = entry.address,
-                     .command = std::nullopt});
+    steps.push_back(Query(now, entry.id, item));
   }
   return steps;
 }
@@ -136,6 +162,7 @@
     // A command is in progress: the engine completes its running requests,
     // which takes seconds under load, and rejects all others meanwhile.
     item.at = stage::kChanging;
+    item.is_confirmed = true;
     item.since = now - kChangeTimeout + kBusyRetryDelay;
     return std::nullopt;
   }
@@ -157,11 +184,14 @@
     return std::nullopt;
   }
   item.at = stage::kCommanded;
-  return rollout_step{
-      .upstream = upstream,
-      .address = item.address,
-      .command = rollout_step::weights_command{
-          .weights = item.wanted, .accepted_orders = report->accepted_orders}};
+  item.is_confirmed = false;
+  item.since = now;
+  return rollout_step{.upstream = upstream,
+                      .address = item.address,
+                      .command = rollout_step::weights_command{
+                          .weights = item.wanted,
+                          .accepted_orders = report->accepted_orders,
+                          .choice = item.choice}};
 }
 
 /// Time until the next query to an engine after a command that it did not
@@ -192,6 +222,7 @@
   item.since = now;
   if (result == command_result::kAccepted) {
     item.at = stage::kChanging;
+    item.is_confirmed = true;
     return;
   }
   item.at = stage::kIdle;
