Let no more than a fifth of the engines in use change at once

Cause: the pace let twice a fifth of a service's engines change in turn when the bound forced it. The time of a change, measured under load, is seconds, so the bound forced it early, and up to 36 of 90 engines completed requests at a time.

Change: engines in turn stay within the limit. One that misses its turn passes the bound, has few requests left, and changes at once beyond the limit.

Ruled out: no pace by the bound at all (a loaded service would change one engine at a time until all are past the bound).

--- a/include/cuminswitch/Fleet/rollout_pace.h
+++ b/include/cuminswitch/Fleet/rollout_pace.h
@@ -65,9 +65,9 @@
 /// meanwhile; one whose weights are past the bound stands idle until its turn.
 ///
 /// Engines that serve nothing change first and do not count against the limit.
-/// Of the others as many change as the load can spare, up to the limit, and as
-/// many as are needed for all to change before their weights are past the
-/// bound. Performs no I/O and reads no clock.
+/// Of the others as many change as the load can spare, or as are needed for all
+/// to change before their weights are past the bound, up to the limit. Performs
+/// no I/O and reads no clock.
 class rollout_pace {
  public:
   struct options {
--- a/lib/Fleet/rollout_pace.cc
+++ b/lib/Fleet/rollout_pace.cc
@@ -132,7 +132,10 @@
       [](const auto& item) { return item.reason != change_reason::kInTurn; }));
   const size_t room = std::min(service.limit, CountSpare(now, service));
   const size_t spared = room > unavailable ? room - unavailable : 0;
-  return std::max({size_t{1}, spared, CountForced(candidates)});
+  // Beyond the limit, waiting is better: an engine past the bound has fewer
+  // requests to complete, and changes at once.
+  return std::clamp(CountForced(candidates), std::max(size_t{1}, spared),
+                    service.limit);
 }
 
 std::vector<rollout_choice> rollout_pace::Choose(
