Pool refusals of upstreams between daemons

Cause: an upstream with other weights than its entry says, or that is gone, refuses each daemon by itself, again after 50 ms or 0.5 s.

Change: `Routing/observation_table` keeps the newest observation of each upstream, own or a peer's. A mismatch or a failed connection keeps all daemons from the upstream until its entry changes; after 0.4 s they try it one after another, ten times a second together, and a response ends it. If all refuse, those whose trial is due next get the requests. All figures of the stated load are decoded and pooled; one that cannot be read is left out and counted. It is in effect only where capacity is scarce or an upstream states the time that work takes.

Ruled out: a fixed hold without staggered trials (all try at its end); believing a peer that cannot connect against a daemon that gets responses (a broken link would close an upstream for all).

No existing test was changed.

Not here: 503, speed, free slots, herds. Nothing reads the pooled load yet.

--- a/include/cuminswitch/Core/core_status.h
+++ b/include/cuminswitch/Core/core_status.h
@@ -28,6 +28,8 @@
   /// version.
   uint64_t version_gone = 0;
   uint64_t retries = 0;
+  /// Attempts at upstreams that refused earlier ones, of this daemon or a peer.
+  uint64_t refusal_trials = 0;
   /// Results of attempts that had been given up before.
   uint64_t late_answers = 0;
   uint64_t platform_calls = 0;
@@ -66,6 +68,8 @@
   std::vector<member> members;
   std::vector<upstream_status> upstreams;
   std::vector<shard_number> shards;
+  /// Upstreams that refuse requests, as this daemon or a peer has observed.
+  size_t refusing_upstreams = 0;
   size_t waiting = 0;
   size_t running = 0;
   size_t known_prefixes = 0;
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -107,6 +107,14 @@
   /// Applies a peer's recent observations of upstreams.
   void OnPeerObservations(time_point now,
                           std::span<const upstream_observation> observations);
+  /// Records that the upstream of \p attempt responded to it. Of \p load, only
+  /// the counts, slots and work percentage are used.
+  void OnResponse(time_point now,
+                  attempt_id attempt,
+                  const upstream_observation& load);
+  /// Returns the refusals that began or ended since the last call; the first
+  /// ones if there are many.
+  std::vector<refusal_change> TakeRefusalChanges();
   /// Returns this daemon's recent observations of upstreams; none unless the
   /// deployment or an upstream calls for them.
   std::vector<upstream_observation> ListObservations(time_point now) const;
@@ -197,6 +205,8 @@
     replica_index index = 0;
     /// See `UpstreamStartId`.
     uint64_t upstream_start = 0;
+    /// The upstream's incarnation when the attempt was placed there.
+    uint64_t incarnation = 0;
     /// Prompt tokens that are expected not to be cached at the upstream.
     double expected_tokens = 0;
     time_point sent{};
@@ -350,6 +360,13 @@
              request& item,
              const attempt_ended& event,
              action_list& out);
+  /// Starts to pool observations with the peers.
+  void StartPooling();
+  /// Records what the upstream of \p from did, for this daemon and its peers.
+  void Observe(time_point now,
+               const attempt& from,
+               upstream_refusal refusal,
+               const upstream_observation& load = {});
   /// Records a prefix that a peer placed at the upstream \p index.
   void RecordPeerPlacement(time_point now,
                            replica_index index,
--- a/include/cuminswitch/Edge/edge_metrics.h
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -48,6 +48,8 @@
     uint64_t upstream_doubts = 0;
     bool has_lost_upstreams = false;
     size_t unreadable_upstreams = 0;
+    /// Responses that stated a load with a figure that cannot be read.
+    uint64_t unreadable_loads = 0;
     bool is_stale = false;
     /// Streams whose software version this daemon knows.
     size_t known_streams = 0;
--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -67,10 +67,18 @@
   std::optional<std::string> last_event;
 };
 
-/// The load that an upstream reports with a response, in requests.
+/// The load that an upstream reports with a response.
 struct reported_load {
-  uint32_t running = 0;
-  uint32_t waiting = 0;
+  /// Requests; nothing if the upstream's counts cannot be read.
+  std::optional<uint32_t> running;
+  std::optional<uint32_t> waiting;
+  /// Requests that it runs concurrently; 0 if not stated.
+  uint32_t slots = 0;
+  /// Time that work takes on its machine now, as a percentage of the usual
+  /// time; 0 if not stated.
+  uint32_t work_percent = 0;
+  /// A figure is not a number or out of range, and was ignored.
+  bool has_unreadable_figure = false;
 };
 
 /// The fields of an upstream's response head.
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -154,6 +154,8 @@
                      duration retry_after,
                      bool is_unreachable);
   /// Applies the rate limit that a response advertises.
+  void ApplyLoad(const request_flow& flow, const reported_load& load);
+  void LogRefusalChanges();
   void ApplyLimit(const request_flow& flow, const limit_notice& notice);
   /// Applies the backoff that an upstream requested with a refusal.
   void ApplyBackoff(const request_flow& flow, const backoff_notice& notice);
@@ -283,6 +285,7 @@
   std::map<endpoint, upstream_ref> upstreams_by_address_;
   weights_version_counter weights_counter_;
   size_t unreadable_upstreams_ = 0;
+  uint64_t unreadable_loads_ = 0;
   bool is_stale_ = false;
   std::vector<daemon_record> peers_;
   std::vector<std::string> changing_upstreams_;
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -161,6 +161,9 @@
   /// The upstream refused the request because it is too busy, and did not run
   /// it.
   bool refused_busy = false;
+  /// The reason is that it is another process than expected, or has other
+  /// weights; `refused_busy` is also set.
+  bool is_mismatch = false;
   /// No connection to the upstream could be established.
   bool unreachable = false;
   /// The upstream ran it and responded with an error. Healthy upstreams do so
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cuminswitch/Routing/observation_table.h"
 #include "cuminswitch/Routing/prompt_length_classifier.h"
 #include "cuminswitch/Routing/replica.h"
 #include "cuminswitch/Routing/target_estimate.h"
@@ -64,7 +65,29 @@
 
   /// Sets the number of daemons that share the replicas. A daemon starts with
   /// its share of each replica's limit and adapts from there.
-  void SetFleetSize(size_t size) { fleet_size_ = std::max<size_t>(1, size); }
+  void SetFleetSize(size_t size) {
+    fleet_size_ = std::max<size_t>(1, size);
+    if (observations_) {
+      observations_->SetFleetSize(fleet_size_);
+    }
+  }
+  /// Applies observations of upstreams from now on. \p seed distinguishes this
+  /// daemon from its peers.
+  void StartPooling(uint64_t seed);
+  /// Applies what this daemon or a peer observed; without effect before
+  /// `StartPooling()`.
+  void OnObservation(time_point now,
+                     const upstream_observation& seen,
+                     observer who);
+  /// Drops observations that are too old to have any effect.
+  void ExpireObservations(time_point now);
+  /// Whether a request for \p index tries an upstream that refused others.
+  bool IsTrial(replica_index index) const;
+  /// The observations; nothing before `StartPooling()`.
+  std::optional<observation_table>& observations() { return observations_; }
+  const std::optional<observation_table>& observations() const {
+    return observations_;
+  }
   /// Applies \p config. Known upstreams keep their state.
   void Reconfigure(time_point now, const configuration& config);
   /// Applies the configured \p models without changing the upstreams.
@@ -264,6 +287,12 @@
                                           std::string_view name,
                                           const target_replicas& target,
                                           replica_index index) const;
+  /// Returns until when requests should not go to \p item, which refused
+  /// others; nothing if they may.
+  std::optional<time_point> HeldUntil(time_point now,
+                                      const replica& item) const;
+  /// Returns the tag of weights of \p version, never `kNoWeights`.
+  static weights_tag TagOf(std::string_view version);
   void AddPeerBacklogs(time_point now,
                        const peer_backlog_report& report,
                        double sign);
@@ -277,6 +306,7 @@
   options options_;
   size_t fleet_size_ = 1;
   std::map<std::string, peer_backlog_report> peer_backlogs_;
+  std::optional<observation_table> observations_;
   std::unordered_map<uint64_t, replica_index> by_hash_;
   /// A deque, which does not over-allocate and moves no elements when it
   /// grows.
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -36,6 +36,7 @@
       .id = next_attempt_++,
       .index = chosen.index,
       .upstream_start = UpstreamStartId(target),
+      .incarnation = target.incarnation,
       .expected_tokens = std::max(
           0.0, item.info.prompt_tokens - chosen.expected_cached_tokens),
       .sent = now,
@@ -97,6 +98,9 @@
     next.is_long = prompt_lengths_.IsLong(now, item.info.prompt_tokens);
     prompt_lengths_.CountPrefill(now, next.is_long, next.expected_tokens);
   }
+  if (replicas_.IsTrial(chosen.index)) {
+    ++counters_.refusal_trials;
+  }
   replicas_.OnDispatch(chosen.index, next.expected_tokens);
   const uint32_t earlier = item.arrivals++;
   ++item.runs;
@@ -264,6 +268,13 @@
   } else if (item.caller_disconnected && !item.once) {
     Erase(id);
   } else {
+    if (event.is_mismatch) {
+      Observe(now, done, upstream_refusal::kMismatch);
+    } else if (event.refused_busy) {
+      Observe(now, done, upstream_refusal::kBusy);
+    } else if (event.unreachable) {
+      Observe(now, done, upstream_refusal::kUnreachable);
+    }
     if (event.refused_busy) {
       replicas_.OnBusy(now, done.index);
     } else if (event.failed_in_run) {
@@ -411,43 +422,4 @@
   }
 }
 
-void request_router::OnPeerPlacements(time_point now,
-                                      const peer_placements& report) {
-  replicas_.OnPeerPlacements(now, report);
-  prompt_lengths_.OnPeer(now, report.peer, report.mix);
-  for (const placed_prefix& item : report.prefixes) {
-    if (const auto index = replicas_.FindByHash(item.upstream)) {
-      RecordPeerPlacement(now, *index, item);
-    }
-    if (item.saved_weights != kNoWeights) {
-      prefixes_.RecordSaved(now, item.prefix, item.saved_weights);
-    }
-  }
-}
-
-void request_router::RecordPeerPlacement(time_point now,
-                                         replica_index index,
-                                         const placed_prefix& placed) {
-  // The peer may know of a later incarnation of the upstream (a restart or new
-  // weights), or not yet of the current one. Nothing placed at an earlier
-  // incarnation is cached any more, so it must not replace what is known of the
-  // current one.
-  const uint64_t present = replicas_[index].incarnation;
-  if (placed.incarnation != present &&
-      FindHolder(prefixes_.Find(placed.prefix), index, present) != nullptr) {
-    return;
-  }
-  prefixes_.Touch(
-      placed.prefix,
-      {.index = index, .incarnation = placed.incarnation, .used_at = now});
-}
-
-void request_router::OnUpstreamLoad(time_point now, const upstream_load& load) {
-  replicas_.OnLoad(now, load);
-}
-
-void request_router::OnUpstreamChanging(const upstream_changing& event) {
-  replicas_.SetChanging(event);
-}
-
 }  // namespace cuminswitch
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -33,6 +33,9 @@
   // reused: a late response to one would be taken for the response to a new
   // request.
   next_attempt_ = opts.self.incarnation << 20;
+  if (opts.is_capacity_scarce) {
+    StartPooling();
+  }
 }
 
 void request_router::UpdateFleetSize() {
@@ -392,6 +395,7 @@
 void request_router::OnTick(time_point now, action_list& out) {
   UpdateFleetSize();
   replicas_.ExpirePeerBacklogs(now);
+  replicas_.ExpireObservations(now);
   if (now >= next_quarantine_expiry_) {
     next_quarantine_expiry_ = now + kQuarantineExpiryInterval;
     quarantine_.Expire(now);
@@ -409,12 +413,6 @@
   DrainQueue(now, out);
 }
 
-std::string_view request_router::FindUpstreamName(uint64_t hash) const {
-  const std::optional<replica_index> index = replicas_.FindByHash(hash);
-  return index ? std::string_view(replicas_[*index].spec.name)
-               : std::string_view();
-}
-
 void request_router::FillStatus(core_status& status) const {
   status.counters = counters_;
   status.waiting = queue_.size();
@@ -424,6 +422,9 @@
   status.suspected_requests = quarantine_.size();
   status.quarantined_requests = quarantine_.CountQuarantined();
   status.budget_daemons = largest_fleet_;
+  if (const auto& observations = replicas_.observations()) {
+    status.refusing_upstreams = observations->CountRefusing();
+  }
   for (const auto& [target, budget] : retries_) {
     const retry_budget::usage used = budget.Usage();
     status.retries.push_back(
--- a/lib/Edge/edge_feedback.cc
+++ b/lib/Edge/edge_feedback.cc
@@ -13,6 +13,16 @@
   return line;
 }
 
+/// Returns the part of \p load that daemons tell one another. Slots stay 0,
+/// which makes the counts invalid, where the upstream's counts are unreadable.
+static upstream_observation ObservedLoad(const reported_load& load) {
+  const bool has_counts = load.running && load.waiting;
+  return {.running = load.running.value_or(0),
+          .waiting = load.waiting.value_or(0),
+          .slots = has_counts ? load.slots : 0,
+          .work_percent = load.work_percent};
+}
+
 void edge_task::OnFlowFeedback(const request_flow& flow,
                                const upstream_feedback& feedback) {
   contact_.contact().OnResponse(flow.sent_at(), flow.is_on_new_connection());
@@ -21,13 +31,13 @@
   }
   UpdateContact();
   if (feedback.load) {
-    router_.OnUpstreamLoad(ReadBootClock(),
-                           {.upstream = flow.upstream(),
-                            .running = feedback.load->running,
-                            .waiting = feedback.load->waiting});
+    ApplyLoad(flow, *feedback.load);
   }
   if (feedback.has_run) {
     router_.OnResponseStarted(flow.attempt());
+    router_.OnResponse(
+        ReadBootClock(), flow.attempt(),
+        feedback.load ? ObservedLoad(*feedback.load) : upstream_observation());
   }
   if (feedback.limit) {
     ApplyLimit(flow, *feedback.limit);
@@ -40,6 +50,15 @@
   }
 }
 
+void edge_task::ApplyLoad(const request_flow& flow, const reported_load& load) {
+  unreadable_loads_ += load.has_unreadable_figure ? 1 : 0;
+  if (load.running && load.waiting) {
+    router_.OnUpstreamLoad(ReadBootClock(), {.upstream = flow.upstream(),
+                                             .running = *load.running,
+                                             .waiting = *load.waiting});
+  }
+}
+
 void edge_task::ApplyLimit(const request_flow& flow,
                            const limit_notice& notice) {
   if (notice.kind == notice_kind::kUnreadable) {
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -183,6 +183,15 @@
   page.Begin("cuminswitch_unreadable_upstreams", "gauge",
              "Listed upstreams whose entries cannot be read.");
   page.Add(static_cast<double>(from.unreadable_upstreams));
+  page.Begin("cuminswitch_unreadable_loads_total", "counter",
+             "Responses whose load has a figure that cannot be read.");
+  page.Add(static_cast<double>(from.unreadable_loads));
+  page.Begin("cuminswitch_refusing_upstreams", "gauge",
+             "Upstreams that this daemon or a peer was refused by.");
+  page.Add(static_cast<double>(status.refusing_upstreams));
+  page.Begin("cuminswitch_refusal_trials_total", "counter",
+             "Attempts at upstreams that refused earlier ones.");
+  page.Add(static_cast<double>(status.counters.refusal_trials));
   page.Begin("cuminswitch_items_stale", "gauge",
              "1 while it is unknown if the store holds something newer.");
   page.Add(from.is_stale ? 1 : 0);
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -126,6 +126,7 @@
        .upstream_doubts = contact_.contact().doubt_count(),
        .has_lost_upstreams = has_lost_upstreams_,
        .unreadable_upstreams = unreadable_upstreams_,
+       .unreadable_loads = unreadable_loads_,
        .is_stale = is_stale_,
        .known_streams = origins_.size()});
 }
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -347,6 +347,7 @@
                     .result = disposition.result,
                     .refused_busy = result == attempt_result::kRefused ||
                                     result == attempt_result::kMismatch,
+                    .is_mismatch = result == attempt_result::kMismatch,
                     .unreachable = result == attempt_result::kNotConnected,
                     .failed_in_run = result == attempt_result::kFailure ||
                                      result == attempt_result::kExpired,
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -137,6 +137,7 @@
     software_tag software) const {
   eligible_replicas result;
   eligible_replicas ejected;
+  eligible_replicas held;
   uint32_t fewest_failures = UINT32_MAX;
   const auto found = by_target_.find(target);
   if (found == by_target_.end()) {
@@ -176,12 +177,19 @@
     if (is_ejected && item.failures_in_row > fewest_failures) {
       continue;
     }
-    eligible_replicas& list = is_ejected ? ejected : result;
+    const std::optional<time_point> held_until = HeldUntil(now, item);
+    eligible_replicas& list = is_ejected ? ejected : held_until ? held : result;
     list.indices.push_back(index);
     list.has_free_slot.push_back(HasFreeSlot(now, item));
-    list.penalty_seconds.push_back(*penalty);
+    const double hold_seconds =
+        held_until ? std::max(0.0, ToSeconds(*held_until - now)) : 0;
+    list.penalty_seconds.push_back(*penalty + hold_seconds);
     list.weights.push_back(WeightsAt(index, target));
   }
+  // If all refuse, those whose trial is due next are better than none.
+  if (result.indices.empty() && !held.indices.empty()) {
+    return held;
+  }
   // If every replica is ejected, those that failed least are better than none.
   // Others may be out of reach, while these only failed single requests.
   return result.indices.empty() ? ejected : result;
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -174,6 +174,7 @@
   if (!report.reachable) {
     return;
   }
+  item.leaving = report.leaving;
   if (item.reported && item.incarnation != report.incarnation) {
     item.slow_start_since = now;
     item.limit = InitialLimit(item.spec);
@@ -184,15 +185,18 @@
   item.reported = true;
   item.incarnation = report.incarnation;
   item.started = report.started;
-  item.leaving = report.leaving;
   item.models = report.models;
   for (loaded_model& model : item.models) {
-    // The lowest bit is set, so that the tag never equals `kNoWeights`.
-    model.tag = static_cast<weights_tag>(Hash64(model.version)) | 1U;
+    model.tag = TagOf(model.version);
   }
   RecordLoad(now - report.age, item, report.running, report.waiting);
 }
 
+weights_tag replica_table::TagOf(std::string_view version) {
+  // The lowest bit is set, so that the tag never equals `kNoWeights`.
+  return static_cast<weights_tag>(Hash64(version)) | 1U;
+}
+
 void replica_table::ResetProcessState(replica& item) {
   // The failures of the previous process say nothing about a new one, and a new
   // process runs no requests yet. The speed of its machine is unchanged, so the
--- a/unittests/PlatformAdapter/http_protocol_test.cc
+++ b/unittests/PlatformAdapter/http_protocol_test.cc
@@ -132,6 +132,37 @@
   EXPECT_FALSE(http_protocol().ReadResponse(head).was_not_run);
 }
 
+static reported_load ReadLoad(const std::string& text) {
+  message_head head;
+  head.status = 200;
+  head.headers = {{"X-Replica-Load", text}};
+  return *http_protocol().ReadResponse(head).load;
+}
+
+TEST(http_protocol_test, ReadsAllFiguresOfTheLoad) {
+  const reported_load load = ReadLoad("3, 2,8,250");
+  EXPECT_EQ(load.slots, 8U);
+  EXPECT_EQ(load.work_percent, 250U);
+  EXPECT_FALSE(load.has_unreadable_figure);
+  EXPECT_EQ(ReadLoad("3,2,8").work_percent, 0U);
+  EXPECT_FALSE(ReadLoad("3").has_unreadable_figure);
+}
+
+// Guards against a figure that no upstream can mean, which would keep requests
+// from it.
+TEST(http_protocol_test, IgnoresUnreadableFiguresOfTheLoadAlone) {
+  for (const std::string figure : {"x", "-1", "0", "1e9", "99999999999", ""}) {
+    const reported_load load = ReadLoad("3,2,8," + figure + ",");
+    EXPECT_EQ(load.work_percent, 0U) << figure;
+    EXPECT_EQ(load.slots, 8U);
+    EXPECT_EQ(load.running, 3U);
+    EXPECT_TRUE(load.has_unreadable_figure);
+  }
+  const reported_load load = ReadLoad("x,2,8,250");
+  EXPECT_FALSE(load.running);
+  EXPECT_EQ(load.work_percent, 250U);
+}
+
 TEST(http_protocol_test, ReadsBackoffOfRefusal) {
   const auto read = [](const std::vector<std::string>& values) {
     message_head head;
