Try engines that refuse superseded weights with the newest ones

Cause: an engine whose weights have changed refuses all requests that expect the weights in its entry, until the entry arrives, 1.2 s later or more.

Change: after an own mismatch of weights that are not the newest known ones, or once a peer had a response for the incarnation that the newest ones would give, the engine counts as having these until its entry changes. X-Expect- Version keeps a wrong guess from being run, and the cache scope follows the expected version. The incarnation is computed in one place (`Routing/upstream_incarnation`), so that guess and entry agree; it is now hashed from the version's text, so incarnations of the version before differ. Only engines with one model; only where observations are pooled.

Ruled out: adopting the newest weights after a peer's mismatch (the address may belong to another process, and all daemons would try it at once).

No existing test was changed.

--- a/include/cuminswitch/Routing/replica.h
+++ b/include/cuminswitch/Routing/replica.h
@@ -32,6 +32,9 @@
   bool leaving = false;
   uint64_t incarnation = 0;
   uint64_t started = 0;
+  /// The incarnation of the last report, if refusals or responses have shown
+  /// that the replica has other weights by now; otherwise 0.
+  uint64_t reported_incarnation = 0;
   std::vector<loaded_model> models;
   time_point reported_at{};
   /// Other daemons' requests: the totals of the last report minus this daemon's
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -287,6 +287,16 @@
                                           std::string_view name,
                                           const target_replicas& target,
                                           replica_index index) const;
+  /// Returns the models of \p item with their newest versions; nothing if it
+  /// has these already or they are unknown.
+  std::optional<std::vector<loaded_model>> NewestModels(
+      const replica& item) const;
+  /// Uses \p models instead of those of the last report, until a report differs
+  /// from that. Requests state the version that they expect, so that they do
+  /// not run if this is wrong.
+  void AssumeModels(time_point now,
+                    replica& item,
+                    const std::vector<loaded_model>& models);
   /// Returns until when requests should not go to \p item, which refused
   /// others; nothing if they may.
   std::optional<time_point> HeldUntil(time_point now,
--- a/lib/Edge/routing_config_translator.cc
+++ b/lib/Edge/routing_config_translator.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "cuminswitch/Edge/weights_version_counter.h"
-#include "cuminswitch/Support/hash.h"
+#include "cuminswitch/Routing/upstream_incarnation.h"
 
 namespace cuminswitch {
 
@@ -15,9 +15,6 @@
 /// behind one another, and those from another failure domain or the store take
 /// about twice as long.
 static constexpr double kCopyRateUsed = 0.025;
-/// Shortens an incarnation to the 32 bits that a frame between daemons has for
-/// it.
-static constexpr int kIncarnationShift = 32;
 /// The workspace of requests without a credential; its name is empty.
 static constexpr std::string_view kPublicWorkspace;
 
@@ -123,18 +120,14 @@
 static upstream_report TranslateReport(const upstream_entry& entry) {
   upstream_report report{.upstream = entry.id,
                          .reachable = true,
-                         .incarnation = Hash64("start", entry.started),
                          .started = entry.started,
                          .leaving = entry.is_draining,
                          .models = {}};
   for (const weights_version& item : entry.weights) {
     report.models.push_back({.name = TargetName(entry.service, item.model),
                              .version = std::to_string(item.version)});
-    // New weights discard the cached prefixes, as a restart does.
-    report.incarnation = CombineHash(report.incarnation, item.version);
   }
-  // Peers send the incarnation with every placement, so it is shortened.
-  report.incarnation >>= kIncarnationShift;
+  report.incarnation = UpstreamIncarnation(report.started, report.models);
   return report;
 }
 
--- a/lib/Routing/replica_observations.cc
+++ b/lib/Routing/replica_observations.cc
@@ -1,5 +1,6 @@
 // What the daemons observe of upstreams and tell one another.
 #include "cuminswitch/Routing/replica_table.h"
+#include "cuminswitch/Routing/upstream_incarnation.h"
 
 namespace cuminswitch {
 
@@ -18,6 +19,23 @@
     return;
   }
   observations_->Record(now, seen, who);
+  replica& item = replicas_[*index];
+  if (item.incarnation == seen.incarnation) {
+    // It is most likely another process if it refuses the newest weights too.
+    if (who == observer::kSelf && seen.refusal == upstream_refusal::kMismatch) {
+      if (const auto newest = NewestModels(item)) {
+        AssumeModels(now, item, *newest);
+      }
+    }
+    return;
+  }
+  if (seen.refusal == upstream_refusal::kNone) {
+    const auto newest = NewestModels(item);
+    if (newest &&
+        UpstreamIncarnation(item.started, *newest) == seen.incarnation) {
+      AssumeModels(now, item, *newest);
+    }
+  }
 }
 
 void replica_table::ExpireObservations(time_point now) {
@@ -26,6 +44,36 @@
   }
 }
 
+std::optional<std::vector<loaded_model>> replica_table::NewestModels(
+    const replica& item) const {
+  // With several models it is unknown which of them has changed.
+  if (!item.reported || item.models.size() != 1) {
+    return std::nullopt;
+  }
+  std::vector<loaded_model> models = item.models;
+  loaded_model& model = models.front();
+  const auto found = by_target_.find(model.name);
+  if (found == by_target_.end() || found->second.version.empty() ||
+      found->second.version == model.version) {
+    return std::nullopt;
+  }
+  model.version = found->second.version;
+  model.tag = TagOf(model.version);
+  return models;
+}
+
+void replica_table::AssumeModels(time_point now,
+                                 replica& item,
+                                 const std::vector<loaded_model>& models) {
+  if (item.reported_incarnation == 0) {
+    item.reported_incarnation = item.incarnation;
+  }
+  item.models = models;
+  item.incarnation = UpstreamIncarnation(item.started, models);
+  item.slow_start_since = now;
+  item.limit = InitialLimit(item.spec);
+}
+
 std::optional<time_point> replica_table::HeldUntil(time_point now,
                                                    const replica& item) const {
   if (!observations_) {
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -175,6 +175,12 @@
     return;
   }
   item.leaving = report.leaving;
+  // The report does not yet contain the weights that responses have shown.
+  if (item.reported_incarnation == report.incarnation &&
+      item.reported_incarnation != 0) {
+    return;
+  }
+  item.reported_incarnation = 0;
   if (item.reported && item.incarnation != report.incarnation) {
     item.slow_start_since = now;
     item.limit = InitialLimit(item.spec);
--- a/unittests/Core/pooled_refusal_test.cc
+++ b/unittests/Core/pooled_refusal_test.cc
@@ -270,6 +270,33 @@
   EXPECT_EQ(alone.upstreams.size(), 1U);
 }
 
+// Guards against an engine that is refused by all until its entry arrives,
+// although it must have the newest weights.
+TEST(pooled_refusals_test, MismatchOfOldWeightsLeadsToTheNewest) {
+  daemon alone(0, 1, true, time_point(seconds(1)));
+  time_point now(seconds(9));
+  for (size_t i = 0; i < kUpstreams; ++i) {
+    alone.Report(now, "u" + std::to_string(i), "1");
+  }
+  alone.SendRequest(now, "s/m");
+  const auto first = *TakeAction<dispatch_attempt>(alone.out);
+  EXPECT_EQ(first.weights_version, "1");
+  alone.router.OnAttemptEnded(now,
+                              {.attempt = first.attempt,
+                               .result = outcome::kNotRun,
+                               .refused_busy = true,
+                               .is_mismatch = true},
+                              alone.out);
+  alone.EndAttempts(now, "", {});
+  // The entry is sent again before the upstream renews it.
+  alone.Report(now, first.upstream, "1");
+  now += milliseconds(100);
+  alone.SendRequest(now, "s/m");
+  const auto second = *TakeAction<dispatch_attempt>(alone.out);
+  EXPECT_EQ(second.upstream, first.upstream);
+  EXPECT_EQ(second.weights_version, "2");
+}
+
 // Guards against changed decisions in deployments that call for none of this.
 TEST(pooled_refusals_test, WithoutScarceCapacityDecisionsAreUnchanged) {
   const time_point start(seconds(1));
