Make less urgent requests yield while capacity is scarce

Cause: each class was refused by its own expected wait against its own target, with the whole queue of the engine counted. The target of the less urgent is three times as long, so it was refused later (from 1.9 s of wait, urgent ones from 1.5 s), although engines run urgent prompts first. Long prompts were compared with the target alone and refused by idle engines.

Change, only with 'pressure' in the settings' policies: daemons report the prefill that waits at engines by class (target_pressure). The queue ahead of a request is the engine's queue times the share of that work which is at least as urgent. A request is refused for lateness only while requests wait for one another, longest prompts first, entirely once even a prompt without prefill would be late. Less urgent requests yield from half a target of urgent waiting on, at most nine in ten.

Ruled out: the measured waits of past requests as the signal. Refusals came a second late and the queues oscillated.

Shares of workspaces and promises are not begun.

--- a/include/cuminswitch/Core/core_status.h
+++ b/include/cuminswitch/Core/core_status.h
@@ -24,6 +24,8 @@
   /// Requests refused because no upstream was available or the estimated wait
   /// was too long.
   uint64_t shed = 0;
+  /// Those of them that yielded to more urgent requests.
+  uint64_t yielded = 0;
   /// Streams that could not be resumed because no upstream had their software
   /// version.
   uint64_t version_gone = 0;
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "cuminswitch/Admission/class_pressure.h"
 #include "cuminswitch/Admission/drain_meter.h"
 #include "cuminswitch/Admission/request_quarantine.h"
 #include "cuminswitch/Admission/retry_budget.h"
@@ -37,6 +38,7 @@
 namespace cuminswitch {
 
 class shard_directory;
+struct urgency_query;
 
 /// The current state of an upstream, or its removal.
 struct upstream_update {
@@ -202,6 +204,8 @@
     time_point sent{};
     /// Expected time from `sent` to the first byte, estimated at dispatch.
     duration expected_wait{0};
+    /// The part of it that is the prefill of its own prompt.
+    duration expected_prefill{0};
     /// The cache store from which the engine was to copy prefixes, if any.
     std::optional<endpoint> copied_from_store;
     std::optional<time_point> first_byte;
@@ -310,6 +314,16 @@
                   const placement& chosen,
                   double local_queue_seconds,
                   action_list& out);
+  /// Returns what decides on a request while capacity is scarce.
+  urgency_query DescribeUrgency(time_point now,
+                                const request& item,
+                                expected_wait& wait);
+  /// Returns the time until the replica begins the request's prefill.
+  double EstimateTurnSeconds(time_point now,
+                             const request& item,
+                             replica_index index) const;
+  /// Adds the prefill to the waiting work; subtracts it with \p sign -1.
+  void AddWaitingWork(const request& item, const attempt& running, double sign);
   /// Sends the request to the replica \p chosen, or first requests a permit if
   /// that has a rate limit.
   void SendOrRequestPermit(time_point now,
@@ -407,6 +421,7 @@
   double short_share_ = 0;
   std::vector<placed_prefix> placed_prefixes_;
   wait_queue queue_;
+  class_pressure pressure_;
   workspace_limiter limiter_;
   upstream_limits limits_;
   request_quarantine quarantine_;
--- a/include/cuminswitch/Protocol/admission_report.h
+++ b/include/cuminswitch/Protocol/admission_report.h
@@ -34,10 +34,10 @@
   /// Hash of the target's name.
   uint64_t target = 0;
   priority_class priority = priority_class::kStandard;
-  /// Mean expected wait of recent requests for their first byte, as a multiple
-  /// of their target latency.
+  /// Mean time that recent requests were expected to wait for an upstream to
+  /// begin their prefill, as a multiple of their target latency.
   double wait_ratio = 0;
-  /// Recent requests on which the mean is based.
+  /// Prefill time, in seconds, of the requests that wait at upstreams.
   double weight = 0;
 
   friend bool operator==(const target_pressure&,
--- a/include/cuminswitch/Protocol/expected_wait.h
+++ b/include/cuminswitch/Protocol/expected_wait.h
@@ -28,6 +28,12 @@
   duration prediction_error{0};
   /// Age of the oldest backlog report of a peer that is included.
   duration peer_data_age{0};
+  /// Mean expected wait of more urgent requests for their turn at an upstream,
+  /// over the fleet, as a multiple of their target; 0 unless capacity is
+  /// scarce.
+  double more_urgent_wait = 0;
+  /// Age of the oldest peer report in it.
+  duration pressure_age{0};
   /// Target time to first byte, from the arrival.
   duration target{0};
 
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -43,8 +43,11 @@
       .version = replicas_.VersionAt(chosen.index, item.info.target),
       .queue_was_empty = queue == 0,
       .assumed_cached_age = std::nullopt};
+  next.expected_prefill =
+      FromSeconds(next.expected_tokens / target.prefill_rate);
   next.expected_wait =
-      FromSeconds(queue + next.expected_tokens / target.prefill_rate);
+      FromSeconds(EstimateTurnSeconds(now, item, chosen.index)) +
+      next.expected_prefill;
   const auto& levels = item.info.levels;
   const prefix_level* shared = FindSharedLevel(levels);
   if (shared != nullptr) {
@@ -98,6 +101,7 @@
     prompt_lengths_.CountPrefill(now, next.is_long, next.expected_tokens);
   }
   replicas_.OnDispatch(chosen.index, next.expected_tokens);
+  AddWaitingWork(item, next, 1);
   const uint32_t earlier = item.arrivals++;
   ++item.runs;
   attempts_[next.id] = item.info.request;
@@ -161,6 +165,7 @@
   const duration took = now - running.sent;
   replicas_.LearnTargetFirstByte(item.info.target, took);
   replicas_.OnFirstByte(running.index, running.expected_tokens);
+  AddWaitingWork(item, running, -1);
   if (item.info.prompt_tokens == 0) {
     replicas_.LearnFirstByte(running.index, took);
   } else {
@@ -242,6 +247,7 @@
   const attempt done = *std::exchange(item.running, std::nullopt);
   if (!done.first_byte) {
     replicas_.OnFirstByte(done.index, done.expected_tokens);
+    AddWaitingWork(item, done, -1);
   }
   replicas_.OnEnd(done.index);
   if (item.info.prompt_tokens > 0 && !done.is_long) {
--- a/lib/Core/request_load_reports.cc
+++ b/lib/Core/request_load_reports.cc
@@ -12,12 +12,19 @@
   return {};
 }
 
-void request_router::OnPeerAdmissions(time_point /*now*/,
-                                      const std::string& /*peer*/,
-                                      const admission_report& /*report*/) {}
+void request_router::OnPeerAdmissions(time_point now,
+                                      const std::string& peer,
+                                      const admission_report& report) {
+  if (options_.is_capacity_scarce) {
+    pressure_.OnPeer(now, peer, report.pressures);
+  }
+}
 
-admission_report request_router::TakeAdmissionReport(time_point /*now*/) {
-  return {};
+admission_report request_router::TakeAdmissionReport(time_point now) {
+  if (!options_.is_capacity_scarce) {
+    return {};
+  }
+  return {.demands = {}, .pressures = pressure_.Report(now), .promises = {}};
 }
 
 }  // namespace cuminswitch
--- a/lib/Core/request_refusals.cc
+++ b/lib/Core/request_refusals.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "cuminswitch/Admission/load_shedder.h"
+#include "cuminswitch/Admission/urgency_shedder.h"
 #include "cuminswitch/Core/request_router.h"
 #include "cuminswitch/Support/hash.h"
 #include "cuminswitch/Support/status_code.h"
@@ -67,7 +68,7 @@
                      .local_queue = FromSeconds(local_queue_seconds),
                      .capacity = FromSeconds(capacity_seconds),
                      .upstream_queue = FromSeconds(
-                         replicas_.EstimateQueueSeconds(now, chosen.index)),
+                         EstimateTurnSeconds(now, item, chosen.index)),
                      .prefill = FromSeconds(prefill_seconds),
                      .prediction_error = replicas_.MeanPredictionError(
                          now, item.info.target, PriorityOf(item)),
@@ -78,16 +79,27 @@
       .target = item.info.target_latency,
       .caller_idle_timeout = item.info.caller_idle_timeout,
       .priority = PriorityOf(item)};
-  if (HashFraction(item) >= RefusalChance(query)) {
+  double chance = 0;
+  bool is_yielding = false;
+  if (options_.is_capacity_scarce) {
+    const urgency_query urgency = DescribeUrgency(now, item, wait);
+    chance = ScarcityChance(urgency);
+    is_yielding = IsYielding(urgency);
+  } else {
+    chance = RefusalChance(query);
+  }
+  if (HashFraction(item) >= chance) {
     return false;
   }
   ++counters_.shed;
+  counters_.yielded += is_yielding ? 1 : 0;
   // Only the log uses these, so they are not computed for accepted requests.
   wait.upstream = replicas_[chosen.index].spec.name;
   wait.peer_data_age = replicas_.OldestPeerBacklog(now);
   Refuse(item.info.request,
          {.status = status_code::kTooManyRequests,
-          .message = "it would be served too late",
+          .message = is_yielding ? "more urgent requests wait"
+                                 : "it would be served too late",
           .retry_after = RefusedRetryAfter(query),
           .wait = wait},
          out);
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -367,6 +367,7 @@
   attempts_.erase(running.id);
   if (!running.first_byte) {
     replicas_.OnFirstByte(running.index, running.expected_tokens);
+    AddWaitingWork(item, running, -1);
   }
   replicas_.OnEnd(running.index);
   out.push_back(cancel_attempt{.attempt = running.id});
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -135,6 +135,10 @@
   page.Begin("cuminswitch_waiting_requests", "gauge",
              "Requests that wait for an upstream.");
   page.Add(static_cast<double>(status.waiting));
+  page.Begin("cuminswitch_yielded_requests_total", "counter",
+             "Requests refused in favour of more urgent ones that would be "
+             "late.");
+  page.Add(static_cast<double>(status.counters.yielded));
   page.Begin("cuminswitch_upstream_in_flight", "gauge",
              "This daemon's attempts at each upstream.");
   for (const upstream_status& item : status.upstreams) {
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -96,6 +96,10 @@
       .Add("expected_excess_ms", wait.prediction_error)
       .Add("news_age_ms", wait.peer_data_age)
       .Add("target_ms", wait.target);
+  if (wait.more_urgent_wait > 0) {
+    line.Add("urgent_wait", wait.more_urgent_wait)
+        .Add("pressure_age_ms", wait.pressure_age);
+  }
 }
 
 log_line DescribeEnd(time_point now,
