Drop the reports of demand and promises until parts use them

Demands and promises crossed the wire format, the fleet task and the report without a sender or a reader.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -124,9 +124,9 @@
   void OnPeerAdmissions(time_point now,
                         const std::string& peer,
                         const admission_report& report);
-  /// Returns this daemon's demand and pressure, and the promises made or kept
-  /// since the last call; empty unless capacity is scarce.
-  admission_report TakeAdmissionReport(time_point now);
+  /// Returns this daemon's report about its admissions; empty unless capacity
+  /// is scarce.
+  admission_report ReportAdmissions(time_point now) const;
   /// Returns the shared prefixes that were placed since the last call.
   std::vector<placed_prefix> TakePlacedPrefixes() {
     return std::exchange(placed_prefixes_, {});
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -39,12 +39,9 @@
   /// The time as of which their ages are.
   time_point at{};
 };
-/// This daemon's admissions. `promises` are those made or kept since the last
-/// message of this kind.
+/// This daemon's report about its admissions.
 struct own_admissions {
   admission_report report;
-  /// The time as of which the promises' times are.
-  time_point at{};
 };
 /// Rate limits that upstreams advertised to this daemon.
 struct own_limits {
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -89,20 +89,10 @@
   void Receive(fleet_message message) override;
 
  private:
-  /// A promise and the time as of which its due time is.
-  struct timed_promise {
-    return_promise promise;
-    time_point at{};
-  };
-
   bool OnFrame(std::span<const uint8_t> frame) override;
   void OnHeartbeatFrame(const heartbeat_frame& heartbeat);
-  void ReceiveAdmissions(own_admissions admissions);
-  /// Adds to a heartbeat to \p to what peers need for placing and admitting
-  /// requests.
-  void AddLoadReports(time_point now,
-                      const endpoint& to,
-                      heartbeat_frame& heartbeat);
+  /// Adds to a heartbeat what peers need for placing and admitting requests.
+  void AddLoadReports(time_point now, heartbeat_frame& heartbeat) const;
   /// Passes a peer's load reports on to the edge, and uses them for roll-outs.
   void PublishLoadReports(const heartbeat_frame& heartbeat);
   void OnItemsRequest(const items_request_frame& request);
@@ -182,8 +172,6 @@
   own_limits own_limits_;
   own_observations own_observations_;
   own_admissions own_admissions_;
-  /// A daemon makes some tens of promises per second while it refuses requests.
-  peer_update_log<timed_promise, 128> promise_log_;
   std::vector<quarantine_record> quarantined_;
   own_publications own_publications_;
   /// Addresses of peers that lack publications.
--- a/lib/Core/request_load_reports.cc
+++ b/lib/Core/request_load_reports.cc
@@ -67,11 +67,11 @@
   }
 }
 
-admission_report request_router::TakeAdmissionReport(time_point now) {
+admission_report request_router::ReportAdmissions(time_point now) const {
   if (!options_.is_capacity_scarce) {
     return {};
   }
-  return {.demands = {}, .pressures = pressure_.Report(now), .promises = {}};
+  return {.pressures = pressure_.Report(now)};
 }
 
 void request_router::OnPeerPlacements(time_point now,
--- a/lib/Edge/edge_load_reports.cc
+++ b/lib/Edge/edge_load_reports.cc
@@ -40,12 +40,12 @@
     services_.FindPort<fleet_message>(kFleetService)
         .Post(own_observations{.observations = std::move(observed), .at = now});
   }
-  admission_report admissions = router_.TakeAdmissionReport(now);
+  admission_report admissions = router_.ReportAdmissions(now);
   const bool has_admissions = !admissions.IsEmpty();
   if (std::exchange(has_reported_admissions_, has_admissions) ||
       has_admissions) {
     services_.FindPort<fleet_message>(kFleetService)
-        .Post(own_admissions{.report = std::move(admissions), .at = now});
+        .Post(own_admissions{.report = std::move(admissions)});
   }
 }
 
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -115,7 +115,7 @@
     return;
   }
   if (auto* admissions = std::get_if<own_admissions>(&message)) {
-    ReceiveAdmissions(std::move(*admissions));
+    own_admissions_ = std::move(*admissions);
     return;
   }
   if (auto* limits = std::get_if<own_limits>(&message)) {
@@ -165,16 +165,6 @@
   BroadcastHeartbeat();
 }
 
-void fleet_task::ReceiveAdmissions(own_admissions admissions) {
-  std::vector<timed_promise> promises;
-  for (const return_promise& item : admissions.report.promises) {
-    promises.push_back({.promise = item, .at = admissions.at});
-  }
-  promise_log_.Add(promises);
-  admissions.report.promises.clear();
-  own_admissions_ = std::move(admissions);
-}
-
 bool fleet_task::OnFrame(std::span<const uint8_t> bytes) {
   suspension_.OnRunning(ReadBootClock());
   const std::optional<peer_frame> frame = DecodePeerFrame(bytes);
@@ -329,7 +319,7 @@
   for (limit_update& item : heartbeat.limits) {
     item.age += now - own_limits_.at;
   }
-  AddLoadReports(now, to, heartbeat);
+  AddLoadReports(now, heartbeat);
   if (election_.IsLeading(now)) {
     heartbeat.changing = rollout_.ListChanging();
     heartbeat.unconfirmed = rollout_.ListUnconfirmed();
@@ -347,18 +337,12 @@
 }
 
 void fleet_task::AddLoadReports(time_point now,
-                                const endpoint& to,
-                                heartbeat_frame& heartbeat) {
+                                heartbeat_frame& heartbeat) const {
   heartbeat.observations = own_observations_.observations;
   for (upstream_observation& item : heartbeat.observations) {
     item.age += now - own_observations_.at;
   }
   heartbeat.admissions = own_admissions_.report;
-  for (const timed_promise& item : promise_log_.TakeFor(to)) {
-    return_promise promise = item.promise;
-    promise.due_in -= now - item.at;
-    heartbeat.admissions.promises.push_back(promise);
-  }
 }
 
 void fleet_task::PublishLoadReports(const heartbeat_frame& heartbeat) {
--- a/lib/Fleet/peer_frame.cc
+++ b/lib/Fleet/peer_frame.cc
@@ -17,9 +17,7 @@
 static constexpr size_t kMaxMembers = 64;
 /// Likewise for the entries of other lists.
 static constexpr size_t kMaxObservations = 1024;
-static constexpr size_t kMaxDemands = 256;
 static constexpr size_t kMaxPressures = 64;
-static constexpr size_t kMaxPromises = 1024;
 
 static std::vector<std::string> ReadTexts(
     const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* list) {
@@ -181,23 +179,6 @@
 static bool ReadAdmissions(const fleet_wire::beat& wire,
                            heartbeat_frame& frame) {
   admission_report& report = frame.admissions;
-  if (wire.demands() != nullptr) {
-    if (wire.demands()->size() > kMaxDemands) {
-      return false;
-    }
-    for (const fleet_wire::demand* item : *wire.demands()) {
-      if (!IsValidReport(item->priority(),
-                         {item->offered(), item->admitted()})) {
-        return false;
-      }
-      report.demands.push_back(
-          {.workspace = item->workspace(),
-           .target = item->target(),
-           .priority = static_cast<priority_class>(item->priority()),
-           .offered = item->offered(),
-           .admitted = item->admitted()});
-    }
-  }
   if (wire.pressures() != nullptr) {
     if (wire.pressures()->size() > kMaxPressures) {
       return false;
@@ -214,17 +195,6 @@
            .weight = item->weight()});
     }
   }
-  if (wire.promises() != nullptr) {
-    if (wire.promises()->size() > kMaxPromises) {
-      return false;
-    }
-    for (const fleet_wire::promise* item : *wire.promises()) {
-      report.promises.push_back(
-          {.request = item->request(),
-           .due_in = std::chrono::milliseconds(item->due_in_ms()),
-           .is_kept = item->is_kept()});
-    }
-  }
   return true;
 }
 
--- a/lib/Fleet/peer_frame_writer.cc
+++ b/lib/Fleet/peer_frame_writer.cc
@@ -117,25 +117,12 @@
         static_cast<float>(frame.mix.seconds), frame.mix.reserves_engines);
     const std::vector<fleet_wire::observation> observations =
         WriteObservations(frame.observations);
-    std::vector<fleet_wire::demand> demands;
-    for (const workspace_demand& item : frame.admissions.demands) {
-      demands.emplace_back(item.workspace, item.target,
-                           static_cast<float>(item.offered),
-                           static_cast<float>(item.admitted),
-                           static_cast<uint8_t>(item.priority));
-    }
     std::vector<fleet_wire::pressure> pressures;
     for (const target_pressure& item : frame.admissions.pressures) {
       pressures.emplace_back(item.target, static_cast<float>(item.wait_ratio),
                              static_cast<float>(item.weight),
                              static_cast<uint8_t>(item.priority));
     }
-    std::vector<fleet_wire::promise> promises;
-    for (const return_promise& item : frame.admissions.promises) {
-      promises.emplace_back(item.request,
-                            static_cast<int32_t>(ToMillis(item.due_in)),
-                            item.is_kept);
-    }
     const daemon_record& sender = frame.sender;
     const freshness_record freshness =
         frame.freshness.value_or(freshness_record());
@@ -162,8 +149,7 @@
                frame.unconfirmed.empty()
                    ? 0
                    : out_.CreateVectorOfStrings(frame.unconfirmed),
-               WriteIfAny(observations), WriteIfAny(demands),
-               WriteIfAny(pressures), WriteIfAny(promises))
+               WriteIfAny(observations), WriteIfAny(pressures))
         .Union();
   }
 
