--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "cuminswitch/Admission/class_pressure.h"
 #include "cuminswitch/Admission/drain_meter.h"
 #include "cuminswitch/Admission/request_quarantine.h"
 #include "cuminswitch/Admission/retry_budget.h"
@@ -22,9 +23,11 @@
 #include "cuminswitch/Admission/workspace_limiter.h"
 #include "cuminswitch/Config/configuration.h"
 #include "cuminswitch/Core/core_status.h"
+#include "cuminswitch/Protocol/admission_report.h"
 #include "cuminswitch/Protocol/core_action.h"
 #include "cuminswitch/Protocol/core_event.h"
 #include "cuminswitch/Protocol/send_permit.h"
+#include "cuminswitch/Protocol/upstream_observation.h"
 #include "cuminswitch/Routing/copy_budget.h"
 #include "cuminswitch/Routing/placement_policy.h"
 #include "cuminswitch/Routing/placement_query.h"
@@ -35,6 +38,7 @@
 namespace cuminswitch {
 
 class shard_directory;
+struct urgency_query;
 
 /// The current state of an upstream, or its removal.
 struct upstream_update {
@@ -66,6 +70,9 @@
     bool refuse_without_upstream = false;
     /// Record placements for `TakePlacedPrefixes`.
     bool reports_placements = false;
+    /// The deployment's callers compete for less capacity than they ask for:
+    /// the daemons share it out together.
+    bool is_capacity_scarce = false;
     request_quarantine::options quarantine;
   };
 
@@ -99,6 +106,27 @@
   void OnUpstreamLoad(time_point now, const upstream_load& load);
   /// Applies a peer's report of its placements, backlogs and traffic.
   void OnPeerPlacements(time_point now, const peer_placements& report);
+  /// Applies a peer's recent observations of upstreams.
+  void OnPeerObservations(time_point now,
+                          std::span<const upstream_observation> observations);
+  /// Records that the upstream of \p attempt responded to it. Of \p load, only
+  /// the counts, slots and work percentage are used.
+  void OnResponse(time_point now,
+                  attempt_id attempt,
+                  const upstream_observation& load);
+  /// Returns the refusals that began or ended since the last call; the first
+  /// ones if there are many.
+  std::vector<refusal_change> TakeRefusalChanges();
+  /// Returns this daemon's recent observations of upstreams; none unless the
+  /// deployment or an upstream calls for them.
+  std::vector<upstream_observation> ListObservations(time_point now) const;
+  /// Applies a peer's report about its admissions.
+  void OnPeerAdmissions(time_point now,
+                        const std::string& peer,
+                        const admission_report& report);
+  /// Returns this daemon's report about its admissions; empty unless capacity
+  /// is scarce.
+  admission_report ReportAdmissions(time_point now) const;
   /// Returns the shared prefixes that were placed since the last call.
   std::vector<placed_prefix> TakePlacedPrefixes() {
     return std::exchange(placed_prefixes_, {});
@@ -188,11 +216,15 @@
     replica_index index = 0;
     /// See `UpstreamStartId`.
     uint64_t upstream_start = 0;
+    /// The upstream's incarnation when the attempt was placed there.
+    uint64_t incarnation = 0;
     /// Prompt tokens that are expected not to be cached at the upstream.
     double expected_tokens = 0;
     time_point sent{};
     /// Expected time from `sent` to the first byte, estimated at dispatch.
     duration expected_wait{0};
+    /// The part of it that is the prefill of its own prompt.
+    duration expected_prefill{0};
     /// The cache store from which the engine was to copy prefixes, if any.
     std::optional<endpoint> copied_from_store;
     std::optional<time_point> first_byte;
@@ -301,6 +333,16 @@
                   const placement& chosen,
                   double local_queue_seconds,
                   action_list& out);
+  /// Returns what decides on a request while capacity is scarce.
+  urgency_query DescribeUrgency(time_point now,
+                                const request& item,
+                                expected_wait& wait);
+  /// Returns the time until the replica begins the request's prefill.
+  double EstimateTurnSeconds(time_point now,
+                             const request& item,
+                             replica_index index) const;
+  /// Adds the prefill to the waiting work; subtracts it with \p sign -1.
+  void AddWaitingWork(const request& item, const attempt& running, double sign);
   /// Sends the request to the replica \p chosen, or first requests a permit if
   /// that has a rate limit.
   void SendOrRequestPermit(time_point now,
@@ -341,6 +383,13 @@
              request& item,
              const attempt_ended& event,
              action_list& out);
+  /// Starts to pool observations with the peers.
+  void StartPooling();
+  /// Records what the upstream of \p from did, for this daemon and its peers.
+  void Observe(time_point now,
+               const attempt& from,
+               upstream_refusal refusal,
+               const upstream_observation& load = {});
   /// Records a prefix that a peer placed at the upstream \p index.
   void RecordPeerPlacement(time_point now,
                            replica_index index,
@@ -398,6 +447,7 @@
   double short_share_ = 0;
   std::vector<placed_prefix> placed_prefixes_;
   wait_queue queue_;
+  class_pressure pressure_;
   workspace_limiter limiter_;
   upstream_limits limits_;
   request_quarantine quarantine_;
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -33,6 +33,16 @@
   std::vector<placed_prefix> prefixes;
   prompt_mix mix;
 };
+/// This daemon's recent observations of upstreams.
+struct own_observations {
+  std::vector<upstream_observation> observations;
+  /// The time as of which their ages are.
+  time_point at{};
+};
+/// This daemon's report about its admissions.
+struct own_admissions {
+  admission_report report;
+};
 /// Rate limits that upstreams advertised to this daemon.
 struct own_limits {
   std::vector<limit_update> limits;
@@ -64,6 +74,8 @@
 using fleet_message = std::variant<fleet_stop_requested,
                                    readiness_changed,
                                    own_placements,
+                                   own_observations,
+                                   own_admissions,
                                    own_limits,
                                    own_quarantine,
                                    own_publications,
@@ -106,6 +118,16 @@
   std::string peer;
   std::vector<limit_update> limits;
 };
+/// A peer's recent observations of upstreams.
+struct peer_observations {
+  std::string peer;
+  std::vector<upstream_observation> observations;
+};
+/// A peer's report about its admissions.
+struct peer_admissions {
+  std::string peer;
+  admission_report report;
+};
 /// A peer's reports of requests that may crash upstreams.
 struct peer_quarantine {
   quarantine_update update;
@@ -135,6 +157,8 @@
                                  learned_publications,
                                  items_staleness,
                                  peer_placements,
+                                 peer_observations,
+                                 peer_admissions,
                                  peer_limits,
                                  peer_quarantine,
                                  quota_query,
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -16,6 +16,7 @@
 #include "cuminswitch/Fleet/items_request_tracker.h"
 #include "cuminswitch/Fleet/leader_election.h"
 #include "cuminswitch/Fleet/mixed_service_records.h"
+#include "cuminswitch/Fleet/observed_occupancy.h"
 #include "cuminswitch/Fleet/peer_table.h"
 #include "cuminswitch/Fleet/peer_update_log.h"
 #include "cuminswitch/Fleet/publication_records.h"
@@ -64,6 +65,8 @@
     duration leader_gap = std::chrono::seconds(3);
     /// Interval at which an upstream renews its entry in the store.
     duration upstream_interval = std::chrono::milliseconds(1200);
+    /// Engines change their weights at a pace that leaves capacity to requests.
+    bool is_capacity_scarce = false;
   };
   /// Dependencies of the task, which must outlive it.
   struct parts {
@@ -88,6 +91,10 @@
  private:
   bool OnFrame(std::span<const uint8_t> frame) override;
   void OnHeartbeatFrame(const heartbeat_frame& heartbeat);
+  /// Adds to a heartbeat what peers need for placing and admitting requests.
+  void AddLoadReports(time_point now, heartbeat_frame& heartbeat) const;
+  /// Passes a peer's load reports on to the edge, and uses them for roll-outs.
+  void PublishLoadReports(const heartbeat_frame& heartbeat);
   void OnItemsRequest(const items_request_frame& request);
   void OnItemsReply(const items_reply_frame& reply);
 
@@ -143,6 +150,7 @@
   peer_table peer_table_;
   item_watcher item_watcher_;
   leader_election election_;
+  observed_occupancy occupancy_;
   weights_rollout rollout_;
   suspension_tracker suspension_;
   staleness_tracker staleness_;
@@ -162,6 +170,8 @@
   std::vector<upstream_backlog> own_backlogs_;
   prompt_mix own_mix_;
   own_limits own_limits_;
+  own_observations own_observations_;
+  own_admissions own_admissions_;
   std::vector<quarantine_record> quarantined_;
   own_publications own_publications_;
   /// Addresses of peers that lack publications.
--- a/include/cuminswitch/Fleet/peer_frame.h
+++ b/include/cuminswitch/Fleet/peer_frame.h
@@ -14,11 +14,13 @@
 
 #include "cuminswitch/Fleet/item_view.h"
 #include "cuminswitch/Fleet/staleness_tracker.h"
+#include "cuminswitch/Protocol/admission_report.h"
 #include "cuminswitch/Protocol/core_event.h"
 #include "cuminswitch/Protocol/crash_report.h"
 #include "cuminswitch/Protocol/quota_message.h"
 #include "cuminswitch/Protocol/stream_origin.h"
 #include "cuminswitch/Protocol/upstream_notice.h"
+#include "cuminswitch/Protocol/upstream_observation.h"
 #include "cuminswitch/Protocol/weights_publication.h"
 #include "cuminswitch/Support/endpoint.h"
 
@@ -109,6 +111,9 @@
   bool lacks_publications = false;
   /// Publications that the sender witnessed, for a receiver that lacks them.
   std::vector<publication_report> publications;
+  /// The sender's recent observations of upstreams.
+  std::vector<upstream_observation> observations;
+  admission_report admissions;
 };
 
 /// Requests the items that changed after a revision.
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -33,6 +33,7 @@
                                  .retry_share = opts.retry_share,
                                  .retry_burst = opts.retry_burst,
                                  .old_weights_time = opts.old_weights_time,
+                                 .is_capacity_scarce = opts.is_capacity_scarce,
                                  .now = ReadBootClock()}),
               *this),
       buffer_account_(opts.buffer_limit),
@@ -125,6 +126,7 @@
        .upstream_doubts = contact_.contact().doubt_count(),
        .has_lost_upstreams = has_lost_upstreams_,
        .unreadable_upstreams = unreadable_upstreams_,
+       .unreadable_loads = unreadable_loads_,
        .is_stale = is_stale_,
        .known_streams = origins_.size()});
 }
@@ -310,6 +312,7 @@
   VerifyCrashes(now);
   ReportQuarantine(now);
   ReportPlacements();
+  ReportLoad(now);
   UpdateContact();
   LogReservedEngines();
   LogHeldBytes();
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -26,6 +26,17 @@
 /// Range over which the daemons' claims of leadership are spread.
 static constexpr uint64_t kClaimSpreadMs = 400;
 
+/// Returns the pace of roll-outs, if \p opts ask for one.
+static std::optional<rollout_pace::options> MakePace(
+    const fleet_task::options& opts,
+    const occupancy_source& occupancy) {
+  if (!opts.is_capacity_scarce) {
+    return std::nullopt;
+  }
+  return rollout_pace::options{.old_weights_time = opts.old_weights_time,
+                               .occupancy = &occupancy};
+}
+
 fleet_task::fleet_task(event_base* base,
                        const kernel& services,
                        options opts,
@@ -57,6 +68,7 @@
                      Hash64(options_.self.name, options_.self.incarnation) %
                      kClaimSpreadMs)},
                 with.store),
+      rollout_(MakePace(options_, occupancy_)),
       staleness_(Hash64(options_.self.name)),
       store_outage_(
           {.self = Hash64(options_.self.name, options_.self.incarnation),
@@ -97,6 +109,15 @@
     placement_log_.Add(own->prefixes);
     return;
   }
+  if (auto* observed = std::get_if<own_observations>(&message)) {
+    occupancy_.Add(observed->at, observed->observations);
+    own_observations_ = std::move(*observed);
+    return;
+  }
+  if (auto* admissions = std::get_if<own_admissions>(&message)) {
+    own_admissions_ = std::move(*admissions);
+    return;
+  }
   if (auto* limits = std::get_if<own_limits>(&message)) {
     own_limits_ = std::move(*limits);
     return;
@@ -198,6 +219,7 @@
                             .mix = heartbeat.mix,
                             .backlogs = heartbeat.backlogs,
                             .prefixes = heartbeat.prefixes});
+  PublishLoadReports(heartbeat);
   if (!heartbeat.limits.empty()) {
     services_.FindPort<fleet_event>(kEdgeService)
         .Post(peer_limits{.peer = heartbeat.sender.name,
@@ -297,6 +319,7 @@
   for (limit_update& item : heartbeat.limits) {
     item.age += now - own_limits_.at;
   }
+  AddLoadReports(now, heartbeat);
   if (election_.IsLeading(now)) {
     heartbeat.changing = rollout_.ListChanging();
     heartbeat.unconfirmed = rollout_.ListUnconfirmed();
@@ -313,6 +336,29 @@
   transport_->Send(to, EncodePeerFrame(heartbeat));
 }
 
+void fleet_task::AddLoadReports(time_point now,
+                                heartbeat_frame& heartbeat) const {
+  heartbeat.observations = own_observations_.observations;
+  for (upstream_observation& item : heartbeat.observations) {
+    item.age += now - own_observations_.at;
+  }
+  heartbeat.admissions = own_admissions_.report;
+}
+
+void fleet_task::PublishLoadReports(const heartbeat_frame& heartbeat) {
+  if (!heartbeat.observations.empty()) {
+    occupancy_.Add(ReadBootClock(), heartbeat.observations);
+    services_.FindPort<fleet_event>(kEdgeService)
+        .Post(peer_observations{.peer = heartbeat.sender.name,
+                                .observations = heartbeat.observations});
+  }
+  if (!heartbeat.admissions.IsEmpty()) {
+    services_.FindPort<fleet_event>(kEdgeService)
+        .Post(peer_admissions{.peer = heartbeat.sender.name,
+                              .report = heartbeat.admissions});
+  }
+}
+
 void fleet_task::BroadcastHeartbeat() {
   for (const endpoint& to : peer_table_.ListReachable(ReadBootClock())) {
     SendHeartbeat(to);
@@ -516,13 +562,18 @@
                              command_result::kConflict);
     return;
   }
-  parts_.log.Write(log_class::kStateChange,
-                   log_line("order_sent")
-                       .Add("upstream", step.upstream)
-                       .Add("model", step.command->weights.model)
-                       .Add("version", step.command->weights.version)
-                       .Add("accepted_orders", step.command->accepted_orders)
-                       .Add("fence", election_.fence()));
+  log_line line("order_sent");
+  line.Add("upstream", step.upstream)
+      .Add("model", step.command->weights.model)
+      .Add("version", step.command->weights.version)
+      .Add("accepted_orders", step.command->accepted_orders)
+      .Add("fence", election_.fence());
+  if (const auto& choice = step.command->choice) {
+    line.Add("why", ToString(choice->reason))
+        .Add("changing", choice->concurrent)
+        .Add("left_ms", choice->time_left);
+  }
+  parts_.log.Write(log_class::kStateChange, line);
   parts_.engines.SendCommand(
       step, election_.fence(), [this, step](command_result end) {
         parts_.log.Write(log_class::kStateChange,
