--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -153,9 +153,10 @@
                      uint32_t status,
                      duration retry_after,
                      bool is_unreachable);
-  /// Applies the rate limit that a response advertises.
+  /// Applies the load that a response states; counts unreadable figures.
   void ApplyLoad(const request_flow& flow, const reported_load& load);
   void LogRefusalChanges();
+  /// Applies the rate limit that a response advertises.
   void ApplyLimit(const request_flow& flow, const limit_notice& notice);
   /// Applies the backoff that an upstream requested with a refusal.
   void ApplyBackoff(const request_flow& flow, const backoff_notice& notice);
