Log who ended an attempt and which connections of callers were cut off

The log could not tell the hypotheses in docs/incidents/lost-responses.md apart: a lost connection was `answer=broken` whether the upstream closed it, its host reset it, or the kernel's TCP_USER_TIMEOUT ended it; how long the upstream had been silent was nowhere; and connections of callers had no line.

attempt_failed has ended_by, silent_ms, sent_ms and response_begun; request_ended has truncated, time_left_ms, attempts and arrival_configuration. New fields come after the existing ones of each Describe function. caller_connection_closed is logged only where a response was not written, a request was not read, or an exit cuts off a response in progress. Callers that leave during a response still have only request_ended reason=caller_gone. No decision uses any of this.

Two counters: cuminswitch_truncated_total by route and reason, cuminswitch_caller_connections_cut_total by cause.

The test of TCP_USER_TIMEOUT shows that the kernel also ends connections to an upstream that stops reading its request, although its host acknowledges everything.

--- a/include/cuminswitch/Edge/edge_metrics.h
+++ b/include/cuminswitch/Edge/edge_metrics.h
@@ -29,6 +29,11 @@
   /// Counts a complete but late response; \p cause is `first_byte`, `pause` or
   /// `both`.
   void CountLate(const std::string& route, std::string_view cause);
+  /// Counts a response that was begun and not completed.
+  void CountTruncated(const std::string& route, std::string_view reason);
+  /// Counts a caller's connection that was closed with a response unsent or a
+  /// request discarded.
+  void CountCut(std::string_view cause) { ++cut_[std::string(cause)]; }
   /// Counts a request that was rejected with \p status before routing.
   void CountRejected(uint32_t status) { ++rejected_[status]; }
   /// Counts a request that resumes a stream; \p source says from where its
@@ -60,6 +65,7 @@
   struct route_metrics {
     std::map<std::string, uint64_t> outcomes;
     std::map<std::string, uint64_t, std::less<>> late;
+    std::map<std::string, uint64_t, std::less<>> truncated;
     latency_histogram duration;
     latency_histogram first_byte;
   };
@@ -67,6 +73,7 @@
   std::map<std::string, route_metrics> routes_;
   std::map<uint32_t, uint64_t> rejected_;
   std::map<std::string, uint64_t> resumed_;
+  std::map<std::string, uint64_t> cut_;
 };
 
 }  // namespace cuminswitch
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -98,6 +98,7 @@
 
  private:
   void OnRequest(caller_exchange& exchange) override;
+  void OnConnectionCut(const caller_connection_end& end) override;
   void OnFlowEvent(core_event event) override;
   void OnFlowFeedback(const request_flow& flow,
                       const upstream_feedback& feedback) override;
--- a/include/cuminswitch/Edge/forwarded_request.h
+++ b/include/cuminswitch/Edge/forwarded_request.h
@@ -85,6 +85,8 @@
   /// The peer that was tried last.
   const std::string& peer() const { return peer_; }
   size_t peers_tried() const { return peers_tried_; }
+  /// Whether the caller was sent a part of the response.
+  bool has_response_begun() const { return is_head_sent_; }
 
  private:
   void OnCallerDisconnected() override;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -15,6 +15,7 @@
 #include "cuminswitch/Edge/event_splitter.h"
 #include "cuminswitch/Edge/upstream_feedback.h"
 #include "cuminswitch/Fleet/routing_config.h"
+#include "cuminswitch/Http1/call_end_cause.h"
 #include "cuminswitch/Http1/caller_exchange.h"
 #include "cuminswitch/Http1/upstream_call.h"
 #include "cuminswitch/Net/loop_timer.h"
@@ -44,6 +45,9 @@
   std::optional<hash128> quarantined_part;
 };
 
+/// Whether the caller was sent a part of the response and not the rest.
+bool IsTruncated(const request_flow& flow, const flow_result& end);
+
 /// Receives the events of a flow. A flow may not be destroyed within one of
 /// these calls, only from the event loop.
 class flow_owner {
@@ -147,6 +151,15 @@
   time_point arrived() const { return options_.arrived; }
   /// When the current attempt was sent.
   time_point sent_at() const { return sent_at_; }
+  /// When the last bytes of the current attempt's response were read; before
+  /// that, when it was sent.
+  time_point last_read_at() const { return last_read_at_; }
+  /// What ended the current attempt.
+  call_end_cause end_cause() const { return end_cause_; }
+  /// Attempts so far.
+  uint32_t attempts() const { return attempts_; }
+  /// Whether the caller was sent a part of the response.
+  bool has_response_begun() const { return is_head_sent_; }
   std::optional<time_point> first_byte_at() const { return first_byte_at_; }
   /// The head of the current attempt's response; its status is 0 before one has
   /// arrived.
@@ -204,6 +217,8 @@
   attempt_id attempt_ = 0;
   std::string upstream_;
   time_point sent_at_{};
+  time_point last_read_at_{};
+  call_end_cause end_cause_ = call_end_cause::kFraming;
   /// The deadline of the current attempt's upstream; empty if it has that of
   /// the request.
   std::optional<time_point> upstream_deadline_;
--- a/include/cuminswitch/Edge/request_log.h
+++ b/include/cuminswitch/Edge/request_log.h
@@ -14,6 +14,7 @@
 namespace cuminswitch {
 
 class request_flow;
+struct caller_connection_end;
 struct dispatch_attempt;
 struct found_origin;
 struct flow_result;
@@ -25,7 +26,8 @@
                            const request_flow& flow,
                            const dispatch_attempt& action);
 /// Describes an attempt that ended without success.
-log_line DescribeAttemptFailure(const request_flow& flow,
+log_line DescribeAttemptFailure(time_point now,
+                                const request_flow& flow,
                                 attempt_result result,
                                 uint32_t status);
 /// Describes how a request ended for its caller. For a refusal because the
@@ -33,6 +35,8 @@
 log_line DescribeEnd(time_point now,
                      const request_flow& flow,
                      const flow_result& end);
+/// Describes a caller's connection that was cut off.
+log_line DescribeCut(const caller_connection_end& end);
 /// Describes what is known of the stream that \p flow resumes; \p source says
 /// from where its software version is known.
 log_line DescribeResumption(const request_flow& flow,
--- a/include/cuminswitch/Http1/caller_exchange.h
+++ b/include/cuminswitch/Http1/caller_exchange.h
@@ -45,6 +45,8 @@
   /// empty if unknown.
   virtual std::string_view CallerAddress() const { return {}; }
 
+  /// Sets the identifier by which the handler reports the request.
+  virtual void SetRequestId(std::string_view /*id*/) {}
   virtual void SetListener(caller_listener* listener) = 0;
   virtual void SendHead(uint32_t status,
                         const http_headers& headers,
--- a/include/cuminswitch/Http1/caller_server.h
+++ b/include/cuminswitch/Http1/caller_server.h
@@ -19,12 +19,18 @@
 
 class caller_connection;
 class caller_exchange;
+struct caller_connection_end;
 
-/// Receives complete requests, on the event loop's thread.
+/// Receives complete requests and the ends of connections, on the event loop's
+/// thread.
 class caller_handler {
  public:
   virtual ~caller_handler() = default;
   virtual void OnRequest(caller_exchange& exchange) = 0;
+  /// A connection ended with a response not completely written or a request
+  /// not completely read. Not called if the listener of a response in progress
+  /// is told.
+  virtual void OnConnectionCut(const caller_connection_end& /*end*/) {}
 };
 
 /// Limits on the size and duration of callers' requests. Sizes are in bytes.
@@ -60,6 +66,8 @@
   void BeginDrain() { is_draining_ = true; }
   /// Stops accepting connections and closes those without a request.
   void CloseIdle();
+  /// Reports the connections that an exit of the process now would cut off.
+  void ReportOpen();
   bool IsDraining() const { return is_draining_; }
   size_t connection_count() const { return connections_.size(); }
   uint64_t accepted_count() const { return accepted_; }
--- a/include/cuminswitch/Http1/upstream_call.h
+++ b/include/cuminswitch/Http1/upstream_call.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "cuminswitch/Http1/call_end_cause.h"
 #include "cuminswitch/Http1/message_head.h"
 #include "cuminswitch/Support/endpoint.h"
 
@@ -58,6 +59,8 @@
   /// Whether the request was sent on a connection that had carried earlier
   /// requests.
   virtual bool IsOnReusedConnection() const = 0;
+  /// What ended the call; only valid once `OnCallEnd` was called.
+  virtual call_end_cause EndCause() const = 0;
 };
 
 }  // namespace cuminswitch
--- a/lib/Edge/edge_arrivals.cc
+++ b/lib/Edge/edge_arrivals.cc
@@ -49,6 +49,7 @@
 
 void edge_task::OnRequest(caller_exchange& exchange) {
   caller_request request = with_.protocol.ReadRequest(exchange.Head());
+  exchange.SetRequestId(request.attempt);
   const route_spec* route = nullptr;
   const workspace_config* workspace = nullptr;
   uint32_t status = CheckRequest(request, route, workspace);
--- a/lib/Edge/edge_forwarding.cc
+++ b/lib/Edge/edge_forwarding.cc
@@ -64,6 +64,9 @@
                       .Add("reason", end.reason)
                       .Add("took_ms", took));
   metrics_.CountEnd(request.route(), end.result, end.reason, ToSeconds(took));
+  if (request.has_response_begun() && end.status == 0) {
+    metrics_.CountTruncated(request.route(), end.reason);
+  }
   CallLater(base(), [this, alive = alive_, id = request.id()] {
     if (*alive) {
       forwarded_.erase(id);
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -67,6 +67,12 @@
   }
 }
 
+void edge_metrics::CountTruncated(const std::string& route,
+                                  std::string_view reason) {
+  ++routes_[routes_.contains(route) ? route : std::string(kOtherRoutes)]
+        .truncated[std::string(reason)];
+}
+
 std::string edge_metrics::Write(const sources& from) const {
   const core_status& status = from.status;
   metric_page page;
@@ -98,6 +104,21 @@
       page.Add(static_cast<double>(count), labels);
     }
   }
+  page.Begin("cuminswitch_truncated_total", "counter",
+             "Responses that were begun and not completed, by reason.");
+  for (const auto& [route, item] : routes_) {
+    for (const auto& [reason, count] : item.truncated) {
+      std::string labels = "route=\"" + route + "\",reason=\"";
+      labels += reason + "\"";
+      page.Add(static_cast<double>(count), labels);
+    }
+  }
+  page.Begin("cuminswitch_caller_connections_cut_total", "counter",
+             "Callers' connections closed with a response unsent or a request "
+             "discarded, by cause.");
+  for (const auto& [cause, count] : cut_) {
+    page.Add(static_cast<double>(count), "cause=\"" + cause + "\"");
+  }
   page.Begin("cuminswitch_rejected_total", "counter",
              "Requests of no route, by status.");
   for (const auto& [code, count] : rejected_) {
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -8,6 +8,7 @@
 #include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Edge/router_settings.h"
 #include "cuminswitch/Fleet/boot_clock.h"
+#include "cuminswitch/Http1/caller_connection_end.h"
 #include "cuminswitch/Kernel/kernel.h"
 #include "cuminswitch/Log/event_log.h"
 #include "cuminswitch/Support/hash.h"
@@ -241,7 +242,7 @@
                                     attempt_result result,
                                     uint32_t status) {
   with_.log.Write(log_class::kRequest,
-                  DescribeAttemptFailure(flow, result, status)
+                  DescribeAttemptFailure(ReadBootClock(), flow, result, status)
                       .Add("revision", snapshot_->revision));
 }
 
@@ -269,6 +270,9 @@
   const std::string& route = flow.route().name;
   metrics_.CountEnd(route, end.result, end.reason,
                     ToSeconds(ReadBootClock() - flow.arrived()));
+  if (IsTruncated(flow, end)) {
+    metrics_.CountTruncated(route, end.reason);
+  }
   if (flow.first_byte_at()) {
     metrics_.CountFirstByte(route,
                             ToSeconds(*flow.first_byte_at() - flow.arrived()));
@@ -280,6 +284,11 @@
   RemoveFlowLater(flow);
 }
 
+void edge_task::OnConnectionCut(const caller_connection_end& end) {
+  with_.log.Write(log_class::kRequest, DescribeCut(end));
+  metrics_.CountCut(ToString(end.cause));
+}
+
 void edge_task::RemoveFlowLater(const request_flow& flow) {
   CallLater(base(), [this, alive = alive_, id = flow.id(), runs = flow.runs()] {
     if (*alive) {
@@ -377,6 +386,7 @@
   }
   const size_t requests = flows_.size() + forwarded_.size();
   if (stop_.IsComplete(now, requests, server_->connection_count())) {
+    server_->ReportOpen();
     with_.log.Write(log_class::kLifecycle,
                     log_line("stopped").Add("requests", requests));
     with_.log.Flush();
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -42,6 +42,10 @@
 /// upstream.
 static constexpr duration kQueueRetryAfter = std::chrono::milliseconds(500);
 
+bool IsTruncated(const request_flow& flow, const flow_result& end) {
+  return flow.has_response_begun() && end.status == 0;
+}
+
 request_flow::request_flow(options opts, const parts& with)
     : options_(std::move(opts)),
       with_(with),
@@ -66,6 +70,7 @@
   address_ = action.address;
   mean_first_byte_ = action.mean_first_byte;
   sent_at_ = now;
+  last_read_at_ = now;
   upstream_deadline_ = action.upstream_deadline;
   has_attempt_begun_ = false;
   ++attempts_;
@@ -139,6 +144,7 @@
     return;
   }
   call_.reset();
+  end_cause_ = call_end_cause::kStallTimeout;
   with_.owner.OnAttemptStalled(*this);
   ProcessAttemptResult(attempt_result::kStalled);
 }
@@ -157,6 +163,7 @@
 }
 
 void request_flow::OnResponseHead(const message_head& head) {
+  last_read_at_ = ReadBootClock();
   response_.head = head;
   response_.attributes = with_.protocol.ReadResponse(head);
   with_.owner.OnFlowFeedback(
@@ -181,6 +188,7 @@
 }
 
 void request_flow::OnResponseBody(std::string_view data) {
+  last_read_at_ = ReadBootClock();
   RestartStallTimer();
   if (!IsForwarding()) {
     response_.body.append(data);
@@ -290,6 +298,7 @@
   // The call is still on the stack, so it must not be destroyed before the end
   // of this function.
   const std::unique_ptr<upstream_call> ended = std::move(call_);
+  end_cause_ = ended->EndCause();
   stall_timer_.Cancel();
   unfinished_bytes_ = splitter_.UnfinishedSize();
   attempt_result result = Classify(end);
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -5,6 +5,7 @@
 #include "cuminswitch/Admission/quota_policy.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Edge/stream_origin_registry.h"
+#include "cuminswitch/Http1/caller_connection_end.h"
 
 namespace cuminswitch {
 
@@ -70,7 +71,8 @@
   }
 }
 
-log_line DescribeAttemptFailure(const request_flow& flow,
+log_line DescribeAttemptFailure(time_point now,
+                                const request_flow& flow,
                                 attempt_result result,
                                 uint32_t status) {
   log_line line("attempt_failed");
@@ -82,7 +84,10 @@
   if (result == attempt_result::kBroken || result == attempt_result::kStalled) {
     AddDigests(flow, line);
   }
-  return line;
+  return line.Add("ended_by", ToString(flow.end_cause()))
+      .Add("silent_ms", now - flow.last_read_at())
+      .Add("sent_ms", now - flow.sent_at())
+      .Add("response_begun", flow.has_response_begun());
 }
 
 /// Adds the estimate behind a refusal because the response would be late.
@@ -133,7 +138,19 @@
   if (end.wait != nullptr) {
     AddWait(*end.wait, line);
   }
-  return line;
+  return line.Add("truncated", IsTruncated(flow, end))
+      .Add("time_left_ms", flow.deadline() - now)
+      .Add("attempts", flow.attempts())
+      .Add("arrival_configuration", flow.config().version);
+}
+
+log_line DescribeCut(const caller_connection_end& end) {
+  return log_line("caller_connection_closed")
+      .Add("id", end.last_request)
+      .Add("cause", ToString(end.cause))
+      .Add("unsent_bytes", uint64_t{end.unsent_bytes})
+      .Add("unread_bytes", uint64_t{end.unread_bytes})
+      .Add("request_open", end.is_request_open);
 }
 
 log_line DescribeResumption(const request_flow& flow,
--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -5,12 +5,14 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <cstdio>
 #include <utility>
 
+#include "cuminswitch/Http1/caller_connection_end.h"
 #include "cuminswitch/Http1/caller_server.h"
 #include "cuminswitch/Net/counted_stream.h"
 #include "cuminswitch/Support/status_code.h"
@@ -96,6 +98,7 @@
 void caller_connection::OnReadable() {
   evbuffer* input = bufferevent_get_input(stream_);
   if (stage_ == stage::kClosing) {
+    dropped_bytes_ += evbuffer_get_length(input);
     evbuffer_drain(input, evbuffer_get_length(input));
     return;
   }
@@ -151,6 +154,7 @@
 
 void caller_connection::Reject(uint32_t status) {
   stage_ = stage::kResponding;
+  is_rejected_ = true;
   close_after_ = true;
   timer_.Cancel();
   Reply(*this, status, {}, {}, true);
@@ -164,6 +168,7 @@
   }
   ++server_.refused_;
   ClearBody();
+  is_rejected_ = true;
   stage_ = stage::kResponding;
   timer_.Cancel();
   Reply(*this, status_code::kUnavailable,
@@ -234,7 +239,7 @@
   if (is_chunked_ && PendingBytes() > 0) {
     CloseGracefully();
   } else {
-    CloseNow();
+    CloseNow(caller_end_cause::kAborted);
   }
 }
 
@@ -260,7 +265,8 @@
 
 void caller_connection::OnEvent(short what) {
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-    CloseNow();
+    CloseNow((what & BEV_EVENT_EOF) != 0 ? caller_end_cause::kCallerClosed
+                                         : caller_end_cause::kCallerReset);
   }
 }
 
@@ -269,7 +275,8 @@
     Reject(status_code::kRequestTimeout);
     return;
   }
-  CloseNow();
+  CloseNow(stage_ == stage::kClosing ? caller_end_cause::kLingerTimeout
+                                     : caller_end_cause::kIdleTimeout);
 }
 
 void caller_connection::CloseIfIdle() {
@@ -280,11 +287,39 @@
   if (PendingBytes() > 0) {
     CloseGracefully();
   } else {
-    CloseNow();
+    CloseNow(caller_end_cause::kDraining);
   }
 }
 
-void caller_connection::CloseNow() {
+size_t caller_connection::UnreadBytes() const {
+  if (is_rejected_) {
+    return 0;
+  }
+  int queued = 0;
+  ioctl(bufferevent_getfd(stream_), FIONREAD, &queued);
+  return dropped_bytes_ + evbuffer_get_length(bufferevent_get_input(stream_)) +
+         static_cast<size_t>(queued);
+}
+
+void caller_connection::ReportCut(caller_end_cause cause) {
+  if (is_dropped_) {
+    return;
+  }
+  const caller_connection_end end{
+      .cause = cause,
+      .unsent_bytes = PendingBytes(),
+      .unread_bytes = UnreadBytes(),
+      .is_request_open = stage_ == stage::kReading || listener_ != nullptr,
+      .last_request = last_request_};
+  if (end.unsent_bytes > 0 || end.unread_bytes > 0 || end.is_request_open) {
+    server_.handler_.OnConnectionCut(end);
+  }
+}
+
+void caller_connection::CloseNow(caller_end_cause cause) {
+  if (listener_ == nullptr) {
+    ReportCut(cause);
+  }
   if (is_dropped_) {
     return;
   }
--- a/lib/Http1/caller_connection.h
+++ b/lib/Http1/caller_connection.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
 #define CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -16,6 +17,7 @@
 
 class caller_server;
 class counted_stream;
+enum class caller_end_cause : uint8_t;
 
 /// Reads requests one at a time; pipelined requests stay in the input buffer.
 class caller_connection : public caller_exchange, private message_sink {
@@ -26,6 +28,7 @@
   const message_head& Head() const override { return head_; }
   const std::string& Body() const override { return body_; }
   std::string_view CallerAddress() const override { return from_; }
+  void SetRequestId(std::string_view id) override { last_request_ = id; }
   void SetListener(caller_listener* listener) override { listener_ = listener; }
   void SendHead(uint32_t status,
                 const http_headers& headers,
@@ -37,6 +40,9 @@
 
   /// Closes the connection unless a request is being read or answered.
   void CloseIfIdle();
+  /// Reports to the handler if an end of the connection now cuts off a response
+  /// or a request.
+  void ReportCut(caller_end_cause cause);
 
  private:
   enum class stage : uint8_t { kIdle, kReading, kResponding, kClosing };
@@ -59,7 +65,9 @@
   /// Closes once all output is written and the caller has closed its side, or
   /// after `kLingerTime`.
   void CloseGracefully();
-  void CloseNow();
+  void CloseNow(caller_end_cause cause);
+  /// Bytes that were received and that no request was read from.
+  size_t UnreadBytes() const;
   void BecomeIdle();
 
   caller_server& server_;
@@ -71,10 +79,16 @@
   stage stage_ = stage::kIdle;
   message_head head_;
   std::string body_;
+  std::string last_request_;
+  /// Bytes that were received after the last response and dropped.
+  size_t dropped_bytes_ = 0;
   caller_listener* listener_ = nullptr;
   bool is_chunked_ = false;
   bool close_after_ = false;
   bool is_dropped_ = false;
+  /// Whether the last request was rejected here; bytes that follow belong to
+  /// it.
+  bool is_rejected_ = false;
   /// Whether `ReadRequests` is on the stack.
   bool is_reading_ = false;
 };
--- a/lib/Http1/caller_server.cc
+++ b/lib/Http1/caller_server.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "caller_connection.h"
+#include "cuminswitch/Http1/caller_connection_end.h"
 #include "cuminswitch/Net/bind_error.h"
 #include "cuminswitch/Net/loop_timer.h"
 #include "cuminswitch/Net/socket_address.h"
@@ -81,6 +82,12 @@
   }
 }
 
+void caller_server::ReportOpen() {
+  for (const auto& [key, item] : connections_) {
+    key->ReportCut(caller_end_cause::kStopped);
+  }
+}
+
 endpoint caller_server::Address() const {
   sockaddr_in address{};
   socklen_t size = sizeof(address);
--- a/lib/Http1/pooled_call.h
+++ b/lib/Http1/pooled_call.h
@@ -28,15 +28,18 @@
     return is_on_reused_connection_;
   }
 
+  call_end_cause EndCause() const override { return end_cause_; }
+
   upstream_handler& handler() { return handler_; }
   /// Returns the connection to the pool and reports \p result to the handler.
-  void End(upstream_call_result result);
+  void End(upstream_call_result result, call_end_cause cause);
 
  private:
   upstream_pool& pool_;
   std::unique_ptr<upstream_connection> connection_;
   upstream_handler& handler_;
   bool is_on_reused_connection_ = false;
+  call_end_cause end_cause_ = call_end_cause::kFraming;
 };
 
 }  // namespace cuminswitch
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <charconv>
 #include <string>
 #include <utility>
@@ -165,17 +166,35 @@
   while (call_ != nullptr && evbuffer_get_length(input) > 0) {
     const read_result result = ReadFront(reader_, input);
     if (result == read_result::kMessageDone) {
-      End(upstream_call_result::kComplete);
+      End(upstream_call_result::kComplete, call_end_cause::kFraming);
       return;
     }
     if (result != read_result::kNeedMore) {
-      End(upstream_call_result::kMalformed);
+      End(upstream_call_result::kMalformed, call_end_cause::kMalformed);
       return;
     }
   }
 }
 
+/// Returns the cause of a connection's end that \p error, an `errno`, states.
+static call_end_cause CauseOf(int error) {
+  switch (error) {
+    case ECONNRESET:
+    case ECONNREFUSED:
+    case EPIPE:
+      return call_end_cause::kUpstreamReset;
+    // After `TCP_USER_TIMEOUT` the kernel reports the last ICMP error, if any.
+    case ETIMEDOUT:
+    case EHOSTUNREACH:
+    case ENETUNREACH:
+      return call_end_cause::kUserTimeout;
+    default:
+      return call_end_cause::kOtherError;
+  }
+}
+
 void upstream_connection::OnEvent(short what) {
+  const int error = EVUTIL_SOCKET_ERROR();
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     is_connected_ = true;
     timer_.Cancel();
@@ -186,16 +205,19 @@
     pool_.DropIdle(this);
     return;
   }
+  const bool is_orderly = (what & BEV_EVENT_EOF) != 0;
+  const call_end_cause cause =
+      is_orderly ? call_end_cause::kUpstreamClosed : CauseOf(error);
   if (!is_connected_) {
-    End(upstream_call_result::kNotConnected);
+    End(upstream_call_result::kNotConnected, cause);
     return;
   }
-  const bool is_orderly = (what & BEV_EVENT_EOF) != 0;
   const bool is_whole =
       is_orderly && reader_.ReadEnd() == read_result::kMessageDone;
   close_announced_ = true;
   End(is_whole ? upstream_call_result::kComplete
-               : upstream_call_result::kBroken);
+               : upstream_call_result::kBroken,
+      cause);
 }
 
 void upstream_connection::OnTimeout() {
@@ -204,11 +226,12 @@
     return;
   }
   if (!is_connected_) {
-    End(upstream_call_result::kNotConnected);
+    End(upstream_call_result::kNotConnected, call_end_cause::kConnectTimeout);
   }
 }
 
-void upstream_connection::End(upstream_call_result result) {
+void upstream_connection::End(upstream_call_result result,
+                              call_end_cause cause) {
   ++served_;
   const bool has_more = evbuffer_get_length(bufferevent_get_input(stream_)) > 0;
   // If the response arrived before the request was completely sent, the
@@ -224,7 +247,7 @@
     timer_.Start(std::chrono::milliseconds(keep_alive_time_) * 4 / 5);
   }
   if (pooled_call* call = std::exchange(call_, nullptr)) {
-    call->End(result);
+    call->End(result, cause);
   }
 }
 
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -47,7 +47,7 @@
   void OnReadable();
   void OnEvent(short what);
   void OnTimeout();
-  void End(upstream_call_result result);
+  void End(upstream_call_result result, call_end_cause cause);
   void BecomeIdle();
   bool HasUnsentBytes() const;
 
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -131,7 +131,8 @@
   }
 }
 
-void pooled_call::End(upstream_call_result result) {
+void pooled_call::End(upstream_call_result result, call_end_cause cause) {
+  end_cause_ = cause;
   connection_->SetReading(true);
   pool_.ReturnToPool(std::move(connection_));
   handler_.OnCallEnd(result);
--- a/test/process/platform_explain.sh
+++ b/test/process/platform_explain.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks for three kinds of failed requests that `cuminctl explain` leads from
+# Checks for four kinds of failed requests that `cuminctl explain` leads from
 # the id to the cause, as in docs/OPERATIONS.md.
 source "$(dirname "$0")/platform.sh"
 start_platform 2
@@ -26,7 +26,22 @@
 # resuming the stream.
 ask 0 cut-1 /stream/cut/x || true
 explained cut-1 "attempt_failed.*answer=broken" \
-  "request_ended.*outcome=unknown.*reason=answer_broken"
+  "request_ended.*outcome=unknown.*reason=answer_broken" \
+  "attempt_failed.*ended_by=upstream_closed" "request_ended.*truncated=true"
+"$BUILD/utils/fetch" "127.0.0.1:${PORTS[4]}" /metrics >"$WORK/metrics"
+grep -q 'truncated_total{route="stream",reason="answer_broken"} 1' \
+  "$WORK/metrics" || fail "not counted: $(grep truncated "$WORK/metrics")"
+
+# Discarded: the next request arrived on a connection that was about to close.
+exec 5<>"/dev/tcp/127.0.0.1/${PORTS[0]}"
+printf 'POST /repeat/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: last-1\r\n%s\r\n%s' \
+  $'Authorization: Token key1\r\nContent-Length: 0\r\nConnection: close\r\n' \
+  'POST /repeat/y ' >&5
+cat <&5 >"$WORK/out"
+exec 5>&-
+wait_for 5 grep -q '"caller_connection_closed","id":"last-1"' \
+  "$WORK/entry-0.log"
+explained last-1 "caller_connection_closed.*unread_bytes=15"
 
 # Unknown: the upstream was killed after it had accepted the request.
 DEADLINE_MS=2000 ask 0 dead-1 /once/hang/x &
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -5,10 +5,12 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "../Http1/loopback.h"
+#include "cuminswitch/Edge/request_log.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Http1/upstream_pool.h"
 #include "edge_fakes.h"
@@ -31,10 +33,13 @@
       limits.push_back(*feedback.limit);
     }
   }
-  void OnFlowAttemptFailed(const request_flow& /*flow*/,
+  void OnFlowAttemptFailed(const request_flow& flow,
                            attempt_result result,
-                           uint32_t /*status*/) override {
+                           uint32_t status) override {
     ++failed;
+    failure_line = nlohmann::json::parse(
+        DescribeAttemptFailure(ReadBootClock(), flow, result, status).text() +
+        "}");
     last_failure = result;
   }
   void OnConnectionLost(const request_flow& /*flow*/) override {}
@@ -43,12 +48,16 @@
   bool CanRetryElsewhere(const request_flow& /*flow*/) override {
     return can_retry;
   }
-  void OnFlowEnd(request_flow& /*flow*/, const flow_result& end) override {
+  void OnFlowEnd(request_flow& flow, const flow_result& end) override {
+    end_line = nlohmann::json::parse(
+        DescribeEnd(ReadBootClock(), flow, end).text() + "}");
     ended = true;
     last = end;
   }
   bool can_retry = true;
   int failed = 0;
+  nlohmann::json failure_line;
+  nlohmann::json end_line;
   std::vector<attempt_id> begun;
   attempt_result last_failure = attempt_result::kSuccess;
   std::vector<limit_notice> limits;
@@ -69,6 +78,7 @@
     flow_ = std::make_unique<request_flow>(
         request_flow::options{.id = 1,
                               .exchange = &exchange_,
+                              .config = std::make_shared<routing_config>(),
                               .route = &route_,
                               .arrived = now,
                               .deadline = now + std::chrono::seconds(20)},
@@ -186,6 +196,25 @@
   EXPECT_EQ(exchange_.sent, "id: 1\n\n");
 }
 
+// Guards against a log in which a silence, an upstream's failure and a
+// truncated response look alike.
+TEST_F(request_flow_test, LogNamesSilenceAndCauseOfTruncatedResponse) {
+  const auto first = Dispatch(1);
+  first->Send(std::string(kStreamHead) + kEvent);
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  EXPECT_EQ(owner_.failure_line["ended_by"], "stall_timeout");
+  EXPECT_GT(owner_.failure_line["silent_ms"],
+            2 * route_.target_latency / milliseconds(1));
+  EXPECT_EQ(owner_.failure_line["response_begun"], true);
+  const auto second = Dispatch(2);
+  second->Reset();
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 1; }));
+  EXPECT_EQ(owner_.failure_line["ended_by"], "upstream_reset");
+  flow_->GiveUp({.request = 1});
+  EXPECT_EQ(owner_.end_line["truncated"], true);
+  EXPECT_EQ(owner_.end_line["attempts"], 2);
+}
+
 // Guards against an upstream that stops at the deadline that it was given
 // counting as crashed.
 TEST_F(request_flow_test, StreamThatEndsAtUpstreamDeadlineHasExpired) {
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "cuminswitch/Http1/caller_connection_end.h"
 #include "cuminswitch/Http1/caller_exchange.h"
 #include "loopback.h"
 
@@ -37,6 +38,10 @@
   void OnRequest(caller_exchange& exchange) override {
     targets_.push_back(exchange.Head().target);
     bodies_.push_back(exchange.Body());
+    if (aborts_) {
+      exchange.Abort();
+      return;
+    }
     if (holds_) {
       held_ = &exchange;
       exchange.SetListener(&listener_);
@@ -45,6 +50,23 @@
     Reply(exchange, 200, {}, exchange.Head().target, false);
   }
 
+  void OnConnectionCut(const caller_connection_end& end) override {
+    cuts_.emplace_back(ToString(end.cause));
+    last_cut_ = end;
+    last_cut_request_ = end.last_request;
+  }
+
+  /// Connects a caller whose request is held, and names the request.
+  std::unique_ptr<raw_socket> HoldRequest() {
+    holds_ = true;
+    auto caller =
+        std::make_unique<raw_socket>(raw_socket::Connect(server_.Address()));
+    caller->Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(RunUntil(base_, [&] { return held_ != nullptr; }));
+    held_->SetRequestId("id-1");
+    return caller;
+  }
+
   /// Sends \p data and returns all received bytes once they contain \p end or
   /// the connection is closed.
   std::string SendAndReceive(raw_socket& caller,
@@ -64,8 +86,12 @@
   std::vector<std::string> targets_;
   std::vector<std::string> bodies_;
   bool holds_ = false;
+  bool aborts_ = false;
   caller_exchange* held_ = nullptr;
   recording_listener listener_;
+  std::vector<std::string> cuts_;
+  caller_connection_end last_cut_;
+  std::string last_cut_request_;
 };
 
 // If bytes after the first request were discarded, a caller that pipelines
@@ -194,6 +220,76 @@
   EXPECT_TRUE(caller.ended);
 }
 
+using names = std::vector<std::string>;
+
+// Guards against a response that is dropped at the linger timeout while its
+// request counts as answered.
+TEST_F(caller_server_test, ReportsResponseUnsentAtLingerTimeout) {
+  const auto caller = HoldRequest();
+  held_->SetListener(nullptr);
+  Reply(*held_, 200, {}, std::string(32UL << 20, 'x'), true);
+  ASSERT_TRUE(RunUntil(base_, [&] { return !cuts_.empty(); }));
+  EXPECT_EQ(cuts_, names{"linger_timeout"});
+  EXPECT_GT(last_cut_.unsent_bytes, 0U);
+  EXPECT_EQ(last_cut_request_, "id-1");
+}
+
+// Guards against a request that is discarded without a trace, since it arrived
+// on a connection that was about to close.
+TEST_F(caller_server_test, ReportsRequestDiscardedAfterLastResponse) {
+  const auto caller = HoldRequest();
+  held_->SetListener(nullptr);
+  Reply(*held_, 200, {}, "a", true);
+  caller->Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  SendAndReceive(*caller, "", "never");
+  caller->Close();
+  ASSERT_TRUE(RunUntil(base_, [&] { return !cuts_.empty(); }));
+  EXPECT_EQ(last_cut_.unread_bytes, 28U);
+  EXPECT_EQ(last_cut_.unsent_bytes, 0U);
+}
+
+TEST_F(caller_server_test, ReportsBytesLeftInBufferAndSocket) {
+  constexpr size_t kUnread = 20'000;
+  aborts_ = true;
+  raw_socket caller(raw_socket::Connect(server_.Address()));
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(kUnread, 'x'));
+  ASSERT_TRUE(RunUntil(base_, [&] { return !cuts_.empty(); }));
+  EXPECT_EQ(cuts_, names{"aborted"});
+  EXPECT_EQ(last_cut_.unread_bytes, kUnread);
+}
+
+TEST_F(caller_server_test, ReportsCallerThatLeavesInsideRequest) {
+  raw_socket caller(raw_socket::Connect(server_.Address()));
+  caller.Send("GET /1 HT");
+  RunUntil(base_, [&] { return server_.connection_count() == 1; });
+  caller.Close();
+  ASSERT_TRUE(RunUntil(base_, [&] { return !cuts_.empty(); }));
+  EXPECT_EQ(cuts_, names{"caller_closed"});
+  EXPECT_TRUE(last_cut_.is_request_open);
+  EXPECT_EQ(last_cut_request_, "");
+}
+
+TEST_F(caller_server_test, ReportsResponseInProgressWhenStopped) {
+  const auto caller = HoldRequest();
+  server_.ReportOpen();
+  EXPECT_EQ(cuts_, names{"stopped"});
+  EXPECT_TRUE(last_cut_.is_request_open);
+}
+
+// Guards against a log that is filled by connections that ended as they should.
+TEST_F(caller_server_test, DoesNotReportOrdinaryEnds) {
+  raw_socket idle(raw_socket::Connect(server_.Address()));
+  SendAndReceive(idle, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", "never");
+  EXPECT_TRUE(idle.ended);
+  raw_socket rejected(raw_socket::Connect(server_.Address()));
+  SendAndReceive(rejected, "garbage\r\n\r\nand more", "never");
+  rejected.Close();
+  { const auto gone = HoldRequest(); }
+  EXPECT_TRUE(RunUntil(base_, [&] { return listener_.disconnected; }));
+  EXPECT_TRUE(RunUntil(base_, [&] { return server_.connection_count() == 0; }));
+  EXPECT_EQ(cuts_, names{});
+}
+
 // Guards against a caller taking a truncated response for a complete one.
 TEST_F(caller_server_test, AbortedResponseHasNoLastChunk) {
   holds_ = true;
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -166,15 +166,34 @@
   upstream_->Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
   upstream_->Close();
   EXPECT_EQ(AwaitEnd(), upstream_call_result::kBroken);
+  EXPECT_EQ(call_->EndCause(), call_end_cause::kUpstreamClosed);
+  Begin();
+  Accept();
+  upstream_->Reset();
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kBroken);
+  EXPECT_EQ(call_->EndCause(), call_end_cause::kUpstreamReset);
   Begin();
   Accept();
   upstream_->Send("no answer at all\r\n\r\n");
   EXPECT_EQ(AwaitEnd(), upstream_call_result::kMalformed);
+  EXPECT_EQ(call_->EndCause(), call_end_cause::kMalformed);
   listener_.Close();
   Begin();
   EXPECT_EQ(AwaitEnd(), upstream_call_result::kNotConnected);
 }
 
+// An upstream that reads no more of a request is ended by `TCP_USER_TIMEOUT`
+// too, although its host acknowledges what it received.
+TEST_F(upstream_pool_test, NamesUserTimeoutOfUpstreamThatDoesNotRead) {
+  const std::string body(32UL << 20, 'x');
+  call_ = pool_.Start(
+      {.to = address_, .method = "POST", .target = "/a", .body = body},
+      handler_);
+  upstream_ = listener_.Accept(base_);
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kBroken);
+  EXPECT_EQ(call_->EndCause(), call_end_cause::kUserTimeout);
+}
+
 TEST_F(upstream_pool_test, DoesNotReuseConnectionAfterAnnouncedClose) {
   Begin();
   Accept();
