Postpone begun responses that no upstream takes over now

Callers saw a stream end in the middle, with neither the rest nor a refusal, while most of its time was left. Its upstream was sound and silent for a while; the daemon left it for another one, which refused.

Cause: a refusal for a reason that passes (the retry budget is spent, several upstreams refused in turn, none is free at this moment) ended the request, whether or not its response had begun. Before the first byte that is right: the caller learns at once that nothing ran. Afterwards there is nothing left to refuse, so the connection was closed. In a large fleet a daemon's share of the retry budget is a few retries, so that the move itself often spends the last one.

It still ends at once where nothing can go on with it: no upstream with its software version is left, its executions are used up, or it is quarantined. `retry_postponed` in the log and cuminswitch_retries_postponed_total show it.

Ruled out: keeping the first attempt until the second one responds, since both would then work on one request.

--- a/include/cuminswitch/Core/core_status.h
+++ b/include/cuminswitch/Core/core_status.h
@@ -30,6 +30,8 @@
   /// version.
   uint64_t version_gone = 0;
   uint64_t retries = 0;
+  /// Postponements of responses that had begun.
+  uint64_t postponed = 0;
   /// Attempts at upstreams that refused earlier ones, of this daemon or a peer.
   uint64_t refusal_trials = 0;
   /// Results of attempts that had been given up before.
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -26,6 +26,7 @@
 #include "cuminswitch/Protocol/admission_report.h"
 #include "cuminswitch/Protocol/core_action.h"
 #include "cuminswitch/Protocol/core_event.h"
+#include "cuminswitch/Protocol/postponed_response.h"
 #include "cuminswitch/Protocol/send_permit.h"
 #include "cuminswitch/Protocol/upstream_observation.h"
 #include "cuminswitch/Routing/copy_budget.h"
@@ -166,6 +167,10 @@
   std::vector<permit_request> TakePermitRequests() {
     return std::exchange(permit_requests_, {});
   }
+  /// Returns the postponements since the last call.
+  std::vector<postponed_response> TakePostponements() {
+    return std::exchange(postponements_, {});
+  }
   /// Returns the permits that were granted but not used since the last call.
   std::vector<permit_return> TakeUnusedPermits() {
     return std::exchange(unused_permits_, {});
@@ -208,6 +213,8 @@
     kAwaitingStart,
     kQueued,
     kAwaitingPermit,
+    /// Its response has begun, and no upstream can go on with it now.
+    kPostponed,
     kRunning
   };
 
@@ -257,10 +264,14 @@
     bool is_trial = false;
     /// Counted in the workspace's requests in flight.
     bool is_counted_in_flight = false;
+    /// A part of its response has reached the caller.
+    bool has_begun = false;
     bool caller_disconnected = false;
     time_point deadline{};
     time_point start_deadline{};
     time_point next_start_request{};
+    /// When to retry it; valid in `stage::kPostponed`.
+    time_point next_retry{};
     /// Epoch of the shard's owner that granted the start; 0 before.
     epoch_number epoch = 0;
     key_hash key;
@@ -361,7 +372,7 @@
   /// Refuses the request if even the replica \p chosen accepts nothing before
   /// its deadline, because of a rate limit or a requested backoff.
   bool RefuseIfClosed(time_point now,
-                      const request& item,
+                      request& item,
                       const placement& chosen,
                       action_list& out);
   /// Releases an unused permit if the upstream still has a rate limit.
@@ -383,6 +394,20 @@
              request& item,
              const attempt_ended& event,
              action_list& out);
+  /// Refuses a request that no upstream takes now. If its response has begun,
+  /// its caller would lose that; it is postponed instead while an upstream may
+  /// go on with it later. Returns whether the request was refused.
+  bool RefuseOrPostpone(time_point now,
+                        request& item,
+                        const refusal& why,
+                        action_list& out);
+  /// Retries the postponed requests that an upstream can go on with now.
+  void RetryPostponed(time_point now, action_list& out);
+  /// Whether an upstream, apart from those in \p excluded, accepts the request
+  /// now.
+  bool HasFreeUpstream(time_point now,
+                       const request& item,
+                       std::span<const replica_index> excluded) const;
   /// Starts to pool observations with the peers.
   void StartPooling();
   /// Records what the upstream of \p from did, for this daemon and its peers.
@@ -421,7 +446,7 @@
   /// Refuses the request if it resumes a stream whose software version no
   /// upstream has that could run it now, apart from those in \p excluded.
   bool RefuseIfVersionGone(time_point now,
-                           const request& item,
+                           request& item,
                            std::span<const replica_index> excluded,
                            action_list& out);
   static time_point ArrivedAt(const request& item) {
@@ -454,6 +479,9 @@
   time_point next_quarantine_expiry_{};
   std::vector<permit_request> permit_requests_;
   std::vector<permit_return> unused_permits_;
+  /// May contain requests that have ended since.
+  std::vector<request_id> postponed_;
+  std::vector<postponed_response> postponements_;
   std::map<std::string, retry_budget, std::less<>> retries_;
   /// The largest fleet size seen, by which the retry budget is divided: a
   /// daemon that is not seen now may still be alive and spend its share.
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -262,6 +262,7 @@
   void VerifyCrashes(time_point now);
   /// Logs the changes to the set of requests that crash upstreams.
   void LogQuarantines();
+  void LogPostponements();
   /// Removes the rate limits that no response has renewed recently.
   void ExpireLimits(time_point now);
   /// Logs how many requests were refused since the last call because the buffer
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -214,6 +214,10 @@
                                  std::span<const replica_index> excluded,
                                  software_tag software = kAnySoftware) const;
 
+  /// Whether a replica of \p target that is not leaving has \p software, be it
+  /// available now or not.
+  bool HasSoftware(std::string_view target, software_tag software) const;
+
   const replica& operator[](replica_index index) const {
     return replicas_[index];
   }
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -165,6 +165,7 @@
     return;
   }
   running.first_byte = now;
+  item.has_begun = true;
   item.software = replicas_[running.index].software;
   const duration took = now - running.sent;
   replicas_.LearnTargetFirstByte(item.info.target, took);
@@ -373,12 +374,12 @@
   }
   const uint32_t runs_allowed = item.info.max_runs;
   if (runs_allowed != 0 && item.arrivals >= runs_allowed + kExtraArrivals) {
-    Refuse(id,
-           {.status = status_code::kUnavailable,
-            .retry_after_seconds = 1,
-            .message = "every upstream that was asked refused it",
-            .retry_after = kUpstreamRetryAfter},
-           out);
+    RefuseOrPostpone(now, item,
+                     {.status = status_code::kUnavailable,
+                      .retry_after_seconds = 1,
+                      .message = "every upstream that was asked refused it",
+                      .retry_after = kUpstreamRetryAfter},
+                     out);
     return;
   }
   // An upstream that broke the stream off may still resume it, unless it cannot
@@ -389,11 +390,12 @@
     return;
   }
   if (!event.unreachable && !RetryBudgetFor(item.info.target).TrySpend(now)) {
-    Refuse(id,
-           {.status = status_code::kUnavailable,
-            .retry_after_seconds = EstimateRetryAfter(now, item),
-            .message = "upstreams fail and the retry budget is spent"},
-           out);
+    RefuseOrPostpone(
+        now, item,
+        {.status = status_code::kUnavailable,
+         .retry_after_seconds = EstimateRetryAfter(now, item),
+         .message = "upstreams fail and the retry budget is spent"},
+        out);
     return;
   }
   ++counters_.retries;
--- a/lib/Core/request_notices.cc
+++ b/lib/Core/request_notices.cc
@@ -42,7 +42,7 @@
 }
 
 bool request_router::RefuseIfClosed(time_point now,
-                                    const request& item,
+                                    request& item,
                                     const placement& chosen,
                                     action_list& out) {
   const replica& best = replicas_[chosen.index];
@@ -54,21 +54,25 @@
   if (now + wait < item.deadline) {
     return false;
   }
-  ++counters_.shed;
   if (best.backoff_until < best.limited_until) {
-    Refuse(item.info.request,
-           {.status = status_code::kTooManyRequests,
-            .message = "upstreams name limits",
-            .retry_after = wait},
-           out);
+    if (RefuseOrPostpone(now, item,
+                         {.status = status_code::kTooManyRequests,
+                          .message = "upstreams name limits",
+                          .retry_after = wait},
+                         out)) {
+      ++counters_.shed;
+    }
     return true;
   }
   const double spread = kRetryAfterSpread * HashFraction(item);
-  Refuse(item.info.request,
-         {.status = status_code::kUnavailable,
-          .message = "upstreams asked for rest",
-          .retry_after = wait + FromSeconds(spread * ToSeconds(wait))},
-         out);
+  if (RefuseOrPostpone(
+          now, item,
+          {.status = status_code::kUnavailable,
+           .message = "upstreams asked for rest",
+           .retry_after = wait + FromSeconds(spread * ToSeconds(wait))},
+          out)) {
+    ++counters_.shed;
+  }
   return true;
 }
 
--- a/lib/Core/request_refusals.cc
+++ b/lib/Core/request_refusals.cc
@@ -140,19 +140,21 @@
 
 bool request_router::RefuseIfVersionGone(
     time_point now,
-    const request& item,
+    request& item,
     std::span<const replica_index> excluded,
     action_list& out) {
   if (item.software == kAnySoftware || HasUpstream(now, item, excluded)) {
     return false;
   }
-  ++counters_.version_gone;
-  Refuse(item.info.request,
-         {.status = status_code::kUnavailable,
-          .retry_after_seconds = 1,
-          .message = "no upstream has the stream's software version",
-          .retry_after = kUpstreamRetryAfter},
-         out);
+  if (RefuseOrPostpone(
+          now, item,
+          {.status = status_code::kUnavailable,
+           .retry_after_seconds = 1,
+           .message = "no upstream has the stream's software version",
+           .retry_after = kUpstreamRetryAfter},
+          out)) {
+    ++counters_.version_gone;
+  }
   return true;
 }
 
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -253,23 +253,25 @@
   }
   if (options_.refuse_without_upstream &&
       !HasUpstream(now, item, item.excluded)) {
-    ++counters_.shed;
-    Refuse(item.info.request,
-           {.status = status_code::kUnavailable,
-            .retry_after_seconds = 1,
-            .message = "no upstream can take it now",
-            .retry_after = kUpstreamRetryAfter},
-           out);
+    if (RefuseOrPostpone(now, item,
+                         {.status = status_code::kUnavailable,
+                          .retry_after_seconds = 1,
+                          .message = "no upstream can take it now",
+                          .retry_after = kUpstreamRetryAfter},
+                         out)) {
+      ++counters_.shed;
+    }
     return;
   }
   const double max_wait = ToSeconds(item.deadline - now);
   if (EstimateWaitSeconds(now, item) > max_wait) {
-    ++counters_.shed;
-    Refuse(item.info.request,
-           {.status = status_code::kTooManyRequests,
-            .retry_after_seconds = EstimateRetryAfter(now, item),
-            .message = "too many requests are waiting"},
-           out);
+    if (RefuseOrPostpone(now, item,
+                         {.status = status_code::kTooManyRequests,
+                          .retry_after_seconds = EstimateRetryAfter(now, item),
+                          .message = "too many requests are waiting"},
+                         out)) {
+      ++counters_.shed;
+    }
     return;
   }
   queue_.Push(MakeWaiting(item));
@@ -411,6 +413,7 @@
   }
   ExpireStarts(now, out);
   ExpireOldWeights(now, out);
+  RetryPostponed(now, out);
   DrainQueue(now, out);
 }
 
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -140,6 +140,10 @@
   page.Begin("cuminswitch_retries_total", "counter",
              "Attempts beyond a request's first.");
   page.Add(static_cast<double>(status.counters.retries));
+  page.Begin("cuminswitch_retries_postponed_total", "counter",
+             "Times that a response had begun and no upstream went on with it "
+             "yet.");
+  page.Add(static_cast<double>(status.counters.postponed));
   page.Begin("cuminswitch_retry_budget_used", "gauge",
              "Retries in the present window, by target.");
   for (const retry_status& item : status.retries) {
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -205,9 +205,27 @@
       }
     }
   }
+  LogPostponements();
   ProcessLimitDecisions(now);
 }
 
+void edge_task::LogPostponements() {
+  for (const postponed_response& item : router_.TakePostponements()) {
+    const request_flow* flow = FindFlow(item.request);
+    if (flow != nullptr) {
+      with_.log.Write(
+          log_class::kRequest,
+          log_line("retry_postponed")
+              .Add("id", flow->request().attempt)
+              .Add("upstream", flow->upstream())
+              .Add("reason", item.reason)
+              .Add("retry_after_ms", item.retry_after)
+              .Add("time_left_ms", flow->deadline() - ReadBootClock())
+              .Add("revision", snapshot_->revision));
+    }
+  }
+}
+
 void edge_task::CancelAttempt(attempt_id attempt) {
   for (const auto& [id, flow] : flows_) {
     if (flow->attempt() == attempt && !flow->has_ended()) {
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -122,6 +122,10 @@
   return item.others_waiting * std::exp2(-age / kReportHalfLifeSeconds);
 }
 
+static bool IsLeaving(const replica& item) {
+  return item.spec.leaving || item.leaving || item.announced_leaving;
+}
+
 bool replica_table::HasFreeSlot(time_point now, const replica& item) {
   if (now < item.UnavailableUntil()) {
     return false;
@@ -155,8 +159,7 @@
                   item.spec.failure_domain) != failure_domains.end();
     const bool allowed =
         in_domain && (software == kAnySoftware || item.software == software);
-    if (!allowed || item.spec.leaving || item.leaving ||
-        item.announced_leaving) {
+    if (!allowed || IsLeaving(item)) {
       continue;
     }
     // An engine that has not yet reported the configured version gets no
@@ -200,6 +203,20 @@
   return result.indices.empty() ? ejected : result;
 }
 
+bool replica_table::HasSoftware(std::string_view target,
+                                software_tag software) const {
+  const auto found = by_target_.find(target);
+  if (found == by_target_.end()) {
+    return false;
+  }
+  const auto& indices = found->second.indices;
+  return std::any_of(indices.begin(), indices.end(), [&](replica_index index) {
+    const replica& item = replicas_[index];
+    return !IsLeaving(item) &&
+           (software == kAnySoftware || item.software == software);
+  });
+}
+
 double replica_table::EstimateWaiting(time_point now,
                                       replica_index index) const {
   const replica& item = replicas_[index];
