Leave a silent upstream only for one that can go on at once

Callers saw streams and repeatable requests end, or wait in a queue, although the upstream that was silent for a second would have gone on.

Cause: an attempt at a silent upstream was cancelled if any other upstream was eligible. The retry looks at more than that: it waits for a free slot, behind others that wait, and is refused while the request is quarantined. So the running attempt was exchanged for a place in a queue or for a refusal.

CanRetryElsewhere asks for what the retry needs now: nobody ahead in the queue, a free slot, no quarantine. Otherwise the attempt goes on, and the question comes again after the next stall timeout.

Evidence: begun_response_test.StaysAtSilentUpstreamIfOthersAreFull and StaysAtSilentUpstreamIfQuarantined failed before.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -361,6 +361,8 @@
                            const placement& chosen,
                            const eligible_replicas& eligible,
                            action_list& out);
+  /// Whether the request, or a part of its prompt, is quarantined.
+  bool IsQuarantined(time_point now, const request& item);
   /// Refuses the request if it is quarantined because it crashes upstreams.
   bool RefuseIfQuarantined(time_point now, request& item, action_list& out);
   /// Records in the quarantine that an attempt lost its connection or was
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -348,13 +348,10 @@
   if (!MayRepeat(item) || !RetryBudgetFor(item.info.target).CanSpend(now)) {
     return false;
   }
-  const eligible_replicas eligible = ListEligible(now, item, excluded);
-  // A replica that is in backoff or over its rate limit is no better than
-  // waiting for the running attempt.
-  return std::any_of(eligible.indices.begin(), eligible.indices.end(),
-                     [&](replica_index index) {
-                       return now >= replicas_[index].UnavailableUntil();
-                     });
+  // To wait for a replica that is full, in backoff or over its rate limit is no
+  // better than to wait for the running attempt.
+  return queue_.CountAhead(MakeWaiting(item)) == 0 &&
+         !IsQuarantined(now, item) && HasFreeUpstream(now, item, excluded);
 }
 
 void request_router::Retry(time_point now,
--- a/lib/Core/request_refusals.cc
+++ b/lib/Core/request_refusals.cc
@@ -106,6 +106,14 @@
   return true;
 }
 
+bool request_router::IsQuarantined(time_point now, const request& item) {
+  const hash128* part =
+      quarantine_.FindQuarantined(now, item.info.part_digests);
+  return quarantine_
+      .RetryDelay(now, part == nullptr ? item.info.request_digest : *part)
+      .has_value();
+}
+
 bool request_router::RefuseIfQuarantined(time_point now,
                                          request& item,
                                          action_list& out) {
--- a/unittests/Core/begun_response_test.cc
+++ b/unittests/Core/begun_response_test.cc
@@ -188,5 +188,26 @@
   EXPECT_TRUE(router_->IsIdle());
 }
 
+// Guards against leaving a silent upstream for ones that cannot go on with the
+// response.
+TEST_F(begun_response_test, StaysAtSilentUpstreamIfOthersAreFull) {
+  BeginStream();
+  EXPECT_TRUE(router_->CanRetryElsewhere(now_, kStream));
+  for (request_id id = kStream + 1; id < kStream + kUpstreams.size(); ++id) {
+    SendRequest(id);
+  }
+  EXPECT_FALSE(router_->CanRetryElsewhere(now_, kStream));
+}
+
+TEST_F(begun_response_test, StaysAtSilentUpstreamIfQuarantined) {
+  Start({.share = 0, .burst = 9, .window = kRetryWindow});
+  BeginStream();
+  // The caller's earlier attempts of the same request crashed their upstreams.
+  for (uint64_t upstream = 1; upstream <= 6; ++upstream) {
+    router_->quarantine().OnCrash(now_, DigestOf(kStream), upstream, now_, {});
+  }
+  EXPECT_FALSE(router_->CanRetryElsewhere(now_, kStream));
+}
+
 }  // namespace
 }  // namespace cuminswitch
