Stay at an upstream that is silent for up to two seconds within a response

Callers of resumable streams saw pauses and ends that their upstream did not cause: it was sound, silent for a second or so, and would have gone on.

Cause, two parts of one timeout. After the first event the timer was set before the event was recorded, so the silence that follows was measured with the timeout for the first byte (four times the target latency), however short that is. And three times the maximum event gap is 1.5 s where the gap is 0.5 s, which a silence of "a second or so" reaches. To leave then costs the fleet a retry and the response so far, and another upstream may refuse it.

The timer is set after the event, and the timeout within a response is at least 2 s. An upstream that hangs is left half a second later than before.

Evidence: request_flow_test.StaysAtUpstreamThatIsSilentForASecond failed before, cut after the first event.

--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -34,6 +34,10 @@
 static constexpr int kStallTargetFactor = 2;
 static constexpr int kStreamStallTargetFactor = 4;
 static constexpr int kStallGapFactor = 3;
+/// A sound upstream may be silent for a second or somewhat more within a
+/// response. Another one would have to compute the response up to this point
+/// again.
+static constexpr duration kMaxSoundSilence = std::chrono::seconds(2);
 /// The stall timeout is at least this many times the current mean wait for the
 /// first byte. In an overloaded fleet, requests would otherwise be taken from
 /// engines that are about to respond.
@@ -125,7 +129,8 @@
 duration request_flow::StallTimeout() const {
   const route_spec& route = *options_.route;
   if (first_byte_at_) {
-    return route.max_event_gap * kStallGapFactor;
+    return std::max<duration>(route.max_event_gap * kStallGapFactor,
+                              kMaxSoundSilence);
   }
   const duration target =
       route.target_latency *
@@ -189,16 +194,15 @@
 
 void request_flow::OnResponseBody(std::string_view data) {
   last_read_at_ = ReadBootClock();
-  RestartStallTimer();
   if (!IsForwarding()) {
     response_.body.append(data);
-    return;
-  }
-  const std::string_view events = splitter_.Add(data);
-  if (!events.empty()) {
+  } else if (const std::string_view events = splitter_.Add(data);
+             !events.empty()) {
     response_.has_events = true;
     Forward(events);
   }
+  // The stall timeout depends on whether the response has begun.
+  RestartStallTimer();
 }
 
 void request_flow::RecordFirstByte(time_point now) {
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -167,6 +167,20 @@
   EXPECT_EQ(owner_.failed, 1) << "the owner is queried again";
 }
 
+// Guards against leaving a sound upstream that is silent for a second within a
+// response.
+TEST_F(request_flow_test, StaysAtUpstreamThatIsSilentForASecond) {
+  const auto first = Dispatch(1);
+  first->Send(std::string(kStreamHead) + kEvent);
+  ASSERT_TRUE(RunUntil(base_, [&] { return !exchange_.sent.empty(); }));
+  const time_point end = ReadBootClock() + milliseconds(1300);
+  RunUntil(base_, [&] { return ReadBootClock() >= end; });
+  ASSERT_EQ(owner_.failed, 0);
+  first->Send("0\r\n\r\n");
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_TRUE(exchange_.finished);
+}
+
 // Symptom: in an overloaded fleet requests move from engine to engine, and each
 // engine computes their prompts again.
 // Cause: the mean wait at that load exceeded the stall timeout.
