Let upstreams of the soak fall silent beside planned work

The soak counted a request as lost only if no response head came, at a daemon that was not stopping. It doesn't compare the rate beside a configuration with that at other times: a silence is no reason at any time.

--- a/test/soak/deployment.cc
+++ b/test/soak/deployment.cc
@@ -41,7 +41,7 @@
   store_ = WaitForAddress(log, "listening on ");
   reliable_store_ = WaitForAddress(log, "also listening on ");
   PostFault("none&at=" + reliable_store_.ToString());
-  PutConfiguration(true);
+  PutConfiguration(options_.first_configuration);
   for (int i = 0; i < options_.engines + options_.services; ++i) {
     upstream_state& item = upstreams.emplace_back();
     item.is_engine = i < options_.engines;
@@ -74,9 +74,9 @@
         << "\"]\n[listen]\nfront = \"" << item.front.ToString()
         << "\"\nready = \"" << item.ready.ToString() << "\"\ndirectory = \""
         << at(2).ToString() << "\"\ncontrol = \"" << at(3).ToString()
-        << "\"\n[bounds]\nlease-ms = 1000\ngrace-s = 4\n[provider]\naddress = "
-           "\""
-        << item.store->address().ToString() << "\"\n";
+        << "\"\n[bounds]\nlease-ms = 1000\ngrace-s = " << options_.grace.count()
+        << "\n[provider]\naddress = \"" << item.store->address().ToString()
+        << "\"\n";
     StartDaemon(i);
   }
 }
@@ -104,6 +104,9 @@
   item.is_terminating = false;
   item.active_pauses = 0;
   item.disturbed_at = std::chrono::steady_clock::now();
+  if (checker_.completions() != nullptr) {
+    checker_.completions()->OnStarted(item.front, item.disturbed_at);
+  }
   processes.Start(item.name, item.command,
                   options_.work_folder + "/" + item.name + ".log");
 }
@@ -314,31 +317,36 @@
   }
 }
 
-void deployment::PutConfiguration(bool has_second_credential) {
-  const auto route = [](const char* name, const char* kind, const char* service,
-                        int attempts, bool can_resume) {
+void deployment::PutConfiguration(const configuration& content) {
+  const auto route = [&content](const char* name, const char* kind,
+                                const char* service, int attempts,
+                                bool can_resume) {
     return json{{"name", name},
                 {"host", "h"},
                 {"path-prefix", std::string("/") + name + "/"},
                 {"kind", kind},
-                {"timeout-ms", 2000},
+                {"timeout-ms", content.timeout_ms},
                 {"goal-ms", 300},
+                {"gap-aim-ms", content.max_gap_ms},
                 {"priority", 1},
                 {"backend", service},
                 {"attempts", attempts},
                 {"can-resume", can_resume}};
   };
   json second = json::array({"key2"});
-  if (has_second_credential) {
+  if (content.has_second_credential) {
     second.push_back("key3");
   }
+  json routes = {route("stream", "stream", "engines", 1, false),
+                 route("resume", "stream", "engines", 3, true),
+                 route("once", "non_idempotent", "orders", 1, false),
+                 route("repeat", "idempotent", "orders", 2, false)};
+  if (content.has_unused_route) {
+    routes.push_back(route("unused", "idempotent", "orders", 2, false));
+  }
   const json document = {
       {"version", ++configuration_},
-      {"routes",
-       {route("stream", "stream", "engines", 1, false),
-        route("resume", "stream", "engines", 3, true),
-        route("once", "non_idempotent", "orders", 1, false),
-        route("repeat", "idempotent", "orders", 2, false)}},
+      {"routes", routes},
       {"services",
        {{{"name", "engines"},
          {"max-conns", 500},
@@ -348,11 +356,21 @@
        {{"max-header-bytes", 16384},
         {"max-body-bytes", 4194304},
         {"header-timeout-ms", 3000},
-        {"idle-timeout-ms", 15000}}},
+        {"idle-timeout-ms", content.idle_timeout_ms}}},
       {"tenants",
        {{{"name", "w1"}, {"api-keys", {"key1"}}, {"isolated", true}},
         {{"name", "w2"}, {"api-keys", second}}}}};
   Put("op/config", document.dump());
+  for (size_t i = 0; i < daemons.size(); ++i) {
+    NotePlannedWork(i, "a configuration");
+  }
+}
+
+void deployment::NotePlannedWork(size_t index, const std::string& name) {
+  if (checker_.completions() != nullptr) {
+    checker_.completions()->OnPlannedWork(daemons[index].front, name,
+                                          std::chrono::steady_clock::now());
+  }
 }
 
 void deployment::PublishWeights(int version) {
@@ -472,9 +490,15 @@
 
 void deployment::TerminateDaemon(size_t index, int signal) {
   daemons[index].is_terminating = true;
+  NotePlannedWork(index, "SIGTERM");
   processes.Signal(daemons[index].name, signal);
 }
 
+void deployment::ReloadDaemon(size_t index) {
+  NotePlannedWork(index, "SIGHUP");
+  processes.Signal(daemons[index].name, SIGHUP);
+}
+
 void deployment::PauseDaemon(size_t index) {
   ++daemons[index].active_pauses;
   processes.Signal(daemons[index].name, SIGSTOP);
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_TEST_SOAK_DEPLOYMENT_H_
 #define CUMINSWITCH_TEST_SOAK_DEPLOYMENT_H_
 
+#include <chrono>
 #include <deque>
 #include <fstream>
 #include <functional>
@@ -85,6 +86,14 @@
 /// passes the events in the logs of the upstreams to the checker.
 class deployment {
  public:
+  /// What changes of the configuration change.
+  struct configuration {
+    bool has_second_credential = true;
+    bool has_unused_route = false;
+    int timeout_ms = 2'000;
+    int max_gap_ms = 500;
+    int idle_timeout_ms = 15'000;
+  };
   struct options {
     std::string build_folder;
     std::string work_folder;
@@ -99,6 +108,9 @@
     /// Whether every second engine has another software version, which events
     /// name.
     bool mixes_versions = false;
+    /// The time that a stopping daemon has.
+    std::chrono::seconds grace{4};
+    configuration first_configuration;
   };
 
   deployment(event_base* base, options opts, guarantee_checker& checker);
@@ -112,7 +124,7 @@
   /// Sends the heartbeats of upstreams, reads logs, reaps processes that
   /// exited, and restarts daemons and crashed upstreams.
   void Tick();
-  void PutConfiguration(bool has_second_credential);
+  void PutConfiguration(const configuration& content);
   /// Writes \p version as the wanted weights version of the model.
   void PublishWeights(int version);
   /// Sets the fault mode of the store for all its callers; "none" ends it.
@@ -132,6 +144,7 @@
   void SendControl(size_t index, const std::string& what);
   /// Sends a daemon a signal that terminates it.
   void TerminateDaemon(size_t index, int signal);
+  void ReloadDaemon(size_t index);
   void PauseDaemon(size_t index);
   void ResumeDaemon(size_t index);
   /// Whether no fault acts on the daemon now, and the last one ended well
@@ -143,6 +156,9 @@
   /// and the connection between them were free of faults, and had been for a
   /// while.
   bool HasStoreContact(const endpoint& front, steady_time at) const;
+  const configuration& first_configuration() const {
+    return options_.first_configuration;
+  }
   /// The weights version published last.
   int weights() const { return weights_; }
 
@@ -177,6 +193,8 @@
                         std::istream& words);
   /// Restarts the upstream if its time to restart after a crash has come.
   void RestartCrashed(size_t index);
+  /// Passes planned work at a daemon to the checker, if that checks it.
+  void NotePlannedWork(size_t index, const std::string& name);
   const daemon_state& DaemonAt(const endpoint& front) const;
   /// Waits for the line of \p log that begins with \p prefix and returns the
   /// address behind it. Throws if there is none within 10 s.
--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -33,6 +33,8 @@
 static constexpr int kServiceAfterDepartureMs = 8'000;
 /// Departures leave at least this many upstreams of each kind.
 static constexpr int kMinRemaining = 2;
+/// Longest series of changes of the configuration.
+static constexpr size_t kMaxChangesInSeries = 5;
 /// Time from SIGTERM to SIGKILL: slightly longer than the 4 s of `grace-s` in
 /// the daemons' settings.
 static constexpr int kStopTimeoutMs = 4'500;
@@ -47,7 +49,8 @@
       random_(seed),
       mode_(mode),
       target_(target),
-      timer_(base, [this] { InjectNext(); }) {}
+      timer_(base, [this] { InjectNext(); }),
+      configuration_(target.first_configuration()) {}
 
 void fault_schedule::Start() {
   if (mode_ == soak_mode::kCrashingParts) {
@@ -156,6 +159,12 @@
       &fault_schedule::PauseDaemon,      &fault_schedule::InjectStoreLinkFault,
       &fault_schedule::KillAllDaemons,   &fault_schedule::KillUpstream,
       &fault_schedule::InjectStoreFault, &fault_schedule::DrainUpstream};
+  static constexpr std::array<step, 9> kSilenceSteps = {
+      &fault_schedule::SilenceUpstream, &fault_schedule::SilenceUpstream,
+      &fault_schedule::SilenceUpstream, &fault_schedule::ChangeSeveralTimes,
+      &fault_schedule::ReloadDaemon,    &fault_schedule::StopDaemon,
+      &fault_schedule::RequestBackoff,  &fault_schedule::RequestBackoff,
+      &fault_schedule::PublishWeights};
   std::span<const step> steps = kSteps;
   int min_gap = kMinGapMs;
   int max_gap = kMaxGapMs;
@@ -169,6 +178,8 @@
     max_gap = kMaxDepartureGapMs;
   } else if (mode_ == soak_mode::kFeedback) {
     steps = kFeedbackSteps;
+  } else if (mode_ == soak_mode::kSilences) {
+    steps = kSilenceSteps;
   } else if (mode_ == soak_mode::kVersions) {
     steps = kVersionSteps;
     min_gap = kMinDepartureGapMs;
@@ -198,8 +209,15 @@
 void fault_schedule::StopDaemon() {
   const size_t index = Pick(target_.daemons.size());
   const int start = target_.daemons[index].start;
+  const bool is_graceful = mode_ == soak_mode::kSilences;
+  if (is_graceful && target_.daemons[index].is_terminating) {
+    return;
+  }
   LogFault("SIGTERM to " + target_.daemons[index].name);
   target_.TerminateDaemon(index, SIGTERM);
+  if (is_graceful) {
+    return;
+  }
   // Kills the process if it has not exited in time, but not its successor.
   ScheduleEnd(kStopTimeoutMs, kStopTimeoutMs, [this, index, start] {
     if (target_.daemons[index].start == start) {
@@ -218,7 +236,7 @@
 void fault_schedule::ReloadDaemon() {
   const size_t index = Pick(target_.daemons.size());
   LogFault("SIGHUP to " + target_.daemons[index].name);
-  target_.processes.Signal(target_.daemons[index].name, SIGHUP);
+  target_.ReloadDaemon(index);
 }
 
 /// Maps \p choice to a fault other than `kNone`.
@@ -310,10 +328,43 @@
   // Callers use the second credential only while all daemons must accept it, so
   // no longer after it has been revoked once.
   may_use_second_ = false;
-  has_second_ = !has_second_;
-  LogFault(has_second_ ? "second credential added"
-                       : "second credential revoked");
-  target_.PutConfiguration(has_second_);
+  configuration_.has_second_credential = !configuration_.has_second_credential;
+  LogFault(configuration_.has_second_credential ? "second credential added"
+                                                : "second credential revoked");
+  target_.PutConfiguration(configuration_);
+}
+
+void fault_schedule::ChangeSeveralTimes() {
+  const size_t count = 1 + Pick(kMaxChangesInSeries);
+  for (size_t i = 0; i < count; ++i) {
+    ScheduleEnd(0, 1'000, [this] {
+      if (Pick(2) == 0) {
+        configuration_.timeout_ms = 6'000 + static_cast<int>(Pick(3)) * 1'000;
+        configuration_.idle_timeout_ms =
+            1'000 + static_cast<int>(Pick(3)) * 7'000;
+        configuration_.has_unused_route = Pick(2) == 0;
+      }
+      if (Pick(3) == 0) {
+        ChangeConfiguration();
+      } else {
+        LogFault("configuration, perhaps only of another version");
+        target_.PutConfiguration(configuration_);
+      }
+    });
+  }
+}
+
+void fault_schedule::SilenceUpstream() {
+  upstream_state& item = target_.upstreams[Pick(target_.upstreams.size())];
+  if (std::exchange(item.is_paused, true)) {
+    return;
+  }
+  LogFault(item.id + " falls silent");
+  target_.processes.Signal(item.name, SIGSTOP);
+  ScheduleEnd(200, 2'200, [this, &item] {
+    item.is_paused = false;
+    target_.processes.Signal(item.name, SIGCONT);
+  });
 }
 
 void fault_schedule::AdvertiseLimit() {
--- a/test/soak/fault_schedule.h
+++ b/test/soak/fault_schedule.h
@@ -47,6 +47,10 @@
   /// Engines of two software versions serve side by side; faults of daemons,
   /// alone and all at once, and crashes of engines.
   kVersions,
+  /// Upstreams fall silent and go on, beside changes of the configuration and
+  /// of weights, and reloads and stops of daemons. Nothing crashes, and no link
+  /// fails, so that each response that is cut is a daemon's doing.
+  kSilences,
 };
 
 /// Injects one fault after another, each into a process or connection chosen by
@@ -89,6 +93,10 @@
   void InjectStoreFault();
   void PauseStore();
   void ChangeConfiguration();
+  /// Changes the configuration several times, soon after each other.
+  void ChangeSeveralTimes();
+  /// Suspends an upstream, in the middle of its responses.
+  void SilenceUpstream();
   void PublishWeights();
   void AdvertiseLimit();
   void RequestBackoff();
@@ -129,7 +137,7 @@
   loop_timer timer_;
   std::list<active_fault> active_faults_;
   bool is_stopped_ = false;
-  bool has_second_ = true;
+  deployment::configuration configuration_;
   bool may_use_second_ = true;
   bool is_store_faulty_ = false;
   bool is_partitioned_ = false;
--- a/test/soak/guarantee_checker.cc
+++ b/test/soak/guarantee_checker.cc
@@ -181,6 +181,13 @@
     feedback_.OnLeavingForwarded(request.daemon, response.upstream,
                                  std::chrono::steady_clock::now());
   }
+  if (completions_ && !response.is_complete && !request.provokes_failure) {
+    completions_->OnCut({.id = request.id,
+                         .daemon = request.daemon,
+                         .sent_at = request.sent_at,
+                         .ended_at = std::chrono::steady_clock::now(),
+                         .time_allowed = request.time_allowed});
+  }
   if (response.has_timed_out && response.is_daemon_undisturbed) {
     ReportViolation("overdue",
                     request.id + " " + request.path + " did not end in time");
@@ -221,6 +228,13 @@
   for (const std::string& broken : part_crashes_.ListLosses()) {
     ReportViolation("lost", broken);
   }
+  if (completions_) {
+    for (const auto& [id, broken] : completions_->cuts()) {
+      if (requests_[id].runs > 0) {
+        ReportViolation("lost", broken);
+      }
+    }
+  }
   for (const auto& [id, item] : requests_) {
     const bool was_refused =
         item.reported_status == 408 || item.reported_status == 421 ||
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -4,14 +4,17 @@
 #ifndef CUMINSWITCH_TEST_SOAK_GUARANTEE_CHECKER_H_
 #define CUMINSWITCH_TEST_SOAK_GUARANTEE_CHECKER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "cuminswitch/Support/endpoint.h"
+#include "soak/completion_check.h"
 #include "soak/crash_check.h"
 #include "soak/departure_check.h"
 #include "soak/feedback_check.h"
@@ -31,6 +34,8 @@
   /// The caller address of the daemon that it was sent to.
   endpoint daemon;
   steady_time sent_at{};
+  /// The deadline that the caller sends.
+  std::chrono::milliseconds time_allowed{};
   /// Must run at most once.
   bool is_once = false;
   bool is_stream = false;
@@ -72,6 +77,12 @@
 /// no time-outs of its own and infers nothing that was not observed.
 class guarantee_checker {
  public:
+  guarantee_checker() = default;
+  /// Also checks that requests that were passed on get a complete response;
+  /// \p grace is the time that a stopping daemon has.
+  explicit guarantee_checker(std::chrono::milliseconds grace)
+      : completions_(completion_check(grace)) {}
+
   void OnSent(const sent_request& request);
   void OnResponse(const sent_request& request,
                   const observed_response& response);
@@ -118,6 +129,10 @@
     partitions_.OnBegin(std::move(daemons), at);
   }
   void OnPartitionEnded();
+  /// Null unless completion is checked.
+  completion_check* completions() {
+    return completions_ ? &*completions_ : nullptr;
+  }
   /// Returns the caller address of the daemon that the request was sent to;
   /// null if no caller sent it.
   const endpoint* DaemonOf(const std::string& id) const;
@@ -171,6 +186,7 @@
   departure_check departures_;
   partition_check partitions_;
   version_check versions_;
+  std::optional<completion_check> completions_;
   std::vector<std::string> findings_;
   size_t served_ = 0;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -39,6 +39,7 @@
   bool service = false;
   bool unframed = false;
   bool versions = false;
+  bool silences = false;
   std::string build_folder = "build";
   std::string work_folder = "soak-work";
 };
@@ -56,6 +57,26 @@
 /// Time for the responses to requests in flight at the end.
 constexpr std::chrono::seconds kFinalResponseTime{5};
 
+/// The grace of daemons. The long one lasts until no caller uses the address of
+/// a stopping daemon any more.
+constexpr std::chrono::seconds kShortGrace{4};
+constexpr std::chrono::seconds kLongGrace{8};
+
+/// The deadline that callers send. With silences it leaves time for a response
+/// after the longest of them.
+std::chrono::milliseconds DeadlineOf(const soak_options& opts) {
+  return std::chrono::milliseconds(opts.silences ? 6'000 : 2'000);
+}
+
+deployment::configuration FirstConfigurationOf(const soak_options& opts) {
+  if (!opts.silences) {
+    return {};
+  }
+  // Daemons wait for three times the gap, so that most silences are longer.
+  return {.timeout_ms = static_cast<int>(DeadlineOf(opts).count()),
+          .max_gap_ms = 250};
+}
+
 soak_mode ModeOf(const soak_options& opts) {
   if (opts.limits) {
     return soak_mode::kLimits;
@@ -72,6 +93,9 @@
   if (opts.versions) {
     return soak_mode::kVersions;
   }
+  if (opts.silences) {
+    return soak_mode::kSilences;
+  }
   if (opts.partitions && opts.service) {
     return soak_mode::kServicePartitions;
   }
@@ -87,6 +111,8 @@
   explicit soak_run(const soak_options& opts)
       : options_(opts),
         base_(event_base_new()),
+        checker_(opts.silences ? guarantee_checker(kLongGrace)
+                               : guarantee_checker()),
         deployment_(base_,
                     {.build_folder = opts.build_folder,
                      .work_folder = opts.work_folder,
@@ -95,7 +121,9 @@
                      .services = opts.services,
                      .attributes_connections = opts.partitions,
                      .removes_framing = opts.unframed,
-                     .mixes_versions = opts.versions},
+                     .mixes_versions = opts.versions,
+                     .grace = opts.silences ? kLongGrace : kShortGrace,
+                     .first_configuration = FirstConfigurationOf(opts)},
                     checker_),
         schedule_(base_,
                   static_cast<uint64_t>(opts.seed),
@@ -187,6 +215,8 @@
             .sends_crashing = options_.crashes,
             .choose_crashing_part = ChooseCrashingPart(),
             .sends_equal = options_.partitions,
+            .deadline = DeadlineOf(options_),
+            .sends_slow = options_.silences,
             .resumes_streams = options_.versions},
         checker_);
   }
@@ -254,6 +284,8 @@
                  "Responses of upstreams end with their connection");
   parser.AddFlag("versions", options.versions,
                  "Engines of two software versions; callers resume streams");
+  parser.AddFlag("silences", options.silences,
+                 "Upstreams fall silent beside planned work only");
   parser.AddString("build", options.build_folder, "The build folder", "FOLDER");
   parser.AddString("work", options.work_folder,
                    "Folder of the logs; kept if there are findings", "FOLDER");
--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -13,8 +13,6 @@
 
 namespace cuminswitch::soak {
 
-/// The deadline that the caller sends with each request.
-static constexpr std::chrono::milliseconds kDeadline{2'000};
 /// Time after the deadline by which a daemon must have responded: the
 /// guaranteed 0.5 s and an allowance for a loaded test machine.
 static constexpr std::chrono::milliseconds kResponseMargin{2'500};
@@ -101,13 +99,16 @@
       "/once/", "/repeat/", "/stream/", "/resume/"};
   static constexpr std::array<const char*, 3> kFailurePaths = {"fail/", "cut/",
                                                                "refuse/"};
-  const size_t route = random_() % kRoutes.size();
+  const bool is_resumable = options_.sends_slow && random_() % 2 == 0;
+  const size_t route =
+      is_resumable ? kRoutes.size() - 1 : random_() % kRoutes.size();
   const auto [credential, workspace] = options_.choose_workspace(random_);
   request_ = {.id = options_.name + "-" + std::to_string(++count_),
               .path = kRoutes[route],
               .workspace = workspace,
               .daemon = daemon_,
               .sent_at = std::chrono::steady_clock::now(),
+              .time_allowed = options_.deadline,
               .is_once = route == 0 || route == 2,
               .is_stream = route >= 2,
               .provokes_failure = random_() % kFailingRequestPeriod == 0};
@@ -115,8 +116,11 @@
     request_.path += kFailurePaths[random_() % kFailurePaths.size()];
   }
   response_ = {};
-  if (options_.resumes_streams && request_.path == "/resume/" &&
-      random_() % 2 == 0) {
+  const bool is_slow = options_.sends_slow ? request_.is_stream
+                                           : options_.resumes_streams &&
+                                                 request_.path == "/resume/" &&
+                                                 random_() % 2 == 0;
+  if (is_slow) {
     request_.path += "slow/";
   }
   const std::string resumption = MakeResumption();
@@ -138,13 +142,13 @@
   const std::string text =
       "POST " + request_.path +
       "x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + request_.id +
-      "\r\nX-Deadline-Ms: " + std::to_string(kDeadline.count()) +
+      "\r\nX-Deadline-Ms: " + std::to_string(options_.deadline.count()) +
       "\r\nX-Model: m\r\nX-Token-Usage: 100,10\r\nX-Prompt-Prefix: " +
       MakePromptParts() + "\r\nAuthorization: Token " + key + resumption +
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   is_waiting_ = true;
   bufferevent_write(connection_, text.data(), text.size());
-  timer_.Start(kDeadline + kResponseMargin);
+  timer_.Start(options_.deadline + kResponseMargin);
 }
 
 void soak_caller::MakeCrashing(std::string& body) {
--- a/test/soak/soak_caller.h
+++ b/test/soak/soak_caller.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_TEST_SOAK_SOAK_CALLER_H_
 #define CUMINSWITCH_TEST_SOAK_SOAK_CALLER_H_
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <random>
@@ -41,6 +42,11 @@
     std::function<std::string()> choose_crashing_part;
     /// Sends the same request as the other callers every second time.
     bool sends_equal = false;
+    /// The deadline that the caller sends with each request.
+    std::chrono::milliseconds deadline{2'000};
+    /// All streams last for about a second, and most requests are streams that
+    /// may be resumed.
+    bool sends_slow = false;
     /// Resumes streams that end before they are complete.
     bool resumes_streams = false;
   };
