Let a slow caller read a response whose connection closes behind it

Callers that read slowly got a truncated response when the connection was to be closed behind it: after `Connection: close` from the caller, and for every response of a stopping daemon. CloseGracefully started its 500 ms at once, also while most of the response still waited in the output buffer, and closed the connection with it.

The 500 ms now start when the last byte was passed to the kernel. Until then the connection stays while the caller's host acknowledges bytes within the idle timeout. The bytes in the kernel count too, since the output buffer shrinks only each time a third of the kernel's has been sent.

Its loss beside a configuration is not shown: it needs a caller that asks for the close, or a stop.

--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -3,8 +3,10 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -22,9 +24,9 @@
 /// Input bytes buffered while a response is being sent; more stay in the
 /// kernel's socket buffer.
 static constexpr size_t kMaxReadAhead = 64UL << 10;
-/// How long input is discarded after the response before the connection is
-/// closed. Closing a socket with unread bytes resets the connection, and the
-/// response can be lost with it.
+/// How long input is discarded after the whole response was written before the
+/// connection is closed. Closing a socket with unread bytes resets the
+/// connection, and the response can be lost with it.
 static constexpr std::chrono::milliseconds kLingerTime{500};
 /// Largest body, in bytes, that is still accepted while large ones are refused
 /// because of the memory limit.
@@ -242,9 +244,16 @@
   return evbuffer_get_length(bufferevent_get_output(stream_));
 }
 
+size_t caller_connection::UnreadBytes() const {
+  int in_kernel = 0;
+  ioctl(bufferevent_getfd(stream_), SIOCOUTQ, &in_kernel);
+  return PendingBytes() + static_cast<size_t>(in_kernel);
+}
+
 void caller_connection::CloseGracefully() {
   stage_ = stage::kClosing;
-  timer_.Start(kLingerTime);
+  unread_bytes_ = UnreadBytes();
+  timer_.Start(server_.limits_.idle_timeout);
   OnWritten();
 }
 
@@ -254,6 +263,7 @@
     return;
   }
   if (stage_ == stage::kClosing && PendingBytes() == 0 && !is_dropped_) {
+    timer_.Start(kLingerTime);
     shutdown(bufferevent_getfd(stream_), SHUT_WR);
   }
 }
@@ -269,6 +279,13 @@
     Reject(status_code::kRequestTimeout);
     return;
   }
+  if (const size_t unread = UnreadBytes(); stage_ == stage::kClosing &&
+                                           PendingBytes() > 0 &&
+                                           unread < unread_bytes_) {
+    unread_bytes_ = unread;
+    timer_.Start(server_.limits_.idle_timeout);
+    return;
+  }
   CloseNow();
 }
 
--- a/lib/Http1/caller_connection.h
+++ b/lib/Http1/caller_connection.h
@@ -3,6 +3,8 @@
 #ifndef CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
 #define CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -56,8 +58,12 @@
   /// whether it did.
   bool RejectIfOverMemoryLimit();
   void ClearBody();
+  /// Bytes that the caller's host has not acknowledged. `PendingBytes` alone
+  /// shrinks only each time a large part of the kernel's buffer has been sent.
+  size_t UnreadBytes() const;
   /// Closes once all output is written and the caller has closed its side, or
-  /// after `kLingerTime`.
+  /// `kLingerTime` after the former. A caller that reads nothing for the idle
+  /// timeout is dropped.
   void CloseGracefully();
   void CloseNow();
   void BecomeIdle();
@@ -72,6 +78,8 @@
   message_head head_;
   std::string body_;
   caller_listener* listener_ = nullptr;
+  /// `UnreadBytes()` when `timer_` was last started while closing.
+  size_t unread_bytes_ = 0;
   bool is_chunked_ = false;
   bool close_after_ = false;
   bool is_dropped_ = false;
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -22,6 +22,9 @@
 };
 
 constexpr size_t kMemoryLimit = 100'000;
+constexpr int kReceiveBuffer = 32 << 10;
+/// More than the kernel buffers for a connection.
+constexpr size_t kLargeBodySize = 12 << 20;
 
 class caller_server_test : public testing::Test, public caller_handler {
  protected:
@@ -42,7 +45,29 @@
       exchange.SetListener(&listener_);
       return;
     }
-    Reply(exchange, 200, {}, exchange.Head().target, false);
+    Reply(exchange, 200, {},
+          large_body_.empty() ? exchange.Head().target : large_body_, false);
+  }
+
+  /// Sends \p data and reads the response slowly for longer than an idle or a
+  /// closing connection is kept, then completely.
+  std::string SendAndReceiveSlowly(const std::string& data) {
+    // Each waits for a millisecond or more.
+    constexpr int kSlowRounds = 700;
+    constexpr size_t kReadSize = 4 << 10;
+    large_body_.assign(kLargeBodySize, 'x');
+    raw_socket caller(raw_socket::Connect(server_.Address(), kReceiveBuffer));
+    caller.Send(data);
+    int rounds = 0;
+    RunUntil(base_, [&] {
+      caller.PollSome(kReadSize);
+      return caller.ended || ++rounds == kSlowRounds;
+    });
+    RunUntil(base_, [&] {
+      caller.Poll();
+      return caller.ended || caller.received.size() > kLargeBodySize;
+    });
+    return caller.received;
   }
 
   /// Sends \p data and returns all received bytes once they contain \p end or
@@ -64,6 +89,7 @@
   std::vector<std::string> targets_;
   std::vector<std::string> bodies_;
   bool holds_ = false;
+  std::string large_body_;
   caller_exchange* held_ = nullptr;
   recording_listener listener_;
 };
@@ -174,6 +200,25 @@
   EXPECT_TRUE(caller.ended);
 }
 
+// Guards against truncating the response of a caller that reads slowly, when
+// the connection is closed behind it.
+TEST_F(caller_server_test, SlowReaderGetsWholeResponseBeforeClose) {
+  const std::string reply = SendAndReceiveSlowly(
+      "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_TRUE(reply.starts_with("HTTP/1.1 200"));
+  EXPECT_GT(reply.size(), kLargeBodySize);
+}
+
+// Guards against a caller that never reads its response and keeps its
+// connection, and the memory for the response, for ever.
+TEST_F(caller_server_test, DropsClosingConnectionWhoseCallerStopsReading) {
+  large_body_.assign(kLargeBodySize, 'x');
+  raw_socket caller(raw_socket::Connect(server_.Address(), kReceiveBuffer));
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  ASSERT_TRUE(RunUntil(base_, [&] { return !targets_.empty(); }));
+  EXPECT_TRUE(RunUntil(base_, [&] { return server_.connection_count() == 0; }));
+}
+
 // Aborting a response must deliver the events already buffered, but no last
 // chunk. Events and the loss of the upstream's connection are read in one
 // iteration of the event loop, the events are written and the response is
--- a/unittests/Http1/loopback.h
+++ b/unittests/Http1/loopback.h
@@ -42,8 +42,14 @@
   raw_socket& operator=(const raw_socket&) = delete;
   ~raw_socket() { Close(); }
 
-  static int Connect(const endpoint& to) {
+  /// A \p receive_buffer other than zero bounds what the kernel holds for a
+  /// reader that falls behind.
+  static int Connect(const endpoint& to, int receive_buffer = 0) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_buffer > 0) {
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
+    }
     const sockaddr_in address = ToSocketAddress(to);
     static_cast<void>(connect(fd, reinterpret_cast<const sockaddr*>(&address),
                               sizeof(address)));
@@ -64,6 +70,15 @@
     ended = ended || size == 0 || (size < 0 && errno != EAGAIN);
     was_reset = was_reset || (size < 0 && errno == ECONNRESET);
   }
+  /// Like `Poll`, but reads \p limit bytes at most.
+  void PollSome(size_t limit) {
+    std::string buffer(limit, 0);
+    const ssize_t size = recv(fd_, buffer.data(), buffer.size(), 0);
+    if (size > 0) {
+      received.append(buffer, 0, static_cast<size_t>(size));
+    }
+    ended = ended || size == 0 || (size < 0 && errno != EAGAIN);
+  }
   void Close() {
     if (fd_ >= 0) {
       close(fd_);
