Finish sending a response before its connection is closed as idle

A caller that read a response for longer than the idle timeout got it truncated. The time limit of an idle connection starts when the response ends in the daemon, and closed the connection although the response still waited in the output buffer. A configuration that shortens the idle timeout makes that more frequent.

At the limit such a connection is now closed like one of a stopping daemon: behind its response.

Before, SlowReaderGetsWholeResponseBeyondIdleTimeout failed with 2818048 of bytes.

--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -286,6 +286,10 @@
     timer_.Start(server_.limits_.idle_timeout);
     return;
   }
+  if (stage_ == stage::kIdle) {
+    CloseIfIdle();
+    return;
+  }
   CloseNow();
 }
 
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -209,6 +209,15 @@
   EXPECT_GT(reply.size(), kLargeBodySize);
 }
 
+// Guards against the idle time limit, which ran while the response was still
+// being sent, and truncated it.
+TEST_F(caller_server_test, SlowReaderGetsWholeResponseBeyondIdleTimeout) {
+  const std::string reply =
+      SendAndReceiveSlowly("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(reply.starts_with("HTTP/1.1 200"));
+  EXPECT_GT(reply.size(), kLargeBodySize);
+}
+
 // Guards against a caller that never reads its response and keeps its
 // connection, and the memory for the response, for ever.
 TEST_F(caller_server_test, DropsClosingConnectionWhoseCallerStopsReading) {
