Answer a request that arrived before its idle connection is closed

A caller whose request arrived just before the daemon closed the connection as idle (at its time limit, or at the end of a stop) got a reset and no response. The decision looked only at what the event loop had read, and closing a socket with unread bytes resets it. A daemon whose event loop is late has such bytes in many connections at once.

CloseIfIdle now leaves a connection with unread bytes open; its read event follows. A request that is still on its way can cross the close, as before.

Before, AnswersRequestThatArrivedBeforeIdleClose failed: empty reply, was_reset true.

--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -293,8 +293,15 @@
   CloseNow();
 }
 
+bool caller_connection::HasInput() const {
+  int in_kernel = 0;
+  ioctl(bufferevent_getfd(stream_), FIONREAD, &in_kernel);
+  return in_kernel > 0 ||
+         evbuffer_get_length(bufferevent_get_input(stream_)) > 0;
+}
+
 void caller_connection::CloseIfIdle() {
-  if (stage_ != stage::kIdle) {
+  if (stage_ != stage::kIdle || HasInput()) {
     return;
   }
   // The end of the last response may still be in the output buffer.
--- a/lib/Http1/caller_connection.h
+++ b/lib/Http1/caller_connection.h
@@ -37,7 +37,7 @@
   void Abort() override;
   size_t PendingBytes() const override;
 
-  /// Closes the connection unless a request is being read or answered.
+  /// Closes the connection unless a request has arrived or is being answered.
   void CloseIfIdle();
 
  private:
@@ -58,6 +58,8 @@
   /// whether it did.
   bool RejectIfOverMemoryLimit();
   void ClearBody();
+  /// Whether bytes of the next request have arrived, read or not.
+  bool HasInput() const;
   /// Bytes that the caller's host has not acknowledged. `PendingBytes` alone
   /// shrinks only each time a large part of the kernel's buffer has been sent.
   size_t UnreadBytes() const;
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -228,6 +228,21 @@
   EXPECT_TRUE(RunUntil(base_, [&] { return server_.connection_count() == 0; }));
 }
 
+// Guards against closing a connection as idle whose next request is already in
+// the kernel: it was reset without a response.
+TEST_F(caller_server_test, AnswersRequestThatArrivedBeforeIdleClose) {
+  server_.SetLimits({.idle_timeout = std::chrono::seconds(30)});
+  raw_socket caller(raw_socket::Connect(server_.Address()));
+  ASSERT_TRUE(RunUntil(base_, [&] { return server_.connection_count() == 1; }));
+  server_.BeginDrain();
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  server_.CloseIdle();
+  const std::string reply = SendAndReceive(caller, "", "never");
+  EXPECT_TRUE(reply.starts_with("HTTP/1.1 200")) << reply;
+  EXPECT_FALSE(caller.was_reset);
+  EXPECT_TRUE(caller.ended);
+}
+
 // Aborting a response must deliver the events already buffered, but no last
 // chunk. Events and the loss of the upstream's connection are read in one
 // iteration of the event loop, the events are written and the response is
