Answer a request that was read before an unannounced close

A caller that sent its next request on a connection before the response to the first had ended got no response to it when the daemon began to stop in between: the head of the first response had not announced the close, and the next request, already read, was discarded.

The connection now stays for that request, and its response announces the close. The end of a stop is as near as before: one response later the connection is closed.

Before, AnswersRequestReadBeforeUnannouncedClose failed with 1 request instead of 2 at the handler.

--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -219,8 +219,9 @@
   }
   listener_ = nullptr;
   // A head sent before the drain began did not announce the close; the
-  // connection is closed nevertheless.
-  if (close_after_ || server_.IsDraining()) {
+  // connection is closed nevertheless, unless the caller has already sent
+  // another request. The response to that one announces it.
+  if (close_after_ || (server_.IsDraining() && !HasInput())) {
     CloseGracefully();
     return;
   }
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -243,6 +243,30 @@
   EXPECT_TRUE(caller.ended);
 }
 
+// Guards against discarding a request that was read while the response before
+// it, whose head did not announce the close, was being sent.
+TEST_F(caller_server_test, AnswersRequestReadBeforeUnannouncedClose) {
+  holds_ = true;
+  raw_socket caller(raw_socket::Connect(server_.Address()));
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(base_, [&] { return held_ != nullptr; }));
+  held_->SendHead(200, {}, {});
+  caller.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil(base_, [&] {
+    caller.Poll();
+    return !caller.received.empty();
+  });
+  server_.BeginDrain();
+  holds_ = false;
+  held_->SetListener(nullptr);
+  held_->Finish();
+  const std::string reply = SendAndReceive(caller, "", "never");
+  EXPECT_EQ(targets_.size(), 2U);
+  EXPECT_NE(reply.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(reply.ends_with("/2"));
+  EXPECT_TRUE(caller.ended);
+}
+
 // Aborting a response must deliver the events already buffered, but no last
 // chunk. Events and the loss of the upstream's connection are read in one
 // iteration of the event loop, the events are written and the response is
