Do not take an upstream with a full window for a lost host

A request whose body fills the window of an upstream that does not read for a second (its process is stopped, its host acknowledges) ended as "broken": the caller got 502 or the request ran twice, and the end counted as a crash of the upstream. TCP_USER_TIMEOUT, meant for hosts that lost power, also ends a connection whose window stays full, whether probes of the window are acknowledged or not.

--- a/unittests/Http1/loopback.h
+++ b/unittests/Http1/loopback.h
@@ -5,6 +5,8 @@
 
 #include <event2/event.h>
 #include <fcntl.h>
+#include <linux/filter.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -85,6 +87,19 @@
       fd_ = -1;
     }
   }
+  /// Bytes that have arrived and were not read.
+  size_t Available() const {
+    int size = 0;
+    ioctl(fd_, FIONREAD, &size);
+    return static_cast<size_t>(size);
+  }
+  /// From now on the kernel drops what arrives, without an acknowledgement, as
+  /// if the host had lost power.
+  void DropPackets() {
+    sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{.len = 1, .filter = &drop};
+    setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+  }
   /// Closes the connection with a reset.
   void Reset() {
     const linger now{.l_onoff = 1, .l_linger = 0};
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -38,6 +38,29 @@
                          .max_idle = max_idle},
                         handler_);
   }
+  /// Begins a call whose request fills the window of an upstream that does not
+  /// read it.
+  void BeginLarge() {
+    large_body_ = std::string(16 << 20, 'x') + "xy";
+    call_ = pool_.Start({.to = address_,
+                         .method = "POST",
+                         .target = "/a",
+                         .headers = {{.name = "Host", .value = "h"}},
+                         .body = large_body_},
+                        handler_);
+  }
+  /// Waits until nothing more has arrived for a while.
+  bool AwaitFullWindow() {
+    constexpr int kQuietRounds = 100;
+    size_t arrived = 0;
+    int quiet = 0;
+    return RunUntil(base_, [&] {
+      const size_t now = upstream_->Available();
+      quiet = now > 0 && now == arrived ? quiet + 1 : 0;
+      arrived = now;
+      return quiet == kQuietRounds;
+    });
+  }
   /// Accepts the connection that the call opens, and receives its request.
   void Accept() {
     upstream_ = listener_.Accept(base_);
@@ -61,6 +84,7 @@
   raw_listener listener_;
   endpoint address_;
   std::unique_ptr<raw_socket> upstream_;
+  std::string large_body_;
   recording_handler handler_;
   std::unique_ptr<upstream_call> call_;
 };
@@ -82,6 +106,46 @@
   EXPECT_EQ(pool_.opened_count(), 1U);
 }
 
+// A stopped process's host still acknowledges, with a full window. Guards
+// against taking that silence for the end of the upstream.
+TEST_F(upstream_pool_test, WaitsForUpstreamThatStopsReadingLargeRequest) {
+  // Each waits for a millisecond or more.
+  constexpr int kStoppedRounds = 1'500;
+  BeginLarge();
+  upstream_ = listener_.Accept(base_);
+  ASSERT_NE(upstream_, nullptr);
+  int rounds = 0;
+  RunUntil(base_, [&] {
+    return handler_.end.has_value() || ++rounds == kStoppedRounds;
+  });
+  ASSERT_EQ(handler_.end, std::nullopt);
+  AwaitRequest();
+  upstream_->Send(kResponse);
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kComplete);
+}
+
+// Guards against waiting for a host that lost power until the deadline.
+TEST_F(upstream_pool_test, EndsCallToHostThatAcknowledgesNothing) {
+  Begin();
+  Accept();
+  upstream_->Send(kResponse);
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kComplete);
+  upstream_->DropPackets();
+  Begin();
+  EXPECT_TRUE(call_->IsOnReusedConnection());
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kBroken);
+}
+
+// The same for a host that loses power while its window is full.
+TEST_F(upstream_pool_test, EndsCallToHostThatStopsAcknowledgingProbes) {
+  BeginLarge();
+  upstream_ = listener_.Accept(base_);
+  ASSERT_NE(upstream_, nullptr);
+  ASSERT_TRUE(AwaitFullWindow());
+  upstream_->DropPackets();
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kBroken);
+}
+
 // A retry after a failure sets `max_idle` to zero, so that it opens a new
 // connection.
 TEST_F(upstream_pool_test, DoesNotReuseConnectionIdleForMaxIdle) {
