Respond to the requests that are left when a stopping daemon exits

A stopping daemon accepts every request for 2.7 s, also those that may take longer than its grace. At the exit the callers of those without a response got a closed connection: neither a response nor a refusal, also for requests that were still waiting in the daemon, which a caller may only repeat after a promise.

Half a second before the end of the grace such requests are now ended, those that wait as not run (503), those that were sent as unknown (502); a response that has begun goes on until the exit. The exit follows a tick later, so that the responses are written.

Before, platform_stop_unanswered failed: "no response before the daemon exited: fetch: status 0", and the daemon logged "stopped","requests":1.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -269,6 +269,8 @@
   /// Logs when the reservation of engines for short prompts begins or ends.
   void LogReservedEngines();
   void OnStopTick();
+  /// Ends the requests that would get no response before the process exits.
+  void EndUnansweredRequests();
 
   const kernel& services_;
   options options_;
@@ -326,6 +328,7 @@
   bool reported_crashes_ = false;
   edge_metrics metrics_;
   graceful_stop stop_;
+  bool has_ended_requests_ = false;
   time_point started_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/cuminswitch/Edge/forwarded_request.h
+++ b/include/cuminswitch/Edge/forwarded_request.h
@@ -77,6 +77,9 @@
   ~forwarded_request() override;
 
   void Start();
+  /// Responds to the caller that this daemon stops, unless a response has
+  /// begun.
+  void EndForStop();
 
   request_id id() const { return options_.id; }
   const std::string& attempt() const { return options_.attempt; }
--- a/include/cuminswitch/Edge/graceful_stop.h
+++ b/include/cuminswitch/Edge/graceful_stop.h
@@ -24,6 +24,8 @@
   bool CanAccept(time_point now, duration max_wait) const;
   /// Whether no caller can still have this daemon's address cached.
   bool HasAddressExpired(time_point now) const;
+  /// Whether requests without a response must end, before the process exits.
+  bool MustEndRequests(time_point now) const;
   /// Whether the process may exit, with \p requests in flight and
   /// \p connections of callers open.
   bool IsComplete(time_point now, size_t requests, size_t connections) const;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -116,6 +116,9 @@
   void SetService(std::string service) {
     options_.service = std::move(service);
   }
+  /// Responds to the caller that this daemon stops, unless a response has
+  /// begun.
+  void EndForStop();
   /// Stops the current attempt. The request counts as possibly executed.
   void CancelAttempt();
 
@@ -129,6 +132,8 @@
   uint32_t runs() const { return runs_; }
   time_point deadline() const { return options_.deadline; }
   bool has_ended() const { return has_ended_; }
+  /// Whether an attempt is in progress.
+  bool is_running() const { return call_ != nullptr; }
   /// Whether an upstream executed the request or may have executed it.
   bool may_have_run() const { return may_have_run_; }
   const caller_request& request() const { return options_.request; }
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -370,11 +370,31 @@
   OnStopTick();
 }
 
+void edge_task::EndUnansweredRequests() {
+  // Those that wait come first: a free slot would place them at an upstream.
+  for (const bool is_running : {false, true}) {
+    for (const auto& [id, flow] : flows_) {
+      if (flow->is_running() == is_running) {
+        flow->EndForStop();
+      }
+    }
+  }
+  for (const auto& [id, item] : forwarded_) {
+    item->EndForStop();
+  }
+}
+
 void edge_task::OnStopTick() {
   const time_point now = ReadBootClock();
   if (stop_.HasAddressExpired(now)) {
     server_->CloseIdle();
   }
+  if (stop_.MustEndRequests(now) && !std::exchange(has_ended_requests_, true)) {
+    EndUnansweredRequests();
+    // The responses are written before the next tick.
+    stop_timer_.Start(kStopTickInterval);
+    return;
+  }
   const size_t requests = flows_.size() + forwarded_.size();
   if (stop_.IsComplete(now, requests, server_->connection_count())) {
     with_.log.Write(log_class::kLifecycle,
--- a/lib/Edge/forwarded_request.cc
+++ b/lib/Edge/forwarded_request.cc
@@ -120,6 +120,14 @@
   ReportUnknown(status_code::kGatewayTimeout, "deadline");
 }
 
+void forwarded_request::EndForStop() {
+  if (has_ended_ || is_head_sent_) {
+    return;
+  }
+  call_.reset();
+  ReportUnknown(status_code::kBadGateway, "stopping");
+}
+
 void forwarded_request::Refuse() {
   Reply(*options_.exchange, status_code::kUnavailable,
         {RetryAfter(kRetryAfter)}, {}, false);
--- a/lib/Edge/graceful_stop.cc
+++ b/lib/Edge/graceful_stop.cc
@@ -7,9 +7,11 @@
 static constexpr duration kMaxAddressUse = std::chrono::milliseconds(6200);
 /// The process exits at the latest this long before the end of the grace.
 static constexpr duration kExitMargin = std::chrono::milliseconds(400);
+/// Requests without a response are ended this long before the end of the grace,
+/// so that their callers get one before the exit.
+static constexpr duration kLastResponseMargin = std::chrono::milliseconds(500);
 /// A stopping daemon accepts every request for this long. After that it accepts
-/// only requests whose deadline is before the exit of the process, which would
-/// truncate the response.
+/// only requests whose deadline is before it ends those that are left.
 static constexpr duration kUnconditionalAcceptTime =
     std::chrono::milliseconds(2700);
 
@@ -24,13 +26,17 @@
   }
   const duration elapsed = now - begun_at_;
   return elapsed < kUnconditionalAcceptTime ||
-         elapsed + max_wait < grace_ - kExitMargin;
+         elapsed + max_wait < grace_ - kLastResponseMargin;
 }
 
 bool graceful_stop::HasAddressExpired(time_point now) const {
   return has_begun_ && now - begun_at_ >= kMaxAddressUse;
 }
 
+bool graceful_stop::MustEndRequests(time_point now) const {
+  return has_begun_ && now - begun_at_ >= grace_ - kLastResponseMargin;
+}
+
 bool graceful_stop::IsComplete(time_point now,
                                size_t requests,
                                size_t connections) const {
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -41,6 +41,9 @@
 /// `Retry-After` for a request whose deadline passed while it waited for an
 /// upstream.
 static constexpr duration kQueueRetryAfter = std::chrono::milliseconds(500);
+/// `Retry-After` for a request that waits while the daemon stops; the caller
+/// retries at another one.
+static constexpr duration kStopRetryAfter = std::chrono::milliseconds(50);
 
 request_flow::request_flow(options opts, const parts& with)
     : options_(std::move(opts)),
@@ -467,6 +470,27 @@
   }
 }
 
+void request_flow::EndForStop() {
+  if (has_ended_ || is_head_sent_) {
+    return;
+  }
+  const bool is_sent = is_running() || may_have_run_;
+  call_.reset();
+  if (retained_failure_) {
+    SendRetainedFailure();
+  } else if (is_sent) {
+    ReplyLocally({.result = outcome::kUnknown,
+                  .status = status_code::kBadGateway,
+                  .reason = "stopping"});
+  } else {
+    ReplyLocally({.result = outcome::kNotRun,
+                  .status = status_code::kUnavailable,
+                  .reason = "stopping",
+                  .retry_after = kStopRetryAfter});
+  }
+  with_.owner.OnFlowEvent(caller_disconnected{.request = options_.id});
+}
+
 void request_flow::OnCallerDisconnected() {
   // The upstream sees its connection close and stops executing the request.
   call_.reset();
--- a/unittests/Edge/graceful_stop_test.cc
+++ b/unittests/Edge/graceful_stop_test.cc
@@ -56,6 +56,15 @@
   EXPECT_FALSE(stop.IsComplete(kStart + milliseconds(6300), 1, 1));
 }
 
+// Guards against closing connections without a response at the exit.
+TEST(graceful_stop_test, EndsRequestsBeforeExit) {
+  const graceful_stop stop = MakeStopping();
+  EXPECT_FALSE(stop.MustEndRequests(kStart + milliseconds(7400)));
+  EXPECT_TRUE(stop.MustEndRequests(kStart + milliseconds(7500)));
+  EXPECT_FALSE(stop.IsComplete(kStart + milliseconds(7500), 1, 1));
+  EXPECT_FALSE(stop.CanAccept(kStart + milliseconds(7000), milliseconds(500)));
+}
+
 TEST(graceful_stop_test, ExitsBeforeGraceEnds) {
   const graceful_stop stop = MakeStopping();
   EXPECT_TRUE(stop.IsComplete(kStart + milliseconds(7700), 3, 3));
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -128,6 +128,34 @@
   EXPECT_TRUE(exchange_.finished);
 }
 
+// Guards against a caller that gets a closed connection, or may not repeat its
+// request, when the daemon stops before an upstream was found.
+TEST_F(request_flow_test, StopEndsWaitingRequestAsNotRun) {
+  flow_->EndForStop();
+  EXPECT_EQ(exchange_.status, 503U);
+  EXPECT_TRUE(exchange_.finished);
+  EXPECT_EQ(owner_.last.result, outcome::kNotRun);
+}
+
+TEST_F(request_flow_test, StopEndsSentRequestAsUnknown) {
+  const auto upstream = Dispatch(1);
+  flow_->EndForStop();
+  EXPECT_EQ(exchange_.status, 502U);
+  EXPECT_EQ(owner_.last.result, outcome::kUnknown);
+}
+
+// Guards against truncating a response that may still be completed in time.
+TEST_F(request_flow_test, StopLeavesBegunResponse) {
+  const auto upstream = Dispatch(1);
+  upstream->Send(std::string(kStreamHead) + kEvent);
+  RunUntil(base_, [&] { return !exchange_.sent.empty(); });
+  flow_->EndForStop();
+  EXPECT_FALSE(owner_.ended);
+  upstream->Send("0\r\n\r\n");
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_TRUE(exchange_.finished);
+}
+
 TEST_F(request_flow_test, FailsStalledAttemptIfRetryIsAllowed) {
   const auto first = Dispatch(1);
   PassStallTimeout();
