Test that a configuration takes nothing from requests in progress

Hypothesis 2 of docs/incidents/lost-responses.md: a retry, or a waiting request, finds no upstream after a configuration without its model and workspace. No change of logic.

--- a/unittests/Core/request_router_test.cc
+++ b/unittests/Core/request_router_test.cc
@@ -444,6 +444,36 @@
   EXPECT_FALSE(Take<local_response>());
 }
 
+// Guards against ending a request in progress because a newer configuration
+// lacks its model and its workspace.
+TEST_F(request_router_test, RetriesWhatNewConfigurationRemoves) {
+  SendRequest(1);
+  const auto first = Take<dispatch_attempt>();
+  ASSERT_TRUE(first);
+  auto config = std::make_shared<configuration>();
+  config->models = {{.name = "other", .version = "1"}};
+  router_.OnRoutingConfig(now_, config, out_);
+  EXPECT_FALSE(Take<local_response>());
+  EXPECT_TRUE(router_.CanRetryElsewhere(now_, 1));
+  EndAttempt(first->attempt, outcome::kUnknown);
+  const auto second = Take<dispatch_attempt>();
+  ASSERT_TRUE(second);
+  EXPECT_NE(second->upstream, first->upstream);
+}
+
+// Guards against refusing a request that waits for an upstream for the same
+// reason.
+TEST_F(request_router_test, PlacesWaitingRequestThatNewConfigurationRemoves) {
+  SendRequest(1, "w");
+  const auto first = Take<dispatch_attempt>();
+  SendRequest(2, "w");
+  EXPECT_FALSE(Take<dispatch_attempt>());
+  router_.OnRoutingConfig(now_, std::make_shared<configuration>(), out_);
+  EXPECT_FALSE(Take<local_response>());
+  EndAttempt(first->attempt, outcome::kAnswered);
+  EXPECT_EQ(Take<dispatch_attempt>()->request, 2U);
+}
+
 // Guards against a 502 for a request whose engine was about to respond: an
 // unresponsive attempt must not be cancelled if no other replica is available.
 TEST_F(request_router_test, ReportsWhetherUnresponsiveAttemptCanBeRetried) {
