--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -55,6 +55,7 @@
     // Each waits for a millisecond or more.
     constexpr int kSlowRounds = 700;
     constexpr size_t kReadSize = 4 << 10;
+    server_.SetLimits({.idle_timeout = std::chrono::milliseconds(300)});
     large_body_.assign(kLargeBodySize, 'x');
     raw_socket caller(raw_socket::Connect(server_.Address(), kReceiveBuffer));
     caller.Send(data);
