--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -24,9 +25,9 @@
 /// Input bytes buffered while a response is being sent; more stay in the
 /// kernel's socket buffer.
 static constexpr size_t kMaxReadAhead = 64UL << 10;
-/// How long input is discarded after the response before the connection is
-/// closed. Closing a socket with unread bytes resets the connection, and the
-/// response can be lost with it.
+/// How long input is discarded after the whole response was written before the
+/// connection is closed. Closing a socket with unread bytes resets the
+/// connection, and the response can be lost with it.
 static constexpr std::chrono::milliseconds kLingerTime{500};
 /// Largest body, in bytes, that is still accepted while large ones are refused
 /// because of the memory limit.
@@ -222,8 +223,9 @@
   }
   listener_ = nullptr;
   // A head sent before the drain began did not announce the close; the
-  // connection is closed nevertheless.
-  if (close_after_ || server_.IsDraining()) {
+  // connection is closed nevertheless, unless the caller has already sent
+  // another request. The response to that one announces it.
+  if (close_after_ || (server_.IsDraining() && !HasInput())) {
     CloseGracefully();
     return;
   }
@@ -247,9 +249,16 @@
   return evbuffer_get_length(bufferevent_get_output(stream_));
 }
 
+size_t caller_connection::UnacknowledgedBytes() const {
+  int in_kernel = 0;
+  ioctl(bufferevent_getfd(stream_), SIOCOUTQ, &in_kernel);
+  return PendingBytes() + static_cast<size_t>(in_kernel);
+}
+
 void caller_connection::CloseGracefully() {
   stage_ = stage::kClosing;
-  timer_.Start(kLingerTime);
+  unacknowledged_bytes_ = UnacknowledgedBytes();
+  timer_.Start(server_.limits_.idle_timeout);
   OnWritten();
 }
 
@@ -259,6 +268,7 @@
     return;
   }
   if (stage_ == stage::kClosing && PendingBytes() == 0 && !is_dropped_) {
+    timer_.Start(kLingerTime);
     shutdown(bufferevent_getfd(stream_), SHUT_WR);
   }
 }
@@ -275,19 +285,36 @@
     Reject(status_code::kRequestTimeout);
     return;
   }
-  CloseNow(stage_ == stage::kClosing ? caller_end_cause::kLingerTimeout
-                                     : caller_end_cause::kIdleTimeout);
+  if (const size_t left = UnacknowledgedBytes(); stage_ == stage::kClosing &&
+                                                 PendingBytes() > 0 &&
+                                                 left < unacknowledged_bytes_) {
+    unacknowledged_bytes_ = left;
+    timer_.Start(server_.limits_.idle_timeout);
+    return;
+  }
+  if (stage_ == stage::kIdle) {
+    CloseIfIdle(caller_end_cause::kIdleTimeout);
+    return;
+  }
+  CloseNow(caller_end_cause::kLingerTimeout);
+}
+
+bool caller_connection::HasInput() const {
+  int in_kernel = 0;
+  ioctl(bufferevent_getfd(stream_), FIONREAD, &in_kernel);
+  return in_kernel > 0 ||
+         evbuffer_get_length(bufferevent_get_input(stream_)) > 0;
 }
 
-void caller_connection::CloseIfIdle() {
-  if (stage_ != stage::kIdle) {
+void caller_connection::CloseIfIdle(caller_end_cause cause) {
+  if (stage_ != stage::kIdle || HasInput()) {
     return;
   }
   // The end of the last response may still be in the output buffer.
   if (PendingBytes() > 0) {
     CloseGracefully();
   } else {
-    CloseNow(caller_end_cause::kDraining);
+    CloseNow(cause);
   }
 }
 
--- a/lib/Http1/caller_connection.h
+++ b/lib/Http1/caller_connection.h
@@ -3,6 +3,7 @@
 #ifndef CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
 #define CUMINSWITCH_LIB_HTTP1_CALLER_CONNECTION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -38,8 +39,8 @@
   void Abort() override;
   size_t PendingBytes() const override;
 
-  /// Closes the connection unless a request is being read or answered.
-  void CloseIfIdle();
+  /// Closes the connection unless a request has arrived or is being answered.
+  void CloseIfIdle(caller_end_cause cause);
   /// Reports to the handler if an end of the connection now cuts off a response
   /// or a request.
   void ReportCut(caller_end_cause cause);
@@ -62,8 +63,14 @@
   /// whether it did.
   bool RejectIfOverMemoryLimit();
   void ClearBody();
+  /// Whether bytes of the next request have arrived, read or not.
+  bool HasInput() const;
+  /// Bytes that the caller's host has not acknowledged. `PendingBytes` alone
+  /// shrinks only each time a large part of the kernel's buffer has been sent.
+  size_t UnacknowledgedBytes() const;
   /// Closes once all output is written and the caller has closed its side, or
-  /// after `kLingerTime`.
+  /// `kLingerTime` after the former. A caller that reads nothing for the idle
+  /// timeout is dropped.
   void CloseGracefully();
   void CloseNow(caller_end_cause cause);
   /// Bytes that were received and that no request was read from.
@@ -83,6 +90,8 @@
   /// Bytes that were received after the last response and dropped.
   size_t dropped_bytes_ = 0;
   caller_listener* listener_ = nullptr;
+  /// `UnacknowledgedBytes()` when `timer_` was last started while closing.
+  size_t unacknowledged_bytes_ = 0;
   bool is_chunked_ = false;
   bool close_after_ = false;
   bool is_dropped_ = false;
--- a/lib/Http1/caller_server.cc
+++ b/lib/Http1/caller_server.cc
@@ -78,7 +78,7 @@
     all.push_back(key);
   }
   for (caller_connection* item : all) {
-    item->CloseIfIdle();
+    item->CloseIfIdle(caller_end_cause::kDraining);
   }
 }
 
--- a/unittests/Http1/loopback.h
+++ b/unittests/Http1/loopback.h
@@ -5,6 +5,8 @@
 
 #include <event2/event.h>
 #include <fcntl.h>
+#include <linux/filter.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -42,8 +44,14 @@
   raw_socket& operator=(const raw_socket&) = delete;
   ~raw_socket() { Close(); }
 
-  static int Connect(const endpoint& to) {
+  /// A \p receive_buffer other than zero bounds what the kernel holds for a
+  /// reader that falls behind.
+  static int Connect(const endpoint& to, int receive_buffer = 0) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_buffer > 0) {
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
+    }
     const sockaddr_in address = ToSocketAddress(to);
     static_cast<void>(connect(fd, reinterpret_cast<const sockaddr*>(&address),
                               sizeof(address)));
@@ -64,12 +72,34 @@
     ended = ended || size == 0 || (size < 0 && errno != EAGAIN);
     was_reset = was_reset || (size < 0 && errno == ECONNRESET);
   }
+  /// Like `Poll`, but reads \p limit bytes at most.
+  void PollSome(size_t limit) {
+    std::string buffer(limit, 0);
+    const ssize_t size = recv(fd_, buffer.data(), buffer.size(), 0);
+    if (size > 0) {
+      received.append(buffer, 0, static_cast<size_t>(size));
+    }
+    ended = ended || size == 0 || (size < 0 && errno != EAGAIN);
+  }
   void Close() {
     if (fd_ >= 0) {
       close(fd_);
       fd_ = -1;
     }
   }
+  /// Bytes that have arrived and were not read.
+  size_t Available() const {
+    int size = 0;
+    ioctl(fd_, FIONREAD, &size);
+    return static_cast<size_t>(size);
+  }
+  /// From now on the kernel drops what arrives, without an acknowledgement, as
+  /// if the host had lost power.
+  void DropPackets() {
+    sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{.len = 1, .filter = &drop};
+    setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+  }
   /// Closes the connection with a reset.
   void Reset() {
     const linger now{.l_onoff = 1, .l_linger = 0};
