Print in a denied finding when configurations were sent

The soak's check `denied` reported only that a request got 401. The soak writes the configurations itself, so it records when each was first sent and acknowledged, and a 401 names these times, the credential and the time of the reply.

--- a/test/soak/guarantee_checker.cc
+++ b/test/soak/guarantee_checker.cc
@@ -151,6 +151,22 @@
   }
 }
 
+void guarantee_checker::CheckRejection(const sent_request& request,
+                                       const observed_response& response) {
+  if (response.status != 401) {
+    ReportViolation("denied",
+                    request.id + " got " + std::to_string(response.status));
+    return;
+  }
+  if (const auto broken =
+          credentials_.OnRejected({.id = request.id,
+                                   .credential = request.credential,
+                                   .sent_at = request.sent_at,
+                                   .rejected_at = response.head_at})) {
+    ReportViolation("denied", *broken);
+  }
+}
+
 void guarantee_checker::OnResponse(const sent_request& request,
                                    const observed_response& response) {
   requests_[request.id].reported_status = response.status;
@@ -197,8 +213,7 @@
     CheckSuccess(request, response);
   } else if (response.status == 400 || response.status == 401 ||
              response.status == 403 || response.status == 404) {
-    ReportViolation("denied",
-                    request.id + " got " + std::to_string(response.status));
+    CheckRejection(request, response);
   } else if ((response.status == 503 || response.status == 429) &&
              !response.has_retry_after) {
     ReportViolation("refused", request.id + " was refused without Retry-After");
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -13,6 +13,7 @@
 
 #include "cuminswitch/Support/endpoint.h"
 #include "soak/crash_check.h"
+#include "soak/credential_check.h"
 #include "soak/departure_check.h"
 #include "soak/feedback_check.h"
 #include "soak/limit_check.h"
@@ -28,6 +29,7 @@
   std::string id;
   std::string path;
   std::string workspace;
+  std::string credential;
   /// The caller address of the daemon that it was sent to.
   endpoint daemon;
   steady_time sent_at{};
@@ -49,6 +51,8 @@
 struct observed_response {
   /// 0 if the connection ended before the head of a response.
   uint32_t status = 0;
+  /// When the head of the response came.
+  steady_time head_at{};
   /// The request id in the response.
   std::string echoed_id;
   /// The id of the upstream that responded.
@@ -89,6 +93,14 @@
   /// Records that a request of an undisturbed daemon reached an upstream that
   /// announces its departure.
   void OnLeavingArrival(const feedback_arrival& item);
+  /// Records that a configuration is being written to the store, and the
+  /// store's acknowledgement.
+  void OnConfigurationSent(const sent_configuration& item) {
+    credentials_.OnConfigurationSent(item);
+  }
+  void OnConfigurationAcknowledged(uint64_t version, steady_time at) {
+    credentials_.OnConfigurationAcknowledged(version, at);
+  }
   /// Records that the store acknowledged the departure of an upstream.
   void OnDepartureAcknowledged(const std::string& upstream, steady_time at) {
     departures_.OnAcknowledged(upstream, at);
@@ -158,6 +170,8 @@
 
   void CheckSuccess(const sent_request& request,
                     const observed_response& response);
+  void CheckRejection(const sent_request& request,
+                      const observed_response& response);
 
   std::map<std::string, record> requests_;
   /// The fencing token of the last command by engine, and the leader that holds
@@ -169,6 +183,7 @@
   crash_check crashes_;
   part_crash_check part_crashes_;
   departure_check departures_;
+  credential_check credentials_;
   partition_check partitions_;
   version_check versions_;
   std::vector<std::string> findings_;
--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -134,6 +134,7 @@
     MakePartCrashing(crashing_part);
     key = "key1";
   }
+  request_.credential = key;
   checker_.OnSent(request_);
   const std::string text =
       "POST " + request_.path +
@@ -232,6 +233,7 @@
 
 void soak_caller::OnHead(message_head head) {
   response_.status = head.status;
+  response_.head_at = std::chrono::steady_clock::now();
   response_.echoed_id = head.Find("X-Attempt-Id");
   response_.upstream = head.Find("X-Replica-Stamp");
   response_.advertises_limit = head.Has("Server-Limit");
