Allow a 401 after the credential's revocation was sent

By the rule DENIED a reply isn't denied where a configuration that may be in force doesn't allow the request.

A 401 is allowed only if a configuration without the request's credential was first sent during the request: not before it was sent, and before the head of its reply came. All else is a finding as before: a 401 for a credential that is kept, before the revocation is sent, or by an earlier revocation that was undone, and 400, 403 and 404 always. Each condition taken out fails a test. The summary counts what was allowed.

--- a/test/soak/credential_check.cc
+++ b/test/soak/credential_check.cc
@@ -1,5 +1,6 @@
 #include "soak/credential_check.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace cuminswitch::soak {
@@ -23,6 +24,17 @@
   }
 }
 
+bool credential_check::WasRevokedDuring(
+    const credential_rejection& item) const {
+  return std::any_of(configurations_.begin(), configurations_.end(),
+                     [&](const auto& entry) {
+                       const sent_configuration& config = entry.second;
+                       return !config.credentials.contains(item.credential) &&
+                              item.sent_at <= config.sent_at &&
+                              config.sent_at < item.rejected_at;
+                     });
+}
+
 std::string credential_check::Describe(const credential_rejection& item) const {
   std::string text = item.id + " with " + item.credential + " got 401 after " +
                      FormatSpan(item.sent_at, item.rejected_at) +
@@ -43,6 +55,10 @@
 
 std::optional<std::string> credential_check::OnRejected(
     const credential_rejection& item) {
+  if (WasRevokedDuring(item)) {
+    ++allowed_;
+    return std::nullopt;
+  }
   return Describe(item);
 }
 
--- a/test/soak/credential_check.h
+++ b/test/soak/credential_check.h
@@ -34,18 +34,25 @@
 };
 
 /// Compares the times of rejected requests with those of the configurations.
+/// Callers send no request whose credential has been revoked, so that only a
+/// revocation sent during the request allows its rejection.
 class credential_check {
  public:
   void OnConfigurationSent(const sent_configuration& item);
   void OnConfigurationAcknowledged(uint64_t version, steady_time at);
-  /// Returns a description of the violation.
+  /// Returns a description of the violation if no configuration sent during the
+  /// request lacks its credential.
   std::optional<std::string> OnRejected(const credential_rejection& item);
+  /// Number of rejections that a revocation during the request allowed.
+  size_t allowed() const { return allowed_; }
 
  private:
+  bool WasRevokedDuring(const credential_rejection& item) const;
   /// Lists the configurations with their times relative to the request.
   std::string Describe(const credential_rejection& item) const;
 
   std::map<uint64_t, sent_configuration> configurations_;
+  size_t allowed_ = 0;
 };
 
 }  // namespace cuminswitch::soak
--- a/test/soak/credential_check_test.cc
+++ b/test/soak/credential_check_test.cc
@@ -46,6 +46,7 @@
     checker_.OnResponse(request, {.status = status, .head_at = At(ms)});
   }
 
+  guarantee_checker& checker() { return checker_; }
   const std::vector<std::string>& findings() const {
     return checker_.findings();
   }
@@ -60,6 +61,59 @@
   EXPECT_EQ(findings().size(), 1);
 }
 
+// Guards against a rejection that a later revocation would excuse.
+TEST_F(credential_check_test, FindsRejectionBeforeRevocationWasSent) {
+  Respond("key3", 401, 150);
+  Send(2, {"key2"}, 150);
+  EXPECT_EQ(findings().size(), 1);
+}
+
+// The same where the checker knows of the revocation first.
+TEST_F(credential_check_test, FindsRejectionAtTimeOfRevocation) {
+  Send(2, {"key2"}, 150);
+  Respond("key3", 401, 150);
+  EXPECT_EQ(findings().size(), 1);
+}
+
+// Guards against a configuration that would excuse the rejection of each
+// credential.
+TEST_F(credential_check_test, FindsRejectionOfCredentialThatIsKept) {
+  Send(2, {"key2"}, 140);
+  Respond("key2", 401, 150);
+  EXPECT_EQ(findings().size(), 1);
+}
+
+// Guards against a daemon that goes back to a configuration without the
+// credential.
+TEST_F(credential_check_test, FindsRejectionByEarlierRevocation) {
+  Send(2, {"key2"}, 20);
+  checker().OnConfigurationAcknowledged(2, At(30));
+  Send(3, {"key2", "key3"}, 40);
+  checker().OnConfigurationAcknowledged(3, At(50));
+  Respond("key3", 401, 150);
+  EXPECT_EQ(findings().size(), 1);
+}
+
+// Guards against a revocation that would excuse any refusal.
+TEST_F(credential_check_test, FindsOtherRefusalsDespiteRevocation) {
+  Send(2, {"key2"}, 140);
+  for (const uint32_t status : {400U, 403U, 404U}) {
+    Respond("key3", status, 150);
+  }
+  EXPECT_EQ(findings(), std::vector<std::string>({"denied: c1-1 got 400",
+                                                  "denied: c1-1 got 403",
+                                                  "denied: c1-1 got 404"}));
+}
+
+// Guards against a finding for a request that waited at a suspended daemon
+// while its credential was revoked.
+TEST_F(credential_check_test, AllowsRejectionAfterRevocationWasSent) {
+  Send(2, {"key2"}, 140);
+  Respond("key3", 401, 150);
+  EXPECT_TRUE(findings().empty());
+  EXPECT_EQ(checker().rejected_by_revocation(), 1);
+}
+
 // Guards against a finding that does not show whether the rejection is allowed.
 TEST_F(credential_check_test, NamesTimesOfConfigurations) {
   Send(2, {"key2"}, 140);
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -157,6 +157,8 @@
   size_t partition_checked() const { return partitions_.counted(); }
   size_t departures() const { return departures_.counted(); }
   size_t late_at_departed() const { return departures_.late(); }
+  /// Requests rejected for a credential that was revoked meanwhile.
+  size_t rejected_by_revocation() const { return credentials_.allowed(); }
   const version_check& versions() const { return versions_; }
 
  private:
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -141,6 +141,8 @@
               << checker_.part_crashes().crashes() << " crashes under parts, "
               << checker_.part_crashes().late() << " requests with them late, "
               << checker_.part_crashes().compared() << " beside them compared, "
+              << checker_.rejected_by_revocation()
+              << " rejected by a revocation meanwhile, "
               << checker_.findings().size() << " findings\n";
     return checker_.findings();
   }
