Keep retries for refusals before a silent upstream is left

Callers of a stream lost the rest of it after its upstream was silent for two seconds: the move to another upstream spent the daemon's last retry, that one asked for backoff, and no retry was left before the deadline.

Cause: the move only asked for a retry of its own, although it can be refused as often as kExtraArrivals says. A response that has begun now leaves its upstream only if the budget also holds these; otherwise it stays where it is, where it may go on. Requests that have not begun still need one retry.

--- a/include/cuminswitch/Admission/retry_budget.h
+++ b/include/cuminswitch/Admission/retry_budget.h
@@ -61,8 +61,8 @@
   void OnFirstAttempt(time_point now);
   /// Returns the usage at the time of the last call that passed one.
   usage Usage() const;
-  /// Whether a retry is left.
-  bool CanSpend(time_point now);
+  /// Whether \p count retries are left.
+  bool CanSpend(time_point now, uint32_t count = 1);
   /// Spends one retry; returns false when none is left.
   bool TrySpend(time_point now);
 
--- a/lib/Admission/retry_budget.cc
+++ b/lib/Admission/retry_budget.cc
@@ -53,10 +53,10 @@
           .allowed = (is_restricted ? 0 : burst_) + share * first_attempts};
 }
 
-bool retry_budget::CanSpend(time_point now) {
+bool retry_budget::CanSpend(time_point now, uint32_t count) {
   Advance(now);
   const usage used = Usage();
-  return used.retries + 1 <= used.allowed;
+  return used.retries + count <= used.allowed;
 }
 
 bool retry_budget::TrySpend(time_point now) {
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -345,7 +345,11 @@
   const request& item = found->second;
   std::vector<replica_index> excluded = item.excluded;
   excluded.push_back(item.running->index);
-  if (!MayRepeat(item) || !RetryBudgetFor(item.info.target).CanSpend(now)) {
+  // A begun response would be lost if upstreams refused it and no further retry
+  // were left.
+  const uint32_t retries = item.has_begun ? 1 + kExtraArrivals : 1;
+  if (!MayRepeat(item) ||
+      !RetryBudgetFor(item.info.target).CanSpend(now, retries)) {
     return false;
   }
   // To wait for a replica that is full, in backoff or over its rate limit is no
--- a/unittests/Core/begun_response_test.cc
+++ b/unittests/Core/begun_response_test.cc
@@ -191,6 +191,7 @@
 // Guards against leaving a silent upstream for ones that cannot go on with the
 // response.
 TEST_F(begun_response_test, StaysAtSilentUpstreamIfOthersAreFull) {
+  Start({.share = 0, .burst = 9, .window = kRetryWindow});
   BeginStream();
   EXPECT_TRUE(router_->CanRetryElsewhere(now_, kStream));
   for (request_id id = kStream + 1; id < kStream + kUpstreams.size(); ++id) {
@@ -199,6 +200,12 @@
   EXPECT_FALSE(router_->CanRetryElsewhere(now_, kStream));
 }
 
+TEST_F(begun_response_test, StaysAtSilentUpstreamIfLastRetryMayBeRefused) {
+  Start({.share = 0, .burst = 2, .window = kRetryWindow});
+  BeginStream();
+  EXPECT_FALSE(router_->CanRetryElsewhere(now_, kStream));
+}
+
 TEST_F(begun_response_test, StaysAtSilentUpstreamIfQuarantined) {
   Start({.share = 0, .burst = 9, .window = kRetryWindow});
   BeginStream();
