--- a/include/cuminswitch/Http1/call_end_cause.h
+++ b/include/cuminswitch/Http1/call_end_cause.h
@@ -19,8 +19,6 @@
   /// The kernel's `TCP_USER_TIMEOUT`: sent bytes stayed unacknowledged, or the
   /// upstream accepted no more of them.
   kUserTimeout,
-  /// This daemon, since the upstream's host acknowledged nothing for too long.
-  kHostSilent,
   kConnectTimeout,
   /// This daemon, since no byte arrived within the stall timeout.
   kStallTimeout,
@@ -40,8 +38,6 @@
       return "upstream_reset";
     case call_end_cause::kUserTimeout:
       return "user_timeout";
-    case call_end_cause::kHostSilent:
-      return "host_silent";
     case call_end_cause::kConnectTimeout:
       return "connect_timeout";
     case call_end_cause::kStallTimeout:
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -3,12 +3,9 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <string>
@@ -28,18 +25,10 @@
 /// Largest head and body of a response, in bytes.
 static constexpr size_t kMaxResponseHead = 64UL << 10;
 static constexpr size_t kMaxResponseBody = 256UL << 20;
-/// The connection counts as lost if the upstream's host acknowledges nothing
-/// for this long while it has something to acknowledge, which detects a host
-/// that lost power. It is long enough to retransmit after two consecutive lost
-/// packets.
-static constexpr std::chrono::milliseconds kMaxHostSilence{1'100};
-/// `TCP_USER_TIMEOUT` where the kernel does not report acknowledgements. It
-/// also ends a connection whose window is full because the upstream's process
-/// is stopped, although its host acknowledges.
+/// `TCP_USER_TIMEOUT`: the kernel closes the connection if sent bytes stay
+/// unacknowledged for this long, which detects a host that lost power. It is
+/// long enough to retransmit after two consecutive lost packets.
 static constexpr int kUserTimeoutMs = 700;
-/// Probes of a full window without an acknowledgement; the last one may still
-/// be on its way.
-static constexpr uint32_t kUnansweredProbes = 2;
 
 upstream_connection::upstream_connection(upstream_pool& pool,
                                          const endpoint& to)
@@ -49,8 +38,7 @@
                .max_head_size = kMaxResponseHead,
                .max_body_size = kMaxResponseBody},
               *this),
-      timer_(pool.base_, [this] { OnTimeout(); }),
-      host_timer_(pool.base_, [this] { CheckHost(); }) {
+      timer_(pool.base_, [this] { OnTimeout(); }) {
   stream_ = bufferevent_socket_new(pool.base_, -1, BEV_OPT_CLOSE_ON_FREE);
   const auto on_read = [](bufferevent* /*stream*/, void* raw) {
     static_cast<upstream_connection*>(raw)->OnReadable();
@@ -91,8 +79,6 @@
   const std::string head = WriteHead(request);
   bufferevent_write(stream_, head.data(), head.size());
   bufferevent_write(stream_, request.body.data(), request.body.size());
-  sent_at_ = std::chrono::steady_clock::now();
-  host_timer_.Start(kMaxHostSilence);
   if (!is_connected_) {
     Connect(request.connect_timeout);
   }
@@ -111,63 +97,12 @@
   const int fd = bufferevent_getfd(stream_);
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
-static tcp_info ReadTcpInfo(int fd) {
-  tcp_info info{};
-  socklen_t size = sizeof(info);
-  getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size);
-  return info;
-}
-
-void upstream_connection::LimitHostSilence() {
-  const int fd = bufferevent_getfd(stream_);
-  // No state is zero, so this is no report.
-  if (ReadTcpInfo(fd).tcpi_state == 0) {
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
-               sizeof(kUserTimeoutMs));
-  }
-}
-
-void upstream_connection::CheckHost() {
-  if (call_ == nullptr) {
-    return;
-  }
-  const std::chrono::milliseconds silence = HostSilence();
-  if (silence >= kMaxHostSilence) {
-    ResetOnClose();
-    End(upstream_call_result::kBroken, call_end_cause::kHostSilent);
-    return;
-  }
-  if (HasUnacknowledgedBytes()) {
-    host_timer_.Start(kMaxHostSilence - silence);
-  }
-}
-
-std::chrono::milliseconds upstream_connection::HostSilence() const {
-  const tcp_info info = ReadTcpInfo(bufferevent_getfd(stream_));
-  const bool awaits_host =
-      info.tcpi_unacked > 0 || info.tcpi_probes >= kUnansweredProbes;
-  if (!is_connected_ || !awaits_host) {
-    return std::chrono::milliseconds(0);
-  }
-  return std::min(std::chrono::milliseconds(info.tcpi_last_ack_recv),
-                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                      std::chrono::steady_clock::now() - sent_at_));
-}
-
-bool upstream_connection::HasUnacknowledgedBytes() const {
-  int in_kernel = 0;
-  ioctl(bufferevent_getfd(stream_), SIOCOUTQ, &in_kernel);
-  return in_kernel > 0 || HasUnsentBytes();
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof(kUserTimeoutMs));
 }
 
 void upstream_connection::Cancel() {
   call_ = nullptr;
-  ResetOnClose();
-}
-
-void upstream_connection::ResetOnClose() {
   // With an orderly close, a request that is still queued would be delivered
   // and run although its caller has left; a reset drops it.
   const linger reset{.l_onoff = 1, .l_linger = 0};
@@ -263,7 +198,6 @@
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     is_connected_ = true;
     timer_.Cancel();
-    LimitHostSilence();
     return;
   }
   is_reusable_ = false;
@@ -299,7 +233,6 @@
 void upstream_connection::End(upstream_call_result result,
                               call_end_cause cause) {
   ++served_;
-  host_timer_.Cancel();
   const bool has_more = evbuffer_get_length(bufferevent_get_input(stream_)) > 0;
   // If the response arrived before the request was completely sent, the
   // upstream still expects the rest of the request, so nothing else may be sent
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -49,18 +49,7 @@
   void OnTimeout();
   void End(upstream_call_result result, call_end_cause cause);
   void BecomeIdle();
-  /// Makes the kernel end the connection to a silent host if `CheckHost`
-  /// cannot.
-  void LimitHostSilence();
-  /// Ends the call if the upstream's host has lost power or is out of reach.
-  void CheckHost();
-  /// How long the upstream's host has acknowledged nothing; zero if it has
-  /// nothing to acknowledge.
-  std::chrono::milliseconds HostSilence() const;
   bool HasUnsentBytes() const;
-  bool HasUnacknowledgedBytes() const;
-  /// Closing the connection resets it, so that unsent bytes are dropped.
-  void ResetOnClose();
 
   upstream_pool& pool_;
   endpoint to_;
@@ -68,8 +57,6 @@
   std::unique_ptr<counted_stream> counted_;
   message_reader reader_;
   loop_timer timer_;
-  loop_timer host_timer_;
-  std::chrono::steady_clock::time_point sent_at_;
   pooled_call* call_ = nullptr;
   bool is_connected_ = false;
   bool is_reusable_ = false;
