Read publication records without a version

Daemons logged item_malformed for "3800 1 engines/m", a record that one of them had written, and wrote it again every 0.7 s until it lapsed. A publication need not supersede a version, nor name one; the writer leaves such a field empty between blanks, and the reader skipped blanks.

Each field is now read up to its blank. publication_records_test.ReadsRecordsWithoutAVersion failed before. That an absence of engines is recorded as a publication of no version stays open.

--- a/lib/Fleet/publication_records.cc
+++ b/lib/Fleet/publication_records.cc
@@ -102,7 +102,11 @@
   std::istringstream in(value);
   publication_report record;
   int64_t age = -1;
-  in >> age >> record.superseded >> record.version >> std::ws;
+  // Each field ends with one blank, since the versions may be empty.
+  in >> age;
+  in.get();
+  std::getline(in, record.superseded, ' ');
+  std::getline(in, record.version, ' ');
   std::getline(in, record.target);
   if (record.target.empty() || age < 0) {
     throw std::invalid_argument("publication record is malformed: " + value);
--- a/unittests/Fleet/publication_records_test.cc
+++ b/unittests/Fleet/publication_records_test.cc
@@ -92,6 +92,16 @@
   EXPECT_TRUE(store_.requested.empty());
 }
 
+// Guards against a record that its writer produces and no daemon can read.
+TEST_F(publication_records_test, ReadsRecordsWithoutAVersion) {
+  for (const publication_report& record : std::vector<publication_report>{
+           {.target = "s/m", .superseded = "1", .age = seconds(4)},
+           {.target = "s/m", .version = "1", .age = seconds(4)},
+           {.target = "s/m", .age = seconds(4)}}) {
+    EXPECT_EQ(ParsePublicationRecord(EncodePublicationRecord(record)), record);
+  }
+}
+
 TEST_F(publication_records_test, RejectsMalformedRecords) {
   for (const char* value : {"", "4000 2 3", "x 2 3 s/m", "-1 2 3 s/m"}) {
     EXPECT_THROW(ParsePublicationRecord(value), std::invalid_argument) << value;
