--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -272,6 +272,8 @@
     time_point next_start_request{};
     /// When to retry it; valid in `stage::kPostponed`.
     time_point next_retry{};
+    /// How often it would have been refused had its response not begun.
+    uint32_t refusals = 0;
     /// Epoch of the shard's owner that granted the start; 0 before.
     epoch_number epoch = 0;
     key_hash key;
@@ -403,10 +405,16 @@
                         request& item,
                         const refusal& why,
                         action_list& out);
+  /// Whether an upstream may go on later with the begun response.
+  bool CanPostpone(time_point now, const request& item) const;
+  void Postpone(time_point now,
+                request& item,
+                duration delay,
+                const std::string& reason);
   /// Retries the postponed requests that an upstream can go on with now.
   void RetryPostponed(time_point now, action_list& out);
-  /// Whether an upstream, apart from those in \p excluded, accepts the request
-  /// now.
+  /// Whether an upstream, apart from those in \p excluded, is sound and has a
+  /// free slot.
   bool HasFreeUpstream(time_point now,
                        const request& item,
                        std::span<const replica_index> excluded) const;
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -154,6 +154,9 @@
 /// The first byte of an attempt's response arrived from the upstream.
 struct attempt_first_byte {
   attempt_id attempt = 0;
+  /// The caller gets a part of the response with it, and would lose that if the
+  /// request ended now.
+  bool has_reached_caller = false;
 };
 
 /// An attempt is over.
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -165,7 +165,7 @@
     return;
   }
   running.first_byte = now;
-  item.has_begun = true;
+  item.has_begun = item.has_begun || event.has_reached_caller;
   item.software = replicas_[running.index].software;
   const duration took = now - running.sent;
   replicas_.LearnTargetFirstByte(item.info.target, took);
@@ -402,7 +402,9 @@
   ++counters_.retries;
   // If no other replica is eligible, one that failed before is better than
   // none.
-  if (!HasUpstream(now, item, item.excluded)) {
+  // A begun response would be lost in the queue of full ones.
+  if (!HasUpstream(now, item, item.excluded) ||
+      (item.has_begun && !HasFreeUpstream(now, item, item.excluded))) {
     item.excluded.clear();
   }
   Admit(now, item, out);
--- a/lib/Core/request_postponements.cc
+++ b/lib/Core/request_postponements.cc
@@ -10,33 +10,52 @@
 
 namespace cuminswitch {
 
+/// The delay after a refusal doubles this often, so that one response that all
+/// upstreams refuse does not use up the retry budget.
+static constexpr uint32_t kMaxDoublings = 3;
+
 bool request_router::HasFreeUpstream(
     time_point now,
     const request& item,
     std::span<const replica_index> excluded) const {
   const eligible_replicas eligible = ListEligible(now, item, excluded);
-  return std::any_of(eligible.has_free_slot.begin(),
-                     eligible.has_free_slot.end(),
-                     [](bool is_free) { return is_free; });
+  for (size_t i = 0; i < eligible.indices.size(); ++i) {
+    if (eligible.has_free_slot[i] &&
+        now >= replicas_[eligible.indices[i]].ejected_until) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool request_router::CanPostpone(time_point now, const request& item) const {
+  return item.has_begun && MayRepeat(item) && now < item.deadline &&
+         replicas_.HasSoftware(item.info.target, item.software);
+}
+
+void request_router::Postpone(time_point now,
+                              request& item,
+                              duration delay,
+                              const std::string& reason) {
+  const request_id id = item.info.request;
+  item.current_stage = stage::kPostponed;
+  item.next_retry = now + delay;
+  postponed_.push_back(id);
+  postponements_.push_back(
+      {.request = id, .reason = reason, .retry_after = delay});
+  ++counters_.postponed;
 }
 
 bool request_router::RefuseOrPostpone(time_point now,
                                       request& item,
                                       const refusal& why,
                                       action_list& out) {
-  const request_id id = item.info.request;
-  if (!item.has_begun || !MayRepeat(item) || now >= item.deadline ||
-      !replicas_.HasSoftware(item.info.target, item.software)) {
-    Refuse(id, why, out);
+  if (!CanPostpone(now, item)) {
+    Refuse(item.info.request, why, out);
     return true;
   }
-  item.current_stage = stage::kPostponed;
-  item.next_retry = now + kUpstreamRetryAfter;
-  postponed_.push_back(id);
-  postponements_.push_back({.request = id,
-                            .reason = why.message,
-                            .retry_after = kUpstreamRetryAfter});
-  ++counters_.postponed;
+  const uint32_t doublings = std::min(item.refusals++, kMaxDoublings);
+  Postpone(now, item, kUpstreamRetryAfter * (1U << doublings), why.message);
   return false;
 }
 
@@ -56,16 +75,16 @@
       item.excluded.clear();
     }
     const bool has_upstream = HasFreeUpstream(now, item, item.excluded);
-    if (has_upstream && RetryBudgetFor(item.info.target).TrySpend(now)) {
+    const std::string reason = has_upstream ? "the retry budget is spent"
+                                            : "no upstream can take it now";
+    if (!CanPostpone(now, item)) {
+      Refuse(id, {.status = status_code::kUnavailable, .message = reason}, out);
+    } else if (has_upstream && RetryBudgetFor(item.info.target).TrySpend(now)) {
       ++counters_.retries;
       Admit(now, item, out);
-      continue;
+    } else {
+      Postpone(now, item, kUpstreamRetryAfter, reason);
     }
-    RefuseOrPostpone(now, item,
-                     {.status = status_code::kUnavailable,
-                      .message = has_upstream ? "the retry budget is spent"
-                                              : "no upstream can take it now"},
-                     out);
   }
 }
 
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -37,7 +37,7 @@
 /// A sound upstream may be silent for a second or somewhat more within a
 /// response. Another one would have to compute the response up to this point
 /// again.
-static constexpr duration kMaxSoundSilence = std::chrono::seconds(2);
+static constexpr duration kMaxSoundSilence = std::chrono::milliseconds(2500);
 /// The stall timeout is at least this many times the current mean wait for the
 /// first byte. In an overloaded fleet, requests would otherwise be taken from
 /// engines that are about to respond.
@@ -131,7 +131,7 @@
 
 duration request_flow::StallTimeout() const {
   const route_spec& route = *options_.route;
-  if (first_byte_at_) {
+  if (has_attempt_begun_) {
     return std::max<duration>(route.max_event_gap * kStallGapFactor,
                               kMaxSoundSilence);
   }
@@ -211,7 +211,8 @@
 void request_flow::RecordFirstByte(time_point now) {
   first_byte_at_ = first_byte_at_.value_or(now);
   if (!std::exchange(has_attempt_begun_, true)) {
-    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = attempt_});
+    with_.owner.OnFlowEvent(
+        attempt_first_byte{.attempt = attempt_, .has_reached_caller = true});
   }
 }
 
--- a/test/process/platform_silent_upstream.sh
+++ b/test/process/platform_silent_upstream.sh
@@ -2,7 +2,7 @@
 # Guards against a stream that is cut because its upstream is silent for a
 # while: the daemon cancels it there first, and is then refused elsewhere.
 source "$(dirname "$0")/platform.sh"
-SILENCE_MS=2200
+SILENCE_MS=3000
 # Allows a single retry.
 BOUNDS=$'retry-ratio = 0\nretry-slack = 2'
 start_stand_in store store_stand_in
--- a/unittests/Core/begun_response_test.cc
+++ b/unittests/Core/begun_response_test.cc
@@ -76,7 +76,8 @@
   /// Sends a request and returns its attempt, whose response has begun.
   dispatch_attempt BeginStream() {
     const dispatch_attempt first = SendRequest(kStream);
-    router_->OnFirstByte(now_, {.attempt = first.attempt});
+    router_->OnFirstByte(
+        now_, {.attempt = first.attempt, .has_reached_caller = true});
     return first;
   }
   /// Ends an attempt because its upstream was silent for too long.
@@ -139,7 +140,7 @@
   }
   EXPECT_FALSE(Take<local_response>());
   EXPECT_GT(refused, 4);
-  EXPECT_LT(refused, 12) << "they use up the budget of other requests";
+  EXPECT_LT(refused, 8) << "they use up the budget of other requests";
 }
 
 // Guards against a begun response that is ended since no upstream is available
@@ -159,6 +160,31 @@
   EXPECT_EQ(Take<dispatch_attempt>().value().upstream, "c");
 }
 
+// Guards against a begun response that waits in the queue of full upstreams
+// while the one that it left is free.
+TEST_F(begun_response_test, ReturnsToFreeUpstream) {
+  Start({.share = 0, .burst = 9, .window = kRetryWindow});
+  const dispatch_attempt first = BeginStream();
+  EndStalled(first.attempt);
+  const dispatch_attempt second = Take<dispatch_attempt>().value();
+  for (request_id id = kStream + 1; id < kStream + kUpstreams.size() - 1;
+       ++id) {
+    SendRequest(id);
+  }
+  EndRefused(second.attempt);
+  Pass(seconds(4));
+  EXPECT_TRUE(Take<dispatch_attempt>());
+}
+
+// Guards against a response being held of which the caller has got nothing.
+TEST_F(begun_response_test, RefusesRequestWhoseCallerHasGotNothing) {
+  const dispatch_attempt first = SendRequest(kStream);
+  router_->OnFirstByte(now_, {.attempt = first.attempt});
+  EndStalled(first.attempt);
+  EndRefused(Take<dispatch_attempt>().value().attempt);
+  EXPECT_TRUE(Take<local_response>());
+}
+
 TEST_F(begun_response_test, EndsWithoutUpstreamOfItsVersion) {
   Start({.share = 0, .burst = 4, .window = kRetryWindow});
   EndStalled(BeginStream().attempt);
@@ -200,6 +226,20 @@
   EXPECT_FALSE(router_->CanRetryElsewhere(now_, kStream));
 }
 
+TEST_F(begun_response_test, StaysAtSilentUpstreamIfOthersAreEjected) {
+  Start({.share = 0, .burst = 9, .window = kRetryWindow});
+  BeginStream();
+  for (request_id id = kStream + 1; id < kStream + kUpstreams.size(); ++id) {
+    router_->OnAttemptEnded(now_,
+                            {.attempt = SendRequest(id).attempt,
+                             .result = outcome::kUnknown,
+                             .connection_lost = true,
+                             .response_started = true},
+                            out_);
+  }
+  EXPECT_FALSE(router_->CanRetryElsewhere(now_, kStream));
+}
+
 TEST_F(begun_response_test, StaysAtSilentUpstreamIfLastRetryMayBeRefused) {
   Start({.share = 0, .burst = 2, .window = kRetryWindow});
   BeginStream();
