--- a/test/soak/fault_schedule.cc
+++ b/test/soak/fault_schedule.cc
@@ -361,7 +361,7 @@
   }
   LogFault(item.id + " falls silent");
   target_.processes.Signal(item.name, SIGSTOP);
-  ScheduleEnd(200, 2'200, [this, &item] {
+  ScheduleEnd(200, 3'400, [this, &item] {
     item.is_paused = false;
     target_.processes.Signal(item.name, SIGCONT);
   });
--- a/test/soak/guarantee_checker.h
+++ b/test/soak/guarantee_checker.h
@@ -70,6 +70,7 @@
   /// The response ended with its framing complete.
   bool is_complete = false;
   bool has_retry_after = false;
+  std::chrono::milliseconds retry_after{0};
   /// The caller stopped waiting, some time after its deadline.
   bool has_timed_out = false;
   /// No fault has acted on the daemon since well before the request, so that a
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -219,6 +219,7 @@
             .sends_equal = options_.partitions,
             .deadline = DeadlineOf(options_),
             .sends_slow = options_.silences,
+            .keeps_retry_after = options_.silences,
             .resumes_streams = options_.versions},
         checker_);
   }
--- a/test/soak/soak_caller.cc
+++ b/test/soak/soak_caller.cc
@@ -4,8 +4,11 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstddef>
+#include <cstdlib>
 #include <utility>
 #include <vector>
 
@@ -243,6 +246,10 @@
   response_.advertises_limit = head.Has("Server-Limit");
   response_.announces_leaving = head.Has("Server-Leaving");
   response_.has_retry_after = head.Has("Retry-After");
+  const double seconds =
+      std::atof(std::string(head.Find("Retry-After")).c_str());
+  response_.retry_after =
+      std::chrono::milliseconds(std::lround(seconds * 1000));
   keeps_connection_ = head.keep_alive;
 }
 
@@ -279,7 +286,7 @@
     EndRequest();
     if (!keeps_connection_) {
       Disconnect();
-      timer_.Start(kReconnectDelay);
+      timer_.Start(reconnect_delay_);
       return;
     }
   }
@@ -292,6 +299,14 @@
       options_.is_undisturbed(daemon_, request_.sent_at);
   checker_.OnResponse(request_, response_);
   KeepBegunStream();
+  const bool is_refused =
+      options_.keeps_retry_after && response_.retry_after.count() > 0;
+  // A connection that rests until then may be closed as idle just as the next
+  // request is sent.
+  keeps_connection_ = keeps_connection_ && !is_refused;
+  reconnect_delay_ = is_refused
+                         ? std::max(kReconnectDelay, response_.retry_after)
+                         : kReconnectDelay;
   timer_.Start(std::chrono::milliseconds(1 + random_() % kMaxThinkTimeMs));
 }
 
--- a/test/soak/soak_caller.h
+++ b/test/soak/soak_caller.h
@@ -47,6 +47,8 @@
     /// All streams last for about a second, and most requests are streams that
     /// may be resumed.
     bool sends_slow = false;
+    /// Waits for the time that a refusal states before the next request.
+    bool keeps_retry_after = false;
     /// Resumes streams that end before they are complete.
     bool resumes_streams = false;
   };
@@ -93,6 +95,8 @@
   observed_response response_;
   bool is_waiting_ = false;
   bool keeps_connection_ = false;
+  /// Time from the end of a connection to the next one.
+  std::chrono::milliseconds reconnect_delay_{0};
   bool is_stopping_ = false;
   uint64_t count_ = 0;
   /// The complete events of a stream that is to be resumed, and the attempt
