--- a/unittests/Core/begun_response_test.cc
+++ b/unittests/Core/begun_response_test.cc
@@ -75,7 +75,7 @@
   }
   /// Sends a request and returns its attempt, whose response has begun.
   dispatch_attempt BeginStream() {
-    const dispatch_attempt first = SendRequest(kStream);
+    dispatch_attempt first = SendRequest(kStream);
     router_->OnFirstByte(
         now_, {.attempt = first.attempt, .has_reached_caller = true});
     return first;
@@ -190,6 +190,7 @@
   EndStalled(BeginStream().attempt);
   const dispatch_attempt second = Take<dispatch_attempt>().value();
   std::vector<upstream_update> updates;
+  updates.reserve(kUpstreams.size());
   for (const char* name : kUpstreams) {
     updates.push_back({.spec = {.name = name}, .is_removed = true});
   }
