End the learning of publications that contradict each other

Callers of a daemon got neither an answer nor a refusal: it used a whole processor, answered no request and no /ready, and ignored SIGTERM. Its stack was replica_table::LearnPublications, LearnPublication, vector::insert.

Cause: a history of versions could hold one version twice. Where the records held a cycle (1 after 2 and 2 after 1, or none after 1 and 1 after none), each pass inserted one more entry at the front of the history, so that the other record's version was the unwitnessed front again. Two writers produced cycles: an absence of all engines counted as the publication of no version, and a version that was named again stayed in the history as superseded.

An absence supersedes nothing: once the next version is named, engines with the previous one still serve until their bound. A version that is published again is the newest one.

Tests, on the code before: LearnsContradictoryPublicationsOnce did not end within 20 s, LearnsABoundedNumberOfPublications learnt 1,003, the other two failed.

--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -46,9 +46,8 @@
                                        std::string_view version) {
   // The time for which old weights may be used starts with the publication of
   // the next version, regardless of how many versions followed.
-  const auto known = std::find_if(
-      target.history.begin(), target.history.end(),
-      [&](const version_start& item) { return item.version == version; });
+  const auto known =
+      std::ranges::find(target.history, version, &version_start::version);
   if (known == target.history.end()) {
     return target.history.front().since;
   }
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -50,8 +50,12 @@
                               std::span<const model_spec> models) {
   for (const model_spec& model : models) {
     target_replicas& target = by_target_[model.name];
-    target.version = model.version;
     target.estimate.SetCacheTokens(model.cache_tokens);
+    // Without an engine the version is unknown, which supersedes none.
+    if (model.version.empty()) {
+      continue;
+    }
+    target.version = model.version;
     if (target.history.empty() ||
         target.history.back().version != model.version) {
       // The bound on superseded weights counts from the publication, which may
@@ -60,9 +64,14 @@
           target.history.empty()
               ? options_.first_version_since
               : std::min(now, model.published_after.value_or(now));
+      const bool is_witnessed = !target.history.empty();
+      // A version that is published again is not superseded any more.
+      std::erase_if(target.history, [&](const version_start& item) {
+        return item.version == model.version;
+      });
       target.history.push_back({.version = model.version,
                                 .since = since,
-                                .is_witnessed = !target.history.empty()});
+                                .is_witnessed = is_witnessed});
     }
     if (target.history.size() > kMaxVersionHistory) {
       target.history.erase(target.history.begin());
@@ -102,7 +111,8 @@
     std::span<const weights_publication> learned) {
   std::vector<weights_publication> accepted;
   // Each one is applied after the next one of its target, which names its
-  // version as superseded.
+  // version as superseded. The loop ends even if they contradict each other,
+  // since no history names a version twice.
   for (size_t before = SIZE_MAX; before != accepted.size();) {
     before = accepted.size();
     for (const weights_publication& item : learned) {
@@ -120,9 +130,8 @@
     return false;
   }
   std::vector<version_start>& history = found->second.history;
-  const auto known = std::find_if(
-      history.begin(), history.end(),
-      [&](const auto& item) { return item.version == learned.version; });
+  const auto known =
+      std::ranges::find(history, learned.version, &version_start::version);
   if (known == history.end() || known->is_witnessed) {
     return false;
   }
@@ -130,6 +139,11 @@
     known->since = std::max(known->since, learned.since);
     return false;
   }
+  if (learned.superseded.empty() || history.size() >= kMaxVersionHistory ||
+      std::ranges::find(history, learned.superseded, &version_start::version) !=
+          history.end()) {
+    return false;
+  }
   known->since = learned.since;
   history.insert(history.begin(), {.version = learned.superseded,
                                    .since = options_.first_version_since});
@@ -140,10 +154,8 @@
   const auto knows = [](const target_replicas& target,
                         const std::string& version) {
     return target.history.empty() ||
-           std::any_of(target.history.begin(), target.history.end(),
-                       [&](const version_start& item) {
-                         return item.version == version;
-                       });
+           std::ranges::find(target.history, version,
+                             &version_start::version) != target.history.end();
   };
   for (const auto& [name, target] : by_target_) {
     for (const replica_index index : target.indices) {
--- a/unittests/Edge/router_settings_test.cc
+++ b/unittests/Edge/router_settings_test.cc
@@ -92,5 +92,65 @@
   EXPECT_FALSE(MayServe(std::chrono::seconds(16)));
 }
 
+// Guards against a daemon that hangs on publications that contradict each
+// other.
+TEST_F(starting_daemon_test, LearnsContradictoryPublicationsOnce) {
+  learned_.push_back({.target = "m",
+                      .version = "2",
+                      .superseded = "3",
+                      .since = start_ - std::chrono::seconds(4)});
+  EXPECT_EQ(table_.LearnPublications(learned_).size(), 1U);
+  EXPECT_TRUE(table_.LearnPublications(learned_).empty());
+}
+
+// Guards against a history that grows with each publication that a peer or the
+// store reports.
+TEST_F(starting_daemon_test, LearnsABoundedNumberOfPublications) {
+  learned_.clear();
+  for (int version = 3; version > -1000; --version) {
+    learned_.push_back({.target = "m",
+                        .version = std::to_string(version),
+                        .superseded = std::to_string(version - 1),
+                        .since = start_ - std::chrono::seconds(2)});
+  }
+  EXPECT_LT(table_.LearnPublications(learned_).size(), 20U);
+}
+
+/// A daemon uses the engine "a" with version "3" of the weights.
+class published_versions_test : public starting_daemon_test {
+ protected:
+  published_versions_test() {
+    Report("3");
+    Publish("3");
+  }
+  void Publish(const std::string& version) {
+    const std::vector<model_spec> models = {
+        {.name = "m", .version = version, .published_after = start_}};
+    table_.SetModels(start_, models);
+  }
+};
+
+// Guards against an absence of all engines that supersedes their weights: once
+// a version was published, no engine with the previous one was used any more.
+TEST_F(published_versions_test, AbsenceOfEnginesSupersedesNothing) {
+  Publish("");
+  EXPECT_FALSE(table_.LastStart("m", "3"));
+  Publish("3");
+  EXPECT_TRUE(table_.ListPublications(start_).empty());
+  Publish("4");
+  ASSERT_EQ(table_.ListPublications(start_).size(), 1U);
+  EXPECT_EQ(table_.ListPublications(start_)[0].superseded, "3");
+  EXPECT_TRUE(MayServe(std::chrono::seconds(3)));
+}
+
+// Guards against publications that supersede each other in a cycle.
+TEST_F(published_versions_test, VersionThatIsPublishedAgainIsNotSuperseded) {
+  Publish("4");
+  Publish("3");
+  EXPECT_FALSE(table_.LastStart("m", "3"));
+  ASSERT_EQ(table_.ListPublications(start_).size(), 1U);
+  EXPECT_EQ(table_.ListPublications(start_)[0].superseded, "4");
+}
+
 }  // namespace
 }  // namespace cuminswitch
