Reserve a slot for requests on superseded weights

Callers lost responses that had begun, long before their deadlines: an engine with superseded weights and a queue was given a deadline 0.3 s before the bound on such weights, so that a request in its queue could not begin too late if the daemon failed. An engine stops at that deadline, whether the request waits or runs. One value served two purposes, and all such responses ended in the same instant.

Now a request that may wait there and whose deadline is after the bound needs a slot that the engine reserves for it first. With the reservation it begins at once, and it gets its caller's own deadline. Without one it is not sent: it goes to another engine or waits at the daemon, and costs no retry and no arrival. Engines that reserve no slots get no request on superseded weights into a queue. No deadline shorter than the caller's is handed out any more; a response that ends at its own deadline still does not count as a crash.

The unit test of the deadline is replaced by tests that no such attempt goes out without a reservation, and that none goes to a queue where there are none.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -69,6 +69,9 @@
   double copy_rate = 0;
   /// Capacity of the prefix cache of one engine in prompt tokens; 0 if unknown.
   double cache_tokens = 0;
+  /// Longest time for which an engine reserves a slot; 0 where it reserves
+  /// none.
+  duration max_reservation{0};
 };
 
 /// A service without a model that requests are routed to.
--- a/include/cuminswitch/Core/core_status.h
+++ b/include/cuminswitch/Core/core_status.h
@@ -32,6 +32,9 @@
   uint64_t retries = 0;
   /// Postponements of responses that had begun.
   uint64_t postponed = 0;
+  /// Slots asked for at upstreams, and those not granted.
+  uint64_t reservations = 0;
+  uint64_t reservations_refused = 0;
   /// Attempts at upstreams that refused earlier ones, of this daemon or a peer.
   uint64_t refusal_trials = 0;
   /// Results of attempts that had been given up before.
--- a/include/cuminswitch/Edge/attempt_disposition.h
+++ b/include/cuminswitch/Edge/attempt_disposition.h
@@ -21,6 +21,8 @@
   /// The upstream is not the intended one, or has other weights; it did not
   /// execute the request.
   kMismatch,
+  /// The upstream granted no reservation, so the request was not sent.
+  kNotReserved,
   /// No connection was established.
   kNotConnected,
   /// The response ended before it was complete: the connection was lost, or a
@@ -29,8 +31,8 @@
   /// No bytes arrived within the stall timeout, so this daemon ended the
   /// attempt.
   kStalled,
-  /// The response ended before it was complete, at or after the deadline that
-  /// the upstream was given.
+  /// The response ended before it was complete, at or after the request's
+  /// deadline, at which an upstream stops.
   kExpired,
   /// The bytes received are not a response to this attempt.
   kUnrelated,
--- a/include/cuminswitch/Edge/edge_protocol.h
+++ b/include/cuminswitch/Edge/edge_protocol.h
@@ -65,6 +65,15 @@
   std::string weights_version;
   /// The identifier of the event after which to resume a stream.
   std::optional<std::string> last_event;
+  /// The reservation that the request uses; empty if it has none.
+  std::string reservation;
+};
+
+/// The POST that reserves a slot and memory at an upstream.
+struct reservation_call {
+  std::string target;
+  http_headers headers;
+  std::string body;
 };
 
 /// The load that an upstream reports with a response.
@@ -111,6 +120,14 @@
   virtual http_headers WriteForwarded(const message_head& head,
                                       duration time_left) const = 0;
   virtual response_attributes ReadResponse(const message_head& head) const = 0;
+  /// Returns the call that reserves a slot and memory for \p tokens at the
+  /// upstream called \p upstream for \p time.
+  virtual reservation_call WriteReservation(const std::string& upstream,
+                                            uint32_t tokens,
+                                            duration time) const = 0;
+  /// Returns the reservation's identifier from the body of the response; empty
+  /// if it has none.
+  virtual std::string ReadReservation(std::string_view body) const = 0;
   /// Returns the path of a GET that every upstream responds to at once, without
   /// executing anything.
   virtual std::string ProbeTarget() const = 0;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -28,7 +28,9 @@
 namespace cuminswitch {
 
 class request_flow;
+class slot_reservation;
 class upstream_pool;
+struct reservation_result;
 
 /// How a request ended for its caller, for the log and the metrics.
 struct flow_result {
@@ -131,13 +133,15 @@
   caller_exchange* Detach();
 
   request_id id() const { return options_.id; }
-  attempt_id attempt() const { return attempt_; }
+  attempt_id attempt() const { return dispatch_.attempt; }
   /// Attempts that the upstream executed or may have executed.
   uint32_t runs() const { return runs_; }
   time_point deadline() const { return options_.deadline; }
   bool has_ended() const { return has_ended_; }
   /// Whether an attempt is in progress.
-  bool is_running() const { return call_ != nullptr; }
+  bool is_running() const {
+    return call_ != nullptr || reservation_ != nullptr;
+  }
   /// Whether an upstream executed the request or may have executed it.
   bool may_have_run() const { return may_have_run_; }
   const caller_request& request() const { return options_.request; }
@@ -149,8 +153,8 @@
   std::span<const hash128> part_digests() const {
     return options_.part_digests;
   }
-  const std::string& upstream() const { return upstream_; }
-  const endpoint& address() const { return address_; }
+  const std::string& upstream() const { return dispatch_.upstream; }
+  const endpoint& address() const { return dispatch_.address; }
   /// Whether the current attempt opened its connection.
   bool is_on_new_connection() const { return is_on_new_connection_; }
   time_point arrived() const { return options_.arrived; }
@@ -181,6 +185,12 @@
   void OnResponseBody(std::string_view data) override;
   void OnCallEnd(upstream_call_result end) override;
 
+  /// Reserves a slot for the current attempt, and sends it once that is
+  /// granted.
+  void Reserve();
+  void OnReservationEnd(const reservation_result& result);
+  /// Sends the current attempt with \p reservation, which may be empty.
+  void Send(time_point now, const std::string& reservation);
   /// Reports the first byte of the current attempt.
   void RecordFirstByte(time_point now);
   void OnDeadline();
@@ -219,21 +229,17 @@
   parts with_;
   loop_timer timer_;
   loop_timer stall_timer_;
-  attempt_id attempt_ = 0;
-  std::string upstream_;
+  /// The current attempt.
+  dispatch_attempt dispatch_;
   time_point sent_at_{};
   time_point last_read_at_{};
   call_end_cause end_cause_ = call_end_cause::kFraming;
-  /// The deadline of the current attempt's upstream; empty if it has that of
-  /// the request.
-  std::optional<time_point> upstream_deadline_;
   /// Whether the current attempt has sent the first byte of its response.
   bool has_attempt_begun_ = false;
-  endpoint address_;
   bool is_on_new_connection_ = false;
   uint32_t attempts_ = 0;
   uint32_t runs_ = 0;
-  duration mean_first_byte_{0};
+  std::unique_ptr<slot_reservation> reservation_;
   std::unique_ptr<upstream_call> call_;
   response_state response_;
   /// A failure response that is sent to the caller if no other attempt
--- a/include/cuminswitch/Fleet/routing_config.h
+++ b/include/cuminswitch/Fleet/routing_config.h
@@ -90,6 +90,9 @@
   /// Capacity of one engine's prefix cache in prompt tokens, including running
   /// requests.
   double cache_tokens = 0;
+  /// Longest time for which an engine reserves a slot; 0 where it reserves
+  /// none.
+  std::chrono::milliseconds max_reservation{0};
   /// Set only for a store of cached prefixes, which has no upstreams.
   std::optional<cache_store_config> cache_store;
   /// Maximum number of connections to one upstream from all daemons together.
--- a/include/cuminswitch/Protocol/core_action.h
+++ b/include/cuminswitch/Protocol/core_action.h
@@ -46,9 +46,11 @@
   /// Latest time at which the request may start on these weights; empty if they
   /// are not superseded.
   std::optional<time_point> last_start;
-  /// When the upstream must stop, if that is before the request's deadline. It
-  /// may have a queue, and this daemon may fail before it cancels the attempt.
-  std::optional<time_point> upstream_deadline;
+  /// Reserve a slot for this long first, and send the request only if one is
+  /// granted; 0 to send it at once. In the upstream's queue it could begin too
+  /// late on superseded weights, which this daemon cannot prevent once it
+  /// fails.
+  duration reservation{0};
   /// The upstream's software version; empty if unknown.
   std::string software_version;
   software_tag software = kAnySoftware;
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -56,9 +56,6 @@
     /// Longest time after the publication of new weights at which a request may
     /// still start on superseded weights; 0 for no bound.
     duration old_weights_limit{0};
-    /// Time after the publication of new weights at which a replica must drop a
-    /// request that may wait in its queue for superseded weights; 0 for never.
-    duration old_weights_deadline{0};
   };
 
   replica_table() = default;
@@ -200,11 +197,6 @@
   /// weights of \p version; nothing for weights that are not superseded.
   std::optional<time_point> LastStart(std::string_view target,
                                       std::string_view version) const;
-  /// Returns the deadline to give a request for \p target's weights of
-  /// \p version that may wait at the replica; nothing for weights that are not
-  /// superseded.
-  std::optional<time_point> QueueDeadline(std::string_view target,
-                                          std::string_view version) const;
 
   /// Lists the replicas that can serve \p target in \p failure_domains (any if
   /// empty) with \p software, except those in \p excluded.
@@ -264,6 +256,8 @@
     /// daemons.
     std::vector<replica_index> ranked;
     target_estimate estimate;
+    /// Whether its engines reserve slots.
+    bool reserves_slots = false;
   };
 
   struct peer_backlog_report {
@@ -292,11 +286,6 @@
                             std::string_view target,
                             std::string_view version);
 
-  /// Returns the time \p limit after \p target's weights of \p version were
-  /// superseded; nothing if they are not, or if \p limit is 0.
-  std::optional<time_point> TimeAfterSuperseded(std::string_view target,
-                                                std::string_view version,
-                                                duration limit) const;
   /// Returns when weights of \p version were first superseded.
   static time_point SupersededAt(const target_replicas& target,
                                  std::string_view version);
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -13,6 +13,9 @@
 /// Number of upstreams that may refuse a request, beyond those that may run it.
 /// Without a bound, one request that all refuse uses up the whole retry budget.
 static constexpr uint32_t kExtraArrivals = 2;
+/// How long an engine keeps a slot for a request that is sent as soon as the
+/// slot is granted.
+static constexpr duration kReservationTime = std::chrono::milliseconds(500);
 /// With fewer computed tokens, the time to first byte says little about a
 /// replica's prefill rate.
 static constexpr double kMinTokensForRateSample = 256;
@@ -57,8 +60,15 @@
       next.assumed_cached_age = now - holder->used_at;
     }
   }
+  const std::optional<time_point> last_start =
+      replicas_.LastStart(item.info.target, next.version);
   cache_plan cache;
+  duration reservation{0};
   if (const model_spec* model = config_->FindModel(item.info.target)) {
+    if (queue > 0 && last_start && item.deadline > *last_start) {
+      ++counters_.reservations;
+      reservation = std::min(model->max_reservation, kReservationTime);
+    }
     cache = PlanCache({.now = now,
                        .model = *model,
                        .levels = levels,
@@ -121,10 +131,8 @@
       .fresh_connection = !item.repeatable,
       .after_failure = target.failures_in_row > 0,
       .weights_version = next.version,
-      .last_start = replicas_.LastStart(item.info.target, next.version),
-      .upstream_deadline =
-          queue > 0 ? replicas_.QueueDeadline(item.info.target, next.version)
-                    : std::nullopt,
+      .last_start = last_start,
+      .reservation = reservation,
       .software_version = target.spec.software_version,
       .software = target.software,
       .cache_source = cache.source,
@@ -260,9 +268,12 @@
   }
   drain_meters_[item.info.target].OnCompletion(now);
   RecordCrash(now, item, done, event);
-  if (event.unreachable) {
+  if (event.unreachable || event.was_not_reserved) {
     --item.arrivals;
   }
+  if (event.was_not_reserved) {
+    ++counters_.reservations_refused;
+  }
   if (event.result == outcome::kNotRun) {
     --item.runs;
   }
@@ -390,7 +401,8 @@
   if (RefuseIfVersionGone(now, item, no_longer_usable, out)) {
     return;
   }
-  if (!event.unreachable && !RetryBudgetFor(item.info.target).TrySpend(now)) {
+  if (!event.unreachable && !event.was_not_reserved &&
+      !RetryBudgetFor(item.info.target).TrySpend(now)) {
     RefuseOrPostpone(
         now, item,
         {.status = status_code::kUnavailable,
--- a/lib/Edge/attempt_disposition.cc
+++ b/lib/Edge/attempt_disposition.cc
@@ -12,6 +12,8 @@
       return "refused";
     case attempt_result::kMismatch:
       return "mismatch";
+    case attempt_result::kNotReserved:
+      return "not_reserved";
     case attempt_result::kNotConnected:
       return "not_connected";
     case attempt_result::kBroken:
@@ -46,6 +48,7 @@
                                   : attempt_action::kForward};
     case attempt_result::kRefused:
     case attempt_result::kMismatch:
+    case attempt_result::kNotReserved:
     case attempt_result::kNotConnected:
       return {.result = outcome::kNotRun, .action = attempt_action::kRetry};
     case attempt_result::kBroken:
--- a/lib/Edge/edge_metrics.cc
+++ b/lib/Edge/edge_metrics.cc
@@ -144,6 +144,12 @@
              "Times that a response had begun and no upstream went on with it "
              "yet.");
   page.Add(static_cast<double>(status.counters.postponed));
+  page.Begin("cuminswitch_reservations_total", "counter",
+             "Slots asked for, for requests on superseded weights.");
+  page.Add(static_cast<double>(status.counters.reservations));
+  page.Begin("cuminswitch_reservations_refused_total", "counter",
+             "Slots that upstreams did not grant.");
+  page.Add(static_cast<double>(status.counters.reservations_refused));
   page.Begin("cuminswitch_retry_budget_used", "gauge",
              "Retries in the present window, by target.");
   for (const retry_status& item : status.retries) {
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -5,6 +5,7 @@
 
 #include "cuminswitch/Edge/caller_backlog.h"
 #include "cuminswitch/Edge/retry_after.h"
+#include "cuminswitch/Edge/slot_reservation.h"
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Http1/upstream_pool.h"
 #include "cuminswitch/Support/status_code.h"
@@ -72,46 +73,79 @@
 }
 
 void request_flow::Dispatch(time_point now, const dispatch_attempt& action) {
-  attempt_ = action.attempt;
-  upstream_ = action.upstream;
-  address_ = action.address;
-  mean_first_byte_ = action.mean_first_byte;
+  dispatch_ = action;
   sent_at_ = now;
   last_read_at_ = now;
-  upstream_deadline_ = action.upstream_deadline;
   has_attempt_begun_ = false;
-  ++attempts_;
   ++runs_;
   response_ = {};
   splitter_.DropPartial();
   unfinished_bytes_ = 0;
+  if (action.reservation > duration(0)) {
+    Reserve();
+  } else {
+    Send(now, {});
+  }
+}
+
+void request_flow::Reserve() {
+  // The upstream's cached part of the prompt occupies its memory already.
+  const double cached = std::min<double>(dispatch_.prompt_tokens,
+                                         dispatch_.expected_cached_tokens);
+  const uint32_t tokens = dispatch_.prompt_tokens -
+                          static_cast<uint32_t>(cached) +
+                          options_.request.max_output_tokens;
+  reservation_ = std::make_unique<slot_reservation>(
+      slot_reservation::options{
+          .to = dispatch_.address,
+          .call = with_.protocol.WriteReservation(dispatch_.upstream, tokens,
+                                                  dispatch_.reservation)},
+      with_.base, with_.pool, with_.protocol,
+      [this](const reservation_result& result) { OnReservationEnd(result); });
+}
+
+void request_flow::OnReservationEnd(const reservation_result& result) {
+  CallLater(
+      with_.base,
+      [ended = std::shared_ptr<slot_reservation>(std::move(reservation_))] {});
+  const time_point now = ReadBootClock();
+  const bool is_late = dispatch_.last_start && now >= *dispatch_.last_start;
+  if (!result.id.empty() && !is_late) {
+    Send(now, result.id);
+    return;
+  }
+  response_.head.status = result.status;
+  ProcessAttemptResult(result.is_unreachable ? attempt_result::kNotConnected
+                                             : attempt_result::kNotReserved);
+}
+
+void request_flow::Send(time_point now, const std::string& reservation) {
+  ++attempts_;
   dispatch_attributes attributes{
-      .upstream = action.upstream,
+      .upstream = dispatch_.upstream,
       .workspace = options_.workspace,
-      .time_left = std::max(
-          duration(0), std::min(options_.deadline, upstream_deadline_.value_or(
-                                                       options_.deadline)) -
-                           now),
+      .time_left = std::max(duration(0), options_.deadline - now),
       .rank = options_.rank,
       .cache_scope = std::nullopt,
       .cache_source = std::nullopt,
       .cache_sink = std::nullopt,
-      .weights_version = action.weights_version,
-      .last_event = splitter_.last_id()};
+      .weights_version = dispatch_.weights_version,
+      .last_event = splitter_.last_id(),
+      .reservation = reservation};
   if (options_.uses_cache) {
-    attributes.cache_scope = action.cache_scope;
-    attributes.cache_source = action.cache_source;
-    attributes.cache_sink = action.cache_sink;
+    attributes.cache_scope = dispatch_.cache_scope;
+    attributes.cache_source = dispatch_.cache_source;
+    attributes.cache_sink = dispatch_.cache_sink;
   }
   const message_head& head = options_.exchange->Head();
   call_ = with_.pool.Start(
-      {.to = action.address,
+      {.to = dispatch_.address,
        .method = head.method,
        .target = head.target,
        .headers = with_.protocol.WriteRequest(head, attributes),
        .body = options_.exchange->Body(),
        .connect_timeout = kConnectTimeout,
-       .max_idle = action.after_failure          ? std::chrono::milliseconds(0)
+       .max_idle = dispatch_.after_failure       ? std::chrono::milliseconds(0)
                    : options_.route->MayRepeat() ? kMaxIdle
                                                  : kMaxIdleNotRepeatable},
       *this);
@@ -138,7 +172,7 @@
   const duration target =
       route.target_latency *
       (route.IsStream() ? kStreamStallTargetFactor : kStallTargetFactor);
-  return std::max(target, mean_first_byte_ * kStallMeanFactor);
+  return std::max(target, dispatch_.mean_first_byte * kStallMeanFactor);
 }
 
 void request_flow::OnStall() {
@@ -165,8 +199,9 @@
 }
 
 void request_flow::CancelAttempt() {
-  may_have_run_ = true;
+  may_have_run_ = may_have_run_ || call_ != nullptr;
   stall_timer_.Cancel();
+  reservation_.reset();
   call_.reset();
 }
 
@@ -211,8 +246,8 @@
 void request_flow::RecordFirstByte(time_point now) {
   first_byte_at_ = first_byte_at_.value_or(now);
   if (!std::exchange(has_attempt_begun_, true)) {
-    with_.owner.OnFlowEvent(
-        attempt_first_byte{.attempt = attempt_, .has_reached_caller = true});
+    with_.owner.OnFlowEvent(attempt_first_byte{.attempt = dispatch_.attempt,
+                                               .has_reached_caller = true});
   }
 }
 
@@ -310,8 +345,8 @@
   stall_timer_.Cancel();
   unfinished_bytes_ = splitter_.UnfinishedSize();
   attempt_result result = Classify(end);
-  if (result == attempt_result::kBroken && upstream_deadline_ &&
-      ReadBootClock() >= *upstream_deadline_) {
+  if (result == attempt_result::kBroken &&
+      ReadBootClock() >= options_.deadline) {
     result = attempt_result::kExpired;
   }
   if (result == attempt_result::kBroken ||
@@ -360,12 +395,14 @@
   // For a forwarded failure the router only needs to know that it was executed.
   const bool is_final = has_ended_;
   with_.owner.OnFlowEvent(
-      attempt_ended{.attempt = attempt_,
+      attempt_ended{.attempt = dispatch_.attempt,
                     .result = disposition.result,
                     .refused_busy = result == attempt_result::kRefused ||
-                                    result == attempt_result::kMismatch,
+                                    result == attempt_result::kMismatch ||
+                                    result == attempt_result::kNotReserved,
                     .is_mismatch = result == attempt_result::kMismatch,
                     .unreachable = result == attempt_result::kNotConnected,
+                    .was_not_reserved = result == attempt_result::kNotReserved,
                     .failed_in_run = result == attempt_result::kFailure ||
                                      result == attempt_result::kExpired,
                     .connection_lost = result == attempt_result::kBroken,
@@ -456,6 +493,7 @@
   if (is_running && response_.head.status == 0) {
     with_.owner.OnUpstreamSilent(*this);
   }
+  reservation_.reset();
   call_.reset();
   if (is_head_sent_) {
     AbortResponse("deadline");
@@ -474,7 +512,7 @@
   if (is_running) {
     // No complete response arrived before the deadline, which counts against
     // the upstream like a failure response.
-    with_.owner.OnFlowEvent(attempt_ended{.attempt = attempt_,
+    with_.owner.OnFlowEvent(attempt_ended{.attempt = dispatch_.attempt,
                                           .result = outcome::kUnknown,
                                           .failed_in_run = true,
                                           .response_started = true,
@@ -488,7 +526,8 @@
   if (has_ended_ || is_head_sent_) {
     return;
   }
-  const bool is_sent = is_running() || may_have_run_;
+  const bool is_sent = call_ != nullptr || may_have_run_;
+  reservation_.reset();
   call_.reset();
   if (retained_failure_) {
     SendRetainedFailure();
@@ -507,6 +546,7 @@
 
 void request_flow::OnCallerDisconnected() {
   // The upstream sees its connection close and stops executing the request.
+  reservation_.reset();
   call_.reset();
   options_.exchange = nullptr;
   End({.result = outcome::kUnknown, .status = 0, .reason = "caller_gone"});
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -29,6 +29,9 @@
   if (action.last_start) {
     line.Add("last_start_ms", *action.last_start - now);
   }
+  if (action.reservation > duration(0)) {
+    line.Add("reservation_ms", action.reservation);
+  }
   if (flow.request().has_last_event) {
     line.Add("resumes", flow.request().resumed_attempt);
   }
--- a/lib/Edge/router_settings.cc
+++ b/lib/Edge/router_settings.cc
@@ -15,10 +15,6 @@
 /// cancelled. The bound counts from a reply of the store that a peer may have
 /// relayed, which looks more recent than it is by the delay of its messages.
 static constexpr duration kStartLimitMargin = std::chrono::milliseconds(600);
-/// Margin to the bound of the deadline that an engine with a queue is given for
-/// a request on old weights. Shorter than `kStartLimitMargin`, since it also
-/// ends requests that have begun.
-static constexpr duration kQueueDeadlineMargin = std::chrono::milliseconds(300);
 /// Time after a publication from which engines with new weights are preferred;
 /// responses of old weights lose value from 1.5 s after the publication.
 static constexpr duration kOldWeightsGrace = std::chrono::milliseconds(1500);
@@ -44,8 +40,7 @@
       // A version that was published before the start counts as published so
       // long ago that the weights it superseded may not be used.
       .first_version_since = opts.now - opts.old_weights_time,
-      .old_weights_limit = opts.old_weights_time - kStartLimitMargin,
-      .old_weights_deadline = opts.old_weights_time - kQueueDeadlineMargin};
+      .old_weights_limit = opts.old_weights_time - kStartLimitMargin};
   options.refuse_without_upstream = true;
   options.reports_placements = true;
   options.is_capacity_scarce = opts.is_capacity_scarce;
--- a/lib/Edge/routing_config_translator.cc
+++ b/lib/Edge/routing_config_translator.cc
@@ -96,7 +96,8 @@
            .adapter = {},
            .cache_stores = ListCacheStores(*snapshot.config, service),
            .copy_rate = service.copy_rate * kCopyRateUsed,
-           .cache_tokens = service.cache_tokens});
+           .cache_tokens = service.cache_tokens,
+           .max_reservation = service.max_reservation});
       targets.push_back(config->models.back().name);
     }
   }
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -55,28 +55,16 @@
                                                   : std::next(known)->since;
 }
 
-std::optional<time_point> replica_table::TimeAfterSuperseded(
+std::optional<time_point> replica_table::LastStart(
     std::string_view target,
-    std::string_view version,
-    duration limit) const {
+    std::string_view version) const {
   const auto found = by_target_.find(target);
-  if (limit == duration(0) || found == by_target_.end() || version.empty() ||
-      found->second.version == version || found->second.history.empty()) {
+  if (options_.old_weights_limit == duration(0) || found == by_target_.end() ||
+      version.empty() || found->second.version == version ||
+      found->second.history.empty()) {
     return std::nullopt;
   }
-  return SupersededAt(found->second, version) + limit;
-}
-
-std::optional<time_point> replica_table::LastStart(
-    std::string_view target,
-    std::string_view version) const {
-  return TimeAfterSuperseded(target, version, options_.old_weights_limit);
-}
-
-std::optional<time_point> replica_table::QueueDeadline(
-    std::string_view target,
-    std::string_view version) const {
-  return TimeAfterSuperseded(target, version, options_.old_weights_deadline);
+  return SupersededAt(found->second, version) + options_.old_weights_limit;
 }
 
 std::optional<double> replica_table::OldWeightsPenalty(
@@ -95,6 +83,11 @@
   // Requests that already wait at the replica run first. A request that would
   // start after the bound is placed elsewhere or refused.
   const double queue = EstimateQueueSeconds(now, index);
+  // In a queue, the request could begin after the bound if this daemon fails.
+  if (queue > 0 && options_.old_weights_limit > duration(0) &&
+      !target.reserves_slots) {
+    return std::nullopt;
+  }
   const duration begins = age + FromSeconds(kQueueUncertaintyFactor * queue);
   if (!item.reported || begins >= options_.old_weights_time) {
     return std::nullopt;
--- a/lib/Routing/replica_table.cc
+++ b/lib/Routing/replica_table.cc
@@ -51,6 +51,7 @@
   for (const model_spec& model : models) {
     target_replicas& target = by_target_[model.name];
     target.estimate.SetCacheTokens(model.cache_tokens);
+    target.reserves_slots = model.max_reservation > duration(0);
     // Without an engine the version is unknown, which supersedes none.
     if (model.version.empty()) {
       continue;
--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -57,7 +57,7 @@
      \"kind\":\"idempotent\",\"timeout-ms\":600,\"backend\":\"orders\",
      \"attempts\":2}${2:+,$2}],
     \"services\":[{\"name\":\"engines\",\"max-conns\":100,\"engine\":{
-      \"slots\":64,\"models\":[{\"name\":\"m\"}]}},
+      \"slots\":64,\"hold-ms\":2000,\"models\":[{\"name\":\"m\"}]}},
      {\"name\":\"orders\",\"max-conns\":100}],
     \"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,
      \"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},
--- a/unittests/Core/repeat_rules_test.cc
+++ b/unittests/Core/repeat_rules_test.cc
@@ -32,8 +32,7 @@
     options.refuse_without_upstream = true;
     options.replicas = {.old_weights_time = milliseconds(4000),
                         .old_weights_grace = milliseconds(1000),
-                        .old_weights_limit = milliseconds(5700),
-                        .old_weights_deadline = milliseconds(5900)};
+                        .old_weights_limit = milliseconds(5700)};
     router_.emplace(options, fleet_);
     Configure("1");
     for (const char* name : {"a", "b", "c", "d", "e"}) {
@@ -42,9 +41,11 @@
     now_ += std::chrono::seconds(10);
   }
 
-  void Configure(const std::string& version) {
+  void Configure(const std::string& version,
+                 duration max_reservation = std::chrono::seconds(2)) {
     auto config = std::make_shared<configuration>();
-    config->models = {{.name = "m", .version = version}};
+    config->models = {
+        {.name = "m", .version = version, .max_reservation = max_reservation}};
     config->services = {{.name = "s", .repeatable = true}};
     for (const char* name : {"a", "b", "c", "d", "e"}) {
       config->upstreams.push_back(
@@ -66,13 +67,14 @@
   void SendRequest(request_id id,
                    repeat_rule rule,
                    uint32_t max_runs,
-                   const std::string& target = "s") {
+                   const std::string& target = "s",
+                   duration time_limit = std::chrono::seconds(60)) {
     router_->OnRequest(now_,
                        {.request = id,
                         .workspace = "w",
                         .target = target,
                         .prompt_tokens = target == "m" ? 100U : 0U,
-                        .time_limit = std::chrono::seconds(60),
+                        .time_limit = time_limit,
                         .repeats = rule,
                         .max_runs = max_runs},
                        out_);
@@ -96,6 +98,27 @@
     return count;
   }
 
+  /// Ends the next dispatched attempt with \p end; returns whether there is
+  /// one.
+  bool EndAttempt(attempt_ended end) {
+    const auto dispatch = Take<dispatch_attempt>();
+    if (dispatch) {
+      end.attempt = dispatch->attempt;
+      router_->OnAttemptEnded(now_, end, out_);
+    }
+    return dispatch.has_value();
+  }
+
+  /// Sends five requests, beginning with \p first, so that one waits at each
+  /// engine.
+  void DispatchAtEachEngine(request_id first) {
+    for (request_id id = first; id < first + 5; ++id) {
+      SendRequest(id, repeat_rule::kOnce, 1, "m");
+    }
+    while (Take<dispatch_attempt>()) {
+    }
+  }
+
   fixed_size_fleet fleet_;
   std::optional<request_router> router_;
   time_point now_{std::chrono::seconds(100)};
@@ -226,21 +249,42 @@
 
 // Guards against a request that begins on superseded weights after the time
 // limit, since the daemon that sent it failed while it waited in an engine.
-TEST_F(repeat_rules_test, GivesQueuedAttemptOnOldWeightsADeadline) {
+TEST_F(repeat_rules_test, QueuedAttemptOnOldWeightsNeedsAReservation) {
   Configure("2");
-  const time_point published = now_;
   now_ += milliseconds(2000);
   SendRequest(1, repeat_rule::kOnce, 1, "m");
-  EXPECT_FALSE(Take<dispatch_attempt>()->upstream_deadline)
+  EXPECT_EQ(Take<dispatch_attempt>()->reservation, duration(0))
       << "the request begins at once";
-  for (request_id id = 2; id < 7; ++id) {
-    SendRequest(id, repeat_rule::kOnce, 1, "m");
-  }
-  std::optional<time_point> deadline;
-  while (const auto dispatch = Take<dispatch_attempt>()) {
-    deadline = dispatch->upstream_deadline;
+  DispatchAtEachEngine(2);
+  SendRequest(7, repeat_rule::kOnce, 1, "m");
+  EXPECT_GT(Take<dispatch_attempt>()->reservation, duration(0));
+  SendRequest(8, repeat_rule::kOnce, 1, "m", milliseconds(3000));
+  EXPECT_EQ(Take<dispatch_attempt>()->reservation, duration(0))
+      << "its own deadline is before the time limit";
+}
+
+// Guards against the same where engines reserve no slots.
+TEST_F(repeat_rules_test, UsesNoQueueOfOldWeightsWithoutReservations) {
+  Configure("2", duration(0));
+  SendRequest(1, repeat_rule::kOnce, 1, "m");
+  EXPECT_TRUE(Take<dispatch_attempt>());
+  DispatchAtEachEngine(2);
+  SendRequest(7, repeat_rule::kOnce, 1, "m");
+  EXPECT_FALSE(Take<dispatch_attempt>());
+}
+
+// Guards against refused reservations that use up the retry budget, which
+// counts requests that upstreams received.
+TEST_F(repeat_rules_test, RefusedReservationCostsNoRetry) {
+  for (request_id id = 1; id <= 30; ++id) {
+    SendRequest(id, repeat_rule::kOnce, 1);
+    EXPECT_TRUE(EndAttempt({.result = outcome::kNotRun,
+                            .refused_busy = true,
+                            .was_not_reserved = true}));
+    ASSERT_TRUE(EndAttempt({.result = outcome::kAnswered}))
+        << "the budget of 20 was spent at " << id;
+    now_ += std::chrono::seconds(20);
   }
-  EXPECT_EQ(deadline, published + milliseconds(5900));
 }
 
 }  // namespace
--- a/unittests/Edge/edge_fakes.h
+++ b/unittests/Edge/edge_fakes.h
@@ -45,12 +45,21 @@
       const message_head& /*head*/,
       const dispatch_attributes& attributes) const override {
     last_time_left = attributes.time_left;
+    last_reservation = attributes.reservation;
     return {{.name = "Host", .value = "h"}};
   }
   response_attributes ReadResponse(
       const message_head& /*head*/) const override {
     return response;
   }
+  reservation_call WriteReservation(const std::string& /*upstream*/,
+                                    uint32_t /*tokens*/,
+                                    duration /*time*/) const override {
+    return {.target = "/reserve"};
+  }
+  std::string ReadReservation(std::string_view body) const override {
+    return std::string(body);
+  }
   std::string ProbeTarget() const override { return "/"; }
   http_headers WriteProbe(const std::string& upstream) const override {
     return {{.name = "Expect", .value = upstream}};
@@ -62,6 +71,7 @@
   response_attributes response{.is_signed = true};
   /// The time that the last request's upstream was given.
   mutable duration last_time_left{0};
+  mutable std::string last_reservation;
 };
 
 }  // namespace cuminswitch
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -74,14 +74,18 @@
     route_.target_latency = milliseconds(25);
     route_.max_event_gap = milliseconds(100);
     route_.max_attempts = 2;
-    const time_point now = ReadBootClock();
+    Restart(ReadBootClock() + std::chrono::seconds(20));
+  }
+
+  /// Starts a new request.
+  void Restart(time_point deadline) {
     flow_ = std::make_unique<request_flow>(
         request_flow::options{.id = 1,
                               .exchange = &exchange_,
                               .config = std::make_shared<routing_config>(),
                               .route = &route_,
-                              .arrived = now,
-                              .deadline = now + std::chrono::seconds(20)},
+                              .arrived = ReadBootClock(),
+                              .deadline = deadline},
         request_flow::parts{.base = base_,
                             .pool = pool_,
                             .protocol = protocol_,
@@ -257,23 +261,60 @@
   EXPECT_EQ(owner_.end_line["attempts"], 2);
 }
 
-// Guards against an upstream that stops at the deadline that it was given
-// counting as crashed.
-TEST_F(request_flow_test, StreamThatEndsAtUpstreamDeadlineHasExpired) {
+// Guards against an upstream that stops at the request's deadline counting as
+// crashed.
+TEST_F(request_flow_test, StreamThatEndsAtItsDeadlineHasExpired) {
   const time_point deadline = ReadBootClock() + milliseconds(20);
-  flow_->Dispatch(ReadBootClock(), {.request = 1,
-                                    .attempt = 1,
-                                    .upstream = "u",
-                                    .address = listener_.Address(),
-                                    .upstream_deadline = deadline});
+  Restart(deadline);
+  const auto upstream = Dispatch(1);
   EXPECT_LE(protocol_.last_time_left, milliseconds(20));
-  const auto upstream = listener_.Accept(base_);
   upstream->Send(std::string(kStreamHead) + kEvent);
+  ASSERT_TRUE(RunUntil(base_, [&] { return !exchange_.sent.empty(); }));
   RunUntil(base_, [&] { return ReadBootClock() >= deadline; });
   upstream->Close();
   EXPECT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
   EXPECT_EQ(owner_.last_failure, attempt_result::kExpired);
-  EXPECT_FALSE(owner_.ended) << "the stream may go on at another upstream";
+}
+
+/// A request that may not wait at its upstream.
+class reserved_request_test : public request_flow_test {
+ protected:
+  reserved_request_test() {
+    flow_->Dispatch(ReadBootClock(), {.request = 1,
+                                      .attempt = 1,
+                                      .upstream = "u",
+                                      .address = listener_.Address(),
+                                      .reservation = milliseconds(500)});
+    upstream_ = listener_.Accept(base_);
+    EXPECT_TRUE(RunUntil(base_, [&] {
+      upstream_->Poll();
+      return upstream_->received.find("/reserve") != std::string::npos;
+    }));
+  }
+  std::unique_ptr<raw_socket> upstream_;
+};
+
+TEST_F(reserved_request_test, IsSentWithItsReservation) {
+  EXPECT_EQ(flow_->attempts(), 0U);
+  upstream_->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7");
+  ASSERT_TRUE(RunUntil(base_, [&] { return flow_->attempts() == 1; }));
+  EXPECT_EQ(protocol_.last_reservation, "h7");
+}
+
+// Guards against a request in the queue of an upstream that has no free slot.
+TEST_F(reserved_request_test, IsNotSentWithoutAReservation) {
+  upstream_->Send("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  EXPECT_EQ(owner_.last_failure, attempt_result::kNotReserved);
+  flow_->GiveUp({.request = 1, .status = 503, .message = "full"});
+  EXPECT_EQ(owner_.last.result, outcome::kNotRun) << "it may be sent again";
+}
+
+// Guards against a request that waits for an upstream without responses.
+TEST_F(reserved_request_test, IsNotSentAfterAReservationTimesOut) {
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  EXPECT_EQ(owner_.last_failure, attempt_result::kNotReserved);
+  EXPECT_EQ(flow_->attempts(), 0U);
 }
 
 TEST_F(request_flow_test, ChunkedStreamThatEndsInsideEventIsBroken) {
--- a/unittests/PlatformAdapter/document_decoder_test.cc
+++ b/unittests/PlatformAdapter/document_decoder_test.cc
@@ -26,7 +26,7 @@
  {"name":"r3","host":"h","path-prefix":"/c/","kind":"idempotent","backend":"s2"},
  {"name":"r4","host":"h","path-prefix":"/d/","kind":"non_idempotent",
   "backend":"s2"}],
- "services":[{"name":"s1","max-conns":370,"engine":{"slots":64,
+ "services":[{"name":"s1","max-conns":370,"engine":{"slots":64,"hold-ms":2000.0,
   "token-kv-bytes":163840,"link-mbps":530000.0,"models":[{"name":"m"}]}},
   {"name":"s2","max-conns":110},
   {"name":"s3","kv-store-addr":"172.20.0.2:8781"}],
@@ -107,6 +107,7 @@
   EXPECT_EQ(config.FindRoute("h", "/c/x")->kind, request_kind::kRepeatable);
   EXPECT_EQ(config.FindRoute("h", "/d/x")->kind, request_kind::kOnce);
   EXPECT_TRUE(config.FindService("s1")->is_engine);
+  EXPECT_EQ(config.FindService("s1")->max_reservation, std::chrono::seconds(2));
   EXPECT_GT(config.FindService("s1")->copy_rate, 400'000);
   EXPECT_FALSE(config.FindService("s2")->is_engine);
   ASSERT_TRUE(config.FindService("s3")->cache_store.has_value());
--- a/unittests/PlatformAdapter/http_protocol_test.cc
+++ b/unittests/PlatformAdapter/http_protocol_test.cc
@@ -110,6 +110,28 @@
             "9");
 }
 
+TEST(http_protocol_test, ReservesASlot) {
+  const http_protocol protocol;
+  const reservation_call call =
+      protocol.WriteReservation("u1", 120, std::chrono::milliseconds(500));
+  EXPECT_EQ(call.target, "/hold-take");
+  EXPECT_EQ(call.body, R"({"tokens":120,"ttl-ms":500})");
+  EXPECT_EQ(Find(call.headers, "X-Expect-Replica"), "u1");
+  EXPECT_EQ(protocol.ReadReservation(R"({"hold":"h-1"})"), "h-1");
+  EXPECT_EQ(protocol.ReadReservation(R"({"hold":7})"), "7");
+  EXPECT_EQ(
+      Find(protocol.WriteRequest(MakeHead(), {.reservation = "h-1"}), "X-Hold"),
+      "h-1");
+}
+
+// Guards against an upstream that adds header fields to callers' requests.
+TEST(http_protocol_test, RejectsUnreadableReservations) {
+  for (const char* body :
+       {"", "{}", R"({"hold":""})", R"({"hold":"a\r\nX: 1"})"}) {
+    EXPECT_EQ(http_protocol().ReadReservation(body), "") << body;
+  }
+}
+
 TEST(http_protocol_test, ReadsResponses) {
   message_head head;
   head.status = 200;
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -39,6 +39,10 @@
 //                               `none` ends it. Prints `unmet_order TIME` for
 //                               each command
 //
+// An engine grants every reservation. It stops at the deadline that a request
+// states and prints `expired ATTEMPT`. `reserved ATTEMPT` is printed for each
+// request that uses a reservation.
+//
 // A request that arrives more than 500 ms after the first response that asked
 // for the backoff or announced the departure also prints `in_rest ATTEMPT`
 // (until the backoff ends) or `while_leaving ATTEMPT`.
@@ -187,12 +191,17 @@
       Report(*exchange);
     } else if (path == "/order") {
       ReceiveCommand(exchange);
+    } else if (path == "/hold-take") {
+      exchange->Reply(200, kJson,
+                      json({{"hold", ++reservation_count_}}).dump());
     } else {
       Run(exchange, path);
     }
   }
 
  private:
+  using clock = std::chrono::steady_clock;
+
   struct stream {
     exchange_ptr exchange;
     int next = 1;
@@ -202,6 +211,7 @@
     int pauses_left = 0;
     /// The process exits when what was sent is written.
     bool is_crashing = false;
+    clock::time_point deadline = clock::time_point::max();
   };
 
   json Models() const {
@@ -322,6 +332,9 @@
     std::cout << "run " << exchange->Header("X-Attempt-Id") << " "
               << exchange->Header("X-Tenant") << " "
               << exchange->Header("X-Cache-Salt") << std::endl;
+    if (!exchange->Header("X-Hold").empty()) {
+      std::cout << "reserved " << exchange->Header("X-Attempt-Id") << std::endl;
+    }
     if (HasCrashingPart(exchange->Header("X-Prompt-Prefix"))) {
       Crash(exchange, has("/inside/"), has("/between/"));
     } else if (has("/crash/")) {
@@ -363,13 +376,21 @@
     AddStream({.exchange = exchange, .is_crashing = true});
   }
 
+  static clock::time_point Deadline(const http_exchange& exchange) {
+    const std::string millis = exchange.Header("X-Deadline-Ms");
+    return millis.empty()
+               ? clock::time_point::max()
+               : clock::now() + std::chrono::milliseconds(std::stoll(millis));
+  }
+
   void Stream(const exchange_ptr& exchange, bool is_truncated, bool is_slow) {
     exchange->BeginStream(200, kEventStream, ResponseHeaders(*exchange));
     const std::string last = exchange->Header("Last-Event-Id");
     AddStream({.exchange = exchange,
                .next = last.empty() ? 1 : std::stoi(last) + 1,
                .last = is_truncated && last.empty() ? 2 : kEvents,
-               .pauses = is_slow ? kSlowPauses : 1});
+               .pauses = is_slow ? kSlowPauses : 1,
+               .deadline = Deadline(*exchange)});
   }
 
   void AddStream(stream item) {
@@ -399,6 +420,12 @@
       std::cout << "cancelled" << std::endl;
       return true;
     }
+    if (clock::now() >= item.deadline) {
+      std::cout << "expired " << item.exchange->Header("X-Attempt-Id")
+                << std::endl;
+      item.exchange->Abort();
+      return true;
+    }
     if (item.is_crashing && item.exchange->PendingBytes() == 0) {
       std::cout << "crashed " << item.exchange->Header("X-Attempt-Id") << " "
                 << ToMillis(clock::now()) << std::endl;
@@ -423,8 +450,6 @@
     return false;
   }
 
-  using clock = std::chrono::steady_clock;
-
   replica_options options_;
   /// Seconds of backoff to request as Retry-After, or `none`.
   std::string backoff_ = "none";
@@ -441,6 +466,7 @@
   std::list<stream> streams_;
   std::list<exchange_ptr> hanging_;
   uint64_t command_count_ = 0;
+  uint64_t reservation_count_ = 0;
 };
 
 int Main(int argc, char** argv) {
