--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -413,6 +413,10 @@
                 const std::string& reason);
   /// Retries the postponed requests that an upstream can go on with now.
   void RetryPostponed(time_point now, action_list& out);
+  /// Returns how long to reserve a slot at \p index before the request is sent
+  /// there; 0 for not at all. Without a reservation, the request could begin
+  /// too late on superseded weights if this daemon fails.
+  duration ReservationTime(const request& item, replica_index index) const;
   /// Whether an upstream, apart from those in \p excluded, is sound and has a
   /// free slot.
   bool HasFreeUpstream(time_point now,
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -189,6 +189,8 @@
   /// granted.
   void Reserve();
   void OnReservationEnd(const reservation_result& result);
+  /// Cancels a reservation in progress; the request was not sent.
+  void DropReservation();
   /// Sends the current attempt with \p reservation, which may be empty.
   void Send(time_point now, const std::string& reservation);
   /// Reports the first byte of the current attempt.
@@ -234,6 +236,8 @@
   time_point sent_at_{};
   time_point last_read_at_{};
   call_end_cause end_cause_ = call_end_cause::kFraming;
+  /// Whether the current attempt was sent.
+  bool is_sent_ = false;
   /// Whether the current attempt has sent the first byte of its response.
   bool has_attempt_begun_ = false;
   bool is_on_new_connection_ = false;
--- a/include/cuminswitch/Edge/slot_reservation.h
+++ b/include/cuminswitch/Edge/slot_reservation.h
@@ -28,6 +28,8 @@
   uint32_t status = 0;
   /// No connection to the upstream could be established.
   bool is_unreachable = false;
+  /// It did not respond in time.
+  bool is_silent = false;
 };
 
 /// A request for a reservation. Destroying it cancels it; what the upstream has
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -171,9 +171,8 @@
   bool is_mismatch = false;
   /// No connection to the upstream could be established.
   bool unreachable = false;
-  /// No slot could be reserved, so the request was not sent; `refused_busy` is
-  /// also set.
-  bool was_not_reserved = false;
+  /// No slot was reserved, so the request was not sent.
+  bool was_not_sent = false;
   /// The upstream ran it and responded with an error. Healthy upstreams do so
   /// too, so only the share of such responses counts against an upstream.
   bool failed_in_run = false;
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -15,7 +15,7 @@
 static constexpr uint32_t kExtraArrivals = 2;
 /// How long an engine keeps a slot for a request that is sent as soon as the
 /// slot is granted.
-static constexpr duration kReservationTime = std::chrono::milliseconds(500);
+static constexpr duration kReservationTime = std::chrono::seconds(1);
 /// With fewer computed tokens, the time to first byte says little about a
 /// replica's prefill rate.
 static constexpr double kMinTokensForRateSample = 256;
@@ -60,15 +60,12 @@
       next.assumed_cached_age = now - holder->used_at;
     }
   }
-  const std::optional<time_point> last_start =
-      replicas_.LastStart(item.info.target, next.version);
+  const duration reservation = ReservationTime(item, chosen.index);
+  if (reservation > duration(0)) {
+    ++counters_.reservations;
+  }
   cache_plan cache;
-  duration reservation{0};
   if (const model_spec* model = config_->FindModel(item.info.target)) {
-    if (queue > 0 && last_start && item.deadline > *last_start) {
-      ++counters_.reservations;
-      reservation = std::min(model->max_reservation, kReservationTime);
-    }
     cache = PlanCache({.now = now,
                        .model = *model,
                        .levels = levels,
@@ -131,7 +128,7 @@
       .fresh_connection = !item.repeatable,
       .after_failure = target.failures_in_row > 0,
       .weights_version = next.version,
-      .last_start = last_start,
+      .last_start = replicas_.LastStart(item.info.target, next.version),
       .reservation = reservation,
       .software_version = target.spec.software_version,
       .software = target.software,
@@ -148,6 +145,18 @@
   item.running = next;
 }
 
+duration request_router::ReservationTime(const request& item,
+                                         replica_index index) const {
+  const std::string& target = item.info.target;
+  const std::optional<time_point> last_start =
+      replicas_.LastStart(target, replicas_.VersionAt(index, target));
+  const model_spec* model = config_->FindModel(target);
+  if (!last_start || item.deadline <= *last_start || model == nullptr) {
+    return duration(0);
+  }
+  return std::min(model->max_reservation, kReservationTime);
+}
+
 uint64_t request_router::CacheScope(const request& item,
                                     std::string_view version) const {
   const std::string& pool = item.info.cache_pool;
@@ -263,15 +272,17 @@
     AddWaitingWork(item, done, -1);
   }
   replicas_.OnEnd(done.index);
-  if (item.info.prompt_tokens > 0 && !done.is_long) {
-    prompt_lengths_.CountShortSlotTime(now, now - done.sent);
+  if (!event.was_not_sent) {
+    if (item.info.prompt_tokens > 0 && !done.is_long) {
+      prompt_lengths_.CountShortSlotTime(now, now - done.sent);
+    }
+    drain_meters_[item.info.target].OnCompletion(now);
   }
-  drain_meters_[item.info.target].OnCompletion(now);
   RecordCrash(now, item, done, event);
-  if (event.unreachable || event.was_not_reserved) {
+  if (event.unreachable || event.was_not_sent) {
     --item.arrivals;
   }
-  if (event.was_not_reserved) {
+  if (event.was_not_sent) {
     ++counters_.reservations_refused;
   }
   if (event.result == outcome::kNotRun) {
@@ -363,6 +374,12 @@
       !RetryBudgetFor(item.info.target).CanSpend(now, retries)) {
     return false;
   }
+  // An engine that reserves slots may refuse the reservation.
+  for (const replica_index index : ListEligible(now, item, excluded).indices) {
+    if (ReservationTime(item, index) > duration(0)) {
+      excluded.push_back(index);
+    }
+  }
   // To wait for a replica that is full, in backoff or over its rate limit is no
   // better than to wait for the running attempt.
   return queue_.CountAhead(MakeWaiting(item)) == 0 &&
@@ -401,7 +418,7 @@
   if (RefuseIfVersionGone(now, item, no_longer_usable, out)) {
     return;
   }
-  if (!event.unreachable && !event.was_not_reserved &&
+  if (!event.unreachable && !event.was_not_sent &&
       !RetryBudgetFor(item.info.target).TrySpend(now)) {
     RefuseOrPostpone(
         now, item,
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -77,6 +77,7 @@
   sent_at_ = now;
   last_read_at_ = now;
   has_attempt_begun_ = false;
+  is_sent_ = false;
   ++runs_;
   response_ = {};
   splitter_.DropPartial();
@@ -89,9 +90,12 @@
 }
 
 void request_flow::Reserve() {
-  // The upstream's cached part of the prompt occupies its memory already.
-  const double cached = std::min<double>(dispatch_.prompt_tokens,
-                                         dispatch_.expected_cached_tokens);
+  // What the upstream has cached already occupies its memory.
+  const double cached =
+      dispatch_.cache_source
+          ? 0
+          : std::min<double>(dispatch_.prompt_tokens,
+                             dispatch_.expected_cached_tokens);
   const uint32_t tokens = dispatch_.prompt_tokens -
                           static_cast<uint32_t>(cached) +
                           options_.request.max_output_tokens;
@@ -114,13 +118,29 @@
     Send(now, result.id);
     return;
   }
+  if (result.is_unreachable) {
+    is_on_new_connection_ = true;
+    with_.owner.OnConnectionLost(*this);
+  } else if (result.is_silent) {
+    with_.owner.OnUpstreamSilent(*this);
+  }
   response_.head.status = result.status;
+  const bool is_mismatch = result.status == status_code::kMisdirected;
   ProcessAttemptResult(result.is_unreachable ? attempt_result::kNotConnected
+                       : is_mismatch         ? attempt_result::kMismatch
                                              : attempt_result::kNotReserved);
 }
 
+void request_flow::DropReservation() {
+  if (reservation_ != nullptr) {
+    reservation_.reset();
+    --runs_;
+  }
+}
+
 void request_flow::Send(time_point now, const std::string& reservation) {
   ++attempts_;
+  is_sent_ = true;
   dispatch_attributes attributes{
       .upstream = dispatch_.upstream,
       .workspace = options_.workspace,
@@ -201,7 +221,7 @@
 void request_flow::CancelAttempt() {
   may_have_run_ = may_have_run_ || call_ != nullptr;
   stall_timer_.Cancel();
-  reservation_.reset();
+  DropReservation();
   call_.reset();
 }
 
@@ -394,21 +414,22 @@
                                     const attempt_disposition& disposition) {
   // For a forwarded failure the router only needs to know that it was executed.
   const bool is_final = has_ended_;
-  with_.owner.OnFlowEvent(
-      attempt_ended{.attempt = dispatch_.attempt,
-                    .result = disposition.result,
-                    .refused_busy = result == attempt_result::kRefused ||
-                                    result == attempt_result::kMismatch ||
-                                    result == attempt_result::kNotReserved,
-                    .is_mismatch = result == attempt_result::kMismatch,
-                    .unreachable = result == attempt_result::kNotConnected,
-                    .was_not_reserved = result == attempt_result::kNotReserved,
-                    .failed_in_run = result == attempt_result::kFailure ||
-                                     result == attempt_result::kExpired,
-                    .connection_lost = result == attempt_result::kBroken,
-                    .is_unframed = response_.head.ends_with_connection,
-                    .response_started = is_final,
-                    .response = {}});
+  const bool was_not_granted =
+      result == attempt_result::kNotReserved && response_.head.status != 0;
+  with_.owner.OnFlowEvent(attempt_ended{
+      .attempt = dispatch_.attempt,
+      .result = disposition.result,
+      .refused_busy = result == attempt_result::kRefused ||
+                      result == attempt_result::kMismatch || was_not_granted,
+      .is_mismatch = result == attempt_result::kMismatch,
+      .unreachable = result == attempt_result::kNotConnected,
+      .was_not_sent = !is_sent_,
+      .failed_in_run = result == attempt_result::kFailure ||
+                       result == attempt_result::kExpired,
+      .connection_lost = result == attempt_result::kBroken,
+      .is_unframed = response_.head.ends_with_connection,
+      .response_started = is_final,
+      .response = {}});
 }
 
 void request_flow::SendCompleteResponse() {
@@ -493,7 +514,7 @@
   if (is_running && response_.head.status == 0) {
     with_.owner.OnUpstreamSilent(*this);
   }
-  reservation_.reset();
+  DropReservation();
   call_.reset();
   if (is_head_sent_) {
     AbortResponse("deadline");
@@ -527,7 +548,7 @@
     return;
   }
   const bool is_sent = call_ != nullptr || may_have_run_;
-  reservation_.reset();
+  DropReservation();
   call_.reset();
   if (retained_failure_) {
     SendRetainedFailure();
@@ -546,7 +567,7 @@
 
 void request_flow::OnCallerDisconnected() {
   // The upstream sees its connection close and stops executing the request.
-  reservation_.reset();
+  DropReservation();
   call_.reset();
   options_.exchange = nullptr;
   End({.result = outcome::kUnknown, .status = 0, .reason = "caller_gone"});
--- a/lib/Edge/slot_reservation.cc
+++ b/lib/Edge/slot_reservation.cc
@@ -8,8 +8,9 @@
 namespace cuminswitch {
 
 /// An upstream responds without queueing, within a few round trips.
-static constexpr std::chrono::milliseconds kTimeout{250};
-/// Nothing is lost if a pooled connection turns out to be closed.
+static constexpr std::chrono::milliseconds kTimeout{150};
+static constexpr std::chrono::milliseconds kConnectTimeout{100};
+/// Nothing was executed if a pooled connection turns out to be closed.
 static constexpr std::chrono::milliseconds kMaxIdle{60'000};
 /// Longer responses are not reservations.
 static constexpr size_t kMaxBodySize = 4096;
@@ -19,9 +20,10 @@
                                    upstream_pool& pool,
                                    const edge_protocol& protocol,
                                    end_handler on_end)
-    : protocol_(protocol),
-      on_end_(std::move(on_end)),
-      timer_(base, [this] { End({.status = status_}); }) {
+    : protocol_(protocol), on_end_(std::move(on_end)), timer_(base, [this] {
+        call_.reset();
+        End({.status = status_, .is_silent = true});
+      }) {
   timer_.Start(kTimeout);
   http_headers headers = opts.call.headers;
   headers.push_back({.name = "Host", .value = opts.to.ToString()});
@@ -30,7 +32,7 @@
                       .target = opts.call.target,
                       .headers = std::move(headers),
                       .body = opts.call.body,
-                      .connect_timeout = kTimeout,
+                      .connect_timeout = kConnectTimeout,
                       .max_idle = kMaxIdle},
                      *this);
 }
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -83,11 +83,6 @@
   // Requests that already wait at the replica run first. A request that would
   // start after the bound is placed elsewhere or refused.
   const double queue = EstimateQueueSeconds(now, index);
-  // In a queue, the request could begin after the bound if this daemon fails.
-  if (queue > 0 && options_.old_weights_limit > duration(0) &&
-      !target.reserves_slots) {
-    return std::nullopt;
-  }
   const duration begins = age + FromSeconds(kQueueUncertaintyFactor * queue);
   if (!item.reported || begins >= options_.old_weights_time) {
     return std::nullopt;
@@ -178,7 +173,12 @@
     const std::optional<time_point> held_until = HeldUntil(now, item);
     eligible_replicas& list = is_ejected ? ejected : held_until ? held : result;
     list.indices.push_back(index);
-    list.has_free_slot.push_back(HasFreeSlot(now, item));
+    // In a queue, a request could begin after the bound if this daemon fails.
+    const bool may_queue = has_weights || found->second.reserves_slots ||
+                           options_.old_weights_limit == duration(0);
+    list.has_free_slot.push_back(
+        HasFreeSlot(now, item) &&
+        (may_queue || EstimateQueueSeconds(now, index) == 0));
     const double hold_seconds =
         held_until ? std::max(0.0, ToSeconds(*held_until - now)) : 0;
     const double change_seconds =
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -317,6 +317,27 @@
   EXPECT_EQ(flow_->attempts(), 0U);
 }
 
+// Guards against a request that another process than the expected one refuses
+// counting as refused for lack of a slot.
+TEST_F(reserved_request_test, RefusalByAnotherUpstreamIsAMismatch) {
+  upstream_->Send("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  EXPECT_EQ(owner_.last_failure, attempt_result::kMismatch);
+}
+
+// Guards against a request that is charged for a run that never was.
+TEST_F(reserved_request_test, CallerThatLeavesEndsTheReservation) {
+  EXPECT_EQ(flow_->runs(), 1U);
+  exchange_.listener->OnCallerDisconnected();
+  EXPECT_TRUE(owner_.ended);
+  EXPECT_EQ(flow_->runs(), 0U);
+  EXPECT_FALSE(flow_->may_have_run());
+  EXPECT_TRUE(RunUntil(base_, [&] {
+    upstream_->Poll();
+    return upstream_->ended;
+  }));
+}
+
 TEST_F(request_flow_test, ChunkedStreamThatEndsInsideEventIsBroken) {
   route_.kind = request_kind::kStream;
   const auto upstream = Dispatch(1);
