Let completions refute a stored quarantine whose writer is gone

A daemon had quarantined a sound part of all prompts, refuted it 1.1 s later and was stopped before the store accepted the removal of its record. Daemons that started later adopted the record. One that observes no crash under the part tries no request with it, and its peers reported completions only where these cleared crashes of their own.

A daemon that completes a request with a part that the store lists, sent after the record was seen, reports that to its peers; one that holds a quarantine only because of the record ends it then, and does not adopt the record again.

--- a/include/cuminswitch/Admission/request_quarantine.h
+++ b/include/cuminswitch/Admission/request_quarantine.h
@@ -184,6 +184,8 @@
     time_point completed_sent{};
     /// End of the quarantine that the store listed.
     time_point stored_until{};
+    /// Since when the store has listed the part; zero if it does not.
+    time_point listed_at{};
     bool is_part = false;
     /// Whether the crashes are attributed to this part.
     bool is_blamed = false;
--- a/lib/Admission/request_quarantine.cc
+++ b/lib/Admission/request_quarantine.cc
@@ -473,9 +473,16 @@
     if (found == suspects_.end()) {
       continue;
     }
+    // Other daemons may have adopted the store's record, whose writer may be
+    // gone.
+    const suspect& item = found->second;
+    if (item.listed_at != time_point() && sent > item.listed_at &&
+        item.IsRefuted()) {
+      QueueCompletion(part, at);
+    }
     // An execution that was sent before the first crash may have begun when the
     // part did not crash upstreams yet.
-    const std::vector<crashed_start> crashes = found->second.ListCrashes();
+    const std::vector<crashed_start> crashes = item.ListCrashes();
     if (!crashes.empty() && sent > crashes.front().at) {
       RecordPartCompletion(part, at, crash_source::kOwn);
     }
@@ -516,7 +523,13 @@
       before >= kCrashesToRelay) {
     QueueCompletion(part, at);
   }
-  if (has_cleared && !item.is_blamed && source == crash_source::kOwn) {
+  const bool ends_record =
+      item.stored_until != time_point() && item.IsRefuted();
+  if (ends_record) {
+    item.stored_until = {};
+  }
+  if (ends_record ||
+      (has_cleared && !item.is_blamed && source == crash_source::kOwn)) {
     RecordEvent(quarantine_event::kind::kCleared, part, item, source);
   }
 }
@@ -549,6 +562,9 @@
                                   std::span<const hash128> requests) {
   for (const hash128& request : requests) {
     suspect& item = FindOrCreate(now, request);
+    if (item.is_part && item.listed_at == time_point()) {
+      item.listed_at = now;
+    }
     if (item.stored_until != time_point() || item.IsRefuted()) {
       continue;
     }
@@ -559,9 +575,10 @@
     }
   }
   for (auto& [digest, item] : suspects_) {
-    if (item.is_part && item.stored_until != time_point() &&
+    if (item.listed_at != time_point() &&
         std::find(requests.begin(), requests.end(), digest) == requests.end()) {
       item.stored_until = {};
+      item.listed_at = {};
     }
   }
 }
--- a/unittests/Admission/request_quarantine_test.cc
+++ b/unittests/Admission/request_quarantine_test.cc
@@ -335,6 +335,30 @@
   EXPECT_TRUE(IsQuarantined());
 }
 
+// Guards against a sound part that daemons refuse because of a stored record
+// whose writer is gone: they observed no crash, so they try nothing themselves.
+TEST_F(request_quarantine_test, CompletionAtAPeerRefutesAStoredPart) {
+  const std::vector<hash128> parts = {DigestPart("s", "a")};
+  request_quarantine peer;
+  peer.OnCrash(now_, kOther, 1, now_ - kExecutionTime, parts);
+  peer.OnPartsCompleted(now_ + milliseconds(2), parts, now_ + milliseconds(1));
+  peer.TakeUpdate(now_);
+  now_ += seconds(1);
+  peer.OnStored(now_, parts);
+  quarantine_.OnStored(now_, parts);
+  ASSERT_FALSE(peer.TimeLeft(now_, parts[0]));
+  ASSERT_TRUE(IsQuarantined(parts[0]));
+  peer.OnPartsCompleted(now_ + kExecutionTime, parts, now_ - milliseconds(1));
+  EXPECT_TRUE(peer.TakeUpdate(now_).IsEmpty())
+      << "it was sent before the record was known";
+  now_ += seconds(1);
+  peer.OnPartsCompleted(now_, parts, now_ - kExecutionTime);
+  quarantine_.OnUpdate(now_, peer.TakeUpdate(now_));
+  EXPECT_FALSE(IsQuarantined(parts[0]));
+  quarantine_.OnStored(now_, parts);
+  EXPECT_FALSE(IsQuarantined(parts[0])) << "the record is still listed";
+}
+
 // A large part of a large fleet crashes at once, with all requests it runs.
 TEST_F(request_quarantine_test, MassCrashDoesNotEvictQuarantines) {
   CrashThree();
