Probe hosts of upstreams that stop reading instead of ending the call

An upstream whose process is stopped while a large request fills its window was taken for lost after 1.2 s: 502 to a caller whose request may not be repeated, and a crash for the quarantine. The cause is TCP_USER_TIMEOUT of 0.7 s: the kernel also applies it to a window that stays full, although each probe of the window is acknowledged.

Requests of 16 KiB and more now have no such limit while bytes of them are unacknowledged; smaller ones fit into the first window and keep it. Instead, after 0.4 s without progress the pool opens connections that carry nothing to the same address: a host whose process is stopped accepts them, a lost host does not (two attempts, 0.35 s each, as a lost SYN is only repeated after a second). All calls to an address share a probe. A probe takes a place in the accept queue of the stopped process, so the time until the next one doubles from 0.7 s to 5.6 s. A refusal counts as a sign of life.

What the kernel reports of acknowledgements is only used to end a call (nothing for 1.1 s, as TCP_USER_TIMEOUT took in effect), never to keep one. Ended by a probe, attempt_failed has ended_by=host_lost.

Open: a full accept queue looks like a lost host. A connection that alone is lost, unreported by the kernel, ends at the request's time limits.

--- a/include/cuminswitch/Http1/call_end_cause.h
+++ b/include/cuminswitch/Http1/call_end_cause.h
@@ -16,9 +16,13 @@
   kUpstreamClosed,
   /// The upstream's host reset or refused the connection.
   kUpstreamReset,
-  /// The kernel's `TCP_USER_TIMEOUT`: sent bytes stayed unacknowledged, or the
-  /// upstream accepted no more of them.
+  /// Sent bytes stayed unacknowledged: the kernel's `TCP_USER_TIMEOUT`, or for
+  /// a
+  /// large request this daemon, from what the kernel reports.
   kUserTimeout,
+  /// This daemon: a large request made no progress, and the upstream's host
+  /// accepted no connection.
+  kHostLost,
   kConnectTimeout,
   /// This daemon, since no byte arrived within the stall timeout.
   kStallTimeout,
@@ -38,6 +42,8 @@
       return "upstream_reset";
     case call_end_cause::kUserTimeout:
       return "user_timeout";
+    case call_end_cause::kHostLost:
+      return "host_lost";
     case call_end_cause::kConnectTimeout:
       return "connect_timeout";
     case call_end_cause::kStallTimeout:
--- a/include/cuminswitch/Http1/upstream_pool.h
+++ b/include/cuminswitch/Http1/upstream_pool.h
@@ -18,6 +18,7 @@
 
 namespace cuminswitch {
 
+class host_prober;
 class upstream_connection;
 
 /// Makes calls on one event loop. Each connection carries one request at a
@@ -64,6 +65,7 @@
   byte_account& account_;
   std::map<endpoint, std::vector<std::unique_ptr<upstream_connection>>> idle_;
   idle_limit idle_limit_;
+  std::unique_ptr<host_prober> prober_;
   uint64_t opened_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -3,17 +3,21 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
 #include <charconv>
+#include <limits>
 #include <string>
 #include <utility>
 
 #include "cuminswitch/Http1/upstream_pool.h"
 #include "cuminswitch/Net/counted_stream.h"
 #include "cuminswitch/Net/socket_address.h"
+#include "host_prober.h"
 #include "pooled_call.h"
 #include "read_front.h"
 
@@ -28,7 +32,23 @@
 /// `TCP_USER_TIMEOUT`: the kernel closes the connection if sent bytes stay
 /// unacknowledged for this long, which detects a host that lost power. It is
 /// long enough to retransmit after two consecutive lost packets.
-static constexpr int kUserTimeoutMs = 700;
+static constexpr std::chrono::milliseconds kUserTimeout{700};
+/// While a large request is sent the kernel has no such limit, as it would also
+/// end a connection whose window stays full because the upstream's process is
+/// stopped. Lost hosts are probed for instead; a connection that alone is lost,
+/// unreported, ends at the request's time limits.
+static constexpr std::chrono::milliseconds kNoUserTimeout{0};
+/// Smaller requests fit into the window with which an upstream begins.
+static constexpr size_t kLargeRequest = 16UL << 10;
+static constexpr std::chrono::milliseconds kHostCheckInterval{100};
+/// How long a host acknowledges nothing before it is probed.
+static constexpr std::chrono::milliseconds kProbedSilence{400};
+/// How long the kernel reports no acknowledgement until the connection counts
+/// as lost. `kUserTimeout` takes as long, since it elapses at a retransmission.
+static constexpr std::chrono::milliseconds kReportedSilence{1'100};
+/// Probes of a full window without an acknowledgement; the last one may still
+/// be on its way.
+static constexpr uint32_t kUnansweredProbes = 2;
 
 upstream_connection::upstream_connection(upstream_pool& pool,
                                          const endpoint& to)
@@ -38,7 +58,8 @@
                .max_head_size = kMaxResponseHead,
                .max_body_size = kMaxResponseBody},
               *this),
-      timer_(pool.base_, [this] { OnTimeout(); }) {
+      timer_(pool.base_, [this] { OnTimeout(); }),
+      host_timer_(pool.base_, [this] { CheckHost(); }) {
   stream_ = bufferevent_socket_new(pool.base_, -1, BEV_OPT_CLOSE_ON_FREE);
   const auto on_read = [](bufferevent* /*stream*/, void* raw) {
     static_cast<upstream_connection*>(raw)->OnReadable();
@@ -82,6 +103,11 @@
   if (!is_connected_) {
     Connect(request.connect_timeout);
   }
+  LimitKernelWait(kUserTimeout);
+  if (request.body.size() >= kLargeRequest) {
+    unacknowledged_ = std::numeric_limits<size_t>::max();
+    host_timer_.Start(kHostCheckInterval);
+  }
 }
 
 void upstream_connection::Connect(std::chrono::milliseconds timeout) {
@@ -97,12 +123,75 @@
   const int fd = bufferevent_getfd(stream_);
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
-             sizeof(kUserTimeoutMs));
+}
+
+void upstream_connection::LimitKernelWait(std::chrono::milliseconds limit) {
+  if (std::exchange(kernel_wait_, limit) == limit) {
+    return;
+  }
+  const int value = static_cast<int>(limit.count());
+  setsockopt(bufferevent_getfd(stream_), IPPROTO_TCP, TCP_USER_TIMEOUT, &value,
+             sizeof(value));
+}
+
+size_t upstream_connection::UnacknowledgedBytes() const {
+  int in_kernel = 0;
+  ioctl(bufferevent_getfd(stream_), SIOCOUTQ, &in_kernel);
+  return evbuffer_get_length(bufferevent_get_output(stream_)) +
+         static_cast<size_t>(in_kernel);
+}
+
+/// Whether the kernel reports that \p fd's peer acknowledges nothing. Some
+/// hosts and networks never report it, so only a positive report counts.
+static bool IsReportedSilent(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+  return (info.tcpi_unacked > 0 || info.tcpi_probes >= kUnansweredProbes) &&
+         info.tcpi_last_ack_recv >= kReportedSilence.count();
+}
+
+void upstream_connection::CheckHost() {
+  if (call_ == nullptr) {
+    return;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  const size_t left = UnacknowledgedBytes();
+  if (left < unacknowledged_ || !is_connected_) {
+    unacknowledged_ = left;
+    progressed_ = now;
+  }
+  LimitKernelWait(left == 0 ? kUserTimeout : kNoUserTimeout);
+  if (left == 0) {
+    return;
+  }
+  if (const auto cause = FindLoss(now - progressed_)) {
+    ResetOnClose();
+    End(upstream_call_result::kBroken, *cause);
+    return;
+  }
+  host_timer_.Start(kHostCheckInterval);
+}
+
+std::optional<call_end_cause> upstream_connection::FindLoss(
+    std::chrono::steady_clock::duration silence) {
+  if (silence >= kReportedSilence &&
+      IsReportedSilent(bufferevent_getfd(stream_))) {
+    return call_end_cause::kUserTimeout;
+  }
+  if (silence >= kProbedSilence &&
+      pool_.prober_->Ask(to_, progressed_) == host_prober::verdict::kLost) {
+    return call_end_cause::kHostLost;
+  }
+  return std::nullopt;
 }
 
 void upstream_connection::Cancel() {
   call_ = nullptr;
+  ResetOnClose();
+}
+
+void upstream_connection::ResetOnClose() {
   // With an orderly close, a request that is still queued would be delivered
   // and run although its caller has left; a reset drops it.
   const linger reset{.l_onoff = 1, .l_linger = 0};
@@ -233,6 +322,7 @@
 void upstream_connection::End(upstream_call_result result,
                               call_end_cause cause) {
   ++served_;
+  host_timer_.Cancel();
   const bool has_more = evbuffer_get_length(bufferevent_get_input(stream_)) > 0;
   // If the response arrived before the request was completely sent, the
   // upstream still expects the rest of the request, so nothing else may be sent
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 
 #include "cuminswitch/Http1/message_reader.h"
 #include "cuminswitch/Http1/upstream_call.h"
@@ -50,6 +51,16 @@
   void End(upstream_call_result result, call_end_cause cause);
   void BecomeIdle();
   bool HasUnsentBytes() const;
+  /// Sets `TCP_USER_TIMEOUT`.
+  void LimitKernelWait(std::chrono::milliseconds limit);
+  /// Checks while a large request is sent whether its upstream's host is lost.
+  void CheckHost();
+  /// Returns why the connection counts as lost after \p silence, if it does.
+  std::optional<call_end_cause> FindLoss(
+      std::chrono::steady_clock::duration silence);
+  /// Bytes of the request that the upstream's host has not acknowledged.
+  size_t UnacknowledgedBytes() const;
+  void ResetOnClose();
 
   upstream_pool& pool_;
   endpoint to_;
@@ -57,6 +68,7 @@
   std::unique_ptr<counted_stream> counted_;
   message_reader reader_;
   loop_timer timer_;
+  loop_timer host_timer_;
   pooled_call* call_ = nullptr;
   bool is_connected_ = false;
   bool is_reusable_ = false;
@@ -64,6 +76,10 @@
   uint32_t served_ = 0;
   std::chrono::seconds keep_alive_time_{0};
   std::chrono::steady_clock::time_point idle_since_;
+  std::chrono::milliseconds kernel_wait_{0};
+  /// Unacknowledged bytes, and when they became fewer.
+  size_t unacknowledged_ = 0;
+  std::chrono::steady_clock::time_point progressed_;
 };
 
 }  // namespace cuminswitch
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cuminswitch/Net/loop_timer.h"
+#include "host_prober.h"
 #include "pooled_call.h"
 #include "upstream_connection.h"
 
@@ -14,7 +15,9 @@
 static constexpr size_t kMaxIdlePerUpstream = 16;
 
 upstream_pool::upstream_pool(event_base* base, byte_account* account)
-    : base_(base), account_(account == nullptr ? own_account_ : *account) {}
+    : base_(base),
+      account_(account == nullptr ? own_account_ : *account),
+      prober_(std::make_unique<host_prober>(base)) {}
 
 upstream_pool::~upstream_pool() {
   *alive_ = false;
--- a/unittests/Http1/loopback.h
+++ b/unittests/Http1/loopback.h
@@ -34,6 +34,13 @@
   return false;
 }
 
+/// See `raw_socket::DropPackets`.
+inline void DropPacketsAt(int fd) {
+  sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{.len = 1, .filter = &drop};
+  setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 /// A non-blocking socket that sends and receives raw bytes.
 class raw_socket {
  public:
@@ -95,11 +102,7 @@
   }
   /// From now on the kernel drops what arrives, without an acknowledgement, as
   /// if the host had lost power.
-  void DropPackets() {
-    sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
-    const sock_fprog program{.len = 1, .filter = &drop};
-    setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
-  }
+  void DropPackets() { DropPacketsAt(fd_); }
   /// Closes the connection with a reset.
   void Reset() {
     const linger now{.l_onoff = 1, .l_linger = 0};
@@ -136,6 +139,8 @@
     getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size);
     return {.address = "127.0.0.1", .port = ntohs(bound.sin_port)};
   }
+  /// From now on the host accepts no connections, as if it had lost power.
+  void DropPackets() { DropPacketsAt(fd_); }
   /// Runs the event loop until a connection is accepted; null after the
   /// time-out of `RunUntil`.
   std::unique_ptr<raw_socket> Accept(event_base* base) {
@@ -149,6 +154,14 @@
     });
     return accepted;
   }
+  /// Accepts the connections that wait, closes them, and returns how many.
+  int CountWaiting() {
+    int count = 0;
+    for (int fd = 0; (fd = accept(fd_, nullptr, nullptr)) >= 0; ++count) {
+      close(fd);
+    }
+    return count;
+  }
   void Close() {
     if (fd_ >= 0) {
       close(fd_);
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "loopback.h"
 
@@ -148,6 +149,43 @@
   EXPECT_EQ(call_->EndCause(), call_end_cause::kUserTimeout);
 }
 
+// The same for a host whose window is full and which accepts no connection;
+// where the kernel's report can't be trusted, only the latter shows it.
+TEST_F(upstream_pool_test, EndsLargeCallToHostThatAcceptsNoConnection) {
+  BeginLarge();
+  upstream_ = listener_.Accept(base_);
+  ASSERT_NE(upstream_, nullptr);
+  ASSERT_TRUE(AwaitFullWindow());
+  // The open connection still acknowledges, so that the kernel sees no loss.
+  listener_.DropPackets();
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kBroken);
+  EXPECT_EQ(call_->EndCause(), call_end_cause::kHostLost);
+}
+
+// Guards against filling the accept queue of a stopped process with a probe a
+// call.
+TEST_F(upstream_pool_test, StoppedUpstreamGetsOneProbeForAllCalls) {
+  constexpr int kCalls = 5;
+  constexpr int kStoppedRounds = 600;
+  constexpr std::chrono::milliseconds kProbeInterval(700);
+  const auto begun = std::chrono::steady_clock::now();
+  std::vector<std::unique_ptr<upstream_call>> calls;
+  std::vector<std::unique_ptr<raw_socket>> accepted;
+  for (int i = 0; i < kCalls; ++i) {
+    BeginLarge();
+    calls.push_back(std::move(call_));
+    accepted.push_back(listener_.Accept(base_));
+    ASSERT_NE(accepted.back(), nullptr);
+  }
+  int rounds = 0;
+  RunUntil(base_, [&] { return ++rounds == kStoppedRounds; });
+  EXPECT_EQ(handler_.end, std::nullopt);
+  const int probes = listener_.CountWaiting();
+  EXPECT_GE(probes, 1);
+  EXPECT_LE(probes,
+            1 + (std::chrono::steady_clock::now() - begun) / kProbeInterval);
+}
+
 // A retry after a failure sets `max_idle` to zero, so that it opens a new
 // connection.
 TEST_F(upstream_pool_test, DoesNotReuseConnectionIdleForMaxIdle) {
