Restart the stall timer when a slow caller has read its backlog

Callers saw: a stream whose upstream hangs just after the caller was slow ends at its deadline, though another upstream could have gone on with it.

Cause: the stall timer elapsed while reading was paused, `OnStall` returned, and only further bytes of the upstream would have started it again.

Fix: reading resumes with a new stall timeout. This also gives the upstream its whole time if the pause ended shortly before the timer would elapse: while nothing is read, its silence cannot be seen.

--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -274,6 +274,8 @@
 void request_flow::OnCallerDrained() {
   if (std::exchange(is_paused_, false) && call_ != nullptr) {
     call_->ResumeReading();
+    // While nothing was read, the upstream was not silent.
+    RestartStallTimer();
   }
 }
 
--- a/unittests/Edge/edge_fakes.h
+++ b/unittests/Edge/edge_fakes.h
@@ -24,13 +24,15 @@
   void SendBody(std::string_view data) override { sent += data; }
   void Finish() override { finished = true; }
   void Abort() override { aborted = true; }
-  size_t PendingBytes() const override { return 0; }
+  size_t PendingBytes() const override { return pending; }
 
   caller_listener* listener = nullptr;
   message_head head;
   std::string body;
   uint32_t status = 0;
   std::string sent;
+  /// What waits for the caller to read.
+  size_t pending = 0;
   bool finished = false;
   bool aborted = false;
 };
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -213,6 +213,23 @@
   EXPECT_TRUE(exchange_.finished);
 }
 
+// Guards against a stall timer that elapses while the caller is slow and is not
+// started again.
+TEST_F(request_flow_test, LeavesUpstreamThatIsSilentAfterCallerDrained) {
+  exchange_.pending = 1UL << 20;
+  const auto first = Dispatch(1);
+  first->Send(std::string(kStreamHead) + kEvent);
+  ASSERT_TRUE(RunUntil(base_, [&] { return !exchange_.sent.empty(); }));
+  const time_point drained = ReadBootClock() + milliseconds(2600);
+  RunUntil(base_, [&] { return ReadBootClock() >= drained; });
+  ASSERT_EQ(owner_.failed, 0) << "nothing is read from it";
+  exchange_.listener->OnCallerDrained();
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  EXPECT_EQ(owner_.last_failure, attempt_result::kStalled);
+  EXPECT_GE(ReadBootClock() - drained, milliseconds(2400))
+      << "the upstream was not given time";
+}
+
 // Symptom: in an overloaded fleet requests move from engine to engine, and each
 // engine computes their prompts again.
 // Cause: the mean wait at that load exceeded the stall timeout.
