Reserve the retry and the place before leaving a silent upstream

Callers saw: 502 for a repeatable request that has not begun, although its upstream might have responded: the stall timer left that upstream, and the retry was then refused or waited in the queue of a full upstream.

Cause: the attempt was cancelled on a check that asks for less than the retry. It did not look at the number of upstreams that had refused the request, nor at the deadline, and it spent and kept nothing; the placement that followed could choose a full upstream, expected to be faster, although another one was free.

Fix: `ReserveRetry` spends the retry and chooses the place among the free upstreams while the attempt is in progress; `OnStall` asks for it and goes on waiting if it fails. The end of the attempt uses what was reserved and checks nothing again. Open: permits of rate limits, slot reservations and refusals by the next upstream (docs/incidents/lost-responses.md).

The soak and the process tests were not run.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -152,6 +152,10 @@
   /// Whether the running request \p id may be retried at another upstream, and
   /// one accepts requests now.
   bool CanRetryElsewhere(time_point now, request_id id);
+  /// Reserves a retry and a free upstream for the running request \p id, whose
+  /// upstream is unresponsive. Returns whether that was possible; if so, the
+  /// attempt must be ended in the same call of the event loop.
+  bool ReserveRetry(time_point now, request_id id);
   void OnStartReply(time_point now, const start_reply& reply, action_list& out);
   void OnTick(time_point now, action_list& out);
   /// Sets whether the platform replied to the last call. While it does not, a
@@ -290,6 +294,8 @@
     /// The placement to use once its permit is granted; valid in
     /// `stage::kAwaitingPermit`.
     placement pending_placement;
+    /// Where it goes when its attempt ends, with a retry that is spent already.
+    std::optional<placement> reserved_move;
   };
 
   /// The response to a request that ends without an upstream's response.
@@ -413,6 +419,18 @@
                 const std::string& reason);
   /// Retries the postponed requests that an upstream can go on with now.
   void RetryPostponed(time_point now, action_list& out);
+  /// Returns the upstreams that are sound and have a free slot, apart from
+  /// those in \p excluded.
+  eligible_replicas ListFree(time_point now,
+                             const request& item,
+                             std::span<const replica_index> excluded) const;
+  /// Returns the upstreams that the running request could move to now.
+  eligible_replicas ListMoveTargets(time_point now, const request& item);
+  placement ChoosePlacement(time_point now,
+                            const request& item,
+                            const eligible_replicas& eligible);
+  /// Whether a further upstream may be asked.
+  static bool MayArriveAgain(const request& item);
   /// Whether an upstream, apart from those in \p excluded, is sound and has a
   /// free slot.
   bool HasFreeUpstream(time_point now,
--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -108,7 +108,7 @@
   void OnConnectionLost(const request_flow& flow) override;
   void OnAttemptStalled(const request_flow& flow) override;
   void OnUpstreamSilent(const request_flow& flow) override;
-  bool CanRetryElsewhere(const request_flow& flow) override;
+  bool ReserveRetry(const request_flow& flow) override;
   void OnFlowEnd(request_flow& flow, const flow_result& end) override;
   void OnForwardEnd(const forwarded_request& request,
                     const forward_result& end) override;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -71,9 +71,10 @@
   virtual void OnAttemptStalled(const request_flow& flow) = 0;
   /// The upstream of the current attempt sent no response head in time.
   virtual void OnUpstreamSilent(const request_flow& flow) = 0;
-  /// Whether a request whose upstream is unresponsive can be retried at another
-  /// one now.
-  virtual bool CanRetryElsewhere(const request_flow& flow) = 0;
+  /// Reserves what a request whose upstream is unresponsive needs to be retried
+  /// at another one. Returns whether that was possible; if so, the attempt ends
+  /// at once.
+  virtual bool ReserveRetry(const request_flow& flow) = 0;
   virtual void OnFlowEnd(request_flow& flow, const flow_result& end) = 0;
 };
 
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -10,9 +10,6 @@
 
 namespace cuminswitch {
 
-/// Number of upstreams that may refuse a request, beyond those that may run it.
-/// Without a bound, one request that all refuse uses up the whole retry budget.
-static constexpr uint32_t kExtraArrivals = 2;
 /// How long an engine keeps a slot for a request that is sent as soon as the
 /// slot is granted.
 static constexpr duration kReservationTime = std::chrono::milliseconds(500);
@@ -348,27 +345,6 @@
   return item.repeatable && (limit == 0 || item.runs < limit);
 }
 
-bool request_router::CanRetryElsewhere(time_point now, request_id id) {
-  const auto found = requests_.find(id);
-  if (found == requests_.end() || !found->second.running) {
-    return false;
-  }
-  const request& item = found->second;
-  std::vector<replica_index> excluded = item.excluded;
-  excluded.push_back(item.running->index);
-  // A begun response would be lost if upstreams refused it and no further retry
-  // were left.
-  const uint32_t retries = item.has_begun ? 1 + kExtraArrivals : 1;
-  if (!MayRepeat(item) ||
-      !RetryBudgetFor(item.info.target).CanSpend(now, retries)) {
-    return false;
-  }
-  // To wait for a replica that is full, in backoff or over its rate limit is no
-  // better than to wait for the running attempt.
-  return queue_.CountAhead(MakeWaiting(item)) == 0 &&
-         !IsQuarantined(now, item) && HasFreeUpstream(now, item, excluded);
-}
-
 void request_router::Retry(time_point now,
                            request& item,
                            const attempt_ended& event,
@@ -384,8 +360,12 @@
            out);
     return;
   }
-  const uint32_t runs_allowed = item.info.max_runs;
-  if (runs_allowed != 0 && item.arrivals >= runs_allowed + kExtraArrivals) {
+  if (const auto reserved = std::exchange(item.reserved_move, std::nullopt)) {
+    SendOrRequestPermit(now, item, *reserved,
+                        ListEligible(now, item, item.excluded), out);
+    return;
+  }
+  if (!MayArriveAgain(item)) {
     RefuseOrPostpone(now, item,
                      {.status = status_code::kUnavailable,
                       .retry_after_seconds = 1,
--- a/lib/Core/request_postponements.cc
+++ b/lib/Core/request_postponements.cc
@@ -18,14 +18,7 @@
     time_point now,
     const request& item,
     std::span<const replica_index> excluded) const {
-  const eligible_replicas eligible = ListEligible(now, item, excluded);
-  for (size_t i = 0; i < eligible.indices.size(); ++i) {
-    if (eligible.has_free_slot[i] &&
-        now >= replicas_[eligible.indices[i]].ejected_until) {
-      return true;
-    }
-  }
-  return false;
+  return !ListFree(now, item, excluded).indices.empty();
 }
 
 bool request_router::CanPostpone(time_point now, const request& item) const {
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -277,28 +277,15 @@
   queue_.Push(MakeWaiting(item));
 }
 
-bool request_router::TryPlace(time_point now,
-                              request& item,
-                              queue_position position,
-                              action_list& out) {
-  if (RefuseIfQuarantined(now, item, out)) {
-    return true;
-  }
-  if (!item.is_counted_in_flight &&
-      !limiter_.IsWithinLimit(now, item.workspace_hash,
-                              item.workspace->max_in_flight)) {
-    return false;
-  }
-  const eligible_replicas eligible = ListEligible(now, item, item.excluded);
-  if (eligible.indices.empty()) {
-    return false;
-  }
+placement request_router::ChoosePlacement(time_point now,
+                                          const request& item,
+                                          const eligible_replicas& eligible) {
   // Requests without a prompt go to services, which have no length classes.
   if (item.info.prompt_tokens > 0) {
     short_share_ =
         prompt_lengths_.ShortShare(now, replicas_.CountSlots(item.info.target));
   }
-  const placement chosen = policy_->Choose(
+  return policy_->Choose(
       {.now = now,
        .levels = item.info.levels,
        .prompt_tokens = item.info.prompt_tokens,
@@ -313,6 +300,25 @@
        .reuse_weight = ReuseWeight(item),
        .short_share = short_share_,
        .is_long = prompt_lengths_.IsLong(now, item.info.prompt_tokens)});
+}
+
+bool request_router::TryPlace(time_point now,
+                              request& item,
+                              queue_position position,
+                              action_list& out) {
+  if (RefuseIfQuarantined(now, item, out)) {
+    return true;
+  }
+  if (!item.is_counted_in_flight &&
+      !limiter_.IsWithinLimit(now, item.workspace_hash,
+                              item.workspace->max_in_flight)) {
+    return false;
+  }
+  const eligible_replicas eligible = ListEligible(now, item, item.excluded);
+  if (eligible.indices.empty()) {
+    return false;
+  }
+  const placement chosen = ChoosePlacement(now, item, eligible);
   // The requests ahead of it in the queue go to the same replicas.
   const double local_queue_seconds =
       position == queue_position::kFirst ? 0 : EstimateWaitSeconds(now, item);
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -264,8 +264,8 @@
                       .Add("revision", snapshot_->revision));
 }
 
-bool edge_task::CanRetryElsewhere(const request_flow& flow) {
-  return router_.CanRetryElsewhere(ReadBootClock(), flow.id());
+bool edge_task::ReserveRetry(const request_flow& flow) {
+  return router_.ReserveRetry(ReadBootClock(), flow.id());
 }
 
 /// Returns what made a response late; empty if it was not late.
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -179,7 +179,7 @@
   if (has_ended_ || call_ == nullptr || is_paused_) {
     return;
   }
-  if (!with_.owner.CanRetryElsewhere(*this)) {
+  if (!with_.owner.ReserveRetry(*this)) {
     // Without another upstream the request would only fail, and its response
     // may still arrive.
     stall_timer_.Start(StallTimeout());
--- a/unittests/Core/begun_response_test.cc
+++ b/unittests/Core/begun_response_test.cc
@@ -247,6 +247,53 @@
   EXPECT_FALSE(router_->CanRetryElsewhere(now_, kStream));
 }
 
+// Guards against a request that is left and then refused, since as many
+// upstreams as may refuse it have done so.
+TEST_F(begun_response_test, StaysAtSilentUpstreamAfterRefusals) {
+  Start({.share = 0, .burst = 9, .window = kRetryWindow});
+  EndRefused(SendRequest(kStream).attempt);
+  EndRefused(Take<dispatch_attempt>().value().attempt);
+  EndRefused(Take<dispatch_attempt>().value().attempt);
+  EXPECT_TRUE(Take<dispatch_attempt>());
+  EXPECT_FALSE(router_->ReserveRetry(now_, kStream));
+}
+
+// Guards against leaving an upstream in the moment in which its own response
+// to the end of the time limit arrives.
+TEST_F(begun_response_test, StaysAtSilentUpstreamAtDeadline) {
+  SendRequest(kStream);
+  now_ += kTimeLimit;
+  EXPECT_FALSE(router_->ReserveRetry(now_, kStream));
+}
+
+// Guards against two requests that leave their upstreams for the same retry.
+TEST_F(begun_response_test, ReservesRetry) {
+  const dispatch_attempt first = SendRequest(kStream);
+  SendRequest(kStream + 1);
+  EXPECT_TRUE(router_->ReserveRetry(now_, kStream));
+  EXPECT_FALSE(router_->ReserveRetry(now_, kStream + 1));
+  EndStalled(first.attempt);
+  EXPECT_EQ(Take<dispatch_attempt>().value().request, kStream);
+}
+
+// Guards against a request that is left and then waits for a full upstream,
+// which is expected to be faster than the free one.
+TEST_F(begun_response_test, MovesToFreeUpstream) {
+  Start({.share = 0, .burst = 9, .window = kRetryWindow});
+  const dispatch_attempt slow = SendRequest(kStream);
+  now_ += seconds(8);
+  router_->OnFirstByte(now_, {.attempt = slow.attempt});
+  router_->OnAttemptEnded(
+      now_, {.attempt = slow.attempt, .result = outcome::kAnswered}, out_);
+  const dispatch_attempt silent = SendRequest(kStream + 1);
+  for (size_t i = 2; i < kUpstreams.size(); ++i) {
+    SendRequest(kStream + i);
+  }
+  ASSERT_TRUE(router_->ReserveRetry(now_, silent.request));
+  EndStalled(silent.attempt);
+  EXPECT_EQ(Take<dispatch_attempt>().value().upstream, slow.upstream);
+}
+
 TEST_F(begun_response_test, StaysAtSilentUpstreamIfQuarantined) {
   Start({.share = 0, .burst = 9, .window = kRetryWindow});
   BeginStream();
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -45,9 +45,7 @@
   void OnConnectionLost(const request_flow& /*flow*/) override {}
   void OnAttemptStalled(const request_flow& /*flow*/) override {}
   void OnUpstreamSilent(const request_flow& /*flow*/) override {}
-  bool CanRetryElsewhere(const request_flow& /*flow*/) override {
-    return can_retry;
-  }
+  bool ReserveRetry(const request_flow& /*flow*/) override { return can_retry; }
   void OnFlowEnd(request_flow& flow, const flow_result& end) override {
     end_line = nlohmann::json::parse(
         DescribeEnd(ReadBootClock(), flow, end).text() + "}");
