--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -199,7 +199,7 @@
   if (has_ended_ || call_ == nullptr || is_paused_) {
     return;
   }
-  if (!with_.owner.CanRetryElsewhere(*this)) {
+  if (!with_.owner.ReserveRetry(*this)) {
     // Without another upstream the request would only fail, and its response
     // may still arrive.
     stall_timer_.Start(StallTimeout());
@@ -294,6 +294,8 @@
 void request_flow::OnCallerDrained() {
   if (std::exchange(is_paused_, false) && call_ != nullptr) {
     call_->ResumeReading();
+    // While nothing was read, the upstream was not silent.
+    RestartStallTimer();
   }
 }
 
