Limit the age in a stored publication record

A record of a foreign writer with an age of 9e18 ms overflowed when it was converted to microseconds, and the wrapped age could date a publication in the future, so that superseded weights never expired. Ages above an hour are malformed now, as they are in heartbeats already.

ReadsOrRejectsArbitraryBytes parses arbitrary bytes, and LearnsArbitraryPublications learns lists of 0 to 199 records with repeats, cycles and empty versions.

--- a/lib/Fleet/publication_records.cc
+++ b/lib/Fleet/publication_records.cc
@@ -16,6 +16,8 @@
 /// Time after which a record is written again whose write failed, or that is
 /// not among the stored ones yet.
 static constexpr duration kRetryInterval = std::chrono::milliseconds(700);
+/// Far beyond the bound of any weights; a larger age would overflow.
+static constexpr int64_t kMaxAgeMs = 3'600'000;
 
 publication_records::publication_records(options opts,
                                          item_store& store,
@@ -108,7 +110,7 @@
   std::getline(in, record.superseded, ' ');
   std::getline(in, record.version, ' ');
   std::getline(in, record.target);
-  if (record.target.empty() || age < 0) {
+  if (record.target.empty() || age < 0 || age > kMaxAgeMs) {
     throw std::invalid_argument("publication record is malformed: " + value);
   }
   record.age = std::chrono::milliseconds(age);
--- a/unittests/Edge/router_settings_test.cc
+++ b/unittests/Edge/router_settings_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "cuminswitch/Routing/replica_table.h"
 
 namespace cuminswitch {
@@ -116,6 +118,26 @@
   EXPECT_LT(table_.LearnPublications(learned_).size(), 20U);
 }
 
+// Guards against a daemon that hangs on what the store or a peer says.
+TEST_F(starting_daemon_test, LearnsArbitraryPublications) {
+  std::mt19937 random(1);
+  const auto draw = [&] {
+    const size_t version = random() % 24;
+    return version == 0 ? std::string() : std::to_string(version);
+  };
+  for (size_t length = 0; length < 200; ++length) {
+    learned_.resize(length);
+    for (weights_publication& item : learned_) {
+      item = {.target = "m",
+              .version = draw(),
+              .superseded = draw(),
+              .since = start_ - std::chrono::seconds(random() % 8)};
+    }
+    table_.LearnPublications(learned_);
+    EXPECT_TRUE(table_.LearnPublications(learned_).empty());
+  }
+}
+
 /// A daemon uses the engine "a" with version "3" of the weights.
 class published_versions_test : public starting_daemon_test {
  protected:
--- a/unittests/Fleet/publication_records_test.cc
+++ b/unittests/Fleet/publication_records_test.cc
@@ -4,8 +4,10 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <random>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cuminswitch/Fleet/boot_clock.h"
@@ -102,8 +104,28 @@
   }
 }
 
+// Guards against a record of a foreign writer that ends the daemon.
+TEST_F(publication_records_test, ReadsOrRejectsArbitraryBytes) {
+  std::mt19937 random(1);
+  constexpr std::string_view kBytes("0123456789 -.xs/\n\0\xff", 20);
+  for (int round = 0; round < 20'000; ++round) {
+    std::string value(random() % 24, ' ');
+    for (char& byte : value) {
+      byte = kBytes[random() % kBytes.size()];
+    }
+    try {
+      const publication_report record = ParsePublicationRecord(value);
+      EXPECT_EQ(ParsePublicationRecord(EncodePublicationRecord(record)), record)
+          << value;
+    } catch (const std::invalid_argument&) {
+      continue;
+    }
+  }
+}
+
 TEST_F(publication_records_test, RejectsMalformedRecords) {
-  for (const char* value : {"", "4000 2 3", "x 2 3 s/m", "-1 2 3 s/m"}) {
+  for (const char* value : {"", "4000 2 3", "x 2 3 s/m", "-1 2 3 s/m",
+                            "9223372036854775807 2 3 s/m"}) {
     EXPECT_THROW(ParsePublicationRecord(value), std::invalid_argument) << value;
   }
 }
