--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -420,9 +420,11 @@
   /// Retries the postponed requests that an upstream can go on with now.
   void RetryPostponed(time_point now, action_list& out);
   /// Returns how long to reserve a slot at \p index before the request is sent
-  /// there; 0 for not at all. Without a reservation, the request could begin
-  /// too late on superseded weights if this daemon fails.
-  duration ReservationTime(const request& item, replica_index index) const;
+  /// there; 0 for not at all. In its queue, the request could begin too late on
+  /// superseded weights if this daemon fails.
+  duration ReservationTime(time_point now,
+                           const request& item,
+                           replica_index index) const;
   /// Returns the upstreams that are sound and have a free slot, apart from
   /// those in \p excluded.
   eligible_replicas ListFree(time_point now,
--- a/include/cuminswitch/Http1/call_end_cause.h
+++ b/include/cuminswitch/Http1/call_end_cause.h
@@ -16,9 +16,8 @@
   kUpstreamClosed,
   /// The upstream's host reset or refused the connection.
   kUpstreamReset,
-  /// Sent bytes stayed unacknowledged: the kernel's `TCP_USER_TIMEOUT`, or for
-  /// a
-  /// large request this daemon, from what the kernel reports.
+  /// Sent bytes stayed unacknowledged: the kernel's `TCP_USER_TIMEOUT`, or
+  /// this daemon for a large request, from what the kernel reports.
   kUserTimeout,
   /// This daemon: a large request made no progress, and the upstream's host
   /// accepted no connection.
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -12,7 +12,7 @@
 
 /// How long an engine keeps a slot for a request that is sent as soon as the
 /// slot is granted.
-static constexpr duration kReservationTime = std::chrono::seconds(1);
+static constexpr duration kReservationTime = std::chrono::milliseconds(500);
 /// With fewer computed tokens, the time to first byte says little about a
 /// replica's prefill rate.
 static constexpr double kMinTokensForRateSample = 256;
@@ -57,7 +57,7 @@
       next.assumed_cached_age = now - holder->used_at;
     }
   }
-  const duration reservation = ReservationTime(item, chosen.index);
+  const duration reservation = ReservationTime(now, item, chosen.index);
   if (reservation > duration(0)) {
     ++counters_.reservations;
   }
@@ -142,13 +142,15 @@
   item.running = next;
 }
 
-duration request_router::ReservationTime(const request& item,
+duration request_router::ReservationTime(time_point now,
+                                         const request& item,
                                          replica_index index) const {
   const std::string& target = item.info.target;
   const std::optional<time_point> last_start =
       replicas_.LastStart(target, replicas_.VersionAt(index, target));
   const model_spec* model = config_->FindModel(target);
-  if (!last_start || item.deadline <= *last_start || model == nullptr) {
+  if (!last_start || item.deadline <= *last_start || model == nullptr ||
+      replicas_.EstimateQueueSeconds(now, index) == 0) {
     return duration(0);
   }
   return std::min(model->max_reservation, kReservationTime);
--- a/lib/Core/request_moves.cc
+++ b/lib/Core/request_moves.cc
@@ -51,7 +51,7 @@
   excluded.push_back(item.running->index);
   // An engine that reserves slots may refuse the reservation.
   for (const replica_index index : ListEligible(now, item, excluded).indices) {
-    if (ReservationTime(item, index) > duration(0)) {
+    if (ReservationTime(now, item, index) > duration(0)) {
       excluded.push_back(index);
     }
   }
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -91,11 +91,8 @@
 
 void request_flow::Reserve() {
   // What the upstream has cached already occupies its memory.
-  const double cached =
-      dispatch_.cache_source
-          ? 0
-          : std::min<double>(dispatch_.prompt_tokens,
-                             dispatch_.expected_cached_tokens);
+  const double cached = std::min<double>(dispatch_.prompt_tokens,
+                                         dispatch_.expected_cached_tokens);
   const uint32_t tokens = dispatch_.prompt_tokens -
                           static_cast<uint32_t>(cached) +
                           options_.request.max_output_tokens;
--- a/unittests/Core/repeat_rules_test.cc
+++ b/unittests/Core/repeat_rules_test.cc
@@ -253,6 +253,10 @@
   Configure("2");
   now_ += milliseconds(2000);
   SendRequest(1, repeat_rule::kOnce, 1, "m");
+  EXPECT_EQ(Take<dispatch_attempt>()->reservation, duration(0))
+      << "the request begins at once";
+  DispatchAtEachEngine(2);
+  SendRequest(7, repeat_rule::kOnce, 1, "m");
   EXPECT_GT(Take<dispatch_attempt>()->reservation, duration(0));
   SendRequest(8, repeat_rule::kOnce, 1, "m", milliseconds(3000));
   EXPECT_EQ(Take<dispatch_attempt>()->reservation, duration(0))
