Let the stand-in ask only callers that still wait for backoff

Cause: the stand-in reads a request before it notices that its connection was closed, and counts the refusal as delivered. Now it refuses a millisecond later, when the event loop has seen the close, and prints `rested` only for callers that are still connected. The check and its bounds are unchanged, and each refusal that a daemon can receive still counts.

Ruled out: a daemon that forgets a backoff (its rest_asked lines and the arrivals agree), a reset of the upstream's state (its entry never left the store).

--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -30,6 +30,7 @@
 //   GET /control/rest/SECONDS   refuses all requests with this Retry-After;
 //                               `none` ends it. Prints `rested ATTEMPT TIME
 //                               REST` (REST in milliseconds) for each request
+//                               whose caller has not disconnected
 //   GET /control/leaving/1      announces in all responses that it is leaving.
 //                               Prints `left ATTEMPT TIME` for each request
 //   GET /control/departed/1     prints `departed ATTEMPT TIME` for each request
@@ -57,6 +58,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "StandIn/limit_bound.h"
 #include "StandIn/stand_in_main.h"
@@ -85,6 +87,8 @@
 /// Requests that were sent before a daemon received an announcement may arrive
 /// this long after it.
 constexpr std::chrono::milliseconds kInFlightTime{500};
+/// Time in which the event loop notices that a connection was closed.
+constexpr std::chrono::milliseconds kDisconnectDelay{1};
 
 int64_t ToMillis(std::chrono::steady_clock::time_point at) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -160,7 +164,9 @@
 class replica : public http_request_handler {
  public:
   replica(event_base* base, replica_options opts)
-      : options_(std::move(opts)), timer_(base, [this] { OnTick(); }) {}
+      : options_(std::move(opts)),
+        timer_(base, [this] { OnTick(); }),
+        refusal_timer_(base, [this] { RefuseRemaining(); }) {}
 
   void OnRequest(exchange_ptr exchange) override {
     const std::string path(exchange->Path());
@@ -214,6 +220,12 @@
     clock::time_point deadline = clock::time_point::max();
   };
 
+  struct refused_request {
+    exchange_ptr exchange;
+    /// Seconds of backoff to request.
+    std::string backoff;
+  };
+
   json Models() const {
     return json::array({{{"name", options_.model},
                          {"version", options_.version},
@@ -295,10 +307,20 @@
     }
   }
 
-  void RequestBackoff(http_exchange& exchange) {
+  /// Refuses the requests whose callers still wait. The others get no request
+  /// for backoff.
+  void RefuseRemaining() {
+    for (const auto& [exchange, backoff] : std::exchange(refused_, {})) {
+      if (!exchange->IsClosed()) {
+        RequestBackoff(*exchange, backoff);
+      }
+    }
+  }
+
+  void RequestBackoff(http_exchange& exchange, const std::string& seconds) {
     const auto now = clock::now();
     const auto backoff = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::duration<double>(std::stod(backoff_)));
+        std::chrono::duration<double>(std::stod(seconds)));
     std::cout << "rested " << exchange.Header("X-Attempt-Id") << " "
               << ToMillis(now) << " " << backoff.count() << std::endl;
     // The in-flight time counts from the first refusal of a backoff: a later
@@ -310,7 +332,7 @@
     exchange.Reply(503, kJson, "{}",
                    {{"X-Attempt-Id", exchange.Header("X-Attempt-Id")},
                     {"X-Not-Executed", "1"},
-                    {"Retry-After", backoff_}});
+                    {"Retry-After", seconds}});
   }
 
   void Run(const exchange_ptr& exchange, const std::string& path) {
@@ -320,7 +342,12 @@
     };
     PrintLateArrival(exchange->Header("X-Attempt-Id"));
     if (backoff_ != "none") {
-      RequestBackoff(*exchange);
+      // A process that was stopped reads requests before it sees that their
+      // callers have disconnected meanwhile.
+      refused_.push_back({.exchange = exchange, .backoff = backoff_});
+      if (refused_.size() == 1) {
+        refusal_timer_.Start(kDisconnectDelay);
+      }
       return;
     }
     if (has("/refuse/")) {
@@ -463,8 +490,10 @@
   clock::time_point leaving_announced_at_{};
   limit_meter meter_;
   loop_timer timer_;
+  loop_timer refusal_timer_;
   std::list<stream> streams_;
   std::list<exchange_ptr> hanging_;
+  std::list<refused_request> refused_;
   uint64_t command_count_ = 0;
   uint64_t reservation_count_ = 0;
 };
