--- a/include/cuminswitch/Log/event_log.h
+++ b/include/cuminswitch/Log/event_log.h
@@ -59,6 +59,11 @@
   std::string text_;
 };
 
+/// Writes one line to \p descriptor at once, bypassing any `event_log`, or
+/// drops it if that would block. For threads other than the log's; begins a new
+/// line, since the log may have written a part of one.
+void WriteDirectly(int descriptor, const log_line& line);
+
 /// Buffers lines until the descriptor accepts them, and never blocks on it.
 /// When its reader stops reading, lines are dropped and requests are not
 /// delayed. Dropped lines are counted and reported in a line of their own.
--- a/lib/Log/event_log.cc
+++ b/lib/Log/event_log.cc
@@ -73,6 +73,20 @@
   return Add(name, int64_t{value.count() / kMicrosPerMilli});
 }
 
+/// Whether \p descriptor accepts `kMaxAtomicWrite` bytes without blocking.
+static bool IsWritable(int descriptor) {
+  pollfd state{.fd = descriptor, .events = POLLOUT, .revents = 0};
+  return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
+void WriteDirectly(int descriptor, const log_line& line) {
+  const std::string text = "\n" + line.text() + "}\n";
+  if (text.size() <= kMaxAtomicWrite && IsWritable(descriptor)) {
+    // A failure cannot be reported: this is where it would be.
+    static_cast<void>(write(descriptor, text.data(), text.size()) < 0);
+  }
+}
+
 bool event_log::TryTakeBudget() {
   const auto now = std::chrono::steady_clock::now();
   if (now - budget_window_start_ >= std::chrono::seconds(1)) {
@@ -131,8 +145,7 @@
 
 void event_log::Flush() {
   while (!lines_.empty()) {
-    pollfd state{.fd = options_.descriptor, .events = POLLOUT, .revents = 0};
-    if (poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0) {
+    if (!IsWritable(options_.descriptor)) {
       return;
     }
     std::string batch;
