--- a/unittests/Core/repeat_rules_test.cc
+++ b/unittests/Core/repeat_rules_test.cc
@@ -252,7 +252,7 @@
 TEST_F(repeat_rules_test, QueuedAttemptOnOldWeightsNeedsAReservation) {
   Configure("2");
   now_ += milliseconds(2000);
-  SendRequest(1, repeat_rule::kOnce, 1, "m");
+  SendRequest(1, repeat_rule::kRepeatable, 0, "m");
   EXPECT_EQ(Take<dispatch_attempt>()->reservation, duration(0))
       << "the request begins at once";
   DispatchAtEachEngine(2);
@@ -263,6 +263,18 @@
       << "its own deadline is before the time limit";
 }
 
+// Guards against a request that is cancelled, and may not be repeated, while an
+// engine whose queue was thought to be empty computes its prompt.
+TEST_F(repeat_rules_test, KeepsReservedAttemptOnOldWeights) {
+  Configure("2");
+  SendRequest(1, repeat_rule::kOnce, 1, "m");
+  EXPECT_GT(Take<dispatch_attempt>()->reservation, duration(0));
+  now_ += milliseconds(5800);
+  router_->OnTick(now_, out_);
+  EXPECT_FALSE(Take<cancel_attempt>());
+  EXPECT_FALSE(Take<local_response>());
+}
+
 // Guards against the same where engines reserve no slots.
 TEST_F(repeat_rules_test, UsesNoQueueOfOldWeightsWithoutReservations) {
   Configure("2", duration(0));
