Check an upstream again when it grants a reservation

An engine that begins to leave, to change its weights, or asks for backoff meanwhile was sent the request all the same; only the bound of the weights was checked again. It refused it, which costs a retry of the fleet's budget, and a request that may not be repeated could end with 502 where the engine's process ended.

Now the request is not sent; nothing has arrived at the engine, so this costs no retry.

Tests: reserved_request_test.IsNotSentToUpstreamThatAcceptsNoMore, repeat_rules_test.MayNotSendToEngineThatChangesItsWeights (new interface, not compiled on the code before).

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -109,6 +109,7 @@
   void OnAttemptStalled(const request_flow& flow) override;
   void OnUpstreamSilent(const request_flow& flow) override;
   bool ReserveRetry(const request_flow& flow) override;
+  bool MayStillSend(const request_flow& flow) override;
   void OnFlowEnd(request_flow& flow, const flow_result& end) override;
   void OnForwardEnd(const forwarded_request& request,
                     const forward_result& end) override;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -75,6 +75,8 @@
   /// at another one. Returns whether that was possible; if so, the attempt ends
   /// at once.
   virtual bool ReserveRetry(const request_flow& flow) = 0;
+  /// Whether the upstream of the current attempt still accepts requests.
+  virtual bool MayStillSend(const request_flow& flow) = 0;
   virtual void OnFlowEnd(request_flow& flow, const flow_result& end) = 0;
 };
 
--- a/include/cuminswitch/Routing/replica_table.h
+++ b/include/cuminswitch/Routing/replica_table.h
@@ -198,6 +198,10 @@
   std::optional<time_point> LastStart(std::string_view target,
                                       std::string_view version) const;
 
+  /// Whether the replica still exists and accepts requests: it is reachable, is
+  /// not leaving or changing its weights, and has requested no backoff.
+  bool IsAccepting(time_point now, replica_index index) const;
+
   /// Lists the replicas that can serve \p target in \p failure_domains (any if
   /// empty) with \p software, except those in \p excluded.
   eligible_replicas ListEligible(time_point now,
--- a/lib/Core/request_moves.cc
+++ b/lib/Core/request_moves.cc
@@ -58,6 +58,11 @@
   return ListFree(now, item, excluded);
 }
 
+bool request_router::MayStillSend(time_point now, attempt_id attempt) const {
+  const auto* running = FindAttempt(attempt);
+  return running != nullptr && replicas_.IsAccepting(now, running->index);
+}
+
 bool request_router::CanRetryElsewhere(time_point now, request_id id) {
   const auto found = requests_.find(id);
   return found != requests_.end() &&
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -268,6 +268,10 @@
   return router_.ReserveRetry(ReadBootClock(), flow.id());
 }
 
+bool edge_task::MayStillSend(const request_flow& flow) {
+  return router_.MayStillSend(ReadBootClock(), flow.attempt());
+}
+
 /// Returns what made a response late; empty if it was not late.
 static std::string_view LateCause(const request_flow& flow) {
   const route_spec& route = flow.route();
--- a/lib/Edge/request_flow.cc
+++ b/lib/Edge/request_flow.cc
@@ -111,7 +111,7 @@
       [ended = std::shared_ptr<slot_reservation>(std::move(reservation_))] {});
   const time_point now = ReadBootClock();
   const bool is_late = dispatch_.last_start && now >= *dispatch_.last_start;
-  if (!result.id.empty() && !is_late) {
+  if (!result.id.empty() && !is_late && with_.owner.MayStillSend(*this)) {
     Send(now, result.id);
     return;
   }
--- a/lib/Routing/replica_eligibility.cc
+++ b/lib/Routing/replica_eligibility.cc
@@ -123,6 +123,12 @@
   return item.in_flight + 1 <= std::max(1.0, item.limit * ramp);
 }
 
+bool replica_table::IsAccepting(time_point now, replica_index index) const {
+  const replica& item = replicas_[index];
+  return IsConfigured(index) && item.reachable && !IsLeaving(item) &&
+         !item.changing && now >= item.backoff_until;
+}
+
 eligible_replicas replica_table::ListEligible(
     time_point now,
     std::string_view target,
--- a/unittests/Core/repeat_rules_test.cc
+++ b/unittests/Core/repeat_rules_test.cc
@@ -275,6 +275,18 @@
   EXPECT_FALSE(Take<local_response>());
 }
 
+// Guards against a request to an engine that begins to change its weights
+// while it reserves a slot.
+TEST_F(repeat_rules_test, MayNotSendToEngineThatChangesItsWeights) {
+  Configure("2");
+  SendRequest(1, repeat_rule::kOnce, 1, "m");
+  const auto dispatch = Take<dispatch_attempt>();
+  EXPECT_TRUE(router_->MayStillSend(now_, dispatch->attempt));
+  router_->OnUpstreamChanging(
+      {.upstream = dispatch->upstream, .is_changing = true});
+  EXPECT_FALSE(router_->MayStillSend(now_, dispatch->attempt));
+}
+
 // Guards against the same where engines reserve no slots.
 TEST_F(repeat_rules_test, UsesNoQueueOfOldWeightsWithoutReservations) {
   Configure("2", duration(0));
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -46,6 +46,9 @@
   void OnAttemptStalled(const request_flow& /*flow*/) override {}
   void OnUpstreamSilent(const request_flow& /*flow*/) override {}
   bool ReserveRetry(const request_flow& /*flow*/) override { return can_retry; }
+  bool MayStillSend(const request_flow& /*flow*/) override {
+    return may_still_send;
+  }
   void OnFlowEnd(request_flow& flow, const flow_result& end) override {
     end_line = nlohmann::json::parse(
         DescribeEnd(ReadBootClock(), flow, end).text() + "}");
@@ -53,6 +56,7 @@
     last = end;
   }
   bool can_retry = true;
+  bool may_still_send = true;
   int failed = 0;
   nlohmann::json failure_line;
   nlohmann::json end_line;
@@ -325,6 +329,15 @@
   EXPECT_EQ(owner_.last.result, outcome::kNotRun) << "it may be sent again";
 }
 
+// Guards against a request to an upstream that has begun to leave meanwhile.
+TEST_F(reserved_request_test, IsNotSentToUpstreamThatAcceptsNoMore) {
+  owner_.may_still_send = false;
+  upstream_->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nh7");
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  EXPECT_EQ(owner_.last_failure, attempt_result::kNotReserved);
+  EXPECT_EQ(flow_->attempts(), 0U);
+}
+
 // Guards against a request that waits for an upstream without responses.
 TEST_F(reserved_request_test, IsNotSentAfterAReservationTimesOut) {
   ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
