Peek for closed callers in the stand-in's refusals

A later turn of the event loop does not read the end of a connection while its request is in progress. The stand-in now asks the socket itself.

Tried by hand: rest/4, SIGSTOP, a request whose caller closes, one whose caller stays, SIGCONT: `rested` is printed for the second one only; with the code before for both.

--- a/include/cuminswitch/Net/http_exchange.h
+++ b/include/cuminswitch/Net/http_exchange.h
@@ -53,6 +53,9 @@
 
   bool HasBegun() const { return has_begun_; }
   bool IsClosed() const { return request_ == nullptr; }
+  /// Whether the caller has closed its connection, also if the event loop has
+  /// not read its end yet.
+  bool HasCallerClosed() const;
   /// Bytes buffered and not yet written to the caller's socket.
   size_t PendingBytes() const;
   /// Sets the function that is called when the connection closes before the
--- a/lib/Net/http_exchange.cc
+++ b/lib/Net/http_exchange.cc
@@ -5,7 +5,9 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <evhtp.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <memory>
 #include <utility>
 
@@ -177,6 +179,16 @@
   on_drained_ = [this] { Abort(); };
 }
 
+bool http_exchange::HasCallerClosed() const {
+  if (request_ == nullptr) {
+    return true;
+  }
+  const evutil_socket_t fd = bufferevent_getfd(evhtp_request_get_bev(request_));
+  char next = 0;
+  const ssize_t count = recv(fd, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 size_t http_exchange::PendingBytes() const {
   if (request_ == nullptr) {
     return 0;
--- a/utils/replica_stand_in/replica_stand_in.cc
+++ b/utils/replica_stand_in/replica_stand_in.cc
@@ -58,7 +58,6 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
-#include <utility>
 
 #include "StandIn/limit_bound.h"
 #include "StandIn/stand_in_main.h"
@@ -87,8 +86,6 @@
 /// Requests that were sent before a daemon received an announcement may arrive
 /// this long after it.
 constexpr std::chrono::milliseconds kInFlightTime{500};
-/// Time in which the event loop notices that a connection was closed.
-constexpr std::chrono::milliseconds kDisconnectDelay{1};
 
 int64_t ToMillis(std::chrono::steady_clock::time_point at) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -164,9 +161,7 @@
 class replica : public http_request_handler {
  public:
   replica(event_base* base, replica_options opts)
-      : options_(std::move(opts)),
-        timer_(base, [this] { OnTick(); }),
-        refusal_timer_(base, [this] { RefuseRemaining(); }) {}
+      : options_(std::move(opts)), timer_(base, [this] { OnTick(); }) {}
 
   void OnRequest(exchange_ptr exchange) override {
     const std::string path(exchange->Path());
@@ -220,12 +215,6 @@
     clock::time_point deadline = clock::time_point::max();
   };
 
-  struct refused_request {
-    exchange_ptr exchange;
-    /// Seconds of backoff to request.
-    std::string backoff;
-  };
-
   json Models() const {
     return json::array({{{"name", options_.model},
                          {"version", options_.version},
@@ -307,20 +296,16 @@
     }
   }
 
-  /// Refuses the requests whose callers still wait. The others get no request
-  /// for backoff.
-  void RefuseRemaining() {
-    for (const auto& [exchange, backoff] : std::exchange(refused_, {})) {
-      if (!exchange->IsClosed()) {
-        RequestBackoff(*exchange, backoff);
-      }
+  void RequestBackoff(http_exchange& exchange) {
+    // A process that was stopped reads requests before it sees that their
+    // callers have disconnected meanwhile. Those are not asked for backoff.
+    if (exchange.HasCallerClosed()) {
+      exchange.Abort();
+      return;
     }
-  }
-
-  void RequestBackoff(http_exchange& exchange, const std::string& seconds) {
     const auto now = clock::now();
     const auto backoff = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::duration<double>(std::stod(seconds)));
+        std::chrono::duration<double>(std::stod(backoff_)));
     std::cout << "rested " << exchange.Header("X-Attempt-Id") << " "
               << ToMillis(now) << " " << backoff.count() << std::endl;
     // The in-flight time counts from the first refusal of a backoff: a later
@@ -332,7 +317,7 @@
     exchange.Reply(503, kJson, "{}",
                    {{"X-Attempt-Id", exchange.Header("X-Attempt-Id")},
                     {"X-Not-Executed", "1"},
-                    {"Retry-After", seconds}});
+                    {"Retry-After", backoff_}});
   }
 
   void Run(const exchange_ptr& exchange, const std::string& path) {
@@ -342,12 +327,7 @@
     };
     PrintLateArrival(exchange->Header("X-Attempt-Id"));
     if (backoff_ != "none") {
-      // A process that was stopped reads requests before it sees that their
-      // callers have disconnected meanwhile.
-      refused_.push_back({.exchange = exchange, .backoff = backoff_});
-      if (refused_.size() == 1) {
-        refusal_timer_.Start(kDisconnectDelay);
-      }
+      RequestBackoff(*exchange);
       return;
     }
     if (has("/refuse/")) {
@@ -490,10 +470,8 @@
   clock::time_point leaving_announced_at_{};
   limit_meter meter_;
   loop_timer timer_;
-  loop_timer refusal_timer_;
   std::list<stream> streams_;
   std::list<exchange_ptr> hanging_;
-  std::list<refused_request> refused_;
   uint64_t command_count_ = 0;
   uint64_t reservation_count_ = 0;
 };
