Wait until killed daemons have released their ports

The script kills all daemons with SIGKILL and starts them again at once on the same ports; a killed process keeps its sockets until the kernel has ended it, which takes longer on a busy machine.

The process tests that start a daemon again on its ports now wait for the end of the killed process. No check or bound changed.

--- a/test/process/configuration.sh
+++ b/test/process/configuration.sh
@@ -35,7 +35,7 @@
   fail "the workspace is missing in the report: $(cat "$WORK/report")"
 
 "$BUILD/utils/fetch" "$PLATFORM" "/control?outage_ms=600000" - >/dev/null
-kill -9 "${DAEMON_PIDS[2]}"
+kill_and_wait "${DAEMON_PIDS[2]}"
 start_daemon 2
 wait_for 3 in_force "${CALLER_PORTS[2]}"
 "$BUILD/utils/ask" --direct --daemon "127.0.0.1:${CALLER_PORTS[2]}" \
--- a/test/process/platform_crash.sh
+++ b/test/process/platform_crash.sh
@@ -70,7 +70,7 @@
 done
 
 # The quarantine survives when all daemons are killed at once.
-kill -9 "${DAEMON_PIDS[@]}"
+kill_and_wait "${DAEMON_PIDS[@]}"
 for index in 0 1 2; do
   start_platform_daemon "$index"
 done
--- a/test/process/platform_crash_part.sh
+++ b/test/process/platform_crash_part.sh
@@ -60,7 +60,7 @@
 
 # The quarantine survives when all daemons are killed at once.
 wait_for 5 is_recorded
-kill -9 "${DAEMON_PIDS[@]}"
+kill_and_wait "${DAEMON_PIDS[@]}"
 for index in 0 1 2; do
   start_platform_daemon "$index"
 done
--- a/test/process/platform_retry_budget.sh
+++ b/test/process/platform_retry_budget.sh
@@ -35,7 +35,7 @@
 wait_for 30 has_retried
 refuse_many first
 for round in second third fourth; do
-  kill -9 "${DAEMON_PIDS[@]}"
+  kill_and_wait "${DAEMON_PIDS[@]}"
   DAEMON_PIDS=()
   for index in 0 1; do
     start_platform_daemon "$index"
--- a/test/process/platform_software_versions.sh
+++ b/test/process/platform_software_versions.sh
@@ -177,7 +177,7 @@
     grep -q cuminswitch/mixed/
 }
 wait_for 10 is_mixed_recorded
-kill -9 "${DAEMON_PIDS[2]}" "${DAEMON_PIDS[3]}"
+kill_and_wait "${DAEMON_PIDS[2]}" "${DAEMON_PIDS[3]}"
 for index in 0 1 2 3; do
   start_platform_daemon "$index"
 done
--- a/test/process/platform_store_outage.sh
+++ b/test/process/platform_store_outage.sh
@@ -18,7 +18,7 @@
 # A daemon that starts while the store is unavailable gets all entries from a
 # peer.
 store_fault refuse
-kill -9 "${DAEMON_PIDS[1]}"
+kill_and_wait "${DAEMON_PIDS[1]}"
 : >"$WORK/entry-1.log"
 start_platform_daemon 1
 wait_for 10 is_platform_ready 1
@@ -26,7 +26,7 @@
 ask 1 started-without-store /stream/x
 
 # A daemon without store and peers refuses requests with 503 and never with 404.
-kill -9 "${DAEMON_PIDS[0]}" "$PID"
+kill_and_wait "${DAEMON_PIDS[0]}" "$PID"
 : >"$WORK/entry-0.log"
 start_platform_daemon 0
 wait_for 10 grep -q dependency_lost "$WORK/entry-0.log"
--- a/test/process/platform_superseded_restart.sh
+++ b/test/process/platform_superseded_restart.sh
@@ -22,10 +22,11 @@
 since_publication() { echo $(($(millis) - published)); }
 # restart INDEX...: kills the daemons and starts them again.
 restart() {
-  local i
+  local i killed=()
   for i in "$@"; do
-    kill -9 "${DAEMON_PIDS[$i]}"
+    killed+=("${DAEMON_PIDS[$i]}")
   done
+  kill_and_wait "${killed[@]}"
   for i in "$@"; do
     start_platform_daemon "$i"
     DAEMON_PIDS[i]=$PID
--- a/test/process/platform_unversioned_weights.sh
+++ b/test/process/platform_unversioned_weights.sh
@@ -60,7 +60,7 @@
 # Versions are named in a cycle. No engine loads them, and all engines serve
 # until their bound.
 name_versions 1 2 1 2
-kill -9 "${DAEMON_PIDS[3]}"
+kill_and_wait "${DAEMON_PIDS[3]}"
 sleep 0.5
 start_platform_daemon 3
 DAEMON_PIDS[3]=$PID
--- a/utils/cluster.sh
+++ b/utils/cluster.sh
@@ -19,6 +19,13 @@
   started_pids=()
 }
 
+# kill_and_wait PID...: kills child processes and waits until their ports are
+# free.
+kill_and_wait() {
+  kill -9 "$@"
+  wait "$@" 2>/dev/null || true
+}
+
 # wait_for SECONDS COMMAND...: retries the command until it succeeds; fails
 # after SECONDS.
 wait_for() {
