Cancel reserved attempts at the bound of superseded weights again

Now all attempts without a first byte are cancelled 0.6 s before the bound, as before, and of the requests that find an empty queue only those that may never be repeated reserve a slot. With it they run at once, so few have no first byte then.

Tests: RequestThatRunsOnceReservesOnOldWeights replaces KeepsReservedAttemptOnOldWeights, whose rule was wrong. In QueuedAttemptOnOldWeightsNeedsAReservation the request that waits may be repeated now, so that the test asks for the queue again and not for the request's kind.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -243,8 +243,6 @@
     std::optional<time_point> first_byte;
     /// The prompt is longer than the mean.
     bool is_long = false;
-    /// It is sent only with a slot that the upstream has reserved.
-    bool is_reserved = false;
     /// The weights version at the replica when the attempt was placed there.
     std::string version;
     /// The replica had no queue, so the time to first byte shows its prefill
@@ -320,8 +318,8 @@
   /// adapter, and the weights \p version.
   uint64_t CacheScope(const request& item, std::string_view version) const;
   void SendStartRequest(time_point now, request& item, action_list& out);
-  /// Cancels attempts that may wait in the queue of a replica whose weights
-  /// were superseded too long ago.
+  /// Cancels attempts without a first byte at replicas whose weights were
+  /// superseded too long ago.
   void ExpireOldWeights(time_point now, action_list& out);
   /// Refuses requests whose start grant timed out or cannot be given, and
   /// repeats the start requests of the others.
@@ -475,8 +473,6 @@
   replica* FindReplica(attempt_id attempt);
   /// Whether the request may be retried although it may have run.
   static bool MayRepeat(const request& item);
-  /// Whether the request may not be repeated after one more run.
-  static bool IsLastRun(const request& item);
   eligible_replicas ListEligible(time_point now,
                                  const request& item,
                                  std::span<const replica_index> excluded) const;
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -58,8 +58,7 @@
     }
   }
   const duration reservation = ReservationTime(now, item, chosen.index);
-  next.is_reserved = reservation > duration(0);
-  counters_.reservations += next.is_reserved ? 1 : 0;
+  counters_.reservations += reservation > duration(0) ? 1 : 0;
   cache_plan cache;
   if (const model_spec* model = config_->FindModel(item.info.target)) {
     cache = PlanCache({.now = now,
@@ -153,7 +152,7 @@
   }
   // The queue may be longer than estimated. A request that may not be repeated
   // would be lost if it had to be cancelled there.
-  if (!IsLastRun(item) && replicas_.EstimateQueueSeconds(now, index) == 0) {
+  if (item.repeatable && replicas_.EstimateQueueSeconds(now, index) == 0) {
     return duration(0);
   }
   return std::min(model->max_reservation, kReservationTime);
@@ -361,11 +360,6 @@
   return item.repeatable && (limit == 0 || item.runs < limit);
 }
 
-bool request_router::IsLastRun(const request& item) {
-  const uint32_t limit = item.info.max_runs;
-  return !item.repeatable || (limit != 0 && item.runs + 1 >= limit);
-}
-
 void request_router::Retry(time_point now,
                            request& item,
                            const attempt_ended& event,
@@ -429,10 +423,7 @@
     const request& item = requests_.at(request_of);
     const std::optional<time_point> last =
         replicas_.LastStart(item.info.target, item.running->version);
-    // With a reservation, the request has begun if it was sent.
-    const bool may_wait =
-        !item.running->first_byte && !item.running->is_reserved;
-    if (may_wait && last && now >= *last) {
+    if (!item.running->first_byte && last && now >= *last) {
       late.push_back(id);
     }
   }
--- a/unittests/Core/repeat_rules_test.cc
+++ b/unittests/Core/repeat_rules_test.cc
@@ -256,23 +256,22 @@
   EXPECT_EQ(Take<dispatch_attempt>()->reservation, duration(0))
       << "the request begins at once";
   DispatchAtEachEngine(2);
-  SendRequest(7, repeat_rule::kOnce, 1, "m");
+  SendRequest(7, repeat_rule::kRepeatable, 0, "m");
   EXPECT_GT(Take<dispatch_attempt>()->reservation, duration(0));
   SendRequest(8, repeat_rule::kOnce, 1, "m", milliseconds(3000));
   EXPECT_EQ(Take<dispatch_attempt>()->reservation, duration(0))
       << "its own deadline is before the time limit";
 }
 
-// Guards against a request that is cancelled, and may not be repeated, while an
-// engine whose queue was thought to be empty computes its prompt.
-TEST_F(repeat_rules_test, KeepsReservedAttemptOnOldWeights) {
-  Configure("2");
+// Guards against a request that may not be repeated, and has to be cancelled in
+// the queue of an engine that was thought to have none.
+TEST_F(repeat_rules_test, RequestThatRunsOnceReservesOnOldWeights) {
   SendRequest(1, repeat_rule::kOnce, 1, "m");
+  EXPECT_EQ(Take<dispatch_attempt>()->reservation, duration(0))
+      << "the weights are not superseded";
+  Configure("2");
+  SendRequest(2, repeat_rule::kOnce, 1, "m");
   EXPECT_GT(Take<dispatch_attempt>()->reservation, duration(0));
-  now_ += milliseconds(5800);
-  router_->OnTick(now_, out_);
-  EXPECT_FALSE(Take<cancel_attempt>());
-  EXPECT_FALSE(Take<local_response>());
 }
 
 // Guards against a request to an engine that begins to change its weights
