Leave no silent upstream for one with a rate limit

Callers would lose a response that might have gone on: the attempt at a silent upstream ended before the permit for the next upstream was granted, and a refused permit left the request without either. Class: what is in use given up before what replaces it is certain. Upstreams with a rate limit are no targets of such moves now, as engines that reserve slots are not.

begun_response_test.StaysAtSilentUpstreamIfOthersHaveRateLimits failed on the code before by reading: ReserveRetry only looked for a free slot (not run there).

--- a/lib/Core/request_moves.cc
+++ b/lib/Core/request_moves.cc
@@ -49,9 +49,11 @@
   }
   std::vector<replica_index> excluded = item.excluded;
   excluded.push_back(item.running->index);
-  // An engine that reserves slots may refuse the reservation.
+  // An engine that reserves slots may refuse the reservation, and the permit
+  // for one with a rate limit may be refused.
   for (const replica_index index : ListEligible(now, item, excluded).indices) {
-    if (ReservationTime(now, item, index) > duration(0)) {
+    if (ReservationTime(now, item, index) > duration(0) ||
+        limits_.Find(replicas_[index].name_hash)) {
       excluded.push_back(index);
     }
   }
--- a/unittests/Core/begun_response_test.cc
+++ b/unittests/Core/begun_response_test.cc
@@ -294,6 +294,21 @@
   EXPECT_EQ(Take<dispatch_attempt>().value().upstream, slow.upstream);
 }
 
+// Guards against a request that leaves its upstream and then is refused the
+// permit for another one.
+TEST_F(begun_response_test, StaysAtSilentUpstreamIfOthersHaveRateLimits) {
+  Start({.share = 0, .burst = 9, .window = kRetryWindow});
+  const dispatch_attempt silent = BeginStream();
+  EXPECT_TRUE(router_->CanRetryElsewhere(now_, kStream));
+  for (const char* name : kUpstreams) {
+    if (name != silent.upstream) {
+      router_->OnLimit(now_, Hash64(name), now_,
+                       {.kind = notice_kind::kValid, .rate = 10});
+    }
+  }
+  EXPECT_FALSE(router_->ReserveRetry(now_, kStream));
+}
+
 TEST_F(begun_response_test, StaysAtSilentUpstreamIfQuarantined) {
   Start({.share = 0, .burst = 9, .window = kRetryWindow});
   BeginStream();
