Withdraw a request without counting it against its engine

A reservation that was granted and is not used, since the engine has begun to change or the bound has passed, counted as a refusal by a full engine: it lowered the limit of the engine, kept it from being used for 50 ms, and was counted in reservations_refused. The check at the grant also lacked the weights: an engine whose change had ended meanwhile was sent the request for the older version, which costs a 421 and a retry. Both found by review.

Tests: WithdrawnRequestSaysNothingAboutTheEngine, the last step of MayNotSendToEngineThatChangesItsWeights.

--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -156,7 +156,8 @@
   /// upstream is unresponsive. Returns whether that was possible; if so, the
   /// attempt must be ended in the same call of the event loop.
   bool ReserveRetry(time_point now, request_id id);
-  /// Whether the upstream of \p attempt still accepts requests.
+  /// Whether the upstream of \p attempt still accepts requests and has the
+  /// weights for which it was chosen.
   bool MayStillSend(time_point now, attempt_id attempt) const;
   void OnStartReply(time_point now, const start_reply& reply, action_list& out);
   void OnTick(time_point now, action_list& out);
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -173,6 +173,8 @@
   bool unreachable = false;
   /// No slot was reserved, so the request was not sent.
   bool was_not_sent = false;
+  /// It was not sent although its upstream would have accepted it.
+  bool was_withdrawn = false;
   /// The upstream ran it and responded with an error. Healthy upstreams do so
   /// too, so only the share of such responses counts against an upstream.
   bool failed_in_run = false;
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -283,7 +283,7 @@
   if (event.unreachable || event.was_not_sent) {
     --item.arrivals;
   }
-  if (event.was_not_sent) {
+  if (event.was_not_sent && !event.was_withdrawn) {
     ++counters_.reservations_refused;
   }
   if (event.result == outcome::kNotRun) {
@@ -309,7 +309,7 @@
       replicas_.OnBusy(now, done.index);
     } else if (event.failed_in_run) {
       replicas_.OnAttemptResponse(now, done.index, true);
-    } else {
+    } else if (!event.was_withdrawn) {
       replicas_.OnFailure(now, done.index);
     }
     if (event.result == outcome::kUnknown) {
--- a/lib/Core/request_moves.cc
+++ b/lib/Core/request_moves.cc
@@ -61,8 +61,14 @@
 }
 
 bool request_router::MayStillSend(time_point now, attempt_id attempt) const {
-  const auto* running = FindAttempt(attempt);
-  return running != nullptr && replicas_.IsAccepting(now, running->index);
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return false;
+  }
+  const request& item = requests_.at(found->second);
+  const replica_index index = item.running->index;
+  return replicas_.IsAccepting(now, index) &&
+         replicas_.VersionAt(index, item.info.target) == item.running->version;
 }
 
 bool request_router::CanRetryElsewhere(time_point now, request_id id) {
--- a/lib/Edge/request_flow_attempts.cc
+++ b/lib/Edge/request_flow_attempts.cc
@@ -309,8 +309,11 @@
                                     const attempt_disposition& disposition) {
   // For a forwarded failure the router only needs to know that it was executed.
   const bool is_final = has_ended_;
+  const bool is_not_reserved = result == attempt_result::kNotReserved;
+  const bool was_withdrawn =
+      is_not_reserved && response_.head.status == status_code::kOk;
   const bool was_not_granted =
-      result == attempt_result::kNotReserved && response_.head.status != 0;
+      is_not_reserved && response_.head.status != 0 && !was_withdrawn;
   with_.owner.OnFlowEvent(attempt_ended{
       .attempt = dispatch_.attempt,
       .result = disposition.result,
@@ -319,6 +322,7 @@
       .is_mismatch = result == attempt_result::kMismatch,
       .unreachable = result == attempt_result::kNotConnected,
       .was_not_sent = !is_sent_,
+      .was_withdrawn = was_withdrawn,
       .failed_in_run = result == attempt_result::kFailure ||
                        result == attempt_result::kExpired,
       .connection_lost = result == attempt_result::kBroken,
--- a/unittests/Core/repeat_rules_test.cc
+++ b/unittests/Core/repeat_rules_test.cc
@@ -284,6 +284,26 @@
   router_->OnUpstreamChanging(
       {.upstream = dispatch->upstream, .is_changing = true});
   EXPECT_FALSE(router_->MayStillSend(now_, dispatch->attempt));
+  router_->OnUpstreamChanging({.upstream = dispatch->upstream});
+  EXPECT_TRUE(router_->MayStillSend(now_, dispatch->attempt));
+  Report(dispatch->upstream, "2");
+  EXPECT_FALSE(router_->MayStillSend(now_, dispatch->attempt))
+      << "it has changed them already";
+}
+
+// Guards against an engine that counts as full although it has granted a slot.
+TEST_F(repeat_rules_test, WithdrawnRequestSaysNothingAboutTheEngine) {
+  Configure("2");
+  SendRequest(1, repeat_rule::kOnce, 1, "m");
+  const auto first = Take<dispatch_attempt>();
+  router_->OnAttemptEnded(now_,
+                          {.attempt = first->attempt,
+                           .result = outcome::kNotRun,
+                           .was_not_sent = true,
+                           .was_withdrawn = true},
+                          out_);
+  EXPECT_EQ(router_->counters().reservations_refused, 0U);
+  EXPECT_NE(Take<dispatch_attempt>()->upstream, first->upstream);
 }
 
 // Guards against the same where engines reserve no slots.
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -336,6 +336,8 @@
   ASSERT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
   EXPECT_EQ(owner_.last_failure, attempt_result::kNotReserved);
   EXPECT_EQ(flow_->attempts(), 0U);
+  flow_->GiveUp({.request = 1, .status = 503, .message = "leaving"});
+  EXPECT_EQ(owner_.last.result, outcome::kNotRun) << "it may be sent again";
 }
 
 // Guards against a request that waits for an upstream without responses.
