--- a/include/cuminswitch/Kernel/loop_watchdog.h
+++ b/include/cuminswitch/Kernel/loop_watchdog.h
@@ -1,5 +1,5 @@
 /// \file
-/// Detects an event loop that has stopped to handle events.
+/// Detects an event loop that no longer handles events.
 #ifndef CUMINSWITCH_KERNEL_LOOP_WATCHDOG_H_
 #define CUMINSWITCH_KERNEL_LOOP_WATCHDOG_H_
 
@@ -24,7 +24,7 @@
   virtual void OnStalled(std::chrono::milliseconds time) = 0;
   /// The loop handles events again, after a stall of \p time.
   virtual void OnRecovered(std::chrono::milliseconds time) = 0;
-  /// The loop has handled no event for \p time, in which any callback returns.
+  /// The loop has handled no event for \p time, longer than any callback takes.
   virtual void OnHung(std::chrono::milliseconds time) = 0;
 };
 
