--- a/unittests/Kernel/loop_watchdog_test.cc
+++ b/unittests/Kernel/loop_watchdog_test.cc
@@ -49,7 +49,7 @@
   first_report hung;
 };
 
-class LoopWatchdogTest : public testing::Test {
+class loop_watchdog_test : public testing::Test {
  protected:
   /// Runs the loop with a callback that returns once \p until is ready, and
   /// until the watchdog reports that the loop has recovered.
@@ -59,12 +59,12 @@
     const timeval at_once{};
     const timeval often{.tv_sec = 0, .tv_usec = 1'000};
     const auto block = [](evutil_socket_t /*fd*/, short /*what*/, void* self) {
-      auto* test = static_cast<LoopWatchdogTest*>(self);
+      auto* test = static_cast<loop_watchdog_test*>(self);
       test->blocked_until_.wait();
       test->observer_.has_returned = true;
     };
     const auto end = [](evutil_socket_t /*fd*/, short /*what*/, void* raw) {
-      auto* self = static_cast<LoopWatchdogTest*>(raw);
+      auto* self = static_cast<loop_watchdog_test*>(raw);
       if (self->recovered_.wait_for(milliseconds(0)) ==
           std::future_status::ready) {
         event_base_loopbreak(self->base_.get());
@@ -86,19 +86,19 @@
   std::future<milliseconds> recovered_;
 };
 
-TEST_F(LoopWatchdogTest, ReportsCallbackThatBlocksTheLoop) {
+TEST_F(loop_watchdog_test, ReportsCallbackThatBlocksTheLoop) {
   const loop_watchdog watchdog(options_, base_.get(), observer_);
   RunLoopBlockedUntil(observer_.stalled.Get());
   EXPECT_GE(recovered_.get(), milliseconds(40));
 }
 
-TEST_F(LoopWatchdogTest, ReportsCallbackThatDoesNotReturn) {
+TEST_F(loop_watchdog_test, ReportsCallbackThatDoesNotReturn) {
   const loop_watchdog watchdog(options_, base_.get(), observer_);
   RunLoopBlockedUntil(observer_.hung.Get());
   EXPECT_GE(recovered_.get(), milliseconds(80));
 }
 
-TEST_F(LoopWatchdogTest, StopsWhileTheLoopDoesNotRun) {
+TEST_F(loop_watchdog_test, StopsWhileTheLoopDoesNotRun) {
   auto watchdog =
       std::make_unique<loop_watchdog>(options_, base_.get(), observer_);
   EXPECT_EQ(observer_.hung.Get().get(), milliseconds(80));
