--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,7 @@
-"""An engine answers one request with a head and bytes without end. Another
-request, on other connections, is streamed by sound engines meanwhile."""
+"""A service works near its capacity and one of its replicas sends some of its
+refusals twice, the second time where the next answer is expected.
+
+APPS=1 plays the same with one replica instead of two and fewer callers."""
 import asyncio
 import os
 import sys
@@ -9,37 +11,75 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import stand_ins as s  # noqa: E402
 
-# A fraction of the daemon's link of 1,000 Mbit/s.
-BYTES_PER_S = 40_000_000
-# PROTOCOL, garble: share of the answers that one troubled engine spoils.
-SPOILED_ONE_IN = 50
-ENGINES = 4
 DAEMONS = 3
-CALLERS_PER_DAEMON = 12
-RUN_S = 30
+APPS = int(os.environ.get("APPS", "2"))
+# The daemon whose callers are few; the others carry most of the load.
+QUIET = 0
+QUIET_CALLERS = 7
+BUSY_CALLERS = 14 if APPS > 1 else 5
+SLOTS = 6
+QUEUE = 6
+WORK_S = 0.04
+# A request and its answer cross between two zones: 0.9 ms each way.
+ROUND_TRIP_S = 0.0018
+# The site file: garble, "extra late", share 0.6, x 0.03.
+SPOILED_SHARE = 0.03
+RUN_S = 95
 
 
-async def spoil_without_end(engine, path, headers, writer):
-    """The trouble: a head, and then bytes until the caller closes."""
-    if not path.startswith("/check/") or not s.TROUBLE:
-        return False
-    engine.asked = getattr(engine, "asked", 0) + 1
-    if engine.asked % SPOILED_ONE_IN != 1:
-        return False
-    engine.record.write("endless answer to", headers.get("x-attempt-id"), "by",
-                        engine.identity)
-    writer.write(s.response_head(200, {"Content-Type": "text/event-stream"}))
-    sent, began = 0, time.monotonic()
-    try:
-        while True:
-            writer.write(b"x" * 65536)
+class App(s.Upstream):
+    """A plain service with slots and a queue that refuses when it is full."""
+
+    def __init__(self, record, identity):
+        super().__init__(record, identity, "app")
+        self.running = 0
+        self.waiting = 0
+        self.free = asyncio.Semaphore(SLOTS)
+        self.answers = 0
+        self.doubled = 0
+        self.is_faulty = False
+        self.extra = {}
+
+    def load(self):
+        return f"{self.running},{self.waiting},{SLOTS}"
+
+    async def answer(self, method, target, headers, body, reader, writer):
+        attempt = headers.get("x-attempt-id", "")
+        if (not attempt or
+                headers.get("x-expect-replica", self.identity) != self.identity):
+            return await super().answer(method, target, headers, body, reader,
+                                        writer)
+        await asyncio.sleep(ROUND_TRIP_S)
+        if extra := self.extra.pop(writer, None):
+            self.record.write("second copy of a refusal of", extra[0], "by",
+                              self.identity)
+            writer.write(extra[1])
+        fields = {"X-Attempt-Id": attempt, "Keep-Alive": "timeout=15",
+                  "X-Replica-Load": self.load()}
+        self.answers += 1
+        if self.waiting >= QUEUE:
+            self.record.write("refused", attempt, "by", self.identity)
+            refusal = s.response_head(
+                503, {**fields, "X-Not-Executed": "1"}, 2) + b"{}"
+            writer.write(refusal)
             await writer.drain()
-            sent += 65536
-            ahead = sent / BYTES_PER_S - (time.monotonic() - began)
-            if ahead > 0:
-                await asyncio.sleep(ahead)
-    finally:
-        engine.record.write("closed by the caller after", sent, "bytes")
+            if (self.is_faulty and
+                    self.doubled < SPOILED_SHARE * self.answers):
+                self.doubled += 1
+                self.extra[writer] = (attempt, refusal)
+            return True
+        self.waiting += 1
+        async with self.free:
+            self.waiting -= 1
+            self.running += 1
+            self.runs[attempt] = self.runs.get(attempt, 0) + 1
+            self.record.write("run", attempt, "at", self.identity)
+            await asyncio.sleep(WORK_S)
+            self.running -= 1
+        fields["X-Replica-Stamp"] = f"stamp.{self.identity}.{attempt}"
+        fields["X-Replica-Load"] = self.load()
+        await self.reply(writer, 200, attempt.encode() * 40, fields)
+        return True
 
 
 async def main(record, work):
@@ -47,17 +87,17 @@
     store = s.Store()
     await store.listen(f"{network}.200")
     ticking = asyncio.ensure_future(store.tick())
-    store.put("op/config", s.configuration())
-    upstreams = []
-    for number in range(ENGINES):
-        engine = s.Upstream(record, f"e{number}", "engines", "m0")
-        engine.gap_s = 0.15
-        await engine.register(store, f"{network}.{100 + number}")
-        upstreams.append(engine)
-    for number in range(2):
-        app = s.Upstream(record, f"a{number}", "app")
+    config = s.configuration()
+    for route in config["routes"]:
+        if route["backend"] == "app":
+            route.update({"timeout-ms": 1500, "goal-ms": 300})
+    store.put("op/config", config)
+    engine = s.Upstream(record, "e0", "engines", "m0")
+    await engine.register(store, f"{network}.100")
+    apps = [App(record, f"a{number}") for number in range(APPS)]
+    for number, app in enumerate(apps):
         await app.register(store, f"{network}.{120 + number}")
-    upstreams[0].spoil = spoil_without_end
+    apps[0].is_faulty = s.TROUBLE
     daemons = [s.Daemon(record, work, network, number, store, [1, 2, 3])
                for number in range(1, DAEMONS + 1)]
     try:
@@ -69,33 +109,45 @@
         # Callers start later than the daemons.
         await asyncio.sleep(5)
         end = time.monotonic() + RUN_S
-        watches = [asyncio.ensure_future(d.watch(end + 15)) for d in daemons]
-        sound = {e.identity for e in upstreams[1:]}
-        cut = []
+        refused, answered = {}, {}
 
-        async def call(daemon, number):
-            caller = s.Caller(record, f"c{daemon.name[-1]}-{number}", daemon)
+        async def call(daemon, name, pause):
+            caller = s.Caller(record, name, daemon)
             while time.monotonic() < end:
-                kept = caller.writer is not None
-                attempt, result, _, _ = await caller.ask("check", 5000)
-                ran = [e.identity for e in upstreams if attempt in e.runs]
-                if result == "closed" and kept and ran and set(ran) <= sound:
-                    cut.append(attempt)
-                    record.write("BROKEN:", attempt, "ran at", ran[0],
-                                 "and its kept connection ended unanswered")
-                await asyncio.sleep(0.2 if result == "complete" else 0.5)
+                attempt, result, status, _ = await caller.ask("order", 1500)
+                if result == "complete" and status in (408, 421, 429, 503):
+                    refused[attempt] = status
+                answered[(result, status)] = answered.get((result, status),
+                                                          0) + 1
+                await asyncio.sleep(pause)
             caller.close()
 
-        await asyncio.gather(*[call(d, n) for d in daemons
-                               for n in range(CALLERS_PER_DAEMON)])
-        for watch in watches:
-            watch.cancel()
-        kills = sum(d.exceeded for d in daemons)
-        ends = sum(len(d.ended) for d in daemons)
-        record.write("ends of daemons:", ends, "above the memory limit:", kills,
-                     "requests cut:", len(cut))
-        # LOST allows three; a process that ends by itself counts as running.
-        return s.BROKEN if len(cut) > 3 else s.HELD
+        calls = []
+        for index, daemon in enumerate(daemons):
+            count = QUIET_CALLERS if index == QUIET else BUSY_CALLERS
+            calls += [call(daemon, f"c{index + 1}-{number}",
+                           0.03 if index == QUIET else 0.02)
+                      for number in range(count)]
+        await asyncio.gather(*calls)
+        await asyncio.sleep(1)
+        runs = {}
+        for app in apps:
+            for attempt, count in app.runs.items():
+                runs[attempt] = runs.get(attempt, 0) + count
+        broken = 0
+        for attempt, status in refused.items():
+            if attempt in runs:
+                broken += 1
+                record.write("BROKEN: REFUSED", attempt, "was answered", status,
+                             "and has run", runs[attempt], "times")
+        for attempt, count in runs.items():
+            if count > 1:
+                broken += 1
+                record.write("BROKEN: TWICE", attempt, "has run", count, "times")
+        record.write("answers", answered, "doubled refusals",
+                     [app.doubled for app in apps], "of",
+                     [app.answers for app in apps], "answers; broken:", broken)
+        return s.BROKEN if broken else s.HELD
     finally:
         for daemon in daemons:
             daemon.stop()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
-"""One engine answers `GET /report` with bytes without end. New weights are
-named, so the leader asks each engine for its report. Requests run elsewhere."""
+"""An engine answers one request with a head and bytes without end. Another
+request, on other connections, is streamed by sound engines meanwhile."""
 import asyncio
 import os
 import sys
@@ -11,20 +11,24 @@
 
 # A fraction of the daemon's link of 1,000 Mbit/s.
 BYTES_PER_S = 40_000_000
+# PROTOCOL, garble: share of the answers that one troubled engine spoils.
+SPOILED_ONE_IN = 50
 ENGINES = 4
 DAEMONS = 3
 CALLERS_PER_DAEMON = 12
-RUN_S = 60
-# When the second version of the weights is named.
-NAMED_S = 5
+RUN_S = 30
 
 
-async def report_without_end(engine, path, headers, writer):
+async def spoil_without_end(engine, path, headers, writer):
     """The trouble: a head, and then bytes until the caller closes."""
-    if path != "/report" or not s.TROUBLE:
+    if not path.startswith("/check/") or not s.TROUBLE:
         return False
-    engine.record.write("endless report by", engine.identity)
-    writer.write(s.response_head(200, {"Content-Type": "application/json"}))
+    engine.asked = getattr(engine, "asked", 0) + 1
+    if engine.asked % SPOILED_ONE_IN != 1:
+        return False
+    engine.record.write("endless answer to", headers.get("x-attempt-id"), "by",
+                        engine.identity)
+    writer.write(s.response_head(200, {"Content-Type": "text/event-stream"}))
     sent, began = 0, time.monotonic()
     try:
         while True:
@@ -53,7 +57,7 @@
     for number in range(2):
         app = s.Upstream(record, f"a{number}", "app")
         await app.register(store, f"{network}.{120 + number}")
-    upstreams[0].spoil = report_without_end
+    upstreams[0].spoil = spoil_without_end
     daemons = [s.Daemon(record, work, network, number, store, [1, 2, 3])
                for number in range(1, DAEMONS + 1)]
     try:
@@ -69,13 +73,6 @@
         sound = {e.identity for e in upstreams[1:]}
         cut = []
 
-        async def name_weights():
-            await asyncio.sleep(NAMED_S)
-            for engine in upstreams:
-                engine.named = 2
-            record.write("version 2 of m0 is named")
-            store.put("op/version/m0", {"model": "m0", "version": 2})
-
         async def call(daemon, number):
             caller = s.Caller(record, f"c{daemon.name[-1]}-{number}", daemon)
             while time.monotonic() < end:
@@ -89,16 +86,14 @@
                 await asyncio.sleep(0.2 if result == "complete" else 0.5)
             caller.close()
 
-        await asyncio.gather(name_weights(),
-                             *[call(d, n) for d in daemons
+        await asyncio.gather(*[call(d, n) for d in daemons
                                for n in range(CALLERS_PER_DAEMON)])
         for watch in watches:
             watch.cancel()
         kills = sum(d.exceeded for d in daemons)
         ends = sum(len(d.ended) for d in daemons)
         record.write("ends of daemons:", ends, "above the memory limit:", kills,
-                     "requests cut:", len(cut), "versions:",
-                     [e.version for e in upstreams])
+                     "requests cut:", len(cut))
         # LOST allows three; a process that ends by itself counts as running.
         return s.BROKEN if len(cut) > 3 else s.HELD
     finally:
