--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,6 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import stand_ins as s  # noqa: E402
 
-DAEMONS = 3
 APPS = int(os.environ.get("APPS", "2"))
 # The daemon whose callers are few; the others carry most of the load.
 QUIET = 0
@@ -83,75 +82,58 @@
 
 
 async def main(record, work):
-    network = s.network()
-    store = s.Store()
-    await store.listen(f"{network}.200")
-    ticking = asyncio.ensure_future(store.tick())
     config = s.configuration()
     for route in config["routes"]:
         if route["backend"] == "app":
             route.update({"timeout-ms": 1500, "goal-ms": 300})
-    store.put("op/config", config)
-    engine = s.Upstream(record, "e0", "engines", "m0")
-    await engine.register(store, f"{network}.100")
+    engines = [s.Upstream(record, "e0", "engines", "m0")]
     apps = [App(record, f"a{number}") for number in range(APPS)]
-    for number, app in enumerate(apps):
-        await app.register(store, f"{network}.{120 + number}")
     apps[0].is_faulty = s.TROUBLE
-    daemons = [s.Daemon(record, work, network, number, store, [1, 2, 3])
-               for number in range(1, DAEMONS + 1)]
-    try:
-        for daemon in daemons:
-            daemon.start()
-        for daemon in daemons:
-            if not await s.wait_until(daemon.is_ready, 10):
-                return s.NOT_RUN
-        # Callers start later than the daemons.
-        await asyncio.sleep(5)
+    async with s.Deployment(record, work, config, engines,
+                            apps) as deployment:
+        if not await deployment.is_serving():
+            return s.NOT_RUN
         end = time.monotonic() + RUN_S
-        refused, answered = {}, {}
+        promised, answered = {}, {}
 
         async def call(daemon, name, pause):
             caller = s.Caller(record, name, daemon)
             while time.monotonic() < end:
                 attempt, result, status, _ = await caller.ask("order", 1500)
                 if result == "complete" and status in (408, 421, 429, 503):
-                    refused[attempt] = status
-                answered[(result, status)] = answered.get((result, status),
-                                                          0) + 1
+                    promised[attempt] = status
+                answered[status] = answered.get(status, 0) + 1
                 await asyncio.sleep(pause)
             caller.close()
 
         calls = []
-        for index, daemon in enumerate(daemons):
-            count = QUIET_CALLERS if index == QUIET else BUSY_CALLERS
+        for index, daemon in enumerate(deployment.daemons):
+            is_quiet = index == QUIET
             calls += [call(daemon, f"c{index + 1}-{number}",
-                           0.03 if index == QUIET else 0.02)
-                      for number in range(count)]
+                           0.03 if is_quiet else 0.02)
+                      for number in range(QUIET_CALLERS if is_quiet
+                                          else BUSY_CALLERS)]
         await asyncio.gather(*calls)
+        # What still runs ends.
         await asyncio.sleep(1)
         runs = {}
         for app in apps:
             for attempt, count in app.runs.items():
                 runs[attempt] = runs.get(attempt, 0) + count
-        broken = 0
-        for attempt, status in refused.items():
-            if attempt in runs:
-                broken += 1
-                record.write("BROKEN: REFUSED", attempt, "was answered", status,
-                             "and has run", runs[attempt], "times")
-        for attempt, count in runs.items():
-            if count > 1:
-                broken += 1
-                record.write("BROKEN: TWICE", attempt, "has run", count, "times")
-        record.write("answers", answered, "doubled refusals",
+        refused = [attempt for attempt in promised if attempt in runs]
+        for attempt in refused:
+            record.write("BROKEN: REFUSED", attempt, "was answered",
+                         promised[attempt], "and has run", runs[attempt],
+                         "times")
+        twice = [attempt for attempt, count in runs.items() if count > 1]
+        for attempt in twice:
+            record.write("BROKEN: TWICE", attempt, "has run", runs[attempt],
+                         "times")
+        record.write("answers by status", answered, "doubled refusals",
                      [app.doubled for app in apps], "of",
-                     [app.answers for app in apps], "answers; broken:", broken)
-        return s.BROKEN if broken else s.HELD
-    finally:
-        for daemon in daemons:
-            daemon.stop()
-        ticking.cancel()
+                     [app.answers for app in apps], "answers; REFUSED:",
+                     len(refused), "TWICE:", len(twice))
+        return s.BROKEN if refused or twice else s.HELD
 
 
 s.run_case(FOLDER, main)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,6 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import stand_ins as s  # noqa: E402
 
-DAEMONS = 3
 APPS = 3
 CALLERS_PER_DAEMON = 4
 HEARTBEAT_S = 1.2
@@ -21,59 +20,67 @@
 # PROTOCOL: the replica serves for drain-ms "and a little longer (at times many
 # seconds)".
 SERVES_ON_S = 6.0
+RUN_S = 18
+
+
+class LeavingApp(s.Upstream):
+    """Notes the requests that reach it later than drain-ms after the store
+    acknowledged that it is draining."""
+
+    def __init__(self, record, identity):
+        super().__init__(record, identity, "app")
+        self.drained_at = None
+        self.late = []
+
+    async def answer(self, method, target, headers, body, reader, writer):
+        is_request = ("x-attempt-id" in headers and
+                      headers.get("x-expect-replica") == self.identity)
+        if is_request and self.drained_at is not None:
+            since = time.monotonic() - self.drained_at
+            if since > DRAIN_S:
+                self.late.append(headers["x-attempt-id"])
+                self.record.write("BROKEN:", headers["x-attempt-id"],
+                                  "reaches", self.identity, f"{since:.3f} s",
+                                  "after the acknowledgement")
+        return await super().answer(method, target, headers, body, reader,
+                                    writer)
 
 
 async def main(record, work):
-    network = s.network()
-    store = s.Store()
-    await store.listen(f"{network}.200")
-    ticking = asyncio.ensure_future(store.tick())
-    store.put("op/config", s.configuration())
-    upstreams = []
-    engine = s.Upstream(record, "e0", "engines", "m0")
-    await engine.register(store, f"{network}.100")
-    for number in range(APPS):
-        app = s.Upstream(record, f"a{number}", "app")
-        await app.register(store, f"{network}.{120 + number}")
-        upstreams.append(app)
-    leaving = upstreams[0]
-    seq = {app.identity: 1 for app in upstreams}
-
-    def heartbeat(app, state):
-        """Returns the write of one heartbeat; `seq` increases with each."""
-        seq[app.identity] += 1
-        value = {**app.entry(state), "seq": seq[app.identity]}
-
-        def write():
-            record.write("heartbeat of", app.identity, "seq", value["seq"],
-                         state, "done")
-            store.put(f"servers/{app.identity}", value)
-        return write
-
-    daemons = [s.Daemon(record, work, network, number, store, [1, 2, 3])
-               for number in range(1, DAEMONS + 1)]
-    try:
-        for daemon in daemons:
-            daemon.start()
-        for daemon in daemons:
-            if not await s.wait_until(daemon.is_ready, 10):
-                return s.NOT_RUN
-        # Callers start later than the daemons.
-        await asyncio.sleep(5)
-        start = time.monotonic()
-        end = start + 18
-        state = {app.identity: "ready" for app in upstreams}
-        drained_at = []
+    leaving = LeavingApp(record, "a0")
+    apps = [leaving] + [s.Upstream(record, f"a{number}", "app")
+                        for number in range(1, APPS)]
+    engines = [s.Upstream(record, "e0", "engines", "m0")]
+    async with s.Deployment(record, work, s.configuration(), engines,
+                            apps) as deployment:
+        if not await deployment.is_serving():
+            return s.NOT_RUN
+        store = deployment.store
+        end = time.monotonic() + RUN_S
+        state = {app.identity: "ready" for app in apps}
+        seq = {app.identity: 1 for app in apps}
+
+        def heartbeat(app):
+            """Returns the write of one heartbeat; `seq` increases with each."""
+            seq[app.identity] += 1
+            value = {**app.entry(state[app.identity]),
+                     "seq": seq[app.identity]}
+
+            def write():
+                record.write("heartbeat of", app.identity, "seq", value["seq"],
+                             value["state"], "done")
+                store.put(f"servers/{app.identity}", value)
+            return write
 
         async def beat(app):
             while time.monotonic() < end and state[app.identity] != "gone":
-                heartbeat(app, state[app.identity])()
+                heartbeat(app)()
                 await asyncio.sleep(HEARTBEAT_S)
 
         async def leave():
             await asyncio.sleep(4)
             # The disruption: one write, whose answer is lost.
-            write = heartbeat(leaving, "ready")
+            write = heartbeat(leaving)
             if s.TROUBLE:
                 record.write("heartbeat of a0 seq", seq["a0"],
                              "is sent and gets no answer")
@@ -82,8 +89,8 @@
                 write()
             await asyncio.sleep(STABLE_S)
             state["a0"] = "draining"
-            heartbeat(leaving, "draining")()
-            drained_at.append(time.monotonic())
+            heartbeat(leaving)()
+            leaving.drained_at = time.monotonic()
             record.write("the store acknowledges that a0 is draining")
             await asyncio.sleep(DRAIN_S + SERVES_ON_S)
             state["a0"] = "gone"
@@ -92,35 +99,16 @@
         async def call(daemon, number):
             caller = s.Caller(record, f"c{daemon.name[-1]}-{number}", daemon)
             while time.monotonic() < end:
-                route = ("order", "lookup")[number % 2]
-                await caller.ask(route, 600)
+                await caller.ask(("order", "lookup")[number % 2], 600)
                 await asyncio.sleep(0.05)
             caller.close()
 
-        late = []
-        original = leaving.answer
-
-        async def answer(method, target, headers, body, reader, writer):
-            if (drained_at and time.monotonic() > drained_at[0] + DRAIN_S and
-                    "x-attempt-id" in headers and
-                    headers.get("x-expect-replica") == "a0"):
-                late.append(headers["x-attempt-id"])
-                record.write("BROKEN:", headers["x-attempt-id"], "reaches a0",
-                             f"{time.monotonic() - drained_at[0]:.3f} s after "
-                             "the acknowledgement")
-            return await original(method, target, headers, body, reader, writer)
-        leaving.answer = answer
-        await asyncio.gather(leave(), *[beat(app) for app in upstreams],
-                             *[call(d, n) for d in daemons
-                               for n in range(CALLERS_PER_DAEMON)])
-        ended = [d.name for d in daemons if d.process.poll() is not None]
-        record.write("requests that reached a0 too late:", len(late),
-                     "daemons that ended:", ended)
-        return s.BROKEN if late else s.HELD
-    finally:
-        for daemon in daemons:
-            daemon.stop()
-        ticking.cancel()
+        await asyncio.gather(leave(), *[beat(app) for app in apps],
+                             *[call(daemon, number)
+                               for daemon in deployment.daemons
+                               for number in range(CALLERS_PER_DAEMON)])
+        record.write("requests that reached a0 too late:", len(leaving.late))
+        return s.BROKEN if leaving.late else s.HELD
 
 
 s.run_case(FOLDER, main)
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -10,8 +10,6 @@
 import json
 import os
 import random
-import resource
-import signal
 import socket
 import subprocess
 import sys
@@ -22,9 +20,11 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
-# RULES, DEPLOY: the settings of the smaller deployment sheet.
+# The settings of one of the deployments.
 MEMORY_MB = 110
 CONTACT_S = 3.0
+# Requests that LOST allows.
+CUT_ALLOWED = 3
 
 
 def network():
@@ -236,8 +236,7 @@
 
 
 class Upstream(Server):
-    """An engine (with a model) or a plain service. `spoil`, if set, is asked
-    before each answer and may write another one; it returns whether it did."""
+    """An engine (with a model) or a plain service."""
 
     def __init__(self, record, identity, service, model=None):
         self.record = record
@@ -250,7 +249,6 @@
         self.busy = False
         self.born = int(time.time() * 1000)
         self.runs = {}
-        self.spoil = None
         self.work_s = 0.015
         self.events = 9
         self.gap_s = 0.05
@@ -274,8 +272,6 @@
         if headers.get("x-expect-replica", self.identity) != self.identity:
             await self.reply(writer, 421, {}, {"X-Not-Executed": "1"})
             return True
-        if self.spoil and await self.spoil(self, path, headers, writer):
-            return False
         if path == "/report":
             await self.reply(writer, 200, self.report())
             return True
@@ -586,6 +582,105 @@
         return "complete", status, body
 
 
+class Deployment:
+    """A store with a configuration, upstreams and daemons on one loopback
+    network. Use it with `async with`."""
+
+    def __init__(self, record, work, config, engines, apps, daemons=3):
+        self.record = record
+        self.work = work
+        self.config = config
+        self.engines = engines
+        self.apps = apps
+        self.daemon_count = daemons
+        self.daemons = []
+
+    async def __aenter__(self):
+        prefix = network()
+        self.store = Store()
+        await self.store.listen(f"{prefix}.200")
+        self.ticking = asyncio.ensure_future(self.store.tick())
+        self.store.put("op/config", self.config)
+        for number, upstream in enumerate(self.engines + self.apps):
+            await upstream.register(self.store, f"{prefix}.{100 + number}")
+        numbers = range(1, self.daemon_count + 1)
+        self.daemons = [Daemon(self.record, self.work, prefix, number,
+                               self.store, numbers) for number in numbers]
+        for daemon in self.daemons:
+            daemon.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for daemon in self.daemons:
+            daemon.stop()
+        self.ticking.cancel()
+
+    async def is_serving(self):
+        """Waits until the daemons are ready and the callers' traffic starts,
+        some seconds later."""
+        for daemon in self.daemons:
+            if not await wait_until(daemon.is_ready, 5):
+                return False
+        await asyncio.sleep(5)
+        return True
+
+
+async def write_without_end(engine, writer, content_type, bytes_per_s):
+    """Writes the head of a 200 and then bytes until the caller closes."""
+    writer.write(response_head(200, {"Content-Type": content_type}))
+    sent, began = 0, time.monotonic()
+    try:
+        while True:
+            writer.write(b"x" * 65536)
+            await writer.drain()
+            sent += 65536
+            ahead = sent / bytes_per_s - (time.monotonic() - began)
+            if ahead > 0:
+                await asyncio.sleep(ahead)
+    finally:
+        engine.record.write("closed by the caller after", sent, "bytes")
+
+
+async def count_cut_streams(deployment, troubled, run_s, callers_per_daemon,
+                            meanwhile=None):
+    """Sends streams through all daemons, which the platform watches, and returns
+    how many LOST counts: those whose kept connection ended without an answer
+    although they ran at an engine other than `troubled`."""
+    record = deployment.record
+    end = time.monotonic() + run_s
+    watches = [asyncio.ensure_future(daemon.watch(end + 15))
+               for daemon in deployment.daemons]
+    cut = []
+
+    async def call(daemon, number):
+        caller = Caller(record, f"c{daemon.name[-1]}-{number}", daemon)
+        while time.monotonic() < end:
+            is_kept = caller.writer is not None
+            attempt, result, _, _ = await caller.ask("check", 5000)
+            ran = [engine for engine in deployment.engines
+                   if attempt in engine.runs]
+            if result == "closed" and is_kept and ran and troubled not in ran:
+                cut.append(attempt)
+                record.write("BROKEN:", attempt, "ran at", ran[0].identity,
+                             "and its kept connection ended unanswered")
+            await asyncio.sleep(0.2 if result == "complete" else 0.5)
+        caller.close()
+
+    await asyncio.gather(*[call(daemon, number)
+                           for daemon in deployment.daemons
+                           for number in range(callers_per_daemon)],
+                         *([meanwhile] if meanwhile else []))
+    for watch in watches:
+        watch.cancel()
+    record.write("ends of daemons:",
+                 sum(len(daemon.ended) for daemon in deployment.daemons),
+                 "above the memory limit:",
+                 sum(daemon.exceeded for daemon in deployment.daemons),
+                 "requests cut:", len(cut), "versions:",
+                 [engine.version for engine in deployment.engines])
+    return len(cut)
+
+
 async def wait_until(condition, seconds):
     end = time.monotonic() + seconds
     while time.monotonic() < end:
