--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 APPS = int(os.environ.get("APPS", "2"))
 # The daemon whose callers are few; the others carry most of the load.
 QUIET = 0
-QUIET_CALLERS = 7
+QUIET_CALLERS = 8
 BUSY_CALLERS = 14 if APPS > 1 else 5
 SLOTS = 6
 QUEUE = 6
@@ -23,6 +23,9 @@
 ROUND_TRIP_S = 0.0018
 # The site file: garble, "extra late", share 0.6, x 0.03.
 SPOILED_SHARE = 0.03
+# "for_s 5.0"; it comes more than once.
+TROUBLE_S = 5.0
+PAUSE_S = 2.0
 RUN_S = 95
 
 
@@ -36,8 +39,18 @@
         self.free = asyncio.Semaphore(SLOTS)
         self.answers = 0
         self.doubled = 0
-        self.is_faulty = False
         self.extra = {}
+        # Answers and refusals sent twice, in the present time of trouble.
+        self.is_faulty = False
+        self.spoilable = 0
+        self.spoiled = 0
+
+    async def be_faulty_by_turns(self):
+        while True:
+            self.is_faulty, self.spoilable, self.spoiled = True, 0, 0
+            await asyncio.sleep(TROUBLE_S)
+            self.is_faulty = False
+            await asyncio.sleep(PAUSE_S)
 
     def load(self):
         return f"{self.running},{self.waiting},{SLOTS}"
@@ -56,6 +69,7 @@
         fields = {"X-Attempt-Id": attempt, "Keep-Alive": "timeout=15",
                   "X-Replica-Load": self.load()}
         self.answers += 1
+        self.spoilable += 1
         if self.waiting >= QUEUE:
             self.record.write("refused", attempt, "by", self.identity)
             refusal = s.response_head(
@@ -63,7 +77,8 @@
             writer.write(refusal)
             await writer.drain()
             if (self.is_faulty and
-                    self.doubled < SPOILED_SHARE * self.answers):
+                    self.spoiled < SPOILED_SHARE * self.spoilable):
+                self.spoiled += 1
                 self.doubled += 1
                 self.extra[writer] = (attempt, refusal)
             return True
@@ -88,11 +103,12 @@
             route.update({"timeout-ms": 1500, "goal-ms": 300})
     engines = [s.Upstream(record, "e0", "engines", "m0")]
     apps = [App(record, f"a{number}") for number in range(APPS)]
-    apps[0].is_faulty = s.TROUBLE
     async with s.Deployment(record, work, config, engines,
                             apps) as deployment:
         if not await deployment.is_serving():
             return s.NOT_RUN
+        if s.TROUBLE:
+            trouble = asyncio.ensure_future(apps[0].be_faulty_by_turns())
         end = time.monotonic() + RUN_S
         promised, answered = {}, {}
 
@@ -114,6 +130,8 @@
                       for number in range(QUIET_CALLERS if is_quiet
                                           else BUSY_CALLERS)]
         await asyncio.gather(*calls)
+        if s.TROUBLE:
+            trouble.cancel()
         # What still runs ends.
         await asyncio.sleep(1)
         runs = {}
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
@@ -12,6 +13,9 @@
 BYTES_PER_S = 40_000_000
 # The share of the answers that a troubled replica spoils (garble, x 0.02).
 SPOILED_ONE_IN = 50
+# The engine is in trouble for 5.5 s (garble, for_s), and again after a pause.
+TROUBLE_S = 5.5
+PAUSE_S = 4.5
 ENGINES = 4
 CALLERS_PER_DAEMON = 12
 RUN_S = 30
@@ -21,9 +25,16 @@
     """Spoils some of its answers."""
 
     asked = 0
+    began = None
+
+    def is_in_trouble(self):
+        if self.began is None:
+            self.began = time.monotonic()
+        since = (time.monotonic() - self.began) % (TROUBLE_S + PAUSE_S)
+        return s.TROUBLE and since < TROUBLE_S
 
     async def answer(self, method, target, headers, body, reader, writer):
-        if target.startswith("/check/") and s.TROUBLE:
+        if target.startswith("/check/") and self.is_in_trouble():
             self.asked += 1
             if self.asked % SPOILED_ONE_IN == 1:
                 self.record.write("endless answer to", headers["x-attempt-id"],
