--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 # The daemon whose callers are few; the others carry most of the load.
 QUIET = 0
 QUIET_CALLERS = 8
-BUSY_CALLERS = 14 if APPS > 1 else 5
+BUSY_CALLERS = 11 if APPS > 1 else 5
 SLOTS = 6
 QUEUE = 6
 WORK_S = 0.04
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -119,7 +120,7 @@
         self.events = []
         self.leases = {}
         self.next_lease = 1
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
 
     def item(self, key):
         value, rev, created, lease = self.items[key]
@@ -133,7 +134,7 @@
         created = self.items[key][2] if key in self.items else self.revision
         self.items[key] = (value, self.revision, created, lease)
         self.events.append((self.revision, self.item(key)))
-        asyncio.ensure_future(self.notify())
+        self.wake_watches()
 
     def remove(self, key):
         if key in self.items:
@@ -141,11 +142,11 @@
             del self.items[key]
             self.events.append((self.revision, {
                 "key": key, "rev": self.revision, "deleted": True}))
-            asyncio.ensure_future(self.notify())
+            self.wake_watches()
 
-    async def notify(self):
-        async with self.changed:
-            self.changed.notify_all()
+    def wake_watches(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def expire_leases(self):
         now = time.monotonic()
@@ -188,12 +189,11 @@
                 return [e for rev, e in self.events
                         if rev > after and e["key"].startswith(prefix)]
             while not events() and time.monotonic() < end:
-                async with self.changed:
-                    try:
-                        await asyncio.wait_for(self.changed.wait(),
-                                               end - time.monotonic())
-                    except asyncio.TimeoutError:
-                        pass
+                try:
+                    await asyncio.wait_for(self.changed.wait(),
+                                           end - time.monotonic())
+                except asyncio.TimeoutError:
+                    pass
             await self.reply(writer, 200, {"events": events(),
                                            "store-revision": self.revision})
         elif path == "/kv-txn":
@@ -694,6 +694,8 @@
     """Runs the coroutine function `main(record, work)` and exits with its
     result; NOT_RUN if it fails or takes too long."""
     record = Record(folder)
+    # The daemons are ended on this signal too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     random.seed(os.environ.get("SEED"))
     result = NOT_RUN
 
@@ -702,7 +704,7 @@
             return await asyncio.wait_for(main(record, work), 116)
     try:
         result = asyncio.run(bounded())
-    except Exception as error:  # the case could not run
+    except (Exception, KeyboardInterrupt) as error:  # the case could not run
         record.write("not run:", repr(error))
         print("not run:", repr(error), file=sys.stderr)
     record.write("exit", result)
