Take the wanted version of weights from its publication

What callers saw: while one entry of another writer stated a version of the weights that nobody had published (2, 2^63, 2^64-1), all daemons refused every stream, from the bound of superseded weights after the entry until it was removed. The same with the entry of a plain service that runs no model.

Cause: the wanted version of a model was the maximum of the published one and of those that any upstream's entry stated, whatever its service. So one entry made all sound engines count as superseded.

The published version is wanted now, whatever entries state. Changes arrive in the order of their revisions, so a publication is known before the first entry that shows its version. Before anything is published, all upstreams of a service have the same version: that of most of them, and of their own service, counts.

Ruled out: leaders that command the invented version (they command published ones only), and entries that end a daemon or its watch (nesting of 50,000 and 700,000 levels, numbers of 30 digits, 1e400, ports out of range, 1e25: no daemon ended or stopped following the store, with or without this change).

Evidence: process_platform_odd_entries fails on the code before at 'last-version' (a daemon serves no stream) and passes now.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -188,7 +188,7 @@
   void ApplyLeaving(const request_flow& flow);
   void Handle(const fleet_snapshot_changed& update);
   void Handle(const upstreams_changed& update);
-  /// Passes the routing configuration, with the newest weights versions, to the
+  /// Passes the routing configuration, with the wanted weights versions, to the
   /// router. None of what is new in it was written before \p written_after.
   void ApplyRoutingConfig(time_point now,
                           time_point written_after,
--- a/include/cuminswitch/Edge/routing_config_translator.h
+++ b/include/cuminswitch/Edge/routing_config_translator.h
@@ -22,10 +22,10 @@
 std::string TargetName(std::string_view service, std::string_view model);
 
 /// Builds the router's configuration, without the upstreams. \p snapshot must
-/// contain a routing config. A model's version is the newest of the published
-/// ones and of those that upstreams have according to \p counter: an upstream
-/// with a newer version has received its publication before this daemon. None
-/// of what is new to this daemon was written before \p written_after.
+/// contain a routing config. A model's version is the newest published one;
+/// before any is published, the one that most of the service's upstreams have
+/// according to \p counter. None of what is new to this daemon was written
+/// before \p written_after.
 std::shared_ptr<const configuration> TranslateRoutingConfig(
     const fleet_snapshot& snapshot,
     const weights_version_counter& counter,
--- a/lib/Edge/edge_snapshot.cc
+++ b/lib/Edge/edge_snapshot.cc
@@ -45,24 +45,24 @@
 void edge_task::Handle(const upstreams_changed& update) {
   const time_point now = ReadBootClock();
   unreadable_upstreams_ = update.unreadable;
-  const uint64_t newest_changes = weights_counter_.newest_changes();
+  const uint64_t version_changes = weights_counter_.changes();
   std::vector<upstream_update> updates;
   for (const upstream_change& change : update.changes) {
     ResetRestartedUpstream(change, update.revision);
     IndexAddress(change);
     if (change.after != nullptr) {
-      weights_counter_.Add(change.after->weights);
+      weights_counter_.Add(change.after->service, change.after->weights);
       updates.push_back(TranslateUpstream(*change.after));
     } else {
       updates.push_back({.spec = {.name = change.id}, .is_removed = true});
     }
     if (change.before != nullptr) {
-      weights_counter_.Remove(change.before->weights);
+      weights_counter_.Remove(change.before->service, change.before->weights);
     }
     software_.Apply(now, change);
   }
   action_list actions;
-  if (weights_counter_.newest_changes() != newest_changes) {
+  if (weights_counter_.changes() != version_changes) {
     ApplyRoutingConfig(now, update.written_after, actions);
   }
   router_.OnUpstreams(now, updates, actions);
--- a/lib/Edge/routing_config_translator.cc
+++ b/lib/Edge/routing_config_translator.cc
@@ -30,17 +30,23 @@
   return rank == 0 ? priority_class::kInteractive : priority_class::kStandard;
 }
 
-/// Returns the newest version of \p model as text; empty if none is known.
-static std::string NewestVersion(const fleet_snapshot& snapshot,
+/// Returns the version of \p model that upstreams of \p service should have, as
+/// text; empty if none is known. That is the newest published one. Before any
+/// is published, all have the same version.
+static std::string WantedVersion(const fleet_snapshot& snapshot,
                                  const weights_version_counter& counter,
+                                 std::string_view service,
                                  std::string_view model) {
-  uint64_t newest = counter.Newest(model);
+  uint64_t wanted = 0;
   for (const weights_version& item : snapshot.wanted_weights) {
     if (item.model == model) {
-      newest = std::max(newest, item.version);
+      wanted = std::max(wanted, item.version);
     }
   }
-  return newest == 0 ? std::string() : std::to_string(newest);
+  if (wanted == 0) {
+    wanted = counter.MostCommon(service, model);
+  }
+  return wanted == 0 ? std::string() : std::to_string(wanted);
 }
 
 /// Lists the cache stores with their copy rates, in tokens per second, for the
@@ -91,7 +97,7 @@
     for (const std::string& model : service.models) {
       config->models.push_back(
           {.name = TargetName(service.name, model),
-           .version = NewestVersion(snapshot, counter, model),
+           .version = WantedVersion(snapshot, counter, service.name, model),
            .published_after = written_after,
            .adapter = {},
            .cache_stores = ListCacheStores(*snapshot.config, service),
--- /dev/null
+++ b/test/process/platform_odd_entries.sh
@@ -0,0 +1,104 @@
+#!/usr/bin/env bash
+# Guards against daemons that end, stop following the store or stop serving
+# because another writer left an entry among those of the upstreams that cannot
+# be used: too deeply nested, with numbers or a port out of range.
+source "$(dirname "$0")/platform.sh"
+VERSION_MS=2000
+BOUNDS="version-ms = $VERSION_MS"
+
+# put_file KEY FILE: writes the content of FILE to the store.
+put_file() {
+  {
+    printf '{"precondition":[],"puts":[{"key":"%s","value":"' "$1"
+    base64 -w0 <"$2"
+    printf '"}],"remove":[]}'
+  } >"$WORK/body"
+  FETCH_BODY_FILE=$WORK/body "$BUILD/utils/fetch" "$STORE" /kv-txn @ >/dev/null
+}
+
+# entry FIELD VALUE: prints the entry of an engine whose FIELD is VALUE. Nothing
+# listens at its address.
+entry() {
+  local -A fields=([backend]='"engines"' [address]='"127.0.0.1:9"' [zone]='"z1"'
+    [version]='"v1"' [slots]=64 [state]='"ready"' [seq]=1 [cold-left-ms]=0
+    [models]='[{"name":"m","version":1}]')
+  local name text=
+  fields[$1]=$2
+  for name in "${!fields[@]}"; do
+    text+="${text:+,}\"$name\":${fields[$name]}"
+  done
+  echo "{$text}"
+}
+
+nested() { head -c "$1" /dev/zero | tr '\0' '['; }
+
+# check_serving NAME: checks that all daemons run, serve, and follow a change
+# of the configuration and of the upstreams.
+VERSION=1
+check_serving() {
+  local index
+  VERSION=$((VERSION + 1))
+  put_configuration "$VERSION"
+  for index in "${!DAEMON_PIDS[@]}"; do
+    kill -0 "${DAEMON_PIDS[index]}" || fail "$1: daemon $index has ended"
+    wait_for 5 grep -q "\"configuration\":$VERSION," "$WORK/entry-$index.log" ||
+      fail "$1: daemon $index does not follow the store"
+    ask "$index" "$1-stream-$index" /resume/x ||
+      fail "$1: daemon $index serves no stream: $(cat "$WORK/err")"
+    ask "$index" "$1-order-$index" /once/x ||
+      fail "$1: daemon $index serves no order: $(cat "$WORK/err")"
+  done
+}
+
+start_platform 3
+check_serving before
+NUMBER=0
+# leave NAME FILE: stores the content of FILE under an id of its own.
+leave() {
+  NUMBER=$((NUMBER + 1))
+  put_file "servers/odd-$NUMBER" "$2"
+  check_serving "$1"
+}
+while read -r name field value; do
+  entry "$field" "$value" >"$WORK/odd"
+  leave "$name" "$WORK/odd"
+done <<ENTRIES
+port address "127.0.0.1:99999"
+no-port address "127.0.0.1:0"
+negative slots -1
+overflow slots 1e400
+many-slots slots 99999999999999999999999
+sequence seq 123456789012345678901234567890
+last-sequence seq 18446744073709551615
+cold cold-left-ms 1e999
+start born 1e30
+last-start born 18446744073709551615
+next-version models [{"name":"m","version":2}]
+last-version models [{"name":"m","version":18446744073709551615}]
+large-version models [{"name":"m","version":1e25}]
+nested-field zone $(nested 20000)
+ENTRIES
+nested 700000 >"$WORK/odd"
+leave nested "$WORK/odd"
+printf '{"a":%.0s' {1..50000} >"$WORK/odd"
+leave nested-objects "$WORK/odd"
+entry models '[{"name":"m","version":3}]' | sed 's/"engines"/"orders"/' >"$WORK/odd"
+leave plain-service "$WORK/odd"
+
+# Superseded weights may no longer be used after this time.
+sleep "$((VERSION_MS / 1000)).5"
+check_serving later
+
+# Daemons that start read the entries too.
+kill_and_wait "${DAEMON_PIDS[@]}"
+DAEMON_PIDS=()
+for index in 0 1 2; do
+  start_platform_daemon "$index"
+  DAEMON_PIDS+=("$PID")
+done
+for index in 0 1 2; do
+  wait_for 10 is_platform_ready "$index"
+done
+check_serving restarted
+sleep "$((VERSION_MS / 1000)).5"
+check_serving restarted-later
