Resume streams of unknown origin only with complete items

What callers saw: a stream that began at a new software version of its engines broke, was resumed at a daemon that had been suspended or had reached neither the store nor its peers while that version joined, and went on at the old version: events of two versions in one stream.

Cause: where no daemon that replies knows the origin, the stream goes on at the only version of its service. The check that the daemon's items are not stale used a flag that is set by a timer, 1.4 s after the items were last known to be complete. Within that time, and in a daemon that has just been resumed before its timer has run, the daemon trusts an outdated list.

A stream of unknown origin waits now until the store has replied to a call that began after the request arrived, with all changes up to then: an upstream is listed before a stream can begin there. One call serves all that wait; the interval grows with the fleet. Without a reply within 0.8 s, or while the store is known not to reply, the request is refused.

A report of an origin that arrives during the search ends the search. A daemon that resumes may read the request before the report.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -21,6 +21,7 @@
 #include "cuminswitch/Edge/edge_protocol.h"
 #include "cuminswitch/Edge/forwarded_request.h"
 #include "cuminswitch/Edge/graceful_stop.h"
+#include "cuminswitch/Edge/origin_verification.h"
 #include "cuminswitch/Edge/quota_admission.h"
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Edge/stream_origin_registry.h"
@@ -209,6 +210,7 @@
   /// and whether it lacks some.
   void ReportPublications(time_point now);
   void Handle(const items_staleness& update) { is_stale_ = update.is_stale; }
+  void Handle(const items_checked& update);
   void Handle(const peer_placements& update);
   void Handle(const peer_limits& update);
   void Handle(const peer_observations& update);
@@ -250,6 +252,21 @@
   /// ended.
   void ProcessOrigins(time_point now);
   void ApplyOrigin(time_point now, const found_origin& found);
+  /// Begins a check of the items if a stream of unknown origin waits for one.
+  void CheckItems(time_point now);
+  /// Resumes a stream of unknown origin at its service's only version, or
+  /// refuses it.
+  void ApplyVerified(time_point now, const origin_verification::verified& item);
+  /// Returns the only version of the service that serves the resumption
+  /// \p request, if there is just one.
+  std::optional<software_tag> SoleVersionFor(time_point now,
+                                             request_id request) const;
+  /// Resumes the stream of \p found at \p software, or refuses the request
+  /// where that is unknown. \p source names where the version comes from.
+  void Resume(time_point now,
+              const found_origin& found,
+              std::optional<software_tag> software,
+              std::string_view source);
   /// Sends the leader the origins of the streams of services that have got
   /// several software versions.
   void ReportMixedOrigins(time_point now);
@@ -353,6 +370,7 @@
   };
   std::unordered_map<request_id, pending_resumption> pending_resumptions_;
   stream_origin_registry origins_;
+  origin_verification verification_;
   software_history software_;
   quota_admission quotas_;
   upstream_limit_admission limits_;
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -79,6 +79,9 @@
 struct own_origins {
   std::vector<stream_origin> origins;
 };
+/// The edge needs to know whether this daemon's items are complete now. It gets
+/// one `items_checked` for each message of this kind.
+struct items_check_requested {};
 using fleet_message = std::variant<fleet_stop_requested,
                                    readiness_changed,
                                    own_placements,
@@ -88,6 +91,7 @@
                                    own_quarantine,
                                    own_publications,
                                    own_origins,
+                                   items_check_requested,
                                    outgoing_quota_message,
                                    outgoing_concurrency_message,
                                    outgoing_origin_message>;
@@ -148,6 +152,15 @@
 struct items_staleness {
   bool is_stale = false;
 };
+/// The store was asked for the changes that this daemon lacks. Events about
+/// those come before.
+struct items_checked {
+  /// When the store was called.
+  time_point called_at{};
+  /// The items are complete as of `called_at`; otherwise the store did not
+  /// reply, or the items cannot be compared with it.
+  bool is_complete = false;
+};
 /// The upstreams whose weights are being changed.
 struct weights_changing {
   std::vector<std::string> upstreams;
@@ -167,6 +180,7 @@
                                  weights_changing,
                                  learned_publications,
                                  items_staleness,
+                                 items_checked,
                                  peer_placements,
                                  peer_observations,
                                  peer_admissions,
--- a/include/cuminswitch/Fleet/item_watcher.h
+++ b/include/cuminswitch/Fleet/item_watcher.h
@@ -38,6 +38,10 @@
     std::function<void(std::span<const std::string> keys)> on_change;
     /// Called for each reply of the store, before its changes are applied.
     std::function<void(const store_reply& reply)> on_reply;
+    /// Called once for each `Check`, after its changes are applied, with the
+    /// time of the call; \p is_complete states that the items are complete as
+    /// of then.
+    std::function<void(time_point called_at, bool is_complete)> on_checked;
   };
 
   item_watcher(event_base* base,
@@ -50,6 +54,10 @@
   /// Sets whether to watch the store. Without that, items come from peers only.
   void SetFollowing(bool follows);
   bool IsFollowing() const { return is_following_; }
+  /// Asks the store at once for changes, beside the watch that may wait for
+  /// them. What a watch or peers brought before does not show what the store
+  /// holds now. Fails at once while the store does not reply.
+  void Check();
   /// The last items request to a peer, and the time since it was sent.
   struct peer_request {
     std::string_view peer;
@@ -76,6 +84,7 @@
   void ReadAll();
   void Watch();
   void OnItems(bool is_complete, const store_items& reply);
+  void OnCheck(time_point called_at, const store_items& reply);
   void OnFailure(store_status status);
   void OnSuccess();
 
--- a/lib/Edge/edge_origins.cc
+++ b/lib/Edge/edge_origins.cc
@@ -20,6 +20,9 @@
 static constexpr duration kUnknownRetryAfter = std::chrono::milliseconds(500);
 /// Where the version of a resumed stream comes from, if not from a record.
 static constexpr std::string_view kSoleVersion = "sole_version";
+/// The service has one version as far as this daemon knows, but its items may
+/// be out of date.
+static constexpr std::string_view kUnverified = "unverified";
 
 static uint64_t StreamOf(const caller_request& request) {
   return Hash64(request.resumed_attempt.empty() ? request.attempt
@@ -116,22 +119,68 @@
   }
 }
 
+std::optional<software_tag> edge_task::SoleVersionFor(
+    time_point now,
+    request_id request) const {
+  const auto pending = pending_resumptions_.find(request);
+  if (pending == pending_resumptions_.end()) {
+    return std::nullopt;
+  }
+  const std::string_view target = pending->second.arrival.target;
+  return software_.SoleVersion(now, target.substr(0, target.find('/')));
+}
+
 void edge_task::ApplyOrigin(time_point now, const found_origin& found) {
+  // A version that this daemon has not heard of may serve elsewhere while its
+  // view of the upstreams is out of date.
+  if (!found.software && SoleVersionFor(now, found.request)) {
+    verification_.Add(now, found);
+    CheckItems(now);
+    return;
+  }
+  Resume(now, found, found.software, ToString(found.source));
+}
+
+void edge_task::CheckItems(time_point now) {
+  for (const origin_verification::verified& item :
+       verification_.TakeOverdue(now)) {
+    ApplyVerified(now, item);
+  }
+  if (verification_.BeginCheck(now, fleet_size_)) {
+    services_.FindPort<fleet_message>(kFleetService)
+        .Post(items_check_requested{});
+  }
+}
+
+void edge_task::Handle(const items_checked& update) {
+  const time_point now = ReadBootClock();
+  for (const origin_verification::verified& item :
+       verification_.OnChecked(update)) {
+    ApplyVerified(now, item);
+  }
+  CheckItems(now);
+}
+
+void edge_task::ApplyVerified(time_point now,
+                              const origin_verification::verified& item) {
+  const auto sole = item.is_complete ? SoleVersionFor(now, item.origin.request)
+                                     : std::nullopt;
+  Resume(now, item.origin, sole,
+         sole               ? kSoleVersion
+         : item.is_complete ? ToString(item.origin.source)
+                            : kUnverified);
+}
+
+void edge_task::Resume(time_point now,
+                       const found_origin& found,
+                       std::optional<software_tag> software,
+                       std::string_view source) {
   const auto pending = pending_resumptions_.extract(found.request);
   request_flow* flow = FindFlow(found.request);
   if (pending.empty() || flow == nullptr || flow->has_ended()) {
     return;
   }
   request_arrived& arrival = pending.mapped().arrival;
-  std::optional<software_tag> software = found.software;
-  std::string_view source = ToString(found.source);
-  const std::string& target = arrival.target;
-  // A version that this daemon has not heard of may serve elsewhere while its
-  // view of the upstreams may be out of date.
-  if (!software && !is_stale_) {
-    software = software_.SoleVersion(now, target.substr(0, target.find('/')));
-    source = software ? kSoleVersion : source;
-  }
   metrics_.CountResumed(software ? source : "unknown");
   with_.log.Write(log_class::kRequest,
                   DescribeResumption(*flow, found, source)
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -323,6 +323,7 @@
       ProcessQuotaDecisions(now);
       origins_.OnEnd(id);
       pending_resumptions_.erase(id);
+      verification_.Remove(id);
       flows_.erase(id);
     }
   });
@@ -345,6 +346,7 @@
   ReportLimits(now);
   origins_.OnTick(now);
   ProcessOrigins(now);
+  CheckItems(now);
   software_.Expire(now);
   ReportMixedOrigins(now);
   VerifyCrashes(now);
--- a/lib/Edge/stream_origin_registry.cc
+++ b/lib/Edge/stream_origin_registry.cc
@@ -162,6 +162,16 @@
   for (const stream_origin& item : report.origins) {
     table_.Record(now, item);
   }
+  // A report that was sent before its daemon ended may arrive after the search
+  // began, and nobody else may know the stream.
+  std::erase_if(searches_, [&](const auto& entry) {
+    const search& item = entry.second;
+    const auto known = table_.Find(now, item.stream);
+    if (known) {
+      EndSearch(item, known->software, origin_source::kSelf);
+    }
+    return known.has_value();
+  });
 }
 
 void stream_origin_registry::OnQuery(time_point now,
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -85,6 +85,14 @@
       .Post(items_staleness{.is_stale = is_stale});
 }
 
+void fleet_task::LogCheck(time_point called_at, bool is_complete) {
+  parts_.log.Write(log_class::kStateChange,
+                   log_line("items_checked")
+                       .Add("complete", is_complete)
+                       .Add("took_ms", ReadBootClock() - called_at)
+                       .Add("revision", item_watcher_.view().revision()));
+}
+
 void fleet_task::RecordPeerChanges(std::span<const daemon_record> alive) {
   auto before = published_peers_.begin();
   auto after = alive.begin();
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -57,6 +57,13 @@
                      .on_reply =
                          [this](const item_watcher::store_reply& reply) {
                            OnStoreReply(reply);
+                         },
+                     .on_checked =
+                         [this](time_point called_at, bool is_complete) {
+                           LogCheck(called_at, is_complete);
+                           services_.FindPort<fleet_event>(kEdgeService)
+                               .Post(items_checked{.called_at = called_at,
+                                                   .is_complete = is_complete});
                          }}),
       election_({.self_name = options_.self.name,
                  .key = options_.leader_key,
@@ -160,6 +167,10 @@
     SendOriginsToLeader(began->origins);
     return;
   }
+  if (std::holds_alternative<items_check_requested>(message)) {
+    item_watcher_.Check();
+    return;
+  }
   if (const auto* origin = std::get_if<outgoing_origin_message>(&message)) {
     std::visit(
         [&](const auto& item) {
--- a/lib/Fleet/item_watcher.cc
+++ b/lib/Fleet/item_watcher.cc
@@ -16,6 +16,8 @@
 /// Duration of a watch while the store is unavailable, when it only probes for
 /// recovery. A probe without reply delays the next one until its time-out.
 static constexpr std::chrono::milliseconds kProbeTimeout{100};
+/// Duration of a watch that only asks for the changes up to now.
+static constexpr std::chrono::milliseconds kCheckTimeout{1};
 /// Pause after a watch that returned changes. Upstreams renew their items
 /// continually, so a watch returns immediately, and the pause limits the number
 /// of calls. It delays changes by at most this long.
@@ -84,6 +86,38 @@
                });
 }
 
+void item_watcher::Check() {
+  const time_point called_at = ReadBootClock();
+  if (must_read_all_ || has_failed_) {
+    handlers_.on_checked(called_at, false);
+    return;
+  }
+  store_.Watch(view_.revision(), kCheckTimeout,
+               [this, alive = alive_, called_at](const store_items& reply) {
+                 if (*alive) {
+                   OnCheck(called_at, reply);
+                 }
+               });
+}
+
+void item_watcher::OnCheck(time_point called_at, const store_items& reply) {
+  // Without the history in between, only the watch's next read of all items
+  // shows what has changed.
+  const bool is_complete =
+      reply.status == store_status::kDone && !must_read_all_;
+  if (is_complete) {
+    handlers_.on_reply({.at = ReadBootClock(),
+                        .complete_at = called_at,
+                        .revision = reply.revision});
+    const std::vector<std::string> changed =
+        view_.ApplyChanges(reply.items, reply.revision);
+    if (!changed.empty()) {
+      handlers_.on_change(changed);
+    }
+  }
+  handlers_.on_checked(called_at, is_complete);
+}
+
 void item_watcher::OnItems(bool is_complete, const store_items& reply) {
   if (reply.status == store_status::kHistoryGone) {
     must_read_all_ = true;
--- a/unittests/Edge/stream_origin_registry_test.cc
+++ b/unittests/Edge/stream_origin_registry_test.cc
@@ -257,6 +257,24 @@
   EXPECT_EQ(fleet.Find(0, 9).source, origin_source::kNoReply);
 }
 
+// Guards against the refusal of a stream whose origin arrives while peers are
+// asked: a suspended daemon may read the request before the report.
+TEST(stream_origin_registry_test, ReportEndsTheSearch) {
+  origin_fleet fleet(3);
+  fleet.Advance(seconds(2));
+  fleet.Partition(1);
+  fleet.Partition(2);
+  stream_origin_registry& registry = fleet.at(0);
+  registry.Find(time_point(seconds(1'002)), 1, 7);
+  EXPECT_TRUE(registry.TakeFound().empty());
+  registry.OnReport(
+      time_point(seconds(1'002)),
+      {.origins = {{.stream = 7, .software = kNew, .time_left = seconds(10)}}});
+  const auto found = registry.TakeFound();
+  ASSERT_EQ(found.size(), 1U);
+  EXPECT_EQ(found[0].software, kNew);
+}
+
 TEST(stream_origin_registry_test, OriginEndsWithItsTime) {
   origin_fleet fleet(3);
   fleet.Begin(0, 7, kOld);
--- a/unittests/Fleet/item_watcher_test.cc
+++ b/unittests/Fleet/item_watcher_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "cuminswitch/Fleet/boot_clock.h"
 #include "cuminswitch/Fleet/peer_frame.h"
@@ -54,6 +55,11 @@
              .on_reply =
                  [this](const item_watcher::store_reply& reply) {
                    last_reply_ = reply;
+                 },
+             .on_checked =
+                 [this](time_point called_at, bool is_complete) {
+                   checked_at_ = called_at;
+                   checks_.push_back(is_complete);
                  }}) {
     item_watcher_.Start();
   }
@@ -62,6 +68,9 @@
   std::unique_ptr<event_base, base_deleter> base_;
   event_log log_;
   item_watcher::store_reply last_reply_;
+  /// The call time of the last check, and the results of all.
+  time_point checked_at_{};
+  std::vector<bool> checks_;
   manual_store store_;
   item_watcher item_watcher_;
 };
@@ -120,5 +129,43 @@
   EXPECT_EQ(store_.watched_for, normal_wait);
 }
 
+// Guards against a stream that a daemon resumes at an outdated version: a watch
+// that began before may be replied to with what the store held then.
+TEST_F(item_watcher_test, CheckShowsWhatTheStoreHoldsNow) {
+  store_.reading({.status = store_status::kDone, .revision = 5});
+  RunTimers();
+  const auto watching = std::exchange(store_.watching, nullptr);
+  const time_point before = ReadBootClock();
+  item_watcher_.Check();
+  ASSERT_TRUE(store_.watching);
+  EXPECT_EQ(store_.watched_after, 5U);
+  watching({.status = store_status::kDone, .revision = 5});
+  EXPECT_TRUE(checks_.empty());
+  store_.watching({.status = store_status::kDone,
+                   .items = {{.key = "k", .value = "v", .revision = 6}},
+                   .revision = 6});
+  EXPECT_EQ(checks_, std::vector<bool>({true}));
+  EXPECT_GE(checked_at_, before);
+  EXPECT_EQ(last_reply_.complete_at, checked_at_);
+  EXPECT_EQ(item_watcher_.view().revision(), 6U);
+}
+
+TEST_F(item_watcher_test, CheckFailsWithoutReplyOrHistory) {
+  item_watcher_.Check();
+  EXPECT_EQ(checks_, std::vector<bool>({false}));
+  store_.reading({.status = store_status::kDone, .revision = 5});
+  RunTimers();
+  const auto watching = std::exchange(store_.watching, nullptr);
+  for (const store_status status :
+       {store_status::kUnknown, store_status::kHistoryGone}) {
+    item_watcher_.Check();
+    store_.watching({.status = status});
+  }
+  EXPECT_EQ(checks_, std::vector<bool>({false, false, false}));
+  watching({.status = store_status::kUnknown});
+  item_watcher_.Check();
+  EXPECT_EQ(checks_.size(), 4U) << "the store is known not to reply";
+}
+
 }  // namespace
 }  // namespace cuminswitch
