Use another entry of an address whose process is not the claimed one

What callers saw: while another writer's entry had the address of a living upstream, with any start time and of any service, that upstream got no request for good. Each request to the other entry was rejected there with 421. With a later start time it stayed out of use even after the other entry was removed.

Cause: of several entries with one address, the one that was listed or started last replaced the others until its removal, whatever the process at the address said, and an earlier start counted as ended.

A rejection as meant for another process refutes an entry now, unless it has responded as itself since it came into use (upstreams also reject requests for other weights). Another entry with the address is used then: one that was never refuted, else the one refuted the longest ago, at most once a second. An entry that is still listed 10 s after it was replaced has not ended: the store drops those of silent upstreams. Reuse of an address is as fast as before: the later entry is used at once.

crash_verifier is now upstream_verifier, since it serves both.

Ruled out: rejections alone as evidence.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -15,8 +15,8 @@
 #include "cuminswitch/Admission/concurrency_permits.h"
 #include "cuminswitch/Admission/upstream_limits.h"
 #include "cuminswitch/Core/request_router.h"
+#include "cuminswitch/Edge/address_claims.h"
 #include "cuminswitch/Edge/contact_monitor.h"
-#include "cuminswitch/Edge/crash_verifier.h"
 #include "cuminswitch/Edge/edge_metrics.h"
 #include "cuminswitch/Edge/edge_protocol.h"
 #include "cuminswitch/Edge/forwarded_request.h"
@@ -26,6 +26,7 @@
 #include "cuminswitch/Edge/request_flow.h"
 #include "cuminswitch/Edge/stream_origin_registry.h"
 #include "cuminswitch/Edge/upstream_limit_admission.h"
+#include "cuminswitch/Edge/upstream_verifier.h"
 #include "cuminswitch/Edge/weights_version_counter.h"
 #include "cuminswitch/Fleet/fleet_message.h"
 #include "cuminswitch/Fleet/software_history.h"
@@ -197,6 +198,17 @@
   /// Returns this daemon's share of the idle connections that the upstream at
   /// \p to accepts from all daemons, or nothing if the upstream is unknown.
   std::optional<size_t> IdleLimit(const endpoint& to) const;
+  /// Tells the fleet task that the process at the address of \p entry rejected
+  /// a request for it, unless that can be due to the process's weights.
+  void ReportMismatch(const upstream_entry& entry);
+  /// Probes upstreams whose addresses other entries claim.
+  void VerifyClaims(time_point now);
+  /// Applies the response to a probe of \p upstream.
+  void OnProbed(uint64_t upstream, time_point sent, bool is_other);
+  /// Returns the identifier of the start of \p entry, as in crash reports.
+  static uint64_t StartOf(const upstream_entry& entry);
+  /// Returns the upstream whose start is identified by \p start, or null.
+  const upstream_entry* FindStart(uint64_t start) const;
   /// Updates the index of upstreams by address.
   void IndexAddress(const upstream_change& change);
   /// Drops the pooled connections and the rate limit of an upstream that has
@@ -332,13 +344,16 @@
   std::map<std::string, std::unique_ptr<contact_monitor>, std::less<>>
       service_contacts_;
   std::set<std::string, std::less<>> lost_services_;
-  crash_verifier verifier_;
+  upstream_verifier verifier_;
   bool has_lost_upstreams_ = false;
   std::unique_ptr<caller_server> server_;
   loop_timer tick_timer_;
   loop_timer stop_timer_;
   std::shared_ptr<const fleet_snapshot> snapshot_;
   std::map<endpoint, upstream_ref> upstreams_by_address_;
+  /// Upstreams that have responded as themselves since they came into use.
+  std::set<std::string, std::less<>> confirmed_upstreams_;
+  address_claims claims_;
   weights_version_counter weights_counter_;
   size_t unreadable_upstreams_ = 0;
   uint64_t unreadable_loads_ = 0;
--- a/include/cuminswitch/Edge/crash_verifier.h
+++ b/include/cuminswitch/Edge/upstream_verifier.h
@@ -1,7 +1,7 @@
 /// \file
-/// Verifies that upstreams whose connections were lost have crashed.
-#ifndef CUMINSWITCH_EDGE_CRASH_VERIFIER_H_
-#define CUMINSWITCH_EDGE_CRASH_VERIFIER_H_
+/// Verifies which upstreams run at the addresses of their entries.
+#ifndef CUMINSWITCH_EDGE_UPSTREAM_VERIFIER_H_
+#define CUMINSWITCH_EDGE_UPSTREAM_VERIFIER_H_
 
 #include <cstdint>
 #include <functional>
@@ -19,20 +19,21 @@
 class upstream_pool;
 class response_probe;
 
-/// Probes upstreams, each with the condition that it is still the one that is
-/// said to have crashed.
-class crash_verifier {
+/// Probes upstreams that are said to have crashed, or whose address another
+/// entry claims, each with the condition that it is still this one.
+class upstream_verifier {
  public:
-  /// \p upstream responded to a probe sent at \p sent.
+  /// The process at the address of \p upstream responded to a probe sent at
+  /// \p sent. \p is_other: as another process than that upstream.
   using response_handler =
-      std::function<void(uint64_t upstream, time_point sent)>;
+      std::function<void(uint64_t upstream, time_point sent, bool is_other)>;
 
-  crash_verifier(upstream_pool& pool,
-                 const edge_protocol& protocol,
-                 response_handler on_response);
-  crash_verifier(const crash_verifier&) = delete;
-  crash_verifier& operator=(const crash_verifier&) = delete;
-  ~crash_verifier();
+  upstream_verifier(upstream_pool& pool,
+                    const edge_protocol& protocol,
+                    response_handler on_response);
+  upstream_verifier(const upstream_verifier&) = delete;
+  upstream_verifier& operator=(const upstream_verifier&) = delete;
+  ~upstream_verifier();
 
   /// Probes \p entry, whose start is identified by \p upstream.
   void Start(time_point now, uint64_t upstream, const upstream_entry& entry);
@@ -60,4 +61,4 @@
 
 }  // namespace cuminswitch
 
-#endif  // CUMINSWITCH_EDGE_CRASH_VERIFIER_H_
+#endif  // CUMINSWITCH_EDGE_UPSTREAM_VERIFIER_H_
--- a/include/cuminswitch/Fleet/fleet_message.h
+++ b/include/cuminswitch/Fleet/fleet_message.h
@@ -82,6 +82,13 @@
 /// The edge needs to know whether this daemon's items are complete now. It gets
 /// one `items_checked` for each message of this kind.
 struct items_check_requested {};
+/// The process at an upstream's address rejected a request for it as meant for
+/// another process, and has executed none for it since its entry came into use.
+struct upstream_refuted {
+  std::string upstream;
+  /// See `upstream_entry::started`.
+  uint64_t started = 0;
+};
 using fleet_message = std::variant<fleet_stop_requested,
                                    readiness_changed,
                                    own_placements,
@@ -92,6 +99,7 @@
                                    own_publications,
                                    own_origins,
                                    items_check_requested,
+                                   upstream_refuted,
                                    outgoing_quota_message,
                                    outgoing_concurrency_message,
                                    outgoing_origin_message>;
@@ -105,6 +113,8 @@
 /// Some of the upstreams in use changed.
 struct upstreams_changed {
   std::vector<upstream_change> changes;
+  /// See `upstream_directory::TakeContested`.
+  std::vector<upstream_ref> contested;
   /// Number of listed upstreams whose entries cannot be decoded.
   size_t unreadable = 0;
   /// Revision of the store that the changes lead to.
--- a/include/cuminswitch/Fleet/fleet_task.h
+++ b/include/cuminswitch/Fleet/fleet_task.h
@@ -109,6 +109,8 @@
   void OnTick();
   void OnStoreReply(const item_watcher::store_reply& reply);
   void OnItemsChanged(std::span<const std::string> keys);
+  /// Uses another entry at the address of an upstream that is not there.
+  void OnUpstreamRefuted(const upstream_refuted& refuted);
   /// Logs the end of a check of the items.
   void LogCheck(time_point called_at, bool is_complete);
   void Publish(std::shared_ptr<const fleet_snapshot> next);
--- a/include/cuminswitch/Fleet/upstream_directory.h
+++ b/include/cuminswitch/Fleet/upstream_directory.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -51,6 +52,10 @@
 /// start is valid. Where start times are unknown, the start that was listed
 /// later is the later one; a removed entry keeps its place in that order, since
 /// a delayed heartbeat may list it again.
+///
+/// An entry may also be wrong about its address or its start, which shows when
+/// the process at the address rejects requests for it. Then another entry with
+/// this address is used.
 class upstream_directory {
  public:
   /// Applies a change of an upstream's store entry. A removed entry is retained
@@ -61,6 +66,13 @@
   /// Drops retained entries that \p window no longer covers.
   void Expire(time_point now, const recovery_window& window);
   bool HasRetained() const { return !retained_.empty(); }
+  /// Records that the process at the address of \p id, which started at
+  /// \p started, rejected a request for it as meant for another process.
+  /// Returns whether another entry is used at the address now.
+  bool Refute(time_point now, std::string_view id, uint64_t started);
+  /// Puts entries into use that are still listed although they seemed to have
+  /// ended: the store would have dropped them without heartbeats.
+  void RestoreListed(time_point now);
 
   /// Returns the changes since the last call.
   std::vector<upstream_change> TakeChanges();
@@ -68,6 +80,12 @@
   std::vector<retained_change> TakeRetainedChanges() {
     return std::exchange(retained_changes_, {});
   }
+  /// Returns the upstreams that came into use since the last call at an
+  /// address that other entries claim too. Those that were refuted before are
+  /// left out.
+  std::vector<upstream_ref> TakeContested() {
+    return std::exchange(contested_, {});
+  }
   /// Increases with each change.
   uint64_t version() const { return version_; }
 
@@ -88,6 +106,9 @@
     revision_number first_revision = 0;
     /// A later start has taken over the address.
     bool is_replaced = false;
+    time_point replaced_at{};
+    /// When the process at the address last rejected a request for it.
+    std::optional<time_point> refuted_at;
     /// Store revision of the removal if the entry is retained.
     revision_number removed_at = 0;
   };
@@ -111,17 +132,23 @@
                                 const upstream_entry& entry) const;
   /// Records that the start of \p removed is no longer listed.
   void RecordDeparture(time_point now, const state& removed);
-  /// Takes \p item, which a later start has replaced, out of use.
-  void Replace(state& item);
+  /// Takes \p item, which another entry replaces, out of use.
+  void Replace(time_point now, state& item);
+  /// Puts \p item, which was replaced, into use.
+  void Restore(state& item);
+  /// Whether \p a is to be used rather than \p b at the address of both.
+  static bool IsPreferred(const state& a, const state& b);
   /// Removes \p item from those that are replaced.
   void ForgetReplaced(const upstream_entry& item);
   /// Puts the latest start that \p removed, the entry in use, had replaced into
   /// use, unless it certainly ended before.
-  void RestoreReplaced(const upstream_entry& removed);
+  void RestoreReplaced(time_point now, const upstream_entry& removed);
   /// Ends the retention of \p id, if it is retained.
   void EndRetention(const std::string& id);
   /// Records that \p before was the entry of \p id until now.
   void RecordChange(const std::string& id, const upstream_ref& before);
+  /// Notes that \p item, which is in use, has an address that others claim.
+  void NoteContested(const state& item);
   /// Puts \p item into use, or takes it out of use.
   void Activate(const upstream_ref& item);
   void Deactivate(const upstream_ref& item);
@@ -132,6 +159,8 @@
   /// Ids of the replaced upstreams at each address.
   std::unordered_map<endpoint, std::set<std::string>, address_hash>
       replaced_by_address_;
+  /// Addresses whose entries are all out of use, though some are listed.
+  std::set<endpoint> vacant_;
   /// Starts that a delayed heartbeat may list again, by id, and their ids in
   /// the order of their removal.
   std::map<std::string, departed_start, std::less<>> departed_;
@@ -140,6 +169,7 @@
   std::set<std::string, std::less<>> unreadable_;
   std::set<std::string, std::less<>> retained_;
   std::vector<retained_change> retained_changes_;
+  std::vector<upstream_ref> contested_;
   /// No retained entry was removed after this revision.
   revision_number last_retained_removal_ = 0;
   /// Entries of changed upstreams as of the last `TakeChanges`, by id; null for
--- a/lib/Edge/edge_feedback.cc
+++ b/lib/Edge/edge_feedback.cc
@@ -34,6 +34,7 @@
     ApplyLoad(flow, *feedback.load);
   }
   if (feedback.has_run) {
+    confirmed_upstreams_.emplace(flow.upstream());
     router_.OnResponseStarted(flow.attempt());
     router_.OnResponse(
         ReadBootClock(), flow.attempt(),
--- a/lib/Edge/edge_quarantine.cc
+++ b/lib/Edge/edge_quarantine.cc
@@ -47,13 +47,11 @@
     if (!VerifiesCrash(options_.self, peers_, upstream)) {
       continue;
     }
-    for (const auto& [address, entry] : upstreams_by_address_) {
-      if (UpstreamStartId(Hash64(entry->id), entry->started) == upstream) {
-        with_.log.Write(
-            log_class::kStateChange,
-            log_line("crash_verification").Add("upstream", entry->id));
-        verifier_.Start(now, upstream, *entry);
-      }
+    if (const upstream_entry* entry = FindStart(upstream)) {
+      with_.log.Write(
+          log_class::kStateChange,
+          log_line("crash_verification").Add("upstream", entry->id));
+      verifier_.Start(now, upstream, *entry);
     }
   }
 }
--- a/lib/Edge/edge_snapshot.cc
+++ b/lib/Edge/edge_snapshot.cc
@@ -29,6 +29,11 @@
 }
 
 void edge_task::IndexAddress(const upstream_change& change) {
+  if (change.before == nullptr || change.after == nullptr ||
+      change.before->started != change.after->started ||
+      change.before->address != change.after->address) {
+    confirmed_upstreams_.erase(change.id);
+  }
   if (change.before != nullptr) {
     const auto found = upstreams_by_address_.find(change.before->address);
     // Another upstream may use the address now.
@@ -61,6 +66,9 @@
     }
     software_.Apply(now, change);
   }
+  for (const upstream_ref& entry : update.contested) {
+    claims_.Add(now, StartOf(*entry), fleet_size_);
+  }
   action_list actions;
   if (weights_counter_.changes() != version_changes) {
     ApplyRoutingConfig(now, update.written_after, actions);
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -45,11 +45,12 @@
                [this] { UpdateContact(); }),
       verifier_(pool_,
                 with.protocol,
-                [this](uint64_t upstream, time_point sent) {
-                  router_.quarantine().OnUpstreamResponse(upstream, sent);
+                [this](uint64_t upstream, time_point sent, bool is_other) {
+                  OnProbed(upstream, sent, is_other);
                 }),
       tick_timer_(base, [this] { OnTick(); }),
       stop_timer_(base, [this] { OnStopTick(); }),
+      claims_(Hash64(opts.self.name)),
       origins_(opts.self.peer_address, ReadBootClock()),
       quotas_(std::make_unique<owner_quota_policy>(owner_quota_policy::options{
           .self = opts.self.peer_address,
@@ -266,6 +267,12 @@
   with_.log.Write(log_class::kRequest,
                   DescribeAttemptFailure(ReadBootClock(), flow, result, status)
                       .Add("revision", snapshot_->revision));
+  const auto entry = upstreams_by_address_.find(flow.address());
+  if (result == attempt_result::kMismatch &&
+      entry != upstreams_by_address_.end() &&
+      entry->second->id == flow.upstream()) {
+    ReportMismatch(*entry->second);
+  }
 }
 
 bool edge_task::ReserveRetry(const request_flow& flow) {
@@ -350,6 +357,7 @@
   software_.Expire(now);
   ReportMixedOrigins(now);
   VerifyCrashes(now);
+  VerifyClaims(now);
   ReportQuarantine(now);
   ReportPlacements();
   ReportLoad(now);
@@ -360,8 +368,8 @@
   ExpireRejectionLimits(now);
   with_.log.Flush();
   const bool is_idle =
-      flows_.empty() && verifier_.IsIdle() && contact_.IsSettled() &&
-      concurrency_.IsIdle() &&
+      flows_.empty() && verifier_.IsIdle() && claims_.IsEmpty() &&
+      contact_.IsSettled() && concurrency_.IsIdle() &&
       std::all_of(service_contacts_.begin(), service_contacts_.end(),
                   [](const auto& i) { return i.second->IsSettled(); });
   tick_timer_.Start(is_idle ? kIdleTickInterval : kTickInterval);
--- a/lib/Edge/crash_verifier.cc
+++ b/lib/Edge/upstream_verifier.cc
@@ -1,4 +1,4 @@
-#include "cuminswitch/Edge/crash_verifier.h"
+#include "cuminswitch/Edge/upstream_verifier.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,16 +13,16 @@
 
 static constexpr ptrdiff_t kVerifiersPerDomain = 2;
 
-crash_verifier::crash_verifier(upstream_pool& pool,
-                               const edge_protocol& protocol,
-                               response_handler on_response)
+upstream_verifier::upstream_verifier(upstream_pool& pool,
+                                     const edge_protocol& protocol,
+                                     response_handler on_response)
     : pool_(pool), protocol_(protocol), on_response_(std::move(on_response)) {}
 
-crash_verifier::~crash_verifier() = default;
+upstream_verifier::~upstream_verifier() = default;
 
-void crash_verifier::Start(time_point now,
-                           uint64_t upstream,
-                           const upstream_entry& entry) {
+void upstream_verifier::Start(time_point now,
+                              uint64_t upstream,
+                              const upstream_entry& entry) {
   http_headers headers = protocol_.WriteProbe(entry.id);
   headers.push_back({.name = "Host", .value = entry.address.ToString()});
   probes_.push_back(
@@ -35,13 +35,14 @@
                             .headers = std::move(headers),
                             .connect_timeout = response_probe::kTimeout},
            [this, now, upstream](std::optional<uint32_t> status) {
-             if (status && *status != status_code::kMisdirected) {
-               on_response_(upstream, now);
+             if (status) {
+               on_response_(upstream, now,
+                            *status == status_code::kMisdirected);
              }
            })});
 }
 
-void crash_verifier::OnTick(time_point now) {
+void upstream_verifier::OnTick(time_point now) {
   probes_.remove_if([now](const running_probe& item) {
     return now - item.sent >= response_probe::kTimeout;
   });
--- a/lib/Fleet/fleet_publishing.cc
+++ b/lib/Fleet/fleet_publishing.cc
@@ -85,6 +85,18 @@
       .Post(items_staleness{.is_stale = is_stale});
 }
 
+void fleet_task::OnUpstreamRefuted(const upstream_refuted& refuted) {
+  if (!upstreams_.Refute(ReadBootClock(), refuted.upstream, refuted.started)) {
+    return;
+  }
+  parts_.log.Write(log_class::kStateChange,
+                   log_line("upstream_refuted")
+                       .Add("upstream", refuted.upstream)
+                       .Add("started", refuted.started)
+                       .Add("revision", item_watcher_.view().revision()));
+  PublishUpstreams();
+}
+
 void fleet_task::LogCheck(time_point called_at, bool is_complete) {
   parts_.log.Write(log_class::kStateChange,
                    log_line("items_checked")
@@ -217,6 +229,7 @@
   }
   services_.FindPort<fleet_event>(kEdgeService)
       .Post(upstreams_changed{.changes = std::move(changes),
+                              .contested = upstreams_.TakeContested(),
                               .unreadable = unreadable,
                               .revision = item_watcher_.view().revision(),
                               .written_after = written_after_});
--- a/lib/Fleet/fleet_task.cc
+++ b/lib/Fleet/fleet_task.cc
@@ -167,6 +167,10 @@
     SendOriginsToLeader(began->origins);
     return;
   }
+  if (const auto* refuted = std::get_if<upstream_refuted>(&message)) {
+    OnUpstreamRefuted(*refuted);
+    return;
+  }
   if (std::holds_alternative<items_check_requested>(message)) {
     item_watcher_.Check();
     return;
@@ -209,8 +213,9 @@
   ProcessPublicationRecords(now);
   if (upstreams_.HasRetained() && !store_outage_.IsStoreUnavailable(now)) {
     upstreams_.Expire(now, store_outage_.Window());
-    PublishUpstreams();
   }
+  upstreams_.RestoreListed(now);
+  PublishUpstreams();
   RunRollout(now);
   LogStoreRecovery(now);
   LogListChanges(now);
--- a/lib/Fleet/upstream_directory.cc
+++ b/lib/Fleet/upstream_directory.cc
@@ -12,6 +12,12 @@
 /// How long a removed start is remembered. A write that the store has not
 /// answered may be carried out seconds later.
 static constexpr std::chrono::seconds kLateWriteTime{30};
+/// An entry that is listed for this long after another one replaced it is
+/// renewed: the store drops those of silent upstreams within a few seconds.
+static constexpr std::chrono::seconds kMaxSilence{10};
+/// Interval between two uses of an entry that was refuted, while others claim
+/// its address.
+static constexpr std::chrono::seconds kRefutationTime{1};
 
 /// Whether an entry that was removed at \p revision may have expired during a
 /// store outage, so that its upstream may still be running.
@@ -97,18 +103,20 @@
   known.is_replaced = false;
   if (!is_same_start) {
     known.first_revision = FirstRevision(now, *entry);
+    known.refuted_at.reset();
   }
   if (const auto owner = active_by_address_.find(entry->address);
       owner != active_by_address_.end()) {
     state& other = states_.find(owner->second->id)->second;
     if (!StartedLater(known, other)) {
-      Replace(known);
+      Replace(now, known);
       return;
     }
     Deactivate(other.entry);
-    Replace(other);
+    Replace(now, other);
   }
   Activate(entry);
+  NoteContested(known);
 }
 
 revision_number upstream_directory::FirstRevision(
@@ -121,8 +129,15 @@
   return is_listed_again ? found->second.first_revision : entry.revision;
 }
 
-void upstream_directory::Replace(state& item) {
+void upstream_directory::NoteContested(const state& item) {
+  if (replaced_by_address_.contains(item.entry->address) && !item.refuted_at) {
+    contested_.push_back(item.entry);
+  }
+}
+
+void upstream_directory::Replace(time_point now, state& item) {
   item.is_replaced = true;
+  item.replaced_at = now;
   replaced_by_address_[item.entry->address].insert(item.entry->id);
   EndRetention(item.entry->id);
 }
@@ -138,7 +153,7 @@
   states_.erase(found);
   if (!removed.is_replaced) {
     Deactivate(removed.entry);
-    RestoreReplaced(*removed.entry);
+    RestoreReplaced(now, *removed.entry);
     return;
   }
   ForgetReplaced(*removed.entry);
@@ -149,6 +164,7 @@
   replaced->second.erase(item.id);
   if (replaced->second.empty()) {
     replaced_by_address_.erase(replaced);
+    vacant_.erase(item.address);
   }
 }
 
@@ -167,28 +183,91 @@
   departures_.emplace_back(forget_at, removed.entry->id);
 }
 
-void upstream_directory::RestoreReplaced(const upstream_entry& removed) {
+bool upstream_directory::IsPreferred(const state& a, const state& b) {
+  // One that was never refuted first, then the one that was so the longest ago.
+  if (a.refuted_at != b.refuted_at) {
+    return a.refuted_at < b.refuted_at;
+  }
+  return StartedLater(a, b);
+}
+
+void upstream_directory::Restore(state& item) {
+  item.is_replaced = false;
+  ForgetReplaced(*item.entry);
+  Activate(item.entry);
+}
+
+void upstream_directory::RestoreReplaced(time_point now,
+                                         const upstream_entry& removed) {
   const auto replaced = replaced_by_address_.find(removed.address);
   if (replaced == replaced_by_address_.end()) {
     return;
   }
-  state* latest = nullptr;
+  state* preferred = nullptr;
   for (const std::string& id : replaced->second) {
     state& item = states_.find(id)->second;
     const uint64_t started = item.entry->started;
     // Of two known start times, the earlier process ended before the later one
     // could listen at its address.
-    const bool has_ended = started != 0 && started < removed.started;
-    if (!has_ended && (latest == nullptr || StartedLater(item, *latest))) {
-      latest = &item;
+    const bool has_ended = started != 0 && started < removed.started &&
+                           now - item.replaced_at < kMaxSilence;
+    if (!has_ended && (preferred == nullptr || IsPreferred(item, *preferred))) {
+      preferred = &item;
     }
   }
-  if (latest == nullptr) {
+  if (preferred == nullptr) {
+    vacant_.insert(removed.address);
     return;
   }
-  latest->is_replaced = false;
-  ForgetReplaced(*latest->entry);
-  Activate(latest->entry);
+  Restore(*preferred);
+}
+
+void upstream_directory::RestoreListed(time_point now) {
+  for (const endpoint& address : std::exchange(vacant_, {})) {
+    state* preferred = nullptr;
+    for (const std::string& id : replaced_by_address_.at(address)) {
+      state& item = states_.find(id)->second;
+      if (preferred == nullptr || IsPreferred(item, *preferred)) {
+        preferred = &item;
+      }
+    }
+    if (now - preferred->replaced_at < kMaxSilence) {
+      vacant_.insert(address);
+    } else {
+      Restore(*preferred);
+    }
+  }
+}
+
+bool upstream_directory::Refute(time_point now,
+                                std::string_view id,
+                                uint64_t started) {
+  const auto found = states_.find(id);
+  if (found == states_.end() || found->second.is_replaced ||
+      found->second.entry->started != started) {
+    return false;
+  }
+  state& refuted = found->second;
+  refuted.refuted_at = now;
+  const auto others = replaced_by_address_.find(refuted.entry->address);
+  if (others == replaced_by_address_.end()) {
+    return false;
+  }
+  state* preferred = nullptr;
+  for (const std::string& other : others->second) {
+    state& item = states_.find(other)->second;
+    if (preferred == nullptr || IsPreferred(item, *preferred)) {
+      preferred = &item;
+    }
+  }
+  if (preferred->refuted_at && now - *preferred->refuted_at < kRefutationTime) {
+    return false;
+  }
+  Deactivate(refuted.entry);
+  Replace(now, refuted);
+  Restore(*preferred);
+  NoteContested(*preferred);
+  return true;
 }
 
 void upstream_directory::EndRetention(const std::string& id) {
@@ -203,6 +282,7 @@
 void upstream_directory::Activate(const upstream_ref& item) {
   RecordChange(item->id, nullptr);
   active_by_address_[item->address] = item;
+  vacant_.erase(item->address);
   ++service_sizes_[item->service];
   ++in_use_count_;
 }
--- a/unittests/Edge/crash_verifier_test.cc
+++ b/unittests/Edge/upstream_verifier_test.cc
@@ -1,5 +1,5 @@
 // Tests the verification of crashes, with plain sockets as upstreams.
-#include "cuminswitch/Edge/crash_verifier.h"
+#include "cuminswitch/Edge/upstream_verifier.h"
 
 #include <event2/event.h>
 #include <gtest/gtest.h>
@@ -18,16 +18,17 @@
 namespace cuminswitch {
 namespace {
 
-class crash_verifier_test : public testing::Test {
+class upstream_verifier_test : public testing::Test {
  protected:
-  crash_verifier_test()
+  upstream_verifier_test()
       : base_(event_base_new()),
         pool_(base_),
-        verifier_(pool_,
-                  protocol_,
-                  [this](uint64_t upstream, time_point /*sent*/) {
-                    responded_.push_back(upstream);
-                  }) {}
+        verifier_(
+            pool_,
+            protocol_,
+            [this](uint64_t upstream, time_point /*sent*/, bool is_other) {
+              (is_other ? others_ : responded_).push_back(upstream);
+            }) {}
 
   /// Starts a probe and responds to it.
   void Respond(const std::string& response) {
@@ -49,10 +50,12 @@
   raw_listener listener_;
   std::unique_ptr<raw_socket> upstream_;
   std::vector<uint64_t> responded_;
-  crash_verifier verifier_;
+  /// Upstreams at whose address another process responded.
+  std::vector<uint64_t> others_;
+  upstream_verifier verifier_;
 };
 
-TEST_F(crash_verifier_test, ReportsAnUpstreamThatResponds) {
+TEST_F(upstream_verifier_test, ReportsAnUpstreamThatResponds) {
   Respond("HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n");
   EXPECT_TRUE(RunUntil(base_, [this] { return !responded_.empty(); }));
   EXPECT_EQ(responded_, std::vector<uint64_t>{7});
@@ -62,14 +65,14 @@
 
 // Guards against an upstream that took over the address of a crashed one being
 // taken for it.
-TEST_F(crash_verifier_test, IgnoresAnotherUpstreamAtTheAddress) {
+TEST_F(upstream_verifier_test, TellsAnotherUpstreamAtTheAddressApart) {
   Respond("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
-  int rounds = 0;
-  RunUntil(base_, [&rounds] { return ++rounds > 50; });
+  EXPECT_TRUE(RunUntil(base_, [this] { return !others_.empty(); }));
+  EXPECT_EQ(others_, std::vector<uint64_t>{7});
   EXPECT_TRUE(responded_.empty());
 }
 
-TEST(crash_verifiers_test, TwoDaemonsOfEachDomainVerifyACrash) {
+TEST(crash_verification_test, TwoDaemonsOfEachDomainVerifyACrash) {
   std::vector<daemon_record> fleet;
   fleet.reserve(30);
   for (int i = 0; i < 30; ++i) {
--- a/unittests/Fleet/upstream_directory_test.cc
+++ b/unittests/Fleet/upstream_directory_test.cc
@@ -121,6 +121,70 @@
   EXPECT_TRUE(InUse().empty());
 }
 
+// Guards against a living upstream that gets no requests for good, because
+// another writer's entry claims its address with a later start.
+TEST_F(upstream_directory_test, RefutedEntryYieldsTheAddress) {
+  const upstream_entry living{
+      .id = "living", .address = kHere, .started = 100, .revision = 5};
+  const upstream_entry twin{
+      .id = "twin", .address = kHere, .started = UINT64_MAX, .revision = 9};
+  List({living, twin});
+  EXPECT_EQ(InUse(), ids{"twin"});
+  EXPECT_EQ(directory_.TakeContested().size(), 1U);
+  EXPECT_FALSE(directory_.Refute(kNow, "living", 100));
+  EXPECT_FALSE(directory_.Refute(kNow, "twin", 7)) << "an earlier start";
+  EXPECT_TRUE(directory_.Refute(kNow, "twin", UINT64_MAX));
+  EXPECT_EQ(InUse(), ids{"living"});
+  List({living, twin}, kNow + milliseconds(500));
+  EXPECT_EQ(InUse(), ids{"living"}) << "a renewal takes the address back";
+  List({living});
+  EXPECT_EQ(InUse(), ids{"living"});
+}
+
+// Guards against an upstream that is found only after each of many other
+// entries with its address was used for a second.
+TEST_F(upstream_directory_test, EntriesThatWereNotRefutedComeFirst) {
+  std::vector<upstream_entry> entries{
+      {.id = "living", .address = kHere, .revision = 1}};
+  for (revision_number i = 2; i <= 20; ++i) {
+    entries.push_back(
+        {.id = "twin" + std::to_string(i), .address = kHere, .revision = i});
+  }
+  List(entries);
+  for (int i = 0; i < 19; ++i) {
+    EXPECT_TRUE(directory_.Refute(kNow, InUse().at(0), 0));
+  }
+  EXPECT_EQ(InUse(), ids{"living"});
+}
+
+// Guards against entries that take turns at the rate of the requests, where
+// none of them is right.
+TEST_F(upstream_directory_test, RefutedEntriesAlternateSlowly) {
+  List({{.id = "a", .address = kHere, .revision = 1},
+        {.id = "b", .address = kHere, .revision = 2}});
+  int changes = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const time_point now = kNow + milliseconds(10 * i);
+    changes += directory_.Refute(now, InUse().at(0), 0) ? 1 : 0;
+  }
+  EXPECT_GE(changes, 5);
+  EXPECT_LE(changes, 12);
+}
+
+// Guards against a living upstream that stays out of use after the entry that
+// claimed its address with a later start has gone.
+TEST_F(upstream_directory_test, RestoresEntryThatIsStillListed) {
+  const upstream_entry living{
+      .id = "living", .address = kHere, .started = 100, .revision = 5};
+  List({living, {.id = "twin", .address = kHere, .started = 200}});
+  List({living});
+  EXPECT_TRUE(InUse().empty());
+  directory_.RestoreListed(kNow + milliseconds(5000));
+  EXPECT_TRUE(InUse().empty()) << "it may have ended, and expire soon";
+  directory_.RestoreListed(kNow + milliseconds(11000));
+  EXPECT_EQ(InUse(), ids{"living"});
+}
+
 // Guards against records of removed starts that outlive the writes they guard
 // against: an id may be used again.
 TEST_F(upstream_directory_test, ForgetsRemovedStarts) {
