Ask peers for a later upstream of a resumed stream

What callers saw: nothing so far; found by reading, while tracing streams that go on at another software version.

Cause: a daemon trusts its own record of a stream's first upstream. Before its first event a stream may go to a later upstream of another version. A daemon that is partitioned at that moment misses the second report and resumes the stream at the first version.

A record that another daemon may have superseded is compared with what peers know; the first peer that knows the stream ends the search. Own decisions and versions at which a stream was resumed are final. A search without a reply ends with what has been reported meanwhile, instead of with the first report.

--- a/include/cuminswitch/Edge/stream_origin_registry.h
+++ b/include/cuminswitch/Edge/stream_origin_registry.h
@@ -111,9 +111,9 @@
   void Inform(time_point now, active_stream& item);
   /// Asks the peers that may know the origin and have not been asked.
   void Ask(uint64_t ticket, search& item);
-  void EndSearch(const search& item,
-                 std::optional<software_tag> software,
-                 origin_source source);
+  /// Ends the search with what this daemon knows by now. \p source names the
+  /// origin's source, or why it is unknown unless this daemon knows it.
+  void EndSearch(time_point now, const search& item, origin_source source);
 
   endpoint self_;
   time_point started_;
--- a/include/cuminswitch/Edge/stream_origin_table.h
+++ b/include/cuminswitch/Edge/stream_origin_table.h
@@ -23,6 +23,10 @@
   /// Adds \p origin. One of the same stream is replaced unless it has a greater
   /// number; its time is extended in any case.
   void Record(time_point now, const stream_origin& origin);
+  /// Adds an origin that this daemon itself decided.
+  void RecordOwn(time_point now, const stream_origin& origin);
+  /// Whether no other daemon can know a later upstream of \p stream.
+  bool IsFinal(uint64_t stream) const;
   /// Returns the origin of \p stream with the time that is left, if known.
   std::optional<stream_origin> Find(time_point now, uint64_t stream) const;
   /// Drops origins that have expired.
@@ -34,6 +38,7 @@
     software_tag software = kAnySoftware;
     uint32_t number = 0;
     time_point expires{};
+    bool is_own = false;
   };
 
   std::unordered_map<uint64_t, entry> origins_;
--- a/include/cuminswitch/Protocol/stream_origin.h
+++ b/include/cuminswitch/Protocol/stream_origin.h
@@ -6,6 +6,7 @@
 #define CUMINSWITCH_PROTOCOL_STREAM_ORIGIN_H_
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string_view>
 #include <variant>
@@ -30,6 +31,8 @@
 
 /// The software version at which a stream began.
 struct stream_origin {
+  /// The number of an upstream that resumes the stream, whose version is final.
+  static constexpr uint32_t kFinal = std::numeric_limits<uint32_t>::max();
   /// Hash of the identifier of the caller's attempt that began the stream.
   uint64_t stream = 0;
   software_tag software = kAnySoftware;
--- a/lib/Edge/edge_origins.cc
+++ b/lib/Edge/edge_origins.cc
@@ -38,8 +38,8 @@
   }
   const caller_request& request = flow.request();
   // The version of a stream that has begun is final.
-  const uint32_t number =
-      request.has_last_event ? UINT32_MAX : action.earlier_attempts + 1;
+  const uint32_t number = request.has_last_event ? stream_origin::kFinal
+                                                 : action.earlier_attempts + 1;
   // Callers may return after the deadline that they stated for one attempt.
   const stream_origin origin{.stream = StreamOf(request),
                              .software = action.software,
--- a/lib/Edge/stream_origin_registry.cc
+++ b/lib/Edge/stream_origin_registry.cc
@@ -122,7 +122,7 @@
 void stream_origin_registry::OnDispatch(time_point now,
                                         request_id request,
                                         const stream_origin& origin) {
-  table_.Record(now, origin);
+  table_.RecordOwn(now, origin);
   active_stream& item = active_[request];
   if (item.origin.software != origin.software) {
     item = {.origin = origin, .recorded_at = now, .informed = {}};
@@ -135,8 +135,11 @@
                                   uint64_t stream) {
   search item{
       .request = request, .stream = stream, .deadline = now + kReplyTimeout};
-  if (const auto known = table_.Find(now, stream)) {
-    EndSearch(item, known->software, origin_source::kSelf);
+  // Before its first event, the stream may have gone to a later upstream of
+  // another version, which only other daemons were told.
+  const bool is_final = table_.IsFinal(stream) || peers_.empty();
+  if (const auto known = table_.Find(now, stream); known && is_final) {
+    EndSearch(now, item, origin_source::kSelf);
     return;
   }
   const uint64_t ticket = next_ticket_++;
@@ -162,16 +165,6 @@
   for (const stream_origin& item : report.origins) {
     table_.Record(now, item);
   }
-  // A report that was sent before its daemon ended may arrive after the search
-  // began, and nobody else may know the stream.
-  std::erase_if(searches_, [&](const auto& entry) {
-    const search& item = entry.second;
-    const auto known = table_.Find(now, item.stream);
-    if (known) {
-      EndSearch(item, known->software, origin_source::kSelf);
-    }
-    return known.has_value();
-  });
 }
 
 void stream_origin_registry::OnQuery(time_point now,
@@ -191,23 +184,28 @@
   search& item = found->second;
   if (reply.origin) {
     table_.Record(now, *reply.origin);
-    EndSearch(item, reply.origin->software, origin_source::kPeer);
+    EndSearch(now, item, origin_source::kPeer);
   } else if (--item.awaited == 0 && now - started_ >= kWarmUpTime) {
-    EndSearch(item, std::nullopt, origin_source::kNone);
+    EndSearch(now, item, origin_source::kNone);
   } else {
     return;
   }
   searches_.erase(found);
 }
 
-void stream_origin_registry::EndSearch(const search& item,
-                                       std::optional<software_tag> software,
+void stream_origin_registry::EndSearch(time_point now,
+                                       const search& item,
                                        origin_source source) {
-  found_.push_back({.request = item.request,
-                    .stream = item.stream,
-                    .software = software,
-                    .source = source,
-                    .asked = item.asked.size()});
+  // A report that was sent before its daemon ended may arrive after the search
+  // began, and nobody else may know the stream.
+  const auto known = table_.Find(now, item.stream);
+  const bool was_told = source == origin_source::kPeer;
+  found_.push_back(
+      {.request = item.request,
+       .stream = item.stream,
+       .software = known ? std::optional(known->software) : std::nullopt,
+       .source = known && !was_told ? origin_source::kSelf : source,
+       .asked = item.asked.size()});
 }
 
 void stream_origin_registry::OnTick(time_point now) {
@@ -216,7 +214,7 @@
   while (!searches_.empty() && now >= searches_.begin()->second.deadline) {
     const search& overdue = searches_.begin()->second;
     EndSearch(
-        overdue, std::nullopt,
+        now, overdue,
         overdue.awaited == 0 ? origin_source::kNone : origin_source::kNoReply);
     searches_.erase(searches_.begin());
   }
--- a/lib/Edge/stream_origin_table.cc
+++ b/lib/Edge/stream_origin_table.cc
@@ -22,6 +22,19 @@
   }
 }
 
+void stream_origin_table::RecordOwn(time_point now,
+                                    const stream_origin& origin) {
+  Record(now, origin);
+  origins_.at(origin.stream).is_own = true;
+}
+
+bool stream_origin_table::IsFinal(uint64_t stream) const {
+  const auto found = origins_.find(stream);
+  return found != origins_.end() &&
+         (found->second.is_own ||
+          found->second.number == stream_origin::kFinal);
+}
+
 std::optional<stream_origin> stream_origin_table::Find(time_point now,
                                                        uint64_t stream) const {
   const auto found = origins_.find(stream);
