Probe claimed addresses until one entry is right

An entry that was refuted once and came into use again was not probed, so that an upstream that was refuted by mistake (it rejected a request for other weights before it had executed any) could stay out of use while another entry claimed its address. It is probed again, and an entry that leaves is not used for a refuted one: it gets no requests that could refute it.

--- a/include/cuminswitch/Edge/address_claims.h
+++ b/include/cuminswitch/Edge/address_claims.h
@@ -23,8 +23,7 @@
   /// Adds \p upstream, which came into use at \p now. The probes of \p
   /// fleet_size daemons are spread over some time.
   void Add(time_point now, uint64_t upstream, size_t fleet_size);
-  /// Drops \p upstream: it has responded, another process has, or its entry is
-  /// no longer in use.
+  /// Drops \p upstream: it has responded, or its entry is no longer in use.
   void Remove(uint64_t upstream) { claims_.erase(upstream); }
   /// Returns the upstreams that are to be probed now.
   std::vector<uint64_t> TakeDue(time_point now);
--- a/include/cuminswitch/Fleet/upstream_directory.h
+++ b/include/cuminswitch/Fleet/upstream_directory.h
@@ -81,8 +81,7 @@
     return std::exchange(retained_changes_, {});
   }
   /// Returns the upstreams that came into use since the last call at an
-  /// address that other entries claim too. Those that were refuted before are
-  /// left out.
+  /// address that other entries claim too.
   std::vector<upstream_ref> TakeContested() {
     return std::exchange(contested_, {});
   }
--- a/lib/Edge/edge_claims.cc
+++ b/lib/Edge/edge_claims.cc
@@ -25,7 +25,6 @@
   // An upstream also rejects requests for weights that it does not have. One
   // that has responded as itself is where its entry says.
   if (!confirmed_upstreams_.contains(entry.id)) {
-    claims_.Remove(StartOf(entry));
     services_.FindPort<fleet_message>(kFleetService)
         .Post(upstream_refuted{.upstream = entry.id, .started = entry.started});
   }
--- a/lib/Fleet/upstream_directory.cc
+++ b/lib/Fleet/upstream_directory.cc
@@ -130,7 +130,7 @@
 }
 
 void upstream_directory::NoteContested(const state& item) {
-  if (replaced_by_address_.contains(item.entry->address) && !item.refuted_at) {
+  if (replaced_by_address_.contains(item.entry->address)) {
     contested_.push_back(item.entry);
   }
 }
@@ -256,11 +256,15 @@
   state* preferred = nullptr;
   for (const std::string& other : others->second) {
     state& item = states_.find(other)->second;
-    if (preferred == nullptr || IsPreferred(item, *preferred)) {
+    // One that leaves would get no requests, so that nothing would refute it.
+    if (!item.entry->is_draining &&
+        (preferred == nullptr || IsPreferred(item, *preferred))) {
       preferred = &item;
     }
   }
-  if (preferred->refuted_at && now - *preferred->refuted_at < kRefutationTime) {
+  const bool is_too_soon = preferred != nullptr && preferred->refuted_at &&
+                           now - *preferred->refuted_at < kRefutationTime;
+  if (preferred == nullptr || is_too_soon) {
     return false;
   }
   Deactivate(refuted.entry);
--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -140,6 +140,20 @@
   done
 }
 
+# restart_platform_daemons: kills all daemons at once and starts them again.
+restart_platform_daemons() {
+  local i count=${#DAEMON_PIDS[@]}
+  kill_and_wait "${DAEMON_PIDS[@]}"
+  DAEMON_PIDS=()
+  for ((i = 0; i < count; ++i)); do
+    start_platform_daemon "$i"
+    DAEMON_PIDS+=("$PID")
+  done
+  for ((i = 0; i < count; ++i)); do
+    wait_for 10 is_platform_ready "$i"
+  done
+}
+
 # start_platform COUNT: starts a store, two engines, two services and COUNT
 # daemons. EXTRA_ROUTES are further routes of the first configuration.
 start_platform() {
--- a/unittests/Fleet/upstream_directory_test.cc
+++ b/unittests/Fleet/upstream_directory_test.cc
@@ -141,6 +141,15 @@
   EXPECT_EQ(InUse(), ids{"living"});
 }
 
+// Guards against an upstream that gets no requests because the entry of one
+// that leaves is used at its address, which nothing would refute.
+TEST_F(upstream_directory_test, LeavingEntryIsNotUsedForARefutedOne) {
+  List({{.id = "new", .address = kHere, .revision = 9},
+        {.id = "old", .address = kHere, .is_draining = true, .revision = 5}});
+  EXPECT_FALSE(directory_.Refute(kNow, "new", 0));
+  EXPECT_EQ(InUse(), ids{"new"});
+}
+
 // Guards against an upstream that is found only after each of many other
 // entries with its address was used for a second.
 TEST_F(upstream_directory_test, EntriesThatWereNotRefutedComeFirst) {
