Probe a restored entry while others claim its address

Of several entries with one address, the one that is restored when the one in use goes was not probed. One of a service without requests could keep a living upstream hidden.

Every entry that comes into use at a claimed address is contested now.

Evidence: RestoredEntryIsContestedWhileOthersRemain fails without the change (nothing is contested); process_platform_claimed_address passes.

--- a/include/cuminswitch/Fleet/upstream_directory.h
+++ b/include/cuminswitch/Fleet/upstream_directory.h
@@ -146,8 +146,6 @@
   void EndRetention(const std::string& id);
   /// Records that \p before was the entry of \p id until now.
   void RecordChange(const std::string& id, const upstream_ref& before);
-  /// Notes that \p item, which is in use, has an address that others claim.
-  void NoteContested(const state& item);
   /// Puts \p item into use, or takes it out of use.
   void Activate(const upstream_ref& item);
   void Deactivate(const upstream_ref& item);
--- a/lib/Fleet/upstream_directory.cc
+++ b/lib/Fleet/upstream_directory.cc
@@ -116,7 +116,6 @@
     Replace(now, other);
   }
   Activate(entry);
-  NoteContested(known);
 }
 
 revision_number upstream_directory::FirstRevision(
@@ -129,12 +128,6 @@
   return is_listed_again ? found->second.first_revision : entry.revision;
 }
 
-void upstream_directory::NoteContested(const state& item) {
-  if (replaced_by_address_.contains(item.entry->address)) {
-    contested_.push_back(item.entry);
-  }
-}
-
 void upstream_directory::Replace(time_point now, state& item) {
   item.is_replaced = true;
   item.replaced_at = now;
@@ -270,7 +263,6 @@
   Deactivate(refuted.entry);
   Replace(now, refuted);
   Restore(*preferred);
-  NoteContested(*preferred);
   return true;
 }
 
@@ -287,6 +279,9 @@
   RecordChange(item->id, nullptr);
   active_by_address_[item->address] = item;
   vacant_.erase(item->address);
+  if (replaced_by_address_.contains(item->address)) {
+    contested_.push_back(item);
+  }
   ++service_sizes_[item->service];
   ++in_use_count_;
 }
--- a/unittests/Fleet/upstream_directory_test.cc
+++ b/unittests/Fleet/upstream_directory_test.cc
@@ -166,6 +166,23 @@
   EXPECT_EQ(InUse(), ids{"living"});
 }
 
+// Guards against an upstream that stays hidden behind a second entry with its
+// address after the first one has gone: that one is to be probed too.
+TEST_F(upstream_directory_test, RestoredEntryIsContestedWhileOthersRemain) {
+  const upstream_entry living{.id = "living", .address = kHere, .revision = 1};
+  const upstream_entry twin{.id = "twin", .address = kHere, .revision = 2};
+  List({living, twin, {.id = "other", .address = kHere, .revision = 3}});
+  directory_.TakeContested();
+  List({living, twin});
+  EXPECT_EQ(InUse(), ids{"twin"});
+  const std::vector<upstream_ref> contested = directory_.TakeContested();
+  ASSERT_FALSE(contested.empty());
+  EXPECT_EQ(contested[0]->id, "twin");
+  List({living});
+  EXPECT_EQ(InUse(), ids{"living"});
+  EXPECT_TRUE(directory_.TakeContested().empty());
+}
+
 // Guards against entries that take turns at the rate of the requests, where
 // none of them is right.
 TEST_F(upstream_directory_test, RefutedEntriesAlternateSlowly) {
