--- a/unittests/Fleet/upstream_directory_test.cc
+++ b/unittests/Fleet/upstream_directory_test.cc
@@ -173,12 +173,12 @@
   const upstream_entry twin{.id = "twin", .address = kHere, .revision = 2};
   List({living, twin, {.id = "other", .address = kHere, .revision = 3}});
   directory_.TakeContested();
-  List({living, twin});
+  directory_.Apply(kNow, {.id = "other", .revision = kRemoved}, {});
   EXPECT_EQ(InUse(), ids{"twin"});
   const std::vector<upstream_ref> contested = directory_.TakeContested();
-  ASSERT_FALSE(contested.empty());
+  ASSERT_EQ(contested.size(), 1U);
   EXPECT_EQ(contested[0]->id, "twin");
-  List({living});
+  directory_.Apply(kNow, {.id = "twin", .revision = kRemoved}, {});
   EXPECT_EQ(InUse(), ids{"living"});
   EXPECT_TRUE(directory_.TakeContested().empty());
 }
