Let heartbeats outlast another party's write under their key

What callers saw: one odd entry under the key of a living upstream, with the greatest start time, took that upstream out of use for good, also after it had renewed its entry.

Cause: writes of an earlier start, or with a lower number of the same start, are ignored, because the store may carry out a write seconds late. Nothing ended that, so one party's number hid all later heartbeats.

More than eight writes of one start in their order, and none of the later start between them, are applied again: at most five heartbeats can be under way for six seconds.

Ruled out: a limit by time (the decoder has no clock, and a store outage would run it down), and a limit of the start times (a start slightly ahead of the upstream's own does the same harm).

RenewalsOutlastAnotherPartysWrite (start, number, missing start) and LateWritesOfSameStartStayIgnored, which guards the bound from the other side.

--- a/test/process/platform_odd_entries.sh
+++ b/test/process/platform_odd_entries.sh
@@ -33,6 +33,25 @@
   echo "{$text}"
 }
 
+# renew: writes the next heartbeat of e1, which is well formed, and sends streams
+# to all daemons. Whether e1 has run one of them.
+SEQUENCE=1
+renew() {
+  local index part before
+  SEQUENCE=$((SEQUENCE + 1))
+  entry address "\"$E1\"" |
+    sed "s/\"seq\":1/\"seq\":$SEQUENCE,\"born\":1000/" >"$WORK/heartbeat"
+  put_file servers/e1 "$WORK/heartbeat"
+  before=$(grep -c "^run " "$WORK/e1.log" || true)
+  for index in "${!DAEMON_PIDS[@]}"; do
+    for part in 1 2 3; do
+      PARTS="$SEQUENCE$part:50" ask "$index" "renew-$SEQUENCE-$part-$index" \
+        /resume/x || fail "daemon $index serves no stream: $(cat "$WORK/err")"
+    done
+  done
+  (($(grep -c "^run " "$WORK/e1.log" || true) > before))
+}
+
 nested() { head -c "$1" /dev/zero | tr '\0' '['; }
 
 # check_serving NAME: checks that all daemons run, serve, and follow a change
@@ -64,7 +83,25 @@
 }
 
 start_platform 3
+E1=$(sed -n 's/^listening on //p' "$WORK/e1.log")
 check_serving before
+wait_for 10 renew
+# One entry under the key of a living engine, which goes on with its heartbeats.
+while read -r name field value; do
+  entry "$field" "$value" >"$WORK/odd"
+  put_file servers/e1 "$WORK/odd"
+  check_serving "own-$name"
+  wait_for 20 renew || fail "e1 gets no requests after its entry had a $name"
+done <<ENTRIES
+port address "127.0.0.1:99999"
+overflow slots 1e400
+last-sequence seq 18446744073709551615
+start born 1e30
+last-start born 18446744073709551615
+last-version models [{"name":"m","version":18446744073709551615}]
+nested-field zone $(nested 20000)
+ENTRIES
+
 NUMBER=0
 # leave NAME FILE: stores the content of FILE under an id of its own.
 leave() {
--- a/unittests/Edge/upstream_verifier_test.cc
+++ b/unittests/Edge/upstream_verifier_test.cc
@@ -1,4 +1,4 @@
-// Tests the verification of crashes, with plain sockets as upstreams.
+// Tests which upstream responds at an address, with plain sockets as upstreams.
 #include "cuminswitch/Edge/upstream_verifier.h"
 
 #include <event2/event.h>
--- a/unittests/PlatformAdapter/document_decoder_test.cc
+++ b/unittests/PlatformAdapter/document_decoder_test.cc
@@ -308,6 +308,65 @@
   EXPECT_EQ(Decode(), nullptr) << "a late write restored a removed upstream";
 }
 
+// Guards against a living upstream that stays hidden because another party
+// wrote one entry under its id, with a start or a number that the upstream
+// never reaches, or had a start that the upstream does not state.
+TEST_F(document_decoder_test, RenewalsOutlastAnotherPartysWrite) {
+  constexpr int kHeartbeats = 20;
+  const std::string born = "\"born\":1700000000000";
+  const std::string address = "10.0.0.9:80";
+  const auto heartbeat = [&](int sequence, bool has_start) {
+    std::string entry = UpstreamWith("seq", std::to_string(sequence));
+    if (!has_start) {
+      entry.erase(entry.find("\"born\""), born.size() + 1);
+    }
+    return entry;
+  };
+  std::string other = UpstreamWith("born", "18446744073709551615");
+  other.replace(other.find(address), address.size(), "10.0.0.1:9");
+  std::string draining = UpstreamWith("seq", "18446744073709551615");
+  draining.replace(draining.find("ready"), 5, "draining");
+  for (const bool has_start : {true, false}) {
+    for (const std::string& odd : {other, draining}) {
+      const std::string key = "servers/i-" + std::to_string(revision_);
+      Put(key, heartbeat(1, has_start));
+      Decode();
+      Put(key, odd);
+      Decode();
+      const auto find = [&] {
+        const auto& all = snapshot_.upstreams;
+        const auto found = std::find_if(all.begin(), all.end(),
+                                        [&](const upstream_entry& item) {
+                                          return "servers/" + item.id == key;
+                                        });
+        return found != all.end() && found->address.address == "10.0.0.9" &&
+               !found->is_draining;
+      };
+      EXPECT_FALSE(find());
+      int needed = 0;
+      while (!find() && needed < kHeartbeats) {
+        ++needed;
+        Put(key, heartbeat(1 + needed, has_start));
+        Decode();
+      }
+      EXPECT_EQ(needed, 9) << odd;
+    }
+  }
+}
+
+// Guards against requests to an upstream that has left: all its writes that are
+// under way may be carried out late, one after the other.
+TEST_F(document_decoder_test, LateWritesOfSameStartStayIgnored) {
+  Put("servers/i-1", UpstreamWith("seq", "20"));
+  Decode();
+  Remove("servers/i-1");
+  Decode();
+  for (int sequence = 10; sequence < 18; ++sequence) {
+    Put("servers/i-1", UpstreamWith("seq", std::to_string(sequence)));
+    EXPECT_EQ(Decode(), nullptr) << sequence;
+  }
+}
+
 // Guards against ignoring an upstream that restarts under its id, whose counter
 // starts anew, and one whose id another writer has used.
 TEST_F(document_decoder_test, EachStartAndWriterCountsItsWrites) {
