Keep the replaced operator delete of a test from being inlined

Cause: fleet_growth_test replaces the global operator new and operator delete to count allocations. On x86-64, GCC 12.2 inlines the replaced operator delete but not the replaced operator new, and -Werror=mismatched-new-delete takes free() on the result of operator new for a mismatch.

Change: the two replaced operator delete are not inlined. The counting and the assertions stay, and no warning is turned off.

--- a/unittests/PlatformAdapter/fleet_growth_test.cc
+++ b/unittests/PlatformAdapter/fleet_growth_test.cc
@@ -32,10 +32,12 @@
   }
   throw std::bad_alloc();
 }
-void operator delete(void* memory) noexcept {
+// Not inlined: GCC on x86-64 inlines these but not the replaced operator new,
+// and then reports free() on memory from operator new as a mismatch.
+[[gnu::noinline]] void operator delete(void* memory) noexcept {
   std::free(memory);
 }
-void operator delete(void* memory, size_t /*size*/) noexcept {
+[[gnu::noinline]] void operator delete(void* memory, size_t /*size*/) noexcept {
   std::free(memory);
 }
 
