Name the records in the cases of the second review

Cause: nothing in the folders of the cases named record.txt; only the harness did.

Change: each case gives the path of its record.txt.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,6 +9,8 @@
 
 import harness_2 as h
 
+# What was sent, answered and run.
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 SERVICE = "engines"
 MODEL = "model-1"
 KEYS = {"tenant-a": "key-a", "tenant-b": "key-b"}
@@ -134,4 +136,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(h.run_case(case, os.path.dirname(os.path.abspath(__file__))))
+    sys.exit(h.run_case(case, RECORD))
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -32,11 +32,11 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt of the case."""
+    """Writes what was sent, answered and run to the file `path`, with the time."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def write(self, text):
         line = f"{time.monotonic() - self.start:8.3f} s  {text}"
@@ -522,20 +522,28 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(case, folder, seconds=110):
-    """Runs `case(record, scratch, processes)`; returns the exit status."""
-    record = Record(folder)
+def run_case(case, record_path, seconds=100):
+    """Runs `case(record, scratch, processes)`; returns the exit status.
+
+    A case that fails in another way than by a broken rule could not run."""
+    record = Record(record_path)
     scratch = tempfile.mkdtemp(prefix="review-")
     processes = []
 
     async def body():
+        running = asyncio.ensure_future(case(record, scratch, processes))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, running.cancel)
         try:
-            return await asyncio.wait_for(case(record, scratch, processes), seconds)
+            return await asyncio.wait_for(running, seconds)
         except asyncio.TimeoutError:
             record.write("the case took too long")
             return NOT_RUN
-        except OSError as error:
-            record.write(f"the case could not run: {error}")
+        except asyncio.CancelledError:
+            record.write("the case was told to stop")
+            return NOT_RUN
+        except Exception as error:  # pylint: disable=broad-except
+            record.write(f"the case could not run: {error!r}")
             return NOT_RUN
         finally:
             for item in processes:
