Derive the shared cache pool from the set of isolated workspaces

Cause: all workspaces that are not isolated used one pool with a constant name, so nothing told apart what a workspace had cached before it left the pool. The pool was also decided when a request arrived: one that waited, was retried or had a slot reserved ran in the pool of an earlier configuration.

The name of the shared pool now depends on which workspaces are isolated: only workspaces outside that set ever add to a pool or read from it. Any daemon derives it from the configuration alone. The router takes the pool from the configuration in force when it sends a request, and drops a reservation if the scope changed. attempt_placed names the scope.

Ruled out: the configuration's version in the name (each change would empty all caches), a counter of changes (unknown after a restart), the members of the pool (each new workspace would empty the caches).

Without the update of waiting requests, QueuedRequestUsesThePoolInForceWhenItIsSent fails; with the pool of the arrival's configuration, all three tests of cache_pool_test that guard against it fail.

--- a/include/cuminswitch/Config/configuration.h
+++ b/include/cuminswitch/Config/configuration.h
@@ -110,6 +110,9 @@
   std::vector<std::string> uses;
   /// Maximum number of concurrent requests to all daemons.
   uint32_t max_in_flight = 64;
+  /// The workspaces with the same pool share cached prefixes; if empty, the
+  /// workspace shares with no other.
+  std::string cache_pool;
 };
 
 /// Restricts the requests of a workspace for one model or service to upstreams
--- a/include/cuminswitch/Core/request_router.h
+++ b/include/cuminswitch/Core/request_router.h
@@ -158,7 +158,7 @@
   /// attempt must be ended in the same call of the event loop.
   bool ReserveRetry(time_point now, request_id id);
   /// Whether the upstream of \p attempt still accepts requests and has the
-  /// weights for which it was chosen.
+  /// weights for which it was chosen, and the cache scope is still the same.
   bool MayStillSend(time_point now, attempt_id attempt) const;
   void OnStartReply(time_point now, const start_reply& reply, action_list& out);
   void OnTick(time_point now, action_list& out);
@@ -263,6 +263,8 @@
     bool is_long = false;
     /// The weights version at the replica when the attempt was placed there.
     std::string version;
+    /// The scope under which the upstream is to cache the prompt.
+    uint64_t cache_scope = 0;
     /// It was sent with a permit for the requests in flight.
     bool has_permit = false;
     /// The replica had no queue, so the time to first byte shows its prefill
@@ -277,7 +279,10 @@
     request_arrived info;
     stage current_stage = stage::kQueued;
     uint64_t workspace_hash = 0;
+    /// Hash of what separates its `levels` from those of other requests.
     uint64_t scope = 0;
+    /// The prompt's levels, with hashes that include the scope.
+    std::vector<prefix_level> levels;
     std::shared_ptr<const configuration> config;
     const workspace_spec* workspace = nullptr;
     /// It has an idempotency key and runs at most once per key.
@@ -336,9 +341,15 @@
   };
 
   std::optional<refusal> Check(const request& item) const;
+  /// Sets the levels for the cache pool that the configuration in force assigns
+  /// to the request's workspace.
   void PrepareLevels(request& item) const;
-  /// Hash of everything that separates caches: the cache pool, the target, its
-  /// adapter, and the weights \p version.
+  /// Does the same for all requests that are not running. A running one keeps
+  /// its levels, which its upstream caches under its attempt's scope.
+  void PrepareWaitingLevels();
+  /// Hash of everything that separates caches in the configuration in force:
+  /// the workspace's cache pool, the target, its adapter, and the weights
+  /// \p version.
   uint64_t CacheScope(const request& item, std::string_view version) const;
   void SendStartRequest(time_point now, request& item, action_list& out);
   /// Cancels attempts without a first byte at replicas whose weights were
--- a/include/cuminswitch/Edge/arrival_translator.h
+++ b/include/cuminswitch/Edge/arrival_translator.h
@@ -33,10 +33,8 @@
 std::string TargetOf(const routing_config& config,
                      std::string_view service,
                      std::string_view model);
-/// Returns the router's event for the request of \p flow. \p workspace is null
-/// where the route needs no credential.
-request_arrived DescribeArrival(const request_flow::options& flow,
-                                const workspace_config* workspace);
+/// Returns the router's event for the request of \p flow.
+request_arrived DescribeArrival(const request_flow::options& flow);
 /// Returns the quota query for the request of \p flow, whose workspace has
 /// \p quota.
 quota_admission::admission_query DescribeQuotaQuery(time_point now,
--- a/include/cuminswitch/Protocol/core_event.h
+++ b/include/cuminswitch/Protocol/core_event.h
@@ -73,8 +73,6 @@
   repeat_rule repeats = repeat_rule::kByTarget;
   /// Maximum number of upstreams that may run it; 0 for no limit.
   uint32_t max_runs = 0;
-  /// Pool of requests that share cached prefixes; if empty, the workspace.
-  std::string cache_pool;
   /// Overrides the workspace's priority.
   std::optional<priority_class> priority;
   /// The only software version at which it may run: the one that began the
--- a/lib/Core/request_attempts.cc
+++ b/lib/Core/request_attempts.cc
@@ -45,12 +45,13 @@
       .has_permit = target.permits > 0,
       .queue_was_empty = queue == 0,
       .assumed_cached_age = std::nullopt};
+  next.cache_scope = CacheScope(item, next.version);
   next.expected_prefill =
       FromSeconds(next.expected_tokens / target.prefill_rate);
   next.expected_wait =
       FromSeconds(EstimateTurnSeconds(now, item, chosen.index)) +
       next.expected_prefill;
-  const auto& levels = item.info.levels;
+  const auto& levels = item.levels;
   const prefix_level* shared = FindSharedLevel(levels);
   if (shared != nullptr) {
     if (const prefix_holder* holder = FindHolder(
@@ -120,7 +121,7 @@
       .upstream = target.spec.name,
       .address = target.spec.address,
       .fencing = item.epoch,
-      .cache_scope = CacheScope(item, next.version),
+      .cache_scope = next.cache_scope,
       .fresh_connection = !item.repeatable,
       .after_failure = target.failures_in_row > 0,
       .weights_version = next.version,
@@ -161,8 +162,11 @@
 
 uint64_t request_router::CacheScope(const request& item,
                                     std::string_view version) const {
-  const std::string& pool = item.info.cache_pool;
-  uint64_t scope = Hash64(pool.empty() ? item.info.workspace : pool);
+  // A workspace that was removed after the request arrived shares no cache.
+  const workspace_spec* workspace = config_->FindWorkspace(item.info.workspace);
+  const bool is_shared = workspace != nullptr && !workspace->cache_pool.empty();
+  uint64_t scope = Hash64(is_shared ? workspace->cache_pool
+                                    : "workspace/" + item.info.workspace);
   scope = CombineHash(scope, Hash64(item.info.target));
   if (const model_spec* model = config_->FindModel(item.info.target)) {
     scope = CombineHash(scope, Hash64(model->adapter));
@@ -216,7 +220,7 @@
   if (done.first_byte) {
     replicas_.LearnResponseTime(done.index, now - *done.first_byte);
   }
-  for (const prefix_level& level : item.info.levels) {
+  for (const prefix_level& level : item.levels) {
     prefixes_.Touch(level.hash, {.index = done.index,
                                  .incarnation = target.incarnation,
                                  .used_at = now});
@@ -241,7 +245,7 @@
     replicas_.LearnPrefillRate(done.index, computed,
                                *done.first_byte - done.sent);
   }
-  const auto& levels = item.info.levels;
+  const auto& levels = item.levels;
   if (!done.assumed_cached_age || item.info.prompt_tokens == 0) {
     return;
   }
@@ -379,6 +383,7 @@
                            request& item,
                            const attempt_ended& event,
                            action_list& out) {
+  PrepareLevels(item);
   const request_id id = item.info.request;
   const bool is_safe = event.result == outcome::kNotRun || MayRepeat(item);
   const bool is_useful = !event.response_started && now < item.deadline;
--- a/lib/Core/request_moves.cc
+++ b/lib/Core/request_moves.cc
@@ -66,9 +66,11 @@
     return false;
   }
   const request& item = requests_.at(found->second);
-  const replica_index index = item.running->index;
-  return replicas_.IsAccepting(now, index) &&
-         replicas_.VersionAt(index, item.info.target) == item.running->version;
+  const auto& running = *item.running;
+  return replicas_.IsAccepting(now, running.index) &&
+         replicas_.VersionAt(running.index, item.info.target) ==
+             running.version &&
+         CacheScope(item, running.version) == running.cache_scope;
 }
 
 bool request_router::CanRetryElsewhere(time_point now, request_id id) {
--- a/lib/Core/request_router.cc
+++ b/lib/Core/request_router.cc
@@ -50,6 +50,7 @@
     action_list& out) {
   config_ = std::move(config);
   UpdateFleetSize();
+  PrepareWaitingLevels();
   replicas_.Reconfigure(now, *config_);
   DrainQueue(now, out);
 }
@@ -60,6 +61,7 @@
     action_list& out) {
   config_ = std::move(config);
   UpdateFleetSize();
+  PrepareWaitingLevels();
   replicas_.SetModels(now, config_->models);
   DrainQueue(now, out);
 }
@@ -115,9 +117,22 @@
   // version moved all prefixes to new preferred replicas and hid what the
   // replicas with the older weights had cached, during the seconds in which
   // these still served most requests.
-  item.scope = CacheScope(item, {});
-  for (prefix_level& level : item.info.levels) {
-    level.hash = CombineHash(item.scope, level.hash);
+  const uint64_t scope = CacheScope(item, {});
+  if (scope == item.scope) {
+    return;
+  }
+  item.scope = scope;
+  item.levels = item.info.levels;
+  for (prefix_level& level : item.levels) {
+    level.hash = CombineHash(scope, level.hash);
+  }
+}
+
+void request_router::PrepareWaitingLevels() {
+  for (auto& [id, item] : requests_) {
+    if (!item.running) {
+      PrepareLevels(item);
+    }
   }
 }
 
@@ -286,7 +301,7 @@
   }
   return policy_->Choose(
       {.now = now,
-       .levels = item.info.levels,
+       .levels = item.levels,
        .prompt_tokens = item.info.prompt_tokens,
        .eligible = eligible.indices,
        .has_free_slot = eligible.has_free_slot,
--- a/lib/Edge/arrival_translator.cc
+++ b/lib/Edge/arrival_translator.cc
@@ -81,28 +81,22 @@
   return TargetName(service, is_engine ? model : std::string_view());
 }
 
-request_arrived DescribeArrival(const request_flow::options& flow,
-                                const workspace_config* workspace) {
+request_arrived DescribeArrival(const request_flow::options& flow) {
   const route_spec& route = *flow.route;
-  request_arrived arrival{
-      .request = flow.id,
-      .workspace = flow.workspace,
-      .target = TargetOf(*flow.config, flow.service, flow.request.model),
-      .levels = MakeLevels(flow.request.parts),
-      .prompt_tokens = flow.request.prompt_tokens,
-      .request_digest = flow.digest,
-      .part_digests = flow.part_digests,
-      .time_limit = flow.deadline - flow.arrived,
-      .target_latency = route.target_latency,
-      .caller_idle_timeout = route.caller_idle_timeout,
-      .repeats =
-          route.MayRepeat() ? repeat_rule::kRepeatable : repeat_rule::kOnce,
-      .max_runs = route.max_attempts,
-      .cache_pool = {},
-      .priority = TranslateRank(flow.rank)};
-  const bool is_isolated = workspace != nullptr && workspace->is_isolated;
-  arrival.cache_pool = is_isolated ? "workspace/" + workspace->name : "shared";
-  return arrival;
+  return {.request = flow.id,
+          .workspace = flow.workspace,
+          .target = TargetOf(*flow.config, flow.service, flow.request.model),
+          .levels = MakeLevels(flow.request.parts),
+          .prompt_tokens = flow.request.prompt_tokens,
+          .request_digest = flow.digest,
+          .part_digests = flow.part_digests,
+          .time_limit = flow.deadline - flow.arrived,
+          .target_latency = route.target_latency,
+          .caller_idle_timeout = route.caller_idle_timeout,
+          .repeats =
+              route.MayRepeat() ? repeat_rule::kRepeatable : repeat_rule::kOnce,
+          .max_runs = route.max_attempts,
+          .priority = TranslateRank(flow.rank)};
 }
 
 quota_admission::admission_query DescribeQuotaQuery(time_point now,
--- a/lib/Edge/edge_arrivals.cc
+++ b/lib/Edge/edge_arrivals.cc
@@ -135,7 +135,7 @@
   options.uses_cache = !options.request.parts.empty();
   options.digest = DigestRequest(exchange, options.workspace);
   options.part_digests = DigestParts(options.request.parts, options.service);
-  request_arrived arrival = DescribeArrival(options, workspace);
+  request_arrived arrival = DescribeArrival(options);
   const request_id id = options.id;
   auto flow = std::make_unique<request_flow>(
       std::move(options), request_flow::parts{.base = base(),
--- a/lib/Edge/request_log.cc
+++ b/lib/Edge/request_log.cc
@@ -26,6 +26,9 @@
            static_cast<uint64_t>(action.expected_cached_tokens))
       .Add("prefix", action.prefix_origin)
       .Add("expected_queue_ms", action.expected_queue);
+  if (!flow.request().parts.empty()) {
+    line.Add("cache_scope", action.cache_scope);
+  }
   if (action.last_start) {
     line.Add("last_start_ms", *action.last_start - now);
   }
--- a/lib/Edge/routing_config_translator.cc
+++ b/lib/Edge/routing_config_translator.cc
@@ -1,10 +1,14 @@
 #include "cuminswitch/Edge/routing_config_translator.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "cuminswitch/Edge/weights_version_counter.h"
 #include "cuminswitch/Routing/upstream_incarnation.h"
+#include "cuminswitch/Support/hash.h"
 
 namespace cuminswitch {
 
@@ -85,6 +89,24 @@
   return spec;
 }
 
+/// Returns the pool of the workspaces that are not isolated. It depends on
+/// which are isolated, so that no workspace finds what another one cached
+/// before it was isolated, whatever either daemon has seen of earlier
+/// configurations.
+static std::string SharedPool(const routing_config& routing) {
+  std::set<std::string_view> isolated;
+  for (const workspace_config& item : routing.workspaces) {
+    if (item.is_isolated) {
+      isolated.insert(item.name);
+    }
+  }
+  uint64_t hash = 0;
+  for (const std::string_view name : isolated) {
+    hash = CombineHash(hash, Hash64(name));
+  }
+  return isolated.empty() ? "shared" : "shared/" + std::to_string(hash);
+}
+
 std::shared_ptr<const configuration> TranslateRoutingConfig(
     const fleet_snapshot& snapshot,
     const weights_version_counter& counter,
@@ -107,13 +129,17 @@
       targets.push_back(config->models.back().name);
     }
   }
+  const std::string shared_pool = SharedPool(*snapshot.config);
   config->workspaces.push_back({.name = std::string(kPublicWorkspace),
                                 .uses = targets,
-                                .max_in_flight = kNoWorkspaceLimit});
+                                .max_in_flight = kNoWorkspaceLimit,
+                                .cache_pool = shared_pool});
   for (const workspace_config& item : snapshot.config->workspaces) {
-    config->workspaces.push_back({.name = item.name,
-                                  .uses = targets,
-                                  .max_in_flight = kNoWorkspaceLimit});
+    config->workspaces.push_back(
+        {.name = item.name,
+         .uses = targets,
+         .max_in_flight = kNoWorkspaceLimit,
+         .cache_pool = item.is_isolated ? std::string() : shared_pool});
   }
   const auto by_name = [](const auto& a, const auto& b) {
     return a.name < b.name;
--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -42,7 +42,7 @@
 
 # put_configuration VERSION [EXTRA_ROUTE]: writes the configuration. W2_KEYS are
 # the credentials of the workspace w2, W2_FIELDS further fields of it, each
-# preceded by a comma.
+# preceded by a comma. OTHER_WORKSPACES are further workspaces.
 put_configuration() {
   put op/config "{\"version\":$1,\"routes\":[
     {\"name\":\"stream\",\"host\":\"h\",\"path-prefix\":\"/stream/\",
@@ -63,7 +63,8 @@
     \"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,
      \"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},
     \"tenants\":[{\"name\":\"w1\",\"api-keys\":[\"key1\"],\"isolated\":true},
-     {\"name\":\"w2\",\"api-keys\":[${W2_KEYS:-\"key2\"}]${W2_FIELDS:-}}]}"
+     {\"name\":\"w2\",\"api-keys\":[${W2_KEYS:-\"key2\"}]${W2_FIELDS:-}}${OTHER_WORKSPACES:+,
+     $OTHER_WORKSPACES}]}"
 }
 
 # start_replica ID SERVICE [MODEL [VERSION]]: starts an upstream and registers
--- a/unittests/Core/request_router_test.cc
+++ b/unittests/Core/request_router_test.cc
@@ -207,6 +207,67 @@
   EXPECT_NE(first->cache_scope, 0U);
 }
 
+/// Changes which of the workspaces share cached prefixes.
+class cache_pool_test : public request_router_test {
+ protected:
+  cache_pool_test() { SetPools("p", "p"); }
+  /// Assigns cache pools to the workspaces `v` and `w`; each upstream executes
+  /// one request at a time.
+  void SetPools(const std::string& of_v, const std::string& of_w) {
+    auto config = std::make_shared<configuration>();
+    config->models = {{.name = "m", .version = "1"}};
+    config->upstreams = {{.name = "a", .serves = {"m"}, .max_in_flight = 1},
+                         {.name = "b", .serves = {"m"}, .max_in_flight = 1}};
+    config->workspaces = {{.name = "v", .uses = {"m"}, .cache_pool = of_v},
+                          {.name = "w", .uses = {"m"}, .cache_pool = of_w}};
+    router_.OnConfiguration(now_, config, out_);
+  }
+  dispatch_attempt SendToEngine(request_id id, const std::string& workspace) {
+    SendRequest(id, workspace);
+    return Take<dispatch_attempt>().value();
+  }
+};
+
+TEST_F(cache_pool_test, WorkspacesOfOnePoolShareTheirScope) {
+  const uint64_t of_v = SendToEngine(1, "v").cache_scope;
+  EXPECT_EQ(SendToEngine(2, "w").cache_scope, of_v);
+}
+
+// Guards against a queued request that uses the cache of a workspace that has
+// become isolated meanwhile.
+TEST_F(cache_pool_test, QueuedRequestUsesThePoolInForceWhenItIsSent) {
+  const dispatch_attempt first = SendToEngine(1, "v");
+  SendToEngine(2, "v");
+  SendRequest(3, "w");
+  ASSERT_FALSE(Take<dispatch_attempt>());
+  SetPools("", "q");
+  EndAttempt(first.attempt, outcome::kAnswered);
+  const auto queued = Take<dispatch_attempt>();
+  ASSERT_TRUE(queued);
+  EXPECT_NE(queued->cache_scope, first.cache_scope);
+  EXPECT_EQ(queued->prefix_origin, "unknown");
+}
+
+// Guards against a second attempt that uses the cache of a workspace that has
+// become isolated since the first.
+TEST_F(cache_pool_test, RetryUsesThePoolInForceWhenItIsSent) {
+  const dispatch_attempt first = SendToEngine(1, "w");
+  SetPools("", "q");
+  EndAttempt(first.attempt, outcome::kUnknown);
+  const auto second = Take<dispatch_attempt>();
+  ASSERT_TRUE(second);
+  EXPECT_NE(second->cache_scope, first.cache_scope);
+}
+
+// Guards against a request that is sent after its slot was reserved, with the
+// scope of the time before.
+TEST_F(cache_pool_test, ReservedSlotIsNotUsedInAnotherPool) {
+  const dispatch_attempt sent = SendToEngine(1, "w");
+  EXPECT_TRUE(router_.MayStillSend(now_, sent.attempt));
+  SetPools("", "q");
+  EXPECT_FALSE(router_.MayStillSend(now_, sent.attempt));
+}
+
 TEST_F(request_router_test, FailedAttemptIsRetriedElsewhere) {
   SendRequest(1);
   const auto first = Take<dispatch_attempt>();
--- a/unittests/Edge/routing_config_translator_test.cc
+++ b/unittests/Edge/routing_config_translator_test.cc
@@ -3,8 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cuminswitch/Config/configuration.h"
@@ -37,6 +39,44 @@
   return {.service = service, .weights = {{.model = "m", .version = version}}};
 }
 
+/// Returns the cache pool of the workspace \p name, or of the requests without
+/// a credential, while the workspaces are `a`, `b` and `c` and those in
+/// \p isolated do not share.
+std::string CachePool(std::string_view name,
+                      const std::vector<std::string>& isolated) {
+  routing_config config;
+  for (const char* workspace : {"c", "a", "b"}) {
+    const bool is_isolated = std::find(isolated.begin(), isolated.end(),
+                                       workspace) != isolated.end();
+    config.workspaces.push_back(
+        {.name = workspace, .is_isolated = is_isolated});
+  }
+  fleet_snapshot snapshot;
+  snapshot.config = std::make_shared<const routing_config>(config);
+  return TranslateRoutingConfig(snapshot, {}, {})
+      ->FindWorkspace(name)
+      ->cache_pool;
+}
+
+TEST(routing_config_translator_test, OnlyIsolatedWorkspacesShareNoPool) {
+  EXPECT_NE(CachePool("a", {}), "");
+  EXPECT_EQ(CachePool("b", {}), CachePool("a", {}));
+  EXPECT_EQ(CachePool("", {}), CachePool("a", {}));
+  EXPECT_EQ(CachePool("a", {"a"}), "");
+  EXPECT_EQ(CachePool("c", {"a"}), CachePool("b", {"a"}));
+  EXPECT_EQ(CachePool("", {"a"}), CachePool("b", {"a"}));
+}
+
+// Guards against cached prompts that others find after their workspace has
+// become isolated, and against pools that only a daemon with a longer memory
+// would tell apart.
+TEST(routing_config_translator_test, PoolDependsOnWhichAreIsolated) {
+  EXPECT_NE(CachePool("b", {"a"}), CachePool("b", {}));
+  EXPECT_NE(CachePool("b", {"a"}), CachePool("b", {"c"}));
+  EXPECT_NE(CachePool("b", {"a"}), CachePool("b", {"a", "c"}));
+  EXPECT_EQ(CachePool("b", {"a", "c"}), CachePool("b", {"c", "a"}));
+}
+
 // Guards against an entry with a version that nobody published: no engine got
 // requests, because all counted as superseded.
 TEST(routing_config_translator_test, EntryDoesNotSupersedePublishedVersion) {
