Reject responses with an invalid status or a forbidden body

What callers saw: a response with the status 600 or 999 was forwarded as it was; one with 000, 020 or 099 was skipped, and a second response in its body was forwarded instead, or the caller waited until its deadline. A 204 was forwarded with a body, which a caller takes for the response to its next request.

Cause: every status below 200 counted as interim, no other was checked, and http_parser takes a length for that of a body whatever the status is.

The status line needs three digits from 100 to 599. 101, and a body of 1xx or 204, make the response malformed, so that the request is retried or gets 502; 304 has no body. Interim responses count towards the head's limit. Callers get a 204 without framing.

On the code before, RejectsInvalidStatuses, RejectsBodiesThatAreNotAllowed, ResponsesWithoutBodyEndWithTheirHead, EnforcesHeadLimitOnInterimResponses and ResponseWithoutContentHasNoFraming fail.

--- a/include/cuminswitch/Http1/message_reader.h
+++ b/include/cuminswitch/Http1/message_reader.h
@@ -73,6 +73,11 @@
   read_result ReadHead(std::string_view data, size_t& consumed);
   read_result ParseHead();
   read_result Execute(std::string_view data, size_t& consumed);
+  /// Whether the response announces a body that its status does not allow.
+  bool HasForbiddenBody() const;
+  /// Skips an interim response, whose head has \p size bytes; the final one
+  /// follows.
+  read_result SkipInterim(size_t size);
   void FillHead();
   bool HasBareLineFeed(size_t from) const;
   void Reset();
@@ -83,6 +88,8 @@
   std::string head_text_;
   message_head head_;
   uint64_t body_size_ = 0;
+  /// Bytes of the interim responses before the current head.
+  size_t skipped_size_ = 0;
   bool in_body_ = false;
   bool no_body_ = false;
   /// Whether the next piece of a field name begins a new field.
--- a/include/cuminswitch/Support/status_code.h
+++ b/include/cuminswitch/Support/status_code.h
@@ -7,7 +7,9 @@
 
 namespace cuminswitch::status_code {
 
+inline constexpr uint32_t kSwitchingProtocols = 101;
 inline constexpr uint32_t kOk = 200;
+inline constexpr uint32_t kNoContent = 204;
 inline constexpr uint32_t kNotModified = 304;
 inline constexpr uint32_t kBadRequest = 400;
 inline constexpr uint32_t kUnauthorized = 401;
--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -181,7 +181,9 @@
                                  const http_headers& headers,
                                  const response_framing& framing) {
   close_after_ = close_after_ || framing.close || server_.IsDraining();
-  is_chunked_ = !framing.content_length.has_value();
+  // Neither field is allowed there.
+  const bool has_framing = status != status_code::kNoContent;
+  is_chunked_ = has_framing && !framing.content_length.has_value();
   std::string text =
       "HTTP/1.1 " + std::to_string(status) + " " + StatusText(status) + "\r\n";
   for (const http_header& item : headers) {
@@ -189,7 +191,7 @@
   }
   if (is_chunked_) {
     text += "Transfer-Encoding: chunked\r\n";
-  } else {
+  } else if (has_framing) {
     text +=
         "Content-Length: " + std::to_string(*framing.content_length) + "\r\n";
   }
--- a/lib/Http1/head_check.cc
+++ b/lib/Http1/head_check.cc
@@ -25,6 +25,10 @@
   return byte == '\t' || (byte >= ' ' && byte != 0x7f);
 }
 
+static bool IsDigit(char c) {
+  return c >= '0' && c <= '9';
+}
+
 static bool IsRequestLine(std::string_view line) {
   const size_t first = line.find(' ');
   const size_t last = line.rfind(' ');
@@ -39,11 +43,21 @@
          (version == "HTTP/1.1" || version == "HTTP/1.0");
 }
 
+/// Whether \p text is a status from 100 to 599.
+static bool IsStatus(std::string_view text) {
+  static constexpr size_t kDigits = 3;
+  return text.size() == kDigits && text[0] >= '1' && text[0] <= '5' &&
+         std::all_of(text.begin(), text.end(), IsDigit);
+}
+
 static bool IsStatusLine(std::string_view line) {
-  static constexpr size_t kMinLength = 12;  // "HTTP/1.1 200"
-  return line.size() >= kMinLength &&
-         (line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ")) &&
-         std::all_of(line.begin(), line.end(), IsValueCharacter);
+  static constexpr size_t kVersionLength = 9;  // "HTTP/1.1 "
+  if (!line.starts_with("HTTP/1.1 ") && !line.starts_with("HTTP/1.0 ")) {
+    return false;
+  }
+  const std::string_view rest = line.substr(kVersionLength);
+  return IsStatus(rest.substr(0, rest.find(' '))) &&
+         std::all_of(rest.begin(), rest.end(), IsValueCharacter);
 }
 
 namespace {
@@ -60,8 +74,7 @@
 static bool IsNumber(std::string_view text) {
   static constexpr size_t kMaxDigits = 18;
   return !text.empty() && text.size() <= kMaxDigits &&
-         std::all_of(text.begin(), text.end(),
-                     [](unsigned char c) { return std::isdigit(c) != 0; });
+         std::all_of(text.begin(), text.end(), IsDigit);
 }
 
 static bool CheckField(std::string_view line, field_counts& counts) {
--- a/lib/Http1/head_check.h
+++ b/lib/Http1/head_check.h
@@ -10,8 +10,9 @@
 /// Whether \p head, up to and including its empty line, is unambiguous: lines
 /// end in CRLF, fields are `name: value` with a token as the name, there are no
 /// control characters, at most one length and none beside a transfer coding,
-/// and `chunked` is the only coding. With \p is_request it also requires
-/// `HTTP/1.x`, a target that begins with a slash and exactly one `Host`.
+/// and `chunked` is the only coding. The first line has `HTTP/1.x` and a status
+/// from 100 to 599 or, with \p is_request, a target that begins with a slash;
+/// a request has exactly one `Host`.
 bool IsStrictHead(std::string_view head, bool is_request);
 
 }  // namespace cuminswitch
--- a/lib/Http1/message_reader.cc
+++ b/lib/Http1/message_reader.cc
@@ -12,7 +12,6 @@
 
 static constexpr std::string_view kHeadEnd = "\r\n\r\n";
 static constexpr uint32_t kFirstFinalStatus = 200;
-static constexpr uint32_t kNoContent = 204;
 
 struct message_reader::parser {
   http_parser state{};
@@ -61,7 +60,9 @@
     // as HTTP even if the sender requests an upgrade.
     state->upgrade = 0;
     self.FillHead();
-    return self.no_body_ ? 1 : 0;
+    // http_parser expects a body after 304 if there is a length.
+    return self.no_body_ || state->status_code == status_code::kNotModified ? 1
+                                                                            : 0;
   }
 
   static int OnBody(http_parser* state, const char* at, size_t size) {
@@ -114,6 +115,7 @@
   head_text_.clear();
   head_ = {};
   body_size_ = 0;
+  skipped_size_ = 0;
   in_body_ = false;
   is_done_ = false;
   name_is_whole_ = true;
@@ -133,7 +135,7 @@
   head_.keep_alive = http_should_keep_alive(&state) != 0;
   head_.ends_with_connection = options_.reads == kind::kResponse && !no_body_ &&
                                !head_.is_chunked && !head_.content_length &&
-                               head_.status != kNoContent &&
+                               head_.status != status_code::kNoContent &&
                                head_.status != status_code::kNotModified;
 }
 
@@ -197,10 +199,11 @@
   if (result == read_result::kMalformed) {
     return result;
   }
+  if (!is_request && HasForbiddenBody()) {
+    return read_result::kMalformed;
+  }
   if (!is_request && head_.status < kFirstFinalStatus) {
-    // An interim response; the final one follows.
-    Reset();
-    return read_result::kNeedMore;
+    return SkipInterim(text.size());
   }
   if (head_.content_length.value_or(0) > options_.max_body_size) {
     return read_result::kBodyTooLarge;
@@ -214,6 +217,27 @@
   return result;
 }
 
+bool message_reader::HasForbiddenBody() const {
+  // Whoever reads such a response without its body takes the body for the next
+  // response.
+  const bool is_bodiless = head_.status < kFirstFinalStatus ||
+                           head_.status == status_code::kNoContent;
+  return is_bodiless &&
+         (head_.is_chunked || head_.content_length.value_or(0) > 0);
+}
+
+read_result message_reader::SkipInterim(size_t size) {
+  // No request asks for another protocol.
+  if (head_.status == status_code::kSwitchingProtocols) {
+    return read_result::kMalformed;
+  }
+  const size_t skipped = skipped_size_ + size;
+  Reset();
+  skipped_size_ = skipped;
+  return skipped > options_.max_head_size ? read_result::kHeadTooLarge
+                                          : read_result::kNeedMore;
+}
+
 read_result message_reader::Read(std::string_view data, size_t& consumed) {
   consumed = 0;
   while (consumed < data.size()) {
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -403,6 +403,20 @@
   EXPECT_EQ(caller.received.find("0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against framing that a caller takes for the next response's first
+// bytes.
+TEST_F(caller_server_test, ResponseWithoutContentHasNoFraming) {
+  const auto caller = HoldRequest();
+  held_->SendHead(204, {}, {});
+  held_->Finish();
+  holds_ = false;
+  const std::string received = SendAndReceive(
+      *caller, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n/2");
+  EXPECT_TRUE(received.starts_with(
+      "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\n"))
+      << received;
+}
+
 TEST_F(caller_server_test, DrainingServerRespondsWithConnectionClose) {
   server_.BeginDrain();
   raw_socket caller(raw_socket::Connect(server_.Address()));
--- a/unittests/Http1/message_reader_test.cc
+++ b/unittests/Http1/message_reader_test.cc
@@ -175,6 +175,64 @@
   EXPECT_EQ(done.body, "ok");
 }
 
+// Guards against an invalid status that reaches a caller, or that is skipped
+// like an interim response, so that its body is read as the response.
+TEST(message_reader_test, RejectsInvalidStatuses) {
+  const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string status : {"000", "020", "099", "600", "999", "20", "2",
+                                   "0200", "2000", "+20", "2 0", "", "101"}) {
+    for (const std::string& head : {"HTTP/1.1 " + status + " Odd\r\n\r\n",
+                                    "HTTP/1.1 " + status + "\r\n\r\n"}) {
+      EXPECT_EQ(ReadResponse(head + inner).result, read_result::kMalformed)
+          << head;
+    }
+  }
+  for (const std::string status : {"200", "299", "308", "451", "599"}) {
+    const reading done =
+        ReadResponse("HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_EQ(done.result, read_result::kMessageDone) << status;
+    EXPECT_EQ(std::to_string(done.head->status), status);
+  }
+}
+
+// Guards against a body where none is allowed being read, by this reader or by
+// a caller, as the next response.
+TEST(message_reader_test, RejectsBodiesThatAreNotAllowed) {
+  const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string status : {"100", "102", "199", "204"}) {
+    const std::string head = "HTTP/1.1 " + status + " Odd\r\n";
+    EXPECT_EQ(ReadResponse(head + "Content-Length: " +
+                           std::to_string(inner.size()) + "\r\n\r\n" + inner)
+                  .result,
+              read_result::kMalformed);
+    EXPECT_EQ(
+        ReadResponse(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+                            "0\r\n\r\n")
+            .result,
+        read_result::kMalformed);
+  }
+}
+
+TEST(message_reader_test, ResponsesWithoutBodyEndWithTheirHead) {
+  for (const std::string head :
+       {"HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n"}) {
+    const reading done = ReadResponse(head + "abcde");
+    EXPECT_EQ(done.result, read_result::kMessageDone) << head;
+    EXPECT_EQ(done.body, "") << head;
+  }
+}
+
+// Guards against interim responses without end.
+TEST(message_reader_test, EnforcesHeadLimitOnInterimResponses) {
+  std::string text;
+  for (int i = 0; i < 200; ++i) {
+    text += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  EXPECT_EQ(ReadResponse(text).result, read_result::kHeadTooLarge);
+}
+
 TEST(message_reader_test, ResponseWithoutLengthEndsWithItsConnection) {
   recording_sink sink;
   message_reader reader({.reads = message_reader::kind::kResponse}, sink);
