Await the acknowledgement of a request before its response ends unframed

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body, closed its side and then reset the connection.

Cause: an orderly end of the upstream's side completed a response without a length, though most of the request was unsent and the reset followed 0.1 s later.

While bytes of the request are not acknowledged, the end of such a response is kept back: a reset then breaks it, and it is complete once all is acknowledged. An upstream that answers early and reads on still completes its response.

Breaking all such responses at once would lose those of upstreams that read on.

ResetAfterOrderlyEndDoesNotCompleteResponse and OrderlyEndCompletesResponseOnceRequestIsTaken fail on the code before.

The upstreams of request_flow_test closed their connections without having read the request, which resets them. They read it now; no expectation has changed.

--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -41,6 +41,8 @@
 /// Smaller requests fit into the window with which an upstream begins.
 static constexpr size_t kLargeRequest = 16UL << 10;
 static constexpr std::chrono::milliseconds kHostCheckInterval{100};
+/// The same once the upstream has closed its side.
+static constexpr std::chrono::milliseconds kClosingCheckInterval{10};
 /// How long a host acknowledges nothing before it is probed.
 static constexpr std::chrono::milliseconds kProbedSilence{400};
 /// How long the kernel reports no acknowledgement until the connection counts
@@ -152,6 +154,23 @@
          info.tcpi_last_ack_recv >= kReportedSilence.count();
 }
 
+/// Returns the cause of a connection's end that \p error, an `errno`, states.
+static call_end_cause CauseOf(int error) {
+  switch (error) {
+    case ECONNRESET:
+    case ECONNREFUSED:
+    case EPIPE:
+      return call_end_cause::kUpstreamReset;
+    // After `TCP_USER_TIMEOUT` the kernel reports the last ICMP error, if any.
+    case ETIMEDOUT:
+    case EHOSTUNREACH:
+    case ENETUNREACH:
+      return call_end_cause::kUserTimeout;
+    default:
+      return call_end_cause::kOtherError;
+  }
+}
+
 void upstream_connection::CheckHost() {
   if (call_ == nullptr) {
     return;
@@ -163,6 +182,9 @@
     progressed_ = now;
   }
   LimitKernelWait(left == 0 ? kUserTimeout : kNoUserTimeout);
+  if (has_upstream_closed_ && EndIfSettled(left)) {
+    return;
+  }
   if (left == 0) {
     return;
   }
@@ -171,7 +193,30 @@
     End(upstream_call_result::kBroken, *cause);
     return;
   }
-  host_timer_.Start(kHostCheckInterval);
+  host_timer_.Start(has_upstream_closed_ ? kClosingCheckInterval
+                                         : kHostCheckInterval);
+}
+
+bool upstream_connection::EndIfSettled(size_t unacknowledged) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(bufferevent_getfd(stream_), SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    End(upstream_call_result::kBroken, CauseOf(error));
+  } else if (unacknowledged == 0) {
+    EndAtClose();
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void upstream_connection::EndAtClose() {
+  const bool is_whole = reader_.ReadEnd() == read_result::kMessageDone;
+  close_announced_ = true;
+  End(is_whole ? upstream_call_result::kComplete
+               : upstream_call_result::kBroken,
+      call_end_cause::kUpstreamClosed);
 }
 
 std::optional<call_end_cause> upstream_connection::FindLoss(
@@ -231,7 +276,8 @@
 }
 
 void upstream_connection::OnHead(message_head head) {
-  close_announced_ = !head.keep_alive || head.ends_with_connection;
+  ends_with_connection_ = head.ends_with_connection;
+  close_announced_ = !head.keep_alive || ends_with_connection_;
   keep_alive_time_ = ParseKeepAliveTimeout(head.Find("Keep-Alive"));
   if (call_ != nullptr) {
     call_->handler().OnResponseHead(head);
@@ -266,23 +312,6 @@
   }
 }
 
-/// Returns the cause of a connection's end that \p error, an `errno`, states.
-static call_end_cause CauseOf(int error) {
-  switch (error) {
-    case ECONNRESET:
-    case ECONNREFUSED:
-    case EPIPE:
-      return call_end_cause::kUpstreamReset;
-    // After `TCP_USER_TIMEOUT` the kernel reports the last ICMP error, if any.
-    case ETIMEDOUT:
-    case EHOSTUNREACH:
-    case ENETUNREACH:
-      return call_end_cause::kUserTimeout;
-    default:
-      return call_end_cause::kOtherError;
-  }
-}
-
 void upstream_connection::OnEvent(short what) {
   const int error = EVUTIL_SOCKET_ERROR();
   if ((what & BEV_EVENT_CONNECTED) != 0) {
@@ -302,12 +331,19 @@
     End(upstream_call_result::kNotConnected, cause);
     return;
   }
-  const bool is_whole =
-      is_orderly && reader_.ReadEnd() == read_result::kMessageDone;
-  close_announced_ = true;
-  End(is_whole ? upstream_call_result::kComplete
-               : upstream_call_result::kBroken,
-      cause);
+  if (!is_orderly) {
+    End(upstream_call_result::kBroken, cause);
+    return;
+  }
+  // An upstream that does not read the rest of the request resets the
+  // connection after the orderly end, which is then not the end of a response.
+  if (reader_.IsInBody() && ends_with_connection_ &&
+      UnacknowledgedBytes() > 0) {
+    has_upstream_closed_ = true;
+    host_timer_.Start(kClosingCheckInterval);
+    return;
+  }
+  EndAtClose();
 }
 
 void upstream_connection::OnTimeout() {
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -55,6 +55,12 @@
   void LimitKernelWait(std::chrono::milliseconds limit);
   /// Checks while a large request is sent whether its upstream's host is lost.
   void CheckHost();
+  /// Ends a call whose upstream has closed its side once all bytes of the
+  /// request are acknowledged, of which \p unacknowledged are left, or the
+  /// connection was reset. Returns whether it has ended.
+  bool EndIfSettled(size_t unacknowledged);
+  /// Ends a call whose upstream has closed its side in an orderly way.
+  void EndAtClose();
   /// Returns why the connection counts as lost after \p silence, if it does.
   std::optional<call_end_cause> FindLoss(
       std::chrono::steady_clock::duration silence);
@@ -73,6 +79,10 @@
   bool is_connected_ = false;
   bool is_reusable_ = false;
   bool close_announced_ = false;
+  /// The response has neither a length nor chunks.
+  bool ends_with_connection_ = false;
+  /// The upstream has closed its side before it has taken the whole request.
+  bool has_upstream_closed_ = false;
   uint32_t served_ = 0;
   std::chrono::seconds keep_alive_time_{0};
   std::chrono::steady_clock::time_point idle_since_;
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -97,13 +97,19 @@
     flow_->Start();
   }
 
-  /// Sends the next attempt and returns the upstream's side of it.
+  /// Sends the next attempt and returns the upstream's side of it, which has
+  /// read the request: with unread bytes, its close would be a reset.
   std::unique_ptr<raw_socket> Dispatch(attempt_id attempt) {
     flow_->Dispatch(ReadBootClock(), {.request = 1,
                                       .attempt = attempt,
                                       .upstream = "u",
                                       .address = listener_.Address()});
-    return listener_.Accept(base_);
+    auto upstream = listener_.Accept(base_);
+    RunUntil(base_, [&] {
+      upstream->Poll();
+      return upstream->received.ends_with("\r\n\r\n");
+    });
+    return upstream;
   }
   /// Lets the loop run until the stall time of a first attempt has passed.
   void PassStallTimeout() {
--- a/unittests/Http1/loopback.h
+++ b/unittests/Http1/loopback.h
@@ -103,6 +103,8 @@
   /// From now on the kernel drops what arrives, without an acknowledgement, as
   /// if the host had lost power.
   void DropPackets() { DropPacketsAt(fd_); }
+  /// Closes the sending side in an orderly way.
+  void CloseSending() { shutdown(fd_, SHUT_WR); }
   /// Closes the connection with a reset.
   void Reset() {
     const linger now{.l_onoff = 1, .l_linger = 0};
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -283,6 +283,33 @@
   EXPECT_EQ(AwaitEnd(), upstream_call_result::kComplete);
 }
 
+// Guards against a part of a response that a caller gets as the whole: its
+// upstream closes its side before it has taken the request, and then resets the
+// connection.
+TEST_F(upstream_pool_test, ResetAfterOrderlyEndDoesNotCompleteResponse) {
+  BeginLarge();
+  upstream_ = listener_.Accept(base_);
+  ASSERT_TRUE(AwaitFullWindow());
+  upstream_->Send("HTTP/1.1 200 OK\r\n\r\nabc");
+  upstream_->CloseSending();
+  ASSERT_TRUE(RunUntil(base_, [&] { return handler_.body == "abc"; }));
+  EXPECT_FALSE(handler_.end);
+  upstream_->Reset();
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kBroken);
+}
+
+// An upstream may respond before it has read the request, and read on.
+TEST_F(upstream_pool_test, OrderlyEndCompletesResponseOnceRequestIsTaken) {
+  BeginLarge();
+  upstream_ = listener_.Accept(base_);
+  ASSERT_TRUE(AwaitFullWindow());
+  upstream_->Send("HTTP/1.1 200 OK\r\n\r\nabc");
+  upstream_->CloseSending();
+  AwaitRequest();
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kComplete);
+  EXPECT_EQ(handler_.body, "abc");
+}
+
 TEST_F(upstream_pool_test, DistinguishesCallResults) {
   Begin();
   Accept();
