Limit what evhttp buffers of a line without end

What callers saw elsewhere: an upstream sent bytes without end, and the machine that had called it ran out of memory.

Cause: evhttp limits heads and bodies, but not the line with a chunk's size.

The connection reads no more than the limits of body and head ahead of evhttp, which then ends the call by its time-out.

LineWithoutEndIsNotBuffered fails on the code before: 14 MB taken, 2 MB allowed.

--- a/lib/Net/http_call.cc
+++ b/lib/Net/http_call.cc
@@ -18,6 +18,9 @@
 
 /// Largest head of a response, in bytes.
 static constexpr ev_ssize_t kMaxResponseHead = 64 << 10;
+/// Largest chunk of a response whose body has no limit, in bytes: evhttp passes
+/// on whole chunks only.
+static constexpr size_t kMaxChunk = 16UL << 20;
 /// The value with which evhttp limits nothing.
 static constexpr ev_ssize_t kNoLimit = -1;
 
@@ -52,6 +55,11 @@
       connection_, opts.max_body_size == 0
                        ? kNoLimit
                        : static_cast<ev_ssize_t>(opts.max_body_size));
+  // evhttp does not limit the line with the size of a chunk.
+  const size_t max_chunk =
+      opts.max_body_size == 0 ? kMaxChunk : opts.max_body_size;
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection_),
+                           EV_READ, 0, max_chunk + kMaxResponseHead);
   Send(opts);
   connect_timer_.Start(opts.connect_timeout);
   if (opts.total_timeout.count() > 0) {
--- a/unittests/Http1/loopback.h
+++ b/unittests/Http1/loopback.h
@@ -65,8 +65,10 @@
     return fd;
   }
 
-  void Send(const std::string& data) {
-    static_cast<void>(send(fd_, data.data(), data.size(), MSG_NOSIGNAL));
+  /// Returns how many bytes the kernel accepts.
+  size_t Send(const std::string& data) {
+    const ssize_t size = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+    return size < 0 ? 0 : static_cast<size_t>(size);
   }
   /// Appends available bytes to `received`, and records the end of the
   /// connection.
@@ -103,6 +105,11 @@
   /// From now on the kernel drops what arrives, without an acknowledgement, as
   /// if the host had lost power.
   void DropPackets() { DropPacketsAt(fd_); }
+  /// Makes the kernel buffer little of what the peer does not read.
+  void LimitSendBuffer() {
+    const int size = 64 << 10;
+    setsockopt(fd_, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+  }
   /// Closes the sending side in an orderly way.
   void CloseSending() { shutdown(fd_, SHUT_WR); }
   /// Closes the connection with a reset.
--- a/unittests/Http1/truncated_call_test.cc
+++ b/unittests/Http1/truncated_call_test.cc
@@ -53,11 +53,14 @@
   event_base_free(base);
 }
 
-/// Sends \p head and then \p piece again and again until the call ends.
+/// Sends \p head and then \p piece again and again until the call ends. Sets
+/// \p sent, if given, to the number of bytes.
 http_result SendWithoutEnd(const std::string& head,
                            const std::string& piece,
-                           http_call_options opts) {
+                           http_call_options opts,
+                           size_t* sent = nullptr) {
   event_base* base = event_base_new();
+  size_t size = 0;
   recording_handler handler;
   {
     http_client client(base);
@@ -65,13 +68,17 @@
     opts.to = server.Address();
     const auto call = client.Start(opts, handler);
     const auto connection = server.Accept(base);
+    connection->LimitSendBuffer();
     connection->Send(head);
     EXPECT_TRUE(RunUntil(base, [&] {
-      connection->Send(piece);
+      size += connection->Send(piece);
       return handler.has_ended;
     }));
   }
   event_base_free(base);
+  if (sent != nullptr) {
+    *sent = size;
+  }
   return handler.result;
 }
 
@@ -89,5 +96,25 @@
             http_result::kBroken);
 }
 
+// Guards against a daemon that exceeds its memory since one line of an engine's
+// report, which is no part of its body, has no end.
+TEST(truncated_call_test, LineWithoutEndIsNotBuffered) {
+  // More than the kernel and the reader buffer.
+  constexpr size_t kMaxBuffered = 2UL << 20;
+  const std::string piece(1UL << 20, 'x');
+  for (const std::string line : {"5;x=", "5\r\nabcde\r\n0\r\nX-Trailer: "}) {
+    size_t sent = 0;
+    EXPECT_NE(
+        SendWithoutEnd(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + line,
+            piece,
+            {.total_timeout = std::chrono::milliseconds(1000),
+             .max_body_size = 100'000},
+            &sent),
+        http_result::kComplete);
+    EXPECT_LT(sent, kMaxBuffered) << line;
+  }
+}
+
 }  // namespace
 }  // namespace cuminswitch
