Decide again about requests that wait while the daemon stops

What callers saw: requests that a stopping daemon had accepted early waited for a slot, were sent to an upstream late in the grace and ended with 502 at the exit.

Cause: whether a request may end before the exit was decided at its arrival only. The listening socket stayed open while nothing was accepted from it.

A request that was not sent yet is refused once its deadline is beyond the end of the grace, at each tick of the stop and before it is sent. Once the addresses have expired, the daemon accepts what waits in the kernel's queue and closes the socket.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -330,6 +330,11 @@
   /// Logs when the reservation of engines for short prompts begins or ends.
   void LogReservedEngines();
   void OnStopTick();
+  /// Refuses the request of \p flow if the daemon stops, it was not sent yet,
+  /// and its response might not arrive before the process exits.
+  bool RefuseIfStopping(time_point now, request_flow& flow);
+  /// Does so for all requests that wait for an upstream.
+  void RefuseWaitingRequests(time_point now);
   /// Ends the requests that would get no response before the process exits.
   void EndUnansweredRequests();
 
--- a/include/cuminswitch/Http1/caller_server.h
+++ b/include/cuminswitch/Http1/caller_server.h
@@ -64,7 +64,9 @@
   const caller_limits& limits() const { return limits_; }
   /// From now on responses carry `Connection: close`.
   void BeginDrain() { is_draining_ = true; }
-  /// Stops accepting connections and closes those without a request.
+  /// Accepts the connections that wait, and refuses further ones at once.
+  void StopListening();
+  /// Closes the connections without a request.
   void CloseIdle();
   /// Reports the connections that an exit of the process now would cut off.
   void ReportOpen();
@@ -73,6 +75,7 @@
   uint64_t accepted_count() const { return accepted_; }
   /// Requests that were refused because of the memory limit.
   uint64_t refused_count() const { return refused_; }
+  /// The address it listens at; not valid after `StopListening`.
   endpoint Address() const;
 
  private:
@@ -92,7 +95,6 @@
   uint64_t accepted_ = 0;
   uint64_t refused_ = 0;
   bool is_draining_ = false;
-  bool is_closed_ = false;
   std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>>
       connections_;
   /// False once the server is destroyed, so that deferred callbacks do not use
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -245,6 +245,9 @@
 
 void edge_task::Perform(time_point now, const dispatch_attempt& action) {
   request_flow* flow = FindFlow(action.request);
+  if (flow != nullptr && RefuseIfStopping(now, *flow)) {
+    return;
+  }
   if (flow == nullptr || flow->has_ended() || ForwardUnsent(*flow)) {
     ForwardToRouter(now, attempt_ended{.attempt = action.attempt,
                                        .result = outcome::kNotRun,
@@ -420,6 +423,26 @@
   OnStopTick();
 }
 
+bool edge_task::RefuseIfStopping(time_point now, request_flow& flow) {
+  const bool is_new = !flow.has_ended() && !flow.is_running() &&
+                      !flow.may_have_run() && !flow.has_response_begun();
+  if (!is_new || stop_.CanAccept(now, flow.deadline() - now)) {
+    return false;
+  }
+  flow.EndForStop();
+  return true;
+}
+
+void edge_task::RefuseWaitingRequests(time_point now) {
+  std::vector<request_flow*> flows;
+  for (const auto& [id, flow] : flows_) {
+    flows.push_back(flow.get());
+  }
+  for (request_flow* flow : flows) {
+    RefuseIfStopping(now, *flow);
+  }
+}
+
 void edge_task::EndUnansweredRequests() {
   // Those that wait come first: a free slot would place them at an upstream.
   for (const bool is_running : {false, true}) {
@@ -436,8 +459,11 @@
 
 void edge_task::OnStopTick() {
   const time_point now = ReadBootClock();
+  RefuseWaitingRequests(now);
   if (stop_.HasAddressExpired(now)) {
+    // What is accepted here has until the next tick to send its request.
     server_->CloseIdle();
+    server_->StopListening();
   }
   if (stop_.MustEndRequests(now) && !std::exchange(has_ended_requests_, true)) {
     EndUnansweredRequests();
--- a/lib/Http1/caller_server.cc
+++ b/lib/Http1/caller_server.cc
@@ -47,14 +47,12 @@
 
 caller_server::~caller_server() {
   *alive_ = false;
-  evconnlistener_free(listener_);
+  if (listener_ != nullptr) {
+    evconnlistener_free(listener_);
+  }
 }
 
 void caller_server::Accept(int fd, std::string from) {
-  if (is_closed_) {
-    evutil_closesocket(fd);
-    return;
-  }
   ++accepted_;
   auto item = std::make_unique<caller_connection>(*this, fd, std::move(from));
   caller_connection* key = item.get();
@@ -70,9 +68,23 @@
   });
 }
 
+void caller_server::StopListening() {
+  if (listener_ == nullptr) {
+    return;
+  }
+  // Connections that the kernel has accepted would be reset.
+  const int listening = evconnlistener_get_fd(listener_);
+  sockaddr from{};
+  socklen_t size = sizeof(from);
+  for (int fd = 0; (fd = accept4(listening, &from, &size,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
+    Accept(fd, NumericAddress(from));
+    size = sizeof(from);
+  }
+  evconnlistener_free(std::exchange(listener_, nullptr));
+}
+
 void caller_server::CloseIdle() {
-  is_closed_ = true;
-  evconnlistener_disable(listener_);
   std::vector<caller_connection*> all;
   for (const auto& [key, item] : connections_) {
     all.push_back(key);
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -270,6 +270,24 @@
   EXPECT_TRUE(caller.ended);
 }
 
+// Guards against connections that wait unread until the process exits.
+TEST_F(caller_server_test, ReadsWaitingConnectionsAndRefusesLaterOnes) {
+  raw_socket waiting(raw_socket::Connect(server_.Address()));
+  const endpoint address = server_.Address();
+  server_.BeginDrain();
+  server_.CloseIdle();
+  server_.StopListening();
+  const std::string reply =
+      SendAndReceive(waiting, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", "/1");
+  EXPECT_TRUE(reply.starts_with("HTTP/1.1 200")) << reply;
+  raw_socket late(raw_socket::Connect(address));
+  EXPECT_TRUE(RunUntil(base_, [&] {
+    late.Poll();
+    return late.ended;
+  }));
+  EXPECT_EQ(server_.accepted_count(), 1U);
+}
+
 // Guards against discarding a request that was read while the response before
 // it, whose head did not announce the close, was being sent.
 TEST_F(caller_server_test, AnswersRequestReadBeforeUnannouncedClose) {
