Release the memory of bodies and of large events

What callers saw: a kept connection kept the memory of its largest request. The account of held bytes said 0.

Cause: an assignment of {} to a std::string keeps its memory; erase() does too. The same holds for a request that is refused because of the memory limit, and for the buffer of a stream after one large event.

The body is swapped with an empty string, and a large buffer is shrunk once it needs less than a quarter of its memory.

Other buffers of connections were looked through: heads are moved out of theirs.

--- a/lib/Edge/response_buffer.cc
+++ b/lib/Edge/response_buffer.cc
@@ -11,6 +11,8 @@
 static constexpr size_t kShareDivisor = 4;
 /// Responses up to this size are buffered although the account is full.
 static constexpr size_t kMaxSmallResponse = 64UL << 10;
+/// A large buffer may have this many times the memory that it needs.
+static constexpr size_t kMaxSlack = 4;
 
 response_buffer::response_buffer(response_buffer&& other) noexcept
     : account_(other.account_), text_(std::exchange(other.text_, {})) {}
@@ -42,6 +44,10 @@
 void response_buffer::DropFront(size_t size) {
   text_.erase(0, size);
   account_->Remove(size);
+  if (text_.capacity() > kMaxSmallResponse &&
+      text_.size() < text_.capacity() / kMaxSlack) {
+    text_.shrink_to_fit();
+  }
 }
 
 }  // namespace cuminswitch
--- a/lib/Http1/caller_connection.cc
+++ b/lib/Http1/caller_connection.cc
@@ -70,7 +70,8 @@
 
 void caller_connection::ClearBody() {
   server_.account_.Remove(body_.size());
-  body_ = {};
+  // An assignment would keep the allocated memory.
+  std::string().swap(body_);
 }
 
 void caller_connection::BecomeIdle() {
--- a/unittests/Edge/event_splitter_test.cc
+++ b/unittests/Edge/event_splitter_test.cc
@@ -2,6 +2,7 @@
 #include "cuminswitch/Edge/event_splitter.h"
 
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 #include <string>
 
@@ -73,6 +74,22 @@
   EXPECT_EQ(unfinished("id: 1\n"), 6U);
 }
 
+// Guards against streams that keep the memory of their largest event.
+TEST(event_splitter_test, KeepsNoMemoryOfLargeEvents) {
+  constexpr size_t kMaxKept = 256UL << 10;
+  const auto allocated = [] {
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+  };
+  byte_account account;
+  const std::string event = "data: " + std::string(4 << 20, 'x') + "\n\n";
+  event_splitter splitter(account);
+  const size_t before = allocated();
+  EXPECT_EQ(splitter.Add(event)->size(), event.size());
+  EXPECT_EQ(splitter.Add("data: y\n\n")->size(), 9U);
+  EXPECT_LT(allocated(), before + kMaxKept);
+}
+
 TEST(event_splitter_test, PreservesBytesForAnyPieceSize) {
   const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n\nrest";
   for (size_t piece = 1; piece <= text.size(); ++piece) {
--- a/unittests/Http1/caller_server_test.cc
+++ b/unittests/Http1/caller_server_test.cc
@@ -3,6 +3,7 @@
 
 #include <event2/event.h>
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 #include <memory>
 #include <string>
@@ -24,6 +25,12 @@
 
 constexpr size_t kMemoryLimit = 100'000;
 constexpr int kReceiveBuffer = 32 << 10;
+/// Returns the allocated memory in bytes.
+size_t AllocatedBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
 /// More than the kernel buffers for a connection.
 constexpr size_t kLargeBodySize = 12 << 20;
 
@@ -40,7 +47,9 @@
 
   void OnRequest(caller_exchange& exchange) override {
     targets_.push_back(exchange.Head().target);
-    bodies_.push_back(exchange.Body());
+    if (keeps_bodies_) {
+      bodies_.push_back(exchange.Body());
+    }
     if (aborts_) {
       exchange.Abort();
       return;
@@ -111,6 +120,7 @@
   caller_server server_;
   std::vector<std::string> targets_;
   std::vector<std::string> bodies_;
+  bool keeps_bodies_ = true;
   bool holds_ = false;
   bool aborts_ = false;
   std::string large_body_;
@@ -448,6 +458,41 @@
 // Hundreds of callers that send large bodies a few bytes at a time could
 // exhaust the memory of a small host, so that the daemon is killed. With the
 // memory limit they are refused, and other callers' requests still succeed.
+/// Sends a request with a large body and reads the first byte of its response.
+void SendLarge(event_base* base, raw_socket& caller) {
+  constexpr size_t kBodySize = 1 << 20;
+  const std::string request =
+      "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+      std::to_string(kBodySize) + "\r\n\r\n" + std::string(kBodySize, 'x');
+  size_t sent = 0;
+  ASSERT_TRUE(RunUntil(base, [&] {
+    sent += caller.Send(request.substr(sent));
+    caller.Poll();
+    return !caller.received.empty();
+  }));
+}
+
+// Guards against idle connections that keep the memory of their largest
+// request, and against refused requests that do.
+TEST_F(caller_server_test, ConnectionsKeepNoMemoryOfBodies) {
+  constexpr int kConnections = 24;
+  constexpr size_t kMaxKept = 4UL << 20;
+  keeps_bodies_ = false;
+  for (const size_t limit : {64UL << 20, 100UL << 10}) {
+    byte_account account(limit);
+    caller_server server(base_, {"127.0.0.1", 0}, *this, &account);
+    std::vector<std::unique_ptr<raw_socket>> callers;
+    const size_t before = AllocatedBytes();
+    for (int i = 0; i < kConnections; ++i) {
+      callers.push_back(
+          std::make_unique<raw_socket>(raw_socket::Connect(server.Address())));
+      SendLarge(base_, *callers.back());
+    }
+    EXPECT_LT(AllocatedBytes(), before + kMaxKept) << "limit " << limit;
+    EXPECT_EQ(server.refused_count() > 0, limit < (1UL << 20));
+  }
+}
+
 TEST_F(caller_server_test, SlowSendersLeaveMemoryForOtherRequests) {
   server_.SetLimits(
       {.max_body_size = 1 << 20, .request_timeout = std::chrono::seconds(5)});
