Skip responses that belong to another call

A copy ended a reservation on a pooled connection, which was reused with the real response outstanding; from there on each response was taken for that of the next call, and the refusal of a reservation for that of a request, which was sent again.

Cause: a connection counted as reusable after any complete response, also one that was not the call's own, and calls without an identifier shared connections with requests.

The handler of a call states whose response begins. One of another call is skipped and the call waits for its own. A connection is not reused after a response that states no identifier. Reservations use connections of their own.

Ruled out: disbelieving refusals without an identifier, which the platform allows; closing the connection after a foreign response, which loses the call's own.

SkipsResponseToAnotherCall, DoesNotReuseConnectionAfterUnstatedOwner and LateCopyOfAnotherResponseEndsNoAttempt fail if the owner is ignored.

upstream_pool_test ignores SIGPIPE like the daemons. A concatenation in message_reader_test is written as the linter asks.

--- a/include/cuminswitch/Edge/edge_task.h
+++ b/include/cuminswitch/Edge/edge_task.h
@@ -105,6 +105,8 @@
   void OnFlowEvent(core_event event) override;
   void OnFlowFeedback(const request_flow& flow,
                       const upstream_feedback& feedback) override;
+  void OnOtherResponse(const request_flow& flow,
+                       const std::string& other) override;
   void OnFlowAttemptFailed(const request_flow& flow,
                            attempt_result result,
                            uint32_t status) override;
--- a/include/cuminswitch/Edge/request_flow.h
+++ b/include/cuminswitch/Edge/request_flow.h
@@ -60,6 +60,10 @@
   /// The upstream of the current attempt sent a response head.
   virtual void OnFlowFeedback(const request_flow& flow,
                               const upstream_feedback& feedback) = 0;
+  /// The upstream of the current attempt sent a response to \p other, another
+  /// request, which is skipped.
+  virtual void OnOtherResponse(const request_flow& flow,
+                               const std::string& other) = 0;
   /// An attempt ended without success.
   virtual void OnFlowAttemptFailed(const request_flow& flow,
                                    attempt_result result,
@@ -185,6 +189,8 @@
  private:
   void OnCallerDisconnected() override;
   void OnCallerDrained() override;
+  response_owner OwnerOf(const message_head& head) const override;
+  void OnOtherResponse(const message_head& head) override;
   void OnResponseHead(const message_head& head) override;
   void OnResponseBody(std::string_view data) override;
   void OnCallEnd(upstream_call_result end) override;
--- a/include/cuminswitch/Edge/slot_reservation.h
+++ b/include/cuminswitch/Edge/slot_reservation.h
@@ -51,6 +51,7 @@
   ~slot_reservation() override;
 
  private:
+  response_owner OwnerOf(const message_head& head) const override;
   void OnResponseHead(const message_head& head) override;
   void OnResponseBody(std::string_view data) override;
   void OnCallEnd(upstream_call_result end) override;
--- a/include/cuminswitch/Http1/upstream_call.h
+++ b/include/cuminswitch/Http1/upstream_call.h
@@ -40,10 +40,27 @@
   kMalformed,
 };
 
-/// Receives a call's events. It may destroy the call in any of them.
+/// The call that a response responds to.
+enum class response_owner : uint8_t {
+  kThisCall,
+  /// This call, but a second copy of the response could not be told from the
+  /// response to a later call, so its connection is not reused.
+  kUnstated,
+  /// An earlier call on the same connection.
+  kOtherCall,
+};
+
+/// Receives a call's events. It may destroy the call in any of them but
+/// `OnOtherResponse`.
 class upstream_handler {
  public:
   virtual ~upstream_handler() = default;
+  /// Returns the call that the response with \p head responds to.
+  virtual response_owner OwnerOf(const message_head& /*head*/) const {
+    return response_owner::kThisCall;
+  }
+  /// A response with \p head that belongs to another call is skipped.
+  virtual void OnOtherResponse(const message_head& /*head*/) {}
   virtual void OnResponseHead(const message_head& head) = 0;
   virtual void OnResponseBody(std::string_view data) = 0;
   virtual void OnCallEnd(upstream_call_result end) = 0;
--- a/lib/Edge/edge_task.cc
+++ b/lib/Edge/edge_task.cc
@@ -264,6 +264,16 @@
   ProcessQuotaDecisions(now);
 }
 
+void edge_task::OnOtherResponse(const request_flow& flow,
+                                const std::string& other) {
+  with_.log.Write(log_class::kRequest,
+                  log_line("response_skipped")
+                      .Add("id", flow.request().attempt)
+                      .Add("upstream", flow.upstream())
+                      .Add("other_id", other)
+                      .Add("revision", snapshot_->revision));
+}
+
 void edge_task::OnFlowAttemptFailed(const request_flow& flow,
                                     attempt_result result,
                                     uint32_t status) {
--- a/lib/Edge/request_flow_attempts.cc
+++ b/lib/Edge/request_flow_attempts.cc
@@ -255,11 +255,6 @@
       break;
   }
   const response_attributes& attributes = response_.attributes;
-  const bool is_other = !attributes.attempt.empty() &&
-                        attributes.attempt != options_.request.attempt;
-  if (is_other) {
-    return attempt_result::kUnrelated;
-  }
   if (attributes.is_mismatch) {
     return attempt_result::kMismatch;
   }
--- a/lib/Edge/request_flow_responses.cc
+++ b/lib/Edge/request_flow_responses.cc
@@ -11,6 +11,22 @@
 
 namespace cuminswitch {
 
+response_owner request_flow::OwnerOf(const message_head& head) const {
+  const std::string attempt = with_.protocol.ReadResponse(head).attempt;
+  if (attempt.empty()) {
+    return response_owner::kUnstated;
+  }
+  return attempt == options_.request.attempt ? response_owner::kThisCall
+                                             : response_owner::kOtherCall;
+}
+
+void request_flow::OnOtherResponse(const message_head& head) {
+  const response_attributes attributes = with_.protocol.ReadResponse(head);
+  with_.owner.OnFlowFeedback(
+      *this, SelectFeedback(attributes, options_.request.attempt));
+  with_.owner.OnOtherResponse(*this, attributes.attempt);
+}
+
 void request_flow::OnResponseHead(const message_head& head) {
   last_read_at_ = ReadBootClock();
   response_.head = head;
--- a/lib/Edge/slot_reservation.cc
+++ b/lib/Edge/slot_reservation.cc
@@ -10,8 +10,6 @@
 /// An upstream responds without queueing, within a few round trips.
 static constexpr std::chrono::milliseconds kTimeout{150};
 static constexpr std::chrono::milliseconds kConnectTimeout{100};
-/// Nothing was executed if a pooled connection turns out to be closed.
-static constexpr std::chrono::milliseconds kMaxIdle{60'000};
 /// Longer responses are not reservations.
 static constexpr size_t kMaxBodySize = 4096;
 
@@ -32,13 +30,19 @@
                       .target = opts.call.target,
                       .headers = std::move(headers),
                       .body = opts.call.body,
-                      .connect_timeout = kConnectTimeout,
-                      .max_idle = kMaxIdle},
+                      .connect_timeout = kConnectTimeout},
                      *this);
 }
 
 slot_reservation::~slot_reservation() = default;
 
+response_owner slot_reservation::OwnerOf(const message_head& head) const {
+  // A reservation has no identifier that its response could state.
+  return protocol_.ReadResponse(head).attempt.empty()
+             ? response_owner::kUnstated
+             : response_owner::kOtherCall;
+}
+
 void slot_reservation::OnResponseHead(const message_head& head) {
   status_ = head.status;
 }
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -96,7 +96,8 @@
   call_ = &call;
   is_reusable_ = false;
   timer_.Cancel();
-  if (request.method == "HEAD") {
+  is_head_request_ = request.method == "HEAD";
+  if (is_head_request_) {
     reader_.ExpectNoBody();
   }
   const std::string head = WriteHead(request);
@@ -212,7 +213,8 @@
 }
 
 void upstream_connection::EndAtClose() {
-  const bool is_whole = reader_.ReadEnd() == read_result::kMessageDone;
+  const bool is_whole = reader_.ReadEnd() == read_result::kMessageDone &&
+                        owner_ != response_owner::kOtherCall;
   close_announced_ = true;
   End(is_whole ? upstream_call_result::kComplete
                : upstream_call_result::kBroken,
@@ -279,13 +281,20 @@
   ends_with_connection_ = head.ends_with_connection;
   close_announced_ = !head.keep_alive || ends_with_connection_;
   keep_alive_time_ = ParseKeepAliveTimeout(head.Find("Keep-Alive"));
-  if (call_ != nullptr) {
-    call_->handler().OnResponseHead(head);
+  if (call_ == nullptr) {
+    return;
+  }
+  upstream_handler& handler = call_->handler();
+  owner_ = handler.OwnerOf(head);
+  if (owner_ == response_owner::kOtherCall) {
+    handler.OnOtherResponse(head);
+  } else {
+    handler.OnResponseHead(head);
   }
 }
 
 void upstream_connection::OnBody(std::string_view data) {
-  if (call_ != nullptr) {
+  if (call_ != nullptr && owner_ != response_owner::kOtherCall) {
     call_->handler().OnResponseBody(data);
   }
 }
@@ -301,6 +310,16 @@
   }
   while (call_ != nullptr && evbuffer_get_length(input) > 0) {
     const read_result result = ReadFront(reader_, input);
+    const bool is_other = owner_ == response_owner::kOtherCall;
+    if (is_other && is_head_request_) {
+      // Only the response to a HEAD has no body.
+      End(upstream_call_result::kMalformed, call_end_cause::kMalformed);
+      return;
+    }
+    if (is_other && result == read_result::kMessageDone) {
+      owner_ = response_owner::kThisCall;
+      continue;
+    }
     if (result == read_result::kMessageDone) {
       End(upstream_call_result::kComplete, call_end_cause::kFraming);
       return;
@@ -365,6 +384,8 @@
   // upstream still expects the rest of the request, so nothing else may be sent
   // on the connection.
   is_reusable_ = result == upstream_call_result::kComplete &&
+                 std::exchange(owner_, response_owner::kThisCall) ==
+                     response_owner::kThisCall &&
                  !close_announced_ && !has_more && !HasUnsentBytes() &&
                  keep_alive_time_.count() > 0;
   idle_since_ = std::chrono::steady_clock::now();
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -78,6 +78,9 @@
   pooled_call* call_ = nullptr;
   bool is_connected_ = false;
   bool is_reusable_ = false;
+  bool is_head_request_ = false;
+  /// Whose response is being read.
+  response_owner owner_ = response_owner::kThisCall;
   bool close_announced_ = false;
   /// The response has neither a length nor chunks.
   bool ends_with_connection_ = false;
--- a/unittests/Edge/request_flow_test.cc
+++ b/unittests/Edge/request_flow_test.cc
@@ -34,6 +34,10 @@
       limits.push_back(*feedback.limit);
     }
   }
+  void OnOtherResponse(const request_flow& /*flow*/,
+                       const std::string& /*other*/) override {
+    ++skipped;
+  }
   void OnFlowAttemptFailed(const request_flow& flow,
                            attempt_result result,
                            uint32_t status) override {
@@ -59,6 +63,7 @@
   bool can_retry = true;
   bool may_still_send = true;
   int failed = 0;
+  int skipped = 0;
   nlohmann::json failure_line;
   nlohmann::json end_line;
   std::vector<attempt_id> begun;
@@ -342,6 +347,29 @@
   EXPECT_EQ(protocol_.last_reservation, "h7");
 }
 
+// Guards against responses to reservations, which state no identifier, that are
+// taken for those to requests on the same connection, and the other way round.
+TEST_F(reserved_request_test, SharesNoConnectionWithRequests) {
+  protocol_.response.attempt = "another";
+  upstream_->Send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+  RunUntil(base_, [&] { return flow_->attempts() > 0; });
+  EXPECT_EQ(flow_->attempts(), 0U);
+  protocol_.response.attempt = "";
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.failed > 0; }));
+  flow_->Dispatch(ReadBootClock(), {.request = 1,
+                                    .attempt = 2,
+                                    .upstream = "u",
+                                    .address = listener_.Address(),
+                                    .reservation = milliseconds(500)});
+  const auto second = listener_.Accept(base_);
+  second->Send(
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: "
+      "timeout=5\r\n\r\nh8");
+  ASSERT_TRUE(RunUntil(base_, [&] { return flow_->attempts() == 1; }));
+  EXPECT_EQ(protocol_.last_reservation, "h8");
+  EXPECT_NE(listener_.Accept(base_), nullptr);
+}
+
 // Guards against a request in the queue of an upstream that has no free slot.
 TEST_F(reserved_request_test, IsNotSentWithoutAReservation) {
   upstream_->Send("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
@@ -463,6 +491,21 @@
   EXPECT_EQ(owner_.last.result, outcome::kAnswered);
 }
 
+// Guards against a request that runs at two upstreams, since the late copy of
+// an earlier response ended its first attempt.
+TEST_F(request_flow_test, LateCopyOfAnotherResponseEndsNoAttempt) {
+  route_.kind = request_kind::kStream;
+  protocol_.response = {.attempt = "another", .was_not_run = true};
+  const auto upstream = Dispatch(1);
+  upstream->Send("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(RunUntil(base_, [&] { return owner_.skipped == 1; }));
+  EXPECT_EQ(owner_.failed, 0);
+  protocol_.response = {.is_signed = true};
+  upstream->Send(std::string(kStreamHead) + kEvent + "0\r\n\r\n");
+  EXPECT_TRUE(RunUntil(base_, [&] { return owner_.ended; }));
+  EXPECT_EQ(owner_.last.result, outcome::kAnswered);
+}
+
 // Guards against a daemon that exceeds its memory, and is killed with all its
 // callers, since an upstream sends a body or an event without end.
 TEST_F(request_flow_test, ResponseWithoutEndIsEndedWhileItIsSmall) {
--- a/unittests/Http1/message_reader_test.cc
+++ b/unittests/Http1/message_reader_test.cc
@@ -200,16 +200,16 @@
 TEST(message_reader_test, RejectsBodiesThatAreNotAllowed) {
   const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
   for (const std::string status : {"100", "102", "199", "204"}) {
-    const std::string head = "HTTP/1.1 " + status + " Odd\r\n";
-    EXPECT_EQ(ReadResponse(head + "Content-Length: " +
-                           std::to_string(inner.size()) + "\r\n\r\n" + inner)
-                  .result,
-              read_result::kMalformed);
-    EXPECT_EQ(
-        ReadResponse(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
-                            "0\r\n\r\n")
-            .result,
-        read_result::kMalformed);
+    std::string with_length = "HTTP/1.1 " + status;
+    with_length.append(" Odd\r\nContent-Length: ")
+        .append(std::to_string(inner.size()))
+        .append("\r\n\r\n")
+        .append(inner);
+    EXPECT_EQ(ReadResponse(with_length).result, read_result::kMalformed);
+    std::string chunked = "HTTP/1.1 " + status;
+    chunked.append(
+        " Odd\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    EXPECT_EQ(ReadResponse(chunked).result, read_result::kMalformed);
   }
 }
 
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,9 +18,17 @@
 
 class recording_handler : public upstream_handler {
  public:
+  response_owner OwnerOf(const message_head& value) const override {
+    const std::string_view owner = value.Find("X-Owner");
+    return owner == "other"      ? response_owner::kOtherCall
+           : owner == "unstated" ? response_owner::kUnstated
+                                 : response_owner::kThisCall;
+  }
+  void OnOtherResponse(const message_head& /*value*/) override { ++skipped; }
   void OnResponseHead(const message_head& value) override { head = value; }
   void OnResponseBody(std::string_view data) override { body += data; }
   void OnCallEnd(upstream_call_result value) override { end = value; }
+  int skipped = 0;
   std::optional<message_head> head;
   std::string body;
   std::optional<upstream_call_result> end;
@@ -28,7 +37,10 @@
 class upstream_pool_test : public testing::Test {
  protected:
   upstream_pool_test()
-      : base_(event_base_new()), pool_(base_), address_(listener_.Address()) {}
+      : base_(event_base_new()), pool_(base_), address_(listener_.Address()) {
+    // Like the daemons.
+    signal(SIGPIPE, SIG_IGN);
+  }
 
   void Begin(std::chrono::milliseconds max_idle = std::chrono::seconds(9)) {
     handler_ = {};
@@ -267,6 +279,40 @@
   EXPECT_FALSE(call_->IsOnReusedConnection());
 }
 
+// Guards against a late copy of an earlier response that ends a call: the call
+// after it would get this call's response.
+TEST_F(upstream_pool_test, SkipsResponseToAnotherCall) {
+  Begin();
+  Accept();
+  upstream_->Send(
+      "HTTP/1.1 503 Full\r\nX-Owner: other\r\nContent-Length: 4\r\n\r\nlate");
+  ASSERT_TRUE(RunUntil(base_, [&] { return handler_.skipped == 1; }));
+  upstream_->Send(kResponse);
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kComplete);
+  EXPECT_EQ(handler_.head->status, 200U);
+  EXPECT_EQ(handler_.body, "ok");
+  Begin();
+  EXPECT_TRUE(call_->IsOnReusedConnection());
+  AwaitRequest();
+  upstream_->Send("HTTP/1.1 200 OK\r\nX-Owner: other\r\n\r\nlate");
+  upstream_->Close();
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kBroken);
+  EXPECT_EQ(handler_.body, "");
+}
+
+// Guards against a response that does not state its call, whose late copy could
+// end the next call on the connection.
+TEST_F(upstream_pool_test, DoesNotReuseConnectionAfterUnstatedOwner) {
+  Begin();
+  Accept();
+  upstream_->Send(
+      "HTTP/1.1 503 Full\r\nX-Owner: unstated\r\nContent-Length: 0\r\n"
+      "Keep-Alive: timeout=5\r\n\r\n");
+  EXPECT_EQ(AwaitEnd(), upstream_call_result::kComplete);
+  Begin();
+  EXPECT_FALSE(call_->IsOnReusedConnection());
+}
+
 // Only an orderly close ends a response without a length. If a reset counted as
 // its end too, a caller would get a truncated response as a complete one.
 TEST_F(upstream_pool_test, ResetDoesNotCompleteResponseWithoutLength) {
